--- /dev/null
+++ b/Makefile
@@ -0,0 +1,178 @@
+# damaskyard: one binary, its stand-ins, its tests and its measurements.
+#
+#   make            the binary, build/damaskyard
+#   make standins   the stand-in targets, callers and fabric, build/standin/*
+#   make test       every test program, one a module
+#   make fuzz       the fuzzers, each run for a fixed count over its corpus
+#   make measure    the policy under load, printed as a table
+#   make bench      the data path and the control path, measured
+#   make lint       formatter and linter, both must be clean
+#   make gen        the codec from proto/*.x (its output is committed)
+#
+# SANITIZE=1 builds everything with the address and undefined-behaviour
+# sanitizers, below build/sanitize.
+
+CC = gcc
+CLANG = clang
+PKGS = libuv libtirpc glib-2.0 libxxhash
+PREFIX = /usr/local
+VERSION = 0.1.0
+
+ifdef SANITIZE
+BUILD = build/sanitize
+SAN = -fsanitize=address,undefined -fno-omit-frame-pointer
+else
+BUILD = build
+SAN =
+endif
+
+WARN = -Wall -Wextra -Wstrict-prototypes -Wmissing-prototypes \
+	-Wdeclaration-after-statement -Wshadow -Wvla -Wpointer-arith \
+	-Wno-unused-parameter -Werror
+DEPS_CFLAGS := $(shell pkg-config --cflags $(PKGS) | sed 's/-I/-isystem /g')
+DEPS_LIBS := $(shell pkg-config --libs $(PKGS)) -lm
+CHECK_LIBS := $(shell pkg-config --libs check 2>/dev/null)
+CFLAGS = -std=gnu11 -O2 -g
+INCLUDES = -Iinclude -Isrc/gen
+ALL_CFLAGS = $(CFLAGS) $(WARN) $(SAN) $(INCLUDES) $(DEPS_CFLAGS) \
+	-DDY_VERSION='"$(VERSION)"' -MMD -MP
+
+GEN_X := $(wildcard proto/*.x)
+GEN_SRC := $(sort $(wildcard src/gen/*.c))
+LIB_SRC := $(sort $(wildcard src/request/*.c src/connection/*.c \
+	src/version/*.c src/process/*.c))
+MAIN_SRC = src/process/main.c
+LIB_OBJ := $(patsubst %.c,$(BUILD)/obj/%.o, \
+	$(filter-out $(MAIN_SRC),$(LIB_SRC)) $(GEN_SRC))
+LIB = $(BUILD)/libdamaskyard.a
+BIN = $(BUILD)/damaskyard
+
+STANDIN_COMMON := $(sort $(wildcard standin/common_*.c))
+STANDIN_SRC := $(filter-out $(STANDIN_COMMON),$(sort $(wildcard standin/*.c)))
+STANDIN_BIN := $(patsubst standin/%.c,$(BUILD)/standin/%,$(STANDIN_SRC))
+STANDIN_COMMON_OBJ := $(patsubst %.c,$(BUILD)/obj/%.o,$(STANDIN_COMMON))
+TEST_SRC := $(sort $(wildcard tests/test_*.c))
+TEST_COMMON_OBJ := $(patsubst %.c,$(BUILD)/obj/%.o, \
+	$(sort $(wildcard tests/fake_*.c)))
+TEST_BIN := $(patsubst tests/%.c,$(BUILD)/tests/%,$(TEST_SRC))
+BENCH_SRC := $(sort $(wildcard bench/bench_*.c bench/measure_*.c))
+BENCH_COMMON_OBJ := $(patsubst %.c,$(BUILD)/obj/%.o, \
+	$(sort $(wildcard bench/common_*.c)))
+BENCH_BIN := $(patsubst bench/%.c,$(BUILD)/bench/%,$(BENCH_SRC))
+FUZZ_SRC := $(sort $(wildcard fuzz/fuzz_*.c))
+FUZZ_BIN := $(patsubst fuzz/%.c,build/fuzz/%,$(FUZZ_SRC))
+FUZZ_RUNS = 20000
+
+OWN_SRC := $(LIB_SRC) $(sort $(wildcard standin/*.c tests/*.c bench/*.c \
+	fuzz/*.c))
+OWN_HDR := $(sort $(wildcard include/damaskyard/*.h src/request/*.h \
+	src/connection/*.h src/version/*.h src/process/*.h standin/*.h \
+	tests/*.h bench/*.h fuzz/*.h))
+
+.PHONY: all standins test-programs test fuzz measure bench lint format \
+	tidy gen install clean
+.SECONDARY:
+
+all: $(BIN)
+
+standins: $(STANDIN_BIN)
+
+test-programs: $(TEST_BIN)
+
+benches: $(BENCH_BIN)
+
+$(BUILD)/obj/src/gen/%.o: src/gen/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) $(SAN) $(INCLUDES) $(DEPS_CFLAGS) -MMD -MP -w -c -o $@ $<
+
+$(BUILD)/obj/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(ALL_CFLAGS) -c -o $@ $<
+
+$(LIB): $(LIB_OBJ)
+	@mkdir -p $(@D)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BIN): $(BUILD)/obj/$(MAIN_SRC:.c=.o) $(LIB)
+	$(CC) $(SAN) -o $@ $^ $(DEPS_LIBS)
+
+$(BUILD)/standin/%: $(BUILD)/obj/standin/%.o $(STANDIN_COMMON_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(SAN) -o $@ $^ $(DEPS_LIBS)
+
+$(BUILD)/tests/%: $(BUILD)/obj/tests/%.o $(TEST_COMMON_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(SAN) -o $@ $^ $(CHECK_LIBS) $(DEPS_LIBS)
+
+$(BUILD)/bench/%: $(BUILD)/obj/bench/%.o $(BENCH_COMMON_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(SAN) -o $@ $^ $(DEPS_LIBS)
+
+# The fuzzers are built whole with clang, so that the library's own code
+# is instrumented too.
+build/fuzz/%: fuzz/%.c $(filter-out $(MAIN_SRC),$(LIB_SRC)) $(GEN_SRC) \
+		$(wildcard tests/fake_*.c) $(OWN_HDR)
+	@mkdir -p $(@D)
+	$(CLANG) -std=gnu11 -O1 -g -w -fsanitize=fuzzer,address,undefined \
+		$(INCLUDES) -Itests $(DEPS_CFLAGS) -DDY_VERSION='"$(VERSION)"' \
+		-o $@ $(filter %.c,$^) $(DEPS_LIBS)
+
+test: $(BIN) $(STANDIN_BIN) $(TEST_BIN)
+	@./tests/run $(BUILD)
+
+fuzz: $(FUZZ_BIN)
+	@for f in $(FUZZ_BIN); do \
+		n=$$(basename $$f); mkdir -p build/corpus/$$n; \
+		$$f -runs=$(FUZZ_RUNS) -seed=1 -verbosity=0 \
+			build/corpus/$$n $$(ls -d fuzz/corpus/$$n 2>/dev/null) \
+			|| exit 1; \
+		echo "fuzz program=$$n runs=$(FUZZ_RUNS) result=passed"; \
+	done
+
+measure: $(filter $(BUILD)/bench/measure_%,$(BENCH_BIN))
+	@for m in $^; do $$m || exit 1; done
+
+bench: $(BIN) $(filter $(BUILD)/bench/bench_%,$(BENCH_BIN))
+	@for b in $(filter $(BUILD)/bench/bench_%,$^); do $$b || exit 1; done
+
+format:
+	clang-format -i $(OWN_SRC) $(OWN_HDR)
+
+lint: lint-format tidy
+
+lint-format:
+	clang-format --dry-run --Werror $(OWN_SRC) $(OWN_HDR)
+
+# One stamp a file, so that only what changed is linted again.
+TIDY_STAMP := $(patsubst %.c,build/tidy/%.stamp,$(OWN_SRC))
+
+tidy: $(TIDY_STAMP)
+
+build/tidy/%.stamp: %.c $(OWN_HDR) .clang-tidy
+	@mkdir -p $(@D)
+	@clang-tidy --quiet $< -- -std=gnu11 $(INCLUDES) -Itests $(DEPS_CFLAGS) \
+		-DDY_VERSION='"$(VERSION)"' 2>build/tidy/$(notdir $*).err \
+		|| { cat build/tidy/$(notdir $*).err; exit 1; }
+	@touch $@
+
+gen:
+	@for x in $(GEN_X); do \
+		b=$$(basename $$x .x); \
+		rm -f src/gen/$$b.h src/gen/$${b}_xdr.c; \
+		(cd proto && rpcgen -C -h -o ../src/gen/$$b.h $$b.x && \
+		rpcgen -C -c -o ../src/gen/$${b}_xdr.c $$b.x); \
+	done
+
+install: $(BIN)
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/share/man/man1 \
+		$(DESTDIR)$(PREFIX)/share/damaskyard
+	install -m 755 $(BIN) $(DESTDIR)$(PREFIX)/bin/damaskyard
+	install -m 644 docs/damaskyard.1 $(DESTDIR)$(PREFIX)/share/man/man1/
+	install -m 644 proto/dy_caller.x proto/dy_target.x examples/*.conf \
+		$(DESTDIR)$(PREFIX)/share/damaskyard/
+
+clean:
+	rm -rf build
+
+-include $(shell find $(BUILD)/obj -name '*.d' 2>/dev/null)
