--- a/Makefile
+++ b/Makefile
@@ -161,7 +161,7 @@
 		b=$$(basename $$x .x); \
 		rm -f src/gen/$$b.h src/gen/$${b}_xdr.c; \
 		(cd proto && rpcgen -C -h -o ../src/gen/$$b.h $$b.x && \
-		rpcgen -C -c -o ../src/gen/$${b}_xdr.c $$b.x); \
+		rpcgen -C -c -o ../src/gen/$${b}_xdr.c $$b.x) || exit 1; \
 	done
 
 install: $(BIN)
