--- /dev/null
+++ b/standin/readings_target.c
@@ -0,0 +1,164 @@
+/*
+ * A readings server: appends each submission to a file, which is the account
+ * of what was run. Its options make it slow, silent or unwilling.
+ */
+
+#include "common_args.h"
+#include "common_server.h"
+#include "standin_readings.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <string.h>
+#include <unistd.h>
+
+typedef struct target {
+	int fd;
+	GHashTable *counts;
+	unsigned submitted;
+	unsigned delay_ms;
+	int stall_after;
+} target_t;
+
+static unsigned count_of(const target_t *target, const char *station)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(target->counts, station));
+}
+
+static void add_count(target_t *target, const char *station)
+{
+	g_hash_table_insert(target->counts, g_strdup(station),
+			    GUINT_TO_POINTER(count_of(target, station) + 1));
+}
+
+/* A restarted target counts on from what its file holds. */
+static void load_counts(target_t *target, const char *path)
+{
+	char *text = NULL;
+	char **lines;
+	unsigned i;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		return;
+	lines = g_strsplit(text, "\n", -1);
+	for (i = 0; lines[i]; i++) {
+		char **words = g_strsplit(lines[i], " ", 3);
+
+		if (g_strv_length(words) == 3)
+			add_count(target, words[0]);
+		g_strfreev(words);
+	}
+	g_strfreev(lines);
+	g_free(text);
+}
+
+/* A station is one word of the file: no blank or control character. */
+static int valid_station(const char *station)
+{
+	return *station && !strpbrk(station, " \t\r\n");
+}
+
+static void store(target_t *target, const standin_reading_t *reading)
+{
+	char *line = g_strdup_printf("%s %u %d\n", reading->station,
+				     reading->sequence, reading->millimag);
+	size_t length = strlen(line);
+
+	if (write(target->fd, line, length) != (ssize_t)length)
+		standin_die("the file can't be written: %s", g_strerror(errno));
+	add_count(target, reading->station);
+	target->submitted++;
+	g_free(line);
+}
+
+static void reply_unsigned(SVCXPRT *transport, unsigned value,
+			   unsigned delay_ms)
+{
+	unsigned *result = g_new(unsigned, 1);
+
+	*result = value;
+	standin_server_reply(transport, (xdrproc_t)xdr_u_int, result, delay_ms);
+}
+
+static void submit(target_t *target, SVCXPRT *transport)
+{
+	standin_reading_t reading = { 0 };
+
+	if (!svc_getargs(transport, (xdrproc_t)xdr_standin_reading_t,
+			 &reading) ||
+	    !valid_station(reading.station)) {
+		svcerr_decode(transport);
+	} else {
+		store(target, &reading);
+		if (target->stall_after < 0 ||
+		    target->submitted <= (unsigned)target->stall_after)
+			reply_unsigned(transport, reading.sequence,
+				       target->delay_ms);
+	}
+	svc_freeargs(transport, (xdrproc_t)xdr_standin_reading_t, &reading);
+}
+
+static void count(const target_t *target, SVCXPRT *transport)
+{
+	standin_station_t station = NULL;
+
+	if (svc_getargs(transport, (xdrproc_t)xdr_standin_station_t, &station))
+		reply_unsigned(transport, count_of(target, station), 0);
+	else
+		svcerr_decode(transport);
+	svc_freeargs(transport, (xdrproc_t)xdr_standin_station_t, &station);
+}
+
+static void call(void *context, struct svc_req *request, SVCXPRT *transport)
+{
+	target_t *target = context;
+
+	switch (request->rq_proc) {
+	case STANDIN_READINGS_NULL:
+		standin_server_reply(transport, STANDIN_XDR_VOID, NULL, 0);
+		break;
+	case STANDIN_SUBMIT:
+		submit(target, transport);
+		break;
+	case STANDIN_COUNT:
+		count(target, transport);
+		break;
+	default:
+		svcerr_noproc(transport);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	target_t target = { .stall_after = -1 };
+	char *listen_text = "127.0.0.1:0";
+	char *path = NULL;
+	int delay_ms = 0;
+	const GOptionEntry entries[] = {
+		{ "listen", 0, 0, G_OPTION_ARG_STRING, &listen_text,
+		  "Where calls are taken", "IP:PORT" },
+		{ "file", 0, 0, G_OPTION_ARG_FILENAME, &path,
+		  "File of the submissions", "FILE" },
+		{ "delay-ms", 0, 0, G_OPTION_ARG_INT, &delay_ms,
+		  "Time between storing and answering", "MS" },
+		{ "stall-after", 0, 0, G_OPTION_ARG_INT, &target.stall_after,
+		  "Answer this many submissions, and store the rest in silence",
+		  "N" },
+		{ NULL }
+	};
+
+	standin_parse_options(argc, argv, "A stand-in readings server.",
+			      entries);
+	if (!path)
+		standin_die("--file is missing");
+	target.delay_ms = delay_ms;
+	target.counts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	load_counts(&target, path);
+	target.fd = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+	if (target.fd < 0)
+		standin_die("%s: %s", path, g_strerror(errno));
+	standin_server_run(listen_text, STANDIN_READINGS_PROG,
+			   STANDIN_READINGS_VERS, call, &target);
+	return 0;
+}
