--- /dev/null
+++ b/src/process/cmd_check.c
@@ -0,0 +1,75 @@
+#include <stdio.h>
+
+#include "command.h"
+#include "damaskyard/document.h"
+#include "damaskyard/settings.h"
+
+static void print_document(const dy_document_t *document, const char *path,
+			   const uint8_t digest[DY_DIGEST_BYTES])
+{
+	char address[DY_ADDRESS_TEXT_BYTES];
+	char text[DY_DIGEST_TEXT_BYTES];
+	const dy_service_t *service;
+	unsigned i;
+
+	printf("document=%s result=valid services=%u digest=%s\n", path,
+	       dy_document_service_count(document),
+	       dy_digest_format(digest, text));
+	for (i = 0; i < dy_document_service_count(document); i++) {
+		service = dy_document_service(document, i);
+		printf("service=%s address=%s program=0x%08x version=%u "
+		       "idempotent=%u deadline_ms=%u objective=%g\n",
+		       service->name,
+		       dy_address_format(&service->address, address),
+		       service->program, service->program_version,
+		       service->idempotent_count, service->deadline_ms,
+		       service->objective);
+	}
+}
+
+static int check_document(const char *path)
+{
+	uint8_t digest[DY_DIGEST_BYTES];
+	dy_document_t *document;
+	GError *error = NULL;
+	char *bytes = NULL;
+	gsize len = 0;
+
+	if (!g_file_get_contents(path, &bytes, &len, &error))
+		return dy_command_fail_usage("check", error);
+	document = dy_document_parse(bytes, len, &error);
+	if (!document) {
+		fprintf(stderr, "damaskyard check: %s: %s\n", path,
+			error->message);
+		g_error_free(error);
+		g_free(bytes);
+		return DY_EXIT_FAILED;
+	}
+	dy_document_digest(bytes, len, digest);
+	print_document(document, path, digest);
+	dy_document_destroy(document);
+	g_free(bytes);
+	return DY_EXIT_OK;
+}
+
+int dy_command_check(int argc, char **argv)
+{
+	static const dy_setting_t settings[] = { { 0 } };
+	GError *error = NULL;
+	char **operands = NULL;
+	int code;
+
+	if (!dy_settings_load(argc, argv,
+			      "Check a document, DOCUMENT, without submitting "
+			      "it.",
+			      settings, &operands, &error))
+		return dy_command_fail_usage("check", error);
+	if (g_strv_length(operands) != 1) {
+		fputs("damaskyard check: expected one DOCUMENT\n", stderr);
+		code = DY_EXIT_USAGE;
+	} else {
+		code = check_document(operands[0]);
+	}
+	g_strfreev(operands);
+	return code;
+}
--- /dev/null
+++ b/tests/test_document.c
@@ -0,0 +1,133 @@
+#include "damaskyard/document.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <check.h>
+
+#define GOOD                                                    \
+	"[document]\nweigh = imbalance\n"                       \
+	"[service readings]\naddress = 10.20.0.1:4000\n"        \
+	"program = 0x2A000001\nversion = 1\nidempotent = 2;5\n" \
+	"labels = tier=gold\ndomains = d1;d2\n"
+
+static dy_document_t *parse_text(const char *text, GError **error)
+{
+	return dy_document_parse(text, strlen(text), error);
+}
+
+static void expect_refused(const char *text, int code, const char *part)
+{
+	GError *error = NULL;
+
+	ck_assert_ptr_null(parse_text(text, &error));
+	ck_assert_ptr_nonnull(error);
+	ck_assert_int_eq(error->code, code);
+	ck_assert_ptr_nonnull(strstr(error->message, part));
+	g_error_free(error);
+}
+
+START_TEST(good_document_is_read)
+{
+	dy_document_t *document = parse_text(GOOD, NULL);
+	const dy_service_t *service;
+
+	ck_assert_ptr_nonnull(document);
+	ck_assert_int_eq(dy_document_weigh(document), DY_WEIGH_IMBALANCE);
+	service = dy_document_service(document, 0);
+	ck_assert_ptr_eq(dy_document_find(document, service->id), service);
+	ck_assert_uint_eq(service->program, 0x2A000001);
+	ck_assert_uint_eq(service->deadline_ms, DY_SERVICE_DEADLINE_MS);
+	ck_assert(dy_service_idempotent(service, 0));
+	ck_assert(dy_service_idempotent(service, 5));
+	ck_assert(!dy_service_idempotent(service, 1));
+	dy_document_destroy(document);
+}
+END_TEST
+
+START_TEST(only_fitting_targets_are_accepted)
+{
+	dy_document_t *document = parse_text(GOOD, NULL);
+	const dy_service_t *service = dy_document_service(document, 0);
+	dy_member_info_t info = { 0 };
+
+	info.kind = DY_MEMBER_AGENT;
+	info.service = "readings";
+	info.labels = "a=b,tier=gold";
+	info.domain = "d2";
+	ck_assert(dy_service_accepts(service, &info));
+	info.domain = "d3";
+	ck_assert(!dy_service_accepts(service, &info));
+	info.domain = "d1";
+	info.labels = "tier=goldish";
+	ck_assert(!dy_service_accepts(service, &info));
+	info.labels = "tier=gold";
+	info.service = "maps";
+	ck_assert(!dy_service_accepts(service, &info));
+	dy_document_destroy(document);
+}
+END_TEST
+
+START_TEST(wrong_documents_are_refused)
+{
+	expect_refused("x", G_KEY_FILE_ERROR_PARSE, "x");
+	expect_refused("[document]\n", DY_DOCUMENT_ERROR_KEY, "no [service");
+	expect_refused(GOOD "quue = 4\n", DY_DOCUMENT_ERROR_KEY, "quue");
+	expect_refused(GOOD "slots = 0\n", DY_DOCUMENT_ERROR_VALUE, "slots");
+	expect_refused(GOOD "slots = 4294967296\n", DY_DOCUMENT_ERROR_VALUE,
+		       "slots");
+	expect_refused(GOOD "objective = 100\n", DY_DOCUMENT_ERROR_VALUE,
+		       "objective");
+	expect_refused(GOOD "[other]\n", DY_DOCUMENT_ERROR_KEY, "other");
+	expect_refused("[service a]\naddress = 1.2.3.4:1\nversion = 1\n",
+		       DY_DOCUMENT_ERROR_KEY, "program");
+	expect_refused(GOOD "[service b]\naddress = 10.20.0.1:4000\n"
+			    "program = 1\nversion = 1\n",
+		       DY_DOCUMENT_ERROR_CONFLICT, "readings");
+}
+END_TEST
+
+/*
+ * An operator adds "slots = 70" below an older "slots = 7" and submits. The
+ * key file parser takes the last one without a word, and the target gets ten
+ * times its load at dusk. The document must be refused.
+ */
+START_TEST(key_that_stands_twice_is_refused)
+{
+	expect_refused(GOOD "slots = 7\nslots = 70\n", DY_DOCUMENT_ERROR_KEY,
+		       "twice");
+	expect_refused(GOOD "[service readings]\nslots = 70\n",
+		       DY_DOCUMENT_ERROR_KEY, "twice");
+}
+END_TEST
+
+START_TEST(bytes_behind_a_nul_are_refused)
+{
+	GError *error = NULL;
+
+	ck_assert_ptr_null(
+		dy_document_parse(GOOD "\0[x]", sizeof(GOOD) + 3, &error));
+	ck_assert_int_eq(error->code, DY_DOCUMENT_ERROR_SYNTAX);
+	g_error_free(error);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("document");
+	TCase *tcase = tcase_create("document");
+	SRunner *runner;
+	int failures;
+
+	tcase_add_test(tcase, good_document_is_read);
+	tcase_add_test(tcase, only_fitting_targets_are_accepted);
+	tcase_add_test(tcase, wrong_documents_are_refused);
+	tcase_add_test(tcase, key_that_stands_twice_is_refused);
+	tcase_add_test(tcase, bytes_behind_a_nul_are_refused);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failures = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
