--- /dev/null
+++ b/src/process/subscriber.c
@@ -0,0 +1,437 @@
+#include "damaskyard/subscriber.h"
+
+#include <string.h>
+
+#include "damaskyard/document.h"
+#include "damaskyard/log.h"
+
+/* The loop looks this often whether a poll or a page is due, in ms. */
+#define TICK_MS 50
+
+/* Bytes of a poll or a request for a page, with its seal. */
+#define REQUEST_BYTES 4096
+
+/* A document on its way here, page by page. */
+typedef struct fetch {
+	dy_document_info_t info;
+	char *environment;
+	uint8_t *bytes;
+	uint32_t received;
+	uint32_t xid;
+	uint64_t sent_ms;
+	int active;
+} fetch_t;
+
+struct dy_subscriber {
+	dy_subscriber_config_t config;
+	dy_member_info_t info;
+	int has_info;
+	uint64_t boot;
+	uint64_t incarnation;
+	uint64_t state_version;
+	uint64_t document;
+	uint64_t newest_document;
+	dy_member_state_t state;
+	uint64_t successors[DY_SUCCESSORS_MAX];
+	unsigned successor_count;
+	dy_address_t control;
+	int next_control;
+	uint32_t poll_xid;
+	int polling;
+	uint64_t poll_sent_ms;
+	uint64_t next_poll_ms;
+	uint32_t state_generation;
+	uint32_t polled_generation;
+	uint32_t settled_generation;
+	uint64_t confirmed_ms;
+	int confirmed;
+	int drain_told;
+	fetch_t fetch;
+	uint64_t *polls;
+	uint64_t *poll_timeouts;
+	uint64_t *stale_answers;
+	uint64_t *bad_documents;
+	dy_log_limit_t refused_limit;
+};
+
+static uint64_t now_ms(const dy_subscriber_t *subscriber)
+{
+	return dy_loop_now_ms(subscriber->config.loop);
+}
+
+static void choose_next_control(dy_subscriber_t *subscriber)
+{
+	const dy_address_list_t *controls = subscriber->config.controls;
+
+	subscriber->next_control =
+		(subscriber->next_control + 1) % controls->count;
+	subscriber->control = controls->items[subscriber->next_control];
+}
+
+static void send_request(dy_subscriber_t *subscriber, uint32_t procedure,
+			 uint32_t xid, xdrproc_t proc, void *args)
+{
+	dy_seal_head_t head = { xid, DY_CONTROL_PROGRAM, procedure };
+	uint8_t out[REQUEST_BYTES];
+	size_t len;
+
+	len = dy_seal_write_call(subscriber->config.seal, &head, proc, args,
+				 out, sizeof(out));
+	if (len)
+		dy_endpoint_send_to(subscriber->config.endpoint, out, len,
+				    &subscriber->control);
+}
+
+static void send_poll(dy_subscriber_t *subscriber)
+{
+	dy_poll_t poll = { 0 };
+
+	poll.info = subscriber->info;
+	poll.boot = subscriber->boot;
+	poll.incarnation = subscriber->incarnation;
+	poll.state_version = subscriber->state_version;
+	poll.document = subscriber->document;
+	poll.state = subscriber->state;
+	poll.successors.successors_len = subscriber->successor_count;
+	poll.successors.successors_val = subscriber->successors;
+	subscriber->poll_xid = dy_seal_next_xid(subscriber->config.seal);
+	subscriber->polling = 1;
+	subscriber->poll_sent_ms = now_ms(subscriber);
+	subscriber->next_poll_ms = subscriber->poll_sent_ms + DY_POLL_MS;
+	subscriber->polled_generation = subscriber->state_generation;
+	++*subscriber->polls;
+	send_request(subscriber, DY_CONTROL_POLL, subscriber->poll_xid,
+		     (xdrproc_t)xdr_dy_poll_t, &poll);
+}
+
+static void send_fetch(dy_subscriber_t *subscriber)
+{
+	fetch_t *fetch = &subscriber->fetch;
+	dy_fetch_t request = { 0 };
+
+	request.environment = fetch->environment;
+	memcpy(request.digest, fetch->info.digest, DY_DIGEST_BYTES);
+	request.offset = fetch->received;
+	fetch->xid = dy_seal_next_xid(subscriber->config.seal);
+	fetch->sent_ms = now_ms(subscriber);
+	send_request(subscriber, DY_CONTROL_FETCH, fetch->xid,
+		     (xdrproc_t)xdr_dy_fetch_t, &request);
+}
+
+static void end_fetch(fetch_t *fetch)
+{
+	g_free(fetch->bytes);
+	g_free(fetch->environment);
+	memset(fetch, 0, sizeof(*fetch));
+}
+
+static void begin_fetch(dy_subscriber_t *subscriber,
+			const dy_document_info_t *info)
+{
+	fetch_t *fetch = &subscriber->fetch;
+
+	if (info->number <= subscriber->newest_document ||
+	    info->size > DY_DOCUMENT_BYTES)
+		return;
+	end_fetch(fetch);
+	subscriber->newest_document = info->number;
+	fetch->info = *info;
+	fetch->environment = g_strdup(info->environment);
+	fetch->info.environment = fetch->environment;
+	fetch->bytes = g_malloc(info->size + 1);
+	fetch->active = 1;
+	send_fetch(subscriber);
+}
+
+static void finish_fetch(dy_subscriber_t *subscriber)
+{
+	fetch_t *fetch = &subscriber->fetch;
+	uint8_t digest[DY_DIGEST_BYTES];
+
+	dy_document_digest(fetch->bytes, fetch->info.size, digest);
+	if (memcmp(digest, fetch->info.digest, DY_DIGEST_BYTES)) {
+		++*subscriber->bad_documents;
+		dy_log_event(DY_LOG_ERROR, "document_digest_wrong",
+			     "number=%lu", (unsigned long)fetch->info.number);
+		fetch->received = 0;
+		choose_next_control(subscriber);
+		return;
+	}
+	subscriber->config.callbacks->document(subscriber->config.context,
+					       &fetch->info, fetch->bytes,
+					       fetch->info.size);
+	end_fetch(fetch);
+}
+
+static void receive_page(dy_subscriber_t *subscriber,
+			 const dy_sealed_t *message)
+{
+	fetch_t *fetch = &subscriber->fetch;
+	dy_fetch_result_t result;
+	uint32_t len;
+
+	if (!dy_sealed_load(message, (xdrproc_t)xdr_dy_fetch_result_t, &result,
+			    sizeof(result)))
+		return;
+	len = result.page.page_len;
+	if (result.status != DY_STATUS_OK) {
+		choose_next_control(subscriber);
+	} else if (result.size == fetch->info.size &&
+		   len <= fetch->info.size - fetch->received) {
+		memcpy(fetch->bytes + fetch->received, result.page.page_val,
+		       len);
+		fetch->received += len;
+		if (fetch->received == fetch->info.size)
+			finish_fetch(subscriber);
+		else if (len)
+			send_fetch(subscriber);
+	}
+	xdr_free((xdrproc_t)xdr_dy_fetch_result_t, (char *)&result);
+}
+
+static void apply_delta(dy_subscriber_t *subscriber, const dy_delta_t *delta)
+{
+	const dy_subscriber_callbacks_t *calls = subscriber->config.callbacks;
+	void *context = subscriber->config.context;
+
+	switch (delta->kind) {
+	case DY_DELTA_DOCUMENT:
+		begin_fetch(subscriber, &delta->dy_delta_t_u.document);
+		break;
+	case DY_DELTA_MEMBER:
+		calls->member(context, &delta->dy_delta_t_u.member);
+		break;
+	case DY_DELTA_KEY:
+		calls->key(context, &delta->dy_delta_t_u.key);
+		break;
+	}
+}
+
+static void take_grant(dy_subscriber_t *subscriber, uint64_t incarnation)
+{
+	if (!incarnation || incarnation == subscriber->incarnation)
+		return;
+	subscriber->incarnation = incarnation;
+	dy_log_event(DY_LOG_INFO, "incarnation_granted", "incarnation=%lu",
+		     (unsigned long)incarnation);
+	subscriber->config.callbacks->granted(subscriber->config.context,
+					      incarnation);
+}
+
+static void tell_drain(dy_subscriber_t *subscriber)
+{
+	if (subscriber->drain_told)
+		return;
+	subscriber->drain_told = 1;
+	subscriber->config.callbacks->drain(subscriber->config.context);
+}
+
+/*
+ * Guards against going back to an older state: a control that was rebuilt
+ * from nothing, or one that answers late, would show itself by a version
+ * below the one held here. Its answer is dropped.
+ */
+static int is_older(dy_subscriber_t *subscriber, uint64_t version)
+{
+	if (version >= subscriber->state_version)
+		return 0;
+	++*subscriber->stale_answers;
+	dy_log_event(DY_LOG_WARN, "stale_state_refused", "held=%lu offered=%lu",
+		     (unsigned long)subscriber->state_version,
+		     (unsigned long)version);
+	return 1;
+}
+
+static void apply_result(dy_subscriber_t *subscriber,
+			 const dy_poll_result_t *result)
+{
+	unsigned i;
+
+	if (is_older(subscriber, result->state_version)) {
+		choose_next_control(subscriber);
+		return;
+	}
+	subscriber->confirmed = 1;
+	subscriber->confirmed_ms = subscriber->poll_sent_ms;
+	subscriber->settled_generation = subscriber->polled_generation;
+	take_grant(subscriber, result->incarnation);
+	for (i = 0; i < result->deltas.deltas_len; i++)
+		apply_delta(subscriber, &result->deltas.deltas_val[i]);
+	subscriber->state_version = result->state_version;
+	if (result->more)
+		subscriber->next_poll_ms = now_ms(subscriber);
+	else
+		subscriber->config.callbacks->caught_up(
+			subscriber->config.context);
+	if (result->drain)
+		tell_drain(subscriber);
+}
+
+static void follow_leader(dy_subscriber_t *subscriber,
+			  const dy_address_t *leader)
+{
+	if (leader->port && !dy_address_equal(leader, &subscriber->control))
+		subscriber->control = *leader;
+	else
+		choose_next_control(subscriber);
+	/* Not at once: two controls could each name the other for a while. */
+	subscriber->next_poll_ms = now_ms(subscriber) + TICK_MS;
+}
+
+static void take_refusal(dy_subscriber_t *subscriber, dy_status_t status)
+{
+	if (dy_log_allow(&subscriber->refused_limit, "poll_refused",
+			 now_ms(subscriber)))
+		dy_log_event(DY_LOG_WARN, "poll_refused", "status=%d", status);
+	subscriber->config.callbacks->refused(subscriber->config.context,
+					      status);
+}
+
+static void receive_poll_result(dy_subscriber_t *subscriber,
+				const dy_sealed_t *message)
+{
+	dy_poll_result_t result;
+
+	if (!dy_sealed_load(message, (xdrproc_t)xdr_dy_poll_result_t, &result,
+			    sizeof(result)))
+		return;
+	subscriber->polling = 0;
+	switch (result.status) {
+	case DY_STATUS_OK:
+		apply_result(subscriber, &result);
+		break;
+	case DY_STATUS_NOT_LEADER:
+		follow_leader(subscriber, &result.leader);
+		break;
+	case DY_STATUS_UNAVAILABLE:
+		choose_next_control(subscriber);
+		break;
+	default:
+		take_refusal(subscriber, result.status);
+		break;
+	}
+	xdr_free((xdrproc_t)xdr_dy_poll_result_t, (char *)&result);
+	if (subscriber->next_poll_ms <= now_ms(subscriber))
+		send_poll(subscriber);
+}
+
+void dy_subscriber_receive(dy_subscriber_t *subscriber,
+			   const dy_sealed_t *message)
+{
+	if (!message->is_reply)
+		return;
+	if (subscriber->polling && message->xid == subscriber->poll_xid)
+		receive_poll_result(subscriber, message);
+	else if (subscriber->fetch.active &&
+		 message->xid == subscriber->fetch.xid)
+		receive_page(subscriber, message);
+}
+
+static void on_tick(void *context)
+{
+	dy_subscriber_t *subscriber = context;
+	uint64_t now = now_ms(subscriber);
+	fetch_t *fetch = &subscriber->fetch;
+
+	if (!subscriber->has_info)
+		return;
+	if (subscriber->polling &&
+	    now - subscriber->poll_sent_ms >= DY_POLL_TIMEOUT_MS) {
+		++*subscriber->poll_timeouts;
+		subscriber->polling = 0;
+		subscriber->next_poll_ms = now;
+		choose_next_control(subscriber);
+	}
+	if (!subscriber->polling && now >= subscriber->next_poll_ms)
+		send_poll(subscriber);
+	if (fetch->active && now - fetch->sent_ms >= DY_POLL_TIMEOUT_MS)
+		send_fetch(subscriber);
+}
+
+dy_subscriber_t *dy_subscriber_create(const dy_subscriber_config_t *config)
+{
+	dy_subscriber_t *subscriber = g_new0(dy_subscriber_t, 1);
+	static const dy_log_limit_t limit = DY_LOG_LIMIT_INIT(3, 10000);
+	uint32_t start;
+
+	subscriber->config = *config;
+	subscriber->state = DY_MEMBER_SERVING;
+	subscriber->refused_limit = limit;
+	dy_random_fill(&subscriber->boot, sizeof(subscriber->boot));
+	dy_random_fill(&start, sizeof(start));
+	subscriber->next_control = (int)(start % config->controls->count);
+	choose_next_control(subscriber);
+	subscriber->polls = dy_metrics_counter(config->metrics, "polls");
+	subscriber->poll_timeouts =
+		dy_metrics_counter(config->metrics, "poll_timeouts");
+	subscriber->stale_answers =
+		dy_metrics_counter(config->metrics, "stale_state_refused");
+	subscriber->bad_documents =
+		dy_metrics_counter(config->metrics, "document_digest_wrong");
+	dy_loop_every(config->loop, TICK_MS, on_tick, subscriber);
+	return subscriber;
+}
+
+void dy_subscriber_destroy(dy_subscriber_t *subscriber)
+{
+	if (!subscriber)
+		return;
+	end_fetch(&subscriber->fetch);
+	g_free(subscriber);
+}
+
+static void poll_soon(dy_subscriber_t *subscriber)
+{
+	subscriber->state_generation++;
+	subscriber->next_poll_ms = 0;
+}
+
+void dy_subscriber_set_info(dy_subscriber_t *subscriber,
+			    const dy_member_info_t *info)
+{
+	subscriber->info = *info;
+	subscriber->has_info = 1;
+	poll_soon(subscriber);
+}
+
+void dy_subscriber_set_state(dy_subscriber_t *subscriber,
+			     dy_member_state_t state,
+			     const uint64_t *successors, unsigned count)
+{
+	g_assert(count <= DY_SUCCESSORS_MAX);
+	subscriber->state = state;
+	subscriber->successor_count = count;
+	if (count)
+		memcpy(subscriber->successors, successors,
+		       count * sizeof(*successors));
+	poll_soon(subscriber);
+}
+
+void dy_subscriber_set_document(dy_subscriber_t *subscriber, uint64_t number)
+{
+	subscriber->document = number;
+	poll_soon(subscriber);
+}
+
+uint64_t dy_subscriber_age_ms(const dy_subscriber_t *subscriber)
+{
+	if (!subscriber->confirmed)
+		return UINT64_MAX;
+	return now_ms(subscriber) - subscriber->confirmed_ms;
+}
+
+int dy_subscriber_settled(const dy_subscriber_t *subscriber)
+{
+	return subscriber->confirmed &&
+	       subscriber->settled_generation == subscriber->state_generation;
+}
+
+uint64_t dy_subscriber_version(const dy_subscriber_t *subscriber)
+{
+	return subscriber->state_version;
+}
+
+uint64_t dy_subscriber_incarnation(const dy_subscriber_t *subscriber)
+{
+	return subscriber->incarnation;
+}
