--- a/include/damaskyard/admission.h
+++ b/include/damaskyard/admission.h
@@ -6,20 +6,17 @@
  * target, which one waits, which one is refused as not run, and when a
  * refused caller should come back. Pure: no network, no clock, no thread.
  *
- * Load pattern			Mechanism		Without it
- * burst			bounded queue		refused though a slot
- *							comes free in time
- * overload, slow target	deadline test		slots run calls whose
- *							callers have gone
- * one hot caller		fair queueing by	all others wait behind
- *				caller			its backlog
- * one hot key			fair queueing by key	the same, by many
- *							callers of one key
- * long calls among short	reserved slot, cost	each slot holds a long
- *				in the fair share	call, short ones wait
- * pulls against submissions	shares of slot time	a crowd of pulls makes
- *				and of the queue	a reading late or lost
- * refused crowd comes back	booked retry times	one wave after another
+ * Load pattern: mechanism; without it
+ * - burst: bounded queue; refused though a slot comes free in time
+ * - overload, slow target: deadline test; slots run calls whose callers have
+ *   gone
+ * - one hot caller: fair queueing by caller; all wait behind its backlog
+ * - one hot key: fair queueing by key; the same, by many callers of one key
+ * - long calls among short: reserved slot, cost in the fair share; a long call
+ *   in each slot, short ones wait
+ * - pulls against submissions: shares of slot time and of the queue; a crowd
+ *   of pulls makes a reading late or lost
+ * - the refused come back: booked retry times; one wave after another
  *
  * The grounds for each figure stand beside it; the measurements are in
  * docs/MEASUREMENTS.md, "Decisions under load".
@@ -30,7 +27,7 @@
  *	finish() when the target answered, or its connection was given up;
  *	then next() until it returns NULL, sending each item to the target.
  *	expire() until it returns NULL after each submit() that queued, and
- *	every 50 ms while the queue is not empty: refuse each item.
+ *	every 50 ms while any call runs or waits: refuse each item.
  *
  * Each submitted item has exactly one outcome: refused by submit(), refused
  * by expire(), cancelled by cancel(), or run (RUN or next(), then finish()).
@@ -63,12 +60,13 @@
 	uint8_t idempotent;   /* 1: a pull; 0: a submission or an edit */
 
 	uint8_t state;
+	uint8_t reason;
 	uint8_t is_long;
-	uint32_t frozen_epoch;
+	uint32_t freezes;
 	dy_list_t link;
-	uint64_t submitted_us;
 	uint64_t started_us;
 	uint64_t give_up_us;
+	uint64_t until_us;
 	uint64_t cost_us;
 	uint64_t start_tag;
 } dy_admission_item_t;
--- a/include/damaskyard/budget.h
+++ b/include/damaskyard/budget.h
@@ -6,14 +6,12 @@
  * crowd of callers that opens its flows anew. Pure: the clock and the random
  * source are passed in.
  *
- * Load pattern			Mechanism		Without it
- * a target or link fails	retry budget, backoff	each call is sent again,
- *				with jitter		the outage doubles the
- *							load and lasts
- * a failure domain goes, all	crowd limit, booked	the targets left serve
- * callers come at dusk or	retry times		openings instead of
- * before breakfast					calls; the refused all
- *							return at once
+ * Load pattern: mechanism; without it
+ * - a target or link fails: retry budget, backoff with jitter; each call is
+ *   sent again, the outage doubles the load and lasts
+ * - a failure domain goes, all callers come at dusk or before breakfast:
+ *   crowd limit, booked retry times; the targets left serve openings instead
+ *   of calls, and the refused all return at once
  *
  * Times are milliseconds of a monotonic clock; one that goes back is taken
  * to stand still.
--- a/include/damaskyard/pick.h
+++ b/include/damaskyard/pick.h
@@ -6,19 +6,19 @@
  * no network, no clock, no allocation. Flows last for hours and stay where
  * they were put, so a bad choice lasts as long.
  *
- * Load pattern			Mechanism		Without it
- * many balancers, one report	random choice of two,	all flows of a report
- *				own flows counted	period on one target
- * unequal load			fewer free slots or	a slow target gets as
- *				connections lose	many as a fast one
- * cold target			slow start		it is emptiest, gets
- *							each flow, and stalls
- * target fails or stalls	ejection, then a trickle	flows opened into
- *a void balancer cut off		never ejects most of a	one bad link
- *empties a service			service target reports falsely trust
- *an idle-looking target that refuses gets all
- * connections run out		share of what is free	opened above the cap,
- *							refused there
+ * Load pattern: mechanism; without it
+ * - many balancers, one report: random choice of two, own flows counted; all
+ *   flows of a report period go to one target
+ * - unequal load: fewer free slots or connections lose; a slow target gets as
+ *   many flows as a fast one
+ * - cold target: slow start; it is emptiest, gets each flow, and stalls
+ * - target fails or stalls: ejection, then a trickle; flows are opened into a
+ *   void
+ * - balancer cut off: never ejects most of a service; one bad link empties a
+ *   service
+ * - target reports falsely: trust; one that looks idle and refuses gets all
+ * - connections run out: each balancer its share of what is free; openings
+ *   above the cap, refused there
  *
  * The agent alone can keep the 2,000-connection cap for certain, and refuses
  * an opening above it; the choice keeps balancers from running into it.
--- /dev/null
+++ b/src/request/admission.c
@@ -0,0 +1,511 @@
+#include "damaskyard/admission.h"
+
+#include "fair_lane.h"
+#include "service_time.h"
+
+/* The first time a slot comes free when the target has none. */
+#define NEVER_US (1ULL << 60)
+
+/*
+ * Short calls are "about" for this long after the newest one. At a handful a
+ * second the reserved slot stays; where only long calls come it is soon
+ * theirs again.
+ */
+#define SHORT_RECENT_US 2000000
+
+/*
+ * The owner calls at least every 50 ms while calls run: 20 times that without
+ * a call means that the process or its VM stood still.
+ */
+#define FREEZE_US 1000000
+
+/* A look at the whole queue costs some 10 us: not more often than this. */
+#define PROJECT_EVERY_US 2000
+
+#define US_PER_MS 1000
+#define PERCENT 100
+
+enum { SUBMISSIONS, PULLS, LANES };
+
+enum { ENDED, QUEUED, GIVEN_UP, RUNNING };
+
+typedef struct lane {
+	dy_fair_lane_t fair;
+	uint32_t percent; /* share of the slot time while both lanes wait */
+	uint64_t pass_us; /* slot time had, scaled by the share */
+} lane_t;
+
+struct dy_admission {
+	dy_admission_config_t config;
+	GRand *rand;
+	uint64_t now_us;
+	uint64_t projected_us;
+	uint64_t booked_us; /* retry times are given out up to here */
+	uint64_t last_short_us;
+	uint32_t freezes;
+	uint32_t in_flight;
+	uint32_t long_in_flight;
+	dy_list_t running;
+	dy_list_t given_up;
+	dy_service_times_t times;
+	lane_t lanes[LANES];
+};
+
+void dy_admission_config_init(dy_admission_config_t *config, uint32_t slots)
+{
+	config->slots = slots;
+	config->queue = 256;
+	config->default_budget_us = 5000000;
+	config->hold_percent = 50;
+	config->first_estimate_us = 5000;
+	config->submission_percent = 75;
+	config->short_slots = 1;
+	config->retry_min_ms = 50;
+	config->retry_max_ms = 30000;
+}
+
+dy_admission_t *dy_admission_create(const dy_admission_config_t *config,
+				    GRand *rand)
+{
+	dy_admission_t *adm = g_new0(dy_admission_t, 1);
+	uint32_t submissions = CLAMP(config->submission_percent, 1, 99);
+	uint64_t seed = (uint64_t)g_rand_int(rand) << 32 | g_rand_int(rand);
+
+	adm->config = *config;
+	adm->rand = rand;
+	dy_list_init(&adm->running);
+	dy_list_init(&adm->given_up);
+	dy_service_times_init(&adm->times, config->first_estimate_us);
+	dy_fair_lane_init(&adm->lanes[SUBMISSIONS].fair, seed);
+	dy_fair_lane_init(&adm->lanes[PULLS].fair, seed);
+	adm->lanes[SUBMISSIONS].percent = submissions;
+	adm->lanes[PULLS].percent = PERCENT - submissions;
+	return adm;
+}
+
+void dy_admission_destroy(dy_admission_t *adm)
+{
+	g_free(adm);
+}
+
+/*
+ * A clock that goes back stands still. A long gap while calls run is a frozen
+ * process: what ran across it took longer than the target did, and learning
+ * that would refuse all calls after the thaw.
+ */
+static void advance_clock(dy_admission_t *adm, uint64_t now_us)
+{
+	if (now_us <= adm->now_us)
+		return;
+	if (adm->in_flight && now_us - adm->now_us > FREEZE_US)
+		adm->freezes++;
+	adm->now_us = now_us;
+}
+
+static lane_t *lane_of(dy_admission_t *adm, const dy_admission_item_t *item)
+{
+	return &adm->lanes[item->idempotent ? PULLS : SUBMISSIONS];
+}
+
+static uint32_t count_queued(const dy_admission_t *adm)
+{
+	return adm->lanes[SUBMISSIONS].fair.count +
+	       adm->lanes[PULLS].fair.count;
+}
+
+/*
+ * How long a running call will still hold its slot. One that is overdue is
+ * taken to need as long again as it took: the longer it has stalled, the less
+ * its slot is counted on. The owner gives it up at its deadline.
+ */
+static uint64_t residual_us(const dy_admission_item_t *item, uint64_t now_us)
+{
+	uint64_t elapsed =
+		now_us > item->started_us ? now_us - item->started_us : 0;
+	uint64_t left =
+		elapsed < item->cost_us ? item->cost_us - elapsed : elapsed;
+
+	if (item->until_us <= now_us)
+		return 0;
+	return MIN(left, item->until_us - now_us);
+}
+
+static uint64_t first_free_us(const dy_admission_t *adm, uint64_t now_us)
+{
+	const dy_admission_item_t *item;
+	uint64_t first = NEVER_US;
+	dy_list_t *pos;
+
+	if (adm->in_flight < adm->config.slots)
+		return 0;
+	if (!adm->config.slots)
+		return NEVER_US;
+	DY_LIST_EACH(pos, &adm->running)
+	{
+		item = DY_LIST_ITEM(pos, dy_admission_item_t, link);
+		first = MIN(first, residual_us(item, now_us));
+	}
+	return first;
+}
+
+/* Slots that are free or come free within horizon_us; at least 1. */
+static uint32_t usable_slots(const dy_admission_t *adm, uint64_t now_us,
+			     uint64_t horizon_us)
+{
+	const dy_admission_item_t *item;
+	uint32_t usable = adm->config.slots;
+	dy_list_t *pos;
+
+	DY_LIST_EACH(pos, &adm->running)
+	{
+		item = DY_LIST_ITEM(pos, dy_admission_item_t, link);
+		if (usable > 1 && residual_us(item, now_us) > horizon_us)
+			usable--;
+	}
+	return MAX(usable, 1);
+}
+
+/* The wait of a call that has ahead_us of work before it in its lane. */
+static uint64_t expected_wait_us(const dy_admission_t *adm, const lane_t *lane,
+				 uint64_t ahead_us, uint64_t now_us)
+{
+	const lane_t *other = lane == &adm->lanes[PULLS]
+				      ? &adm->lanes[SUBMISSIONS]
+				      : &adm->lanes[PULLS];
+	uint64_t first = first_free_us(adm, now_us);
+	uint64_t total;
+
+	if (first >= NEVER_US)
+		return NEVER_US;
+	total = ahead_us * other->percent / lane->percent;
+	total = ahead_us + MIN(total, other->fair.queued_us);
+	if (!total)
+		return first;
+	return first + total / usable_slots(adm, now_us,
+					    first + total / adm->config.slots);
+}
+
+/*
+ * When a refused caller should come back: each is booked behind the backlog
+ * and behind those refused before it, at the rate at which the slots work. So
+ * a refused crowd comes back spread out, and not all at the same time.
+ */
+static uint32_t book_retry_ms(dy_admission_t *adm,
+			      const dy_admission_item_t *item)
+{
+	const dy_admission_config_t *config = &adm->config;
+	uint64_t backlog = adm->lanes[SUBMISSIONS].fair.queued_us +
+			   adm->lanes[PULLS].fair.queued_us;
+	uint32_t slots = MAX(config->slots, 1);
+	uint64_t ms;
+
+	adm->booked_us = MAX(adm->booked_us, adm->now_us + backlog / slots) +
+			 item->cost_us / slots;
+	adm->booked_us =
+		MIN(adm->booked_us,
+		    adm->now_us + (uint64_t)config->retry_max_ms * US_PER_MS);
+	ms = (adm->booked_us - adm->now_us) / US_PER_MS;
+	ms = (uint64_t)((double)ms *
+			g_rand_double_range(adm->rand, 0.75, 1.25));
+	return (uint32_t)CLAMP(ms, config->retry_min_ms, config->retry_max_ms);
+}
+
+static dy_admission_outcome_t refuse(dy_admission_t *adm,
+				     dy_admission_item_t *item,
+				     dy_admission_reason_t reason,
+				     dy_admission_refusal_t *refusal)
+{
+	item->state = ENDED;
+	item->reason = reason;
+	refusal->reason = reason;
+	refusal->retry_after_ms = book_retry_ms(adm, item);
+	return DY_ADMISSION_REFUSED;
+}
+
+static void give_up(dy_admission_t *adm, dy_admission_item_t *item,
+		    dy_admission_reason_t reason)
+{
+	dy_fair_lane_remove(&lane_of(adm, item)->fair, item);
+	item->state = GIVEN_UP;
+	item->reason = reason;
+	dy_list_append(&adm->given_up, &item->link);
+}
+
+static void prepare(dy_admission_t *adm, dy_admission_item_t *item)
+{
+	uint64_t budget;
+
+	dy_list_init(&item->link);
+	item->reason = DY_ADMISSION_ACCEPTED;
+	item->cost_us = dy_service_times_mean(&adm->times, item->procedure);
+	item->is_long = dy_service_times_is_long(&adm->times, item->procedure);
+	item->until_us = item->deadline_us;
+	if (!item->until_us)
+		item->until_us = adm->now_us + adm->config.default_budget_us;
+	budget =
+		item->until_us > adm->now_us ? item->until_us - adm->now_us : 0;
+	item->give_up_us =
+		adm->now_us + budget * adm->config.hold_percent / PERCENT;
+	if (!item->is_long)
+		adm->last_short_us = adm->now_us;
+	dy_fair_lane_place(&lane_of(adm, item)->fair, item);
+}
+
+static int is_too_late(const dy_admission_t *adm,
+		       const dy_admission_item_t *item)
+{
+	uint64_t needs = dy_service_times_cautious(&adm->times, item->procedure,
+						   adm->now_us);
+
+	return adm->now_us + MAX(needs, 1) > item->until_us;
+}
+
+/* Long calls leave slots to short ones while these are about. */
+static int has_slot(const dy_admission_t *adm, const dy_admission_item_t *item)
+{
+	uint32_t slots = adm->config.slots;
+	uint32_t reserved = adm->config.short_slots;
+
+	if (adm->in_flight >= slots)
+		return 0;
+	if (!item->is_long ||
+	    adm->now_us - adm->last_short_us > SHORT_RECENT_US)
+		return 1;
+	return adm->long_in_flight < (slots > reserved ? slots - reserved : 1);
+}
+
+/* The first call of a lane that can take a slot now. */
+static dy_admission_item_t *find_ready(dy_admission_t *adm, lane_t *lane)
+{
+	dy_admission_item_t *item;
+	dy_list_t *pos, *tmp;
+
+	DY_LIST_EACH_SAFE(pos, tmp, &lane->fair.items)
+	{
+		item = DY_LIST_ITEM(pos, dy_admission_item_t, link);
+		if (is_too_late(adm, item))
+			give_up(adm, item, DY_ADMISSION_LATE);
+		else if (has_slot(adm, item))
+			return item;
+	}
+	return NULL;
+}
+
+static void start(dy_admission_t *adm, lane_t *lane, dy_admission_item_t *item)
+{
+	item->state = RUNNING;
+	item->started_us = adm->now_us;
+	item->freezes = adm->freezes;
+	dy_list_append(&adm->running, &item->link);
+	adm->in_flight++;
+	adm->long_in_flight += item->is_long;
+	lane->pass_us += item->cost_us * PERCENT / lane->percent;
+}
+
+/* A lane that had nothing to do saves up no share for later. */
+static void join_lane(dy_admission_t *adm, lane_t *lane)
+{
+	uint64_t pass_us = UINT64_MAX;
+	int i;
+
+	if (lane->fair.count)
+		return;
+	for (i = 0; i < LANES; i++)
+		if (adm->lanes[i].fair.count)
+			pass_us = MIN(pass_us, adm->lanes[i].pass_us);
+	if (pass_us != UINT64_MAX && pass_us > lane->pass_us)
+		lane->pass_us = pass_us;
+}
+
+/*
+ * Make room for an item at a full queue: by the last of the other lane, if
+ * that one has more than its share of the queue; else by the last of its own
+ * lane, if the item's turn comes before. So one caller that fills the queue
+ * takes no place from others.
+ */
+static int make_room(dy_admission_t *adm, lane_t *lane,
+		     const dy_admission_item_t *item)
+{
+	lane_t *other = lane == &adm->lanes[PULLS] ? &adm->lanes[SUBMISSIONS]
+						   : &adm->lanes[PULLS];
+	uint32_t share = adm->config.queue * lane->percent / PERCENT;
+	dy_admission_item_t *last;
+
+	if (count_queued(adm) < adm->config.queue)
+		return 1;
+	if (lane->fair.count < share && other->fair.count) {
+		last = DY_LIST_ITEM(other->fair.items.prev, dy_admission_item_t,
+				    link);
+		give_up(adm, last, DY_ADMISSION_FULL);
+		return 1;
+	}
+	if (!lane->fair.count)
+		return 0;
+	last = DY_LIST_ITEM(lane->fair.items.prev, dy_admission_item_t, link);
+	if (last->start_tag <= item->start_tag)
+		return 0;
+	give_up(adm, last, DY_ADMISSION_FULL);
+	return 1;
+}
+
+dy_admission_outcome_t dy_admission_submit(dy_admission_t *adm,
+					   dy_admission_item_t *item,
+					   uint64_t now_us,
+					   dy_admission_refusal_t *refusal)
+{
+	lane_t *lane;
+	uint64_t wait;
+
+	advance_clock(adm, now_us);
+	lane = lane_of(adm, item);
+	prepare(adm, item);
+	if (is_too_late(adm, item))
+		return refuse(adm, item, DY_ADMISSION_LATE, refusal);
+	if (has_slot(adm, item) && !find_ready(adm, &adm->lanes[SUBMISSIONS]) &&
+	    !find_ready(adm, &adm->lanes[PULLS])) {
+		join_lane(adm, lane);
+		dy_fair_lane_charge(&lane->fair, item);
+		start(adm, lane, item);
+		return DY_ADMISSION_RUN;
+	}
+	wait = expected_wait_us(
+		adm, lane, dy_fair_lane_ahead_us(&lane->fair, item->start_tag),
+		adm->now_us);
+	if (adm->now_us + wait > item->give_up_us)
+		return refuse(adm, item, DY_ADMISSION_LATE, refusal);
+	if (!make_room(adm, lane, item))
+		return refuse(adm, item, DY_ADMISSION_FULL, refusal);
+	join_lane(adm, lane);
+	dy_fair_lane_add(&lane->fair, item);
+	item->state = QUEUED;
+	return DY_ADMISSION_QUEUED;
+}
+
+static void learn(dy_admission_t *adm, const dy_admission_item_t *item,
+		  dy_admission_end_t end)
+{
+	uint64_t took = adm->now_us - item->started_us;
+
+	if (end == DY_ADMISSION_UNSENT || item->freezes != adm->freezes)
+		return;
+	dy_service_times_learn(&adm->times, item->procedure, took,
+			       end == DY_ADMISSION_ABANDONED, adm->now_us);
+	if (took > item->cost_us)
+		dy_fair_lane_correct(&lane_of(adm, item)->fair, item,
+				     took - item->cost_us);
+}
+
+void dy_admission_finish(dy_admission_t *adm, dy_admission_item_t *item,
+			 dy_admission_end_t end, uint64_t now_us)
+{
+	if (item->state != RUNNING)
+		return;
+	advance_clock(adm, now_us);
+	dy_list_remove(&item->link);
+	item->state = ENDED;
+	adm->in_flight--;
+	adm->long_in_flight -= item->is_long;
+	learn(adm, item, end);
+}
+
+int dy_admission_cancel(dy_admission_t *adm, dy_admission_item_t *item)
+{
+	if (item->state == QUEUED)
+		dy_fair_lane_remove(&lane_of(adm, item)->fair, item);
+	else if (item->state == GIVEN_UP)
+		dy_list_remove(&item->link);
+	else
+		return 0;
+	item->state = ENDED;
+	return 1;
+}
+
+dy_admission_item_t *dy_admission_next(dy_admission_t *adm, uint64_t now_us)
+{
+	dy_admission_item_t *item;
+	lane_t *lane, *other;
+
+	advance_clock(adm, now_us);
+	lane = &adm->lanes[SUBMISSIONS];
+	other = &adm->lanes[PULLS];
+	if (lane->pass_us > other->pass_us) {
+		lane = &adm->lanes[PULLS];
+		other = &adm->lanes[SUBMISSIONS];
+	}
+	item = find_ready(adm, lane);
+	if (!item) {
+		lane = other;
+		item = find_ready(adm, lane);
+	}
+	if (!item)
+		return NULL;
+	dy_fair_lane_take(&lane->fair, item);
+	start(adm, lane, item);
+	return item;
+}
+
+/* Give up on each call of a lane whose turn comes too late. */
+static void project(dy_admission_t *adm, lane_t *lane)
+{
+	dy_admission_item_t *item;
+	dy_list_t *pos, *tmp;
+	uint64_t ahead = 0;
+	uint64_t wait;
+
+	DY_LIST_EACH_SAFE(pos, tmp, &lane->fair.items)
+	{
+		item = DY_LIST_ITEM(pos, dy_admission_item_t, link);
+		wait = expected_wait_us(adm, lane, ahead, adm->now_us);
+		if (adm->now_us + wait > item->give_up_us)
+			give_up(adm, item, DY_ADMISSION_LATE);
+		else
+			ahead += item->cost_us;
+	}
+}
+
+dy_admission_item_t *dy_admission_expire(dy_admission_t *adm, uint64_t now_us,
+					 dy_admission_refusal_t *refusal)
+{
+	dy_admission_item_t *item;
+	int i;
+
+	advance_clock(adm, now_us);
+	if (adm->now_us - adm->projected_us >= PROJECT_EVERY_US) {
+		for (i = 0; i < LANES; i++)
+			project(adm, &adm->lanes[i]);
+		adm->projected_us = adm->now_us;
+	}
+	if (dy_list_empty(&adm->given_up))
+		return NULL;
+	item = DY_LIST_ITEM(adm->given_up.next, dy_admission_item_t, link);
+	dy_list_remove(&item->link);
+	refuse(adm, item, item->reason, refusal);
+	return item;
+}
+
+void dy_admission_set_slots(dy_admission_t *adm, uint32_t slots)
+{
+	adm->config.slots = slots;
+}
+
+void dy_admission_load(const dy_admission_t *adm, uint64_t now_us,
+		       dy_admission_load_t *load)
+{
+	const lane_t *pulls = &adm->lanes[PULLS];
+	uint64_t now = MAX(now_us, adm->now_us);
+
+	load->slots = adm->config.slots;
+	load->in_flight = adm->in_flight;
+	load->queued = count_queued(adm);
+	load->expected_wait_us = expected_wait_us(
+		adm, pulls,
+		dy_fair_lane_ahead_us(&pulls->fair, pulls->fair.virtual_us),
+		now);
+}
+
+const char *dy_admission_reason_name(dy_admission_reason_t reason)
+{
+	static const char *const names[] = { "accepted", "late", "full" };
+
+	return reason < DY_ADMISSION_REASONS ? names[reason] : "unknown";
+}
--- /dev/null
+++ b/src/version/pick.c
@@ -0,0 +1,252 @@
+#include "damaskyard/pick.h"
+
+#include <string.h>
+
+/*
+ * The share of a service that may be ejected, in percent. More than half gone
+ * at once looks like a fault of this balancer's own link.
+ */
+#define EJECT_MOST_PERCENT 50
+
+/* A refusal against the report takes a quarter of the trust, an answer that
+ * fits it gives back 1/32 of what is missing. */
+#define TRUST_LOSS_SHIFT 2
+#define TRUST_GAIN_SHIFT 5
+#define TRUST_LEAST 8
+
+/* Loads are kept in thousandths of a full target. */
+#define FULL 1000
+#define HOPELESS (1U << 30)
+
+/* What one look over the targets finds. */
+typedef struct sample {
+	int index[DY_PICK_SAMPLE];
+	uint32_t n;
+	uint32_t ejected;
+} sample_t;
+
+void dy_pick_config_init(dy_pick_config_t *config, dy_pick_weigh_t weigh)
+{
+	config->weigh = weigh;
+	config->balancers = 1;
+	config->domain = 0;
+	config->local_permille = weigh == DY_PICK_IMBALANCE ? 0 : 5;
+	config->slow_start_ms = 10000;
+	config->stall_ms = 1000;
+	config->eject_failures = 3;
+	config->eject_ms = 2000;
+}
+
+void dy_pick_target_init(dy_pick_target_t *target, uint16_t domain,
+			 uint16_t slots, uint32_t session_cap,
+			 uint64_t cold_since_ms)
+{
+	memset(target, 0, sizeof(*target));
+	target->domain = domain;
+	target->slots = slots;
+	target->session_cap = session_cap;
+	target->cold_since_ms = cold_since_ms;
+	target->trust = DY_PICK_TRUST_FULL;
+}
+
+int dy_pick_is_ejected(const dy_pick_config_t *config,
+		       const dy_pick_target_t *target, uint64_t now_ms)
+{
+	if (target->first_unanswered_ms &&
+	    now_ms > target->first_unanswered_ms + config->stall_ms)
+		return 1;
+	return target->failures >= config->eject_failures;
+}
+
+/* An ejected target gets one opening at a time once eject_ms have passed. */
+static int may_probe(const dy_pick_config_t *config,
+		     const dy_pick_target_t *target, uint64_t now_ms)
+{
+	uint64_t since = MAX(target->failed_ms, target->first_unanswered_ms);
+
+	return !target->pending && now_ms >= since + config->eject_ms;
+}
+
+/*
+ * Whether this balancer's share of the free connections is not used up. Each
+ * may use only its part of what a report showed free, so that all balancers
+ * together stay below the cap though none sees what the others send.
+ */
+static int has_connection(const dy_pick_config_t *config,
+			  const dy_pick_target_t *target, GRand *rand)
+{
+	uint32_t free_sessions;
+
+	if (target->sessions >= target->session_cap)
+		return 0;
+	free_sessions = target->session_cap - target->sessions;
+	if (free_sessions >= config->balancers)
+		return target->pending < free_sessions / config->balancers;
+	return !target->pending &&
+	       g_rand_int_range(rand, 0, (gint32)config->balancers) <
+		       (gint32)free_sessions;
+}
+
+/* The load in thousandths: lower is better. */
+static uint32_t weigh_load(const dy_pick_config_t *config,
+			   const dy_pick_target_t *target)
+{
+	uint64_t pending = (uint64_t)target->pending * config->balancers;
+	uint64_t sessions = target->sessions + pending;
+	uint64_t work = (uint64_t)target->in_flight + target->queued;
+	uint64_t load;
+
+	if (!target->slots || !target->session_cap)
+		return HOPELESS;
+	load = sessions * FULL / target->session_cap;
+	load += work * FULL / target->slots / 4;
+	load = load * DY_PICK_TRUST_FULL / MAX(target->trust, TRUST_LEAST);
+	return (uint32_t)MIN(load, HOPELESS);
+}
+
+/* All targets where they are few, else as many taken at random. */
+static void take_sample(const dy_pick_config_t *config,
+			const dy_pick_target_t *targets, size_t n, GRand *rand,
+			uint64_t now_ms, sample_t *sample)
+{
+	uint32_t most = (uint32_t)MIN(n, DY_PICK_SAMPLE);
+	uint32_t i;
+	int at;
+
+	sample->n = 0;
+	sample->ejected = 0;
+	for (i = 0; i < most; i++) {
+		at = (int)i;
+		if (n > DY_PICK_SAMPLE)
+			at = g_rand_int_range(rand, 0, (gint32)n);
+		if (targets[at].draining)
+			continue;
+		sample->index[sample->n++] = at;
+		sample->ejected +=
+			dy_pick_is_ejected(config, &targets[at], now_ms);
+	}
+}
+
+static void keep_eligible(const dy_pick_config_t *config,
+			  const dy_pick_target_t *targets, GRand *rand,
+			  uint64_t now_ms, sample_t *sample)
+{
+	int may_eject = sample->ejected * 100 <= sample->n * EJECT_MOST_PERCENT;
+	const dy_pick_target_t *target;
+	uint32_t i, kept = 0;
+
+	for (i = 0; i < sample->n; i++) {
+		target = &targets[sample->index[i]];
+		if (!has_connection(config, target, rand))
+			continue;
+		if (may_eject && dy_pick_is_ejected(config, target, now_ms) &&
+		    !may_probe(config, target, now_ms))
+			continue;
+		sample->index[kept++] = sample->index[i];
+	}
+	sample->n = kept;
+}
+
+/* Whether a cold target takes this flow: ever more often as it warms up. */
+static int is_warm(const dy_pick_config_t *config,
+		   const dy_pick_target_t *target, GRand *rand, uint64_t now_ms)
+{
+	uint64_t age = now_ms > target->cold_since_ms
+			       ? now_ms - target->cold_since_ms
+			       : 0;
+
+	if (age >= config->slow_start_ms)
+		return 1;
+	return g_rand_double(rand) * config->slow_start_ms <
+	       (double)age + config->slow_start_ms / 10.0;
+}
+
+/* The better of two: the less loaded, or the local one if they are close. */
+static int better_of(const dy_pick_config_t *config,
+		     const dy_pick_target_t *targets, int a, int b, GRand *rand,
+		     uint64_t now_ms)
+{
+	uint32_t load_a = weigh_load(config, &targets[a]);
+	uint32_t load_b = weigh_load(config, &targets[b]);
+	uint32_t apart = load_a > load_b ? load_a - load_b : load_b - load_a;
+	int local_a = targets[a].domain == config->domain;
+	int local_b = targets[b].domain == config->domain;
+	int best = load_a <= load_b ? a : b;
+
+	if (apart <= config->local_permille && local_a != local_b)
+		best = local_a ? a : b;
+	if (!is_warm(config, &targets[best], rand, now_ms))
+		best = best == a ? b : a;
+	return best;
+}
+
+int dy_pick(const dy_pick_config_t *config, const dy_pick_target_t *targets,
+	    size_t n, GRand *rand, uint64_t now_ms)
+{
+	sample_t sample;
+	int a, b;
+
+	take_sample(config, targets, n, rand, now_ms, &sample);
+	keep_eligible(config, targets, rand, now_ms, &sample);
+	if (!sample.n)
+		return -1;
+	if (sample.n == 1)
+		return sample.index[0];
+	a = g_rand_int_range(rand, 0, (gint32)sample.n);
+	b = g_rand_int_range(rand, 0, (gint32)sample.n - 1);
+	if (b >= a)
+		b++;
+	return better_of(config, targets, sample.index[a], sample.index[b],
+			 rand, now_ms);
+}
+
+void dy_pick_forwarded(dy_pick_target_t *target, uint64_t now_ms)
+{
+	if (!target->first_unanswered_ms)
+		target->first_unanswered_ms = now_ms ? now_ms : 1;
+}
+
+void dy_pick_sent(dy_pick_target_t *target, uint64_t now_ms)
+{
+	target->pending++;
+	dy_pick_forwarded(target, now_ms);
+}
+
+void dy_pick_answered(dy_pick_target_t *target, const dy_pick_report_t *report,
+		      int opened, uint64_t now_ms)
+{
+	if (opened && target->pending)
+		target->pending--;
+	target->last_answer_ms = now_ms;
+	target->first_unanswered_ms = target->pending ? now_ms : 0;
+	target->failures = 0;
+	target->trust += (DY_PICK_TRUST_FULL - target->trust +
+			  (1 << TRUST_GAIN_SHIFT) - 1) >>
+			 TRUST_GAIN_SHIFT;
+	if (!report)
+		return;
+	target->slots = report->slots;
+	target->in_flight = report->in_flight;
+	target->queued = report->queued;
+	target->sessions = report->sessions;
+	target->expected_wait_ms = report->expected_wait_ms;
+	target->report_ms = now_ms;
+}
+
+void dy_pick_refused(dy_pick_target_t *target)
+{
+	if (target->in_flight >= target->slots || target->queued)
+		return;
+	target->trust -= target->trust >> TRUST_LOSS_SHIFT;
+	target->trust = MAX(target->trust, TRUST_LEAST);
+}
+
+void dy_pick_failed(dy_pick_target_t *target, int opened, uint64_t now_ms)
+{
+	if (opened && target->pending)
+		target->pending--;
+	if (target->failures < UINT16_MAX)
+		target->failures++;
+	target->failed_ms = now_ms;
+	target->first_unanswered_ms = 0;
+}
