--- a/standin/readings_target.c
+++ b/standin/readings_target.c
@@ -5,6 +5,7 @@
 
 #include "common_args.h"
 #include "common_server.h"
+#include "dy_caller.h"
 #include "standin_readings.h"
 
 #include <errno.h>
@@ -12,12 +13,17 @@
 #include <string.h>
 #include <unistd.h>
 
+/* When a caller that was shed should come back. */
+#define SHED_RETRY_MS 50
+
 typedef struct target {
 	int fd;
 	GHashTable *counts;
 	unsigned submitted;
 	unsigned delay_ms;
 	int stall_after;
+	int shed_every;
+	unsigned calls;
 } target_t;
 
 static unsigned count_of(const target_t *target, const char *station)
@@ -80,6 +86,29 @@
 	standin_server_reply(transport, (xdrproc_t)xdr_u_int, result, delay_ms);
 }
 
+/* Refuse the call, saying in the verifier that it did not run. */
+static void shed(SVCXPRT *transport)
+{
+	struct opaque_auth *verifier = &transport->xp_verf;
+	dy_refusal_t refusal = { DY_NOT_RUN, DY_REASON_SHED, SHED_RETRY_MS };
+	XDR xdrs;
+
+	xdrmem_create(&xdrs, verifier->oa_base, MAX_AUTH_BYTES, XDR_ENCODE);
+	if (!xdr_dy_refusal_t(&xdrs, &refusal))
+		standin_die("a refusal can't be encoded");
+	verifier->oa_flavor = DY_AUTH_VERDICT;
+	verifier->oa_length = xdr_getpos(&xdrs);
+	xdr_destroy(&xdrs);
+	svcerr_systemerr(transport);
+}
+
+static int sheds_next(target_t *target)
+{
+	target->calls++;
+	return target->shed_every > 0 &&
+	       target->calls % (unsigned)target->shed_every == 0;
+}
+
 static void submit(target_t *target, SVCXPRT *transport)
 {
 	standin_reading_t reading = { 0 };
@@ -88,6 +117,8 @@
 			 &reading) ||
 	    !valid_station(reading.station)) {
 		svcerr_decode(transport);
+	} else if (sheds_next(target)) {
+		shed(transport);
 	} else {
 		store(target, &reading);
 		if (target->stall_after < 0 ||
@@ -144,6 +175,8 @@
 		{ "stall-after", 0, 0, G_OPTION_ARG_INT, &target.stall_after,
 		  "Answer this many submissions, and store the rest in silence",
 		  "N" },
+		{ "shed-every", 0, 0, G_OPTION_ARG_INT, &target.shed_every,
+		  "Refuse every Nth submission as not run", "N" },
 		{ NULL }
 	};
 
