--- a/standin/common_caller.h
+++ b/standin/common_caller.h
@@ -4,6 +4,13 @@
 /*
  * A flow of an ordinary caller: libtirpc's own datagram client, unmodified,
  * with AUTH_SYS. The flow opens with the NULL procedure.
+ *
+ * This client (1.3.2) takes an answer to an earlier call as a sign that the
+ * present one was lost: it sends it again at once and counts a whole retry
+ * interval as passed. Every second copy of an answer thus begets another,
+ * and timeout_ms / retry_ms of them end a call as timed out within one
+ * millisecond. Whoever answers must not answer copies of one call that
+ * arrive together more than once.
  */
 
 #include <netinet/in.h>
