--- a/proto/dy_caller.x
+++ b/proto/dy_caller.x
@@ -30,7 +30,8 @@
 	DY_REASON_BAD_ANSWER = 10,	/* the target's answer was malformed */
 	DY_REASON_DRAINING = 11,
 	DY_REASON_UNKNOWN_SESSION = 12,
-	DY_REASON_DUPLICATE = 13	/* a copy whose answer is gone */
+	DY_REASON_DUPLICATE = 13,	/* a copy whose answer is gone */
+	DY_REASON_UNKNOWN_PROGRAM = 14	/* not what the service offers */
 };
 
 struct dy_refusal_t {
--- a/src/gen/dy_caller.h
+++ b/src/gen/dy_caller.h
@@ -37,6 +37,7 @@
 	DY_REASON_DRAINING = 11,
 	DY_REASON_UNKNOWN_SESSION = 12,
 	DY_REASON_DUPLICATE = 13,
+	DY_REASON_UNKNOWN_PROGRAM = 14,
 };
 typedef enum dy_reason_t dy_reason_t;
 
--- a/src/request/rpc.c
+++ b/src/request/rpc.c
@@ -220,5 +220,5 @@
 		"duplicate",
 	};
 
-	return reason <= DY_REASON_DUPLICATE ? names[reason] : "unknown";
+	return reason <= DY_REASON_UNKNOWN_PROGRAM ? names[reason] : "unknown";
 }
--- /dev/null
+++ b/src/version/route_table.c
@@ -0,0 +1,357 @@
+#include "route_table.h"
+
+#include <string.h>
+
+struct route_table {
+	dy_document_t *document;
+	route_service_t *services; /* in the document's order */
+	unsigned service_count;
+	GHashTable *by_service; /* id: route_service_t */
+	GHashTable *by_targets; /* announced name: GPtrArray of the same */
+	GHashTable *members;	/* incarnation: route_member_t, owned */
+	GHashTable *current;	/* id: newest route_member_t */
+	GHashTable *balancers;	/* ids of those that serve */
+	GPtrArray *domains;	/* names; the index is the domain's */
+};
+
+static void destroy_member(gpointer data)
+{
+	route_member_t *member = data;
+
+	g_ref_string_release(member->service);
+	g_ref_string_release(member->labels);
+	g_ref_string_release(member->domain_name);
+	g_free(member->successors);
+	g_free(member);
+}
+
+route_table_t *route_table_create(void)
+{
+	route_table_t *table = g_new0(route_table_t, 1);
+
+	table->by_service = g_hash_table_new(g_int64_hash, g_int64_equal);
+	table->by_targets =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+				      (GDestroyNotify)g_ptr_array_unref);
+	table->members = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       NULL, destroy_member);
+	table->current = g_hash_table_new(g_int64_hash, g_int64_equal);
+	table->balancers = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						 g_free, NULL);
+	table->domains = g_ptr_array_new_with_free_func(g_free);
+	return table;
+}
+
+static void clear_services(route_service_t *services, unsigned count)
+{
+	unsigned i;
+
+	for (i = 0; i < count; i++) {
+		g_free(services[i].picks);
+		g_free(services[i].members);
+	}
+	g_free(services);
+}
+
+void route_table_destroy(route_table_t *table)
+{
+	if (!table)
+		return;
+	g_hash_table_destroy(table->by_service);
+	g_hash_table_destroy(table->by_targets);
+	g_hash_table_destroy(table->current);
+	g_hash_table_destroy(table->members);
+	g_hash_table_destroy(table->balancers);
+	g_ptr_array_free(table->domains, TRUE);
+	clear_services(table->services, table->service_count);
+	dy_document_destroy(table->document);
+	g_free(table);
+}
+
+uint16_t route_table_domain(route_table_t *table, const char *name)
+{
+	guint i;
+
+	for (i = 0; i < table->domains->len; i++)
+		if (!strcmp(g_ptr_array_index(table->domains, i), name))
+			return (uint16_t)i;
+	g_ptr_array_add(table->domains, g_strdup(name));
+	return (uint16_t)i;
+}
+
+static int find_position(const route_service_t *service,
+			 const route_member_t *member)
+{
+	unsigned i;
+
+	for (i = 0; i < service->count; i++)
+		if (service->members[i] == member)
+			return (int)i;
+	return -1;
+}
+
+dy_pick_target_t *route_service_find(route_service_t *service,
+				     const route_member_t *member)
+{
+	int at = find_position(service, member);
+
+	return at < 0 ? NULL : &service->picks[at];
+}
+
+static void add_target(route_service_t *service, route_member_t *member,
+		       const dy_pick_target_t *pick)
+{
+	if (service->count == service->room) {
+		service->room = service->room ? 2 * service->room : 4;
+		service->picks = g_renew(dy_pick_target_t, service->picks,
+					 service->room);
+		service->members = g_renew(route_member_t *, service->members,
+					   service->room);
+	}
+	service->picks[service->count] = *pick;
+	service->members[service->count] = member;
+	service->count++;
+}
+
+static void remove_target(route_service_t *service, unsigned at)
+{
+	service->count--;
+	service->picks[at] = service->picks[service->count];
+	service->members[at] = service->members[service->count];
+}
+
+static int is_offered(const route_member_t *member)
+{
+	return member->state == DY_MEMBER_SERVING ||
+	       member->state == DY_MEMBER_DRAINING ||
+	       member->state == DY_MEMBER_SUSPECT;
+}
+
+static int is_eligible(const route_service_t *service,
+		       const route_member_t *member)
+{
+	dy_member_info_t info = { 0 };
+
+	info.kind = DY_MEMBER_AGENT;
+	info.service = member->service;
+	info.labels = member->labels;
+	info.domain = member->domain_name;
+	return is_offered(member) &&
+	       dy_service_accepts(service->service, &info);
+}
+
+/* What registration and document say; the view of load stays. */
+static void refresh_pick(dy_pick_target_t *pick, const route_service_t *service,
+			 const route_member_t *member)
+{
+	pick->session_cap =
+		MIN(member->connections, service->service->connections);
+	pick->domain = member->domain;
+	pick->draining = member->state != DY_MEMBER_SERVING;
+}
+
+static void place_member(route_service_t *service, route_member_t *member,
+			 const dy_pick_target_t *known, uint64_t now_ms)
+{
+	int at = find_position(service, member);
+	dy_pick_target_t fresh;
+
+	if (!is_eligible(service, member)) {
+		if (at >= 0)
+			remove_target(service, (unsigned)at);
+		return;
+	}
+	if (at < 0) {
+		dy_pick_target_init(
+			&fresh, member->domain,
+			(uint16_t)MIN(member->slots, service->service->slots),
+			member->connections, now_ms);
+		add_target(service, member, known ? known : &fresh);
+		at = (int)service->count - 1;
+	}
+	refresh_pick(&service->picks[at], service, member);
+}
+
+static GPtrArray *services_for(route_table_t *table, const char *announced)
+{
+	return g_hash_table_lookup(table->by_targets, announced);
+}
+
+static void place_everywhere(route_table_t *table, route_member_t *member,
+			     uint64_t now_ms)
+{
+	GPtrArray *services = services_for(table, member->service);
+	guint i;
+
+	for (i = 0; services && i < services->len; i++)
+		place_member(g_ptr_array_index(services, i), member, NULL,
+			     now_ms);
+}
+
+static void index_service(route_table_t *table, route_service_t *service)
+{
+	const char *targets = service->service->targets;
+	GPtrArray *same = services_for(table, targets);
+
+	if (!same) {
+		same = g_ptr_array_new();
+		g_hash_table_insert(table->by_targets, (gpointer)targets, same);
+	}
+	g_ptr_array_add(same, service);
+	g_hash_table_insert(table->by_service, (gpointer)&service->service->id,
+			    service);
+}
+
+/* The old arrays of a service, so that its targets keep their view. */
+static const dy_pick_target_t *known_pick(GHashTable *old,
+					  const dy_service_t *service,
+					  const route_member_t *member)
+{
+	route_service_t *before = g_hash_table_lookup(old, &service->id);
+
+	return before ? route_service_find(before, member) : NULL;
+}
+
+static void place_all(route_table_t *table, GHashTable *old, uint64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+	GPtrArray *services;
+	route_service_t *service;
+	guint i;
+
+	g_hash_table_iter_init(&iter, table->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		route_member_t *member = value;
+
+		services = services_for(table, member->service);
+		for (i = 0; services && i < services->len; i++) {
+			service = g_ptr_array_index(services, i);
+			place_member(service, member,
+				     known_pick(old, service->service, member),
+				     now_ms);
+		}
+	}
+}
+
+void route_table_set_document(route_table_t *table, dy_document_t *document,
+			      uint64_t now_ms)
+{
+	dy_document_t *old_document = table->document;
+	route_service_t *old_services = table->services;
+	unsigned old_count = table->service_count;
+	GHashTable *old = table->by_service;
+	unsigned i;
+
+	table->document = document;
+	table->service_count = dy_document_service_count(document);
+	table->services = g_new0(route_service_t, table->service_count);
+	table->by_service = g_hash_table_new(g_int64_hash, g_int64_equal);
+	g_hash_table_remove_all(table->by_targets);
+	for (i = 0; i < table->service_count; i++) {
+		table->services[i].service = dy_document_service(document, i);
+		index_service(table, &table->services[i]);
+	}
+	place_all(table, old, now_ms);
+	g_hash_table_destroy(old);
+	clear_services(old_services, old_count);
+	dy_document_destroy(old_document);
+}
+
+const dy_document_t *route_table_document(const route_table_t *table)
+{
+	return table->document;
+}
+
+static void count_balancer(route_table_t *table, const dy_member_t *from)
+{
+	gint64 *key;
+
+	if (from->state != DY_MEMBER_SERVING) {
+		g_hash_table_remove(table->balancers, &from->id);
+		return;
+	}
+	key = g_new(gint64, 1);
+	memcpy(key, &from->id, sizeof(*key));
+	g_hash_table_add(table->balancers, key);
+}
+
+static void set_text(char **held, const char *text)
+{
+	if (*held && !strcmp(*held, text))
+		return;
+	if (*held)
+		g_ref_string_release(*held);
+	*held = g_ref_string_new_intern(text);
+}
+
+static void fill_member(route_table_t *table, route_member_t *member,
+			const dy_member_t *from)
+{
+	member->id = from->id;
+	member->address = from->info.address;
+	member->state = (uint8_t)from->state;
+	member->domain = route_table_domain(table, from->info.domain);
+	member->slots = from->info.slots;
+	member->connections = from->info.connections;
+	set_text(&member->service, from->info.service);
+	set_text(&member->labels, from->info.labels);
+	set_text(&member->domain_name, from->info.domain);
+	g_free(member->successors);
+	member->successor_count = (uint8_t)from->successors.successors_len;
+	member->successors =
+		g_memdup2(from->successors.successors_val,
+			  member->successor_count * sizeof(uint64_t));
+}
+
+static void make_current(route_table_t *table, route_member_t *member)
+{
+	route_member_t *held = route_table_current(table, member->id);
+
+	if (!held || held->incarnation < member->incarnation)
+		g_hash_table_replace(table->current, &member->id, member);
+}
+
+void route_table_set_member(route_table_t *table, const dy_member_t *from,
+			    uint64_t now_ms)
+{
+	route_member_t *member;
+
+	if (from->info.kind == DY_MEMBER_BALANCER) {
+		count_balancer(table, from);
+		return;
+	}
+	member = route_table_incarnation(table, from->incarnation);
+	if (!member) {
+		member = g_new0(route_member_t, 1);
+		member->incarnation = from->incarnation;
+		g_hash_table_insert(table->members, &member->incarnation,
+				    member);
+	}
+	fill_member(table, member, from);
+	make_current(table, member);
+	place_everywhere(table, member, now_ms);
+}
+
+route_service_t *route_table_service(route_table_t *table, uint64_t service)
+{
+	return g_hash_table_lookup(table->by_service, &service);
+}
+
+route_member_t *route_table_incarnation(route_table_t *table,
+					uint64_t incarnation)
+{
+	return g_hash_table_lookup(table->members, &incarnation);
+}
+
+route_member_t *route_table_current(route_table_t *table, uint64_t id)
+{
+	return g_hash_table_lookup(table->current, &id);
+}
+
+unsigned route_table_balancers(const route_table_t *table)
+{
+	guint count = g_hash_table_size(table->balancers);
+
+	return count ? count : 1;
+}
--- /dev/null
+++ b/src/version/route_table.h
@@ -0,0 +1,71 @@
+#ifndef DAMASKYARD_ROUTE_TABLE_H
+#define DAMASKYARD_ROUTE_TABLE_H
+
+/*
+ * A balancer's table: the services of one document, and behind each the
+ * targets that may serve it, with this balancer's view of their load.
+ */
+
+#include <glib.h>
+
+#include "damaskyard/document.h"
+#include "damaskyard/pick.h"
+#include "dy_control.h"
+
+/* Successors of a chain of planned stops that a packet is sent along. */
+#define ROUTE_CHAIN_MAX 8
+
+typedef struct route_member {
+	uint64_t incarnation; /* the key: one for each start of an agent */
+	uint64_t id;
+	dy_address_t address;
+	uint8_t state; /* a dy_member_state_t */
+	uint8_t successor_count;
+	uint16_t domain;
+	uint32_t slots;
+	uint32_t connections;
+	char *service; /* what its target announced; interned */
+	char *labels;
+	char *domain_name;
+	uint64_t *successors;
+} route_member_t;
+
+typedef struct route_service {
+	const dy_service_t *service;
+	dy_pick_target_t *picks; /* both arrays in step */
+	route_member_t **members;
+	unsigned count;
+	unsigned room;
+} route_service_t;
+
+typedef struct route_table route_table_t;
+
+route_table_t *route_table_create(void);
+void route_table_destroy(route_table_t *table);
+
+/* Takes the document over; targets keep their view of load. */
+void route_table_set_document(route_table_t *table, dy_document_t *document,
+			      uint64_t now_ms);
+const dy_document_t *route_table_document(const route_table_t *table);
+
+/* Returns 1 if the member is new or changed in more than its address. */
+void route_table_set_member(route_table_t *table, const dy_member_t *member,
+			    uint64_t now_ms);
+
+/* Each returns NULL if there is none. */
+route_service_t *route_table_service(route_table_t *table, uint64_t service);
+route_member_t *route_table_incarnation(route_table_t *table,
+					uint64_t incarnation);
+route_member_t *route_table_current(route_table_t *table, uint64_t id);
+
+/* This balancer's view of a member behind a service, or NULL. */
+dy_pick_target_t *route_service_find(route_service_t *service,
+				     const route_member_t *member);
+
+/* Index of a failure domain by its name; the same name, the same index. */
+uint16_t route_table_domain(route_table_t *table, const char *name);
+
+/* Balancers that serve, this one included. */
+unsigned route_table_balancers(const route_table_t *table);
+
+#endif
