--- /dev/null
+++ b/src/request/verdict.c
@@ -0,0 +1,85 @@
+#include "damaskyard/verdict.h"
+
+static dy_decision_t refuse(dy_verdict_t verdict, dy_reason_t reason)
+{
+	dy_decision_t decision = { 1, 0, verdict, reason };
+
+	return decision;
+}
+
+static dy_decision_t go_on(dy_verdict_t verdict, dy_reason_t reason)
+{
+	dy_decision_t decision = { 0, 0, verdict, reason };
+
+	return decision;
+}
+
+static dy_decision_t pass_on(void)
+{
+	dy_decision_t decision = { 1, 1, DY_RAN, DY_REASON_NONE };
+
+	return decision;
+}
+
+/* No byte of it has been handed to the target. */
+static dy_decision_t decide_unsent(dy_call_event_t event)
+{
+	switch (event) {
+	case DY_EVENT_TARGET_LOST:
+		return refuse(DY_NOT_RUN, DY_REASON_TARGET_LOST);
+	case DY_EVENT_DEADLINE:
+		return refuse(DY_NOT_RUN, DY_REASON_DEADLINE);
+	case DY_EVENT_OVERLOAD:
+		return refuse(DY_NOT_RUN, DY_REASON_OVERLOAD);
+	case DY_EVENT_CANCEL:
+	case DY_EVENT_CANCEL_GRANTED:
+		return refuse(DY_NOT_RUN, DY_REASON_CANCELLED);
+	case DY_EVENT_STOPPING:
+		return refuse(DY_NOT_RUN, DY_REASON_DRAINING);
+	default:
+		return go_on(DY_NOT_RUN, DY_REASON_BAD_ANSWER);
+	}
+}
+
+/*
+ * A target that answers SYSTEM_ERR or refuses the credential has had the
+ * call in its hands. A refusal of the credential is not passed on as such: a
+ * stock client that holds a token would send the call again by itself.
+ */
+static dy_decision_t decide_sent(dy_call_event_t event)
+{
+	switch (event) {
+	case DY_EVENT_ANSWERED:
+	case DY_EVENT_ANSWERED_ERROR:
+		return pass_on();
+	case DY_EVENT_SHED_NOT_RUN:
+		return refuse(DY_NOT_RUN, DY_REASON_SHED);
+	case DY_EVENT_SHED_UNSURE:
+		return refuse(DY_MAY_HAVE_RUN, DY_REASON_SHED);
+	case DY_EVENT_CANCEL_GRANTED:
+		return refuse(DY_NOT_RUN, DY_REASON_CANCELLED);
+	case DY_EVENT_CANCEL:
+		return go_on(DY_MAY_HAVE_RUN, DY_REASON_CANCELLED);
+	case DY_EVENT_ANSWER_TOO_LARGE:
+		return refuse(DY_MAY_HAVE_RUN, DY_REASON_TOO_LARGE);
+	case DY_EVENT_TARGET_LOST:
+		return refuse(DY_MAY_HAVE_RUN, DY_REASON_TARGET_LOST);
+	case DY_EVENT_DEADLINE:
+		return refuse(DY_MAY_HAVE_RUN, DY_REASON_DEADLINE);
+	case DY_EVENT_STOPPING:
+		return refuse(DY_MAY_HAVE_RUN, DY_REASON_DRAINING);
+	case DY_EVENT_OVERLOAD:
+		return go_on(DY_MAY_HAVE_RUN, DY_REASON_OVERLOAD);
+	default:
+		return refuse(DY_MAY_HAVE_RUN, DY_REASON_BAD_ANSWER);
+	}
+}
+
+dy_decision_t dy_verdict_decide(dy_stage_t stage, dy_call_event_t event)
+{
+	if (stage < DY_STAGE_SENT)
+		return decide_unsent(event);
+	if (stage == DY_STAGE_SENT)
+		return decide_sent(event);
+	return go_on(DY_MAY_HAVE_RUN, DY_REASON_DUPLICATE);
+}
