--- a/include/damaskyard/pick.h
+++ b/include/damaskyard/pick.h
@@ -13,8 +13,8 @@
  *				connections lose	many as a fast one
  * cold target			slow start		it is emptiest, gets
  *							each flow, and stalls
- * target fails or stalls	ejection, then a trickle	flows opened
- *into a void balancer cut off		never ejects most of a	one bad link
+ * target fails or stalls	ejection, then a trickle	flows opened into
+ *a void balancer cut off		never ejects most of a	one bad link
  *empties a service			service target reports falsely trust
  *an idle-looking target that refuses gets all
  * connections run out		share of what is free	opened above the cap,
