--- a/include/damaskyard/document.h
+++ b/include/damaskyard/document.h
@@ -105,7 +105,7 @@
 
 /* Write a digest as 64 hexadecimal digits into text, which is returned. */
 #define DY_DIGEST_TEXT_BYTES (2 * DY_DIGEST_BYTES + 1)
-const char *dy_digest_format(const uint8_t digest[DY_DIGEST_BYTES],
+const char *dy_digest_format(const void *digest,
 			     char text[DY_DIGEST_TEXT_BYTES]);
 
 /* Whether a procedure may run again without harm; NULL (0) always may. */
--- /dev/null
+++ b/src/process/balancer.c
@@ -0,0 +1,375 @@
+#include "balancer.h"
+
+#include <string.h>
+
+#include "damaskyard/log.h"
+#include "damaskyard/loop.h"
+#include "damaskyard/router.h"
+#include "damaskyard/seal.h"
+#include "damaskyard/status_service.h"
+#include "damaskyard/subscriber.h"
+#include "service_sockets.h"
+
+/*
+ * Without a majority's confirmation for this long, in ms, new flows are
+ * refused: a document that another part of the group has replaced must not
+ * open flows that it no longer allows. Ten polls and more than the time in
+ * which a group elects a leader, so that a lost control is not noticed.
+ */
+#define CONFIRMED_MS 6000
+
+/* How often that, and silence of targets, is looked at, in ms. */
+#define CHECK_MS 200
+
+/*
+ * A planned stop: the fabric is told for as long that this balancer is not
+ * ready, then it goes once no caller has been heard for the quiet time, and
+ * at the latest after the last.
+ */
+#define STOP_UNREADY_MS 3000
+#define STOP_QUIET_MS 1000
+#define STOP_LATEST_MS 30000
+
+/* Bytes of the largest message to an agent. */
+#define MESSAGE_BYTES (DY_DATAGRAM_BYTES + 512)
+
+typedef struct balancer {
+	const dy_balancer_settings_t *settings;
+	dy_loop_t *loop;
+	dy_metrics_t *metrics;
+	dy_secrets_t secrets;
+	dy_seal_t *seal;
+	dy_keyring_t *keyring;
+	GRand *rand;
+	dy_endpoint_t *endpoint;
+	dy_subscriber_t *subscriber;
+	dy_router_t *router;
+	service_sockets_t *sockets;
+	dy_member_info_t info;
+	int confirmed;
+	int caught_up;
+	int document_applied;
+	uint64_t stopping_ms; /* since when; 0: not stopping */
+	uint64_t *lease_lapses;
+	uint64_t *document_changes;
+} balancer_t;
+
+static void send_forward(void *context, const dy_address_t *to,
+			 dy_forward_t *forward)
+{
+	static uint8_t out[MESSAGE_BYTES];
+	dy_seal_head_t head = { 0, DY_AGENT_PROGRAM, DY_AGENT_FORWARD };
+	balancer_t *balancer = context;
+	size_t len;
+
+	forward->state_version = dy_subscriber_version(balancer->subscriber);
+	len = dy_seal_write_call(balancer->seal, &head,
+				 (xdrproc_t)xdr_dy_forward_t, forward, out,
+				 sizeof(out));
+	if (len)
+		dy_endpoint_send_to(balancer->endpoint, out, len, to);
+}
+
+static void send_answer(void *context, uint64_t socket,
+			const dy_address_t *caller, const uint8_t *bytes,
+			size_t len)
+{
+	balancer_t *balancer = context;
+
+	service_sockets_send(balancer->sockets, socket, caller, bytes, len);
+}
+
+static void receive_answer(balancer_t *balancer, const dy_sealed_t *message)
+{
+	dy_answer_t answer;
+
+	if (!dy_sealed_load(message, (xdrproc_t)xdr_dy_answer_t, &answer,
+			    sizeof(answer)))
+		return;
+	dy_router_answered(balancer->router, &answer,
+			   dy_loop_now_ms(balancer->loop));
+	xdr_free((xdrproc_t)xdr_dy_answer_t, (char *)&answer);
+}
+
+static void receive_bounce(balancer_t *balancer, const dy_sealed_t *message)
+{
+	dy_bounce_t bounce;
+
+	if (!dy_sealed_load(message, (xdrproc_t)xdr_dy_bounce_t, &bounce,
+			    sizeof(bounce)))
+		return;
+	dy_router_bounced(balancer->router, &bounce,
+			  dy_loop_now_ms(balancer->loop));
+	xdr_free((xdrproc_t)xdr_dy_bounce_t, (char *)&bounce);
+}
+
+static void answer_status(balancer_t *balancer, const dy_sealed_t *message,
+			  const struct sockaddr *from)
+{
+	uint8_t out[DY_STATUS_ANSWER_BYTES];
+	size_t len;
+
+	len = dy_status_service_answer(balancer->seal, balancer->metrics,
+				       message, out, sizeof(out));
+	if (len)
+		dy_endpoint_send(balancer->endpoint, out, len, from);
+}
+
+static void on_message(void *context, uint8_t *bytes, size_t len,
+		       const struct sockaddr *from, int truncated)
+{
+	balancer_t *balancer = context;
+	dy_sealed_t message;
+
+	if (truncated ||
+	    dy_seal_open(balancer->seal, bytes, len, &message) != DY_SEAL_OK)
+		return;
+	if (message.is_reply)
+		dy_subscriber_receive(balancer->subscriber, &message);
+	else if (message.program == DY_STATUS_PROGRAM)
+		answer_status(balancer, &message, from);
+	else if (message.program != DY_BALANCER_PROGRAM)
+		return;
+	else if (message.procedure == DY_BALANCER_ANSWER)
+		receive_answer(balancer, &message);
+	else if (message.procedure == DY_BALANCER_BOUNCE)
+		receive_bounce(balancer, &message);
+}
+
+/*
+ * Ready only with a document that a majority confirmed lately and that is in
+ * force here whole, and with all members that stood in the group's state.
+ */
+static void update_ready(balancer_t *balancer)
+{
+	int ready = balancer->confirmed && balancer->caught_up &&
+		    balancer->document_applied && !balancer->stopping_ms &&
+		    dy_keyring_ready(balancer->keyring);
+
+	dy_router_set_confirmed(balancer->router,
+				balancer->confirmed && balancer->caught_up);
+	dy_router_set_ready(balancer->router, ready);
+}
+
+static void on_document(void *context, const dy_document_info_t *info,
+			const uint8_t *bytes, size_t len)
+{
+	balancer_t *balancer = context;
+	char digest[DY_DIGEST_TEXT_BYTES];
+	dy_document_t *document;
+	GError *error = NULL;
+	unsigned failed;
+
+	document = dy_document_parse(bytes, len, &error);
+	if (!document) {
+		dy_log_event(DY_LOG_ERROR, "document_refused",
+			     "number=%lu error=%s", (unsigned long)info->number,
+			     dy_log_quote(error->message));
+		g_error_free(error);
+		return;
+	}
+	failed = service_sockets_apply(balancer->sockets, document);
+	dy_router_set_document(balancer->router, document);
+	balancer->document_applied = !failed;
+	++*balancer->document_changes;
+	dy_log_event(DY_LOG_INFO, "document_in_force",
+		     "number=%lu digest=%s services=%u not_bound=%u",
+		     (unsigned long)info->number,
+		     dy_digest_format(info->digest, digest),
+		     dy_document_service_count(document), failed);
+	if (!failed)
+		dy_subscriber_set_document(balancer->subscriber, info->number);
+	update_ready(balancer);
+}
+
+static void on_member(void *context, const dy_member_t *member)
+{
+	balancer_t *balancer = context;
+
+	dy_router_set_member(balancer->router, member);
+}
+
+static void on_key(void *context, const dy_key_info_t *key)
+{
+	balancer_t *balancer = context;
+
+	dy_keyring_apply(balancer->keyring, key);
+	update_ready(balancer);
+}
+
+static void on_granted(void *context, uint64_t incarnation)
+{
+	(void)context;
+	(void)incarnation;
+}
+
+static void on_caught_up(void *context)
+{
+	balancer_t *balancer = context;
+
+	balancer->caught_up = 1;
+}
+
+static void begin_stop(void *context)
+{
+	balancer_t *balancer = context;
+
+	if (balancer->stopping_ms)
+		return;
+	balancer->stopping_ms = dy_loop_now_ms(balancer->loop);
+	dy_log_event(DY_LOG_INFO, "stop_begun", "");
+	dy_subscriber_set_state(balancer->subscriber, DY_MEMBER_DRAINING, NULL,
+				0);
+	update_ready(balancer);
+}
+
+static void on_refused(void *context, dy_status_t status)
+{
+	balancer_t *balancer = context;
+
+	if (status == DY_STATUS_SUPERSEDED)
+		begin_stop(balancer);
+}
+
+static const dy_subscriber_callbacks_t subscriber_callbacks = {
+	on_document,  on_member,  on_key,     on_granted,
+	on_caught_up, begin_stop, on_refused,
+};
+
+static const dy_router_callbacks_t router_callbacks = {
+	send_forward,
+	send_answer,
+};
+
+static void check_lease(balancer_t *balancer)
+{
+	int confirmed;
+
+	confirmed = dy_subscriber_age_ms(balancer->subscriber) < CONFIRMED_MS;
+	if (confirmed == balancer->confirmed)
+		return;
+	balancer->confirmed = confirmed;
+	if (confirmed) {
+		dy_log_event(DY_LOG_INFO, "lease_confirmed", "version=%lu",
+			     (unsigned long)dy_subscriber_version(
+				     balancer->subscriber));
+	} else {
+		++*balancer->lease_lapses;
+		dy_log_event(DY_LOG_WARN, "lease_lapsed", "ms=%d",
+			     CONFIRMED_MS);
+	}
+}
+
+/* A planned stop ends once callers have found the other balancers. */
+static void check_stop(balancer_t *balancer)
+{
+	uint64_t since;
+
+	if (!balancer->stopping_ms)
+		return;
+	since = dy_loop_now_ms(balancer->loop) - balancer->stopping_ms;
+	if (since < STOP_UNREADY_MS)
+		return;
+	if (service_sockets_quiet_ms(balancer->sockets) < STOP_QUIET_MS &&
+	    since < STOP_LATEST_MS)
+		return;
+	dy_log_event(DY_LOG_INFO, "stop_ended", "ms=%lu", (unsigned long)since);
+	dy_loop_end(balancer->loop);
+}
+
+static void on_check(void *context)
+{
+	balancer_t *balancer = context;
+
+	check_lease(balancer);
+	update_ready(balancer);
+	dy_router_expire(balancer->router, dy_loop_now_ms(balancer->loop));
+	service_sockets_expire(balancer->sockets);
+	check_stop(balancer);
+}
+
+static void create_parts(balancer_t *balancer)
+{
+	const dy_balancer_settings_t *settings = balancer->settings;
+	dy_router_config_t router = { 0 };
+	uint32_t seed;
+
+	dy_random_fill(&seed, sizeof(seed));
+	balancer->rand = g_rand_new_with_seed(seed);
+	balancer->metrics = dy_metrics_create();
+	balancer->lease_lapses =
+		dy_metrics_counter(balancer->metrics, "lease_lapses");
+	balancer->document_changes =
+		dy_metrics_counter(balancer->metrics, "document_changes");
+	balancer->loop = dy_loop_create(balancer->metrics);
+	balancer->seal = dy_seal_create(&balancer->secrets, balancer->metrics);
+	balancer->keyring = dy_keyring_create(&balancer->secrets);
+	router.keyring = balancer->keyring;
+	router.metrics = balancer->metrics;
+	router.rand = balancer->rand;
+	router.domain = settings->domain;
+	router.callbacks = &router_callbacks;
+	router.context = balancer;
+	balancer->router = dy_router_create(&router);
+	balancer->sockets = service_sockets_create(
+		balancer->loop, balancer->router, settings->bind_host);
+}
+
+static void subscribe(balancer_t *balancer)
+{
+	dy_subscriber_config_t config = { 0 };
+	char address[DY_ADDRESS_TEXT_BYTES];
+
+	config.loop = balancer->loop;
+	config.endpoint = balancer->endpoint;
+	config.seal = balancer->seal;
+	config.metrics = balancer->metrics;
+	config.controls = &balancer->settings->controls;
+	config.callbacks = &subscriber_callbacks;
+	config.context = balancer;
+	balancer->subscriber = dy_subscriber_create(&config);
+	balancer->info.kind = DY_MEMBER_BALANCER;
+	balancer->info.name = balancer->settings->name;
+	balancer->info.environment = balancer->settings->environment;
+	balancer->info.domain = balancer->settings->domain;
+	balancer->info.address = *dy_endpoint_address(balancer->endpoint);
+	balancer->info.service = "";
+	balancer->info.labels = "";
+	dy_subscriber_set_info(balancer->subscriber, &balancer->info);
+	dy_log_event(DY_LOG_INFO, "balancer_listening", "address=%s",
+		     dy_address_format(&balancer->info.address, address));
+}
+
+static void destroy_parts(balancer_t *balancer)
+{
+	service_sockets_destroy(balancer->sockets);
+	dy_endpoint_destroy(balancer->endpoint);
+	dy_subscriber_destroy(balancer->subscriber);
+	dy_loop_destroy(balancer->loop);
+	dy_router_destroy(balancer->router);
+	dy_keyring_destroy(balancer->keyring);
+	dy_seal_destroy(balancer->seal);
+	dy_metrics_destroy(balancer->metrics);
+	if (balancer->rand)
+		g_rand_free(balancer->rand);
+}
+
+gboolean dy_balancer_run(const dy_balancer_settings_t *settings, GError **error)
+{
+	balancer_t balancer = { 0 };
+
+	balancer.settings = settings;
+	if (!dy_secrets_load(&balancer.secrets, settings->key_file, error))
+		return FALSE;
+	create_parts(&balancer);
+	balancer.endpoint = dy_endpoint_create(balancer.loop, &settings->listen,
+					       on_message, &balancer, error);
+	if (balancer.endpoint) {
+		subscribe(&balancer);
+		dy_loop_on_stop(balancer.loop, begin_stop, &balancer);
+		dy_loop_every(balancer.loop, CHECK_MS, on_check, &balancer);
+		dy_loop_run(balancer.loop);
+	}
+	destroy_parts(&balancer);
+	return balancer.endpoint != NULL;
+}
--- /dev/null
+++ b/src/process/balancer.h
@@ -0,0 +1,33 @@
+#ifndef DAMASKYARD_BALANCER_H
+#define DAMASKYARD_BALANCER_H
+
+/*
+ * The balancer process: sockets for the services of the document in force,
+ * the router behind them, and the subscription to control.
+ */
+
+#include <glib.h>
+
+#include "damaskyard/address.h"
+#include "damaskyard/secret.h"
+#include "damaskyard/settings.h"
+
+typedef struct dy_balancer_settings {
+	char *name;
+	char *environment;
+	char *domain;
+	dy_address_list_t controls;
+	dy_address_t listen;
+	char *bind_host; /* NULL: bind each service's own address */
+	char *key_file;
+	char *log_level;
+} dy_balancer_settings_t;
+
+/*
+ * Run until stopped by a signal. Returns FALSE with error set if it cannot
+ * start.
+ */
+gboolean dy_balancer_run(const dy_balancer_settings_t *settings,
+			 GError **error);
+
+#endif
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -10,6 +10,7 @@
 } command_t;
 
 static const command_t commands[] = {
+	{ "balancer", dy_command_balancer, "forward datagrams to agents" },
 	{ "check", dy_command_check, "check a document" },
 	{ NULL, NULL, NULL },
 };
--- a/src/request/openings.c
+++ b/src/request/openings.c
@@ -98,8 +98,7 @@
 
 	while (openings->count) {
 		entry = &openings->ring[openings->first];
-		if (entry->key &&
-		    now_ms - entry->sent_ms < OPENING_TIMEOUT_MS)
+		if (entry->key && now_ms - entry->sent_ms < OPENING_TIMEOUT_MS)
 			return 0;
 		pop_first(openings);
 		if (!entry->key)
--- a/src/request/router.c
+++ b/src/request/router.c
@@ -8,7 +8,7 @@
 #include "damaskyard/pick.h"
 #include "damaskyard/successor.h"
 #include "openings.h"
-#include "route_table.h"
+#include "../version/route_table.h"
 
 /*
  * Targets that one datagram is tried at. Each has said that it did not run
@@ -193,9 +193,9 @@
 
 	++*counter;
 	if (dy_log_allow(&router->drop_limit, event, packet->now_ms))
-		dy_log_event(DY_LOG_WARN, event, "caller=%s",
-			     dy_address_format(&packet->datagram->caller,
-					       caller));
+		dy_log_event(
+			DY_LOG_WARN, event, "caller=%s",
+			dy_address_format(&packet->datagram->caller, caller));
 }
 
 static void send_forward(dy_router_t *router, const packet_t *packet,
@@ -333,9 +333,9 @@
 			return NULL;
 		if (member->state != DY_MEMBER_LEFT)
 			return member;
-		next = dy_successor_choose(packet->token.session,
-					   member->successors,
-					   member->successor_count);
+		next = dy_successor_pick(packet->token.session,
+					 member->successors,
+					 member->successor_count);
 		if (!next)
 			return NULL;
 		++*router->counters.chained;
@@ -386,6 +386,15 @@
 		answer_lost(router, packet);
 }
 
+static void refuse_too_weak(dy_router_t *router, const packet_t *packet)
+{
+	uint8_t out[DY_RPC_HEAD_BYTES];
+
+	++*router->counters.too_weak;
+	send_answer(router, packet->datagram, out,
+		    dy_rpc_write_too_weak(packet->call.xid, out, sizeof(out)));
+}
+
 static void route_call(dy_router_t *router, packet_t *packet)
 {
 	dy_token_status_t status;
@@ -405,14 +414,7 @@
 			open_flow(router, packet);
 			break;
 		}
-		++*router->counters.too_weak;
-		{
-			uint8_t out[DY_RPC_HEAD_BYTES];
-
-			send_answer(router, packet->datagram, out,
-				    dy_rpc_write_too_weak(packet->call.xid, out,
-							  sizeof(out)));
-		}
+		refuse_too_weak(router, packet);
 		break;
 	case DY_TOKEN_EXPIRED:
 		++*router->counters.expired;
@@ -460,6 +462,18 @@
 	       call->program_version == service->service->program_version;
 }
 
+/* The document in force no longer offers the service. */
+static void refuse_unoffered(dy_router_t *router, const packet_t *packet)
+{
+	dy_verdict_t verdict = DY_NOT_RUN;
+
+	if (packet->call.credential.flavor == AUTH_SHORT)
+		verdict = DY_MAY_HAVE_RUN;
+	++*router->counters.no_target;
+	refuse(router, packet, verdict, DY_REASON_NO_TARGET,
+	       RETRY_NO_TARGET_MS);
+}
+
 /* Returns 1 if the datagram is a call, or its start when it was cut. */
 static int load_packet(dy_router_t *router, packet_t *packet)
 {
@@ -493,12 +507,11 @@
 	}
 	packet.service = route_table_service(router->table, datagram->service);
 	if (!packet.service) {
-		answer_lost(router, &packet);
+		refuse_unoffered(router, &packet);
 		return;
 	}
-	packet.idempotent =
-		dy_service_idempotent(packet.service->service,
-				      packet.call.procedure);
+	packet.idempotent = dy_service_idempotent(packet.service->service,
+						  packet.call.procedure);
 	if (is_cancel(&packet.call)) {
 		packet.idempotent = 0;
 	} else if (!serves_program(packet.service, &packet.call)) {
@@ -544,8 +557,8 @@
 	if (len < sizeof(xid))
 		return 0;
 	memcpy(&xid, bytes, sizeof(xid));
-	return openings_take(router->openings,
-			     openings_key(caller, ntohl(xid)), &opening);
+	return openings_take(router->openings, openings_key(caller, ntohl(xid)),
+			     &opening);
 }
 
 void dy_router_answered(dy_router_t *router, const dy_answer_t *answer,
--- a/src/version/document.c
+++ b/src/version/document.c
@@ -489,13 +489,14 @@
 	g_checksum_free(checksum);
 }
 
-const char *dy_digest_format(const uint8_t digest[DY_DIGEST_BYTES],
+const char *dy_digest_format(const void *digest,
 			     char text[DY_DIGEST_TEXT_BYTES])
 {
+	const uint8_t *bytes = digest;
 	int i;
 
 	for (i = 0; i < DY_DIGEST_BYTES; i++)
-		g_snprintf(text + 2 * i, 3, "%02x", digest[i]);
+		g_snprintf(text + 2 * i, 3, "%02x", bytes[i]);
 	return text;
 }
 
