--- a/src/process/service_sockets.c
+++ b/src/process/service_sockets.c
@@ -15,6 +15,7 @@
 	uint64_t idle_ms; /* closed after this quiet time, once retired */
 	uint64_t heard_ms;
 	int retired;
+	int taken_over;
 } service_socket_t;
 
 struct service_sockets {
@@ -61,6 +62,27 @@
 	g_free(sockets);
 }
 
+static int is_unneeded(const service_socket_t *socket, uint64_t now)
+{
+	return socket->taken_over ||
+	       (socket->retired && now - socket->heard_ms > socket->idle_ms);
+}
+
+static void close_unneeded(service_sockets_t *sockets)
+{
+	uint64_t now = dy_loop_now_ms(sockets->loop);
+	service_socket_t *socket;
+	dy_list_t *pos;
+	dy_list_t *tmp;
+
+	DY_LIST_EACH_SAFE(pos, tmp, &sockets->sockets)
+	{
+		socket = DY_LIST_ITEM(pos, service_socket_t, link);
+		if (is_unneeded(socket, now))
+			close_socket(socket);
+	}
+}
+
 static void on_datagram(void *context, uint8_t *bytes, size_t len,
 			const struct sockaddr *from, int truncated)
 {
@@ -141,6 +163,22 @@
 	return NULL;
 }
 
+/* Whether another service has the address of this socket now. */
+static int is_taken_over(const service_socket_t *socket,
+			 const dy_document_t *document)
+{
+	const dy_service_t *service;
+	unsigned i;
+
+	for (i = 0; i < dy_document_service_count(document); i++) {
+		service = dy_document_service(document, i);
+		if (service->id != socket->service &&
+		    dy_address_equal(&service->address, &socket->wanted))
+			return 1;
+	}
+	return 0;
+}
+
 /*
  * Retired first, so that what the document still has is taken back; a socket
  * whose address another service has now must not speak for the old one.
@@ -148,26 +186,16 @@
 static void retire_sockets(service_sockets_t *sockets,
 			   const dy_document_t *document)
 {
-	const dy_service_t *service;
 	service_socket_t *socket;
 	dy_list_t *pos;
-	dy_list_t *tmp;
-	unsigned i;
 
-	DY_LIST_EACH_SAFE(pos, tmp, &sockets->sockets)
+	DY_LIST_EACH(pos, &sockets->sockets)
 	{
 		socket = DY_LIST_ITEM(pos, service_socket_t, link);
 		socket->retired = 1;
-		for (i = 0; i < dy_document_service_count(document); i++) {
-			service = dy_document_service(document, i);
-			if (service->id == socket->service ||
-			    !dy_address_equal(&service->address,
-					      &socket->wanted))
-				continue;
-			close_socket(socket);
-			break;
-		}
+		socket->taken_over = is_taken_over(socket, document);
 	}
+	close_unneeded(sockets);
 }
 
 unsigned service_sockets_apply(service_sockets_t *sockets,
@@ -203,17 +231,7 @@
 
 void service_sockets_expire(service_sockets_t *sockets)
 {
-	uint64_t now = dy_loop_now_ms(sockets->loop);
-	service_socket_t *socket;
-	dy_list_t *pos;
-	dy_list_t *tmp;
-
-	DY_LIST_EACH_SAFE(pos, tmp, &sockets->sockets)
-	{
-		socket = DY_LIST_ITEM(pos, service_socket_t, link);
-		if (socket->retired && now - socket->heard_ms > socket->idle_ms)
-			close_socket(socket);
-	}
+	close_unneeded(sockets);
 }
 
 uint64_t service_sockets_quiet_ms(const service_sockets_t *sockets)
