--- a/src/process/main.c
+++ b/src/process/main.c
@@ -11,6 +11,7 @@
 
 static const command_t commands[] = {
 	{ "balancer", dy_command_balancer, "forward datagrams to agents" },
+	{ "call", dy_command_call, "make one call as a caller would" },
 	{ "check", dy_command_check, "check a document" },
 	{ NULL, NULL, NULL },
 };
