--- /dev/null
+++ b/tests/test_wire.c
@@ -0,0 +1,252 @@
+#include "damaskyard/address.h"
+#include "damaskyard/rpc.h"
+#include "damaskyard/seal.h"
+#include "damaskyard/token.h"
+
+#include <string.h>
+
+#include <rpc/rpc.h>
+
+#include "dy_agent.h"
+#include "fake_suite.h"
+
+static const dy_secrets_t secrets = { { { 1 } }, 1 };
+
+START_TEST(addresses_round_trip)
+{
+	static const char *const good[] = { "127.0.0.1:80", "[::1]:65535",
+					    "10.0.0.1:0", NULL };
+	static const char *const bad[] = { "",	       "127.0.0.1",
+					   "::1:80",   "a:80",
+					   "1.2.3.4:", "1.2.3.4:x",
+					   "1.2.3:80", "1.2.3.4:65536",
+					   NULL };
+	char text[DY_ADDRESS_TEXT_BYTES];
+	struct sockaddr_storage storage;
+	dy_address_t address;
+	dy_address_t back;
+	int i;
+
+	for (i = 0; good[i]; i++) {
+		ck_assert_int_eq(dy_address_parse(good[i], &address), 0);
+		ck_assert_str_eq(dy_address_format(&address, text), good[i]);
+		dy_address_write(&address, &storage);
+		dy_address_load(&back, (struct sockaddr *)&storage);
+		ck_assert(dy_address_equal(&address, &back));
+	}
+	for (i = 0; bad[i]; i++)
+		ck_assert_int_eq(dy_address_parse(bad[i], &address), -1);
+}
+END_TEST
+
+START_TEST(refusal_is_read_back)
+{
+	dy_refusal_t refusal = { DY_NOT_RUN, DY_REASON_OVERLOAD, 750 };
+	dy_refusal_t back;
+	uint8_t out[DY_RPC_HEAD_BYTES];
+	dy_rpc_reply_t reply;
+	size_t len = dy_rpc_write_refusal(7, &refusal, out, sizeof(out));
+
+	ck_assert_int_eq(dy_rpc_parse_reply(out, len, &reply), 0);
+	ck_assert_uint_eq(reply.xid, 7);
+	ck_assert_uint_eq(reply.status, PROG_UNAVAIL);
+	ck_assert_int_eq(dy_rpc_load_refusal(&reply, &back), 0);
+	ck_assert_uint_eq(back.retry_after_ms, 750);
+	refusal.verdict = DY_MAY_HAVE_RUN;
+	len = dy_rpc_write_refusal(7, &refusal, out, sizeof(out));
+	ck_assert_int_eq(dy_rpc_parse_reply(out, len, &reply), 0);
+	ck_assert_uint_eq(reply.status, SYSTEM_ERR);
+}
+END_TEST
+
+/*
+ * A datagram is cut anywhere on its way, or its length words lie. A parser
+ * that trusted them would read outside of it. Every prefix of a good call
+ * and every single changed byte must be parsed or refused, never more.
+ */
+START_TEST(cut_and_changed_calls_are_safe)
+{
+	uint8_t body[24] = { 9 };
+	uint8_t out[DY_RPC_HEAD_BYTES];
+	uint8_t *copy;
+	dy_rpc_call_t call = { 0 };
+	dy_rpc_call_t back;
+	size_t len;
+	size_t i;
+
+	call.credential.flavor = AUTH_SHORT;
+	call.credential.len = sizeof(body);
+	call.credential.body = body;
+	len = dy_rpc_write_call(&call, out, sizeof(out));
+	for (i = 0; i <= len; i++) {
+		copy = g_memdup2(out, i);
+		ck_assert_int_eq(!dy_rpc_parse_call(copy, i, &back), i == len);
+		g_free(copy);
+	}
+	for (i = 0; i < len; i++) {
+		copy = g_memdup2(out, len);
+		copy[i] ^= 0x80;
+		if (!dy_rpc_parse_call(copy, len, &back))
+			ck_assert(back.args + back.args_len == copy + len);
+		g_free(copy);
+	}
+}
+END_TEST
+
+static dy_keyring_t *create_ring(uint32_t id)
+{
+	dy_keyring_t *ring = dy_keyring_create(&secrets);
+	dy_key_info_t info = { .id = id, .active = TRUE };
+
+	dy_keyring_apply(ring, &info);
+	return ring;
+}
+
+static dy_token_status_t load_bytes(dy_keyring_t *ring, const uint8_t *bytes,
+				    dy_token_t *token)
+{
+	dy_rpc_auth_t credential = { AUTH_SHORT, DY_TOKEN_BYTES, bytes };
+
+	return dy_token_load(ring, &credential, token);
+}
+
+/*
+ * Someone on the network changes a byte of a token to reach another service
+ * or another's session. Each changed byte must be noticed, also when the
+ * good token was checked just before and is still remembered.
+ */
+START_TEST(changed_token_is_forged)
+{
+	dy_keyring_t *ring = create_ring(3);
+	dy_token_t token = { .service = 1, .session = 2 };
+	dy_token_t back;
+	uint8_t bytes[DY_TOKEN_BYTES];
+	int i;
+
+	ck_assert_uint_eq(dy_token_write(ring, &token, bytes), DY_TOKEN_BYTES);
+	ck_assert_int_eq(load_bytes(ring, bytes, &back), DY_TOKEN_OK);
+	ck_assert_uint_eq(back.session, 2);
+	for (i = 0; i < DY_TOKEN_BYTES; i++) {
+		bytes[i] ^= 1;
+		ck_assert_int_ne(load_bytes(ring, bytes, &back), DY_TOKEN_OK);
+		bytes[i] ^= 1;
+	}
+	ck_assert_int_eq(load_bytes(ring, bytes, &back), DY_TOKEN_OK);
+	dy_keyring_destroy(ring);
+}
+END_TEST
+
+/*
+ * Control rotates the token keys while stations stream. Their tokens of the
+ * key before must go on being good until that key is retired, or every flow
+ * would break at once.
+ */
+START_TEST(rotation_keeps_older_tokens)
+{
+	dy_keyring_t *ring = create_ring(1);
+	dy_key_info_t next = { .id = 2, .active = TRUE };
+	dy_token_t token = { .session = 5 };
+	dy_token_t back;
+	uint8_t bytes[DY_TOKEN_BYTES];
+
+	dy_token_write(ring, &token, bytes);
+	dy_keyring_apply(ring, &next);
+	ck_assert_int_eq(load_bytes(ring, bytes, &back), DY_TOKEN_OK);
+	ck_assert(dy_keyring_outdated(ring, back.key_id));
+	next.id = 1;
+	next.retired = TRUE;
+	dy_keyring_apply(ring, &next);
+	ck_assert_int_eq(load_bytes(ring, bytes, &back), DY_TOKEN_EXPIRED);
+	dy_keyring_destroy(ring);
+}
+END_TEST
+
+static size_t write_sealed(dy_seal_t *seal, uint8_t *out, size_t cap)
+{
+	dy_seal_head_t head = { 4, DY_AGENT_PROGRAM, DY_AGENT_FORWARD };
+	dy_forward_t forward = { 0 };
+
+	forward.datagram.datagram_val = "abc";
+	forward.datagram.datagram_len = 3;
+	return dy_seal_write_call(seal, &head, (xdrproc_t)xdr_dy_forward_t,
+				  &forward, out, cap);
+}
+
+/*
+ * A message between two processes is recorded and sent once more, or changed
+ * on its way. The second copy and every changed one must be dropped and
+ * counted; messages that overtake each other must not.
+ */
+START_TEST(replayed_and_forged_messages_are_dropped)
+{
+	dy_metrics_t *metrics = dy_metrics_create();
+	dy_seal_t *from = dy_seal_create(&secrets, metrics);
+	dy_seal_t *to = dy_seal_create(&secrets, metrics);
+	uint8_t first[512];
+	uint8_t second[512];
+	dy_sealed_t message;
+	size_t len = write_sealed(from, first, sizeof(first));
+	size_t i;
+
+	write_sealed(from, second, sizeof(second));
+	ck_assert_int_eq(dy_seal_open(to, second, len, &message), DY_SEAL_OK);
+	for (i = 0; i < len; i++) {
+		first[i] ^= 4;
+		ck_assert_int_ne(dy_seal_open(to, first, len, &message),
+				 DY_SEAL_OK);
+		first[i] ^= 4;
+	}
+	ck_assert_int_eq(dy_seal_open(to, first, len, &message), DY_SEAL_OK);
+	ck_assert_int_eq(dy_seal_open(to, first, len, &message),
+			 DY_SEAL_REPLAYED);
+	ck_assert_int_eq(dy_seal_open(to, second, len, &message),
+			 DY_SEAL_REPLAYED);
+	ck_assert_uint_eq(dy_metrics_value(metrics, "seal_replayed"), 2);
+	ck_assert_uint_gt(dy_metrics_value(metrics, "seal_forged"), 0);
+	dy_seal_destroy(from);
+	dy_seal_destroy(to);
+	dy_metrics_destroy(metrics);
+}
+END_TEST
+
+START_TEST(secret_is_rolled_over)
+{
+	static const dy_secrets_t both = { { { 2 }, { 1 } }, 2 };
+	dy_metrics_t *metrics = dy_metrics_create();
+	dy_seal_t *from = dy_seal_create(&secrets, metrics);
+	dy_seal_t *to = dy_seal_create(&both, metrics);
+	dy_sealed_t message;
+	dy_forward_t forward;
+	uint8_t out[512];
+	size_t len = write_sealed(from, out, sizeof(out));
+
+	ck_assert_int_eq(dy_seal_open(to, out, len, &message), DY_SEAL_OK);
+	ck_assert_uint_eq(message.sender, dy_seal_sender(from));
+	ck_assert(dy_sealed_load(&message, (xdrproc_t)xdr_dy_forward_t,
+				 &forward, sizeof(forward)));
+	ck_assert_uint_eq(forward.datagram.datagram_len, 3);
+	xdr_free((xdrproc_t)xdr_dy_forward_t, (char *)&forward);
+	len = write_sealed(to, out, sizeof(out));
+	ck_assert_int_eq(dy_seal_open(from, out, len, &message),
+			 DY_SEAL_FORGED);
+	dy_seal_destroy(from);
+	dy_seal_destroy(to);
+	dy_metrics_destroy(metrics);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		addresses_round_trip,
+		refusal_is_read_back,
+		cut_and_changed_calls_are_safe,
+		changed_token_is_forged,
+		rotation_keeps_older_tokens,
+		replayed_and_forged_messages_are_dropped,
+		secret_is_rolled_over,
+		NULL,
+	};
+
+	return fake_suite_run("wire", tests);
+}
