--- a/src/request/router.c
+++ b/src/request/router.c
@@ -169,6 +169,8 @@
 
 static uint32_t spread_retry(dy_router_t *router, uint32_t around_ms)
 {
+	if (!around_ms)
+		return 0;
 	return (uint32_t)g_rand_int_range(router->config.rand,
 					  (gint32)around_ms / 2,
 					  (gint32)around_ms * 3 / 2);
--- /dev/null
+++ b/tests/test_router.c
@@ -0,0 +1,490 @@
+#include "damaskyard/router.h"
+
+#include <string.h>
+
+#include <rpc/rpc.h>
+
+#include "damaskyard/successor.h"
+#include "fake_suite.h"
+
+#define READINGS 0x2A000001
+#define MAPS 0x2A000002
+#define SUBMIT 1
+#define COUNT 2
+#define NOW 1000000
+
+static const char document_text[] =
+	"[service readings]\naddress = 10.0.0.1:1\nprogram = 0x2A000001\n"
+	"version = 1\nidempotent = 2\n"
+	"[service maps]\naddress = 10.0.0.2:1\nprogram = 0x2A000002\n"
+	"version = 1\nidempotent = 1\n";
+
+/* The network: what the router sent last, and how often. */
+typedef struct fake {
+	dy_router_t *router;
+	dy_keyring_t *ring;
+	dy_metrics_t *metrics;
+	GRand *rand;
+	unsigned forwards;
+	uint64_t to_incarnation;
+	dy_address_t to;
+	dy_forward_t last;
+	uint8_t bytes[DY_DATAGRAM_BYTES];
+	size_t bytes_len;
+	unsigned answers;
+	dy_rpc_reply_t reply;
+	uint8_t answer[DY_DATAGRAM_BYTES];
+	uint64_t now_ms;
+} fake_t;
+
+static void on_forward(void *context, const dy_address_t *to,
+		       dy_forward_t *forward)
+{
+	fake_t *fake = context;
+
+	fake->forwards++;
+	fake->to = *to;
+	fake->to_incarnation = forward->incarnation;
+	fake->last = *forward;
+	memcpy(fake->bytes, forward->datagram.datagram_val,
+	       forward->datagram.datagram_len);
+	fake->last.datagram.datagram_val = (char *)fake->bytes;
+}
+
+static void on_answer(void *context, uint64_t socket,
+		      const dy_address_t *caller, const uint8_t *bytes,
+		      size_t len)
+{
+	fake_t *fake = context;
+
+	(void)socket;
+	(void)caller;
+	fake->answers++;
+	memmove(fake->answer, bytes, len);
+	ck_assert_int_eq(dy_rpc_parse_reply(fake->answer, len, &fake->reply),
+			 0);
+}
+
+static const dy_router_callbacks_t callbacks = { on_forward, on_answer };
+
+static void set_member(fake_t *fake, const char *service, uint64_t id,
+		       uint64_t incarnation, dy_member_state_t state,
+		       uint64_t *successors, unsigned count)
+{
+	dy_member_t member = { .id = id,
+			       .incarnation = incarnation,
+			       .state = state };
+
+	member.info.kind = DY_MEMBER_AGENT;
+	member.info.name = "a";
+	member.info.environment = "production";
+	member.info.domain = "d1";
+	member.info.labels = "";
+	member.info.service = (char *)service;
+	member.info.slots = 4;
+	member.info.connections = 2000;
+	member.info.address.port = (u_int)incarnation;
+	member.successors.successors_val = successors;
+	member.successors.successors_len = count;
+	dy_router_set_member(fake->router, &member);
+}
+
+static void setup(fake_t *fake)
+{
+	static const dy_secrets_t secrets = { { { 1 } }, 1 };
+	dy_key_info_t key = { .id = 1, .active = TRUE };
+	dy_router_config_t config = { 0 };
+
+	memset(fake, 0, sizeof(*fake));
+	fake->now_ms = NOW;
+	fake->ring = dy_keyring_create(&secrets);
+	dy_keyring_apply(fake->ring, &key);
+	fake->metrics = dy_metrics_create();
+	fake->rand = g_rand_new_with_seed(1);
+	config.keyring = fake->ring;
+	config.metrics = fake->metrics;
+	config.rand = fake->rand;
+	config.domain = "d1";
+	config.callbacks = &callbacks;
+	config.context = fake;
+	fake->router = dy_router_create(&config);
+	dy_router_set_document(
+		fake->router,
+		dy_document_parse(document_text, strlen(document_text), NULL));
+	set_member(fake, "readings", 11, 101, DY_MEMBER_SERVING, NULL, 0);
+	set_member(fake, "readings", 12, 102, DY_MEMBER_SERVING, NULL, 0);
+	set_member(fake, "maps", 21, 201, DY_MEMBER_SERVING, NULL, 0);
+	dy_router_set_confirmed(fake->router, 1);
+}
+
+static void teardown(fake_t *fake)
+{
+	dy_router_destroy(fake->router);
+	dy_keyring_destroy(fake->ring);
+	dy_metrics_destroy(fake->metrics);
+	g_rand_free(fake->rand);
+}
+
+/* Send a call of readings; token NULL: none. */
+static void send_call(fake_t *fake, uint32_t xid, uint32_t procedure,
+		      const dy_token_t *token)
+{
+	uint8_t bytes[DY_DATAGRAM_BYTES];
+	uint8_t signed_token[DY_TOKEN_BYTES];
+	dy_router_datagram_t datagram = { 0 };
+	dy_token_t copy;
+	dy_rpc_call_t call = { .xid = xid,
+			       .program = READINGS,
+			       .program_version = 1,
+			       .procedure = procedure };
+
+	if (token) {
+		copy = *token;
+		call.credential.flavor = AUTH_SHORT;
+		call.credential.body = signed_token;
+		call.credential.len = (uint32_t)dy_token_write(
+			fake->ring, &copy, signed_token);
+	}
+	datagram.service = dy_service_id("readings");
+	datagram.bytes = bytes;
+	datagram.len = dy_rpc_write_call(&call, bytes, sizeof(bytes));
+	datagram.caller.port = 9;
+	dy_router_receive(fake->router, &datagram, fake->now_ms);
+}
+
+static dy_token_t token_of(uint64_t agent, uint64_t incarnation)
+{
+	dy_token_t token = { .service = dy_service_id("readings"),
+			     .agent = agent,
+			     .incarnation = incarnation,
+			     .session = 77 };
+
+	token.address.port = 555;
+	return token;
+}
+
+static void expect_refused(fake_t *fake, dy_verdict_t verdict,
+			   dy_reason_t reason)
+{
+	dy_refusal_t refusal = { 0 };
+
+	ck_assert_uint_eq(fake->answers, 1);
+	ck_assert_int_eq(dy_rpc_load_refusal(&fake->reply, &refusal), 0);
+	ck_assert_int_eq(refusal.verdict, verdict);
+	ck_assert_int_eq(refusal.reason, reason);
+	fake->answers = 0;
+}
+
+static void expect_forwarded(fake_t *fake, uint64_t incarnation)
+{
+	ck_assert_uint_eq(fake->forwards, 1);
+	ck_assert_uint_eq(fake->to_incarnation, incarnation);
+	ck_assert_uint_eq(fake->answers, 0);
+	fake->forwards = 0;
+}
+
+START_TEST(submission_without_token_is_too_weak)
+{
+	fake_t fake;
+
+	setup(&fake);
+	send_call(&fake, 1, SUBMIT, NULL);
+	ck_assert_uint_eq(fake.forwards, 0);
+	ck_assert(fake.reply.denied);
+	ck_assert_uint_eq(fake.reply.status, AUTH_TOOWEAK);
+	teardown(&fake);
+}
+END_TEST
+
+/*
+ * A station's opening is lost on its way back, so the station sends it
+ * again. If the copy went to another target, the first one would keep a
+ * session that nobody uses for hours.
+ */
+START_TEST(copy_of_an_opening_goes_to_the_same_target)
+{
+	fake_t fake;
+	uint64_t first;
+	uint32_t xid;
+	int i;
+
+	setup(&fake);
+	for (xid = 0; xid < 20; xid++) {
+		send_call(&fake, xid, 0, NULL);
+		first = fake.to_incarnation;
+		ck_assert(first == 101 || first == 102);
+		for (i = 0; i < 5; i++) {
+			send_call(&fake, xid, 0, NULL);
+			ck_assert_uint_eq(fake.to_incarnation, first);
+		}
+	}
+	teardown(&fake);
+}
+END_TEST
+
+/*
+ * A reading's packet must never reach the map service, not even with a token
+ * that is good there.
+ */
+START_TEST(token_of_another_service_is_dropped)
+{
+	dy_token_t token = token_of(21, 201);
+	fake_t fake;
+
+	setup(&fake);
+	token.service = dy_service_id("maps");
+	send_call(&fake, 1, SUBMIT, &token);
+	ck_assert_uint_eq(fake.forwards + fake.answers, 0);
+	ck_assert_uint_eq(
+		dy_metrics_value(fake.metrics, "tokens_other_service"), 1);
+	teardown(&fake);
+}
+END_TEST
+
+/*
+ * A target joins, a flow opens there by way of another balancer, and the
+ * flow's next packet comes here before the news of the target does. It must
+ * go where the token says.
+ */
+START_TEST(unknown_incarnation_is_forwarded_by_its_token)
+{
+	dy_token_t token = token_of(13, 300);
+	fake_t fake;
+
+	setup(&fake);
+	send_call(&fake, 1, SUBMIT, &token);
+	expect_forwarded(&fake, 300);
+	ck_assert_uint_eq(fake.to.port, 555);
+	token = token_of(11, 300);
+	send_call(&fake, 2, SUBMIT, &token);
+	expect_forwarded(&fake, 300);
+	teardown(&fake);
+}
+END_TEST
+
+/*
+ * A target is killed and comes back under the same name. A station's reading
+ * was on its way when it died: it may have run. A second run anywhere would
+ * double it; a pull may go elsewhere.
+ */
+START_TEST(dead_incarnation_gets_may_have_run)
+{
+	dy_token_t token = token_of(11, 101);
+	fake_t fake;
+
+	setup(&fake);
+	set_member(&fake, "readings", 11, 101, DY_MEMBER_DEAD, NULL, 0);
+	set_member(&fake, "readings", 11, 110, DY_MEMBER_SERVING, NULL, 0);
+	send_call(&fake, 1, SUBMIT, &token);
+	ck_assert_uint_eq(fake.forwards, 0);
+	expect_refused(&fake, DY_MAY_HAVE_RUN, DY_REASON_TARGET_LOST);
+	ck_assert_uint_eq(fake.reply.status, SYSTEM_ERR);
+	send_call(&fake, 2, COUNT, &token);
+	ck_assert_uint_eq(fake.forwards, 1);
+	ck_assert_uint_ne(fake.to_incarnation, 101);
+	fake.forwards = 0;
+	token = token_of(11, 90);
+	send_call(&fake, 3, SUBMIT, &token);
+	expect_refused(&fake, DY_MAY_HAVE_RUN, DY_REASON_TARGET_LOST);
+	teardown(&fake);
+}
+END_TEST
+
+/*
+ * A target stops as planned and hands its sessions over; later its successor
+ * stops too. A flow that was silent all the while must be found at the end
+ * of the chain, at the same member on every balancer, even after the first
+ * one is back under its old name.
+ */
+START_TEST(planned_stops_are_followed_to_the_successor)
+{
+	dy_token_t token = token_of(11, 101);
+	uint64_t first[] = { 12 };
+	uint64_t second[] = { 13, 14 };
+	uint64_t last;
+	fake_t fake;
+
+	setup(&fake);
+	set_member(&fake, "readings", 13, 103, DY_MEMBER_SERVING, NULL, 0);
+	set_member(&fake, "readings", 14, 104, DY_MEMBER_SERVING, NULL, 0);
+	set_member(&fake, "readings", 11, 101, DY_MEMBER_LEFT, first, 1);
+	send_call(&fake, 1, SUBMIT, &token);
+	expect_forwarded(&fake, 102);
+	set_member(&fake, "readings", 12, 102, DY_MEMBER_LEFT, second, 2);
+	set_member(&fake, "readings", 11, 120, DY_MEMBER_SERVING, NULL, 0);
+	last = dy_successor_pick(token.session, second, 2) == 13 ? 103 : 104;
+	send_call(&fake, 2, SUBMIT, &token);
+	expect_forwarded(&fake, last);
+	set_member(&fake, "readings", last - 90, last, DY_MEMBER_DEAD, NULL, 0);
+	send_call(&fake, 3, SUBMIT, &token);
+	expect_refused(&fake, DY_MAY_HAVE_RUN, DY_REASON_TARGET_LOST);
+	teardown(&fake);
+}
+END_TEST
+
+/*
+ * An agent is cut off from control alone and its lease runs out, while
+ * balancers still reach it. Its flows must go on. Only when this balancer,
+ * too, gets no answer is it taken for lost.
+ */
+START_TEST(suspect_target_keeps_its_flows_while_it_answers)
+{
+	dy_token_t token = token_of(11, 101);
+	dy_answer_t answer = { 0 };
+	dy_refusal_t none = { 0 };
+	fake_t fake;
+
+	setup(&fake);
+	set_member(&fake, "readings", 11, 101, DY_MEMBER_SUSPECT, NULL, 0);
+	send_call(&fake, 1, SUBMIT, &token);
+	expect_forwarded(&fake, 101);
+	answer.service = dy_service_id("readings");
+	answer.incarnation = 101;
+	answer.datagram.datagram_val = (char *)fake.answer;
+	answer.datagram.datagram_len = (u_int)dy_rpc_write_refusal(
+		1, &none, fake.answer, sizeof(fake.answer));
+	dy_router_answered(fake.router, &answer, fake.now_ms + 10);
+	fake.answers = 0;
+	fake.now_ms += 60000;
+	send_call(&fake, 2, SUBMIT, &token);
+	expect_forwarded(&fake, 101);
+	fake.now_ms += 60000;
+	send_call(&fake, 3, SUBMIT, &token);
+	expect_refused(&fake, DY_MAY_HAVE_RUN, DY_REASON_TARGET_LOST);
+	teardown(&fake);
+}
+END_TEST
+
+/*
+ * A balancer is cut off from the control group while a new document takes a
+ * service away elsewhere. It must not open flows by the old one; flows that
+ * are open go on.
+ */
+START_TEST(unconfirmed_balancer_opens_no_flow)
+{
+	dy_token_t token = token_of(11, 101);
+	fake_t fake;
+
+	setup(&fake);
+	dy_router_set_confirmed(fake.router, 0);
+	send_call(&fake, 1, 0, NULL);
+	expect_refused(&fake, DY_NOT_RUN, DY_REASON_NOT_READY);
+	send_call(&fake, 2, SUBMIT, &token);
+	expect_forwarded(&fake, 101);
+	teardown(&fake);
+}
+END_TEST
+
+START_TEST(draining_target_gets_no_new_flow)
+{
+	uint32_t xid;
+	fake_t fake;
+
+	setup(&fake);
+	set_member(&fake, "readings", 11, 101, DY_MEMBER_DRAINING, NULL, 0);
+	for (xid = 0; xid < 50; xid++) {
+		send_call(&fake, xid, 0, NULL);
+		expect_forwarded(&fake, 102);
+	}
+	set_member(&fake, "readings", 12, 102, DY_MEMBER_DRAINING, NULL, 0);
+	send_call(&fake, 99, 0, NULL);
+	expect_refused(&fake, DY_NOT_RUN, DY_REASON_NO_TARGET);
+	teardown(&fake);
+}
+END_TEST
+
+/*
+ * A target has begun to drain and this balancer does not know yet. The agent
+ * gives the opening back; it must go to the other target, and its caller
+ * must hear at once when none is left.
+ */
+START_TEST(bounced_opening_goes_elsewhere)
+{
+	dy_bounce_t bounce = { 0 };
+	uint64_t first;
+	fake_t fake;
+
+	setup(&fake);
+	send_call(&fake, 1, 0, NULL);
+	first = fake.to_incarnation;
+	fake.forwards = 0;
+	bounce.forward = fake.last;
+	bounce.load.draining = TRUE;
+	dy_router_bounced(fake.router, &bounce, fake.now_ms + 1);
+	expect_forwarded(&fake, first == 101 ? 102 : 101);
+	bounce.forward = fake.last;
+	dy_router_bounced(fake.router, &bounce, fake.now_ms + 2);
+	expect_refused(&fake, DY_NOT_RUN, DY_REASON_NO_TARGET);
+	teardown(&fake);
+}
+END_TEST
+
+START_TEST(oversized_and_malformed_calls)
+{
+	uint8_t bytes[DY_DATAGRAM_BYTES + 1] = { 0 };
+	dy_router_datagram_t datagram = { 0 };
+	dy_rpc_call_t call = { .xid = 5, .program = READINGS };
+	fake_t fake;
+
+	setup(&fake);
+	datagram.service = dy_service_id("readings");
+	datagram.bytes = bytes;
+	datagram.len = 3;
+	dy_router_receive(fake.router, &datagram, NOW);
+	ck_assert_uint_eq(fake.answers + fake.forwards, 0);
+	ck_assert_uint_eq(dy_metrics_value(fake.metrics, "calls_malformed"), 1);
+	dy_rpc_write_call(&call, bytes, sizeof(bytes));
+	datagram.len = sizeof(bytes);
+	dy_router_receive(fake.router, &datagram, NOW);
+	expect_refused(&fake, DY_NOT_RUN, DY_REASON_TOO_LARGE);
+	teardown(&fake);
+}
+END_TEST
+
+/*
+ * A new document keeps the service and takes a target's label away. The
+ * others' view of load must stay, and the service that is gone must be
+ * refused, with a token as may have run.
+ */
+START_TEST(new_document_keeps_and_drops)
+{
+	static const char other[] =
+		"[service maps]\naddress = 10.0.0.2:1\nprogram = 0x2A000002\n"
+		"version = 1\n";
+	dy_token_t token = token_of(11, 101);
+	fake_t fake;
+
+	setup(&fake);
+	dy_router_set_document(fake.router,
+			       dy_document_parse(other, strlen(other), NULL));
+	ck_assert_uint_eq(
+		dy_router_target_count(fake.router, dy_service_id("maps")), 1);
+	send_call(&fake, 1, 0, NULL);
+	expect_refused(&fake, DY_NOT_RUN, DY_REASON_NO_TARGET);
+	send_call(&fake, 2, SUBMIT, &token);
+	expect_refused(&fake, DY_MAY_HAVE_RUN, DY_REASON_NO_TARGET);
+	ck_assert_uint_eq(fake.forwards, 0);
+	teardown(&fake);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		submission_without_token_is_too_weak,
+		copy_of_an_opening_goes_to_the_same_target,
+		token_of_another_service_is_dropped,
+		unknown_incarnation_is_forwarded_by_its_token,
+		dead_incarnation_gets_may_have_run,
+		planned_stops_are_followed_to_the_successor,
+		suspect_target_keeps_its_flows_while_it_answers,
+		unconfirmed_balancer_opens_no_flow,
+		draining_target_gets_no_new_flow,
+		bounced_opening_goes_elsewhere,
+		oversized_and_malformed_calls,
+		new_document_keeps_and_drops,
+		NULL,
+	};
+
+	return fake_suite_run("router", tests);
+}
