--- a/proto/dy_raft.x
+++ b/proto/dy_raft.x
@@ -157,6 +157,7 @@
 };
 
 struct dy_record_vote_t {
+	dy_member_id_t id;
 	unsigned hyper term;
 	dy_member_id_t voted_for;
 };
--- a/src/gen/dy_raft.h
+++ b/src/gen/dy_raft.h
@@ -178,6 +178,7 @@
 typedef struct dy_record_identity_t dy_record_identity_t;
 
 struct dy_record_vote_t {
+	dy_member_id_t id;
 	u_quad_t term;
 	dy_member_id_t voted_for;
 };
--- a/src/gen/dy_raft_xdr.c
+++ b/src/gen/dy_raft_xdr.c
@@ -284,6 +284,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_dy_member_id_t (xdrs, &objp->id))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->term))
 		 return FALSE;
 	 if (!xdr_dy_member_id_t (xdrs, &objp->voted_for))
--- /dev/null
+++ b/src/process/store_recover.c
@@ -0,0 +1,286 @@
+#include "store_internal.h"
+
+#include <string.h>
+
+#include "damaskyard/invariant.h"
+#include "store_record.h"
+
+/*
+ * Reading the log back. A record that does not decode is one of two things:
+ *
+ * - torn: part of a batch whose sync had not ended when the machine stopped.
+ *   Nothing of it was acknowledged; it is cut.
+ * - decayed: it was synced, and may have been acknowledged. Cutting it would
+ *   lose an accepted change without a word; the control must stop.
+ *
+ * It was synced if the marker says so, if a later record was written after
+ * its sync (each carries the index synced by then), or if a later segment
+ * has a header (a segment begins only after the sync of the one before).
+ */
+
+typedef struct scan {
+	dy_store_t *store;
+	/* Index that the next record must have. */
+	uint64_t expected;
+	uint64_t marker;
+	/* The log holds other entries than the snapshot; see agrees(). */
+	int disagrees;
+	/* The segment being read: its place, file and next record. */
+	guint position;
+	char name[SEGMENT_NAME_BYTES];
+	GByteArray *file;
+	uint64_t offset;
+} scan_t;
+
+static size_t decode_at(const scan_t *scan, uint64_t offset,
+			dy_record_t *record)
+{
+	return record_decode(scan->file->data + offset,
+			     scan->file->len - offset, scan->store->id.identity,
+			     record);
+}
+
+static uint64_t read_marker(dy_store_t *store)
+{
+	char data[RECORD_HEADER_BYTES + 32];
+	uint64_t index = 0;
+	dy_record_t record;
+	int64_t size;
+
+	size = store->disk->read(store->disk->context, store->marker, 0, data,
+				 sizeof(data));
+	if (size <= 0 ||
+	    !record_decode(data, size, store->id.identity, &record))
+		return 0;
+	if (record.kind == DY_RECORD_SYNCED)
+		index = record.dy_record_t_u.synced_index;
+	record_drop(&record);
+	return index;
+}
+
+/* Whether a record after offset was written once expected was synced. */
+static int later_record_proves(const scan_t *scan)
+{
+	uint64_t offset = scan->offset + RECORD_ALIGNMENT;
+	dy_record_t record;
+	int proved;
+
+	for (; offset < scan->file->len; offset += RECORD_ALIGNMENT) {
+		if (!decode_at(scan, offset, &record))
+			continue;
+		proved = record.kind == DY_RECORD_ENTRY &&
+			 record.dy_record_t_u.entry.synced_index >=
+				 scan->expected;
+		record_drop(&record);
+		if (proved)
+			return 1;
+	}
+	return 0;
+}
+
+/* Returns 1 if a segment after the one being read has a header, or -1. */
+static int later_segment_proves(const scan_t *scan, GError **error)
+{
+	const dy_store_t *store = scan->store;
+	char name[SEGMENT_NAME_BYTES];
+	dy_record_t record;
+	GByteArray *file;
+	size_t used;
+	guint i;
+
+	for (i = scan->position + 1; i < store->segments->len; i++) {
+		segment_name(name, g_array_index(store->segments, segment_t, i)
+					   .first_index);
+		file = store_read_file(store->disk, name, error);
+		if (!file)
+			return -1;
+		used = record_decode(file->data, file->len, store->id.identity,
+				     &record);
+		g_byte_array_free(file, TRUE);
+		if (!used)
+			continue;
+		record_drop(&record);
+		return 1;
+	}
+	return 0;
+}
+
+static int cut_torn(scan_t *scan, GError **error)
+{
+	dy_store_t *store = scan->store;
+	segment_t *segment;
+	int code;
+
+	store->torn_bytes += scan->file->len - scan->offset;
+	if (log_remove_segments(store, scan->position + (scan->offset > 0),
+				error))
+		return -1;
+	if (!scan->offset)
+		return 0;
+	if (log_open_tail(store, error))
+		return -1;
+	segment = &g_array_index(store->segments, segment_t, scan->position);
+	segment->size = scan->offset;
+	code = store->disk->truncate(store->disk->context, store->tail,
+				     scan->offset);
+	if (code < 0)
+		return store_fail(store, "truncate", scan->name, code, error);
+	g_byte_array_set_size(scan->file, scan->offset);
+	return 0;
+}
+
+static int handle_bad_record(scan_t *scan, GError **error)
+{
+	int proved =
+		scan->marker >= scan->expected || later_record_proves(scan);
+
+	if (!proved)
+		proved = later_segment_proves(scan, error);
+	if (proved < 0)
+		return -1;
+	if (proved)
+		return store_corrupt(scan->name, scan->offset,
+				     "a synced record is damaged", error);
+	return cut_torn(scan, error);
+}
+
+/*
+ * Whether entry may stand beside the snapshot. A crash between the commit of
+ * a snapshot that a leader sent and the removal of the log that it replaces
+ * leaves entries which never were committed: one of another term at the
+ * snapshot's last index, or an older term right behind it.
+ */
+static int agrees(const dy_store_t *store, const dy_raft_entry_t *entry)
+{
+	if (!store->has_snapshot)
+		return 1;
+	if (entry->index == store->snapshot.last_index)
+		return entry->term == store->snapshot.last_term;
+	if (entry->index == store->snapshot.last_index + 1)
+		return entry->term >= store->snapshot.last_term;
+	return 1;
+}
+
+/* Returns 1 when taken, 0 when torn, -1 with error set. */
+static int take_entry(scan_t *scan, GError **error)
+{
+	const dy_raft_entry_t *entry;
+	dy_record_t record;
+	size_t used = decode_at(scan, scan->offset, &record);
+	int taken = -1;
+
+	if (!used)
+		return handle_bad_record(scan, error);
+	entry = &record.dy_record_t_u.entry.entry;
+	if (record.kind != DY_RECORD_ENTRY || entry->index != scan->expected) {
+		store_corrupt(scan->name, scan->offset,
+			      "a record stands out of order", error);
+		goto done;
+	}
+	if (!agrees(scan->store, entry))
+		scan->disagrees = 1;
+	if (entry->index >= scan->store->first_index)
+		log_entry_add(scan->store, entry, scan->offset);
+	scan->expected++;
+	scan->offset += used;
+	taken = 1;
+done:
+	record_drop(&record);
+	return taken;
+}
+
+/* Returns 1 when the header is good, 0 when torn, -1 with error set. */
+static int take_header(scan_t *scan, uint64_t first_index, GError **error)
+{
+	const dy_record_segment_t *segment;
+	dy_record_t record;
+	size_t used = decode_at(scan, 0, &record);
+	int good;
+
+	if (!used)
+		return handle_bad_record(scan, error);
+	segment = &record.dy_record_t_u.segment;
+	good = record.kind == DY_RECORD_SEGMENT &&
+	       segment->first_index == first_index;
+	record_drop(&record);
+	if (!good)
+		return store_corrupt(scan->name, 0,
+				     "the header names another segment", error);
+	scan->offset = used;
+	return 1;
+}
+
+/*
+ * Write the tail's bytes once more and sync them. After a failed sync the
+ * kernel may show bytes from its cache, marked clean, that never reached the
+ * disk; a restarted process would then acknowledge what a loss of power
+ * takes back. Written anew they are dirty again, so the sync is a true one.
+ */
+static int settle_tail(scan_t *scan, GError **error)
+{
+	dy_store_t *store = scan->store;
+	int code;
+
+	if (log_open_tail(store, error))
+		return -1;
+	code = store_write_all(store->disk, store->tail, 0, scan->file->data,
+			       scan->file->len);
+	if (code >= 0)
+		code = store->disk->sync(store->disk->context, store->tail);
+	if (code >= 0)
+		code = store->disk->sync_folder(store->disk->context);
+	if (code < 0)
+		return store_fail(store, "sync", scan->name, code, error);
+	return 0;
+}
+
+static int read_segment(scan_t *scan, GError **error)
+{
+	dy_store_t *store = scan->store;
+	segment_t *segment =
+		&g_array_index(store->segments, segment_t, scan->position);
+	int taken;
+
+	segment_name(scan->name, segment->first_index);
+	if (segment->first_index != scan->expected)
+		return store_corrupt(scan->name, 0,
+				     "the segment before it is missing", error);
+	scan->offset = 0;
+	scan->file = store_read_file(store->disk, scan->name, error);
+	if (!scan->file)
+		return -1;
+	segment->size = scan->file->len;
+	taken = take_header(scan, segment->first_index, error);
+	while (taken > 0 && scan->offset < scan->file->len)
+		taken = take_entry(scan, error);
+	if (taken >= 0 && scan->position + 1 == store->segments->len)
+		taken = settle_tail(scan, error);
+	g_byte_array_free(scan->file, TRUE);
+	scan->file = NULL;
+	return taken < 0 ? -1 : 0;
+}
+
+int log_recover(dy_store_t *store, GError **error)
+{
+	scan_t scan = { .store = store };
+	uint64_t begin = store->first_index;
+
+	if (log_drop_covered(store, error))
+		return -1;
+	scan.marker = read_marker(store);
+	scan.expected = begin;
+	if (store->segments->len)
+		scan.expected =
+			MIN(begin, g_array_index(store->segments, segment_t, 0)
+					   .first_index);
+	for (; scan.position < store->segments->len; scan.position++)
+		if (read_segment(&scan, error))
+			return -1;
+	if (scan.marker >= scan.expected && scan.marker >= begin)
+		return store_corrupt("log", 0, "synced records are missing",
+				     error);
+	store->synced_index = dy_store_last_index(store);
+	if (scan.disagrees || scan.expected < begin)
+		return log_drop_all(store, error);
+	return store->tail < 0 ? log_open_tail(store, error) : 0;
+}
