--- a/include/damaskyard/raft.h
+++ b/include/damaskyard/raft.h
@@ -11,7 +11,8 @@
  * loop; everything that the member says or does happens inside that call:
  * the log is written and synced once for all that came in, then messages
  * are sent, entries applied and callbacks made. Callbacks may call any
- * function here except dy_raft_flush() and dy_raft_destroy().
+ * function here except dy_raft_receive(), dy_raft_flush() and
+ * dy_raft_destroy().
  *
  *	raft = dy_raft_create(store, &options, &callbacks, now_ms, &error);
  *	each datagram:	dy_raft_receive(raft, &message, now_ms);
@@ -143,7 +144,7 @@
 			  const dy_raft_callbacks_t *callbacks, uint64_t now_ms,
 			  GError **error);
 
-/* Waiting proposals and reads end with DY_RAFT_UNKNOWN, at once. */
+/* Waiting proposals end with DY_RAFT_UNKNOWN, reads with NOT_LEADER. */
 void dy_raft_destroy(dy_raft_t *raft);
 
 /*
--- /dev/null
+++ b/src/process/raft_status.c
@@ -0,0 +1,74 @@
+#include "raft_internal.h"
+
+/* What the owner may ask of a member. */
+
+dy_raft_role_t dy_raft_role(const dy_raft_t *raft)
+{
+	return raft->role;
+}
+
+dy_member_id_t dy_raft_id(const dy_raft_t *raft)
+{
+	return raft->id;
+}
+
+dy_member_id_t dy_raft_leader(const dy_raft_t *raft)
+{
+	return raft->leader;
+}
+
+uint64_t dy_raft_term(const dy_raft_t *raft)
+{
+	return raft->term;
+}
+
+uint64_t dy_raft_commit_index(const dy_raft_t *raft)
+{
+	return raft->commit_index;
+}
+
+uint64_t dy_raft_applied_index(const dy_raft_t *raft)
+{
+	return raft->applied_index;
+}
+
+int dy_raft_failed(const dy_raft_t *raft)
+{
+	return raft->failed;
+}
+
+const dy_raft_config_t *dy_raft_config(const dy_raft_t *raft)
+{
+	return &raft_newest_config(raft)->config;
+}
+
+int dy_raft_has_quorum(const dy_raft_t *raft)
+{
+	guint heard = raft_is_voter(raft);
+	guint i;
+
+	if (raft->role != DY_RAFT_LEADER)
+		return 0;
+	for (i = 0; i < raft->peers->len; i++)
+		heard += raft_peer_at(raft, i)->voter &&
+			 raft_peer_active(raft, raft_peer_at(raft, i));
+	return heard >= raft_majority(raft);
+}
+
+const char *dy_raft_find_address(const dy_raft_t *raft, dy_member_id_t id)
+{
+	const dy_raft_member_t *member = raft_find_member(raft, id);
+
+	return member ? member->address : NULL;
+}
+
+uint64_t dy_raft_member_lag(const dy_raft_t *raft, dy_member_id_t id,
+			    uint64_t *heard_ms_ago)
+{
+	const peer_t *peer = raft_find_peer(raft, id);
+
+	if (raft->role != DY_RAFT_LEADER || !peer)
+		return UINT64_MAX;
+	*heard_ms_ago = raft->now_ms - peer->heard_ms;
+	return dy_store_last_index(raft->store) - peer->match_index;
+}
