--- /dev/null
+++ b/src/version/registry_leases.c
@@ -0,0 +1,148 @@
+/*
+ * The leader's part of a record: when it was heard, and what it told.
+ * Nothing here decides anything in dy_registry_apply().
+ */
+
+#include "registry_private.h"
+
+static dy_registry_member_t *item(dy_list_t *link)
+{
+	return DY_LIST_ITEM(link, dy_registry_member_t, lease_link);
+}
+
+static void restart_list(dy_registry_t *registry, dy_list_t *list)
+{
+	dy_list_t *pos;
+
+	DY_LIST_EACH(pos, list)
+	{
+		item(pos)->heard_ms = registry->now_ms;
+		item(pos)->document = 0;
+		item(pos)->proposed = 0;
+	}
+}
+
+/*
+ * Guards against a new leader that takes members for dead which it never
+ * listened to: they would all be suspect at once after an election.
+ */
+void dy_registry_restart_leases(dy_registry_t *registry)
+{
+	unsigned i;
+
+	restart_list(registry, &registry->live);
+	restart_list(registry, &registry->suspect);
+	for (i = 0; i < DY_ENVIRONMENTS; i++)
+		restart_list(registry, &registry->environments[i].gone);
+	for (i = 0; i < registry->key_count; i++)
+		registry->keys[i].since_ms = registry->now_ms;
+}
+
+void dy_registry_renew_lease(dy_registry_t *registry, uint64_t id,
+			     uint64_t document)
+{
+	dy_registry_member_t *member = dy_registry_find_member(registry, id);
+
+	if (!member || !dy_member_is_live(member))
+		return;
+	member->document = document;
+	if (member->state != DY_MEMBER_SUSPECT)
+		registry_stamp(registry, member);
+}
+
+/* Find the first of a list that is due and not yet proposed. */
+static dy_registry_member_t *find_due(const dy_registry_t *registry,
+				      dy_list_t *list, uint64_t after_ms)
+{
+	dy_registry_member_t *member;
+	dy_list_t *pos;
+
+	DY_LIST_EACH(pos, list)
+	{
+		member = item(pos);
+		if (member->heard_ms + after_ms > registry->now_ms)
+			return NULL;
+		if (!member->proposed)
+			return member;
+	}
+	return NULL;
+}
+
+static int set_mark(dy_registry_member_t *member, dy_member_mark_t *mark,
+		    dy_member_mark_kind_t kind)
+{
+	if (!member)
+		return 0;
+	member->proposed = 1;
+	mark->id = member->id;
+	mark->incarnation = member->incarnation;
+	mark->mark = kind;
+	return 1;
+}
+
+int dy_registry_next_mark(dy_registry_t *registry,
+			  const dy_lease_times_t *times, dy_member_mark_t *mark)
+{
+	int i;
+
+	if (set_mark(find_due(registry, &registry->live, times->lease_ms), mark,
+		     DY_MARK_SUSPECT) ||
+	    set_mark(find_due(registry, &registry->suspect, times->keep_ms),
+		     mark, DY_MARK_DEAD))
+		return 1;
+	for (i = 0; i < DY_ENVIRONMENTS; i++)
+		if (set_mark(find_due(registry, &registry->environments[i].gone,
+				      times->keep_ms),
+			     mark, DY_MARK_FORGET))
+			return 1;
+	return 0;
+}
+
+static int retry_in(dy_list_t *list, const dy_member_mark_t *mark)
+{
+	dy_list_t *pos;
+
+	DY_LIST_EACH(pos, list)
+	{
+		if (item(pos)->id != mark->id ||
+		    item(pos)->incarnation != mark->incarnation)
+			continue;
+		item(pos)->proposed = 0;
+		return 1;
+	}
+	return 0;
+}
+
+void dy_registry_retry_mark(dy_registry_t *registry,
+			    const dy_member_mark_t *mark)
+{
+	int i;
+
+	if (retry_in(&registry->live, mark) ||
+	    retry_in(&registry->suspect, mark))
+		return;
+	for (i = 0; i < DY_ENVIRONMENTS; i++)
+		if (retry_in(&registry->environments[i].gone, mark))
+			return;
+}
+
+void dy_registry_count_in_force(const dy_registry_t *registry,
+				dy_environment_t environment, unsigned *live,
+				unsigned *in_force)
+{
+	uint64_t number = registry->environments[environment].document.number;
+	dy_registry_member_t *member;
+	dy_list_t *pos;
+
+	*live = 0;
+	*in_force = 0;
+	DY_LIST_EACH(pos, &registry->live)
+	{
+		member = item(pos);
+		if (member->environment != environment)
+			continue;
+		++*live;
+		if (member->document >= number)
+			++*in_force;
+	}
+}
--- /dev/null
+++ b/src/version/registry_members.c
@@ -0,0 +1,461 @@
+#include <string.h>
+
+#include "damaskyard/invariant.h"
+#include "registry_private.h"
+
+const char *dy_member_state_name(uint32_t state)
+{
+	static const char *const names[] = { "none",	 "joining", "serving",
+					     "draining", "left",    "suspect",
+					     "dead" };
+
+	return state <= DY_MEMBER_DEAD ? names[state] : "unknown";
+}
+
+size_t dy_registry_member_bytes(void)
+{
+	return sizeof(dy_registry_member_t);
+}
+
+int dy_member_is_live(const dy_registry_member_t *member)
+{
+	return member->state != DY_MEMBER_LEFT &&
+	       member->state != DY_MEMBER_DEAD;
+}
+
+static void tell_member(const dy_registry_t *registry,
+			dy_registry_event_t event,
+			const dy_registry_member_t *member)
+{
+	registry_tell(registry, event, dy_environment_name(member->environment),
+		      member->name, member->incarnation);
+}
+
+int registry_info_is_valid(const dy_member_info_t *info)
+{
+	if (info->kind != DY_MEMBER_BALANCER && info->kind != DY_MEMBER_AGENT)
+		return 0;
+	if (dy_environment_find(info->environment) < 0 || !*info->name)
+		return 0;
+	return info->address.port <= UINT16_MAX &&
+	       (info->kind == DY_MEMBER_AGENT || !*info->service);
+}
+
+static uint64_t info_id(const dy_member_info_t *info)
+{
+	return dy_member_id(info->environment, info->kind, info->name);
+}
+
+dy_registry_member_t *dy_registry_find_member(const dy_registry_t *registry,
+					      uint64_t id)
+{
+	return g_hash_table_lookup(registry->members, &id);
+}
+
+int registry_find_named(const dy_registry_t *registry, const char *environment,
+			const char *name, dy_registry_member_t **found)
+{
+	dy_registry_member_t *member;
+	int matches = 0;
+	int kind;
+	int i;
+
+	for (i = 0; i < DY_ENVIRONMENTS; i++) {
+		if (*environment &&
+		    strcmp(environment, dy_environment_name(i)) != 0)
+			continue;
+		for (kind = DY_MEMBER_BALANCER; kind <= DY_MEMBER_AGENT;
+		     kind++) {
+			member = dy_registry_find_member(
+				registry, dy_member_id(dy_environment_name(i),
+						       kind, name));
+			if (!member || !dy_member_is_live(member))
+				continue;
+			*found = member;
+			matches++;
+		}
+	}
+	return matches > 1 ? -1 : matches;
+}
+
+static service_t *keep_service(environment_t *environment, char *name)
+{
+	service_t *service = g_hash_table_lookup(environment->services, name);
+
+	if (service)
+		return service;
+	service = g_new0(service_t, 1);
+	dy_list_init(&service->members);
+	service->name = g_ref_string_acquire(name);
+	g_hash_table_insert(environment->services, service->name, service);
+	return service;
+}
+
+static void leave_service(environment_t *environment,
+			  dy_registry_member_t *member)
+{
+	service_t *service;
+
+	if (member->kind != DY_MEMBER_AGENT)
+		return;
+	dy_list_remove(&member->service_link);
+	service = g_hash_table_lookup(environment->services, member->service);
+	if (service && dy_list_empty(&service->members))
+		g_hash_table_remove(environment->services, member->service);
+}
+
+/* Put a member last in the lists that are ordered by change. */
+static void touch_member(dy_registry_t *registry, dy_registry_member_t *member,
+			 uint64_t index)
+{
+	environment_t *environment =
+		&registry->environments[member->environment];
+
+	dy_assert(index >= member->changed);
+	member->changed = index;
+	dy_list_remove(&member->environment_link);
+	dy_list_append(&environment->members, &member->environment_link);
+	if (member->kind != DY_MEMBER_AGENT)
+		return;
+	dy_list_remove(&member->service_link);
+	dy_list_append(&keep_service(environment, member->service)->members,
+		       &member->service_link);
+}
+
+void registry_free_member(dy_registry_member_t *member)
+{
+	g_ref_string_release(member->name);
+	g_ref_string_release(member->domain);
+	g_ref_string_release(member->service);
+	g_ref_string_release(member->labels);
+	g_free(member->successors);
+	g_free(member);
+}
+
+/* Remove the record of one that is gone. */
+static void forget_member(dy_registry_t *registry, dy_registry_member_t *member)
+{
+	environment_t *environment =
+		&registry->environments[member->environment];
+
+	dy_assert(!dy_member_is_live(member));
+	tell_member(registry, DY_EVENT_MEMBER_FORGOTTEN, member);
+	registry->forgotten = MAX(registry->forgotten, member->changed);
+	if (member->current)
+		g_hash_table_remove(registry->members, &member->id);
+	environment->gone_count--;
+	dy_list_remove(&member->lease_link);
+	dy_list_remove(&member->environment_link);
+	leave_service(environment, member);
+	registry_free_member(member);
+}
+
+void registry_stamp(dy_registry_t *registry, dy_registry_member_t *member)
+{
+	environment_t *environment =
+		&registry->environments[member->environment];
+	dy_list_t *list = &registry->live;
+
+	if (member->state == DY_MEMBER_SUSPECT)
+		list = &registry->suspect;
+	else if (!dy_member_is_live(member))
+		list = &environment->gone;
+	member->heard_ms = registry->now_ms;
+	member->proposed = 0;
+	dy_list_remove(&member->lease_link);
+	dy_list_append(list, &member->lease_link);
+}
+
+/*
+ * Enter a state that it does not leave any more. Bounds the records of those
+ * that are gone, so that no storm of restarts fills the memory.
+ */
+static void end_member(dy_registry_t *registry, dy_registry_member_t *member,
+		       dy_member_state_t state)
+{
+	environment_t *environment =
+		&registry->environments[member->environment];
+
+	member->state = state;
+	member->drain = 0;
+	environment->gone_count++;
+	touch_member(registry, member, registry->index);
+	registry_stamp(registry, member);
+	if (environment->gone_count > DY_REGISTRY_GONE_MAX)
+		forget_member(registry,
+			      DY_LIST_ITEM(environment->gone.next,
+					   dy_registry_member_t, lease_link));
+}
+
+void registry_kill(dy_registry_t *registry, dy_registry_member_t *member)
+{
+	tell_member(registry, DY_EVENT_MEMBER_DEAD, member);
+	end_member(registry, member, DY_MEMBER_DEAD);
+}
+
+static void store_info(dy_registry_member_t *member,
+		       const dy_member_info_t *info)
+{
+	char *old[] = { member->domain, member->service, member->labels };
+	size_t i;
+
+	member->domain = g_ref_string_new_intern(info->domain);
+	member->service = g_ref_string_new_intern(info->service);
+	member->labels = g_ref_string_new_intern(info->labels);
+	for (i = 0; i < G_N_ELEMENTS(old); i++)
+		if (old[i])
+			g_ref_string_release(old[i]);
+	memcpy(member->ip, info->address.ip, DY_IP_BYTES);
+	member->port = (uint16_t)info->address.port;
+	member->slots = info->slots;
+	member->connections = info->connections;
+}
+
+static void store_successors(dy_registry_member_t *member,
+			     const uint64_t *successors, unsigned count)
+{
+	g_clear_pointer(&member->successors, g_free);
+	member->successor_count = (uint8_t)count;
+	if (count)
+		member->successors =
+			g_memdup2(successors, count * sizeof(*successors));
+}
+
+/* A record of info in no list but the table. */
+static dy_registry_member_t *create_member(const dy_member_info_t *info,
+					   uint64_t boot, uint64_t incarnation)
+{
+	dy_registry_member_t *member = g_new0(dy_registry_member_t, 1);
+
+	member->id = info_id(info);
+	member->incarnation = incarnation;
+	member->boot = boot;
+	member->kind = (uint8_t)info->kind;
+	member->environment = (uint8_t)dy_environment_find(info->environment);
+	member->name = g_ref_string_new(info->name);
+	store_info(member, info);
+	dy_list_init(&member->environment_link);
+	dy_list_init(&member->service_link);
+	dy_list_init(&member->lease_link);
+	return member;
+}
+
+static void add_member(dy_registry_t *registry, dy_registry_member_t *member)
+{
+	dy_registry_member_t *old =
+		dy_registry_find_member(registry, member->id);
+
+	if (old) {
+		dy_assert(!dy_member_is_live(old));
+		dy_assert(old->incarnation < member->incarnation);
+		old->current = 0;
+	}
+	member->current = 1;
+	/* The key stands in the record: replace both. */
+	g_hash_table_replace(registry->members, &member->id, member);
+}
+
+/*
+ * Guards against two processes that serve under one name, as when a machine
+ * is taken for dead and replaced: the newer one is let in only after the
+ * older one's lease ran out (SUSPECT), and then the older one's incarnation
+ * is dead for good.
+ */
+void registry_join(dy_registry_t *registry, const dy_member_join_t *join)
+{
+	dy_registry_member_t *member;
+	dy_registry_member_t *old;
+
+	if (!registry_info_is_valid(&join->info) ||
+	    join->state < DY_MEMBER_JOINING || join->state > DY_MEMBER_LEFT)
+		return;
+	old = dy_registry_find_member(registry, info_id(&join->info));
+	if (old && dy_member_is_live(old) && old->boot == join->boot)
+		return;
+	if (old && dy_member_is_live(old) && old->state != DY_MEMBER_SUSPECT) {
+		tell_member(registry, DY_EVENT_MEMBER_REFUSED, old);
+		return;
+	}
+	if (old && old->state == DY_MEMBER_SUSPECT)
+		registry_kill(registry, old);
+	member = create_member(&join->info, join->boot, registry->index);
+	add_member(registry, member);
+	tell_member(registry, DY_EVENT_MEMBER_JOINED, member);
+	if (join->state == DY_MEMBER_LEFT) {
+		end_member(registry, member, DY_MEMBER_LEFT);
+		return;
+	}
+	member->state = (uint8_t)join->state;
+	touch_member(registry, member, registry->index);
+	registry_stamp(registry, member);
+}
+
+static dy_registry_event_t update_event(unsigned before, unsigned after)
+{
+	if (after == DY_MEMBER_LEFT)
+		return DY_EVENT_MEMBER_LEFT;
+	if (before == DY_MEMBER_SUSPECT)
+		return DY_EVENT_MEMBER_BACK;
+	if (after == DY_MEMBER_DRAINING && before != after)
+		return DY_EVENT_MEMBER_DRAINING;
+	return DY_EVENT_MEMBER_CHANGED;
+}
+
+void registry_update(dy_registry_t *registry, const dy_member_update_t *update)
+{
+	dy_registry_member_t *member;
+
+	if (!registry_info_is_valid(&update->info) ||
+	    update->state < DY_MEMBER_JOINING || update->state > DY_MEMBER_LEFT)
+		return;
+	member = dy_registry_find_member(registry, info_id(&update->info));
+	if (!member || member->incarnation != update->incarnation ||
+	    !dy_member_is_live(member))
+		return;
+	if (*member->service && strcmp(member->service, update->info.service))
+		return;
+	tell_member(registry, update_event(member->state, update->state),
+		    member);
+	leave_service(&registry->environments[member->environment], member);
+	store_info(member, &update->info);
+	store_successors(member, update->successors.successors_val,
+			 update->successors.successors_len);
+	if (update->state == DY_MEMBER_LEFT) {
+		end_member(registry, member, DY_MEMBER_LEFT);
+		return;
+	}
+	member->state = (uint8_t)update->state;
+	touch_member(registry, member, registry->index);
+	registry_stamp(registry, member);
+}
+
+/* An older record of a name is found among the oldest that are gone. */
+static dy_registry_member_t *find_gone(const dy_registry_t *registry,
+				       const dy_member_mark_t *mark)
+{
+	dy_registry_member_t *member;
+	dy_list_t *pos;
+	int i;
+
+	for (i = 0; i < DY_ENVIRONMENTS; i++) {
+		DY_LIST_EACH(pos, &registry->environments[i].gone)
+		{
+			member = DY_LIST_ITEM(pos, dy_registry_member_t,
+					      lease_link);
+			if (member->id == mark->id &&
+			    member->incarnation == mark->incarnation)
+				return member;
+		}
+	}
+	return NULL;
+}
+
+static void suspect_member(dy_registry_t *registry,
+			   dy_registry_member_t *member)
+{
+	tell_member(registry, DY_EVENT_MEMBER_SUSPECT, member);
+	member->state = DY_MEMBER_SUSPECT;
+	touch_member(registry, member, registry->index);
+	registry_stamp(registry, member);
+}
+
+void registry_mark(dy_registry_t *registry, const dy_member_mark_t *mark)
+{
+	dy_registry_member_t *member;
+
+	if (mark->mark == DY_MARK_FORGET) {
+		member = find_gone(registry, mark);
+		if (member)
+			forget_member(registry, member);
+		return;
+	}
+	member = dy_registry_find_member(registry, mark->id);
+	if (!member || member->incarnation != mark->incarnation ||
+	    !dy_member_is_live(member))
+		return;
+	if (mark->mark == DY_MARK_DEAD && member->state == DY_MEMBER_SUSPECT)
+		registry_kill(registry, member);
+	else if (mark->mark == DY_MARK_SUSPECT &&
+		 member->state != DY_MEMBER_SUSPECT)
+		suspect_member(registry, member);
+}
+
+void registry_append_member(dy_registry_t *registry,
+			    const dy_saved_member_t *saved)
+{
+	const dy_member_t *shown = &saved->member;
+	dy_registry_member_t *member;
+
+	member = create_member(&shown->info, saved->boot, shown->incarnation);
+	member->state = (uint8_t)shown->state;
+	member->drain = !!saved->drain;
+	store_successors(member, (uint64_t *)shown->successors.successors_val,
+			 shown->successors.successors_len);
+	if (saved->current) {
+		member->current = 1;
+		g_hash_table_replace(registry->members, &member->id, member);
+	}
+	if (!dy_member_is_live(member))
+		registry->environments[member->environment].gone_count++;
+	touch_member(registry, member, saved->changed);
+	registry_stamp(registry, member);
+}
+
+void registry_drop_members(dy_registry_t *registry)
+{
+	dy_registry_member_t *member;
+	environment_t *environment;
+	dy_list_t *pos;
+	dy_list_t *tmp;
+	int i;
+
+	g_hash_table_remove_all(registry->members);
+	for (i = 0; i < DY_ENVIRONMENTS; i++) {
+		environment = &registry->environments[i];
+		DY_LIST_EACH_SAFE(pos, tmp, &environment->members)
+		{
+			member = DY_LIST_ITEM(pos, dy_registry_member_t,
+					      environment_link);
+			registry_free_member(member);
+		}
+		dy_list_init(&environment->members);
+		dy_list_init(&environment->gone);
+		environment->gone_count = 0;
+		g_hash_table_remove_all(environment->services);
+	}
+	dy_list_init(&registry->live);
+	dy_list_init(&registry->suspect);
+}
+
+void registry_show_member(const dy_registry_member_t *member,
+			  dy_member_t *shown)
+{
+	shown->id = member->id;
+	shown->incarnation = member->incarnation;
+	shown->state = member->state;
+	shown->info.kind = member->kind;
+	shown->info.name = member->name;
+	shown->info.environment =
+		(char *)dy_environment_name(member->environment);
+	shown->info.domain = member->domain;
+	memcpy(shown->info.address.ip, member->ip, DY_IP_BYTES);
+	shown->info.address.port = member->port;
+	shown->info.service = member->service;
+	shown->info.labels = member->labels;
+	shown->info.slots = member->slots;
+	shown->info.connections = member->connections;
+	shown->successors.successors_len = member->successor_count;
+	shown->successors.successors_val = (void *)member->successors;
+}
+
+void dy_registry_each_member(const dy_registry_t *registry,
+			     dy_registry_each_cb_t *each, void *context)
+{
+	dy_list_t *pos;
+	int i;
+
+	for (i = 0; i < DY_ENVIRONMENTS; i++)
+		DY_LIST_EACH(pos, &registry->environments[i].members)
+	each(context,
+	     DY_LIST_ITEM(pos, dy_registry_member_t, environment_link));
+}
--- /dev/null
+++ b/src/version/registry_poll.c
@@ -0,0 +1,307 @@
+/*
+ * What a member's poll asks for, and what it is told.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "registry_private.h"
+
+static int is_valid(const dy_poll_t *poll)
+{
+	return registry_info_is_valid(&poll->info) &&
+	       poll->state >= DY_MEMBER_JOINING &&
+	       poll->state <= DY_MEMBER_LEFT &&
+	       (poll->state == DY_MEMBER_LEFT ||
+		!poll->successors.successors_len);
+}
+
+static dy_registry_member_t *find_poller(const dy_registry_t *registry,
+					 const dy_poll_t *poll)
+{
+	return dy_registry_find_member(
+		registry, dy_member_id(poll->info.environment, poll->info.kind,
+				       poll->info.name));
+}
+
+static int is_same_info(const dy_registry_member_t *member,
+			const dy_member_info_t *info)
+{
+	return !strcmp(member->domain, info->domain) &&
+	       !strcmp(member->service, info->service) &&
+	       !strcmp(member->labels, info->labels) &&
+	       !memcmp(member->ip, info->address.ip, DY_IP_BYTES) &&
+	       member->port == info->address.port &&
+	       member->slots == info->slots &&
+	       member->connections == info->connections;
+}
+
+static int is_same(const dy_registry_member_t *member, const dy_poll_t *poll)
+{
+	unsigned count = poll->successors.successors_len;
+
+	return member->state == (unsigned)poll->state &&
+	       is_same_info(member, &poll->info) &&
+	       member->successor_count == count &&
+	       (!count ||
+		!memcmp(member->successors, poll->successors.successors_val,
+			count * sizeof(uint64_t)));
+}
+
+static dy_poll_judgement_t refuse(dy_status_t *status, dy_status_t why)
+{
+	*status = why;
+	return DY_POLL_REFUSE;
+}
+
+static dy_poll_judgement_t judge_known(const dy_registry_member_t *member,
+				       const dy_poll_t *poll,
+				       dy_command_t *command,
+				       dy_status_t *status)
+{
+	dy_member_update_t *update = &command->dy_command_t_u.update;
+
+	if (*member->service && strcmp(member->service, poll->info.service))
+		return refuse(status, DY_STATUS_MALFORMED);
+	if (is_same(member, poll))
+		return DY_POLL_ANSWER;
+	command->kind = DY_COMMAND_UPDATE;
+	update->incarnation = member->incarnation;
+	update->state = poll->state;
+	update->info = poll->info;
+	update->successors.successors_len = poll->successors.successors_len;
+	update->successors.successors_val = poll->successors.successors_val;
+	return DY_POLL_PROPOSE;
+}
+
+static dy_poll_judgement_t judge_new(const dy_registry_t *registry,
+				     const dy_registry_member_t *holder,
+				     const dy_poll_t *poll,
+				     dy_command_t *command, dy_status_t *status)
+{
+	dy_member_join_t *join = &command->dy_command_t_u.join;
+
+	if (holder && dy_member_is_live(holder) &&
+	    holder->state != DY_MEMBER_SUSPECT)
+		return refuse(status, DY_STATUS_NAME_TAKEN);
+	/*
+	 * Its state may hold members whose end is no longer told. Only one
+	 * that stayed away for longer than any record is kept is so far
+	 * behind; it must start anew.
+	 */
+	if (poll->state_version && poll->state_version < registry->forgotten)
+		return refuse(status, DY_STATUS_SUPERSEDED);
+	command->kind = DY_COMMAND_JOIN;
+	join->info = poll->info;
+	join->boot = poll->boot;
+	join->state = poll->state;
+	return DY_POLL_PROPOSE;
+}
+
+/*
+ * Guards against a process that was taken for dead, replaced, and comes back
+ * believing that it holds its name: an incarnation that is not the newest of
+ * its name, or is over, is superseded.
+ */
+dy_poll_judgement_t dy_registry_judge_poll(const dy_registry_t *registry,
+					   const dy_poll_t *poll,
+					   dy_command_t *command,
+					   dy_status_t *status)
+{
+	const dy_registry_member_t *member;
+
+	memset(command, 0, sizeof(*command));
+	*status = DY_STATUS_OK;
+	if (!is_valid(poll))
+		return refuse(status, DY_STATUS_MALFORMED);
+	member = find_poller(registry, poll);
+	if (!poll->incarnation &&
+	    !(member && member->boot == poll->boot &&
+	      (dy_member_is_live(member) || poll->state == DY_MEMBER_LEFT)))
+		return judge_new(registry, member, poll, command, status);
+	if (!member || member->boot != poll->boot ||
+	    (poll->incarnation && member->incarnation != poll->incarnation) ||
+	    member->state == DY_MEMBER_DEAD)
+		return refuse(status, DY_STATUS_SUPERSEDED);
+	if (member->state != DY_MEMBER_LEFT)
+		return judge_known(member, poll, command, status);
+	return poll->state == DY_MEMBER_LEFT
+		       ? DY_POLL_ANSWER
+		       : refuse(status, DY_STATUS_SUPERSEDED);
+}
+
+/* One object that a poll may be told of. */
+typedef struct item {
+	uint64_t changed;
+	dy_delta_t delta;
+} item_t;
+
+/*
+ * An entry of the log changes at most two objects of one kind and an answer
+ * ends only between entries, so a few more than DY_DELTAS_MAX are gathered.
+ */
+#define ITEMS_MAX (DY_DELTAS_MAX + KEYS_MAX + 4)
+
+typedef struct gathering {
+	uint64_t version;
+	/* Members beyond this change were not looked at. */
+	uint64_t upto;
+	unsigned count;
+	item_t items[ITEMS_MAX];
+} gathering_t;
+
+static const dy_registry_member_t *by_link(const dy_list_t *link, int service)
+{
+	return service ? DY_LIST_ITEM(link, dy_registry_member_t, service_link)
+		       : DY_LIST_ITEM(link, dy_registry_member_t,
+				      environment_link);
+}
+
+static void gather_member(gathering_t *gathering,
+			  const dy_registry_member_t *member)
+{
+	item_t *item = &gathering->items[gathering->count++];
+
+	item->changed = member->changed;
+	item->delta.kind = DY_DELTA_MEMBER;
+	registry_show_member(member, &item->delta.dy_delta_t_u.member);
+}
+
+/* Walk back to the version, then forth until an answer is full. */
+static void gather_members(gathering_t *gathering, const dy_list_t *head,
+			   int service)
+{
+	const dy_registry_member_t *member;
+	const dy_list_t *pos = head->prev;
+
+	while (pos != head &&
+	       by_link(pos, service)->changed > gathering->version)
+		pos = pos->prev;
+	for (pos = pos->next; pos != head; pos = pos->next) {
+		member = by_link(pos, service);
+		if (gathering->count >= DY_DELTAS_MAX &&
+		    member->changed > gathering->upto) {
+			return;
+		}
+		gathering->upto = member->changed;
+		if (member->kind == DY_MEMBER_AGENT)
+			gather_member(gathering, member);
+	}
+	gathering->upto = UINT64_MAX;
+}
+
+static void gather_keys(gathering_t *gathering, const dy_registry_t *registry)
+{
+	const dy_registry_key_t *key;
+	item_t *item;
+	unsigned i;
+
+	for (i = 0; i < registry->key_count; i++) {
+		key = &registry->keys[i];
+		if (key->changed <= gathering->version ||
+		    key->changed > gathering->upto)
+			continue;
+		item = &gathering->items[gathering->count++];
+		item->changed = key->changed;
+		item->delta.kind = DY_DELTA_KEY;
+		item->delta.dy_delta_t_u.key = key->info;
+	}
+}
+
+static void gather_document(gathering_t *gathering,
+			    const dy_registry_document_t *document,
+			    const char *environment)
+{
+	dy_document_info_t *info;
+	item_t *item;
+
+	if (!document->number || document->changed <= gathering->version ||
+	    document->changed > gathering->upto)
+		return;
+	item = &gathering->items[gathering->count++];
+	item->changed = document->changed;
+	item->delta.kind = DY_DELTA_DOCUMENT;
+	info = &item->delta.dy_delta_t_u.document;
+	info->environment = (char *)environment;
+	info->number = document->number;
+	memcpy(info->digest, document->digest, DY_DIGEST_BYTES);
+	info->size = document->size;
+}
+
+static int compare_items(const void *a, const void *b)
+{
+	const item_t *x = a;
+	const item_t *y = b;
+
+	return x->changed < y->changed ? -1 : x->changed > y->changed;
+}
+
+/* How many of the sorted items an answer takes, ending between entries. */
+static unsigned cut(const gathering_t *gathering)
+{
+	unsigned n = gathering->count;
+
+	if (n <= DY_DELTAS_MAX)
+		return n;
+	n = DY_DELTAS_MAX;
+	while (n &&
+	       gathering->items[n - 1].changed == gathering->items[n].changed)
+		n--;
+	return n;
+}
+
+static void gather(const dy_registry_t *registry, const dy_poll_t *poll,
+		   uint64_t version, gathering_t *gathering)
+{
+	int i = dy_environment_find(poll->info.environment);
+	const environment_t *environment = &registry->environments[i];
+	const service_t *service;
+
+	gathering->version = version;
+	gathering->upto = version;
+	gathering->count = 0;
+	service =
+		g_hash_table_lookup(environment->services, poll->info.service);
+	if (poll->info.kind == DY_MEMBER_BALANCER)
+		gather_members(gathering, &environment->members, 0);
+	else if (*poll->info.service && service)
+		gather_members(gathering, &service->members, 1);
+	else
+		gathering->upto = UINT64_MAX;
+	gather_keys(gathering, registry);
+	gather_document(gathering, &environment->document,
+			dy_environment_name(i));
+	qsort(gathering->items, gathering->count, sizeof(gathering->items[0]),
+	      compare_items);
+}
+
+void dy_registry_fill_poll(const dy_registry_t *registry, const dy_poll_t *poll,
+			   dy_poll_result_t *result)
+{
+	const dy_registry_member_t *member = find_poller(registry, poll);
+	int homeless =
+		poll->info.kind == DY_MEMBER_AGENT && !*poll->info.service;
+	uint64_t version = homeless ? 0 : poll->state_version;
+	gathering_t gathering;
+	unsigned i;
+	unsigned n;
+
+	if (member) {
+		result->incarnation = member->incarnation;
+		result->drain = member->drain;
+	}
+	gather(registry, poll, version, &gathering);
+	n = cut(&gathering);
+	for (i = 0; i < n; i++)
+		result->deltas.deltas_val[i] = gathering.items[i].delta;
+	result->deltas.deltas_len = n;
+	result->more = n < gathering.count || gathering.upto != UINT64_MAX;
+	if (homeless)
+		result->state_version = 0;
+	else if (n < gathering.count)
+		result->state_version = gathering.items[n - 1].changed;
+	else if (result->more)
+		result->state_version = gathering.upto;
+	else
+		result->state_version = registry->index;
+}
