--- a/include/damaskyard/registry.h
+++ b/include/damaskyard/registry.h
@@ -250,7 +250,7 @@
 typedef struct dy_registry_key {
 	dy_key_info_t info;
 	uint64_t changed;
-	uint64_t since_ms; /* the leader's clock at its last change */
+	uint64_t since_ms; /* this control's clock when it applied that */
 } dy_registry_key_t;
 
 const dy_registry_key_t *dy_registry_keys(const dy_registry_t *registry,
--- /dev/null
+++ b/src/process/cmd_control.c
@@ -0,0 +1,185 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "command.h"
+#include "damaskyard/control.h"
+#include "damaskyard/log.h"
+#include "damaskyard/settings.h"
+
+static struct {
+	uint64_t id;
+	uint64_t group;
+	char *data;
+	dy_address_t listen;
+	char *peers;
+	char *key_file;
+	char *log_level;
+	uint64_t lease_ms;
+	uint64_t member_keep_s;
+	uint64_t key_rotation_s;
+	uint64_t key_distribute_s;
+	uint64_t key_renew_s;
+} values;
+
+static const dy_setting_t settings[] = {
+	{ .flag = "id",
+	  .kind = DY_SETTING_NUMBER,
+	  .value = &values.id,
+	  .required = TRUE,
+	  .least = 1,
+	  .most = DY_RAFT_MEMBERS_MAX,
+	  .argument = "N",
+	  .help = "slot of this control, kept for life" },
+	{ .flag = "data",
+	  .kind = DY_SETTING_TEXT,
+	  .value = &values.data,
+	  .required = TRUE,
+	  .argument = "DIR",
+	  .help = "data folder, made if it is missing" },
+	{ .flag = "listen",
+	  .kind = DY_SETTING_ADDRESS,
+	  .value = &values.listen,
+	  .required = TRUE,
+	  .argument = "IP:PORT",
+	  .help = "where members, operators and peers send" },
+	{ .flag = "peers",
+	  .kind = DY_SETTING_TEXT,
+	  .value = &values.peers,
+	  .required = TRUE,
+	  .argument = "ID=IP:PORT,...",
+	  .help = "every control of the group, this one too" },
+	{ .flag = "key-file",
+	  .kind = DY_SETTING_TEXT,
+	  .value = &values.key_file,
+	  .required = TRUE,
+	  .argument = "FILE",
+	  .help = "the group's key" },
+	{ .flag = "group",
+	  .kind = DY_SETTING_NUMBER,
+	  .value = &values.group,
+	  .fallback = "1",
+	  .least = 1,
+	  .argument = "N",
+	  .help = "number of the group, the same on all its controls" },
+	{ .flag = "lease-ms",
+	  .kind = DY_SETTING_NUMBER,
+	  .value = &values.lease_ms,
+	  .fallback = G_STRINGIFY(DY_LEASE_MS),
+	  .least = 1000,
+	  .most = 60000,
+	  .argument = "MS",
+	  .help = "a member unheard for so long gets no new flow" },
+	{ .flag = "member-keep-s",
+	  .kind = DY_SETTING_NUMBER,
+	  .value = &values.member_keep_s,
+	  .fallback = G_STRINGIFY(DY_MEMBER_KEEP_S),
+	  .least = 60,
+	  .argument = "S",
+	  .help = "how long a member that is gone is remembered" },
+	{ .flag = "key-rotation-s",
+	  .kind = DY_SETTING_NUMBER,
+	  .value = &values.key_rotation_s,
+	  .fallback = G_STRINGIFY(DY_KEY_ROTATION_S),
+	  .least = 60,
+	  .argument = "S",
+	  .help = "a new token key after so long" },
+	{ .flag = "key-distribute-s",
+	  .kind = DY_SETTING_NUMBER,
+	  .value = &values.key_distribute_s,
+	  .fallback = G_STRINGIFY(DY_KEY_DISTRIBUTE_S),
+	  .least = 1,
+	  .argument = "S",
+	  .help = "a key is known for so long before it signs" },
+	{ .flag = "key-renew-s",
+	  .kind = DY_SETTING_NUMBER,
+	  .value = &values.key_renew_s,
+	  .fallback = G_STRINGIFY(DY_MEMBER_KEEP_S),
+	  .least = 60,
+	  .argument = "S",
+	  .help = "a key is accepted for so long after it signed" },
+	{ .flag = "log-level",
+	  .kind = DY_SETTING_TEXT,
+	  .value = &values.log_level,
+	  .fallback = "info",
+	  .argument = "LEVEL",
+	  .help = "debug, info, warn or error" },
+	{ 0 },
+};
+
+static gboolean refuse(const char *flag, const char *value,
+		       const char *expected, GError **error)
+{
+	g_set_error(error, DY_SETTINGS_ERROR, DY_SETTINGS_ERROR_VALUE,
+		    "--%s: \"%s\" is not allowed: expected %s", flag, value,
+		    expected);
+	return FALSE;
+}
+
+static gboolean load_options(dy_control_options_t *options, GError **error)
+{
+	dy_log_level_t level;
+
+	if (dy_log_parse_level(values.log_level, &level))
+		return refuse("log-level", values.log_level,
+			      "debug, info, warn or error", error);
+	dy_log_configure(level, "control");
+	if (!dy_peers_parse(&options->peers, values.peers, error) ||
+	    !dy_secrets_load(&options->secrets, values.key_file, error))
+		return FALSE;
+	if (!options->peers.slots[values.id].port)
+		return refuse("peers", values.peers,
+			      "a list that names this control's --id too",
+			      error);
+	options->group = values.group;
+	options->slot = (uint32_t)values.id;
+	options->folder = values.data;
+	options->listen = values.listen;
+	options->leases.lease_ms = values.lease_ms;
+	options->leases.keep_ms = values.member_keep_s * 1000;
+	options->keys.rotate_ms = values.key_rotation_s * 1000;
+	options->keys.distribute_ms = values.key_distribute_s * 1000;
+	options->keys.renew_ms = values.key_renew_s * 1000;
+	return TRUE;
+}
+
+static int run(const dy_control_options_t *options)
+{
+	dy_metrics_t *metrics = dy_metrics_create();
+	dy_loop_t *loop = dy_loop_create(metrics);
+	GError *error = NULL;
+	dy_control_t *control;
+	int code = DY_EXIT_FAILED;
+
+	control = dy_control_create(loop, metrics, options, &error);
+	if (control) {
+		dy_loop_on_stop(loop, dy_control_stop, control);
+		dy_loop_run(loop);
+		code = dy_control_failed(control) ? DY_EXIT_FAILED : DY_EXIT_OK;
+		if (code != DY_EXIT_OK)
+			fputs("damaskyard control: the disk failed; see the "
+			      "log\n",
+			      stderr);
+	} else {
+		fprintf(stderr, "damaskyard control: %s\n", error->message);
+		g_error_free(error);
+	}
+	dy_control_destroy(control);
+	dy_loop_destroy(loop);
+	dy_metrics_destroy(metrics);
+	return code;
+}
+
+int dy_command_control(int argc, char **argv)
+{
+	dy_control_options_t options = { 0 };
+	GError *error = NULL;
+	int code;
+
+	if (!dy_settings_load(argc, argv, "Run one control of the group.",
+			      settings, NULL, &error) ||
+	    !load_options(&options, &error))
+		return dy_command_fail_usage("control", error);
+	code = run(&options);
+	dy_settings_clear(settings);
+	return code;
+}
--- /dev/null
+++ b/src/process/control.c
@@ -0,0 +1,494 @@
+#include "control_private.h"
+
+#include <string.h>
+
+#include "damaskyard/document.h"
+#include "damaskyard/status_service.h"
+#include "dy_group.h"
+
+uint64_t control_now_ms(const dy_control_t *control)
+{
+	return dy_loop_now_ms(control->loop);
+}
+
+int control_serves(const dy_control_t *control)
+{
+	return dy_raft_role(control->raft) == DY_RAFT_LEADER &&
+	       control_count_voters(control) > control->options.peers.count / 2;
+}
+
+void control_show_leader(const dy_control_t *control, dy_address_t *leader)
+{
+	dy_member_id_t id = dy_raft_leader(control->raft);
+
+	memset(leader, 0, sizeof(*leader));
+	if (id.identity && id.slot <= DY_RAFT_MEMBERS_MAX)
+		*leader = control->options.peers.slots[id.slot];
+}
+
+dy_status_t control_status_of(dy_control_t *control, dy_raft_result_t result)
+{
+	if (result == DY_RAFT_DONE)
+		return DY_STATUS_OK;
+	if (result == DY_RAFT_NOT_LEADER) {
+		++*control->counters.not_leader;
+		return DY_STATUS_NOT_LEADER;
+	}
+	++*control->counters.unavailable;
+	return DY_STATUS_UNAVAILABLE;
+}
+
+void control_answer(dy_control_t *control, const struct sockaddr *to,
+		    uint32_t xid, xdrproc_t proc, void *result)
+{
+	size_t len = dy_seal_write_reply(control->seal, xid, proc, result,
+					 control->out, sizeof(control->out));
+
+	if (!len || dy_endpoint_send(control->endpoint, control->out, len, to))
+		++*control->counters.unsent;
+}
+
+void control_count_malformed(dy_control_t *control, uint32_t procedure)
+{
+	++*control->counters.malformed;
+	if (dy_log_allow(&control->malformed_limit, "call_malformed",
+			 control_now_ms(control)))
+		dy_log_event(DY_LOG_WARN, "call_malformed", "procedure=%u",
+			     procedure);
+}
+
+dy_raft_result_t control_propose(dy_control_t *control,
+				 const dy_command_t *command,
+				 dy_raft_done_cb_t *done, void *context)
+{
+	dy_raft_result_t result;
+	uint32_t size;
+	void *data = dy_command_encode(command, &size);
+
+	if (!data)
+		return DY_RAFT_REFUSED;
+	result = dy_raft_propose(control->raft, data, size, done, context);
+	g_free(data);
+	if (result == DY_RAFT_DONE)
+		++*control->counters.proposals;
+	return result;
+}
+
+request_t *control_keep_request(dy_control_t *control,
+				const dy_sealed_t *message,
+				const struct sockaddr *from, xdrproc_t proc,
+				size_t args_size)
+{
+	request_t *request;
+	dy_address_t address;
+
+	if (control->request_count >= REQUESTS_MAX) {
+		++*control->counters.refused_full;
+		return NULL;
+	}
+	request = g_new0(request_t, 1);
+	if (!dy_sealed_load(message, proc, &request->args, args_size)) {
+		control_count_malformed(control, message->procedure);
+		g_free(request);
+		return NULL;
+	}
+	request->control = control;
+	request->xid = message->xid;
+	request->proc = proc;
+	dy_address_load(&address, from);
+	dy_address_write(&address, &request->from);
+	dy_list_append(&control->requests, &request->link);
+	control->request_count++;
+	return request;
+}
+
+void control_drop_request(request_t *request)
+{
+	xdr_free(request->proc, (char *)&request->args);
+	dy_list_remove(&request->link);
+	request->control->request_count--;
+	g_free(request);
+}
+
+void control_answer_request(request_t *request, xdrproc_t proc, void *result)
+{
+	control_answer(request->control, (struct sockaddr *)&request->from,
+		       request->xid, proc, result);
+	control_drop_request(request);
+}
+
+static bool_t xdr_nothing(XDR *xdrs, void *value)
+{
+	(void)xdrs;
+	(void)value;
+	return TRUE;
+}
+
+static void receive_control(dy_control_t *control, const dy_sealed_t *message,
+			    const struct sockaddr *from)
+{
+	switch (message->procedure) {
+	case DY_CONTROL_NULL:
+		control_answer(control, from, message->xid,
+			       (xdrproc_t)xdr_nothing, NULL);
+		return;
+	case DY_CONTROL_POLL:
+		control_poll(control, message, from);
+		return;
+	case DY_CONTROL_FETCH:
+		control_fetch(control, message, from);
+		return;
+	case DY_CONTROL_PUT:
+		control_put(control, message, from);
+		return;
+	case DY_CONTROL_CHANGE:
+		control_change(control, message, from);
+		return;
+	case DY_CONTROL_INSPECT:
+		control_inspect(control, message, from);
+		return;
+	default:
+		control_count_malformed(control, message->procedure);
+	}
+}
+
+static void receive_status(dy_control_t *control, const dy_sealed_t *message,
+			   const struct sockaddr *from)
+{
+	size_t len;
+
+	len = dy_status_service_answer(control->seal, control->metrics, message,
+				       control->out, sizeof(control->out));
+	if (len)
+		dy_endpoint_send(control->endpoint, control->out, len, from);
+	else
+		control_count_malformed(control, message->procedure);
+}
+
+static void on_datagram(void *context, uint8_t *bytes, size_t len,
+			const struct sockaddr *from, int truncated)
+{
+	dy_control_t *control = context;
+	dy_sealed_t message;
+
+	if (truncated) {
+		++*control->counters.truncated;
+		return;
+	}
+	if (dy_seal_open(control->seal, bytes, len, &message) != DY_SEAL_OK ||
+	    message.is_reply)
+		return;
+	switch (message.program) {
+	case DY_CONTROL_PROGRAM:
+		receive_control(control, &message, from);
+		return;
+	case DY_STATUS_PROGRAM:
+		receive_status(control, &message, from);
+		return;
+	case DY_GROUP_PROGRAM:
+		control_receive_group(control, &message, from);
+		return;
+	default:
+		control_count_malformed(control, message.procedure);
+	}
+}
+
+static void on_apply(void *context, const dy_raft_entry_t *entry)
+{
+	dy_control_t *control = context;
+
+	if (entry->type == DY_ENTRY_COMMAND)
+		dy_registry_apply(control->registry, entry->data.data_val,
+				  entry->data.data_len, entry->index);
+}
+
+static int on_write_snapshot(void *context, dy_raft_add_cb_t *add,
+			     void *add_context)
+{
+	dy_control_t *control = context;
+
+	++*control->counters.snapshots;
+	return dy_registry_write(control->registry, add, add_context);
+}
+
+static int on_load_snapshot(void *context, dy_raft_read_cb_t *read,
+			    void *read_context)
+{
+	dy_control_t *control = context;
+
+	return dy_registry_load(control->registry, read, read_context);
+}
+
+static void on_changed(void *context, dy_raft_role_t role,
+		       dy_member_id_t leader)
+{
+	static const char *const names[] = { "follower", "pre_candidate",
+					     "candidate", "leader" };
+	dy_control_t *control = context;
+
+	dy_log_event(DY_LOG_INFO, "role_changed", "role_now=%s leader=%u",
+		     names[role], leader.slot);
+	if (role != DY_RAFT_LEADER)
+		return;
+	++*control->counters.led;
+	control->key_proposed = 0;
+	control->tried_proposed = 0;
+	dy_registry_restart_leases(control->registry);
+}
+
+/*
+ * Guards against a control that acknowledges what its disk did not take: it
+ * stops, and the others carry on.
+ */
+static void on_failed(void *context, const GError *error)
+{
+	dy_control_t *control = context;
+
+	++*control->counters.disk_failures;
+	dy_log_event(DY_LOG_ERROR, "disk_failed", "message=%s",
+		     dy_log_quote(error->message));
+	control->failed = 1;
+	dy_loop_end(control->loop);
+}
+
+static void on_event(void *context, dy_registry_event_t event,
+		     const char *environment, const char *name, uint64_t number)
+{
+	dy_control_t *control = context;
+	const char *event_name = dy_registry_event_name(event);
+	int leads =
+		control->raft && dy_raft_role(control->raft) == DY_RAFT_LEADER;
+
+	++*control->counters.events[event];
+	if (dy_log_allow(&control->event_limits[event], event_name,
+			 control_now_ms(control)))
+		dy_log_event(leads ? DY_LOG_INFO : DY_LOG_DEBUG, event_name,
+			     "environment=%s name=%s number=%lu",
+			     dy_log_quote(environment), dy_log_quote(name),
+			     (unsigned long)number);
+}
+
+static int on_check_document(void *context, const uint8_t *bytes, size_t size,
+			     char *message, size_t message_size)
+{
+	GError *error = NULL;
+	dy_document_t *document = dy_document_parse(bytes, size, &error);
+
+	(void)context;
+	if (document) {
+		dy_document_destroy(document);
+		return 1;
+	}
+	g_strlcpy(message, error->message, message_size);
+	g_error_free(error);
+	return 0;
+}
+
+static void flush(dy_control_t *control)
+{
+	if (!control->failed)
+		dy_raft_flush(control->raft);
+}
+
+static void on_prepare(uv_prepare_t *handle)
+{
+	flush(handle->data);
+}
+
+static void on_check(uv_check_t *handle)
+{
+	flush(handle->data);
+}
+
+static void on_tick(void *context)
+{
+	dy_control_t *control = context;
+	uint64_t now = control_now_ms(control);
+
+	if (control->failed)
+		return;
+	dy_registry_set_clock(control->registry, now);
+	dy_raft_tick(control->raft, now);
+	if (now - control->reviewed_ms < REVIEW_MS)
+		return;
+	control_review(control);
+	control->reviewed_ms = now;
+}
+
+static void register_counters(dy_control_t *control)
+{
+	const struct {
+		const char *name;
+		uint64_t **counter;
+	} names[] = {
+		{ "control_polls", &control->counters.polls },
+		{ "control_fetches", &control->counters.fetches },
+		{ "control_puts", &control->counters.puts },
+		{ "control_changes", &control->counters.changes },
+		{ "control_inspects", &control->counters.inspects },
+		{ "control_proposals", &control->counters.proposals },
+		{ "control_calls_malformed", &control->counters.malformed },
+		{ "control_truncated", &control->counters.truncated },
+		{ "control_unsent", &control->counters.unsent },
+		{ "control_not_leader", &control->counters.not_leader },
+		{ "control_unavailable", &control->counters.unavailable },
+		{ "control_name_taken", &control->counters.name_taken },
+		{ "control_superseded", &control->counters.superseded },
+		{ "control_refused_full", &control->counters.refused_full },
+		{ "uploads_dropped", &control->counters.uploads_dropped },
+		{ "leader_elected", &control->counters.led },
+		{ "group_founded", &control->counters.founded },
+		{ "learner_added", &control->counters.learners_added },
+		{ "control_promoted", &control->counters.members_promoted },
+		{ "control_removed", &control->counters.members_removed },
+		{ "control_join_refused", &control->counters.joins_refused },
+		{ "disk_failed", &control->counters.disk_failures },
+		{ "snapshots_written", &control->counters.snapshots },
+		{ "promoted_untried", &control->counters.untried },
+	};
+	static const dy_log_limit_t limit = DY_LOG_LIMIT_INIT(100, 1000);
+	static const dy_log_limit_t rare = DY_LOG_LIMIT_INIT(3, 10000);
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(names); i++)
+		*names[i].counter =
+			dy_metrics_counter(control->metrics, names[i].name);
+	for (i = 0; i < DY_EVENTS; i++) {
+		control->counters.events[i] = dy_metrics_counter(
+			control->metrics, dy_registry_event_name(i));
+		control->event_limits[i] = limit;
+	}
+	control->join_limit = rare;
+	control->malformed_limit = rare;
+}
+
+static int open_store(dy_control_t *control, GError **error)
+{
+	dy_store_options_t options = { 0 };
+
+	options.group = control->options.group;
+	options.slot = control->options.slot;
+	while (!options.new_identity)
+		dy_random_fill(&options.new_identity,
+			       sizeof(options.new_identity));
+	control->disk = dy_disk_create(control->options.folder, error);
+	if (!control->disk)
+		return -1;
+	control->store = dy_store_create(control->disk, &options, error);
+	return control->store ? 0 : -1;
+}
+
+static int open_raft(dy_control_t *control, GError **error)
+{
+	const dy_raft_callbacks_t callbacks = {
+		.context = control,
+		.send = control_send_raft,
+		.apply = on_apply,
+		.write_snapshot = on_write_snapshot,
+		.load_snapshot = on_load_snapshot,
+		.changed = on_changed,
+		.failed = on_failed,
+	};
+	dy_raft_options_t options = { 0 };
+
+	dy_random_fill(&options.seed, sizeof(options.seed));
+	options.metrics = control->metrics;
+	control->raft = dy_raft_create(control->store, &options, &callbacks,
+				       control_now_ms(control), error);
+	return control->raft ? 0 : -1;
+}
+
+static void start_flushing(dy_control_t *control)
+{
+	uv_loop_t *uv = dy_loop_uv(control->loop);
+
+	uv_prepare_init(uv, &control->prepare);
+	control->prepare.data = control;
+	uv_prepare_start(&control->prepare, on_prepare);
+	uv_check_init(uv, &control->check);
+	control->check.data = control;
+	uv_check_start(&control->check, on_check);
+}
+
+dy_control_t *dy_control_create(dy_loop_t *loop, dy_metrics_t *metrics,
+				const dy_control_options_t *options,
+				GError **error)
+{
+	dy_control_t *control = g_new0(dy_control_t, 1);
+	const dy_registry_callbacks_t callbacks = {
+		.context = control,
+		.event = on_event,
+		.check = on_check_document,
+	};
+
+	control->options = *options;
+	control->loop = loop;
+	control->metrics = metrics;
+	dy_list_init(&control->requests);
+	register_counters(control);
+	founding_init(&control->founding, &control->options.peers,
+		      options->slot);
+	control->seal = dy_seal_create(&options->secrets, metrics);
+	control->uploads = uploads_create();
+	control->registry = dy_registry_create(&callbacks);
+	dy_registry_set_clock(control->registry, control_now_ms(control));
+	if (!open_store(control, error) && !open_raft(control, error))
+		control->endpoint = dy_endpoint_create(
+			loop, &options->listen, on_datagram, control, error);
+	if (!control->endpoint) {
+		dy_control_destroy(control);
+		return NULL;
+	}
+	start_flushing(control);
+	dy_loop_every(loop, TICK_MS, on_tick, control);
+	dy_log_event(DY_LOG_INFO, "control_started",
+		     "slot=%u identity=%lx torn_bytes=%lu", options->slot,
+		     (unsigned long)dy_store_id(control->store).identity,
+		     (unsigned long)dy_store_torn_bytes(control->store));
+	return control;
+}
+
+static void close_handle(uv_handle_t *handle)
+{
+	if (handle->data)
+		uv_close(handle, NULL);
+}
+
+void dy_control_destroy(dy_control_t *control)
+{
+	dy_list_t *pos;
+	dy_list_t *tmp;
+
+	if (!control)
+		return;
+	close_handle((uv_handle_t *)&control->prepare);
+	close_handle((uv_handle_t *)&control->check);
+	uv_run(dy_loop_uv(control->loop), UV_RUN_NOWAIT);
+	if (control->raft)
+		dy_raft_destroy(control->raft);
+	DY_LIST_EACH_SAFE(pos, tmp, &control->requests)
+	control_drop_request(DY_LIST_ITEM(pos, request_t, link));
+	dy_endpoint_destroy(control->endpoint);
+	dy_store_destroy(control->store);
+	dy_disk_destroy(control->disk);
+	dy_registry_destroy(control->registry);
+	uploads_destroy(control->uploads);
+	dy_seal_destroy(control->seal);
+	g_free(control);
+}
+
+void dy_control_stop(void *context)
+{
+	dy_control_t *control = context;
+
+	if (control->stop_at_ms)
+		return;
+	control->stop_at_ms = control_now_ms(control) + STOP_MS;
+	dy_log_event(DY_LOG_INFO, "control_stopping", "requests=%u",
+		     control->request_count);
+}
+
+int dy_control_failed(const dy_control_t *control)
+{
+	return control->failed;
+}
--- /dev/null
+++ b/src/process/control_change.c
@@ -0,0 +1,230 @@
+/*
+ * Documents and operators' changes.
+ */
+
+#include <string.h>
+
+#include "control_private.h"
+#include "damaskyard/invariant.h"
+
+void control_fetch(dy_control_t *control, const dy_sealed_t *message,
+		   const struct sockaddr *from)
+{
+	dy_fetch_result_t result = { 0 };
+	const uint8_t *bytes;
+	dy_fetch_t args;
+
+	++*control->counters.fetches;
+	if (!dy_sealed_load(message, (xdrproc_t)xdr_dy_fetch_t, &args,
+			    sizeof(args))) {
+		control_count_malformed(control, message->procedure);
+		return;
+	}
+	/* Content is named by its digest: any control's copy is the same. */
+	bytes = dy_registry_find_content(control->registry,
+					 (uint8_t *)args.digest, &result.size);
+	if (!bytes) {
+		result.status = DY_STATUS_NOT_FOUND;
+	} else if (args.offset < result.size) {
+		result.page.page_val = (char *)bytes + args.offset;
+		result.page.page_len =
+			MIN(result.size - args.offset, (uint32_t)DY_PAGE_BYTES);
+	}
+	control_answer(control, from, message->xid,
+		       (xdrproc_t)xdr_dy_fetch_result_t, &result);
+	xdr_free((xdrproc_t)xdr_dy_fetch_t, (char *)&args);
+}
+
+void control_put(dy_control_t *control, const dy_sealed_t *message,
+		 const struct sockaddr *from)
+{
+	dy_status_t status;
+	dy_put_t args;
+
+	++*control->counters.puts;
+	if (!dy_sealed_load(message, (xdrproc_t)xdr_dy_put_t, &args,
+			    sizeof(args))) {
+		control_count_malformed(control, message->procedure);
+		return;
+	}
+	if (control_serves(control))
+		status = uploads_add(control->uploads, &args,
+				     control_now_ms(control));
+	else
+		status = DY_STATUS_NOT_LEADER;
+	control_answer(control, from, message->xid, (xdrproc_t)xdr_dy_status_t,
+		       &status);
+	xdr_free((xdrproc_t)xdr_dy_put_t, (char *)&args);
+}
+
+static void answer_change(request_t *request, const dy_change_result_t *decided)
+{
+	dy_change_result_t result = *decided;
+
+	control_show_leader(request->control, &result.leader);
+	if (!result.operator_name)
+		result.operator_name = "";
+	if (!result.message)
+		result.message = "";
+	control_answer_request(request, (xdrproc_t)xdr_dy_change_result_t,
+			       &result);
+}
+
+static void refuse_change(request_t *request, dy_status_t status,
+			  const char *message)
+{
+	dy_change_result_t result = { 0 };
+
+	result.status = status;
+	result.message = (char *)message;
+	answer_change(request, &result);
+}
+
+static void on_committed(void *context, dy_raft_result_t result, uint64_t index)
+{
+	request_t *request = context;
+	dy_control_t *control = request->control;
+	const dy_change_result_t *answer;
+
+	(void)index;
+	if (result != DY_RAFT_DONE) {
+		refuse_change(request, control_status_of(control, result),
+			      "the group lost its leader meanwhile");
+		return;
+	}
+	answer = dy_registry_find_answer(control->registry,
+					 request->args.change.request);
+	dy_assert(answer);
+	dy_log_event(DY_LOG_INFO, "change_decided",
+		     "kind=%d status=%d number=%lu operator=%s",
+		     request->args.change.kind, answer->status,
+		     (unsigned long)answer->number,
+		     dy_log_quote(request->args.change.operator_name));
+	answer_change(request, answer);
+}
+
+static void on_page(void *context, dy_raft_result_t result, uint64_t index)
+{
+	(void)context;
+	(void)result;
+	(void)index;
+}
+
+/*
+ * Propose the bytes of an upload that the registry does not hold. They stand
+ * before the change in the log, so every control has them when it applies it.
+ */
+static dy_raft_result_t propose_content(dy_control_t *control,
+					const char *digest,
+					const uint8_t *bytes, uint32_t size)
+{
+	dy_command_t command = { .kind = DY_COMMAND_PAGE };
+	dy_content_page_t *page = &command.dy_command_t_u.page;
+	dy_raft_result_t result = DY_RAFT_DONE;
+	uint32_t offset;
+
+	memcpy(page->digest, digest, DY_DIGEST_BYTES);
+	page->size = size;
+	for (offset = 0; offset < size && result == DY_RAFT_DONE;
+	     offset += DY_CONTENT_PAGE_BYTES) {
+		page->offset = offset;
+		page->bytes.bytes_val = (char *)bytes + offset;
+		page->bytes.bytes_len =
+			MIN(size - offset, (uint32_t)DY_CONTENT_PAGE_BYTES);
+		result = control_propose(control, &command, on_page, NULL);
+	}
+	return result;
+}
+
+/* Whether the request was answered here already. */
+static int bring_content(request_t *request)
+{
+	dy_control_t *control = request->control;
+	const char *digest = request->args.change.digest;
+	dy_raft_result_t result;
+	const uint8_t *bytes;
+	uint32_t size;
+
+	if (dy_registry_find_content(control->registry, (const uint8_t *)digest,
+				     &size))
+		return 0;
+	bytes = uploads_find(control->uploads, digest, &size);
+	if (!bytes) {
+		refuse_change(request, DY_STATUS_NOT_FOUND,
+			      "put the document's bytes first");
+		return 1;
+	}
+	result = propose_content(control, digest, bytes, size);
+	if (result == DY_RAFT_DONE)
+		return 0;
+	refuse_change(request, control_status_of(control, result),
+		      "the group cannot take it just now");
+	return 1;
+}
+
+static void commit(request_t *request)
+{
+	dy_control_t *control = request->control;
+	dy_command_t command = { .kind = DY_COMMAND_CHANGE };
+	dy_operator_change_t *args = &command.dy_command_t_u.change;
+	dy_raft_result_t result;
+
+	if (request->args.change.kind == DY_CHANGE_SUBMIT &&
+	    bring_content(request))
+		return;
+	if (request->args.change.kind == DY_CHANGE_PROMOTE)
+		control_try_document(control, 1);
+	args->change = request->args.change;
+	dy_random_fill(args->salt, sizeof(args->salt));
+	result = control_propose(control, &command, on_committed, request);
+	if (result != DY_RAFT_DONE)
+		refuse_change(request, control_status_of(control, result),
+			      "the group cannot take it just now");
+}
+
+/*
+ * A request that was answered before gets that answer again, also if its
+ * bytes are long gone and from a leader that never saw it.
+ */
+static void on_confirmed(void *context, dy_raft_result_t result, uint64_t index)
+{
+	request_t *request = context;
+	dy_control_t *control = request->control;
+	const dy_change_result_t *answer;
+
+	(void)index;
+	if (result != DY_RAFT_DONE) {
+		refuse_change(request, control_status_of(control, result),
+			      "no majority of the group answers");
+		return;
+	}
+	answer = dy_registry_find_answer(control->registry,
+					 request->args.change.request);
+	if (!answer) {
+		commit(request);
+		return;
+	}
+	++*control->counters.events[DY_EVENT_CHANGE_RESENT];
+	answer_change(request, answer);
+}
+
+void control_change(dy_control_t *control, const dy_sealed_t *message,
+		    const struct sockaddr *from)
+{
+	dy_raft_result_t result = DY_RAFT_NOT_LEADER;
+	request_t *request;
+
+	++*control->counters.changes;
+	request = control_keep_request(control, message, from,
+				       (xdrproc_t)xdr_dy_change_t,
+				       sizeof(dy_change_t));
+	if (!request)
+		return;
+	if (control_serves(control))
+		result = dy_raft_read(control->raft, on_confirmed, request);
+	else if (dy_raft_role(control->raft) == DY_RAFT_LEADER)
+		result = DY_RAFT_BUSY;
+	if (result != DY_RAFT_DONE)
+		refuse_change(request, control_status_of(control, result),
+			      "this control does not serve just now");
+}
--- /dev/null
+++ b/src/process/control_poll.c
@@ -0,0 +1,143 @@
+/*
+ * A member's poll: judged against the registry, committed if it changes
+ * anything, else confirmed by a read of the log; answered after that.
+ */
+
+#include <string.h>
+
+#include "control_private.h"
+
+static void answer_poll(request_t *request, dy_status_t status)
+{
+	dy_control_t *control = request->control;
+	dy_delta_t deltas[DY_DELTAS_MAX];
+	dy_poll_result_t result = { 0 };
+
+	result.status = status;
+	result.lease_ms = (uint32_t)control->options.leases.lease_ms;
+	result.deltas.deltas_val = deltas;
+	control_show_leader(control, &result.leader);
+	if (status == DY_STATUS_NAME_TAKEN)
+		++*control->counters.name_taken;
+	if (status == DY_STATUS_SUPERSEDED)
+		++*control->counters.superseded;
+	if (status == DY_STATUS_OK)
+		dy_registry_fill_poll(control->registry, &request->args.poll,
+				      &result);
+	control_answer_request(request, (xdrproc_t)xdr_dy_poll_result_t,
+			       &result);
+}
+
+static void renew(request_t *request)
+{
+	const dy_member_info_t *info = &request->args.poll.info;
+
+	dy_registry_renew_lease(
+		request->control->registry,
+		dy_member_id(info->environment, info->kind, info->name),
+		request->args.poll.document);
+}
+
+static void on_committed(void *context, dy_raft_result_t result, uint64_t index)
+{
+	request_t *request = context;
+	dy_status_t status = control_status_of(request->control, result);
+	dy_command_t command;
+
+	(void)index;
+	if (result != DY_RAFT_DONE) {
+		answer_poll(request, status);
+		return;
+	}
+	/* Another entry may have come before and changed what is right. */
+	switch (dy_registry_judge_poll(request->control->registry,
+				       &request->args.poll, &command,
+				       &status)) {
+	case DY_POLL_ANSWER:
+		renew(request);
+		answer_poll(request, DY_STATUS_OK);
+		return;
+	case DY_POLL_REFUSE:
+		answer_poll(request, status);
+		return;
+	case DY_POLL_PROPOSE:
+		answer_poll(request, DY_STATUS_UNAVAILABLE);
+		return;
+	}
+}
+
+static void commit(request_t *request, const dy_command_t *command)
+{
+	dy_raft_result_t result;
+
+	result = control_propose(request->control, command, on_committed,
+				 request);
+	if (result != DY_RAFT_DONE)
+		answer_poll(request,
+			    control_status_of(request->control, result));
+}
+
+static void on_confirmed(void *context, dy_raft_result_t result, uint64_t index)
+{
+	request_t *request = context;
+	dy_control_t *control = request->control;
+	dy_status_t status = control_status_of(control, result);
+	dy_command_t command;
+
+	(void)index;
+	if (result != DY_RAFT_DONE) {
+		answer_poll(request, status);
+		return;
+	}
+	switch (dy_registry_judge_poll(control->registry, &request->args.poll,
+				       &command, &status)) {
+	case DY_POLL_ANSWER:
+		renew(request);
+		answer_poll(request, DY_STATUS_OK);
+		return;
+	case DY_POLL_REFUSE:
+		answer_poll(request, status);
+		return;
+	case DY_POLL_PROPOSE:
+		commit(request, &command);
+		return;
+	}
+}
+
+/* What needs an entry is committed at once; that confirms the lead too. */
+static void begin(request_t *request)
+{
+	dy_control_t *control = request->control;
+	dy_raft_result_t result;
+	dy_command_t command;
+	dy_status_t status;
+
+	if (dy_registry_judge_poll(control->registry, &request->args.poll,
+				   &command, &status) == DY_POLL_PROPOSE) {
+		commit(request, &command);
+		return;
+	}
+	result = dy_raft_read(control->raft, on_confirmed, request);
+	if (result != DY_RAFT_DONE)
+		answer_poll(request, control_status_of(control, result));
+}
+
+void control_poll(dy_control_t *control, const dy_sealed_t *message,
+		  const struct sockaddr *from)
+{
+	request_t *request;
+
+	++*control->counters.polls;
+	request = control_keep_request(control, message, from,
+				       (xdrproc_t)xdr_dy_poll_t,
+				       sizeof(dy_poll_t));
+	if (!request)
+		return;
+	if (control_serves(control))
+		begin(request);
+	else if (dy_raft_role(control->raft) == DY_RAFT_LEADER)
+		answer_poll(request, control_status_of(control, DY_RAFT_BUSY));
+	else
+		answer_poll(request,
+			    control_status_of(control, DY_RAFT_NOT_LEADER));
+}
--- /dev/null
+++ b/src/process/control_private.h
@@ -0,0 +1,155 @@
+#ifndef DAMASKYARD_CONTROL_PRIVATE_H
+#define DAMASKYARD_CONTROL_PRIVATE_H
+
+#include "damaskyard/control.h"
+#include "damaskyard/list.h"
+#include "damaskyard/log.h"
+#include "damaskyard/raft.h"
+#include "damaskyard/seal.h"
+#include "damaskyard/store.h"
+#include "founding.h"
+#include "uploads.h"
+
+/*
+ * Bytes of the largest datagram sent: a raft message of
+ * DY_RAFT_MESSAGE_BYTES, or 64 deltas of the longest names, with the heads.
+ * Below the 65,507 that UDP carries.
+ */
+#define DATAGRAM_BYTES 60000
+
+/* The replicated log's clock: three in a heartbeat of 30 ms. */
+#define TICK_MS 10
+
+/* Leases, keys, joins and stops are looked at this often. */
+#define REVIEW_MS 100
+
+/* A planned stop ends by then, whatever is still waiting. */
+#define STOP_MS 5000
+
+/* Requests waiting for the log at once; more are refused at once. */
+#define REQUESTS_MAX 16384
+
+/* Marks proposed in one review: a failure domain is marked in seconds. */
+#define MARKS_MAX 256
+
+typedef struct control_counters {
+	uint64_t *polls;
+	uint64_t *fetches;
+	uint64_t *puts;
+	uint64_t *changes;
+	uint64_t *inspects;
+	uint64_t *proposals;
+	uint64_t *malformed;
+	uint64_t *truncated;
+	uint64_t *unsent;
+	uint64_t *not_leader;
+	uint64_t *unavailable;
+	uint64_t *name_taken;
+	uint64_t *superseded;
+	uint64_t *refused_full;
+	uint64_t *uploads_dropped;
+	uint64_t *led;
+	uint64_t *founded;
+	uint64_t *learners_added;
+	uint64_t *members_promoted;
+	uint64_t *members_removed;
+	uint64_t *joins_refused;
+	uint64_t *disk_failures;
+	uint64_t *snapshots;
+	uint64_t *untried;
+	uint64_t *events[DY_EVENTS];
+} control_counters_t;
+
+struct dy_control {
+	dy_control_options_t options;
+	dy_loop_t *loop;
+	dy_metrics_t *metrics;
+	control_counters_t counters;
+	dy_seal_t *seal;
+	dy_endpoint_t *endpoint;
+	dy_disk_t *disk;
+	dy_store_t *store;
+	dy_raft_t *raft;
+	dy_registry_t *registry;
+	uploads_t *uploads;
+	founding_t founding;
+	uv_prepare_t prepare;
+	uv_check_t check;
+	dy_list_t requests;
+	unsigned request_count;
+	uint64_t reviewed_ms;
+	uint64_t stop_at_ms; /* 0: not stopping */
+	int transferring;
+	int failed;
+	int served; /* was a majority of the peers ever voting? */
+	int key_proposed;
+	int tried_proposed;
+	dy_log_limit_t event_limits[DY_EVENTS];
+	dy_log_limit_t join_limit;
+	dy_log_limit_t malformed_limit;
+	uint8_t out[DATAGRAM_BYTES];
+};
+
+/* A call that waits for the log. */
+typedef struct request {
+	dy_list_t link;
+	dy_control_t *control;
+	struct sockaddr_storage from;
+	uint32_t xid;
+	xdrproc_t proc; /* of args, which it frees */
+	union {
+		dy_poll_t poll;
+		dy_change_t change;
+		dy_inspect_t inspect;
+	} args;
+} request_t;
+
+/* control.c */
+uint64_t control_now_ms(const dy_control_t *control);
+/* Whether this control leads a group that may serve. */
+int control_serves(const dy_control_t *control);
+/* Address of the leader; port 0 if none is known. */
+void control_show_leader(const dy_control_t *control, dy_address_t *leader);
+/* The status that a request ends with when the log did not take it. */
+dy_status_t control_status_of(dy_control_t *control, dy_raft_result_t result);
+void control_answer(dy_control_t *control, const struct sockaddr *to,
+		    uint32_t xid, xdrproc_t proc, void *result);
+/* Count a body that does not decode. */
+void control_count_malformed(dy_control_t *control, uint32_t procedure);
+dy_raft_result_t control_propose(dy_control_t *control,
+				 const dy_command_t *command,
+				 dy_raft_done_cb_t *done, void *context);
+
+/* Requests. NULL: too many, or malformed, and nothing is to be done. */
+request_t *control_keep_request(dy_control_t *control,
+				const dy_sealed_t *message,
+				const struct sockaddr *from, xdrproc_t proc,
+				size_t args_size);
+void control_drop_request(request_t *request);
+void control_answer_request(request_t *request, xdrproc_t proc, void *result);
+
+/* control_poll.c, control_change.c, control_inspect.c: one call each. */
+void control_poll(dy_control_t *control, const dy_sealed_t *message,
+		  const struct sockaddr *from);
+void control_change(dy_control_t *control, const dy_sealed_t *message,
+		    const struct sockaddr *from);
+void control_put(dy_control_t *control, const dy_sealed_t *message,
+		 const struct sockaddr *from);
+void control_fetch(dy_control_t *control, const dy_sealed_t *message,
+		   const struct sockaddr *from);
+void control_inspect(dy_control_t *control, const dy_sealed_t *message,
+		     const struct sockaddr *from);
+
+/* control_group.c */
+void control_receive_group(dy_control_t *control, const dy_sealed_t *message,
+			   const struct sockaddr *from);
+void control_send_raft(void *control, const dy_raft_message_t *message);
+void control_review_group(dy_control_t *control);
+unsigned control_count_voters(const dy_control_t *control);
+
+/* control_review.c: what the leader does by time. */
+void control_review(dy_control_t *control);
+/* Whether the log now says that trial's document was in force everywhere. */
+void control_try_document(dy_control_t *control, int promoting);
+
+#endif
--- /dev/null
+++ b/src/process/control_review.c
@@ -0,0 +1,173 @@
+/*
+ * What the leader does by time: leases, keys, what was tried, the stop.
+ */
+
+#include <string.h>
+
+#include "control_private.h"
+
+static void on_done(void *context, dy_raft_result_t result, uint64_t index)
+{
+	(void)context;
+	(void)result;
+	(void)index;
+}
+
+static void review_leases(dy_control_t *control)
+{
+	dy_command_t command = { .kind = DY_COMMAND_MARK };
+	dy_member_mark_t *mark = &command.dy_command_t_u.mark;
+	int i;
+
+	for (i = 0; i < MARKS_MAX; i++) {
+		if (!dy_registry_next_mark(control->registry,
+					   &control->options.leases, mark))
+			return;
+		if (control_propose(control, &command, on_done, NULL) ==
+		    DY_RAFT_DONE)
+			continue;
+		dy_registry_retry_mark(control->registry, mark);
+		return;
+	}
+}
+
+static void on_key_step(void *context, dy_raft_result_t result, uint64_t index)
+{
+	dy_control_t *control = context;
+
+	(void)result;
+	(void)index;
+	control->key_proposed = 0;
+}
+
+static void review_keys(dy_control_t *control)
+{
+	dy_command_t command = { .kind = DY_COMMAND_KEY };
+	dy_key_step_t *step = &command.dy_command_t_u.key;
+
+	if (control->key_proposed ||
+	    !dy_registry_next_key_step(control->registry,
+				       &control->options.keys, step))
+		return;
+	if (step->step == DY_KEY_ADD)
+		dy_random_fill(step->salt, sizeof(step->salt));
+	if (control_propose(control, &command, on_key_step, control) ==
+	    DY_RAFT_DONE)
+		control->key_proposed = 1;
+}
+
+static void on_tried(void *context, dy_raft_result_t result, uint64_t index)
+{
+	dy_control_t *control = context;
+
+	(void)result;
+	(void)index;
+	control->tried_proposed = 0;
+}
+
+/*
+ * Without any live member trial proves nothing, but an operator who promotes
+ * then, as on the first day, is not held up; it is logged.
+ */
+void control_try_document(dy_control_t *control, int promoting)
+{
+	const dy_registry_document_t *trial =
+		dy_registry_document(control->registry, DY_TRIAL);
+	dy_command_t command = { .kind = DY_COMMAND_TRIED };
+	unsigned in_force;
+	unsigned live;
+
+	if (!trial->number || control->tried_proposed ||
+	    dy_registry_is_tried(control->registry, trial->digest))
+		return;
+	dy_registry_count_in_force(control->registry, DY_TRIAL, &live,
+				   &in_force);
+	if (in_force < live || (!live && !promoting))
+		return;
+	if (!live) {
+		++*control->counters.untried;
+		dy_log_event(DY_LOG_WARN, "promoted_untried", "number=%lu",
+			     (unsigned long)trial->number);
+	}
+	memcpy(command.dy_command_t_u.tried.digest, trial->digest,
+	       DY_DIGEST_BYTES);
+	if (control_propose(control, &command, on_tried, control) ==
+	    DY_RAFT_DONE)
+		control->tried_proposed = 1;
+}
+
+static void on_transferred(void *context, dy_raft_result_t result,
+			   uint64_t index)
+{
+	dy_control_t *control = context;
+
+	(void)index;
+	control->transferring = 0;
+	dy_log_event(DY_LOG_INFO, "lead_handed_over", "done=%d",
+		     result == DY_RAFT_DONE);
+}
+
+/*
+ * A planned stop hands the lead over first, so that the group needs no
+ * election, and ends when nobody waits for an answer.
+ */
+static void review_stop(dy_control_t *control)
+{
+	int leads = dy_raft_role(control->raft) == DY_RAFT_LEADER;
+
+	if (leads && !control->transferring &&
+	    control_count_voters(control) > 1 &&
+	    dy_raft_transfer(control->raft, on_transferred, control) ==
+		    DY_RAFT_DONE)
+		control->transferring = 1;
+	if (control_now_ms(control) < control->stop_at_ms &&
+	    (control->request_count ||
+	     (leads && control_count_voters(control) > 1)))
+		return;
+	dy_log_event(DY_LOG_INFO, "control_stopped", "requests=%u",
+		     control->request_count);
+	dy_loop_end(control->loop);
+}
+
+/*
+ * Guards against leases that run out because nobody could be answered: a
+ * leader that was stopped, or without a majority, heard no one, and would
+ * mark every member at once. All begin anew when it can answer again.
+ */
+static int cannot_answer(const dy_control_t *control)
+{
+	return !dy_raft_has_quorum(control->raft) ||
+	       control_now_ms(control) - control->reviewed_ms >
+		       control->options.leases.lease_ms / 3;
+}
+
+static void review_serving(dy_control_t *control)
+{
+	if (!control->served) {
+		control->served = 1;
+		dy_log_event(DY_LOG_INFO, "control_serves", "voters=%u",
+			     control_count_voters(control));
+	}
+	if (cannot_answer(control)) {
+		dy_registry_restart_leases(control->registry);
+		return;
+	}
+	review_leases(control);
+	review_keys(control);
+	control_try_document(control, 0);
+}
+
+void control_review(dy_control_t *control)
+{
+	unsigned dropped =
+		uploads_expire(control->uploads, control_now_ms(control));
+
+	*control->counters.uploads_dropped += dropped;
+	if (control->stop_at_ms) {
+		review_stop(control);
+		return;
+	}
+	control_review_group(control);
+	if (control_serves(control))
+		review_serving(control);
+}
--- a/src/version/registry_leases.c
+++ b/src/version/registry_leases.c
@@ -34,8 +34,6 @@
 	restart_list(registry, &registry->suspect);
 	for (i = 0; i < DY_ENVIRONMENTS; i++)
 		restart_list(registry, &registry->environments[i].gone);
-	for (i = 0; i < registry->key_count; i++)
-		registry->keys[i].since_ms = registry->now_ms;
 }
 
 void dy_registry_renew_lease(dy_registry_t *registry, uint64_t id,
