--- a/src/process/main.c
+++ b/src/process/main.c
@@ -13,6 +13,7 @@
 	{ "balancer", dy_command_balancer, "forward datagrams to agents" },
 	{ "call", dy_command_call, "make one call as a caller would" },
 	{ "check", dy_command_check, "check a document" },
+	{ "control", dy_command_control, "run one of the control group" },
 	{ NULL, NULL, NULL },
 };
 
