--- /dev/null
+++ b/src/process/burn.c
@@ -0,0 +1,123 @@
+#include "damaskyard/burn.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#define MINUTE_MS (60 * UINT64_C(1000))
+
+/* Two rings: minutes for the short windows, half hours for the long ones. */
+#define FINE_MS MINUTE_MS
+#define FINE_BUCKETS 61
+#define COARSE_MS (30 * MINUTE_MS)
+#define COARSE_BUCKETS 145
+
+typedef struct bucket {
+	uint64_t period; /* number of its period since the clock's start */
+	dy_tally_t tally;
+} bucket_t;
+
+struct dy_burn {
+	bucket_t fine[FINE_BUCKETS];
+	bucket_t coarse[COARSE_BUCKETS];
+};
+
+typedef struct window_shape {
+	const char *name;
+	int coarse;
+	unsigned periods;
+} window_shape_t;
+
+static const window_shape_t shapes[DY_WINDOWS] = {
+	[DY_WINDOW_5M] = { "5m", 0, 5 },
+	[DY_WINDOW_1H] = { "1h", 0, 60 },
+	[DY_WINDOW_6H] = { "6h", 1, 12 },
+	[DY_WINDOW_3D] = { "3d", 1, 144 },
+};
+
+dy_burn_t *dy_burn_create(void)
+{
+	return g_new0(dy_burn_t, 1);
+}
+
+void dy_burn_destroy(dy_burn_t *burn)
+{
+	g_free(burn);
+}
+
+static void add_to(bucket_t *ring, unsigned buckets, uint64_t period,
+		   dy_outcome_t outcome)
+{
+	bucket_t *bucket = &ring[period % buckets];
+
+	if (bucket->period != period) {
+		memset(bucket, 0, sizeof(*bucket));
+		bucket->period = period;
+	}
+	bucket->tally.counts[outcome]++;
+}
+
+void dy_burn_add(dy_burn_t *burn, dy_outcome_t outcome, uint64_t now_ms)
+{
+	add_to(burn->fine, FINE_BUCKETS, now_ms / FINE_MS, outcome);
+	add_to(burn->coarse, COARSE_BUCKETS, now_ms / COARSE_MS, outcome);
+}
+
+static void add_tally(dy_tally_t *sum, const dy_tally_t *tally)
+{
+	int i;
+
+	for (i = 0; i < DY_OUTCOMES; i++)
+		sum->counts[i] += tally->counts[i];
+}
+
+/* The period under way counts as one, so a window is never empty at first. */
+void dy_burn_load(dy_burn_t *burn, dy_window_t window, uint64_t now_ms,
+		  dy_tally_t *tally)
+{
+	const window_shape_t *shape = &shapes[window];
+	bucket_t *ring = shape->coarse ? burn->coarse : burn->fine;
+	unsigned buckets = shape->coarse ? COARSE_BUCKETS : FINE_BUCKETS;
+	uint64_t last = now_ms / (shape->coarse ? COARSE_MS : FINE_MS);
+	unsigned i;
+
+	memset(tally, 0, sizeof(*tally));
+	for (i = 0; i < buckets; i++)
+		if (ring[i].period <= last &&
+		    last - ring[i].period < shape->periods)
+			add_tally(tally, &ring[i].tally);
+}
+
+uint64_t dy_tally_total(const dy_tally_t *tally)
+{
+	uint64_t total = 0;
+	int i;
+
+	for (i = 0; i < DY_OUTCOMES; i++)
+		total += tally->counts[i];
+	return total;
+}
+
+double dy_tally_burn(const dy_tally_t *tally, double objective)
+{
+	uint64_t total = dy_tally_total(tally);
+	uint64_t failed = total - tally->counts[DY_OUTCOME_GOOD];
+
+	if (!total)
+		return 0;
+	return (double)failed / (double)total / (1 - objective / 100);
+}
+
+const char *dy_outcome_name(dy_outcome_t outcome)
+{
+	static const char *const names[DY_OUTCOMES] = {
+		"good", "late", "refused", "may_have_run", "broken_flow",
+	};
+
+	return names[outcome];
+}
+
+const char *dy_window_name(dy_window_t window)
+{
+	return shapes[window].name;
+}
