--- a/Makefile
+++ b/Makefile
@@ -69,7 +69,7 @@
 	src/connection/*.h src/version/*.h src/process/*.h standin/*.h \
 	tests/*.h bench/*.h fuzz/*.h))
 
-.PHONY: all standins test-programs test fuzz measure bench lint format \
+.PHONY: all standins test-programs benches fuzzers test fuzz measure bench lint format \
 	tidy gen install clean
 .SECONDARY:
 
@@ -109,24 +109,35 @@
 	@mkdir -p $(@D)
 	$(CC) $(SAN) -o $@ $^ $(DEPS_LIBS)
 
-# The fuzzers are built whole with clang, so that the library's own code
-# is instrumented too.
-build/fuzz/%: fuzz/%.c $(filter-out $(MAIN_SRC),$(LIB_SRC)) $(GEN_SRC) \
-		$(wildcard tests/fake_*.c) $(OWN_HDR)
+# The fuzzers' own objects: clang instruments the library's code too.
+FUZZ_FLAGS = -std=gnu11 -O1 -g -w -fsanitize=address,undefined
+FUZZ_OBJ := $(patsubst %.c,build/fuzz-obj/%.o, \
+	$(filter-out $(MAIN_SRC),$(LIB_SRC)) $(GEN_SRC) \
+	$(filter-out tests/fake_suite.c,$(sort $(wildcard tests/fake_*.c))))
+
+build/fuzz-obj/%.o: %.c
+	@mkdir -p $(@D)
+	$(CLANG) $(FUZZ_FLAGS) -fsanitize=fuzzer-no-link $(INCLUDES) -Itests \
+		$(DEPS_CFLAGS) -DDY_VERSION='"$(VERSION)"' -MMD -MP -c \
+		-o $@ $<
+
+build/fuzz/%: build/fuzz-obj/fuzz/%.o $(FUZZ_OBJ)
 	@mkdir -p $(@D)
-	$(CLANG) -std=gnu11 -O1 -g -w -fsanitize=fuzzer,address,undefined \
-		$(INCLUDES) -Itests $(DEPS_CFLAGS) -DDY_VERSION='"$(VERSION)"' \
-		-o $@ $(filter %.c,$^) $(DEPS_LIBS)
+	$(CLANG) $(FUZZ_FLAGS) -fsanitize=fuzzer -o $@ $^ $(DEPS_LIBS)
+
+fuzzers: $(FUZZ_BIN)
 
 test: $(BIN) $(STANDIN_BIN) $(TEST_BIN)
 	@./tests/run $(BUILD)
 
 fuzz: $(FUZZ_BIN)
 	@for f in $(FUZZ_BIN); do \
-		n=$$(basename $$f); mkdir -p build/corpus/$$n; \
-		$$f -runs=$(FUZZ_RUNS) -seed=1 -verbosity=0 \
-			build/corpus/$$n $$(ls -d fuzz/corpus/$$n 2>/dev/null) \
-			|| exit 1; \
+		n=$$(basename $$f); c=build/corpus/$$n; \
+		rm -rf $$c; mkdir -p $$c; \
+		$$f -runs=$(FUZZ_RUNS) -seed=1 -verbosity=0 -print_final_stats=0 \
+			$$c $$(ls -d fuzz/corpus/$$n 2>/dev/null) \
+			>build/corpus/$$n.log 2>&1 || \
+			{ tail -40 build/corpus/$$n.log; exit 1; }; \
 		echo "fuzz program=$$n runs=$(FUZZ_RUNS) result=passed"; \
 	done
 
@@ -175,4 +186,4 @@
 clean:
 	rm -rf build
 
--include $(shell find $(BUILD)/obj -name '*.d' 2>/dev/null)
+-include $(shell find $(BUILD)/obj build/fuzz-obj -name '*.d' 2>/dev/null)
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -30,13 +30,6 @@
 	fputs("\n  --help, --version\n", out);
 }
 
-int dy_command_fail_usage(const char *name, GError *error)
-{
-	fprintf(stderr, "damaskyard %s: %s\n", name, error->message);
-	g_error_free(error);
-	return DY_EXIT_USAGE;
-}
-
 static const command_t *find_command(const char *name)
 {
 	const command_t *command;
