--- a/src/process/main.c
+++ b/src/process/main.c
@@ -12,6 +12,7 @@
 static const command_t commands[] = {
 	{ "balancer", dy_command_balancer, "forward datagrams to agents" },
 	{ "check", dy_command_check, "check a document" },
+	{ "control", dy_command_control, "run one of the control group" },
 	{ NULL, NULL, NULL },
 };
 
