--- /dev/null
+++ b/src/process/cmd_promote.c
@@ -0,0 +1,30 @@
+#include "command.h"
+#include "operator.h"
+
+static uint64_t number;
+
+static const dy_setting_t settings[] = {
+	OPERATOR_SETTINGS(TRUE),
+	{ .flag = "number",
+	  .kind = DY_SETTING_NUMBER,
+	  .value = &number,
+	  .fallback = "0",
+	  .argument = "N",
+	  .help = "its number in production; 0 takes the next" },
+	{ 0 },
+};
+
+int dy_command_promote(int argc, char **argv)
+{
+	dy_change_t change;
+	operator_t *op;
+
+	op = operator_load(argc, argv,
+			   "Put into production what is in force in trial.",
+			   settings, NULL);
+	if (!op)
+		return DY_EXIT_USAGE;
+	operator_begin_change(&change, DY_CHANGE_PROMOTE);
+	change.number = number;
+	return operator_run_change(op, settings, &change);
+}
--- /dev/null
+++ b/src/process/cmd_rotate.c
@@ -0,0 +1,20 @@
+#include "command.h"
+#include "operator.h"
+
+static const dy_setting_t settings[] = {
+	OPERATOR_SETTINGS(TRUE),
+	{ 0 },
+};
+
+int dy_command_rotate(int argc, char **argv)
+{
+	dy_change_t change;
+	operator_t *op;
+
+	op = operator_load(argc, argv, "Begin a new token key.", settings,
+			   NULL);
+	if (!op)
+		return DY_EXIT_USAGE;
+	operator_begin_change(&change, DY_CHANGE_ROTATE);
+	return operator_run_change(op, settings, &change);
+}
--- a/src/process/command.h
+++ b/src/process/command.h
@@ -20,7 +20,9 @@
 int dy_command_control(int argc, char **argv);
 int dy_command_drain(int argc, char **argv);
 int dy_command_promote(int argc, char **argv);
+int dy_command_remove(int argc, char **argv);
 int dy_command_report(int argc, char **argv);
+int dy_command_rotate(int argc, char **argv);
 int dy_command_status(int argc, char **argv);
 int dy_command_submit(int argc, char **argv);
 
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -14,6 +14,13 @@
 	{ "call", dy_command_call, "make one call as a caller would" },
 	{ "check", dy_command_check, "check a document" },
 	{ "control", dy_command_control, "run one of the control group" },
+	{ "drain", dy_command_drain, "take a member out of service" },
+	{ "promote", dy_command_promote,
+	  "put trial's document into production" },
+	{ "remove", dy_command_remove, "strike a member that is lost" },
+	{ "rotate", dy_command_rotate, "begin a new token key" },
+	{ "status", dy_command_status, "print the group or a process" },
+	{ "submit", dy_command_submit, "submit a document to trial" },
 	{ NULL, NULL, NULL },
 };
 
--- /dev/null
+++ b/src/process/operator.c
@@ -0,0 +1,356 @@
+#include "operator.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "command.h"
+#include "damaskyard/document.h"
+#include "damaskyard/log.h"
+#include "damaskyard/loop.h"
+#include "damaskyard/seal.h"
+
+/*
+ * A control that has not answered by then is passed over, in ms: a hundred
+ * round trips between failure domains, with a synced write in each.
+ */
+#define TRY_MS 500
+
+/* Before the next control is asked while there is no leader, in ms. */
+#define PAUSE_MS 50
+
+#define TICK_MS 10
+
+/* Bytes of a call at most: a page of a document with its heads. */
+#define CALL_BYTES (DY_PAGE_BYTES + 2048)
+
+operator_values_t operator_values;
+
+struct operator
+{
+	const char *command;
+	dy_metrics_t *metrics;
+	dy_loop_t *loop;
+	dy_endpoint_t *endpoint;
+	dy_seal_t *seal;
+	uint64_t give_up_ms;
+	uint64_t wake_ms;
+	dy_address_t control;
+	int next_control;
+	/* The call that is waited for. */
+	const operator_call_t *call;
+	uint32_t xid;
+	void *result;
+	int answered;
+};
+
+static uint64_t now_ms(const operator_t *op)
+{
+	return dy_loop_now_ms(op->loop);
+}
+
+static void on_datagram(void *context, uint8_t *bytes, size_t len,
+			const struct sockaddr *from, int truncated)
+{
+	operator_t *op = context;
+	dy_sealed_t message;
+
+	(void)from;
+	if (truncated ||
+	    dy_seal_open(op->seal, bytes, len, &message) != DY_SEAL_OK)
+		return;
+	if (!message.is_reply || !op->call || op->answered ||
+	    message.xid != op->xid)
+		return;
+	if (!dy_sealed_load(&message, op->call->result_proc, op->result,
+			    op->call->result_size))
+		return;
+	op->answered = 1;
+	dy_loop_end(op->loop);
+}
+
+static void on_tick(void *context)
+{
+	operator_t *op = context;
+
+	if (now_ms(op) >= op->wake_ms)
+		dy_loop_end(op->loop);
+}
+
+static void sleep_until(operator_t *op, uint64_t wake_ms)
+{
+	op->wake_ms = MIN(wake_ms, op->give_up_ms);
+	dy_loop_run(op->loop);
+}
+
+/* Bind to any port, of the family of the one who is spoken to. */
+static int open_endpoint(operator_t *op, const dy_address_t *peer,
+			 GError **error)
+{
+	char text[DY_ADDRESS_TEXT_BYTES];
+	dy_address_t any;
+
+	dy_address_format(peer, text);
+	dy_address_parse(*text == '[' ? "[::]:0" : "0.0.0.0:0", &any);
+	op->endpoint =
+		dy_endpoint_create(op->loop, &any, on_datagram, op, error);
+	return op->endpoint ? 0 : -1;
+}
+
+operator_t *operator_create(const char *command, GError **error)
+{
+	const dy_address_list_t *controls = &operator_values.controls;
+	operator_t *op = NULL;
+	dy_secrets_t secrets;
+
+	if (!dy_secrets_load(&secrets, operator_values.key_file, error))
+		return NULL;
+	dy_log_configure(DY_LOG_ERROR, command);
+	op = g_new0(operator_t, 1);
+	op->command = command;
+	op->metrics = dy_metrics_create();
+	op->loop = dy_loop_create(op->metrics);
+	op->seal = dy_seal_create(&secrets, op->metrics);
+	op->give_up_ms = now_ms(op) + operator_values.timeout_ms;
+	dy_loop_every(op->loop, TICK_MS, on_tick, op);
+	if (controls->count)
+		op->control = controls->items[0];
+	return op;
+}
+
+void operator_destroy(operator_t *op)
+{
+	if (!op)
+		return;
+	dy_endpoint_destroy(op->endpoint);
+	dy_loop_destroy(op->loop);
+	dy_seal_destroy(op->seal);
+	dy_metrics_destroy(op->metrics);
+	g_free(op);
+}
+
+/* Send once and wait; returns 0 if it was answered. */
+static int try_call(operator_t *op, const dy_address_t *to,
+		    const operator_call_t *call, void *result)
+{
+	dy_seal_head_t head = { dy_seal_next_xid(op->seal), call->program,
+				call->procedure };
+	uint8_t out[CALL_BYTES];
+	size_t len;
+
+	if (!op->endpoint && open_endpoint(op, to, NULL))
+		return -1;
+	len = dy_seal_write_call(op->seal, &head, call->args_proc, call->args,
+				 out, sizeof(out));
+	if (!len)
+		return -1;
+	op->call = call;
+	op->xid = head.xid;
+	op->result = result;
+	op->answered = 0;
+	dy_endpoint_send_to(op->endpoint, out, len, to);
+	sleep_until(op, now_ms(op) + TRY_MS);
+	op->call = NULL;
+	return op->answered ? 0 : -1;
+}
+
+static dy_status_t status_of(const operator_call_t *call, const void *result,
+			     dy_address_t *leader)
+{
+	const dy_change_result_t *change = result;
+	const dy_inspect_result_t *inspect = result;
+
+	memset(leader, 0, sizeof(*leader));
+	if (call->procedure == DY_CONTROL_CHANGE) {
+		*leader = change->leader;
+		return change->status;
+	}
+	if (call->procedure == DY_CONTROL_INSPECT) {
+		*leader = inspect->leader;
+		return inspect->status;
+	}
+	return *(const dy_status_t *)result;
+}
+
+static void choose_next(operator_t *op)
+{
+	const dy_address_list_t *controls = &operator_values.controls;
+
+	op->next_control = (op->next_control + 1) % controls->count;
+	op->control = controls->items[op->next_control];
+}
+
+int operator_call(operator_t *op, const operator_call_t *call, void *result)
+{
+	dy_address_t leader;
+	dy_status_t status;
+
+	while (now_ms(op) < op->give_up_ms) {
+		if (try_call(op, &op->control, call, result)) {
+			choose_next(op);
+			continue;
+		}
+		status = status_of(call, result, &leader);
+		if (status != DY_STATUS_NOT_LEADER &&
+		    status != DY_STATUS_UNAVAILABLE)
+			return 0;
+		xdr_free(call->result_proc, result);
+		if (leader.port && status == DY_STATUS_NOT_LEADER &&
+		    !dy_address_equal(&leader, &op->control))
+			op->control = leader;
+		else
+			choose_next(op);
+		sleep_until(op, now_ms(op) + PAUSE_MS);
+	}
+	return -1;
+}
+
+int operator_call_process(operator_t *op, const dy_address_t *address,
+			  const operator_call_t *call, void *result)
+{
+	while (now_ms(op) < op->give_up_ms)
+		if (!try_call(op, address, call, result))
+			return 0;
+	return -1;
+}
+
+void operator_begin_change(dy_change_t *change, dy_change_kind_t kind)
+{
+	memset(change, 0, sizeof(*change));
+	change->kind = kind;
+	change->operator_name = operator_values.name
+					? operator_values.name
+					: (char *)g_get_user_name();
+	change->environment = "";
+	change->name = "";
+	dy_random_fill(change->request, sizeof(change->request));
+}
+
+const char *operator_status_name(dy_status_t status)
+{
+	static const char *const names[] = {
+		"ok",	     "not_leader", "unavailable",
+		"malformed", "conflict",   "not_tried",
+		"not_found", "superseded", "name_taken",
+	};
+
+	return status <= DY_STATUS_NAME_TAKEN ? names[status] : "unknown";
+}
+
+int operator_fail_unanswered(const operator_t *op)
+{
+	fprintf(stderr,
+		"damaskyard %s: no leader of the control group answered within "
+		"%lu ms\n",
+		op->command, (unsigned long)operator_values.timeout_ms);
+	return DY_EXIT_FAILED;
+}
+
+static void print_refusal(const operator_t *op,
+			  const dy_change_result_t *result)
+{
+	char digest[DY_DIGEST_TEXT_BYTES];
+
+	fprintf(stderr, "damaskyard %s: refused: status=%s message=%s",
+		op->command, operator_status_name(result->status),
+		dy_log_quote(result->message));
+	if (result->status == DY_STATUS_CONFLICT && *result->operator_name)
+		fprintf(stderr,
+			" winner_number=%lu winner_digest=%s winner_operator=%s",
+			(unsigned long)result->number,
+			dy_digest_format(result->digest, digest),
+			dy_log_quote(result->operator_name));
+	fputc('\n', stderr);
+}
+
+int operator_print_change(const operator_t *op, const dy_change_t *change,
+			  const dy_change_result_t *result)
+{
+	char digest[DY_DIGEST_TEXT_BYTES];
+
+	if (result->status != DY_STATUS_OK) {
+		print_refusal(op, result);
+		return DY_EXIT_FAILED;
+	}
+	printf("result=accepted");
+	if (*change->name)
+		printf(" name=%s incarnation=%lu", dy_log_quote(change->name),
+		       (unsigned long)result->number);
+	else if (change->kind == DY_CHANGE_ROTATE)
+		printf(" key=%lu", (unsigned long)result->number);
+	else
+		printf(" environment=%s number=%lu digest=%s operator=%s",
+		       *change->environment ? change->environment
+					    : "production",
+		       (unsigned long)result->number,
+		       dy_digest_format(result->digest, digest),
+		       dy_log_quote(result->operator_name));
+	if (*result->message)
+		printf(" message=%s", dy_log_quote(result->message));
+	putchar('\n');
+	return DY_EXIT_OK;
+}
+
+int operator_make_change(operator_t *op, dy_change_t *change)
+{
+	const operator_call_t call = {
+		.program = DY_CONTROL_PROGRAM,
+		.procedure = DY_CONTROL_CHANGE,
+		.args_proc = (xdrproc_t)xdr_dy_change_t,
+		.args = change,
+		.result_proc = (xdrproc_t)xdr_dy_change_result_t,
+		.result_size = sizeof(dy_change_result_t),
+	};
+	dy_change_result_t result;
+	int code;
+
+	if (operator_call(op, &call, &result))
+		return operator_fail_unanswered(op);
+	code = operator_print_change(op, change, &result);
+	xdr_free(call.result_proc, (char *)&result);
+	return code;
+}
+
+static gboolean check_operands(char **operands, char **operand, GError **error)
+{
+	if (operand && !operands[0]) {
+		g_set_error(error, DY_SETTINGS_ERROR, DY_SETTINGS_ERROR_USAGE,
+			    "an operand is missing; see --help");
+		return FALSE;
+	}
+	if (operands[0] && (!operand || operands[1])) {
+		g_set_error(error, DY_SETTINGS_ERROR, DY_SETTINGS_ERROR_USAGE,
+			    "\"%s\" is not expected here",
+			    operands[operand ? 1 : 0]);
+		return FALSE;
+	}
+	if (operand)
+		*operand = g_strdup(operands[0]);
+	return TRUE;
+}
+
+operator_t *operator_load(int argc, char **argv, const char *summary,
+			  const dy_setting_t *settings, char **operand)
+{
+	operator_t *op = NULL;
+	char **operands = NULL;
+	GError *error = NULL;
+
+	if (dy_settings_load(argc, argv, summary, settings, &operands,
+			     &error) &&
+	    check_operands(operands, operand, &error))
+		op = operator_create(argv[0], &error);
+	g_strfreev(operands);
+	if (!op)
+		dy_command_fail_usage(argv[0], error);
+	return op;
+}
+
+int operator_run_change(operator_t *op, const dy_setting_t *settings,
+			dy_change_t *change)
+{
+	int code = operator_make_change(op, change);
+
+	operator_destroy(op);
+	dy_settings_clear(settings);
+	return code;
+}
