--- a/include/damaskyard/session.h
+++ b/include/damaskyard/session.h
@@ -36,9 +36,10 @@
 	uint64_t last_use_ms;
 	uint64_t sent_ms;   /* of its handover, last */
 	uint64_t successor; /* member id, once moved */
-	dy_list_t recent;   /* in the table, by last use */
-	dy_list_t calls;    /* in progress, the owner's */
-	dy_drc_t *drc;	    /* NULL before the first non-idempotent call */
+	uint64_t successor_incarnation;
+	dy_list_t recent; /* in the table, by last use */
+	dy_list_t calls;  /* in progress, the owner's */
+	dy_drc_t *drc;	  /* NULL before the first non-idempotent call */
 	uint8_t *credential;
 	uint16_t credential_len;
 	uint16_t call_count; /* in calls */
@@ -46,6 +47,9 @@
 	uint32_t key_id;     /* of the token given last */
 	uint8_t place;	     /* a dy_session_place_t */
 	uint8_t received;    /* by handover */
+	uint8_t guest;	     /* for one call only; its owner is elsewhere */
+	uint8_t refused;     /* its successor never took it nor will */
+	uint8_t tries;	     /* messages of its handover, up to 255 */
 } dy_session_t;
 
 typedef struct dy_sessions dy_sessions_t;
--- a/proto/dy_handover.x
+++ b/proto/dy_handover.x
@@ -55,20 +55,28 @@
 
 enum dy_handover_status_t {
 	DY_HANDOVER_OK = 0,
-	DY_HANDOVER_STALE = 1		/* not this agent and incarnation */
+	DY_HANDOVER_STALE = 1,		/* not this agent and incarnation */
+	DY_HANDOVER_LEFT = 2		/* it left; ask control for whom */
 };
 
-/* Names the sessions that stand with the successor now. */
+/*
+ * Names the sessions that the successor has taken, be it now, by an earlier
+ * message, or that it has handed on since; and those that it has not taken
+ * and never will.
+ */
 struct dy_handover_result_t {
 	dy_handover_status_t status;
 	unsigned hyper agent;		/* to whom the message was sent */
 	unsigned hyper incarnation;
 	unsigned hyper sessions<DY_HANDOVER_SESSIONS>;
+	unsigned hyper refused<DY_HANDOVER_SESSIONS>;	/* with LEFT */
 };
 
+/* Neither has a reply: TAKEN goes back to where MOVE came from. */
 program DY_HANDOVER_PROGRAM {
 	version DY_HANDOVER_V1 {
 		void DY_HANDOVER_NULL(void) = 0;
-		dy_handover_result_t DY_HANDOVER_MOVE(dy_handover_t) = 1;
+		void DY_HANDOVER_MOVE(dy_handover_t) = 1;
+		void DY_HANDOVER_TAKEN(dy_handover_result_t) = 2;
 	} = 1;
 } = 0x2A00D008;
--- a/src/gen/dy_handover.h
+++ b/src/gen/dy_handover.h
@@ -85,6 +85,7 @@
 enum dy_handover_status_t {
 	DY_HANDOVER_OK = 0,
 	DY_HANDOVER_STALE = 1,
+	DY_HANDOVER_LEFT = 2,
 };
 typedef enum dy_handover_status_t dy_handover_status_t;
 
@@ -96,6 +97,10 @@
 		u_int sessions_len;
 		u_quad_t *sessions_val;
 	} sessions;
+	struct {
+		u_int refused_len;
+		u_quad_t *refused_val;
+	} refused;
 };
 typedef struct dy_handover_result_t dy_handover_result_t;
 
@@ -107,8 +112,11 @@
 extern  void * dy_handover_null_1(void *, CLIENT *);
 extern  void * dy_handover_null_1_svc(void *, struct svc_req *);
 #define DY_HANDOVER_MOVE 1
-extern  dy_handover_result_t * dy_handover_move_1(dy_handover_t *, CLIENT *);
-extern  dy_handover_result_t * dy_handover_move_1_svc(dy_handover_t *, struct svc_req *);
+extern  void * dy_handover_move_1(dy_handover_t *, CLIENT *);
+extern  void * dy_handover_move_1_svc(dy_handover_t *, struct svc_req *);
+#define DY_HANDOVER_TAKEN 2
+extern  void * dy_handover_taken_1(dy_handover_result_t *, CLIENT *);
+extern  void * dy_handover_taken_1_svc(dy_handover_result_t *, struct svc_req *);
 extern int dy_handover_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -116,8 +124,11 @@
 extern  void * dy_handover_null_1();
 extern  void * dy_handover_null_1_svc();
 #define DY_HANDOVER_MOVE 1
-extern  dy_handover_result_t * dy_handover_move_1();
-extern  dy_handover_result_t * dy_handover_move_1_svc();
+extern  void * dy_handover_move_1();
+extern  void * dy_handover_move_1_svc();
+#define DY_HANDOVER_TAKEN 2
+extern  void * dy_handover_taken_1();
+extern  void * dy_handover_taken_1_svc();
 extern int dy_handover_program_1_freeresult ();
 #endif /* K&R C */
 
--- a/src/gen/dy_handover_xdr.c
+++ b/src/gen/dy_handover_xdr.c
@@ -163,5 +163,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->sessions.sessions_val, (u_int *) &objp->sessions.sessions_len, DY_HANDOVER_SESSIONS,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->refused.refused_val, (u_int *) &objp->refused.refused_len, DY_HANDOVER_SESSIONS,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
 	return TRUE;
 }
--- /dev/null
+++ b/src/process/agent.c
@@ -0,0 +1,265 @@
+#include "agent_private.h"
+
+#include <string.h>
+
+/* Sessions that end for want of use, in one turn. */
+#define EXPIRE_MOST 64
+
+/* Until a document says how many. */
+#define FIRST_CONNECTIONS 2000
+
+static uint32_t random_word(void)
+{
+	uint32_t word;
+
+	dy_random_fill(&word, sizeof(word));
+	return word;
+}
+
+static dy_admission_t *create_admission(dy_agent_t *agent)
+{
+	dy_admission_config_t config;
+
+	dy_admission_config_init(&config, agent->up);
+	if (agent->service.known) {
+		config.queue = agent->service.queue;
+		config.default_budget_us = agent->service.deadline_ms * 1000ULL;
+	}
+	return dy_admission_create(&config, agent->rand);
+}
+
+dy_agent_t *dy_agent_create(const dy_agent_config_t *config)
+{
+	dy_agent_t *agent = g_new0(dy_agent_t, 1);
+
+	agent->config = *config;
+	agent->id = dy_member_id(config->environment, DY_MEMBER_AGENT,
+				 config->name);
+	agent->state = DY_MEMBER_JOINING;
+	agent->rand = g_rand_new_with_seed(random_word());
+	agent->next_xid = random_word();
+	agent->members = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       NULL, g_free);
+	agent->departed = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						NULL, g_free);
+	agent->sessions = dy_sessions_create(
+		FIRST_CONNECTIONS, DY_SERVICE_SESSION_IDLE_S * 1000ULL);
+	agent->admission = create_admission(agent);
+	dy_list_init(&agent->cancels);
+	agent_event_init(agent);
+	return agent;
+}
+
+void dy_agent_destroy(dy_agent_t *agent)
+{
+	if (!agent)
+		return;
+	agent_call_drop_all(agent);
+	agent_cancel_fail_all(agent);
+	dy_sessions_destroy(agent->sessions);
+	dy_admission_destroy(agent->admission);
+	g_hash_table_destroy(agent->members);
+	g_hash_table_destroy(agent->departed);
+	g_rand_free(agent->rand);
+	g_free(agent->service.idempotent);
+	g_free(agent);
+}
+
+uint64_t agent_now_us(const dy_agent_t *agent)
+{
+	return agent->config.callbacks->now_us(agent->config.context);
+}
+
+uint64_t agent_now_ms(const dy_agent_t *agent)
+{
+	return agent_now_us(agent) / 1000;
+}
+
+void dy_agent_grant(dy_agent_t *agent, uint64_t incarnation)
+{
+	agent->incarnation = incarnation;
+	if (agent->state == DY_MEMBER_JOINING)
+		agent->state = DY_MEMBER_SERVING;
+}
+
+/*
+ * Without a lease of control the agent may be cut off from it, and its name
+ * given to another: sessions that stand go on, because nobody else can run
+ * their calls, and cutting them would be the very outage that the group
+ * cannot order just now. New flows go where control still reaches, so that
+ * an agent which is about to be replaced does not gather more.
+ */
+void dy_agent_set_lease(dy_agent_t *agent, int held)
+{
+	if (agent->lease_held == held)
+		return;
+	agent->lease_held = held;
+	agent_note(agent, EVENT_CONTROL_LEASE, "held=%d", held);
+}
+
+void dy_agent_supersede(dy_agent_t *agent)
+{
+	if (agent->superseded)
+		return;
+	agent->superseded = 1;
+	agent_call_stop_unsent(agent, DY_EVENT_STOPPING);
+	agent_note(agent, EVENT_SUPERSEDED, "incarnation=%lu",
+		   (unsigned long)agent->incarnation);
+}
+
+static void describe_target(const dy_agent_t *agent, dy_member_info_t *info)
+{
+	memset(info, 0, sizeof(*info));
+	info->kind = DY_MEMBER_AGENT;
+	info->name = (char *)agent->config.name;
+	info->environment = (char *)agent->config.environment;
+	info->domain = (char *)agent->config.domain;
+	info->service = (char *)agent->target.service;
+	info->labels = (char *)agent->target.labels;
+	info->slots = agent->target.slots;
+	info->connections = agent->target.connections;
+}
+
+static const dy_service_t *choose_service(const dy_agent_t *agent,
+					  const dy_document_t *document)
+{
+	const dy_service_t *service;
+	dy_member_info_t info;
+	unsigned i;
+
+	describe_target(agent, &info);
+	for (i = 0; i < dy_document_service_count(document); i++) {
+		service = dy_document_service(document, i);
+		if (dy_service_accepts(service, &info))
+			return service;
+	}
+	return NULL;
+}
+
+static void take_service(dy_agent_t *agent, const dy_service_t *from)
+{
+	agent_service_t *service = &agent->service;
+
+	g_free(service->idempotent);
+	memset(service, 0, sizeof(*service));
+	service->known = 1;
+	g_strlcpy(service->name, from->name, sizeof(service->name));
+	service->id = from->id;
+	service->program = from->program;
+	service->program_version = from->program_version;
+	service->idempotent =
+		g_memdup2(from->idempotent,
+			  from->idempotent_count * sizeof(*from->idempotent));
+	service->idempotent_count = from->idempotent_count;
+	service->slots = from->slots;
+	service->connections = from->connections;
+	service->queue = from->queue;
+	service->deadline_ms = from->deadline_ms;
+	service->session_idle_s = from->session_idle_s;
+}
+
+void agent_apply_limits(dy_agent_t *agent)
+{
+	const agent_service_t *service = &agent->service;
+	const agent_target_t *target = &agent->target;
+
+	if (!service->known) {
+		agent_target_set_slots(agent);
+		return;
+	}
+	dy_sessions_set_limits(agent->sessions,
+			       MIN(service->connections, target->connections),
+			       service->session_idle_s * 1000ULL);
+	agent_target_set_slots(agent);
+	dy_crowd_limit_init(&agent->crowd,
+			    agent->slots * DY_CROWD_RATE_PER_SLOT,
+			    agent->slots * DY_CROWD_RATE_PER_SLOT *
+				    DY_CROWD_BURST_MS / 1000,
+			    agent_now_ms(agent));
+}
+
+static void start_service(dy_agent_t *agent, const dy_service_t *service)
+{
+	int first = !agent->service.known;
+
+	take_service(agent, service);
+	if (first) {
+		dy_admission_destroy(agent->admission);
+		agent->admission = create_admission(agent);
+	}
+	agent_apply_limits(agent);
+	dy_log_event(DY_LOG_INFO, "service_taken",
+		     "service=%s slots=%u connections=%u deadline_ms=%u",
+		     agent->service.name, agent->slots,
+		     dy_sessions_cap(agent->sessions),
+		     agent->service.deadline_ms);
+}
+
+void dy_agent_set_document(dy_agent_t *agent, const dy_document_t *document)
+{
+	const dy_service_t *service;
+
+	if (!agent->target.known)
+		return;
+	service = choose_service(agent, document);
+	if (agent->service.known &&
+	    (!service || service->id != agent->service.id)) {
+		dy_agent_leave(agent, "document", 0);
+		return;
+	}
+	if (service)
+		start_service(agent, service);
+}
+
+void dy_agent_tick(dy_agent_t *agent)
+{
+	unsigned expired;
+
+	agent_target_tick(agent);
+	agent_call_expire_sent(agent);
+	agent_cancel_tick(agent);
+	agent_call_pump(agent);
+	expired = dy_sessions_expire(agent->sessions, agent_now_ms(agent),
+				     EXPIRE_MOST);
+	if (expired) {
+		agent_note(agent, EVENT_SESSIONS_EXPIRED, "count=%u", expired);
+		*agent->counters[EVENT_SESSIONS_EXPIRED] += expired - 1;
+	}
+	agent_leave_tick(agent);
+}
+
+dy_member_state_t dy_agent_state(const dy_agent_t *agent)
+{
+	return agent->state;
+}
+
+unsigned dy_agent_session_count(const dy_agent_t *agent)
+{
+	return dy_sessions_count(agent->sessions);
+}
+
+uint64_t dy_agent_id(const dy_agent_t *agent)
+{
+	return agent->id;
+}
+
+const char *dy_agent_service(const dy_agent_t *agent)
+{
+	return agent->service.known ? agent->service.name : NULL;
+}
+
+void dy_agent_load(const dy_agent_t *agent, dy_load_t *load)
+{
+	dy_admission_load_t from;
+
+	dy_admission_load(agent->admission, agent_now_us(agent), &from);
+	load->slots = from.slots;
+	load->in_flight = from.in_flight;
+	load->queued = from.queued;
+	load->wait_ms = (u_int)(from.expected_wait_us / 1000);
+	load->sessions = dy_sessions_count(agent->sessions);
+	load->connections = dy_sessions_cap(agent->sessions);
+	load->refused = (u_int)*agent->counters[EVENT_CALLS_NOT_RUN];
+	load->draining = agent->state != DY_MEMBER_SERVING;
+	load->cold = agent->target.cold;
+}
--- /dev/null
+++ b/src/process/agent_call.c
@@ -0,0 +1,398 @@
+#include "agent_private.h"
+
+#include <string.h>
+
+#include <rpc/rpc.h>
+#include <xxhash.h>
+
+call_t *agent_call_find(const dy_session_t *session, uint32_t xid)
+{
+	dy_list_t *pos;
+	call_t *call;
+
+	DY_LIST_EACH(pos, &session->calls)
+	{
+		call = DY_LIST_ITEM(pos, call_t, link);
+		if (call->xid == xid)
+			return call;
+	}
+	return NULL;
+}
+
+static void free_call(call_t *call)
+{
+	dy_list_remove(&call->link);
+	call->session->call_count--;
+	g_free(call->args);
+	g_free(call);
+}
+
+/* Give back the place that the call has in the queue or on a connection. */
+static void release_place(dy_agent_t *agent, call_t *call,
+			  dy_admission_end_t end)
+{
+	switch (call->stage) {
+	case DY_STAGE_QUEUED:
+		dy_admission_cancel(agent->admission, &call->admission);
+		break;
+	case DY_STAGE_CLAIMED:
+	case DY_STAGE_SENT:
+		agent->links[call->on_link].call = NULL;
+		dy_admission_finish(agent->admission, &call->admission, end,
+				    agent_now_us(agent));
+		break;
+	default:
+		break;
+	}
+}
+
+static void drop_guest(dy_agent_t *agent, dy_session_t *session)
+{
+	if (session->guest && dy_list_empty(&session->calls))
+		dy_sessions_remove(agent->sessions, session);
+}
+
+/* From here on the call has its outcome; a second one would be a fault. */
+static void close_call(dy_agent_t *agent, call_t *call, dy_admission_end_t end)
+{
+	dy_assert(call->stage != DY_STAGE_DONE);
+	release_place(agent, call, end);
+	call->stage = DY_STAGE_DONE;
+}
+
+static void refuse_call(dy_agent_t *agent, call_t *call,
+			const dy_refusal_t *refusal, dy_admission_end_t end)
+{
+	dy_session_t *session = call->session;
+
+	close_call(agent, call, end);
+	if (!call->idempotent)
+		dy_drc_refuse(session->drc, call->xid, refusal,
+			      agent_now_ms(agent));
+	agent_note(agent,
+		   refusal->verdict == DY_NOT_RUN ? EVENT_CALLS_NOT_RUN
+						  : EVENT_CALLS_MAY_HAVE_RUN,
+		   "reason=%s session=%016lx xid=%08x",
+		   dy_reason_name(refusal->reason), (unsigned long)session->id,
+		   call->xid);
+	agent_answer_refusal(agent, &call->route, call->xid, refusal);
+	free_call(call);
+	drop_guest(agent, session);
+}
+
+static int is_answer(dy_call_event_t event)
+{
+	return event == DY_EVENT_SHED_NOT_RUN ||
+	       event == DY_EVENT_SHED_UNSURE || event == DY_EVENT_DENIED ||
+	       event == DY_EVENT_ANSWERED_FAULT ||
+	       event == DY_EVENT_ANSWER_TOO_LARGE;
+}
+
+dy_decision_t agent_call_event(dy_agent_t *agent, call_t *call,
+			       dy_call_event_t event, uint32_t retry_ms)
+{
+	dy_decision_t decision = dy_verdict_decide(call->stage, event);
+	dy_refusal_t refusal = { decision.verdict, decision.reason, retry_ms };
+	dy_admission_end_t end = DY_ADMISSION_ABANDONED;
+
+	if (!decision.final)
+		return decision;
+	dy_assert(!decision.pass);
+	if (call->stage != DY_STAGE_SENT)
+		end = DY_ADMISSION_UNSENT;
+	else if (is_answer(event))
+		end = DY_ADMISSION_ANSWERED;
+	refuse_call(agent, call, &refusal, end);
+	return decision;
+}
+
+/* An answer is recorded only if it can be given whole. */
+void agent_call_pass(dy_agent_t *agent, call_t *call,
+		     const dy_rpc_reply_t *reply)
+{
+	dy_session_t *session = call->session;
+
+	if (reply->results_len + DY_TOKEN_VERIFIER_BYTES + 24 >
+	    DY_DATAGRAM_BYTES) {
+		agent_note(agent, EVENT_ANSWER_TOO_LARGE, "bytes=%zu",
+			   reply->results_len);
+		agent_call_event(agent, call, DY_EVENT_ANSWER_TOO_LARGE, 0);
+		return;
+	}
+	close_call(agent, call, DY_ADMISSION_ANSWERED);
+	if (!call->idempotent)
+		dy_drc_answer(session->drc, call->xid, reply->status,
+			      reply->results, reply->results_len,
+			      agent_now_ms(agent));
+	agent_count(agent, EVENT_CALLS_ANSWERED);
+	dy_assert(!agent_answer(agent, session, &call->route, call->xid,
+				reply->status, reply->results,
+				reply->results_len));
+	free_call(call);
+	drop_guest(agent, session);
+}
+
+static int find_idle_link(const dy_agent_t *agent)
+{
+	unsigned i;
+
+	for (i = 0; i < DY_AGENT_SLOTS_MAX; i++)
+		if (agent->links[i].state == LINK_UP && !agent->links[i].call)
+			return (int)i;
+	return -1;
+}
+
+static size_t write_to_target(dy_agent_t *agent, call_t *call)
+{
+	const dy_session_t *session = call->session;
+	uint64_t now_us = agent_now_us(agent);
+	dy_call_info_t info = { session->id, call->xid, 0 };
+	uint8_t verifier[16];
+	dy_rpc_call_t message = { 0 };
+	XDR xdrs;
+
+	if (call->deadline_us > now_us)
+		info.remaining_ms =
+			(u_int)((call->deadline_us - now_us) / 1000);
+	xdrmem_create(&xdrs, (char *)verifier, sizeof(verifier), XDR_ENCODE);
+	xdr_dy_call_info_t(&xdrs, &info);
+	message.xid = call->target_xid;
+	message.program = agent->service.program;
+	message.program_version = agent->service.program_version;
+	message.procedure = call->procedure;
+	message.credential.flavor = session->flavor;
+	message.credential.len = session->credential_len;
+	message.credential.body = session->credential;
+	message.verifier.flavor = DY_AUTH_CALL_INFO;
+	message.verifier.len = xdr_getpos(&xdrs);
+	message.verifier.body = verifier;
+	message.args = call->args;
+	message.args_len = call->args_len;
+	return dy_rpc_write_call(&message, agent->call_out,
+				 sizeof(agent->call_out));
+}
+
+/*
+ * The one place from which a call reaches the target. Guards against a
+ * second run, and against a run after the handover: both would store a
+ * reading twice. It holds because the cache marks the xid as started for
+ * good, and a moved session never becomes one of this agent again.
+ */
+static void start_call(dy_agent_t *agent, call_t *call)
+{
+	int index = find_idle_link(agent);
+	dy_session_t *session = call->session;
+	size_t len;
+
+	dy_assert(index >= 0);
+	dy_assert(session->place == DY_SESSION_HERE ||
+		  session->place == DY_SESSION_CLOSING);
+	dy_assert(call->stage < DY_STAGE_CLAIMED);
+	call->stage = DY_STAGE_CLAIMED;
+	call->on_link = (unsigned)index;
+	call->target_xid = agent->next_xid++;
+	agent->links[index].call = call;
+	len = write_to_target(agent, call);
+	dy_assert(len);
+	if (!call->idempotent)
+		dy_drc_start(session->drc, call->xid);
+	if (agent->config.callbacks->link_send(agent->config.context,
+					       (unsigned)index, agent->call_out,
+					       len)) {
+		agent_link_close(agent, (unsigned)index);
+		return;
+	}
+	call->stage = DY_STAGE_SENT;
+	agent_count(agent, EVENT_CALLS_SENT);
+}
+
+void agent_call_pump(dy_agent_t *agent)
+{
+	dy_admission_refusal_t refusal;
+	dy_admission_item_t *item;
+	dy_call_event_t event;
+
+	while ((item = dy_admission_expire(agent->admission,
+					   agent_now_us(agent), &refusal))) {
+		event = refusal.reason == DY_ADMISSION_LATE ? DY_EVENT_DEADLINE
+							    : DY_EVENT_OVERLOAD;
+		agent_call_event(agent, DY_LIST_ITEM(item, call_t, admission),
+				 event, refusal.retry_after_ms);
+	}
+	while ((item = dy_admission_next(agent->admission,
+					 agent_now_us(agent))))
+		start_call(agent, DY_LIST_ITEM(item, call_t, admission));
+}
+
+static void submit_call(dy_agent_t *agent, call_t *call)
+{
+	dy_admission_refusal_t refusal = { 0 };
+	dy_call_event_t event = DY_EVENT_OVERLOAD;
+
+	switch (dy_admission_submit(agent->admission, &call->admission,
+				    agent_now_us(agent), &refusal)) {
+	case DY_ADMISSION_RUN:
+		start_call(agent, call);
+		break;
+	case DY_ADMISSION_QUEUED:
+		call->stage = DY_STAGE_QUEUED;
+		break;
+	case DY_ADMISSION_REFUSED:
+		if (refusal.reason == DY_ADMISSION_LATE)
+			event = DY_EVENT_DEADLINE;
+		agent_call_event(agent, call, event, refusal.retry_after_ms);
+		break;
+	}
+	agent_call_pump(agent);
+}
+
+static call_t *create_call(dy_agent_t *agent, dy_session_t *session,
+			   const route_t *route, const dy_rpc_call_t *message,
+			   int idempotent)
+{
+	call_t *call = g_new0(call_t, 1);
+
+	call->session = session;
+	call->route = *route;
+	call->xid = message->xid;
+	call->procedure = message->procedure;
+	call->idempotent = idempotent;
+	call->args = g_memdup2(message->args, message->args_len);
+	call->args_len = message->args_len;
+	call->deadline_us =
+		agent_now_us(agent) + agent->service.deadline_ms * 1000ULL;
+	call->admission.caller = session->caller;
+	call->admission.procedure = message->procedure;
+	call->admission.idempotent = (uint8_t)idempotent;
+	call->admission.deadline_us = call->deadline_us;
+	if (idempotent)
+		call->admission.key = XXH3_64bits_withSeed(
+			message->args, message->args_len, message->procedure);
+	dy_list_append(&session->calls, &call->link);
+	session->call_count++;
+	return call;
+}
+
+/* Refuse a call that is entered in the cache, before it is anything else. */
+static void refuse_entered(dy_agent_t *agent, call_t *call, dy_reason_t reason,
+			   uint32_t retry_ms)
+{
+	dy_refusal_t refusal = { DY_NOT_RUN, reason, retry_ms };
+
+	refuse_call(agent, call, &refusal, DY_ADMISSION_UNSENT);
+}
+
+static int enter_call(dy_agent_t *agent, dy_session_t *session, uint32_t xid,
+		      uint32_t *retry_ms)
+{
+	dy_drc_room_t room;
+
+	if (!session->drc)
+		session->drc = dy_drc_create();
+	room = dy_drc_begin(session->drc, xid, agent_now_ms(agent), retry_ms);
+	if (room == DY_DRC_OVERFLOW) {
+		agent_note(agent, EVENT_DRC_OVERFLOW, "session=%016lx",
+			   (unsigned long)session->id);
+		return -1;
+	}
+	if (room == DY_DRC_FULL)
+		agent_note(agent, EVENT_DRC_FULL, "session=%016lx",
+			   (unsigned long)session->id);
+	return 0;
+}
+
+void agent_call_admit(dy_agent_t *agent, dy_session_t *session,
+		      const route_t *route, const dy_rpc_call_t *message,
+		      int idempotent)
+{
+	uint32_t retry_ms = 0;
+	call_t *call;
+
+	if (!idempotent && enter_call(agent, session, message->xid, &retry_ms))
+		return;
+	call = create_call(agent, session, route, message, idempotent);
+	if (retry_ms || session->call_count > SESSION_CALLS_MAX)
+		refuse_entered(agent, call, DY_REASON_SESSION_LIMIT,
+			       MAX(retry_ms, RETRY_MS));
+	else if (!agent_target_ready(agent))
+		agent_call_event(agent, call, DY_EVENT_TARGET_LOST, RETRY_MS);
+	else
+		submit_call(agent, call);
+}
+
+/*
+ * A call whose deadline passes with the target gets its outcome at once, and
+ * its connection is closed: whatever the target still answers there reaches
+ * nobody.
+ */
+void agent_call_expire_sent(dy_agent_t *agent)
+{
+	uint64_t now_us = agent_now_us(agent);
+	call_t *call;
+	unsigned i;
+
+	for (i = 0; i < DY_AGENT_SLOTS_MAX; i++) {
+		call = agent->links[i].call;
+		if (!call || now_us < call->deadline_us)
+			continue;
+		agent_note(agent, EVENT_DEADLINE_PASSED,
+			   "session=%016lx xid=%08x",
+			   (unsigned long)call->session->id, call->xid);
+		agent_cancel_tell_target(agent, call);
+		agent_call_event(agent, call, DY_EVENT_DEADLINE, 0);
+		agent_link_close(agent, i);
+	}
+}
+
+typedef struct stop {
+	dy_agent_t *agent;
+	dy_call_event_t event;
+} stop_t;
+
+static void stop_unsent(void *context, dy_session_t *session)
+{
+	const stop_t *stop = context;
+	dy_list_t *pos;
+	dy_list_t *tmp;
+	call_t *call;
+	int is_last;
+
+	DY_LIST_EACH_SAFE(pos, tmp, &session->calls)
+	{
+		call = DY_LIST_ITEM(pos, call_t, link);
+		is_last = tmp == &session->calls;
+		if (call->stage < DY_STAGE_SENT)
+			agent_call_event(stop->agent, call, stop->event,
+					 RETRY_MS);
+		/* A guest's session goes with its last call. */
+		if (is_last)
+			break;
+	}
+}
+
+void agent_call_stop_unsent(dy_agent_t *agent, dy_call_event_t event)
+{
+	stop_t stop = { agent, event };
+
+	dy_sessions_each(agent->sessions, stop_unsent, &stop);
+}
+
+static void drop_calls(void *context, dy_session_t *session)
+{
+	dy_agent_t *agent = context;
+	dy_list_t *pos;
+	dy_list_t *tmp;
+	call_t *call;
+
+	DY_LIST_EACH_SAFE(pos, tmp, &session->calls)
+	{
+		call = DY_LIST_ITEM(pos, call_t, link);
+		close_call(agent, call, DY_ADMISSION_ABANDONED);
+		free_call(call);
+	}
+}
+
+void agent_call_drop_all(dy_agent_t *agent)
+{
+	dy_sessions_each(agent->sessions, drop_calls, agent);
+}
--- /dev/null
+++ b/src/process/agent_member.c
@@ -0,0 +1,137 @@
+#include "agent_private.h"
+
+#include <string.h>
+
+#include "damaskyard/successor.h"
+
+member_t *agent_member_find(const dy_agent_t *agent, uint64_t id)
+{
+	return g_hash_table_lookup(agent->members, &id);
+}
+
+static member_t *take_member(dy_agent_t *agent, uint64_t id)
+{
+	member_t *member = agent_member_find(agent, id);
+
+	if (member)
+		return member;
+	member = g_new0(member_t, 1);
+	member->id = id;
+	g_hash_table_insert(agent->members, &member->id, member);
+	return member;
+}
+
+static void keep_departed(dy_agent_t *agent, const dy_member_t *from)
+{
+	departed_t *departed = g_new0(departed_t, 1);
+
+	departed->incarnation = from->incarnation;
+	departed->count = MIN(from->successors.successors_len,
+			      (unsigned)DY_SUCCESSORS_MAX);
+	if (departed->count)
+		memcpy(departed->successors, from->successors.successors_val,
+		       departed->count * sizeof(uint64_t));
+	g_hash_table_replace(agent->departed, &departed->incarnation, departed);
+}
+
+static void take_own(dy_agent_t *agent, const dy_member_t *from)
+{
+	if (from->incarnation != agent->incarnation)
+		return;
+	if (from->state == DY_MEMBER_DRAINING)
+		agent->drain_recorded = 1;
+	if (from->state == DY_MEMBER_LEFT)
+		agent->left_recorded = 1;
+}
+
+void dy_agent_member(dy_agent_t *agent, const dy_member_t *from)
+{
+	member_t *member;
+
+	if (from->state == DY_MEMBER_LEFT)
+		keep_departed(agent, from);
+	if (from->id == agent->id)
+		take_own(agent, from);
+	member = take_member(agent, from->id);
+	if (from->incarnation < member->incarnation)
+		return;
+	member->incarnation = from->incarnation;
+	member->state = from->state;
+	member->address = from->info.address;
+	member->service[0] = '\0';
+	if (from->info.kind == DY_MEMBER_AGENT &&
+	    !strcmp(from->info.environment, agent->config.environment))
+		g_strlcpy(member->service, from->info.service,
+			  sizeof(member->service));
+}
+
+/*
+ * An incarnation is the index of its joining in control's log: a newer one
+ * under the same name is proof that the older one has ended or been replaced.
+ */
+owner_fate_t agent_member_fate(const dy_agent_t *agent, uint64_t id,
+			       uint64_t incarnation)
+{
+	const member_t *member = agent_member_find(agent, id);
+
+	if (g_hash_table_contains(agent->departed, &incarnation))
+		return OWNER_LEFT;
+	if (id == agent->id && incarnation < agent->incarnation)
+		return OWNER_DEAD;
+	if (!member || member->incarnation < incarnation)
+		return OWNER_MAY_LIVE;
+	if (member->incarnation > incarnation ||
+	    member->state == DY_MEMBER_DEAD)
+		return OWNER_DEAD;
+	return OWNER_MAY_LIVE;
+}
+
+/* Agents that one session has been handed over in turn, at most. */
+#define FOLLOW_MAX 8
+
+const member_t *agent_member_follow(const dy_agent_t *agent, uint64_t session,
+				    uint64_t id, uint64_t incarnation)
+{
+	const departed_t *departed;
+	const member_t *member;
+	unsigned i;
+
+	for (i = 0; i < FOLLOW_MAX; i++) {
+		departed = g_hash_table_lookup(agent->departed, &incarnation);
+		if (!departed)
+			break;
+		id = dy_successor_pick(session, departed->successors,
+				       departed->count);
+		member = agent_member_find(agent, id);
+		if (!member)
+			return NULL;
+		incarnation = member->incarnation;
+	}
+	member = agent_member_find(agent, id);
+	if (!member || agent_member_fate(agent, id, incarnation) == OWNER_DEAD)
+		return NULL;
+	return member;
+}
+
+unsigned agent_member_successors(const dy_agent_t *agent,
+				 uint64_t chosen[DY_SUCCESSORS_MAX])
+{
+	uint64_t *candidates;
+	GHashTableIter iter;
+	gpointer value;
+	unsigned count = 0;
+
+	candidates = g_new(uint64_t, g_hash_table_size(agent->members) + 1);
+	g_hash_table_iter_init(&iter, agent->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const member_t *member = value;
+
+		if (member->id != agent->id &&
+		    member->state == DY_MEMBER_SERVING && *member->service &&
+		    !strcmp(member->service, agent->target.service))
+			candidates[count++] = member->id;
+	}
+	count = dy_successor_choose(agent->id, candidates, count, chosen);
+	g_free(candidates);
+	return count;
+}
--- /dev/null
+++ b/src/process/agent_target.c
@@ -0,0 +1,328 @@
+#include "agent_private.h"
+
+#include <string.h>
+
+#include <rpc/rpc.h>
+
+/* Between two tries to connect, in ms, growing. */
+#define CONNECT_MIN_MS 50
+#define CONNECT_MAX_MS 1000
+
+/* Sessions of one target at most: 50 times the largest of today. */
+#define CONNECTIONS_MAX 100000
+
+int agent_target_ready(const dy_agent_t *agent)
+{
+	return agent->service.known && agent->target.healthy &&
+	       !agent->superseded;
+}
+
+void agent_target_set_slots(dy_agent_t *agent)
+{
+	uint32_t slots = agent->target.slots;
+
+	if (agent->service.known)
+		slots = MIN(slots, agent->service.slots);
+	agent->slots = MIN(slots, DY_AGENT_SLOTS_MAX);
+	dy_admission_set_slots(agent->admission, MIN(agent->up, agent->slots));
+}
+
+static void schedule(dy_agent_t *agent, target_link_t *link)
+{
+	link->retry_at_ms = agent_now_ms(agent);
+	if (link->attempts)
+		link->retry_at_ms +=
+			dy_retry_backoff_ms(link->attempts, CONNECT_MIN_MS,
+					    CONNECT_MAX_MS, agent->rand);
+	link->attempts++;
+}
+
+static void forget_link(dy_agent_t *agent, unsigned index)
+{
+	target_link_t *link = &agent->links[index];
+	int was_up = link->state == LINK_UP;
+
+	link->state = LINK_CLOSED;
+	schedule(agent, link);
+	if (index == DY_AGENT_CANCEL_LINK) {
+		agent_cancel_fail_all(agent);
+		return;
+	}
+	if (was_up)
+		agent->up--;
+	agent_target_set_slots(agent);
+	if (link->call)
+		agent_call_event(agent, link->call, DY_EVENT_TARGET_LOST,
+				 RETRY_MS);
+	dy_assert(!link->call);
+}
+
+void agent_link_close(dy_agent_t *agent, unsigned index)
+{
+	if (agent->links[index].state == LINK_CLOSED)
+		return;
+	agent->config.callbacks->link_close(agent->config.context, index);
+	forget_link(agent, index);
+}
+
+void dy_agent_link_down(dy_agent_t *agent, unsigned index)
+{
+	if (agent->links[index].state == LINK_CLOSED)
+		return;
+	agent_note(agent, EVENT_LINK_DOWN, "link=%u in_call=%d", index,
+		   !!agent->links[index].call);
+	forget_link(agent, index);
+	agent_call_pump(agent);
+}
+
+void dy_agent_link_up(dy_agent_t *agent, unsigned index)
+{
+	if (agent->links[index].state != LINK_OPENING)
+		return;
+	agent->links[index].state = LINK_UP;
+	agent_note(agent, EVENT_LINK_UP, "link=%u", index);
+	if (index == DY_AGENT_CANCEL_LINK)
+		return;
+	agent->up++;
+	dy_assert(agent->up <= DY_AGENT_SLOTS_MAX);
+	agent_target_set_slots(agent);
+	agent_call_pump(agent);
+}
+
+static dy_call_event_t classify(const dy_rpc_reply_t *reply, uint32_t *retry_ms)
+{
+	dy_refusal_t refusal;
+
+	if (reply->denied)
+		return DY_EVENT_DENIED;
+	if (reply->status == SUCCESS)
+		return DY_EVENT_ANSWERED;
+	if (!dy_rpc_load_refusal(reply, &refusal)) {
+		*retry_ms = refusal.retry_after_ms;
+		return refusal.verdict == DY_NOT_RUN ? DY_EVENT_SHED_NOT_RUN
+						     : DY_EVENT_SHED_UNSURE;
+	}
+	if (reply->status == GARBAGE_ARGS || reply->status == PROC_UNAVAIL ||
+	    reply->status == PROG_MISMATCH)
+		return DY_EVENT_ANSWERED_ERROR;
+	return DY_EVENT_ANSWERED_FAULT;
+}
+
+static void take_reply(dy_agent_t *agent, call_t *call,
+		       const dy_rpc_reply_t *reply)
+{
+	uint32_t retry_ms = 0;
+	dy_call_event_t event = classify(reply, &retry_ms);
+
+	if (event == DY_EVENT_ANSWERED || event == DY_EVENT_ANSWERED_ERROR) {
+		agent_call_pass(agent, call, reply);
+		return;
+	}
+	agent_note(agent, EVENT_ANSWER_SHED, "denied=%d status=%u",
+		   reply->denied, reply->status);
+	agent_call_event(agent, call, event, retry_ms);
+}
+
+/* What does not fit the call on this connection is trusted no further. */
+static void take_bad(dy_agent_t *agent, unsigned index, dy_call_event_t event)
+{
+	call_t *call = agent->links[index].call;
+
+	agent_note(agent,
+		   event == DY_EVENT_BAD_ANSWER ? EVENT_ANSWER_BAD
+						: EVENT_ANSWER_TOO_LARGE,
+		   "link=%u in_call=%d", index, !!call);
+	if (call)
+		agent_call_event(agent, call, event, 0);
+	agent_link_close(agent, index);
+}
+
+void dy_agent_link_receive(dy_agent_t *agent, unsigned index,
+			   const uint8_t *bytes, size_t len)
+{
+	target_link_t *link = &agent->links[index];
+	dy_rpc_reply_t reply;
+
+	if (link->state != LINK_UP)
+		return;
+	link->attempts = 0;
+	if (index == DY_AGENT_CANCEL_LINK) {
+		agent_cancel_receive(agent, bytes, len);
+		return;
+	}
+	if (!bytes)
+		take_bad(agent, index, DY_EVENT_ANSWER_TOO_LARGE);
+	else if (!link->call || dy_rpc_parse_reply(bytes, len, &reply) ||
+		 reply.xid != link->call->target_xid)
+		take_bad(agent, index, DY_EVENT_BAD_ANSWER);
+	else
+		take_reply(agent, link->call, &reply);
+	agent_call_pump(agent);
+}
+
+static void close_links(dy_agent_t *agent)
+{
+	unsigned i;
+
+	for (i = 0; i < DY_AGENT_LINKS; i++) {
+		agent_link_close(agent, i);
+		agent->links[i].attempts = 0;
+		agent->links[i].retry_at_ms = 0;
+	}
+}
+
+static int is_word(const char *text)
+{
+	size_t len = strlen(text);
+
+	return len && len < DY_NAME_BYTES &&
+	       strspn(text, "abcdefghijklmnopqrstuvwxyz0123456789._-") == len;
+}
+
+static int is_valid(const dy_announcement_t *from, dy_address_t *address)
+{
+	return is_word(from->service) &&
+	       !dy_address_parse(from->address, address) && address->port &&
+	       from->slots && from->slots <= DY_AGENT_SLOTS_MAX &&
+	       from->connections && from->connections <= CONNECTIONS_MAX &&
+	       from->incarnation;
+}
+
+static dy_announce_status_t judge(dy_agent_t *agent,
+				  const dy_announcement_t *from,
+				  const dy_address_t *address)
+{
+	const agent_target_t *target = &agent->target;
+
+	if (!target->known)
+		return DY_ANNOUNCE_OK;
+	if (strcmp(target->service, from->service)) {
+		agent_note(agent, EVENT_TARGET_OTHER_SERVICE,
+			   "service=%s announced=%s", target->service,
+			   from->service);
+		return DY_ANNOUNCE_OTHER_SERVICE;
+	}
+	if (from->incarnation < target->incarnation ||
+	    (from->incarnation == target->incarnation &&
+	     !dy_address_equal(address, &target->address))) {
+		agent_note(agent, EVENT_TARGET_STALE, "incarnation=%lu",
+			   (unsigned long)from->incarnation);
+		return DY_ANNOUNCE_STALE;
+	}
+	return DY_ANNOUNCE_OK;
+}
+
+/*
+ * Guards against an answer of the target's earlier life reaching a call to
+ * its next one: every connection to the old one is closed first.
+ */
+static void take_incarnation(dy_agent_t *agent, const dy_announcement_t *from,
+			     const dy_address_t *address)
+{
+	agent_target_t *target = &agent->target;
+
+	if (target->known)
+		agent_note(agent, EVENT_TARGET_RESTARTED, "incarnation=%lu",
+			   (unsigned long)from->incarnation);
+	else
+		agent_note(agent, EVENT_TARGET_ANNOUNCED,
+			   "service=%s slots=%u connections=%u", from->service,
+			   from->slots, from->connections);
+	close_links(agent);
+	target->known = 1;
+	target->incarnation = from->incarnation;
+	target->address = *address;
+	target->takes_cancel = from->takes_cancel;
+	g_strlcpy(target->service, from->service, sizeof(target->service));
+	g_strlcpy(target->labels, from->labels, sizeof(target->labels));
+}
+
+static void take_announcement(dy_agent_t *agent, const dy_announcement_t *from,
+			      const dy_address_t *address)
+{
+	agent_target_t *target = &agent->target;
+	int changed = !target->known || target->slots != from->slots ||
+		      target->connections != from->connections ||
+		      target->incarnation != from->incarnation;
+
+	if (!target->known || target->incarnation != from->incarnation)
+		take_incarnation(agent, from, address);
+	target->cold = from->cold;
+	target->announced_ms = agent_now_ms(agent);
+	target->healthy = 1;
+	target->slots = from->slots;
+	target->connections = from->connections;
+	if (!changed)
+		return;
+	agent_apply_limits(agent);
+	agent->config.callbacks->info(agent->config.context, from);
+}
+
+void dy_agent_announce(dy_agent_t *agent, const dy_announcement_t *from,
+		       dy_announce_result_t *result)
+{
+	dy_address_t address;
+
+	result->lease_ms = DY_TARGET_LEASE_MS;
+	if (!is_valid(from, &address)) {
+		agent_note(agent, EVENT_TARGET_MALFORMED, "service=%s",
+			   dy_log_quote(from->service));
+		result->status = DY_ANNOUNCE_MALFORMED;
+		return;
+	}
+	result->status = judge(agent, from, &address);
+	if (result->status != DY_ANNOUNCE_OK)
+		return;
+	take_announcement(agent, from, &address);
+	if (from->draining)
+		dy_agent_leave(agent, "target", 0);
+	agent_call_pump(agent);
+}
+
+static void check_lease(dy_agent_t *agent)
+{
+	agent_target_t *target = &agent->target;
+
+	if (!target->healthy ||
+	    agent_now_ms(agent) - target->announced_ms <= DY_TARGET_LEASE_MS)
+		return;
+	target->healthy = 0;
+	agent_note(agent, EVENT_TARGET_LEASE_LAPSED, "service=%s",
+		   target->service);
+	agent_call_stop_unsent(agent, DY_EVENT_TARGET_LOST);
+}
+
+static int is_wanted(const dy_agent_t *agent, unsigned index)
+{
+	if (index == DY_AGENT_CANCEL_LINK)
+		return agent->target.takes_cancel;
+	return index < agent->slots;
+}
+
+static void keep_link(dy_agent_t *agent, unsigned index)
+{
+	target_link_t *link = &agent->links[index];
+
+	if (!is_wanted(agent, index)) {
+		if (link->state != LINK_CLOSED && !link->call)
+			agent_link_close(agent, index);
+		return;
+	}
+	if (link->state != LINK_CLOSED ||
+	    agent_now_ms(agent) < link->retry_at_ms)
+		return;
+	link->state = LINK_OPENING;
+	agent->config.callbacks->link_open(agent->config.context, index,
+					   &agent->target.address);
+}
+
+void agent_target_tick(dy_agent_t *agent)
+{
+	unsigned i;
+
+	if (!agent->target.known)
+		return;
+	check_lease(agent);
+	for (i = 0; i < DY_AGENT_LINKS; i++)
+		keep_link(agent, i);
+}
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -11,6 +11,8 @@
 
 static const command_t commands[] = {
 	{ "check", dy_command_check, "check a document" },
+	{ "agent", dy_command_agent, "serve one target, beside it" },
+	{ "announce", dy_command_announce, "announce a target to its agent" },
 	{ NULL, NULL, NULL },
 };
 
