--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -45,7 +45,7 @@
 	agent->sessions = dy_sessions_create(
 		FIRST_CONNECTIONS, DY_SERVICE_SESSION_IDLE_S * 1000ULL);
 	agent->admission = create_admission(agent);
-	dy_list_init(&agent->cancels);
+	g_queue_init(&agent->cancels);
 	agent_event_init(agent);
 	return agent;
 }
--- a/src/process/agent_cancel.c
+++ b/src/process/agent_cancel.c
@@ -28,7 +28,7 @@
 	cancel->xid = xid;
 	cancel->target_xid = agent->next_xid++;
 	cancel->made_ms = agent_now_ms(agent);
-	dy_list_append(&agent->cancels, &cancel->link);
+	g_queue_push_tail(&agent->cancels, cancel);
 	return cancel;
 }
 
@@ -63,10 +63,8 @@
 	cancel_t *cancel;
 	size_t len;
 
-	if (dy_list_empty(&agent->cancels) || !takes_cancel(agent))
-		return;
-	cancel = DY_LIST_ITEM(agent->cancels.next, cancel_t, link);
-	if (cancel->sent_ms)
+	cancel = g_queue_peek_head(&agent->cancels);
+	if (!cancel || cancel->sent_ms || !takes_cancel(agent))
 		return;
 	cancel->sent_ms = agent_now_ms(agent);
 	len = write_cancel(agent, cancel);
@@ -190,7 +188,6 @@
 	call_t *call = session ? agent_call_find(session, cancel->xid) : NULL;
 	dy_verdict_t verdict = granted ? DY_NOT_RUN : DY_MAY_HAVE_RUN;
 
-	dy_list_remove(&cancel->link);
 	if (granted && call && call->stage == DY_STAGE_SENT) {
 		grant(agent, call);
 	} else if (!call && cancel->wants_reply && session) {
@@ -201,18 +198,24 @@
 	if (cancel->wants_reply && session)
 		answer_cancel(agent, session, &cancel->route, cancel->reply_xid,
 			      verdict, DY_REASON_CANCELLED);
+}
+
+/* Settle the oldest cancellation. */
+static void settle_first(dy_agent_t *agent, int granted)
+{
+	cancel_t *cancel = g_queue_pop_head(&agent->cancels);
+
+	finish_cancel(agent, cancel, granted);
 	g_free(cancel);
 }
 
 void agent_cancel_receive(dy_agent_t *agent, const uint8_t *bytes, size_t len)
 {
-	cancel_t *cancel = NULL;
+	cancel_t *cancel = g_queue_peek_head(&agent->cancels);
 	dy_rpc_reply_t reply;
 	bool_t granted = FALSE;
 	XDR xdrs;
 
-	if (!dy_list_empty(&agent->cancels))
-		cancel = DY_LIST_ITEM(agent->cancels.next, cancel_t, link);
 	if (!bytes || !cancel || !cancel->sent_ms ||
 	    dy_rpc_parse_reply(bytes, len, &reply) ||
 	    reply.xid != cancel->target_xid) {
@@ -225,26 +228,24 @@
 	if (reply.denied || reply.status != SUCCESS ||
 	    !xdr_bool(&xdrs, &granted))
 		granted = FALSE;
-	finish_cancel(agent, cancel, granted);
+	settle_first(agent, granted);
 	send_next(agent);
 	agent_call_pump(agent);
 }
 
 void agent_cancel_fail_all(dy_agent_t *agent)
 {
-	while (!dy_list_empty(&agent->cancels))
-		finish_cancel(agent,
-			      DY_LIST_ITEM(agent->cancels.next, cancel_t, link),
-			      0);
+	while (!g_queue_is_empty(&agent->cancels))
+		settle_first(agent, 0);
 }
 
 void agent_cancel_tick(dy_agent_t *agent)
 {
 	cancel_t *cancel;
 
-	if (dy_list_empty(&agent->cancels))
+	cancel = g_queue_peek_head(&agent->cancels);
+	if (!cancel)
 		return;
-	cancel = DY_LIST_ITEM(agent->cancels.next, cancel_t, link);
 	if (agent_now_ms(agent) - cancel->made_ms >= CANCEL_TIMEOUT_MS)
 		agent_link_close(agent, DY_AGENT_CANCEL_LINK);
 	send_next(agent);
--- a/src/process/agent_forward.c
+++ b/src/process/agent_forward.c
@@ -312,6 +312,11 @@
 		serve_guest(agent, arrival);
 		return;
 	}
+	/* A balancer that got no answer from its owner sent it here. */
+	if (arrival->is_null && !arrival->forward->reply_to.port) {
+		serve_orphan(agent, arrival);
+		return;
+	}
 	/* Its owner may be sending it here this moment. */
 	agent_note(agent, EVENT_AWAITS_HANDOVER, "session=%016lx",
 		   (unsigned long)token->session);
--- a/src/process/agent_leave.c
+++ b/src/process/agent_leave.c
@@ -305,9 +305,8 @@
 	dy_sessions_each(agent->sessions, visit_session, &turn);
 	send_due(agent, turn.due);
 	g_ptr_array_free(turn.due, TRUE);
-	if (!turn.unsettled && agent->view_current)
-		finish_leaving(agent);
-	else if (has_waited_enough(agent))
+	if ((!turn.unsettled && agent->view_current) ||
+	    has_waited_enough(agent))
 		finish_leaving(agent);
 }
 
@@ -412,11 +411,11 @@
 	uint64_t *refused = result->refused.refused_val;
 	uint64_t *sessions = result->sessions.sessions_val;
 
-	if (dy_sessions_find(agent->sessions, moved->id))
-		sessions[result->sessions.sessions_len++] = moved->id;
-	else if (agent->state == DY_MEMBER_LEFT || agent->superseded)
+	int known = !!dy_sessions_find(agent->sessions, moved->id);
+
+	if (!known && (agent->state == DY_MEMBER_LEFT || agent->superseded))
 		refused[result->refused.refused_len++] = moved->id;
-	else if (receive_session(agent, moved))
+	else if (known || receive_session(agent, moved))
 		sessions[result->sessions.sessions_len++] = moved->id;
 }
 
--- a/src/process/agent_private.h
+++ b/src/process/agent_private.h
@@ -105,7 +105,6 @@
 
 /* A cancellation on its way to the target. */
 typedef struct cancel {
-	dy_list_t link;
 	uint64_t session;
 	uint32_t xid; /* of the call that is meant */
 	uint32_t target_xid;
@@ -181,7 +180,7 @@
 	unsigned slots; /* connections wanted */
 	unsigned up;	/* that stand */
 	uint32_t next_xid;
-	dy_list_t cancels;
+	GQueue cancels; /* of cancel_t, oldest first */
 
 	int ends;
 	uint64_t ends_ms;
--- a/src/process/cmd_agent.c
+++ b/src/process/cmd_agent.c
@@ -8,6 +8,7 @@
 #include "damaskyard/loop.h"
 #include "damaskyard/seal.h"
 #include "damaskyard/settings.h"
+#include "damaskyard/status_service.h"
 #include "damaskyard/subscriber.h"
 #include "record_link.h"
 
@@ -315,6 +316,17 @@
 	xdr_free((xdrproc_t)xdr_dy_handover_result_t, (char *)&result);
 }
 
+static void answer_status(agent_process_t *process, const dy_sealed_t *message,
+			  const dy_address_t *from)
+{
+	size_t len = dy_status_service_answer(process->seal, process->metrics,
+					      message, process->out,
+					      sizeof(process->out));
+
+	if (len)
+		dy_endpoint_send_to(process->endpoint, process->out, len, from);
+}
+
 static void receive_call(agent_process_t *process, const dy_sealed_t *message,
 			 const dy_address_t *from)
 {
@@ -327,6 +339,8 @@
 	else if (message->program == DY_HANDOVER_PROGRAM &&
 		 message->procedure == DY_HANDOVER_TAKEN)
 		receive_taken(process, message);
+	else if (message->program == DY_STATUS_PROGRAM)
+		answer_status(process, message, from);
 	else
 		++*process->unknown;
 }
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -10,11 +10,11 @@
 } command_t;
 
 static const command_t commands[] = {
+	{ "agent", dy_command_agent, "serve one target, beside it" },
+	{ "announce", dy_command_announce, "announce a target to its agent" },
 	{ "balancer", dy_command_balancer, "forward datagrams to agents" },
 	{ "call", dy_command_call, "make one call as a caller would" },
 	{ "check", dy_command_check, "check a document" },
-	{ "agent", dy_command_agent, "serve one target, beside it" },
-	{ "announce", dy_command_announce, "announce a target to its agent" },
 	{ "control", dy_command_control, "run one of the control group" },
 	{ NULL, NULL, NULL },
 };
