--- /dev/null
+++ b/fuzz/fuzz_store.c
@@ -0,0 +1,325 @@
+/*
+ * A run of operations on one store over a disk in memory, against an array:
+ * after any crash the log holds all that was acknowledged, in order and with
+ * the bytes that were given, and at most a prefix of what was not; term and
+ * vote never go back. A crash alone never stops an opening; a flipped bit
+ * either stops it with DY_STORE_ERROR_CORRUPT or costs nothing acknowledged.
+ */
+
+#include <stdint.h>
+#include <string.h>
+
+#include "damaskyard/log.h"
+#include "damaskyard/store.h"
+#include "fake_group.h"
+
+#define ENTRIES_MAX 4096
+#define GROUP 1
+#define SLOT 1
+#define IDENTITY 4711
+#define SEGMENT_BYTES 1500
+
+typedef struct oracle {
+	/* What was appended at each index, acknowledged or not. */
+	uint64_t value[ENTRIES_MAX];
+	uint64_t term[ENTRIES_MAX];
+	uint64_t last;
+	uint64_t acknowledged;
+	uint64_t snapshot;
+	/* A change that failed half way: both states are right. */
+	uint64_t maybe_cut;
+	uint64_t maybe_snapshot;
+	uint64_t vote_term;
+	uint64_t maybe_vote_term;
+	uint64_t next_value;
+	int flipped;
+} oracle_t;
+
+typedef struct run {
+	fake_disk_t *disk;
+	dy_store_t *store;
+	oracle_t oracle;
+	const uint8_t *data;
+	size_t left;
+} run_t;
+
+static uint32_t take(run_t *run, uint32_t limit)
+{
+	uint32_t value;
+
+	if (!run->left)
+		return 0;
+	value = *run->data++;
+	run->left--;
+	return value % limit;
+}
+
+static uint32_t size_of(uint64_t value)
+{
+	return 8 + value * 131 % 700;
+}
+
+static void check_entry(const run_t *run, uint64_t index)
+{
+	const dy_raft_entry_t *entry = dy_store_find_entry(run->store, index);
+	uint64_t value;
+
+	FAKE_CHECK(entry != NULL && entry->index == index);
+	FAKE_CHECK(entry->term == run->oracle.term[index]);
+	memcpy(&value, entry->data.data_val, 8);
+	FAKE_CHECK(value == run->oracle.value[index]);
+	FAKE_CHECK(entry->data.data_len == size_of(value));
+}
+
+/* Compare, and take over what the crash left open. */
+static void check_opened(run_t *run)
+{
+	oracle_t *oracle = &run->oracle;
+	const dy_store_snapshot_t *snapshot = dy_store_snapshot(run->store);
+	uint64_t covered = snapshot ? snapshot->last_index : 0;
+	uint64_t last = dy_store_last_index(run->store);
+	uint64_t i;
+
+	FAKE_CHECK(covered == oracle->snapshot ||
+		   covered == oracle->maybe_snapshot);
+	FAKE_CHECK(!snapshot || snapshot->size == covered * 97);
+	FAKE_CHECK(last >= oracle->acknowledged || last >= oracle->maybe_cut);
+	FAKE_CHECK(last <= MAX(oracle->last, covered));
+	FAKE_CHECK(dy_store_synced_index(run->store) == last);
+	for (i = dy_store_first_index(run->store); i <= last; i++)
+		check_entry(run, i);
+	FAKE_CHECK(dy_store_term(run->store) == oracle->vote_term ||
+		   dy_store_term(run->store) == oracle->maybe_vote_term);
+	oracle->vote_term = dy_store_term(run->store);
+	oracle->maybe_vote_term = oracle->vote_term;
+	oracle->snapshot = covered;
+	oracle->maybe_snapshot = covered;
+	oracle->last = last;
+	oracle->acknowledged = last;
+	oracle->maybe_cut = last;
+}
+
+/* Returns whether the run goes on. */
+static int open_store(run_t *run)
+{
+	dy_store_options_t options = { GROUP, SLOT, IDENTITY, SEGMENT_BYTES };
+	GError *error = NULL;
+
+	run->store = dy_store_create(&run->disk->table, &options, &error);
+	if (run->store) {
+		check_opened(run);
+		return 1;
+	}
+	FAKE_CHECK(run->oracle.flipped ? g_error_matches(error, DY_STORE_ERROR,
+							 DY_STORE_ERROR_CORRUPT)
+				       : g_error_matches(error, DY_STORE_ERROR,
+							 DY_STORE_ERROR_IO));
+	g_error_free(error);
+	if (run->oracle.flipped)
+		return 0;
+	/* The disk failed while it was read; the next start is without. */
+	fake_disk_restart(run->disk);
+	return open_store(run);
+}
+
+static void append(run_t *run, uint32_t count, int newer)
+{
+	oracle_t *oracle = &run->oracle;
+	char data[800] = { 0 };
+	dy_raft_entry_t entry = { .type = DY_ENTRY_COMMAND };
+	uint64_t last;
+
+	while (count-- && oracle->last + 2 < ENTRIES_MAX) {
+		last = oracle->last++;
+		entry.index = last + 1;
+		entry.term = MAX(oracle->term[last], 1) + newer;
+		newer = 0;
+		oracle->value[entry.index] = ++oracle->next_value;
+		oracle->term[entry.index] = entry.term;
+		memcpy(data, &oracle->next_value, 8);
+		entry.data.data_val = data;
+		entry.data.data_len = size_of(oracle->next_value);
+		dy_store_append(run->store, &entry);
+	}
+}
+
+static void sync_store(run_t *run)
+{
+	if (dy_store_sync(run->store, NULL))
+		return;
+	run->oracle.acknowledged = run->oracle.last;
+	run->oracle.maybe_cut = run->oracle.last;
+}
+
+static void truncate_store(run_t *run, uint64_t back)
+{
+	oracle_t *oracle = &run->oracle;
+	uint64_t index;
+
+	sync_store(run);
+	if (dy_store_failed(run->store) || oracle->last <= oracle->snapshot)
+		return;
+	index = oracle->last - MIN(back, oracle->last - oracle->snapshot - 1);
+	oracle->maybe_cut = index - 1;
+	if (dy_store_truncate(run->store, index, NULL))
+		return;
+	oracle->last = index - 1;
+	oracle->acknowledged = index - 1;
+}
+
+/* ahead is a snapshot that a leader sent, beyond or beside the own log. */
+static void snapshot_store(run_t *run, uint32_t back, int ahead)
+{
+	oracle_t *oracle = &run->oracle;
+	dy_store_snapshot_t meta = { 0 };
+	char *bytes;
+	int failed;
+
+	sync_store(run);
+	if (dy_store_failed(run->store))
+		return;
+	meta.last_index =
+		oracle->last - MIN(back, oracle->last - oracle->snapshot);
+	if (ahead)
+		meta.last_index = MIN(oracle->last + back, ENTRIES_MAX - 3);
+	if (!meta.last_index || meta.last_index < oracle->snapshot)
+		return;
+	meta.last_term = oracle->term[meta.last_index];
+	if (ahead)
+		meta.last_term = oracle->term[oracle->last] + 1;
+	bytes = g_malloc0(meta.last_index * 97);
+	oracle->maybe_snapshot = meta.last_index;
+	failed = dy_store_snapshot_begin(run->store, &meta, NULL) ||
+		 dy_store_snapshot_add(run->store, bytes, meta.last_index * 97,
+				       NULL) ||
+		 dy_store_snapshot_commit(run->store, NULL);
+	g_free(bytes);
+	if (failed && !dy_store_failed(run->store)) {
+		oracle->maybe_snapshot = oracle->snapshot;
+		return;
+	}
+	if (ahead) {
+		oracle->term[meta.last_index] = meta.last_term;
+		oracle->maybe_cut = MIN(oracle->acknowledged, meta.last_index);
+		oracle->last = MAX(oracle->last, meta.last_index);
+	}
+	if (failed)
+		return;
+	oracle->snapshot = meta.last_index;
+	if (ahead)
+		oracle->last = meta.last_index;
+	oracle->acknowledged = oracle->last;
+	oracle->maybe_cut = oracle->last;
+	FAKE_CHECK(dy_store_last_index(run->store) == oracle->last);
+}
+
+static void write_vote(run_t *run)
+{
+	dy_member_id_t candidate = { 2, 5 };
+
+	run->oracle.maybe_vote_term = run->oracle.vote_term + 1;
+	if (!dy_store_write_vote(run->store, run->oracle.maybe_vote_term,
+				 candidate, NULL))
+		run->oracle.vote_term = run->oracle.maybe_vote_term;
+}
+
+static void set_fault(run_t *run)
+{
+	uint32_t kind = take(run, 4);
+	uint32_t after = take(run, 64);
+
+	if (kind == 0)
+		run->disk->writes_left = after;
+	else if (kind == 1)
+		run->disk->syncs_left = after;
+	else
+		run->disk->operations_left = after;
+	run->disk->short_write = kind == 0 && after % 2;
+}
+
+static int reopen(run_t *run, int power)
+{
+	dy_store_destroy(run->store);
+	run->store = NULL;
+	if (power)
+		fake_disk_crash(run->disk);
+	else
+		fake_disk_restart(run->disk);
+	return open_store(run);
+}
+
+static int flip(run_t *run)
+{
+	static const char *const prefixes[] = { "log-", "snapshot", "vote",
+						"identity", "synced" };
+	const char *name = fake_disk_find(run->disk, prefixes[take(run, 5)]);
+	uint64_t offset;
+
+	if (dy_store_failed(run->store) || !name)
+		return 1;
+	sync_store(run);
+	offset = (uint64_t)take(run, 256) << 8;
+	offset += take(run, 256);
+	offset %= (uint64_t)MAX(fake_disk_size(run->disk, name), 1);
+	if (dy_store_failed(run->store) ||
+	    !fake_disk_flip(run->disk, name, offset))
+		return 1;
+	run->oracle.flipped = 1;
+	return reopen(run, 0);
+}
+
+static int operate(run_t *run)
+{
+	switch (take(run, 12)) {
+	case 0:
+	case 1:
+	case 2:
+		append(run, take(run, 24) + 1, (int)take(run, 2));
+		return 1;
+	case 3:
+	case 4:
+		sync_store(run);
+		return 1;
+	case 5:
+		truncate_store(run, take(run, 48));
+		return 1;
+	case 6:
+		snapshot_store(run, take(run, 48), 0);
+		return 1;
+	case 7:
+		snapshot_store(run, take(run, 48), 1);
+		return 1;
+	case 8:
+		write_vote(run);
+		return 1;
+	case 9:
+		set_fault(run);
+		return 1;
+	case 10:
+		return reopen(run, (int)take(run, 2));
+	default:
+		return flip(run);
+	}
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	run_t *run = g_new0(run_t, 1);
+	int operations;
+
+	dy_log_configure(DY_LOG_ERROR + 1, NULL);
+	run->data = data;
+	run->left = size;
+	run->disk = fake_disk_create(size ? data[size - 1] : 0);
+	if (open_store(run))
+		for (operations = 0; run->left && operations < 200;
+		     operations++)
+			if (!operate(run))
+				break;
+	dy_store_destroy(run->store);
+	fake_disk_destroy(run->disk);
+	g_free(run);
+	return 0;
+}
--- a/src/process/store_snapshot.c
+++ b/src/process/store_snapshot.c
@@ -224,8 +224,9 @@
 
 	if (size < 0) {
 		g_free(data);
-		return store_fail(store, "read", SNAPSHOT_NAME, (int)size,
-				  error);
+		(void)store_fail(store, "read", SNAPSHOT_NAME, (int)size,
+				 error);
+		return -1;
 	}
 	used = record_decode(data, size, store->id.identity, record);
 	g_free(data);
@@ -233,10 +234,11 @@
 		record_drop(record);
 		used = 0;
 	}
-	if (!used)
-		return store_corrupt(SNAPSHOT_NAME, position,
-				     "a record is damaged", error);
-	return (int64_t)used;
+	if (used)
+		return (int64_t)used;
+	(void)store_corrupt(SNAPSHOT_NAME, position, "a record is damaged",
+			    error);
+	return -1;
 }
 
 int dy_store_snapshot_read(dy_store_t *store, uint64_t offset, void *data,
