--- a/standin/fabric.c
+++ b/standin/fabric.c
@@ -32,6 +32,8 @@
 	unsigned balancers_count;
 	GHashTable *upstreams;
 	uint32_t probe_xid;
+	char *balancers_file;
+	char *balancers_text;
 	int probing;
 	int lose;
 	int duplicate;
@@ -201,6 +203,13 @@
 	carry(fabric, &upstream->socket, NULL, buf->base, count);
 }
 
+static int same_address(const struct sockaddr_in *one,
+			const struct sockaddr_in *other)
+{
+	return one->sin_port == other->sin_port &&
+	       one->sin_addr.s_addr == other->sin_addr.s_addr;
+}
+
 static void take_probe(uv_udp_t *socket, ssize_t count, const uv_buf_t *buf,
 		       const struct sockaddr *from, unsigned flags)
 {
@@ -213,9 +222,7 @@
 	for (i = 0; i < fabric->balancers_count; i++) {
 		balancer_t *balancer = &fabric->balancers[i];
 
-		if (balancer->address.sin_port != address->sin_port ||
-		    balancer->address.sin_addr.s_addr !=
-			    address->sin_addr.s_addr)
+		if (!same_address(&balancer->address, address))
 			continue;
 		balancer->ready_ms = standin_probe_is_ready(buf->base, count)
 					     ? standin_now_ms()
@@ -223,6 +230,42 @@
 	}
 }
 
+/* A balancer that stays in the list stays ready. */
+static void set_balancers(fabric_t *fabric, const char *text)
+{
+	balancer_t *old = fabric->balancers;
+	unsigned old_count = fabric->balancers_count;
+	struct sockaddr_in *addresses =
+		standin_parse_addresses(text, &fabric->balancers_count);
+	unsigned i;
+	unsigned j;
+
+	fabric->balancers = g_new0(balancer_t, fabric->balancers_count);
+	for (i = 0; i < fabric->balancers_count; i++) {
+		fabric->balancers[i].address = addresses[i];
+		for (j = 0; j < old_count; j++)
+			if (same_address(&old[j].address, &addresses[i]))
+				fabric->balancers[i].ready_ms = old[j].ready_ms;
+	}
+	g_free(addresses);
+	g_free(old);
+}
+
+/* The file is replaced whole whenever a balancer comes or goes. */
+static void reload_balancers(fabric_t *fabric)
+{
+	char *text = NULL;
+
+	if (!fabric->balancers_file ||
+	    !g_file_get_contents(fabric->balancers_file, &text, NULL, NULL))
+		return;
+	g_strstrip(text);
+	if (g_strcmp0(text, fabric->balancers_text))
+		set_balancers(fabric, text);
+	g_free(fabric->balancers_text);
+	fabric->balancers_text = text;
+}
+
 static void probe(uv_timer_t *timer)
 {
 	fabric_t *fabric = timer->data;
@@ -230,6 +273,7 @@
 	size_t length = standin_probe_encode(++fabric->probe_xid, bytes);
 	unsigned i;
 
+	reload_balancers(fabric);
 	for (i = 0; i < fabric->balancers_count; i++)
 		send_now(&fabric->probes, &fabric->balancers[i].address, bytes,
 			 length);
@@ -253,18 +297,6 @@
 	standin_print_bound(fd);
 }
 
-static void set_balancers(fabric_t *fabric, const char *text)
-{
-	struct sockaddr_in *addresses =
-		standin_parse_addresses(text, &fabric->balancers_count);
-	unsigned i;
-
-	fabric->balancers = g_new0(balancer_t, fabric->balancers_count);
-	for (i = 0; i < fabric->balancers_count; i++)
-		fabric->balancers[i].address = addresses[i];
-	g_free(addresses);
-}
-
 int main(int argc, char **argv)
 {
 	fabric_t fabric = { 0 };
@@ -276,6 +308,9 @@
 		  "Where callers send", "IP:PORT" },
 		{ "balancers", 0, 0, G_OPTION_ARG_STRING, &balancers,
 		  "One service's address at each balancer", "IP:PORT,.." },
+		{ "balancers-file", 0, 0, G_OPTION_ARG_FILENAME,
+		  &fabric.balancers_file,
+		  "File of that list, read again while running", "FILE" },
 		{ "probe", 0, 0, G_OPTION_ARG_NONE, &fabric.probing,
 		  "Pass over balancers that are unready or silent", NULL },
 		{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed", "N" },
@@ -289,7 +324,12 @@
 	};
 
 	standin_parse_options(argc, argv, "A stand-in network.", entries);
-	set_balancers(&fabric, balancers);
+	if (fabric.balancers_file)
+		reload_balancers(&fabric);
+	else
+		set_balancers(&fabric, balancers);
+	if (!fabric.balancers_count)
+		standin_die("there are no balancers");
 	fabric.rand = g_rand_new_with_seed(seed);
 	start(&fabric, listen_text);
 	uv_run(uv_default_loop(), UV_RUN_DEFAULT);
