--- /dev/null
+++ b/tests/fake_stations.c
@@ -0,0 +1,159 @@
+#include "fake_stations.h"
+
+#include <check.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct progress {
+	unsigned answered[FAKE_STATIONS];
+	unsigned wanted;
+} progress_t;
+
+void fake_stations_start(fake_cluster_t *cluster)
+{
+	char *address =
+		fake_cluster_value(cluster, "fabric-readings", "address");
+	char *account = fake_cluster_path(cluster, "account");
+
+	fake_cluster_spawn(cluster, "caller",
+			   "standin/readings_caller --address %s --account %s "
+			   "--prefix s --stations %d --readings 100000 "
+			   "--pace-ms 20 --retry-ms 500 --timeout-ms 10000",
+			   address, account, FAKE_STATIONS);
+	g_free(address);
+	g_free(account);
+}
+
+static void count_answered(fake_cluster_t *cluster,
+			   unsigned answered[FAKE_STATIONS])
+{
+	char *path = fake_cluster_path(cluster, "account");
+	char *text = NULL;
+	char **lines;
+	unsigned station;
+	unsigned i;
+
+	memset(answered, 0, FAKE_STATIONS * sizeof(*answered));
+	g_file_get_contents(path, &text, NULL, NULL);
+	lines = g_strsplit(text ? text : "", "\n", -1);
+	for (i = 0; lines[i]; i++)
+		if (g_str_has_suffix(lines[i], " answered")) {
+			station = strtoul(lines[i] + 1, NULL, 10);
+			ck_assert_uint_lt(station, FAKE_STATIONS);
+			answered[station]++;
+		}
+	g_strfreev(lines);
+	g_free(text);
+	g_free(path);
+}
+
+static int has_progress(fake_cluster_t *cluster, void *context)
+{
+	const progress_t *progress = context;
+	unsigned answered[FAKE_STATIONS];
+	unsigned i;
+
+	count_answered(cluster, answered);
+	for (i = 0; i < FAKE_STATIONS; i++)
+		if (answered[i] < progress->answered[i] + progress->wanted)
+			return 0;
+	return 1;
+}
+
+void fake_stations_await(fake_cluster_t *cluster, unsigned readings)
+{
+	progress_t progress = { .wanted = readings };
+
+	count_answered(cluster, progress.answered);
+	fake_cluster_await(cluster, "answers to every station", has_progress,
+			   &progress);
+}
+
+/* The value of key in a line of key=value words. */
+static unsigned value_of(const char *line, const char *key)
+{
+	char **words = g_strsplit_set(line, " \n", -1);
+	char *prefix = g_strconcat(key, "=", NULL);
+	unsigned value = 0;
+	int found = 0;
+	unsigned i;
+
+	for (i = 0; words[i]; i++)
+		if (g_str_has_prefix(words[i], prefix)) {
+			value = strtoul(words[i] + strlen(prefix), NULL, 10);
+			found = 1;
+		}
+	ck_assert_msg(found, "no %s in \"%s\"", key, line);
+	g_free(prefix);
+	g_strfreev(words);
+	return value;
+}
+
+static void load_account(fake_account_t *account, const char *line)
+{
+	account->sent = value_of(line, "sent");
+	account->answered = value_of(line, "answered");
+	account->doubled = value_of(line, "stored_twice");
+	account->lost = value_of(line, "lost");
+	account->wrong = value_of(line, "mismatched") +
+			 value_of(line, "refused_but_stored") +
+			 value_of(line, "never_sent") +
+			 value_of(line, "unfinished");
+	account->may_have_run = value_of(line, "may_have_run");
+}
+
+static void load_broken(fake_account_t *account, const char *line)
+{
+	account->broken = value_of(line, "broken_flows");
+	account->broken_refused = value_of(line, "broken_refused");
+	account->broken_token = value_of(line, "broken_token");
+	account->broken_error = value_of(line, "broken_error");
+	account->broken_timeout = value_of(line, "broken_timeout");
+}
+
+fake_account_t fake_stations_finish(fake_cluster_t *cluster)
+{
+	fake_account_t account = { 0 };
+	GString *command = g_string_new("standin/account --caller ");
+	char *path = fake_cluster_path(cluster, "account");
+	char *output = NULL;
+	unsigned i;
+
+	fake_cluster_signal(cluster, "caller", SIGTERM);
+	fake_cluster_wait(cluster, "caller", &output);
+	load_broken(&account, output);
+	g_free(output);
+	g_string_append(command, path);
+	for (i = 1; i <= FAKE_TARGETS; i++) {
+		char *stored = g_strdup_printf("stored%u", i);
+		char *file = fake_cluster_path(cluster, stored);
+
+		g_string_append_printf(command, " --stored %s", file);
+		g_free(file);
+		g_free(stored);
+	}
+	fake_cluster_spawn(cluster, "judge", "%s", command->str);
+	fake_cluster_wait(cluster, "judge", &output);
+	load_account(&account, output);
+	g_free(output);
+	g_free(path);
+	g_string_free(command, TRUE);
+	return account;
+}
+
+void fake_stations_pull_maps(fake_cluster_t *cluster)
+{
+	char *address = fake_cluster_value(cluster, "fabric-maps", "address");
+	char *output = NULL;
+	int code;
+
+	fake_cluster_spawn(cluster, "reader",
+			   "standin/maps_caller --maps 2 --address %s",
+			   address);
+	code = fake_cluster_wait(cluster, "reader", &output);
+	ck_assert_msg(!code, "the reader of maps: %s", output);
+	g_free(output);
+	g_free(address);
+}
--- /dev/null
+++ b/tests/test_end_to_end.c
@@ -0,0 +1,225 @@
+#include "fake_stations.h"
+
+#include <check.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Readings of each station between two events of a run. */
+#define CALM 3
+
+/* One event of a run: what happens, and how it is made good again. */
+typedef struct event {
+	const char *name;
+	const char *group; /* two events at once are of two groups */
+	void (*begin)(fake_cluster_t *cluster, const char *victim);
+	void (*end)(fake_cluster_t *cluster, const char *victim);
+	unsigned victims;
+	int planned;
+} event_t;
+
+static void kill_process(fake_cluster_t *cluster, const char *victim)
+{
+	fake_cluster_kill(cluster, victim);
+}
+
+static void start_process(fake_cluster_t *cluster, const char *victim)
+{
+	fake_cluster_start(cluster, victim);
+}
+
+static void start_balancer(fake_cluster_t *cluster, const char *victim)
+{
+	fake_cluster_start(cluster, victim);
+	fake_cluster_point_fabrics(cluster);
+}
+
+static void stop_process(fake_cluster_t *cluster, const char *victim)
+{
+	fake_cluster_stop(cluster, victim);
+}
+
+static void erase_control(fake_cluster_t *cluster, const char *victim)
+{
+	fake_cluster_kill(cluster, victim);
+	fake_cluster_erase(cluster, victim);
+}
+
+/* What announces a target belongs to one run of it. */
+static char *announcer_of(const char *target)
+{
+	return g_strconcat("announce", strpbrk(target, "0123456789"), NULL);
+}
+
+static void kill_target(fake_cluster_t *cluster, const char *victim)
+{
+	char *announcer = announcer_of(victim);
+
+	fake_cluster_kill(cluster, victim);
+	fake_cluster_kill(cluster, announcer);
+	g_free(announcer);
+}
+
+static void start_target(fake_cluster_t *cluster, const char *victim)
+{
+	char *announcer = announcer_of(victim);
+
+	fake_cluster_start(cluster, victim);
+	fake_cluster_start(cluster, announcer);
+	g_free(announcer);
+}
+
+static void freeze(fake_cluster_t *cluster, const char *victim)
+{
+	fake_cluster_signal(cluster, victim, SIGSTOP);
+}
+
+static void thaw(fake_cluster_t *cluster, const char *victim)
+{
+	fake_cluster_signal(cluster, victim, SIGCONT);
+}
+
+static const event_t events[] = {
+	{ "stop_balancer", "balancer", stop_process, start_balancer,
+	  FAKE_BALANCERS, 1 },
+	{ "stop_control", "control", stop_process, start_process, FAKE_CONTROLS,
+	  1 },
+	{ "stop_agent", "agent", stop_process, start_process, FAKE_TARGETS, 1 },
+	{ "kill_balancer", "balancer", kill_process, start_balancer,
+	  FAKE_BALANCERS, 0 },
+	{ "kill_control", "control", kill_process, start_process, FAKE_CONTROLS,
+	  0 },
+	{ "kill_agent", "agent", kill_process, start_process, FAKE_TARGETS, 0 },
+	{ "kill_target", "readings", kill_target, start_target, FAKE_TARGETS,
+	  0 },
+	{ "freeze_balancer", "balancer", freeze, thaw, FAKE_BALANCERS, 0 },
+	{ "freeze_control", "control", freeze, thaw, FAKE_CONTROLS, 0 },
+	{ "freeze_agent", "agent", freeze, thaw, FAKE_TARGETS, 0 },
+	{ "freeze_target", "readings", freeze, thaw, FAKE_TARGETS, 0 },
+	{ "erase_control", "control", erase_control, start_process,
+	  FAKE_CONTROLS, 0 },
+};
+
+static const event_t *draw(GRand *rand, int planned, const event_t *other)
+{
+	const event_t *event;
+
+	do
+		event = &events[g_rand_int_range(rand, 0,
+						 G_N_ELEMENTS(events))];
+	while ((planned && !event->planned) ||
+	       (other && !strcmp(other->group, event->group)));
+	return event;
+}
+
+static void draw_victim(GRand *rand, const event_t *event, char name[32])
+{
+	g_snprintf(name, 32, "%s%d", event->group,
+		   g_rand_int_range(rand, 1, (int)event->victims + 1));
+}
+
+/* Two events at once, work in between, then both made good. */
+static void run_pair(fake_cluster_t *cluster, GRand *rand, int planned)
+{
+	const event_t *first = draw(rand, planned, NULL);
+	const event_t *second = draw(rand, planned, first);
+	char one[32];
+	char other[32];
+
+	draw_victim(rand, first, one);
+	draw_victim(rand, second, other);
+	printf("event=%s process=%s with=%s process=%s\n", first->name, one,
+	       second->name, other);
+	fflush(stdout);
+	first->begin(cluster, one);
+	second->begin(cluster, other);
+	fake_stations_await(cluster, CALM);
+	first->end(cluster, one);
+	second->end(cluster, other);
+	fake_stations_await(cluster, CALM);
+}
+
+static void print_account(unsigned seed, const fake_account_t *account)
+{
+	printf("seed=%u sent=%u answered=%u doubled=%u lost=%u wrong=%u "
+	       "may_have_run=%u broken=%u broken_refused=%u broken_token=%u "
+	       "broken_error=%u broken_timeout=%u\n",
+	       seed, account->sent, account->answered, account->doubled,
+	       account->lost, account->wrong, account->may_have_run,
+	       account->broken, account->broken_refused, account->broken_token,
+	       account->broken_error, account->broken_timeout);
+	fflush(stdout);
+}
+
+static fake_account_t finish(fake_cluster_t *cluster, unsigned seed)
+{
+	fake_account_t account = fake_stations_finish(cluster);
+
+	print_account(seed, &account);
+	ck_assert_uint_eq(account.doubled, 0);
+	ck_assert_uint_eq(account.lost, 0);
+	ck_assert_uint_eq(account.wrong, 0);
+	ck_assert_uint_gt(account.answered, 0);
+	return account;
+}
+
+static fake_account_t run_seed(unsigned seed, int planned, unsigned pairs)
+{
+	fake_cluster_t *cluster = fake_cluster_create(seed, 1, 1);
+	GRand *rand = g_rand_new_with_seed(seed);
+	fake_account_t account;
+
+	fake_stations_start(cluster);
+	fake_stations_await(cluster, CALM);
+	while (pairs--)
+		run_pair(cluster, rand, planned);
+	fake_stations_pull_maps(cluster);
+	account = finish(cluster, seed);
+	g_rand_free(rand);
+	fake_cluster_destroy(cluster);
+	return account;
+}
+
+/*
+ * A night of work on the machines: balancers, controls and agents are
+ * stopped and started, two at once, while stations stream. A station would
+ * see its session end. Each stop must hand on or finish what it holds.
+ */
+START_TEST(planned_changes_break_no_flow)
+{
+	fake_account_t account = run_seed(11 + _i, 1, 4);
+
+	ck_assert_uint_eq(account.broken, 0);
+	ck_assert_uint_eq(account.may_have_run, 0);
+}
+END_TEST
+
+/*
+ * Processes die, lose their disks or fall silent and come back, two at once.
+ * A reading would be stored twice, or be answered and not stored: a call
+ * sent again reaches a second target, or an old owner answers.
+ */
+START_TEST(failures_double_and_lose_nothing)
+{
+	run_seed(31 + _i, 0, 4);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("end_to_end");
+	TCase *tcase = tcase_create("end_to_end");
+	SRunner *runner;
+	int failures;
+
+	tcase_set_timeout(tcase, 150);
+	tcase_add_loop_test(tcase, planned_changes_break_no_flow, 0, 2);
+	tcase_add_loop_test(tcase, failures_double_and_lose_nothing, 0, 3);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failures = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
