--- a/Makefile
+++ b/Makefile
@@ -123,7 +123,8 @@
 
 build/fuzz/%: build/fuzz-obj/fuzz/%.o $(FUZZ_OBJ)
 	@mkdir -p $(@D)
-	$(CLANG) $(FUZZ_FLAGS) -fsanitize=fuzzer -o $@ $^ $(DEPS_LIBS)
+	$(CLANG) $(FUZZ_FLAGS) -fsanitize=fuzzer -o $@ $^ $(CHECK_LIBS) \
+		$(DEPS_LIBS)
 
 fuzzers: $(FUZZ_BIN)
 
--- a/src/version/registry_poll.c
+++ b/src/version/registry_poll.c
@@ -167,17 +167,35 @@
 	registry_show_member(member, &item->delta.dy_delta_t_u.member);
 }
 
-/* Walk back to the version, then forth until an answer is full. */
+/*
+ * Find the first member that changed after version, or head. Looks from both
+ * ends, since polls stand near the newest change or, at a start, the oldest.
+ */
+static const dy_list_t *find_first(const dy_list_t *head, int service,
+				   uint64_t version)
+{
+	const dy_list_t *front = head->next;
+	const dy_list_t *back = head;
+
+	while (front != back) {
+		if (by_link(front, service)->changed > version)
+			return front;
+		front = front->next;
+		if (front == back ||
+		    by_link(back->prev, service)->changed <= version)
+			return back;
+		back = back->prev;
+	}
+	return back;
+}
+
 static void gather_members(gathering_t *gathering, const dy_list_t *head,
 			   int service)
 {
 	const dy_registry_member_t *member;
-	const dy_list_t *pos = head->prev;
+	const dy_list_t *pos = find_first(head, service, gathering->version);
 
-	while (pos != head &&
-	       by_link(pos, service)->changed > gathering->version)
-		pos = pos->prev;
-	for (pos = pos->next; pos != head; pos = pos->next) {
+	for (; pos != head; pos = pos->next) {
 		member = by_link(pos, service);
 		if (gathering->count >= DY_DELTAS_MAX &&
 		    member->changed > gathering->upto) {
--- a/tests/fake_registry.c
+++ b/tests/fake_registry.c
@@ -6,13 +6,13 @@
 
 #include <glib.h>
 
-#define CHECK(condition)                                               \
-	do {                                                           \
-		if (!(condition)) {                                    \
-			fprintf(stderr, "%s:%d: %s\n", __FILE__,       \
-				__LINE__, #condition);                 \
-			abort();                                       \
-		}                                                      \
+#define CHECK(condition)                                                   \
+	do {                                                               \
+		if (!(condition)) {                                        \
+			fprintf(stderr, "%s:%d: %s\n", __FILE__, __LINE__, \
+				#condition);                               \
+			abort();                                           \
+		}                                                          \
 	} while (0)
 
 void fake_registry_apply(dy_registry_t *registry, const dy_command_t *command)
@@ -248,9 +248,9 @@
 
 	for (i = run->truth_count; i > 0; i--)
 		if (run->truths[i - 1].name == name)
-			return run->truths[i - 1].forgotten ?
-				       NULL :
-				       &run->truths[i - 1];
+			return run->truths[i - 1].forgotten
+				       ? NULL
+				       : &run->truths[i - 1];
 	return NULL;
 }
 
@@ -272,13 +272,12 @@
 static void decide(fake_run_t *run, const dy_change_t *change,
 		   unsigned document, decided_t *decided)
 {
-	dy_environment_t environment = change->kind == DY_CHANGE_PROMOTE ?
-					       DY_PRODUCTION :
-					       DY_TRIAL;
+	dy_environment_t environment =
+		change->kind == DY_CHANGE_PROMOTE ? DY_PRODUCTION : DY_TRIAL;
 	uint64_t current = run->numbers[environment];
-	unsigned content = change->kind == DY_CHANGE_PROMOTE ?
-				   run->contents[DY_TRIAL] :
-				   document;
+	unsigned content = change->kind == DY_CHANGE_PROMOTE
+				   ? run->contents[DY_TRIAL]
+				   : document;
 
 	decided->known = 1;
 	decided->status = DY_STATUS_OK;
@@ -297,8 +296,7 @@
 	} else {
 		decided->number = ++run->numbers[environment];
 		run->contents[environment] = content;
-		memcpy(decided->digest, run->digests[content],
-		       DY_DIGEST_BYTES);
+		memcpy(decided->digest, run->digests[content], DY_DIGEST_BYTES);
 		run->effects++;
 	}
 }
@@ -370,8 +368,7 @@
 
 	change->kind = kind;
 	change->operator_name = "o";
-	change->environment =
-		(char *)dy_environment_name(environment_of(name));
+	change->environment = (char *)dy_environment_name(environment_of(name));
 	change->name = name_of(name);
 	change->request[15] = 1;
 	memcpy(change->request, &index, sizeof(index));
@@ -421,9 +418,9 @@
 		return DY_STATUS_SUPERSEDED;
 	if (actor->incarnation && is_over(truth->state))
 		return truth->state == DY_MEMBER_LEFT &&
-				       actor->state == DY_MEMBER_LEFT ?
-			       DY_STATUS_OK :
-			       DY_STATUS_SUPERSEDED;
+				       actor->state == DY_MEMBER_LEFT
+			       ? DY_STATUS_OK
+			       : DY_STATUS_SUPERSEDED;
 	if (same && !is_over(truth->state)) {
 		if (truth->service && truth->service != actor->service)
 			return DY_STATUS_MALFORMED;
@@ -495,8 +492,7 @@
 
 static int in_view(const actor_t *actor, const truth_t *truth)
 {
-	return !truth->forgotten &&
-	       kind_of(truth->name) == DY_MEMBER_AGENT &&
+	return !truth->forgotten && kind_of(truth->name) == DY_MEMBER_AGENT &&
 	       environment_of(truth->name) == environment_of(actor->name) &&
 	       (kind_of(actor->name) == DY_MEMBER_BALANCER ||
 		(actor->service && truth->service == actor->service));
@@ -511,8 +507,8 @@
 
 	for (i = 0; i < run->truth_count; i++) {
 		truth = &run->truths[i];
-		state = GPOINTER_TO_INT(g_hash_table_lookup(
-			actor->view, &truth->incarnation));
+		state = GPOINTER_TO_INT(
+			g_hash_table_lookup(actor->view, &truth->incarnation));
 		if (in_view(actor, truth))
 			CHECK(state == (unsigned)truth->state);
 		/* What is forgotten was told to be over, or never told. */
@@ -532,8 +528,8 @@
 	if (!actor->running || run->truth_count == SEEN_MAX)
 		return;
 	fill_poll(actor, &args);
-	expected = expect_poll(run, actor,
-			       dy_registry_index(run->registry) + 1);
+	expected =
+		expect_poll(run, actor, dy_registry_index(run->registry) + 1);
 	result.deltas.deltas_val = deltas;
 	status = fake_registry_poll(run->registry, &args, &result, NULL);
 	CHECK(status == expected);
@@ -555,9 +551,9 @@
 	actor->version = 0;
 	actor->document_seen = 0;
 	actor->state = DY_MEMBER_SERVING;
-	actor->service = kind_of(actor->name) == DY_MEMBER_AGENT ?
-				 service % SERVICES :
-				 0;
+	actor->service = kind_of(actor->name) == DY_MEMBER_AGENT
+				 ? service % SERVICES
+				 : 0;
 	g_hash_table_remove_all(actor->view);
 }
 
