--- a/Makefile
+++ b/Makefile
@@ -109,11 +109,12 @@
 	@mkdir -p $(@D)
 	$(CC) $(SAN) -o $@ $^ $(DEPS_LIBS)
 
-# The fuzzers' own objects: clang instruments the library's code too.
+# The fuzzers' own objects: clang instruments the library's code too. Fakes
+# that assert by the check library belong to the tests alone.
 FUZZ_FLAGS = -std=gnu11 -O1 -g -w -fsanitize=address,undefined
 FUZZ_OBJ := $(patsubst %.c,build/fuzz-obj/%.o, \
 	$(filter-out $(MAIN_SRC),$(LIB_SRC)) $(GEN_SRC) \
-	$(filter-out tests/fake_suite.c,$(sort $(wildcard tests/fake_*.c))))
+	$(sort $(shell grep -LE 'ck_assert|tcase_' tests/fake_*.c)))
 
 build/fuzz-obj/%.o: %.c
 	@mkdir -p $(@D)
--- /dev/null
+++ b/fuzz/fuzz_agent.c
@@ -0,0 +1,325 @@
+/*
+ * Agents of one service against an oracle: each run of bytes is a run of
+ * operations over three cores, their targets, their callers, the network
+ * between them and control. The oracle stands in tests/fake_agents.c: at most
+ * one run of each call, no run of one that was refused as not run, no refusal
+ * as not run of one that ran, whole answers of one's own calls only. Inside
+ * the cores their own invariants are asserted.
+ *
+ * The first byte chooses: planned changes alone (drains, stops, restarts of
+ * agents that have left, messages doubled and out of order), after which
+ * every submission must have run once and been answered; or anything at all.
+ */
+
+#include <stdio.h>
+#include <string.h>
+
+#include "damaskyard/log.h"
+#include "fake_agents.h"
+
+/* A caller's copies come within this, in us: below what the cache keeps. */
+#define COPY_US 55000000ULL
+
+#define SETTLE_TURNS 6
+
+typedef struct run {
+	fake_world_t *world;
+	const uint8_t *bytes;
+	size_t len;
+	int planned;
+} run_t;
+
+static unsigned take(run_t *run)
+{
+	if (!run->len)
+		return 0;
+	run->len--;
+	return *run->bytes++;
+}
+
+static unsigned take_below(run_t *run, unsigned limit)
+{
+	return take(run) % limit;
+}
+
+/* Mostly where a balancer would send it; now and then anywhere. */
+static unsigned choose_agent(run_t *run, const dy_token_t *token)
+{
+	unsigned byte = take(run);
+
+	if (!run->planned && byte >= 0xc0)
+		return byte % FAKE_AGENTS;
+	return fake_route(run->world, token);
+}
+
+static void make_call(run_t *run, uint32_t procedure)
+{
+	unsigned caller = take_below(run, FAKE_CALLERS);
+
+	if (run->world->call_count + FAKE_CALLERS >= FAKE_CALLS)
+		return;
+	if (run->planned && !run->world->callers[caller].has_token)
+		return;
+	fake_call(run->world,
+		  choose_agent(run, &run->world->callers[caller].fields),
+		  caller, procedure);
+}
+
+static void copy_call(run_t *run, unsigned within)
+{
+	fake_world_t *world = run->world;
+	const fake_call_t *call;
+	uint32_t id;
+
+	if (!world->call_count)
+		return;
+	id = world->call_count - 1 -
+	     take_below(run, MIN(within, world->call_count));
+	call = &world->calls[id];
+	if (world->now_us - call->sent_us > COPY_US)
+		return;
+	fake_copy(world, choose_agent(run, &call->token), id);
+}
+
+static void cancel_call(run_t *run)
+{
+	fake_world_t *world = run->world;
+	uint32_t id;
+
+	if (!world->call_count)
+		return;
+	id = world->call_count - 1 - take_below(run, MIN(8, world->call_count));
+	if (world->callers[world->calls[id].caller].has_token)
+		fake_cancel(world, choose_agent(run, &world->calls[id].token),
+			    id);
+}
+
+static unsigned count_serving(const fake_world_t *world)
+{
+	unsigned count = 0;
+	unsigned i;
+
+	for (i = 0; i < FAKE_AGENTS; i++)
+		count += world->agents[i].agent &&
+			 dy_agent_state(world->agents[i].agent) ==
+				 DY_MEMBER_SERVING;
+	return count;
+}
+
+/* Of a planned change, at least one agent goes on serving. */
+static void leave(run_t *run, unsigned index)
+{
+	fake_agent_t *agent = &run->world->agents[index];
+
+	if (!agent->agent || (run->planned && count_serving(run->world) < 2))
+		return;
+	dy_agent_leave(agent->agent, "fuzz", 1);
+}
+
+static void restart(run_t *run, unsigned index)
+{
+	fake_agent_t *agent = &run->world->agents[index];
+
+	if (!run->planned || !agent->agent || agent->left)
+		fake_start(run->world, index);
+}
+
+static void open_flow(run_t *run, unsigned index)
+{
+	unsigned caller = take_below(run, FAKE_CALLERS);
+
+	if (run->planned && run->world->callers[caller].has_token)
+		return;
+	if (run->world->call_count + FAKE_CALLERS < FAKE_CALLS)
+		fake_open(run->world, index, caller);
+}
+
+static void answer_everything(fake_world_t *world)
+{
+	unsigned i;
+
+	for (i = 0; i < FAKE_AGENTS; i++)
+		if (world->agents[i].agent)
+			fake_answer_all(world, i);
+}
+
+static void pass(run_t *run)
+{
+	unsigned byte = take(run);
+
+	if (run->planned)
+		answer_everything(run->world);
+	fake_pass(run->world,
+		  byte < 250 || run->planned ? 50 * (byte % 8 + 1) : 40000);
+}
+
+/* What may happen to a group in which every change is planned. */
+static void operate_planned(run_t *run, unsigned op, unsigned index)
+{
+	switch (op) {
+	case 0:
+	case 1:
+		make_call(run, FAKE_SUBMIT);
+		break;
+	case 2:
+		make_call(run, FAKE_COUNT);
+		break;
+	case 3:
+		copy_call(run, 16);
+		break;
+	case 4:
+		fake_answer(run->world, index, take_below(run, FAKE_SLOTS),
+			    FAKE_OK);
+		break;
+	case 5:
+		pass(run);
+		break;
+	case 6:
+		fake_poll(run->world, index);
+		break;
+	case 7:
+		fake_deliver(run->world);
+		break;
+	case 8:
+		fake_double(run->world);
+		break;
+	case 9:
+		fake_reorder(run->world);
+		break;
+	case 10:
+		open_flow(run, index);
+		break;
+	case 11:
+		leave(run, index);
+		break;
+	case 12:
+		restart(run, index);
+		break;
+	default:
+		break;
+	}
+}
+
+#define PLANNED_OPS 13
+
+static void operate_unplanned(run_t *run, unsigned op, unsigned index)
+{
+	fake_world_t *world = run->world;
+	fake_agent_t *agent = &world->agents[index];
+
+	switch (op) {
+	case 0:
+		fake_lose(world);
+		break;
+	case 1:
+		fake_answer(world, index, take_below(run, FAKE_SLOTS),
+			    take_below(run, FAKE_REPLIES));
+		break;
+	case 2:
+		fake_hang_up(world, index, take_below(run, DY_AGENT_LINKS));
+		break;
+	case 3:
+		fake_restart_target(world, index);
+		break;
+	case 4:
+		cancel_call(run);
+		break;
+	case 5:
+		fake_answer_cancel(world, index, take_below(run, 2));
+		break;
+	case 6:
+		agent->announcing = !agent->announcing;
+		break;
+	case 7:
+		dy_agent_set_lease(agent->agent, (int)take_below(run, 2));
+		break;
+	case 8:
+		copy_call(run, 256);
+		break;
+	case 9:
+		agent->refuse_sends = !agent->refuse_sends;
+		break;
+	case 10:
+		dy_agent_supersede(agent->agent);
+		break;
+	default:
+		break;
+	}
+}
+
+#define UNPLANNED_OPS 11
+
+static void operate(run_t *run)
+{
+	unsigned ops = PLANNED_OPS + (run->planned ? 0 : UNPLANNED_OPS);
+	unsigned op = take_below(run, ops);
+	unsigned index = take_below(run, FAKE_AGENTS);
+
+	if (!run->world->agents[index].agent)
+		return;
+	if (op < PLANNED_OPS)
+		operate_planned(run, op, index);
+	else
+		operate_unplanned(run, op - PLANNED_OPS, index);
+}
+
+/* A caller sends on until it is told something. */
+static void send_unanswered(fake_world_t *world)
+{
+	fake_call_t *call;
+	uint32_t id;
+
+	for (id = 0; id < world->call_count; id++) {
+		call = &world->calls[id];
+		if (call->procedure == FAKE_SUBMIT && !call->outcomes)
+			fake_copy(world, fake_route(world, &call->token), id);
+	}
+}
+
+static void check_planned(fake_world_t *world)
+{
+	const fake_call_t *call;
+	uint32_t id;
+
+	for (id = 0; id < world->call_count; id++) {
+		call = &world->calls[id];
+		if (call->procedure != FAKE_SUBMIT)
+			continue;
+		if (call->runs == 1 && call->answered)
+			continue;
+		/* Refused as not run, with a time to come back, is no loss. */
+		if (!call->runs && call->not_run && call->retry_ms)
+			continue;
+		fprintf(stderr,
+			"a planned change broke call %u: runs=%u outcomes=%u "
+			"verdict=%s reason=%s\n",
+			id, call->runs, call->outcomes,
+			dy_verdict_name(call->verdict),
+			dy_reason_name(call->reason));
+		abort();
+	}
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t len);
+
+int LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t len)
+{
+	run_t run = { NULL, bytes, len, 0 };
+	unsigned i;
+
+	dy_log_configure(DY_LOG_ERROR, NULL);
+	run.world = fake_world_create();
+	run.planned = take(&run) & 1;
+	for (i = 0; i < FAKE_AGENTS; i++)
+		fake_start(run.world, i);
+	while (run.len)
+		operate(&run);
+	for (i = 0; run.planned && i < SETTLE_TURNS; i++) {
+		fake_settle(run.world);
+		send_unanswered(run.world);
+	}
+	if (run.planned)
+		check_planned(run.world);
+	fake_world_destroy(run.world);
+	return 0;
+}
--- a/tests/fake_agents.c
+++ b/tests/fake_agents.c
@@ -5,9 +5,14 @@
 
 #include <rpc/rpc.h>
 
+#include "damaskyard/successor.h"
+
 #define PROGRAM 0x2A000001
 #define STEP_MS 50
 
+/* The network's maximum segment lifetime. */
+#define MAIL_LIFE_US 60000000ULL
+
 static const char document_text[] =
 	"[service readings]\naddress = 10.0.0.1:1\nprogram = 0x2A000001\n"
 	"version = 1\nidempotent = 2\ndeadline_ms = 1000\nslots = 2\n"
@@ -19,6 +24,7 @@
 	mail_kind_t kind;
 	unsigned from;
 	unsigned to;
+	uint64_t posted_us;
 	uint8_t *bytes;
 	size_t len;
 } mail_t;
@@ -169,6 +175,7 @@
 	if (!proc(&xdrs, value))
 		fail("a message that cannot be written", 0);
 	mail->kind = kind;
+	mail->posted_us = from->world->now_us;
 	mail->from = from->index;
 	mail->to = to->port - 9000;
 	mail->len = xdr_getpos(&xdrs);
@@ -228,10 +235,10 @@
 		fail("two calls on one connection", 0);
 	link->busy = 1;
 	link->target_xid = call.xid;
+	memcpy(&word, call.args + (call.args_len - 4), 4);
+	link->id = ntohl(word);
 	if (index == DY_AGENT_CANCEL_LINK)
 		return 0;
-	memcpy(&word, call.args, 4);
-	link->id = ntohl(word);
 	run(agent->world, link->id);
 	return 0;
 }
@@ -300,7 +307,7 @@
 	g_queue_init(&world->mail);
 	world->members = g_ptr_array_new_with_free_func(free_member);
 	for (i = 0; i < FAKE_CALLERS; i++)
-		world->callers[i].next_xid = 1000 * (i + 1);
+		world->callers[i].next_xid = 100000 * (i + 1);
 	for (i = 0; i < FAKE_AGENTS; i++) {
 		world->agents[i].world = world;
 		world->agents[i].index = i;
@@ -476,7 +483,7 @@
 	fake_agent_t *to = &world->agents[mail->to];
 	XDR xdrs;
 
-	if (!to->agent)
+	if (!to->agent || world->now_us - mail->posted_us > MAIL_LIFE_US)
 		return;
 	xdrmem_create(&xdrs, (char *)mail->bytes, (u_int)mail->len, XDR_DECODE);
 	if (mail->kind == MAIL_MOVE)
@@ -521,6 +528,15 @@
 	return 1;
 }
 
+int fake_reorder(fake_world_t *world)
+{
+	mail_t *mail = g_queue_pop_head(&world->mail);
+
+	if (mail)
+		g_queue_push_tail(&world->mail, mail);
+	return !!mail;
+}
+
 void fake_settle(fake_world_t *world)
 {
 	unsigned turns;
@@ -590,8 +606,8 @@
 	entry->xid = call.xid;
 	entry->caller = caller;
 	entry->procedure = procedure;
-	entry->agent = world->callers[caller].fields.agent;
-	entry->incarnation = world->callers[caller].fields.incarnation;
+	entry->sent_us = world->now_us;
+	entry->token = world->callers[caller].fields;
 	forward_bytes(world, index, caller, entry->bytes, entry->len);
 	return id;
 }
@@ -694,32 +710,36 @@
 	dy_agent_link_down(agent->agent, link);
 }
 
-static void revoke_run(fake_world_t *world, fake_agent_t *agent)
+/* A target can only say of a call that it has that it will not run it. */
+static int revoke_run(fake_world_t *world, fake_agent_t *agent, uint32_t xid)
 {
+	fake_link_t *link;
 	unsigned i;
 
-	for (i = 0; i < DY_AGENT_SLOTS_MAX; i++)
-		if (agent->links[i].busy)
-			world->calls[agent->links[i].id].runs--;
+	for (i = 0; i < DY_AGENT_SLOTS_MAX; i++) {
+		link = &agent->links[i];
+		if (!link->busy || world->calls[link->id].xid != xid)
+			continue;
+		world->calls[link->id].runs--;
+		return 1;
+	}
+	return 0;
 }
 
-/* Grants only where one call alone is with the target, and undoes its run. */
 void fake_answer_cancel(fake_world_t *world, unsigned index, int granted)
 {
 	fake_agent_t *agent = &world->agents[index];
 	fake_link_t *link = &agent->links[DY_AGENT_CANCEL_LINK];
-	uint32_t word = htonl(!!granted);
-	dy_rpc_reply_t reply = { .xid = link->target_xid,
-				 .results = (uint8_t *)&word,
-				 .results_len = 4 };
+	dy_rpc_reply_t reply = { .xid = link->target_xid, .results_len = 4 };
 	uint8_t out[64];
+	uint32_t word;
 	size_t len;
 
 	if (!agent->agent || !link->busy)
 		return;
 	link->busy = 0;
-	if (granted)
-		revoke_run(world, agent);
+	word = htonl(granted && revoke_run(world, agent, link->id));
+	reply.results = (uint8_t *)&word;
 	len = dy_rpc_write_reply(&reply, out, sizeof(out));
 	dy_agent_link_receive(agent->agent, DY_AGENT_CANCEL_LINK, out, len);
 }
@@ -730,6 +750,40 @@
 	fake_announce(world, index, 0);
 }
 
+static const dy_member_t *find_member(const fake_world_t *world, uint64_t id,
+				      uint64_t incarnation)
+{
+	const dy_member_t *member;
+	unsigned i;
+
+	for (i = world->members->len; i--;) {
+		member = g_ptr_array_index(world->members, i);
+		if (member->id == id &&
+		    (!incarnation || member->incarnation == incarnation))
+			return member;
+	}
+	return NULL;
+}
+
+unsigned fake_route(const fake_world_t *world, const dy_token_t *token)
+{
+	const dy_member_t *member =
+		find_member(world, token->agent, token->incarnation);
+	unsigned hops;
+
+	for (hops = 0; member && hops < 8; hops++) {
+		if (member->state != DY_MEMBER_LEFT)
+			return member->info.address.port - 9000;
+		member = find_member(
+			world,
+			dy_successor_pick(token->session,
+					  member->successors.successors_val,
+					  member->successors.successors_len),
+			0);
+	}
+	return token->address.port ? token->address.port - 9000 : 0;
+}
+
 unsigned fake_owner(const fake_world_t *world, unsigned caller)
 {
 	return world->callers[caller].fields.address.port - 9000;
--- a/tests/fake_agents.h
+++ b/tests/fake_agents.h
@@ -42,7 +42,7 @@
 	int up;
 	int busy;
 	uint32_t target_xid;
-	uint32_t id;
+	uint32_t id; /* of the cancel link: the xid that is meant */
 } fake_link_t;
 
 typedef struct fake_agent {
@@ -73,10 +73,10 @@
 	uint32_t retry_ms;
 	uint32_t status;
 	unsigned outcomes;
+	uint64_t sent_us;
 	uint8_t bytes[256];
 	size_t len;
-	uint64_t agent; /* that its token names */
-	uint64_t incarnation;
+	dy_token_t token; /* that it carries */
 } fake_call_t;
 
 typedef struct fake_caller {
@@ -94,7 +94,7 @@
 	fake_caller_t callers[FAKE_CALLERS];
 	fake_call_t calls[FAKE_CALLS];
 	unsigned call_count;
-	GQueue mail;	    /* between agents */
+	GQueue mail;	    /* between agents, lost when a minute old */
 	GPtrArray *members; /* control's log, of dy_member_t */
 	unsigned bounces;
 	dy_reason_t bounce_reason;
@@ -121,6 +121,7 @@
 int fake_deliver(fake_world_t *world);
 int fake_lose(fake_world_t *world);
 int fake_double(fake_world_t *world);
+int fake_reorder(fake_world_t *world);
 /* Deliver, poll and let time pass until nothing more happens. */
 void fake_settle(fake_world_t *world);
 
@@ -143,6 +144,9 @@
 /* The target starts anew. */
 void fake_restart_target(fake_world_t *world, unsigned index);
 
+/* Where a balancer that knows control's whole log sends a call. */
+unsigned fake_route(const fake_world_t *world, const dy_token_t *token);
+
 /* The agent whose number stands in the caller's token. */
 unsigned fake_owner(const fake_world_t *world, unsigned caller);
 uint64_t fake_counter(const fake_world_t *world, unsigned index,
