--- a/fuzz/fuzz_store.c
+++ b/fuzz/fuzz_store.c
@@ -129,6 +129,9 @@
 	dy_raft_entry_t entry = { .type = DY_ENTRY_COMMAND };
 	uint64_t last;
 
+	/* What a failed store remembers is of no account. */
+	if (dy_store_failed(run->store))
+		return;
 	while (count-- && oracle->last + 2 < ENTRIES_MAX) {
 		last = oracle->last++;
 		entry.index = last + 1;
@@ -184,6 +187,9 @@
 		meta.last_index = MIN(oracle->last + back, ENTRIES_MAX - 3);
 	if (!meta.last_index || meta.last_index < oracle->snapshot)
 		return;
+	/* What is committed has one term; no leader sends another. */
+	if (ahead && meta.last_index == oracle->snapshot)
+		return;
 	meta.last_term = oracle->term[meta.last_index];
 	if (ahead)
 		meta.last_term = oracle->term[oracle->last] + 1;
--- a/src/process/store_record.c
+++ b/src/process/store_record.c
@@ -50,7 +50,7 @@
 size_t record_decode(const void *data, size_t size, uint64_t salt,
 		     dy_record_t *record)
 {
-	const char *body = (const char *)data + RECORD_HEADER_BYTES;
+	const char *body;
 	uint32_t magic;
 	uint32_t body_size;
 	uint64_t sum;
@@ -60,6 +60,7 @@
 	if (size < RECORD_HEADER_BYTES ||
 	    !header_code((void *)data, XDR_DECODE, &magic, &body_size, &sum))
 		return 0;
+	body = (const char *)data + RECORD_HEADER_BYTES;
 	if (magic != RECORD_MAGIC || body_size > RECORD_MAX_BYTES ||
 	    body_size > size - RECORD_HEADER_BYTES)
 		return 0;
--- a/src/process/store_recover.c
+++ b/src/process/store_recover.c
@@ -35,6 +35,8 @@
 static size_t decode_at(const scan_t *scan, uint64_t offset,
 			dy_record_t *record)
 {
+	if (offset >= scan->file->len)
+		return 0;
 	return record_decode(scan->file->data + offset,
 			     scan->file->len - offset, scan->store->id.identity,
 			     record);
@@ -282,5 +284,8 @@
 	store->synced_index = dy_store_last_index(store);
 	if (scan.disagrees || scan.expected < begin)
 		return log_drop_all(store, error);
-	return store->tail < 0 ? log_open_tail(store, error) : 0;
+	if (store->tail < 0 && log_open_tail(store, error))
+		return -1;
+	/* The marker may have decayed itself. */
+	return log_write_marker(store, 1, error);
 }
