--- /dev/null
+++ b/bench/common_call.c
@@ -0,0 +1,207 @@
+#include <string.h>
+
+#include "common_parts.h"
+
+/* What callers wait for an answer: theirs is the deadline. */
+#define SUBMISSION_BUDGET_US (2 * US_PER_S)
+#define PULL_BUDGET_US (1 * US_PER_S)
+#define LONG_BUDGET_US (10 * US_PER_S)
+
+/* Keys that pulls ask for when none is hot. */
+#define KEYS 10000
+#define HOT_KEY 1
+
+/* A caller whose flow is not open tries again after this. */
+#define NOT_OPEN_US (100 * US_PER_MS)
+
+/* How soon a caller comes back that was not told when. */
+#define UNTOLD_RETRY_US (200 * US_PER_MS)
+
+static void send_call(void *context, void *argument);
+
+static class_result_t *class_of(const call_t *call)
+{
+	return &call->world->result->classes[call->klass];
+}
+
+static uint64_t budget_us(call_class_t klass)
+{
+	if (klass == CLASS_SUBMISSION)
+		return SUBMISSION_BUDGET_US;
+	return klass == CLASS_LONG ? LONG_BUDGET_US : PULL_BUDGET_US;
+}
+
+static void end_late(call_t *call)
+{
+	if (call->is_counted)
+		class_of(call)->late++;
+	g_free(call);
+}
+
+static void arrive_at_agent(void *context, void *argument)
+{
+	call_t *call = argument;
+
+	(void)context;
+	if (call->agent->is_up)
+		agent_submit(call->agent, call);
+	else
+		end_late(call);
+}
+
+static void arrive_at_balancer(void *context, void *argument)
+{
+	call_t *call = argument;
+	world_t *world = call->world;
+	dy_pick_target_t *target;
+
+	(void)context;
+	if (call->flow->target < 0) {
+		send_call(world, call);
+		return;
+	}
+	call->agent = &world->agents[call->flow->target];
+	target = &call->balancer->targets[call->flow->target];
+	dy_pick_forwarded(target, world_now_ms(world));
+	heap_add(world->heap,
+		 heap_now(world->heap) +
+			 world_hop_us(world, call->balancer, call->agent),
+		 arrive_at_agent, NULL, call);
+}
+
+static void send_call(void *context, void *argument)
+{
+	world_t *world = context;
+	call_t *call = argument;
+	uint64_t now_us = heap_now(world->heap);
+
+	if (now_us >= call->deadline_us) {
+		end_late(call);
+		return;
+	}
+	if (call->flow->target < 0) {
+		heap_add(world->heap, now_us + NOT_OPEN_US, send_call, world,
+			 call);
+		return;
+	}
+	call->tried_us = now_us;
+	call->balancer = balancer_any(world);
+	heap_add(world->heap, now_us + world->setting->client_us,
+		 arrive_at_balancer, NULL, call);
+}
+
+void call_issue(world_t *world, flow_t *flow, call_class_t klass)
+{
+	call_t *call = g_new0(call_t, 1);
+	double mean = (double)world->setting->service_us;
+
+	call->world = world;
+	call->flow = flow;
+	call->klass = klass;
+	call->issued_us = heap_now(world->heap);
+	call->deadline_us = call->issued_us + budget_us(klass);
+	call->is_counted = call->issued_us >= WARM_UP_US;
+	if (klass == CLASS_LONG)
+		mean *= LONG_FACTOR;
+	call->service_us = world_draw_us(world, mean);
+	if (klass == CLASS_HOT && world->pattern->hot_key > 0)
+		call->key = HOT_KEY;
+	else if (klass != CLASS_SUBMISSION)
+		call->key = 2 + g_rand_int_range(world->rand, 0, KEYS);
+	if (call->is_counted)
+		class_of(call)->issued++;
+	send_call(world, call);
+}
+
+static void end_answered(call_t *call)
+{
+	class_result_t *result = class_of(call);
+	uint64_t now_us = heap_now(call->world->heap);
+	double wait_us =
+		(double)(now_us - call->issued_us) - (double)call->service_us;
+
+	if (call->is_counted) {
+		samples_add(&result->wait_ms, wait_us / US_PER_MS);
+		if (now_us <= call->deadline_us)
+			result->good++;
+		else
+			result->late++;
+	}
+	g_free(call);
+}
+
+static void end_refused(call_t *call)
+{
+	class_result_t *result = class_of(call);
+
+	if (call->is_counted && call->refusal.reason == DY_ADMISSION_FULL)
+		result->refused_full++;
+	else if (call->is_counted)
+		result->refused_late++;
+	g_free(call);
+}
+
+/* A refused caller comes back when it was told to, if that is in time. */
+static void retry_refused(call_t *call)
+{
+	world_t *world = call->world;
+	uint64_t now_us = heap_now(world->heap);
+	uint64_t after_us = call->refusal.retry_after_ms * US_PER_MS;
+
+	if (call->is_counted)
+		samples_add(&class_of(call)->refusal_ms,
+			    (double)(now_us - call->tried_us) / US_PER_MS);
+	if (world_hides(world, HIDE_RETRY_TIME))
+		after_us = UNTOLD_RETRY_US;
+	if (now_us + after_us < call->deadline_us)
+		heap_add(world->heap, now_us + after_us, send_call, world,
+			 call);
+	else
+		end_refused(call);
+}
+
+static void arrive_at_caller(void *context, void *argument)
+{
+	call_t *call = argument;
+
+	(void)context;
+	switch (call->end) {
+	case CALL_ANSWERED:
+		end_answered(call);
+		break;
+	case CALL_REFUSED:
+		retry_refused(call);
+		break;
+	case CALL_MAY_HAVE_RUN:
+		if (call->is_counted)
+			class_of(call)->may_have_run++;
+		g_free(call);
+		break;
+	}
+}
+
+static void answer_at_balancer(void *context, void *argument)
+{
+	call_t *call = argument;
+	world_t *world = call->world;
+	dy_pick_target_t *target;
+
+	(void)context;
+	target = &call->balancer->targets[call->agent->index];
+	dy_pick_answered(target, &call->report, 0, world_now_ms(world));
+	if (call->end == CALL_REFUSED && !world_hides(world, HIDE_TRUST))
+		dy_pick_refused(target);
+	heap_add(world->heap, heap_now(world->heap) + world->setting->client_us,
+		 arrive_at_caller, NULL, call);
+}
+
+void call_ended(call_t *call)
+{
+	world_t *world = call->world;
+
+	agent_report(call->agent, &call->report);
+	heap_add(world->heap,
+		 heap_now(world->heap) +
+			 world_hop_us(world, call->balancer, call->agent),
+		 answer_at_balancer, NULL, call);
+}
--- /dev/null
+++ b/bench/common_flow.c
@@ -0,0 +1,283 @@
+#include "common_parts.h"
+
+/* A balancer takes an opening as lost after this. */
+#define OPEN_TIMEOUT_US (500 * US_PER_MS)
+
+/* A caller that was not told when to come back tries again after this. */
+#define UNTOLD_OPEN_US (1 * US_PER_S)
+
+/* Tries of one opening inside the system. */
+#define OPEN_TRIES 3
+#define OPEN_BACKOFF_MS 50
+#define OPEN_BACKOFF_MAX_MS 500
+
+/* Calls that a flow of a reconnecting crowd has stored up. */
+#define BACKLOG_CALLS 2
+
+typedef enum open_end { OPEN_TAKEN, OPEN_AT_CAP, OPEN_LATER } open_end_t;
+
+typedef struct opening {
+	world_t *world;
+	flow_t *flow;
+	balancer_t *balancer;
+	agent_t *agent;
+	uint32_t tries;
+	open_end_t end;
+	uint32_t retry_after_ms;
+	dy_pick_report_t report;
+} opening_t;
+
+static void choose_target(void *context, void *argument);
+
+balancer_t *balancer_any(world_t *world)
+{
+	balancer_t *balancer;
+
+	do
+		balancer = &world->balancers[g_rand_int_range(
+			world->rand, 0, (gint32)world->setting->balancers)];
+	while (!balancer->is_up);
+	return balancer;
+}
+
+static void start_opening(void *context, void *argument)
+{
+	world_t *world = context;
+	opening_t *opening = g_new0(opening_t, 1);
+
+	opening->world = world;
+	opening->flow = argument;
+	opening->balancer = balancer_any(world);
+	dy_retry_budget_first(&opening->balancer->retries);
+	heap_add(world->heap, heap_now(world->heap) + world->setting->client_us,
+		 choose_target, NULL, opening);
+}
+
+void flow_open(world_t *world, flow_t *flow)
+{
+	if (flow->is_opening)
+		return;
+	flow->is_opening = 1;
+	start_opening(world, flow);
+}
+
+void flow_close(world_t *world, flow_t *flow)
+{
+	if (flow->target < 0)
+		return;
+	world->agents[flow->target].sessions--;
+	flow->target = -1;
+	flow->closed_us = heap_now(world->heap);
+}
+
+/* The caller's own next try, after as long as it was told or thinks fit. */
+static void try_later(opening_t *opening, uint64_t after_us)
+{
+	world_t *world = opening->world;
+
+	heap_add(world->heap, heap_now(world->heap) + after_us, start_opening,
+		 world, opening->flow);
+	g_free(opening);
+}
+
+/* Send it to another target, if the balancer's budget for retries allows. */
+static void try_elsewhere(opening_t *opening)
+{
+	world_t *world = opening->world;
+	uint32_t wait_ms;
+
+	world->result->opens_failed++;
+	if (world_hides(world, HIDE_RETRY_BUDGET)) {
+		choose_target(NULL, opening);
+		return;
+	}
+	if (world_hides(world, PLAIN_FIFO) || ++opening->tries >= OPEN_TRIES ||
+	    !dy_retry_budget_take(&opening->balancer->retries,
+				  DY_RETRY_IDEMPOTENT)) {
+		try_later(opening, UNTOLD_OPEN_US);
+		return;
+	}
+	wait_ms = dy_retry_backoff_ms(opening->tries, OPEN_BACKOFF_MS,
+				      OPEN_BACKOFF_MAX_MS, world->rand);
+	heap_add(world->heap, heap_now(world->heap) + wait_ms * US_PER_MS,
+		 choose_target, NULL, opening);
+}
+
+static void opening_lost(void *context, void *argument)
+{
+	opening_t *opening = argument;
+
+	(void)context;
+	dy_pick_failed(&opening->balancer->targets[opening->agent->index], 1,
+		       world_now_ms(opening->world));
+	try_elsewhere(opening);
+}
+
+static void flow_opened(opening_t *opening)
+{
+	world_t *world = opening->world;
+	flow_t *flow = opening->flow;
+	uint64_t now_us = heap_now(world->heap);
+	int i;
+
+	flow->target = (int)opening->agent->index;
+	flow->is_opening = 0;
+	if (flow->closed_us >= WARM_UP_US)
+		samples_add(&world->result->open_ms,
+			    (double)(now_us - flow->closed_us) / US_PER_MS);
+	for (i = 0; flow->is_crowd && i < BACKLOG_CALLS; i++)
+		call_issue(world, flow, CLASS_SUBMISSION);
+	flow->is_crowd = 0;
+	if (!opening->agent->is_up) {
+		flow->target = -1;
+		flow->closed_us = now_us;
+		flow_open(world, flow);
+	}
+	g_free(opening);
+}
+
+static void opening_answered(void *context, void *argument)
+{
+	opening_t *opening = argument;
+	world_t *world = opening->world;
+
+	(void)context;
+	dy_pick_answered(&opening->balancer->targets[opening->agent->index],
+			 &opening->report, 1, world_now_ms(world));
+	switch (opening->end) {
+	case OPEN_TAKEN:
+		flow_opened(opening);
+		break;
+	case OPEN_AT_CAP:
+		if (!world_hides(world, HIDE_TRUST))
+			dy_pick_refused(
+				&opening->balancer
+					 ->targets[opening->agent->index]);
+		try_elsewhere(opening);
+		break;
+	case OPEN_LATER:
+		world->result->opens_deferred++;
+		try_later(opening, opening->retry_after_ms * US_PER_MS);
+		break;
+	}
+}
+
+static void decide_opening(opening_t *opening)
+{
+	world_t *world = opening->world;
+	agent_t *agent = opening->agent;
+	uint32_t later_ms = 0;
+
+	opening->end = OPEN_TAKEN;
+	if (agent->sessions >= world->setting->session_cap) {
+		opening->end = OPEN_AT_CAP;
+	} else if (!world_hides(world, HIDE_CROWD | PLAIN_FIFO) &&
+		   heap_now(world->heap) > WARM_UP_US) {
+		later_ms = dy_crowd_limit_take(&agent->crowd, world->rand,
+					       world_now_ms(world));
+	}
+	if (later_ms) {
+		opening->end = OPEN_LATER;
+		opening->retry_after_ms = later_ms;
+	}
+	if (opening->end == OPEN_TAKEN)
+		agent->sessions++;
+}
+
+static void opening_at_agent(void *context, void *argument)
+{
+	opening_t *opening = argument;
+	world_t *world = opening->world;
+	agent_t *agent = opening->agent;
+	uint64_t now_us = heap_now(world->heap);
+
+	(void)context;
+	if (!agent->is_up) {
+		heap_add(world->heap, now_us + OPEN_TIMEOUT_US, opening_lost,
+			 NULL, opening);
+		return;
+	}
+	decide_opening(opening);
+	agent_report(agent, &opening->report);
+	heap_add(world->heap,
+		 now_us + world_hop_us(world, opening->balancer, agent),
+		 opening_answered, NULL, opening);
+}
+
+static uint64_t free_weight(const dy_pick_target_t *target)
+{
+	uint64_t sessions = target->sessions + target->pending;
+	uint64_t work = (uint64_t)target->in_flight + target->queued;
+
+	if (target->draining || sessions >= target->session_cap)
+		return 0;
+	return (target->session_cap - sessions) * 100 * target->slots /
+	       (target->slots + work);
+}
+
+/* The ways of choosing that the module was measured against. */
+static int choose_other_way(world_t *world, balancer_t *balancer)
+{
+	uint32_t n = world->setting->targets;
+	uint64_t total = 0, weight, best = 0;
+	int least = -1;
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		weight = free_weight(&balancer->targets[i]);
+		total += weight;
+		if (weight > best) {
+			best = weight;
+			least = (int)i;
+		}
+	}
+	if (world->policy->pick == PICK_ROUND_ROBIN) {
+		do
+			i = balancer->turn++ % n;
+		while (balancer->targets[i].draining);
+		return (int)i;
+	}
+	if (world->policy->pick == PICK_LEAST || !total)
+		return least;
+	best = (uint64_t)(g_rand_double(world->rand) * (double)total);
+	for (i = 0; i < n - 1; i++) {
+		weight = free_weight(&balancer->targets[i]);
+		if (best < weight)
+			break;
+		best -= weight;
+	}
+	return (int)i;
+}
+
+static int choose(world_t *world, balancer_t *balancer)
+{
+	if (world->policy->pick != PICK_MODULE)
+		return choose_other_way(world, balancer);
+	return dy_pick(&balancer->config, balancer->targets,
+		       world->setting->targets, world->rand,
+		       world_now_ms(world));
+}
+
+static void choose_target(void *context, void *argument)
+{
+	opening_t *opening = argument;
+	world_t *world = opening->world;
+	balancer_t *balancer = opening->balancer;
+	int chosen = choose(world, balancer);
+
+	(void)context;
+	if (chosen < 0) {
+		world->result->opens_failed++;
+		try_later(opening, UNTOLD_OPEN_US);
+		return;
+	}
+	world->result->opens++;
+	opening->agent = &world->agents[chosen];
+	dy_pick_sent(&balancer->targets[chosen], world_now_ms(world));
+	if (world_hides(world, HIDE_OWN_COUNT))
+		balancer->targets[chosen].pending = 0;
+	heap_add(world->heap,
+		 heap_now(world->heap) +
+			 world_hop_us(world, balancer, opening->agent),
+		 opening_at_agent, NULL, opening);
+}
--- /dev/null
+++ b/bench/measure_policy.c
@@ -0,0 +1,280 @@
+/*
+ * The decisions under load, measured by what callers receive: each pattern
+ * for each service, by the baseline (round robin, plain FIFO, no shedding),
+ * by the modules, and by the modules without the mechanism that the pattern
+ * is for. Rows of key=value; docs/MEASUREMENTS.md tells how to read them.
+ */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "common_world.h"
+
+#define DEFAULT_SEED 1
+#define MEASURED_S (WORLD_SECONDS - 1)
+
+static const setting_t settings[] = {
+	{ "ciel-noir", "readings", 7, 7, 2000, 4, 7000, 1500, 1000, 10000,
+	  DY_PICK_BROKEN_FLOWS },
+	{ "ciel-noir", "maps", 3, 7, 2000, 4, 3000, 1500, 1000, 20000,
+	  DY_PICK_BROKEN_FLOWS },
+	{ "lakeshore", "proofing", 7, 4, 2000, 4, 7000, 1000, 3000, 10000,
+	  DY_PICK_IMBALANCE },
+	{ "lakeshore", "print", 3, 4, 2000, 4, 3000, 1000, 3000, 20000,
+	  DY_PICK_IMBALANCE },
+};
+
+static const policy_t policies[] = {
+	{ "baseline", PICK_ROUND_ROBIN, PLAIN_FIFO | HIDE_CROWD },
+	{ "full", PICK_MODULE, 0 },
+	{ "no-caller", PICK_MODULE, HIDE_CALLER },
+	{ "no-key", PICK_MODULE, HIDE_KEY },
+	{ "no-deadline", PICK_MODULE, HIDE_DEADLINE },
+	{ "no-kind", PICK_MODULE, HIDE_KIND },
+	{ "no-short-slot", PICK_MODULE, HIDE_SHORT_SLOT },
+	{ "no-retry-time", PICK_MODULE, HIDE_RETRY_TIME },
+	{ "no-crowd", PICK_MODULE, HIDE_CROWD },
+	{ "no-slow-start", PICK_MODULE, HIDE_SLOW_START },
+	{ "no-ejection", PICK_MODULE, HIDE_EJECTION },
+	{ "no-trust", PICK_MODULE, HIDE_TRUST },
+	{ "no-own-count", PICK_MODULE, HIDE_OWN_COUNT },
+	{ "no-domain", PICK_MODULE, HIDE_DOMAIN },
+	{ "no-retry-budget", PICK_MODULE, HIDE_RETRY_BUDGET },
+	{ "pick-round-robin", PICK_ROUND_ROBIN, 0 },
+	{ "pick-least", PICK_LEAST, 0 },
+	{ "pick-weighted", PICK_WEIGHTED, 0 },
+};
+
+static const pattern_t patterns[] = {
+	{ .name = "steady",
+	  .submissions = 0.35,
+	  .pulls = 0.35,
+	  .churn = 0.02,
+	  .policies = "no-domain pick-round-robin pick-least pick-weighted" },
+	{ .name = "burst",
+	  .submissions = 0.2,
+	  .pulls = 0.3,
+	  .burst = 0.5,
+	  .policies = "no-deadline no-kind" },
+	{ .name = "hot-caller",
+	  .submissions = 0.3,
+	  .pulls = 0.3,
+	  .hot_caller = 3,
+	  .policies = "no-caller" },
+	{ .name = "hot-key",
+	  .submissions = 0.3,
+	  .pulls = 0.3,
+	  .hot_key = 2,
+	  .policies = "no-key" },
+	{ .name = "slow-target",
+	  .submissions = 0.3,
+	  .pulls = 0.3,
+	  .churn = 0.05,
+	  .slow = 5,
+	  .policies = "no-deadline pick-round-robin pick-weighted" },
+	{ .name = "stalled-target",
+	  .submissions = 0.3,
+	  .pulls = 0.3,
+	  .churn = 0.05,
+	  .stalls = 1,
+	  .policies = "no-deadline pick-round-robin" },
+	{ .name = "false-report",
+	  .submissions = 0.3,
+	  .pulls = 0.3,
+	  .churn = 0.05,
+	  .slow = 5,
+	  .lies = 1,
+	  .policies = "no-trust pick-least" },
+	{ .name = "long-among-short",
+	  .submissions = 0.2,
+	  .pulls = 0.2,
+	  .longs = 0.6,
+	  .policies = "no-short-slot" },
+	{ .name = "pulls-on-submissions",
+	  .submissions = 0.4,
+	  .pulls = 2,
+	  .policies = "no-kind" },
+	{ .name = "submissions-on-pulls",
+	  .submissions = 2,
+	  .pulls = 0.4,
+	  .policies = "no-kind" },
+	{ .name = "overload-2x",
+	  .submissions = 0.6,
+	  .pulls = 1.4,
+	  .policies = "no-deadline no-retry-time" },
+	{ .name = "overload-5x",
+	  .submissions = 1,
+	  .pulls = 4,
+	  .policies = "no-deadline no-retry-time" },
+	{ .name = "reopen",
+	  .submissions = 0.3,
+	  .pulls = 0.2,
+	  .reopen = 1,
+	  .policies = "no-crowd no-own-count pick-least pick-weighted" },
+	{ .name = "domain-gone",
+	  .submissions = 0.25,
+	  .pulls = 0.2,
+	  .domain_gone = 1,
+	  .policies = "no-crowd no-ejection no-retry-budget" },
+	{ .name = "cold-target",
+	  .submissions = 0.3,
+	  .pulls = 0.3,
+	  .churn = 0.1,
+	  .joins = 1,
+	  .policies = "no-slow-start pick-least" },
+};
+
+static void print_head(const char *row, const setting_t *setting,
+		       const pattern_t *pattern, const policy_t *policy)
+{
+	printf("%s pattern=%s deployment=%s service=%s policy=%s ", row,
+	       pattern->name, setting->deployment, setting->service,
+	       policy->name);
+}
+
+static void print_class(const setting_t *setting, const pattern_t *pattern,
+			const policy_t *policy, call_class_t klass,
+			class_result_t *result)
+{
+	uint64_t known = result->good + result->refused_late +
+			 result->refused_full + result->may_have_run;
+
+	if (!result->issued)
+		return;
+	print_head("calls", setting, pattern, policy);
+	printf("class=%s offered_per_s=%.0f goodput_per_s=%.0f good_pct=%.1f ",
+	       class_name(klass), (double)result->issued / MEASURED_S,
+	       (double)result->good / MEASURED_S,
+	       100.0 * (double)result->good / (double)result->issued);
+	printf("wait_p50_ms=%.1f wait_p99_ms=%.1f wait_p999_ms=%.1f ",
+	       samples_percentile(&result->wait_ms, 0.5),
+	       samples_percentile(&result->wait_ms, 0.99),
+	       samples_percentile(&result->wait_ms, 0.999));
+	printf("not_run_late=%" G_GUINT64_FORMAT
+	       " not_run_full=%" G_GUINT64_FORMAT
+	       " may_have_run=%" G_GUINT64_FORMAT
+	       " no_answer_in_time=%" G_GUINT64_FORMAT " refusal_p99_ms=%.1f\n",
+	       result->refused_late, result->refused_full, result->may_have_run,
+	       result->issued - known,
+	       samples_percentile(&result->refusal_ms, 0.99));
+}
+
+static void print_flows(const setting_t *setting, const pattern_t *pattern,
+			const policy_t *policy, result_t *result)
+{
+	print_head("flows", setting, pattern, policy);
+	printf("broken_flows=%" G_GUINT64_FORMAT " opens=%" G_GUINT64_FORMAT
+	       " opens_failed=%" G_GUINT64_FORMAT
+	       " opens_deferred=%" G_GUINT64_FORMAT " ",
+	       result->broken_flows, result->opens, result->opens_failed,
+	       result->opens_deferred);
+	printf("open_p50_ms=%.1f open_p99_ms=%.1f open_max_ms=%.1f ",
+	       samples_percentile(&result->open_ms, 0.5),
+	       samples_percentile(&result->open_ms, 0.99),
+	       samples_percentile(&result->open_ms, 1));
+	printf("work_max_mean=%.2f work_cv=%.2f flows_max_mean=%.3f "
+	       "flows_cv=%.3f",
+	       samples_mean(&result->work_max),
+	       samples_mean(&result->work_variation),
+	       samples_mean(&result->flow_max),
+	       samples_mean(&result->flow_variation));
+	if (pattern->joins)
+		printf(" joined_share=%.2f", result->joined_share);
+	putchar('\n');
+}
+
+static void measure(const setting_t *setting, const pattern_t *pattern,
+		    const policy_t *policy, uint32_t seed)
+{
+	result_t result;
+	int i;
+
+	result_init(&result);
+	world_run(setting, pattern, policy, seed, &result);
+	for (i = 0; i < CLASSES; i++)
+		print_class(setting, pattern, policy, i, &result.classes[i]);
+	print_flows(setting, pattern, policy, &result);
+	fflush(stdout);
+	result_clear(&result);
+}
+
+/* Whether `name` is one of the words of `list`; NULL lists hold all. */
+static int has_word(const char *list, const char *name)
+{
+	gchar **words;
+	int found;
+
+	if (!list)
+		return 1;
+	words = g_strsplit_set(list, " ,", -1);
+	found = g_strv_contains((const gchar *const *)words, name);
+	g_strfreev(words);
+	return found;
+}
+
+static int is_wanted(const pattern_t *pattern, const policy_t *policy,
+		     const char *wanted)
+{
+	if (wanted)
+		return has_word(wanted, policy->name);
+	if (!strcmp(policy->name, "baseline") || !strcmp(policy->name, "full"))
+		return 1;
+	return has_word(pattern->policies, policy->name);
+}
+
+static void measure_pattern(const pattern_t *pattern, const char *deployment,
+			    const char *service, const char *policy,
+			    uint32_t seed)
+{
+	size_t s, p;
+
+	for (s = 0; s < G_N_ELEMENTS(settings); s++) {
+		if (!has_word(deployment, settings[s].deployment) ||
+		    !has_word(service, settings[s].service))
+			continue;
+		for (p = 0; p < G_N_ELEMENTS(policies); p++)
+			if (is_wanted(pattern, &policies[p], policy))
+				measure(&settings[s], pattern, &policies[p],
+					seed);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	gchar *pattern = NULL, *deployment = NULL;
+	gchar *service = NULL, *policy = NULL;
+	gint seed = DEFAULT_SEED;
+	const GOptionEntry entries[] = {
+		{ "pattern", 0, 0, G_OPTION_ARG_STRING, &pattern,
+		  "Only these patterns of load (default: all)", "NAMES" },
+		{ "deployment", 0, 0, G_OPTION_ARG_STRING, &deployment,
+		  "ciel-noir or lakeshore (default: both)", "NAMES" },
+		{ "service", 0, 0, G_OPTION_ARG_STRING, &service,
+		  "readings, maps, proofing or print (default: all)", "NAMES" },
+		{ "policy", 0, 0, G_OPTION_ARG_STRING, &policy,
+		  "Only these policies (default: baseline, full, and full "
+		  "without what the pattern is for)",
+		  "NAMES" },
+		{ "seed", 0, 0, G_OPTION_ARG_INT, &seed,
+		  "Seed of all that is random (default: 1)", "N" },
+		{ NULL, 0, 0, 0, NULL, NULL, NULL }
+	};
+	GOptionContext *options = g_option_context_new(NULL);
+	GError *error = NULL;
+	size_t i;
+
+	g_option_context_add_main_entries(options, entries, NULL);
+	if (!g_option_context_parse(options, &argc, &argv, &error)) {
+		fprintf(stderr, "measure_policy: %s\n", error->message);
+		return EXIT_FAILURE;
+	}
+	for (i = 0; i < G_N_ELEMENTS(patterns); i++)
+		if (has_word(pattern, patterns[i].name))
+			measure_pattern(&patterns[i], deployment, service,
+					policy, (uint32_t)seed);
+	g_option_context_free(options);
+	return EXIT_SUCCESS;
+}
