--- a/bench/common_agent.c
+++ b/bench/common_agent.c
@@ -9,6 +9,9 @@
 #define COLD_FACTOR 4.0
 #define COLD_US (3 * US_PER_S)
 
+/* The queue that holds what the deadline test would have refused. */
+#define UNSHED_QUEUE 2000
+
 static void tick(void *context, void *argument);
 
 static void agent_config(const world_t *world, dy_admission_config_t *config)
@@ -17,7 +20,7 @@
 	if (world_hides(world, HIDE_SHORT_SLOT))
 		config->short_slots = 0;
 	if (world_hides(world, HIDE_DEADLINE)) {
-		config->queue = 1U << 30;
+		config->queue = UNSHED_QUEUE;
 		config->hold_percent = 100;
 		config->default_budget_us = 1000 * US_PER_S;
 	}
--- a/bench/common_call.c
+++ b/bench/common_call.c
@@ -85,6 +85,8 @@
 		return;
 	}
 	call->tried_us = now_us;
+	if (call->is_counted)
+		class_of(call)->tries++;
 	call->balancer = balancer_any(world);
 	heap_add(world->heap, now_us + world->setting->client_us,
 		 arrive_at_balancer, NULL, call);
--- a/bench/common_world.h
+++ b/bench/common_world.h
@@ -97,6 +97,7 @@
 
 typedef struct class_result {
 	uint64_t issued;
+	uint64_t tries;
 	uint64_t good;	       /* answered before the deadline */
 	uint64_t late;	       /* answered, or never, after it */
 	uint64_t refused_late; /* not run: answers of the agent */
--- a/bench/measure_policy.c
+++ b/bench/measure_policy.c
@@ -145,10 +145,11 @@
 	if (!result->issued)
 		return;
 	print_head("calls", setting, pattern, policy);
-	printf("class=%s offered_per_s=%.0f goodput_per_s=%.0f good_pct=%.1f ",
+	printf("class=%s offered_per_s=%.0f goodput_per_s=%.0f good_pct=%.1f tries=%.2f ",
 	       class_name(klass), (double)result->issued / MEASURED_S,
 	       (double)result->good / MEASURED_S,
-	       100.0 * (double)result->good / (double)result->issued);
+	       100.0 * (double)result->good / (double)result->issued,
+	       (double)result->tries / (double)result->issued);
 	printf("wait_p50_ms=%.1f wait_p99_ms=%.1f wait_p999_ms=%.1f ",
 	       samples_percentile(&result->wait_ms, 0.5),
 	       samples_percentile(&result->wait_ms, 0.99),
--- a/src/request/admission.c
+++ b/src/request/admission.c
@@ -19,8 +19,11 @@
  */
 #define FREEZE_US 1000000
 
-/* A look at the whole queue costs some 10 us: not more often than this. */
-#define PROJECT_EVERY_US 2000
+/*
+ * A look at the whole queue costs some 10 us; the times to hold a call are
+ * hundreds of ms.
+ */
+#define PROJECT_EVERY_US 10000
 
 #define US_PER_MS 1000
 #define PERCENT 100
@@ -342,7 +345,7 @@
 	if (!lane->fair.count)
 		return 0;
 	last = DY_LIST_ITEM(lane->fair.items.prev, dy_admission_item_t, link);
-	if (last->start_tag <= item->start_tag)
+	if (dy_fair_lane_finish_tag(last) <= dy_fair_lane_finish_tag(item))
 		return 0;
 	give_up(adm, last, DY_ADMISSION_FULL);
 	return 1;
@@ -369,7 +372,9 @@
 		return DY_ADMISSION_RUN;
 	}
 	wait = expected_wait_us(
-		adm, lane, dy_fair_lane_ahead_us(&lane->fair, item->start_tag),
+		adm, lane,
+		dy_fair_lane_ahead_us(&lane->fair,
+				      dy_fair_lane_finish_tag(item)),
 		adm->now_us);
 	if (adm->now_us + wait > item->give_up_us)
 		return refuse(adm, item, DY_ADMISSION_LATE, refusal);
@@ -499,7 +504,9 @@
 	load->queued = count_queued(adm);
 	load->expected_wait_us = expected_wait_us(
 		adm, pulls,
-		dy_fair_lane_ahead_us(&pulls->fair, pulls->fair.virtual_us),
+		dy_fair_lane_ahead_us(&pulls->fair,
+				      pulls->fair.virtual_us +
+					      adm->times.lightest_us),
 		now);
 }
 
--- a/src/request/fair_lane.c
+++ b/src/request/fair_lane.c
@@ -56,7 +56,12 @@
 		item->start_tag = *key;
 }
 
-uint64_t dy_fair_lane_ahead_us(const dy_fair_lane_t *lane, uint64_t start_tag)
+uint64_t dy_fair_lane_finish_tag(const dy_admission_item_t *item)
+{
+	return item->start_tag + item->cost_us;
+}
+
+uint64_t dy_fair_lane_ahead_us(const dy_fair_lane_t *lane, uint64_t finish_tag)
 {
 	const dy_admission_item_t *item;
 	uint64_t behind = 0;
@@ -64,7 +69,7 @@
 
 	for (pos = lane->items.prev; pos != &lane->items; pos = pos->prev) {
 		item = DY_LIST_ITEM(pos, dy_admission_item_t, link);
-		if (item->start_tag <= start_tag)
+		if (dy_fair_lane_finish_tag(item) <= finish_tag)
 			break;
 		behind += item->cost_us;
 	}
@@ -75,19 +80,20 @@
 {
 	uint64_t *key = key_tag(lane, item);
 
-	*caller_tag(lane, item) = item->start_tag + item->cost_us;
+	*caller_tag(lane, item) = dy_fair_lane_finish_tag(item);
 	if (key)
-		*key = item->start_tag + item->cost_us;
+		*key = dy_fair_lane_finish_tag(item);
 }
 
 void dy_fair_lane_add(dy_fair_lane_t *lane, dy_admission_item_t *item)
 {
+	uint64_t finish_tag = dy_fair_lane_finish_tag(item);
 	const dy_admission_item_t *before;
 	dy_list_t *pos;
 
 	for (pos = lane->items.prev; pos != &lane->items; pos = pos->prev) {
 		before = DY_LIST_ITEM(pos, dy_admission_item_t, link);
-		if (before->start_tag <= item->start_tag)
+		if (dy_fair_lane_finish_tag(before) <= finish_tag)
 			break;
 	}
 	dy_list_append(pos->next, &item->link);
@@ -105,15 +111,17 @@
 
 void dy_fair_lane_take(dy_fair_lane_t *lane, dy_admission_item_t *item)
 {
+	uint64_t finish_tag = dy_fair_lane_finish_tag(item);
+
 	unlink_item(lane, item);
-	if (item->start_tag > lane->virtual_us)
-		lane->virtual_us = item->start_tag;
+	if (finish_tag > lane->virtual_us)
+		lane->virtual_us = finish_tag;
 }
 
 /* Only the newest charge can be given back: later ones build on it. */
 static void give_back(uint64_t *tag, const dy_admission_item_t *item)
 {
-	if (tag && *tag == item->start_tag + item->cost_us)
+	if (tag && *tag == dy_fair_lane_finish_tag(item))
 		*tag = item->start_tag;
 }
 
--- a/src/request/fair_lane.h
+++ b/src/request/fair_lane.h
@@ -2,12 +2,14 @@
 #define DY_FAIR_LANE_H
 
 /*
- * A queue that is fair between callers and between keys: start-time fair
+ * A queue that is fair between callers and between keys: self-clocked fair
  * queueing. Each caller and each key has a tag, the virtual time up to which
  * it has had its share; a call starts at the latest of the lane's virtual
- * time, its caller's tag and its key's tag, and moves both tags on by its
- * cost. The lane is kept in the order of the start tags, first come first
- * served among equals.
+ * time, its caller's tag and its key's tag, and finishes its cost later. The
+ * lane is kept in the order of the finish tags, first come first served among
+ * equals: of two callers that come anew, the shorter call goes first. The
+ * virtual time is the finish tag of the newest call taken out, so a long call
+ * waits for as much work of others as its own at most, for each slot.
  */
 
 #include <stdint.h>
@@ -35,11 +37,14 @@
 
 void dy_fair_lane_init(dy_fair_lane_t *lane, uint64_t seed);
 
-/* Set item->start_tag to where the item would stand; charges nothing. */
+/* Set item->start_tag; charges nothing. */
 void dy_fair_lane_place(const dy_fair_lane_t *lane, dy_admission_item_t *item);
 
-/* Sum of the costs that wait before a start tag. */
-uint64_t dy_fair_lane_ahead_us(const dy_fair_lane_t *lane, uint64_t start_tag);
+/* The place of an item that was placed: lower goes first. */
+uint64_t dy_fair_lane_finish_tag(const dy_admission_item_t *item);
+
+/* Sum of the costs that wait before a finish tag. */
+uint64_t dy_fair_lane_ahead_us(const dy_fair_lane_t *lane, uint64_t finish_tag);
 
 /* Queue an item that was placed, and charge its caller and key. */
 void dy_fair_lane_add(dy_fair_lane_t *lane, dy_admission_item_t *item);
--- a/src/version/pick.c
+++ b/src/version/pick.c
@@ -147,21 +147,25 @@
 	sample->n = kept;
 }
 
-/* Whether a cold target takes this flow: ever more often as it warms up. */
-static int is_warm(const dy_pick_config_t *config,
-		   const dy_pick_target_t *target, GRand *rand, uint64_t now_ms)
+/* How warm a target is, in thousandths; a tenth at the least. */
+static uint32_t warmth(const dy_pick_config_t *config,
+		       const dy_pick_target_t *target, uint64_t now_ms)
 {
 	uint64_t age = now_ms > target->cold_since_ms
 			       ? now_ms - target->cold_since_ms
 			       : 0;
 
 	if (age >= config->slow_start_ms)
-		return 1;
-	return g_rand_double(rand) * config->slow_start_ms <
-	       (double)age + config->slow_start_ms / 10.0;
+		return FULL;
+	return MAX((uint32_t)(age * FULL / config->slow_start_ms), FULL / 10);
 }
 
-/* The better of two: the less loaded, or the local one if they are close. */
+/*
+ * The better of two: the less loaded, or the local one if they are close. A
+ * cold one gives way to one that is warmer, ever more seldom as it warms up;
+ * where all are as cold, as after a common start, none gives way, else each
+ * flow would go to the more loaded of the two.
+ */
 static int better_of(const dy_pick_config_t *config,
 		     const dy_pick_target_t *targets, int a, int b, GRand *rand,
 		     uint64_t now_ms)
@@ -172,10 +176,14 @@
 	int local_a = targets[a].domain == config->domain;
 	int local_b = targets[b].domain == config->domain;
 	int best = load_a <= load_b ? a : b;
+	uint32_t warm, other_warm;
 
 	if (apart <= config->local_permille && local_a != local_b)
 		best = local_a ? a : b;
-	if (!is_warm(config, &targets[best], rand, now_ms))
+	warm = warmth(config, &targets[best], now_ms);
+	other_warm = warmth(config, &targets[best == a ? b : a], now_ms);
+	if (warm < other_warm &&
+	    g_rand_int_range(rand, 0, (gint32)other_warm) >= (gint32)warm)
 		best = best == a ? b : a;
 	return best;
 }
