--- a/src/request/admission.c
+++ b/src/request/admission.c
@@ -25,6 +25,9 @@
  */
 #define PROJECT_EVERY_US 10000
 
+/* Slot time that a lane had is remembered for about this long. */
+#define USAGE_US 200000
+
 #define US_PER_MS 1000
 #define PERCENT 100
 
@@ -36,6 +39,8 @@
 	dy_fair_lane_t fair;
 	uint32_t percent; /* share of the slot time while both lanes wait */
 	uint64_t pass_us; /* slot time had, scaled by the share */
+	uint64_t used_us; /* slot time had of late, fading over USAGE_US */
+	uint64_t faded_us;
 } lane_t;
 
 struct dy_admission {
@@ -168,6 +173,30 @@
 	return MAX(usable, 1);
 }
 
+static uint64_t used_of_late_us(const lane_t *lane, uint64_t now_us)
+{
+	uint64_t age_us = now_us - lane->faded_us;
+
+	if (age_us >= USAGE_US)
+		return 0;
+	return lane->used_us - lane->used_us * age_us / USAGE_US;
+}
+
+/*
+ * The part of the slots, in percent, that a lane can count on: what the other
+ * left of late, and its own share at least. What waits in the other lane now
+ * does not tell: submissions that never wait long still take their part.
+ */
+static uint64_t open_percent(const dy_admission_t *adm, const lane_t *lane,
+			     const lane_t *other, uint64_t now_us)
+{
+	uint64_t used_us = used_of_late_us(other, now_us);
+	uint64_t used =
+		used_us * PERCENT / ((uint64_t)USAGE_US * adm->config.slots);
+
+	return MAX(PERCENT - MIN(used, PERCENT), lane->percent);
+}
+
 /* The wait of a call that has ahead_us of work before it in its lane. */
 static uint64_t expected_wait_us(const dy_admission_t *adm, const lane_t *lane,
 				 uint64_t ahead_us, uint64_t now_us)
@@ -180,10 +209,12 @@
 
 	if (first >= NEVER_US)
 		return NEVER_US;
+	if (!ahead_us)
+		return first;
 	total = ahead_us * other->percent / lane->percent;
 	total = ahead_us + MIN(total, other->fair.queued_us);
-	if (!total)
-		return first;
+	total = MAX(total, ahead_us * PERCENT /
+				   open_percent(adm, lane, other, now_us));
 	return first + total / usable_slots(adm, now_us,
 					    first + total / adm->config.slots);
 }
@@ -303,6 +334,8 @@
 	adm->in_flight++;
 	adm->long_in_flight += item->is_long;
 	lane->pass_us += item->cost_us * PERCENT / lane->percent;
+	lane->used_us = used_of_late_us(lane, adm->now_us) + item->cost_us;
+	lane->faded_us = adm->now_us;
 }
 
 /* A lane that had nothing to do saves up no share for later. */
