--- a/bench/common_agent.c
+++ b/bench/common_agent.c
@@ -22,6 +22,7 @@
 	if (world_hides(world, HIDE_DEADLINE)) {
 		config->queue = UNSHED_QUEUE;
 		config->hold_percent = 100;
+		config->standing_hold_percent = 100;
 		config->default_budget_us = 1000 * US_PER_S;
 	}
 }
--- a/bench/measure_policy.c
+++ b/bench/measure_policy.c
@@ -157,9 +157,11 @@
 	printf("not_run_late=%" G_GUINT64_FORMAT
 	       " not_run_full=%" G_GUINT64_FORMAT
 	       " may_have_run=%" G_GUINT64_FORMAT
-	       " no_answer_in_time=%" G_GUINT64_FORMAT " refusal_p99_ms=%.1f\n",
+	       " no_answer_in_time=%" G_GUINT64_FORMAT
+	       " refusal_p50_ms=%.1f refusal_p99_ms=%.1f\n",
 	       result->refused_late, result->refused_full, result->may_have_run,
 	       result->issued - known,
+	       samples_percentile(&result->refusal_ms, 0.5),
 	       samples_percentile(&result->refusal_ms, 0.99));
 }
 
--- a/include/damaskyard/admission.h
+++ b/include/damaskyard/admission.h
@@ -64,6 +64,7 @@
 	uint8_t is_long;
 	uint32_t freezes;
 	dy_list_t link;
+	uint64_t submitted_us;
 	uint64_t started_us;
 	uint64_t give_up_us;
 	uint64_t until_us;
@@ -94,6 +95,12 @@
 	 */
 	uint32_t hold_percent;
 
+	/*
+	 * The same while each call has waited for a second already: it is
+	 * then no burst, a long queue adds only to the wait of each call.
+	 */
+	uint32_t standing_hold_percent;
+
 	/* Service time taken for a procedure that was never seen. */
 	uint64_t first_estimate_us;
 
--- a/src/request/admission.c
+++ b/src/request/admission.c
@@ -28,6 +28,21 @@
 /* Slot time that a lane had is remembered for about this long. */
 #define USAGE_US 200000
 
+/*
+ * A lane of which each call has waited longer than this, for as long as that,
+ * is overloaded and not in a burst: its queue then adds to each wait and
+ * nothing to the goodput (as in CoDel, RFC 8289).
+ */
+#define STANDING_WAIT_US 5000
+#define STANDING_US 1000000
+
+/*
+ * A call is queued only if it is expected to wait this part of the time that
+ * it may be held, in percent: what is refused is refused at once, and seldom
+ * after it has waited.
+ */
+#define QUEUE_MARGIN_PERCENT 75
+
 #define US_PER_MS 1000
 #define PERCENT 100
 
@@ -41,6 +56,7 @@
 	uint64_t pass_us; /* slot time had, scaled by the share */
 	uint64_t used_us; /* slot time had of late, fading over USAGE_US */
 	uint64_t faded_us;
+	uint64_t waiting_since_us; /* all have waited long since then */
 } lane_t;
 
 struct dy_admission {
@@ -65,6 +81,7 @@
 	config->queue = 256;
 	config->default_budget_us = 5000000;
 	config->hold_percent = 50;
+	config->standing_hold_percent = 12;
 	config->first_estimate_us = 5000;
 	config->submission_percent = 75;
 	config->short_slots = 1;
@@ -265,12 +282,23 @@
 	dy_list_append(&adm->given_up, &item->link);
 }
 
+/* How long a call may be held, in percent of the time to its deadline. */
+static uint32_t hold_percent(const dy_admission_t *adm, const lane_t *lane)
+{
+	if (lane->fair.count &&
+	    adm->now_us - lane->waiting_since_us > STANDING_US)
+		return adm->config.standing_hold_percent;
+	return adm->config.hold_percent;
+}
+
 static void prepare(dy_admission_t *adm, dy_admission_item_t *item)
 {
+	lane_t *lane = lane_of(adm, item);
 	uint64_t budget;
 
 	dy_list_init(&item->link);
 	item->reason = DY_ADMISSION_ACCEPTED;
+	item->submitted_us = adm->now_us;
 	item->cost_us = dy_service_times_mean(&adm->times, item->procedure);
 	item->is_long = dy_service_times_is_long(&adm->times, item->procedure);
 	item->until_us = item->deadline_us;
@@ -279,10 +307,10 @@
 	budget =
 		item->until_us > adm->now_us ? item->until_us - adm->now_us : 0;
 	item->give_up_us =
-		adm->now_us + budget * adm->config.hold_percent / PERCENT;
+		adm->now_us + budget * hold_percent(adm, lane) / PERCENT;
 	if (!item->is_long)
 		adm->last_short_us = adm->now_us;
-	dy_fair_lane_place(&lane_of(adm, item)->fair, item);
+	dy_fair_lane_place(&lane->fair, item);
 }
 
 static int is_too_late(const dy_admission_t *adm,
@@ -409,11 +437,14 @@
 		dy_fair_lane_ahead_us(&lane->fair,
 				      dy_fair_lane_finish_tag(item)),
 		adm->now_us);
-	if (adm->now_us + wait > item->give_up_us)
+	if (wait >
+	    (item->give_up_us - adm->now_us) * QUEUE_MARGIN_PERCENT / PERCENT)
 		return refuse(adm, item, DY_ADMISSION_LATE, refusal);
 	if (!make_room(adm, lane, item))
 		return refuse(adm, item, DY_ADMISSION_FULL, refusal);
 	join_lane(adm, lane);
+	if (!lane->fair.count)
+		lane->waiting_since_us = adm->now_us;
 	dy_fair_lane_add(&lane->fair, item);
 	item->state = QUEUED;
 	return DY_ADMISSION_QUEUED;
@@ -478,6 +509,8 @@
 	if (!item)
 		return NULL;
 	dy_fair_lane_take(&lane->fair, item);
+	if (adm->now_us - item->submitted_us < STANDING_WAIT_US)
+		lane->waiting_since_us = adm->now_us;
 	start(adm, lane, item);
 	return item;
 }
