--- a/src/request/fair_lane.c
+++ b/src/request/fair_lane.c
@@ -76,13 +76,21 @@
 	return lane->queued_us - behind;
 }
 
-void dy_fair_lane_charge(dy_fair_lane_t *lane, dy_admission_item_t *item)
+/*
+ * Each tag moves on from where it was, not from the item's start: else a
+ * caller that once asked for a hot key would stand as far back as that key.
+ */
+static void charge_tag(const dy_fair_lane_t *lane, uint64_t *tag,
+		       uint64_t cost_us)
 {
-	uint64_t *key = key_tag(lane, item);
+	*tag = MAX(*tag, lane->virtual_us) + cost_us;
+}
 
-	*caller_tag(lane, item) = dy_fair_lane_finish_tag(item);
-	if (key)
-		*key = dy_fair_lane_finish_tag(item);
+void dy_fair_lane_charge(dy_fair_lane_t *lane, dy_admission_item_t *item)
+{
+	charge_tag(lane, caller_tag(lane, item), item->cost_us);
+	if (item->key)
+		charge_tag(lane, key_tag(lane, item), item->cost_us);
 }
 
 void dy_fair_lane_add(dy_fair_lane_t *lane, dy_admission_item_t *item)
@@ -111,25 +119,21 @@
 
 void dy_fair_lane_take(dy_fair_lane_t *lane, dy_admission_item_t *item)
 {
-	uint64_t finish_tag = dy_fair_lane_finish_tag(item);
-
 	unlink_item(lane, item);
-	if (finish_tag > lane->virtual_us)
-		lane->virtual_us = finish_tag;
-}
-
-/* Only the newest charge can be given back: later ones build on it. */
-static void give_back(uint64_t *tag, const dy_admission_item_t *item)
-{
-	if (tag && *tag == dy_fair_lane_finish_tag(item))
-		*tag = item->start_tag;
+	if (item->start_tag > lane->virtual_us)
+		lane->virtual_us = item->start_tag;
+	lane->virtual_us += item->cost_us / (lane->count + 1);
 }
 
 void dy_fair_lane_remove(dy_fair_lane_t *lane, dy_admission_item_t *item)
 {
+	uint64_t *caller = caller_tag(lane, item);
+	uint64_t *key = key_tag(lane, item);
+
 	unlink_item(lane, item);
-	give_back(caller_tag(lane, item), item);
-	give_back(key_tag(lane, item), item);
+	*caller -= MIN(*caller, item->cost_us);
+	if (key)
+		*key -= MIN(*key, item->cost_us);
 }
 
 void dy_fair_lane_correct(dy_fair_lane_t *lane, const dy_admission_item_t *item,
--- a/src/request/fair_lane.h
+++ b/src/request/fair_lane.h
@@ -2,14 +2,15 @@
 #define DY_FAIR_LANE_H
 
 /*
- * A queue that is fair between callers and between keys: self-clocked fair
+ * A queue that is fair between callers and between keys: weighted fair
  * queueing. Each caller and each key has a tag, the virtual time up to which
  * it has had its share; a call starts at the latest of the lane's virtual
  * time, its caller's tag and its key's tag, and finishes its cost later. The
  * lane is kept in the order of the finish tags, first come first served among
  * equals: of two callers that come anew, the shorter call goes first. The
- * virtual time is the finish tag of the newest call taken out, so a long call
- * waits for as much work of others as its own at most, for each slot.
+ * virtual time moves on by the cost of each call taken out, shared among those
+ * that wait, so a long call is passed by short ones only until each caller
+ * that waits has had as much.
  */
 
 #include <stdint.h>
