--- a/bench/common_flow.c
+++ b/bench/common_flow.c
@@ -209,7 +209,8 @@
 	uint64_t sessions = target->sessions + target->pending;
 	uint64_t work = (uint64_t)target->in_flight + target->queued;
 
-	if (target->draining || sessions >= target->session_cap)
+	if (target->draining || !target->slots ||
+	    sessions >= target->session_cap)
 		return 0;
 	return (target->session_cap - sessions) * 100 * target->slots /
 	       (target->slots + work);
@@ -223,6 +224,8 @@
 	int least = -1;
 	uint32_t i;
 
+	if (!n)
+		return -1;
 	for (i = 0; i < n; i++) {
 		weight = free_weight(&balancer->targets[i]);
 		total += weight;
--- a/bench/common_world.c
+++ b/bench/common_world.c
@@ -26,8 +26,8 @@
 /* One process of arrivals. */
 typedef struct source {
 	world_t *world;
-	call_class_t klass;
 	double rate;
+	call_class_t klass;
 	int flow; /* -1: any */
 } source_t;
 
--- a/bench/common_world.h
+++ b/bench/common_world.h
@@ -26,14 +26,14 @@
 typedef struct setting {
 	const char *deployment;
 	const char *service;
+	uint64_t hop_us;     /* one way between failure domains */
+	uint64_t client_us;  /* one way to clients */
+	uint64_t service_us; /* mean of a short call */
 	uint32_t targets;
 	uint32_t slots;
 	uint32_t session_cap;
 	uint32_t balancers;
 	uint32_t flows;
-	uint64_t hop_us;     /* one way between failure domains */
-	uint64_t client_us;  /* one way to clients */
-	uint64_t service_us; /* mean of a short call */
 	dy_pick_weigh_t weigh;
 } setting_t;
 
--- a/bench/measure_policy.c
+++ b/bench/measure_policy.c
@@ -17,13 +17,13 @@
 #define MEASURED_S (WORLD_SECONDS - 1)
 
 static const setting_t settings[] = {
-	{ "ciel-noir", "readings", 7, 7, 2000, 4, 7000, 1500, 1000, 10000,
+	{ "ciel-noir", "readings", 1500, 1000, 10000, 7, 7, 2000, 4, 7000,
 	  DY_PICK_BROKEN_FLOWS },
-	{ "ciel-noir", "maps", 3, 7, 2000, 4, 3000, 1500, 1000, 20000,
+	{ "ciel-noir", "maps", 1500, 1000, 20000, 3, 7, 2000, 4, 3000,
 	  DY_PICK_BROKEN_FLOWS },
-	{ "lakeshore", "proofing", 7, 4, 2000, 4, 7000, 1000, 3000, 10000,
+	{ "lakeshore", "proofing", 1000, 3000, 10000, 7, 4, 2000, 4, 7000,
 	  DY_PICK_IMBALANCE },
-	{ "lakeshore", "print", 3, 4, 2000, 4, 3000, 1000, 3000, 20000,
+	{ "lakeshore", "print", 1000, 3000, 20000, 3, 4, 2000, 4, 3000,
 	  DY_PICK_IMBALANCE },
 };
 
--- a/include/damaskyard/admission.h
+++ b/include/damaskyard/admission.h
@@ -112,8 +112,9 @@
 	uint32_t submission_percent;
 
 	/*
-	 * Slots that long calls leave free while short calls are about. 0
-	 * turns it off; at least one slot is always open to long calls.
+	 * Slots that long calls leave free while short calls are about,
+	 * above those that the short ones keep busy, and up to half of all.
+	 * 0 turns both off.
 	 */
 	uint32_t short_slots;
 
--- a/src/request/admission.c
+++ b/src/request/admission.c
@@ -1,10 +1,6 @@
 #include "damaskyard/admission.h"
 
-#include "fair_lane.h"
-#include "service_time.h"
-
-/* The first time a slot comes free when the target has none. */
-#define NEVER_US (1ULL << 60)
+#include "admission_state.h"
 
 /*
  * Short calls are "about" for this long after the newest one. At a handful a
@@ -25,9 +21,6 @@
  */
 #define PROJECT_EVERY_US 10000
 
-/* Slot time that a lane had is remembered for about this long. */
-#define USAGE_US 200000
-
 /*
  * A lane of which each call has waited longer than this, for as long as that,
  * is overloaded and not in a burst: its queue then adds to each wait and
@@ -43,38 +36,6 @@
  */
 #define QUEUE_MARGIN_PERCENT 75
 
-#define US_PER_MS 1000
-#define PERCENT 100
-
-enum { SUBMISSIONS, PULLS, LANES };
-
-enum { ENDED, QUEUED, GIVEN_UP, RUNNING };
-
-typedef struct lane {
-	dy_fair_lane_t fair;
-	uint32_t percent; /* share of the slot time while both lanes wait */
-	uint64_t pass_us; /* slot time had, scaled by the share */
-	uint64_t used_us; /* slot time had of late, fading over USAGE_US */
-	uint64_t faded_us;
-	uint64_t waiting_since_us; /* all have waited long since then */
-} lane_t;
-
-struct dy_admission {
-	dy_admission_config_t config;
-	GRand *rand;
-	uint64_t now_us;
-	uint64_t projected_us;
-	uint64_t booked_us; /* retry times are given out up to here */
-	uint64_t last_short_us;
-	uint32_t freezes;
-	uint32_t in_flight;
-	uint32_t long_in_flight;
-	dy_list_t running;
-	dy_list_t given_up;
-	dy_service_times_t times;
-	lane_t lanes[LANES];
-};
-
 void dy_admission_config_init(dy_admission_config_t *config, uint32_t slots)
 {
 	config->slots = slots;
@@ -138,129 +99,6 @@
 	       adm->lanes[PULLS].fair.count;
 }
 
-/*
- * How long a running call will still hold its slot. One that is overdue is
- * taken to need as long again as it took: the longer it has stalled, the less
- * its slot is counted on. The owner gives it up at its deadline.
- */
-static uint64_t residual_us(const dy_admission_item_t *item, uint64_t now_us)
-{
-	uint64_t elapsed =
-		now_us > item->started_us ? now_us - item->started_us : 0;
-	uint64_t left =
-		elapsed < item->cost_us ? item->cost_us - elapsed : elapsed;
-
-	if (item->until_us <= now_us)
-		return 0;
-	return MIN(left, item->until_us - now_us);
-}
-
-static uint64_t first_free_us(const dy_admission_t *adm, uint64_t now_us)
-{
-	const dy_admission_item_t *item;
-	uint64_t first = NEVER_US;
-	dy_list_t *pos;
-
-	if (adm->in_flight < adm->config.slots)
-		return 0;
-	if (!adm->config.slots)
-		return NEVER_US;
-	DY_LIST_EACH(pos, &adm->running)
-	{
-		item = DY_LIST_ITEM(pos, dy_admission_item_t, link);
-		first = MIN(first, residual_us(item, now_us));
-	}
-	return first;
-}
-
-/* Slots that are free or come free within horizon_us; at least 1. */
-static uint32_t usable_slots(const dy_admission_t *adm, uint64_t now_us,
-			     uint64_t horizon_us)
-{
-	const dy_admission_item_t *item;
-	uint32_t usable = adm->config.slots;
-	dy_list_t *pos;
-
-	DY_LIST_EACH(pos, &adm->running)
-	{
-		item = DY_LIST_ITEM(pos, dy_admission_item_t, link);
-		if (usable > 1 && residual_us(item, now_us) > horizon_us)
-			usable--;
-	}
-	return MAX(usable, 1);
-}
-
-static uint64_t used_of_late_us(const lane_t *lane, uint64_t now_us)
-{
-	uint64_t age_us = now_us - lane->faded_us;
-
-	if (age_us >= USAGE_US)
-		return 0;
-	return lane->used_us - lane->used_us * age_us / USAGE_US;
-}
-
-/*
- * The part of the slots, in percent, that a lane can count on: what the other
- * left of late, and its own share at least. What waits in the other lane now
- * does not tell: submissions that never wait long still take their part.
- */
-static uint64_t open_percent(const dy_admission_t *adm, const lane_t *lane,
-			     const lane_t *other, uint64_t now_us)
-{
-	uint64_t used_us = used_of_late_us(other, now_us);
-	uint64_t used =
-		used_us * PERCENT / ((uint64_t)USAGE_US * adm->config.slots);
-
-	return MAX(PERCENT - MIN(used, PERCENT), lane->percent);
-}
-
-/* The wait of a call that has ahead_us of work before it in its lane. */
-static uint64_t expected_wait_us(const dy_admission_t *adm, const lane_t *lane,
-				 uint64_t ahead_us, uint64_t now_us)
-{
-	const lane_t *other = lane == &adm->lanes[PULLS]
-				      ? &adm->lanes[SUBMISSIONS]
-				      : &adm->lanes[PULLS];
-	uint64_t first = first_free_us(adm, now_us);
-	uint64_t total;
-
-	if (first >= NEVER_US)
-		return NEVER_US;
-	if (!ahead_us)
-		return first;
-	total = ahead_us * other->percent / lane->percent;
-	total = ahead_us + MIN(total, other->fair.queued_us);
-	total = MAX(total, ahead_us * PERCENT /
-				   open_percent(adm, lane, other, now_us));
-	return first + total / usable_slots(adm, now_us,
-					    first + total / adm->config.slots);
-}
-
-/*
- * When a refused caller should come back: each is booked behind the backlog
- * and behind those refused before it, at the rate at which the slots work. So
- * a refused crowd comes back spread out, and not all at the same time.
- */
-static uint32_t book_retry_ms(dy_admission_t *adm,
-			      const dy_admission_item_t *item)
-{
-	const dy_admission_config_t *config = &adm->config;
-	uint64_t backlog = adm->lanes[SUBMISSIONS].fair.queued_us +
-			   adm->lanes[PULLS].fair.queued_us;
-	uint32_t slots = MAX(config->slots, 1);
-	uint64_t ms;
-
-	adm->booked_us = MAX(adm->booked_us, adm->now_us + backlog / slots) +
-			 item->cost_us / slots;
-	adm->booked_us =
-		MIN(adm->booked_us,
-		    adm->now_us + (uint64_t)config->retry_max_ms * US_PER_MS);
-	ms = (adm->booked_us - adm->now_us) / US_PER_MS;
-	ms = (uint64_t)((double)ms *
-			g_rand_double_range(adm->rand, 0.75, 1.25));
-	return (uint32_t)CLAMP(ms, config->retry_min_ms, config->retry_max_ms);
-}
-
 static dy_admission_outcome_t refuse(dy_admission_t *adm,
 				     dy_admission_item_t *item,
 				     dy_admission_reason_t reason,
@@ -269,7 +107,7 @@
 	item->state = ENDED;
 	item->reason = reason;
 	refusal->reason = reason;
-	refusal->retry_after_ms = book_retry_ms(adm, item);
+	refusal->retry_after_ms = dy_admission_book_retry_ms(adm, item);
 	return DY_ADMISSION_REFUSED;
 }
 
@@ -322,18 +160,28 @@
 	return adm->now_us + MAX(needs, 1) > item->until_us;
 }
 
-/* Long calls leave slots to short ones while these are about. */
-static int has_slot(const dy_admission_t *adm, const dy_admission_item_t *item)
+/*
+ * Long calls leave slots to short ones while these are about: as many as the
+ * short ones kept busy of late and short_slots more, up to half of the slots.
+ */
+static uint32_t open_to_long(const dy_admission_t *adm)
 {
 	uint32_t slots = adm->config.slots;
-	uint32_t reserved = adm->config.short_slots;
+	uint64_t busy = dy_usage_read(&adm->short_usage, adm->now_us);
+	uint64_t reserved = adm->config.short_slots + busy / DY_USAGE_US;
 
-	if (adm->in_flight >= slots)
-		return 0;
-	if (!item->is_long ||
+	if (!adm->config.short_slots ||
 	    adm->now_us - adm->last_short_us > SHORT_RECENT_US)
-		return 1;
-	return adm->long_in_flight < (slots > reserved ? slots - reserved : 1);
+		return slots;
+	reserved = MIN(reserved, slots / 2);
+	return slots - (uint32_t)reserved;
+}
+
+static int has_slot(const dy_admission_t *adm, const dy_admission_item_t *item)
+{
+	if (adm->in_flight >= adm->config.slots)
+		return 0;
+	return !item->is_long || adm->long_in_flight < open_to_long(adm);
 }
 
 /* The first call of a lane that can take a slot now. */
@@ -362,8 +210,9 @@
 	adm->in_flight++;
 	adm->long_in_flight += item->is_long;
 	lane->pass_us += item->cost_us * PERCENT / lane->percent;
-	lane->used_us = used_of_late_us(lane, adm->now_us) + item->cost_us;
-	lane->faded_us = adm->now_us;
+	dy_usage_add(&lane->usage, item->cost_us, adm->now_us);
+	if (!item->is_long)
+		dy_usage_add(&adm->short_usage, item->cost_us, adm->now_us);
 }
 
 /* A lane that had nothing to do saves up no share for later. */
@@ -432,7 +281,7 @@
 		start(adm, lane, item);
 		return DY_ADMISSION_RUN;
 	}
-	wait = expected_wait_us(
+	wait = dy_admission_wait_us(
 		adm, lane,
 		dy_fair_lane_ahead_us(&lane->fair,
 				      dy_fair_lane_finish_tag(item)),
@@ -526,7 +375,7 @@
 	DY_LIST_EACH_SAFE(pos, tmp, &lane->fair.items)
 	{
 		item = DY_LIST_ITEM(pos, dy_admission_item_t, link);
-		wait = expected_wait_us(adm, lane, ahead, adm->now_us);
+		wait = dy_admission_wait_us(adm, lane, ahead, adm->now_us);
 		if (adm->now_us + wait > item->give_up_us)
 			give_up(adm, item, DY_ADMISSION_LATE);
 		else
@@ -568,7 +417,7 @@
 	load->slots = adm->config.slots;
 	load->in_flight = adm->in_flight;
 	load->queued = count_queued(adm);
-	load->expected_wait_us = expected_wait_us(
+	load->expected_wait_us = dy_admission_wait_us(
 		adm, pulls,
 		dy_fair_lane_ahead_us(&pulls->fair,
 				      pulls->fair.virtual_us +
--- a/src/request/service_time.c
+++ b/src/request/service_time.c
@@ -104,8 +104,10 @@
 int dy_service_times_is_long(const dy_service_times_t *times,
 			     uint32_t procedure)
 {
-	uint64_t mean = dy_service_times_mean(times, procedure);
+	const dy_service_time_t *time = find(times, procedure);
 
-	return mean >= LONG_LEAST_US && times->lightest_us &&
-	       mean >= LONG_RATIO * times->lightest_us;
+	if (!time->learned_us)
+		return times->lightest_us != 0;
+	return time->mean_us >= LONG_LEAST_US && times->lightest_us &&
+	       time->mean_us >= LONG_RATIO * times->lightest_us;
 }
--- a/src/request/service_time.h
+++ b/src/request/service_time.h
@@ -44,7 +44,11 @@
 uint64_t dy_service_times_cautious(const dy_service_times_t *times,
 				   uint32_t procedure, uint64_t now_us);
 
-/* Whether a procedure's calls are long, beside the lightest seen of late. */
+/*
+ * Whether a procedure's calls are long, beside the lightest seen of late. One
+ * never seen is, while others are known: its first calls shall not take all
+ * slots before it shows how long they are.
+ */
 int dy_service_times_is_long(const dy_service_times_t *times,
 			     uint32_t procedure);
 
