--- a/tests/test_end_to_end.c
+++ b/tests/test_end_to_end.c
@@ -225,11 +225,12 @@
 }
 
 static void submit_second(fake_cluster_t *cluster, const char *process,
-			  const char *path, const char *request)
+			  const char *operator_name, const char *path,
+			  const char *request)
 {
 	fake_cluster_spawn_operator(cluster, process, "submit", path,
 				    "--environment", "trial", "--number", "2",
-				    "--operator", process, "--request-id",
+				    "--operator", operator_name, "--request-id",
 				    request, NULL);
 }
 
@@ -259,7 +260,8 @@
 	fake_stations_start(cluster);
 	fake_stations_await(cluster, CALM);
 	for (i = 0; i < 2; i++)
-		submit_second(cluster, names[i], paths[i], requests[i]);
+		submit_second(cluster, names[i], names[i], paths[i],
+			      requests[i]);
 	for (i = 0; i < 2; i++)
 		codes[i] = fake_cluster_wait(cluster, names[i], &outputs[i]);
 	ck_assert_int_eq(codes[0] + codes[1], 1);
@@ -267,7 +269,8 @@
 	log = fake_cluster_log(cluster, names[!winner]);
 	ck_assert_msg(strstr(log, names[winner]) != NULL,
 		      "the loser was not told the winner: %s", log);
-	submit_second(cluster, "again", paths[winner], requests[winner]);
+	submit_second(cluster, "again", names[winner], paths[winner],
+		      requests[winner]);
 	ck_assert_int_eq(fake_cluster_wait(cluster, "again", &again), 0);
 	ck_assert_str_eq(again, outputs[winner]);
 	ck_assert_int_eq(fake_cluster_operate(cluster, NULL, "promote", NULL),
