--- a/include/damaskyard/budget.h
+++ b/include/damaskyard/budget.h
@@ -87,7 +87,7 @@
  * second, so that 1,000 sessions (a domain of three gone: 4,667 flows on 5
  * targets) are back within 7 s.
  */
-#define DY_CROWD_RATE_PER_SLOT 20
+#define DY_CROWD_RATE_PER_SLOT 200
 
 /* At once: half a second of the rate, so that quiet arrivals never wait. */
 #define DY_CROWD_BURST_MS 500
--- a/src/version/pick.c
+++ b/src/version/pick.c
@@ -12,12 +12,17 @@
  * fits it gives back 1/32 of what is missing. */
 #define TRUST_LOSS_SHIFT 2
 #define TRUST_GAIN_SHIFT 5
-#define TRUST_LEAST 8
 
 /* Loads are kept in thousandths of a full target. */
 #define FULL 1000
 #define HOPELESS (1U << 30)
 
+/*
+ * Calls under way count a quarter of connections: they come and go within
+ * ms, a flow stays for hours.
+ */
+#define WORK_PART 4
+
 /* What one look over the targets finds. */
 typedef struct sample {
 	int index[DY_PICK_SAMPLE];
@@ -87,20 +92,25 @@
 		       (gint32)free_sessions;
 }
 
-/* The load in thousandths: lower is better. */
+/*
+ * The load in thousandths: lower is better. What a target reports against the
+ * evidence of its refusals is not scaled but added to: one that claims no
+ * load at all would stay at zero.
+ */
 static uint32_t weigh_load(const dy_pick_config_t *config,
 			   const dy_pick_target_t *target)
 {
 	uint64_t pending = (uint64_t)target->pending * config->balancers;
 	uint64_t sessions = target->sessions + pending;
 	uint64_t work = (uint64_t)target->in_flight + target->queued;
+	uint64_t distrust = DY_PICK_TRUST_FULL - target->trust;
 	uint64_t load;
 
 	if (!target->slots || !target->session_cap)
 		return HOPELESS;
 	load = sessions * FULL / target->session_cap;
-	load += work * FULL / target->slots / 4;
-	load = load * DY_PICK_TRUST_FULL / MAX(target->trust, TRUST_LEAST);
+	load += work * FULL / target->slots / WORK_PART;
+	load += distrust * FULL / DY_PICK_TRUST_FULL;
 	return (uint32_t)MIN(load, HOPELESS);
 }
 
@@ -246,7 +256,6 @@
 	if (target->in_flight >= target->slots || target->queued)
 		return;
 	target->trust -= target->trust >> TRUST_LOSS_SHIFT;
-	target->trust = MAX(target->trust, TRUST_LEAST);
 }
 
 void dy_pick_failed(dy_pick_target_t *target, int opened, uint64_t now_ms)
