--- a/bench/common_agent.c
+++ b/bench/common_agent.c
@@ -30,7 +30,6 @@
 void agent_init(agent_t *agent, world_t *world, uint32_t index)
 {
 	dy_admission_config_t config;
-	uint32_t rate = world->setting->slots * DY_CROWD_RATE_PER_SLOT;
 
 	memset(agent, 0, sizeof(*agent));
 	agent->world = world;
@@ -40,8 +39,7 @@
 			 index == world->setting->targets - 1);
 	agent_config(world, &config);
 	agent->admission = dy_admission_create(&config, world->rand);
-	dy_crowd_limit_init(&agent->crowd, rate,
-			    rate * DY_CROWD_BURST_MS / 1000, 0);
+	dy_crowd_limit_init(&agent->crowd, world->setting->slots, 0);
 	g_queue_init(&agent->fifo);
 }
 
--- a/bench/common_flow.c
+++ b/bench/common_flow.c
@@ -166,8 +166,12 @@
 {
 	world_t *world = opening->world;
 	agent_t *agent = opening->agent;
+	dy_admission_load_t load;
 	uint32_t later_ms = 0;
 
+	dy_admission_load(agent->admission, heap_now(world->heap), &load);
+	dy_crowd_limit_adapt(&agent->crowd, load.expected_wait_us / US_PER_MS,
+			     world_now_ms(world));
 	opening->end = OPEN_TAKEN;
 	if (agent->sessions >= world->setting->session_cap) {
 		opening->end = OPEN_AT_CAP;
--- a/include/damaskyard/admission.h
+++ b/include/damaskyard/admission.h
@@ -154,7 +154,7 @@
 	uint32_t slots;
 	uint32_t in_flight;
 	uint32_t queued;
-	uint64_t expected_wait_us; /* in the queue, of a pull of a new caller */
+	uint64_t expected_wait_us; /* of a new caller, in the fuller lane */
 } dy_admission_load_t;
 
 /* Set *config to the figures that were measured best, for `slots` slots. */
--- a/include/damaskyard/budget.h
+++ b/include/damaskyard/budget.h
@@ -65,32 +65,41 @@
 
 /* New sessions that one agent takes in. */
 typedef struct dy_crowd_limit {
-	uint32_t rate;	 /* new sessions a second */
-	uint32_t burst;	 /* at once */
-	uint32_t max_ms; /* the latest time to come back */
+	uint32_t rate;	   /* new sessions a second, now */
+	uint32_t max_rate; /* while calls wait little */
+	uint32_t max_ms;   /* the latest time to come back */
 	uint64_t tokens_permille;
 	uint64_t last_ms;
-	uint64_t booked_permille; /* crowd told to come back, still out */
-	uint64_t refused;	  /* since the start */
+	uint64_t adapted_ms;
+	uint64_t booked_us; /* times to come back are given out up to here */
+	uint64_t refused;   /* since the start */
 } dy_crowd_limit_t;
 
 /*
- * Start a limit, full. See DY_CROWD_* for the figures.
+ * New sessions a second for each slot, while calls wait little. What a session
+ * brings along is not known before: its backlog may be two calls of 10 ms or
+ * of 20 ms, and 100 a second of these are one or two times what a slot can
+ * do. So this is only where dy_crowd_limit_adapt() starts from; 7 slots at
+ * 700 a second take the 1,000 sessions that each of the targets left gets
+ * when one of three domains goes within 1.5 s if these ask for little.
  */
-void dy_crowd_limit_init(dy_crowd_limit_t *limit, uint32_t rate, uint32_t burst,
-			 uint64_t now_ms);
+#define DY_CROWD_RATE_PER_SLOT 100
+
+/* The rate never falls below this part of it. */
+#define DY_CROWD_LEAST_PART 10
 
 /*
- * New sessions a second for each slot. A session's first calls cost as much
- * as any, say 3 of 5 ms; at 20 a second for each slot they take 30% of the
- * slot and leave the rest to the sessions that are open. 7 slots: 140 a
- * second, so that 1,000 sessions (a domain of three gone: 4,667 flows on 5
- * targets) are back within 7 s.
+ * Sessions at once: this long at the full rate. It is what gets in before the
+ * first calls show how much they ask for.
  */
-#define DY_CROWD_RATE_PER_SLOT 200
+#define DY_CROWD_BURST_MS 100
 
-/* At once: half a second of the rate, so that quiet arrivals never wait. */
-#define DY_CROWD_BURST_MS 500
+/* Calls that wait longer than this mean that no more should come. */
+#define DY_CROWD_WAIT_MS 50
+
+/* Start a limit, full, for a target of `slots` slots. */
+void dy_crowd_limit_init(dy_crowd_limit_t *limit, uint32_t slots,
+			 uint64_t now_ms);
 
 /*
  * Take in a new session. Returns 0 if it is taken, else the time in ms after
@@ -100,4 +109,12 @@
 uint32_t dy_crowd_limit_take(dy_crowd_limit_t *limit, GRand *rand,
 			     uint64_t now_ms);
 
+/*
+ * Note how long a new call would wait now (expected_wait_us of admission, in
+ * ms), with each call or tick: it acts every 100 ms. Above DY_CROWD_WAIT_MS the
+ * rate falls by a quarter, below it rises by a twentieth of the full rate.
+ */
+void dy_crowd_limit_adapt(dy_crowd_limit_t *limit, uint64_t wait_ms,
+			  uint64_t now_ms);
+
 #endif
--- a/src/request/admission.c
+++ b/src/request/admission.c
@@ -408,21 +408,26 @@
 	adm->config.slots = slots;
 }
 
+static uint64_t newcomer_wait_us(const dy_admission_t *adm, int lane_index,
+				 uint64_t now_us)
+{
+	const lane_t *lane = &adm->lanes[lane_index];
+	uint64_t tag = lane->fair.virtual_us + adm->times.lightest_us;
+	uint64_t ahead_us = dy_fair_lane_ahead_us(&lane->fair, tag);
+
+	return dy_admission_wait_us(adm, lane, ahead_us, now_us);
+}
+
 void dy_admission_load(const dy_admission_t *adm, uint64_t now_us,
 		       dy_admission_load_t *load)
 {
-	const lane_t *pulls = &adm->lanes[PULLS];
 	uint64_t now = MAX(now_us, adm->now_us);
 
 	load->slots = adm->config.slots;
 	load->in_flight = adm->in_flight;
 	load->queued = count_queued(adm);
-	load->expected_wait_us = dy_admission_wait_us(
-		adm, pulls,
-		dy_fair_lane_ahead_us(&pulls->fair,
-				      pulls->fair.virtual_us +
-					      adm->times.lightest_us),
-		now);
+	load->expected_wait_us = MAX(newcomer_wait_us(adm, SUBMISSIONS, now),
+				     newcomer_wait_us(adm, PULLS, now));
 }
 
 const char *dy_admission_reason_name(dy_admission_reason_t reason)
--- a/src/request/budget.c
+++ b/src/request/budget.c
@@ -3,7 +3,18 @@
 #include <string.h>
 
 #define PERMILLE 1000
-#define MS_PER_S 1000
+#define US_PER_MS 1000
+#define US_PER_S 1000000
+
+/*
+ * Refused callers are booked this much further apart than the rate, so that
+ * those who return find a token in spite of jitter and of newcomers.
+ */
+#define BOOK_PERCENT 125
+#define BOOK_LEAST_PART 2
+#define PERCENT 100
+
+#define ADAPT_EVERY_MS 100
 
 /* Refused callers are told to come back within this, at the latest. */
 #define CROWD_MAX_MS 60000
@@ -47,15 +58,21 @@
 	return (uint32_t)(ms - g_rand_double(rand) * (double)ms / 2.0);
 }
 
-void dy_crowd_limit_init(dy_crowd_limit_t *limit, uint32_t rate, uint32_t burst,
+static uint64_t most_tokens(const dy_crowd_limit_t *limit)
+{
+	return (uint64_t)limit->max_rate * DY_CROWD_BURST_MS;
+}
+
+void dy_crowd_limit_init(dy_crowd_limit_t *limit, uint32_t slots,
 			 uint64_t now_ms)
 {
 	memset(limit, 0, sizeof(*limit));
-	limit->rate = MAX(rate, 1);
-	limit->burst = MAX(burst, 1);
+	limit->max_rate = MAX(slots, 1) * DY_CROWD_RATE_PER_SLOT;
+	limit->rate = limit->max_rate;
 	limit->max_ms = CROWD_MAX_MS;
-	limit->tokens_permille = (uint64_t)limit->burst * PERMILLE;
+	limit->tokens_permille = most_tokens(limit);
 	limit->last_ms = now_ms;
+	limit->adapted_ms = now_ms;
 }
 
 /* A rate in sessions a second is as many thousandths a ms. */
@@ -67,16 +84,25 @@
 		return;
 	earned = (now_ms - limit->last_ms) * limit->rate;
 	limit->last_ms = now_ms;
-	limit->tokens_permille = MIN(limit->tokens_permille + earned,
-				     (uint64_t)limit->burst * PERMILLE);
-	limit->booked_permille -= MIN(limit->booked_permille, earned);
+	limit->tokens_permille =
+		MIN(limit->tokens_permille + earned, most_tokens(limit));
+}
+
+/*
+ * The rate may be at its lowest just now: who is booked then would be told to
+ * come back long after it has risen again.
+ */
+static uint32_t booking_rate(const dy_crowd_limit_t *limit)
+{
+	return MAX(limit->rate, limit->max_rate / BOOK_LEAST_PART);
 }
 
 uint32_t dy_crowd_limit_take(dy_crowd_limit_t *limit, GRand *rand,
 			     uint64_t now_ms)
 {
-	uint64_t max_permille = (uint64_t)limit->max_ms * limit->rate;
-	uint64_t ms;
+	uint64_t now_us = now_ms * US_PER_MS;
+	uint64_t gap_us = US_PER_S / MAX(booking_rate(limit), 1);
+	double ms;
 
 	refill(limit, now_ms);
 	if (limit->tokens_permille >= PERMILLE) {
@@ -84,9 +110,26 @@
 		return 0;
 	}
 	limit->refused++;
-	limit->booked_permille =
-		MIN(limit->booked_permille + PERMILLE, max_permille);
-	ms = limit->booked_permille / limit->rate;
-	ms = (uint64_t)((double)ms * g_rand_double_range(rand, 0.9, 1.1));
-	return (uint32_t)MAX(ms, 1);
+	limit->booked_us =
+		MAX(limit->booked_us, now_us) + gap_us * BOOK_PERCENT / PERCENT;
+	limit->booked_us = MIN(limit->booked_us,
+			       now_us + (uint64_t)limit->max_ms * US_PER_MS);
+	ms = (double)(limit->booked_us - now_us) / US_PER_MS;
+	return 1 + (uint32_t)(ms * g_rand_double_range(rand, 0.9, 1.1));
+}
+
+void dy_crowd_limit_adapt(dy_crowd_limit_t *limit, uint64_t wait_ms,
+			  uint64_t now_ms)
+{
+	uint32_t least = MAX(limit->max_rate / DY_CROWD_LEAST_PART, 1);
+	uint32_t step = MAX(limit->max_rate / 20, 1);
+
+	if (now_ms < limit->adapted_ms + ADAPT_EVERY_MS)
+		return;
+	refill(limit, now_ms);
+	limit->adapted_ms = now_ms;
+	if (wait_ms > DY_CROWD_WAIT_MS)
+		limit->rate = MAX(limit->rate - limit->rate / 4, least);
+	else
+		limit->rate = MIN(limit->rate + step, limit->max_rate);
 }
