--- a/bench/common_agent.c
+++ b/bench/common_agent.c
@@ -39,7 +39,8 @@
 			 index == world->setting->targets - 1);
 	agent_config(world, &config);
 	agent->admission = dy_admission_create(&config, world->rand);
-	dy_crowd_limit_init(&agent->crowd, world->setting->slots, 0);
+	dy_crowd_limit_init(&agent->crowd, world->setting->slots,
+			    world_now_ms(world));
 	g_queue_init(&agent->fifo);
 }
 
@@ -49,6 +50,22 @@
 	g_queue_clear(&agent->fifo);
 }
 
+/* Back after a failure, with no memory of what it had. */
+void agent_restart(agent_t *agent)
+{
+	uint32_t life = agent->life + 1;
+
+	agent_clear(agent);
+	agent_init(agent, agent->world, agent->index);
+	agent->life = life;
+	agent->is_up = 1;
+}
+
+static int is_gone(const agent_t *agent, const call_t *call)
+{
+	return !agent->is_up || agent->life != call->life;
+}
+
 static double slowness(const agent_t *agent)
 {
 	const pattern_t *pattern = agent->world->pattern;
@@ -108,9 +125,11 @@
 	agent_t *agent = context;
 	call_t *call = argument;
 
-	agent->fifo_in_flight--;
-	if (!agent->is_up)
+	if (is_gone(agent, call)) {
+		call_lost(call);
 		return;
+	}
+	agent->fifo_in_flight--;
 	call->end = CALL_ANSWERED;
 	call_ended(call);
 	call = g_queue_pop_head(&agent->fifo);
@@ -189,8 +208,10 @@
 					 ? DY_ADMISSION_ANSWERED
 					 : DY_ADMISSION_ABANDONED;
 
-	if (!agent->is_up)
+	if (is_gone(agent, call)) {
+		call_lost(call);
 		return;
+	}
 	dy_admission_finish(agent->admission, &call->item, end,
 			    heap_now(agent->world->heap));
 	call_ended(call);
@@ -240,6 +261,7 @@
 {
 	world_t *world = agent->world;
 
+	call->life = agent->life;
 	if (world_hides(world, PLAIN_FIFO)) {
 		submit_fifo(agent, call);
 		return;
--- a/bench/common_call.c
+++ b/bench/common_call.c
@@ -31,7 +31,7 @@
 	return klass == CLASS_LONG ? LONG_BUDGET_US : PULL_BUDGET_US;
 }
 
-static void end_late(call_t *call)
+void call_lost(call_t *call)
 {
 	if (call->is_counted)
 		class_of(call)->late++;
@@ -46,7 +46,7 @@
 	if (call->agent->is_up)
 		agent_submit(call->agent, call);
 	else
-		end_late(call);
+		call_lost(call);
 }
 
 static void arrive_at_balancer(void *context, void *argument)
@@ -76,7 +76,7 @@
 	uint64_t now_us = heap_now(world->heap);
 
 	if (now_us >= call->deadline_us) {
-		end_late(call);
+		call_lost(call);
 		return;
 	}
 	if (call->flow->target < 0) {
--- a/bench/common_parts.h
+++ b/bench/common_parts.h
@@ -32,6 +32,7 @@
 	uint32_t domain;
 	int is_up;
 	int ticks;
+	uint32_t life; /* calls of an earlier one are gone */
 	uint32_t sessions;
 	uint64_t joined_us; /* 0: was there from the start, warm */
 	dy_admission_t *admission;
@@ -77,6 +78,7 @@
 	uint64_t service_us;
 	uint64_t key;
 	int is_counted;
+	uint32_t life;
 	call_end_t end;
 	dy_admission_refusal_t refusal;
 	dy_pick_report_t report;
@@ -99,9 +101,10 @@
 	return (world->policy->hide & what) != 0;
 }
 
+/* The targets of the start have been there for an hour. */
 static inline uint64_t world_now_ms(const world_t *world)
 {
-	return heap_now(world->heap) / US_PER_MS + 1;
+	return heap_now(world->heap) / US_PER_MS + 3600 * 1000;
 }
 
 uint64_t world_hop_us(const world_t *world, const balancer_t *balancer,
@@ -116,6 +119,7 @@
 /* common_agent.c */
 void agent_init(agent_t *agent, world_t *world, uint32_t index);
 void agent_clear(agent_t *agent);
+void agent_restart(agent_t *agent);
 void agent_submit(agent_t *agent, call_t *call);
 void agent_report(const agent_t *agent, dy_pick_report_t *report);
 uint32_t agent_work(const agent_t *agent);
@@ -126,6 +130,7 @@
 void flow_close(world_t *world, flow_t *flow);
 
 /* common_call.c */
+void call_lost(call_t *call); /* with the agent it was at */
 void call_issue(world_t *world, flow_t *flow, call_class_t klass);
 void call_ended(call_t *call); /* by the agent: end and refusal are set */
 
--- a/bench/common_world.c
+++ b/bench/common_world.c
@@ -14,6 +14,8 @@
 /* Balancers learn from membership that a target has gone or joined. */
 #define MEMBERSHIP_US (3 * US_PER_S)
 
+#define OUTAGE_US (3 * US_PER_S)
+
 /* A crowd opens its flows anew within this time. */
 #define CROWD_MS 200
 
@@ -206,17 +208,12 @@
 	}
 }
 
-static void lose_domain(world_t *world)
+/* Flows of targets that are gone break and open anew. */
+static void break_flows(world_t *world)
 {
-	uint32_t i;
 	flow_t *flow;
+	uint32_t i;
 
-	for (i = 0; i < world->setting->targets; i++)
-		if (!world->agents[i].domain)
-			world->agents[i].is_up = 0;
-	for (i = 0; i < world->setting->balancers; i++)
-		if (!world->balancers[i].domain)
-			world->balancers[i].is_up = 0;
 	for (i = 0; i < world->setting->flows; i++) {
 		flow = &world->flows[i];
 		if (flow->target < 0 || world->agents[flow->target].is_up)
@@ -226,6 +223,49 @@
 	}
 }
 
+static void lose_domain(world_t *world)
+{
+	uint32_t i;
+
+	for (i = 0; i < world->setting->targets; i++)
+		if (!world->agents[i].domain)
+			world->agents[i].is_up = 0;
+	for (i = 0; i < world->setting->balancers; i++)
+		if (!world->balancers[i].domain)
+			world->balancers[i].is_up = 0;
+	break_flows(world);
+}
+
+static void lose_newest(void *context, void *argument)
+{
+	world_t *world = context;
+
+	(void)argument;
+	world->agents[world->setting->targets - 1].is_up = 0;
+	break_flows(world);
+}
+
+static void end_outage(void *context, void *argument)
+{
+	world_t *world = context;
+	uint32_t i;
+
+	(void)argument;
+	for (i = 0; i < world->setting->targets; i++)
+		agent_restart(&world->agents[i]);
+}
+
+static void start_outage(world_t *world)
+{
+	uint32_t i;
+
+	for (i = 0; i < world->setting->targets; i++)
+		world->agents[i].is_up = 0;
+	break_flows(world);
+	heap_add(world->heap, heap_now(world->heap) + OUTAGE_US, end_outage,
+		 world, NULL);
+}
+
 /* Membership reaches the balancers: the gone drain, the joined is there. */
 static void update_members(void *context, void *argument)
 {
@@ -277,6 +317,11 @@
 	}
 	if (world->pattern->joins)
 		join_target(world);
+	if (world->pattern->young_fails)
+		heap_add(world->heap, heap_now(world->heap) + OUTAGE_US,
+			 lose_newest, world, NULL);
+	if (world->pattern->outage)
+		start_outage(world);
 	for (i = 0; world->pattern->reopen && i < world->setting->flows; i++)
 		reopen_soon(world, &world->flows[i]);
 }
--- a/bench/common_world.h
+++ b/bench/common_world.h
@@ -84,6 +84,8 @@
 	int reopen;	   /* all flows open anew */
 	int domain_gone;   /* failure domain 0 goes */
 	int joins;	   /* the last target joins, cold */
+	int young_fails;   /* ... and goes again OUTAGE_US later */
+	int outage;	   /* all targets go, and are back OUTAGE_US later */
 	const char *policies;
 } pattern_t;
 
--- a/include/damaskyard/pick.h
+++ b/include/damaskyard/pick.h
@@ -97,7 +97,10 @@
 	 */
 	uint32_t local_permille;
 
-	/* A target that joined gets its full part only after this time. */
+	/*
+	 * A target that joined gets its full part only after this time, which
+	 * is longer where broken flows weigh more: young targets fail more.
+	 */
 	uint32_t slow_start_ms;
 
 	/* An unanswered send this old, with no answer since, is a stall. */
--- a/src/version/pick.c
+++ b/src/version/pick.c
@@ -23,6 +23,24 @@
  */
 #define WORK_PART 4
 
+/*
+ * A machine fails most often when it is young (the bathtub curve measured by
+ * "SciSpot: Scientific Computing On Transient Cloud Servers", section 3), so
+ * flows that last for hours go to those that have proved themselves. With a
+ * target that joins and goes again after 3 s, 7 targets: 520 broken flows
+ * without slow start, 94 with 10 s, 52 with 30 s. The price is imbalance while
+ * it warms up: flows max/mean of 3 targets 1.28, 1.37 with 3 s, 1.48 with 10 s.
+ */
+#define SLOW_START_SAFE_MS 30000
+#define SLOW_START_EVEN_MS 3000
+
+/*
+ * Only between equals. The fabric sprays a flow's packets over all balancers,
+ * so where the one that opened it stands makes no packet's way shorter:
+ * measured, a wider band brought nothing.
+ */
+#define LOCAL_PERMILLE 0
+
 /* What one look over the targets finds. */
 typedef struct sample {
 	int index[DY_PICK_SAMPLE];
@@ -35,8 +53,10 @@
 	config->weigh = weigh;
 	config->balancers = 1;
 	config->domain = 0;
-	config->local_permille = weigh == DY_PICK_IMBALANCE ? 0 : 5;
-	config->slow_start_ms = 10000;
+	config->local_permille = LOCAL_PERMILLE;
+	config->slow_start_ms = weigh == DY_PICK_BROKEN_FLOWS
+					? SLOW_START_SAFE_MS
+					: SLOW_START_EVEN_MS;
 	config->stall_ms = 1000;
 	config->eject_failures = 3;
 	config->eject_ms = 2000;
