--- a/tests/fake_calls.c
+++ b/tests/fake_calls.c
@@ -2,8 +2,6 @@
 
 #include <string.h>
 
-#include <check.h>
-
 fake_target_t *fake_target_create(const dy_admission_config_t *config)
 {
 	fake_target_t *target = g_new0(fake_target_t, 1);
@@ -25,7 +23,7 @@
 
 static void start(fake_target_t *target, fake_call_t *call)
 {
-	ck_assert_int_eq(call->end, FAKE_WAITS);
+	g_assert_cmpint(call->end, ==, FAKE_WAITS);
 	call->end = FAKE_RUNS;
 	call->started_us = target->now_us;
 	target->running++;
@@ -43,7 +41,7 @@
 	while ((item = dy_admission_expire(target->admission, target->now_us,
 					   &refusal))) {
 		call = DY_LIST_ITEM(item, fake_call_t, item);
-		ck_assert_int_eq(call->end, FAKE_WAITS);
+		g_assert_cmpint(call->end, ==, FAKE_WAITS);
 		call->end = FAKE_REFUSED;
 		call->ended_us = target->now_us;
 		call->refusal = refusal;
