--- a/fuzz/fuzz_admission.c
+++ b/fuzz/fuzz_admission.c
@@ -15,7 +15,7 @@
 #include "damaskyard/admission.h"
 
 #define CALLS 64
-#define QUEUE 12
+#define QUEUE 4
 
 typedef enum model {
 	MODEL_FREE,
