--- a/include/damaskyard/agent.h
+++ b/include/damaskyard/agent.h
@@ -107,6 +107,7 @@
 	const char *environment;
 	const char *domain;
 	dy_address_t address; /* of its internal endpoint, for tokens */
+	uint64_t seed;	      /* random, new at each start */
 	dy_keyring_t *keyring;
 	dy_metrics_t *metrics;
 	const dy_agent_callbacks_t *callbacks;
--- a/include/damaskyard/session.h
+++ b/include/damaskyard/session.h
@@ -57,9 +57,11 @@
 /*
  * Create a table of at most `cap` opened sessions, which end after idle_ms
  * without a call. idle_ms is raised to DY_RETRANSMIT_MS: a session must
- * outlive the copies of its calls.
+ * outlive the copies of its calls. seed is random, and new at each start:
+ * session ids follow from it.
  */
-dy_sessions_t *dy_sessions_create(unsigned cap, uint64_t idle_ms);
+dy_sessions_t *dy_sessions_create(unsigned cap, uint64_t idle_ms,
+				  uint64_t seed);
 void dy_sessions_destroy(dy_sessions_t *sessions);
 
 /* Change the limits. Sessions beyond a lower cap stay. */
--- a/src/connection/session.c
+++ b/src/connection/session.c
@@ -8,7 +8,6 @@
 
 #include "damaskyard/invariant.h"
 #include "damaskyard/loop.h"
-#include "damaskyard/secret.h"
 
 struct dy_sessions {
 	GHashTable *by_id;
@@ -27,14 +26,14 @@
 	g_free(session);
 }
 
-dy_sessions_t *dy_sessions_create(unsigned cap, uint64_t idle_ms)
+dy_sessions_t *dy_sessions_create(unsigned cap, uint64_t idle_ms, uint64_t seed)
 {
 	dy_sessions_t *sessions = g_new0(dy_sessions_t, 1);
 
 	sessions->by_id = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						NULL, free_session);
 	dy_list_init(&sessions->recent);
-	dy_random_fill(&sessions->seed, sizeof(sessions->seed));
+	sessions->seed = seed;
 	dy_sessions_set_limits(sessions, cap, idle_ms);
 	return sessions;
 }
--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -8,14 +8,6 @@
 /* Until a document says how many. */
 #define FIRST_CONNECTIONS 2000
 
-static uint32_t random_word(void)
-{
-	uint32_t word;
-
-	dy_random_fill(&word, sizeof(word));
-	return word;
-}
-
 static dy_admission_t *create_admission(dy_agent_t *agent)
 {
 	dy_admission_config_t config;
@@ -36,14 +28,15 @@
 	agent->id = dy_member_id(config->environment, DY_MEMBER_AGENT,
 				 config->name);
 	agent->state = DY_MEMBER_JOINING;
-	agent->rand = g_rand_new_with_seed(random_word());
-	agent->next_xid = random_word();
+	agent->rand = g_rand_new_with_seed((guint32)config->seed);
+	agent->next_xid = g_rand_int(agent->rand);
 	agent->members = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       NULL, g_free);
 	agent->departed = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						NULL, g_free);
 	agent->sessions = dy_sessions_create(
-		FIRST_CONNECTIONS, DY_SERVICE_SESSION_IDLE_S * 1000ULL);
+		FIRST_CONNECTIONS, DY_SERVICE_SESSION_IDLE_S * 1000ULL,
+		config->seed);
 	agent->admission = create_admission(agent);
 	g_queue_init(&agent->cancels);
 	agent_event_init(agent);
--- a/src/process/cmd_agent.c
+++ b/src/process/cmd_agent.c
@@ -494,6 +494,7 @@
 		.context = process,
 	};
 
+	dy_random_fill(&config.seed, sizeof(config.seed));
 	process->subscriber = dy_subscriber_create(&subscriber);
 	process->agent = dy_agent_create(&config);
 	process->links =
--- a/tests/fake_agents.c
+++ b/tests/fake_agents.c
@@ -390,6 +390,7 @@
 	agent->metrics = dy_metrics_create();
 	agent->ring = dy_keyring_create(&world->secrets);
 	dy_keyring_apply(agent->ring, &key);
+	config.seed = 1 + world->members->len;
 	config.metrics = agent->metrics;
 	config.keyring = agent->ring;
 	fill_address(&config.address, index);
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -150,19 +150,23 @@
 END_TEST
 
 /*
- * A balancer that has heard of the move sends a call to the successor before
+ * A balancer that has heard of the move sends calls to the successor before
  * the session has arrived there. Refused, the station would lose a reading
- * for a planned change; run, it could run twice. It is dropped, and the
- * client's next copy finds the session.
+ * for a planned change; run, a copy of an earlier one would be stored twice.
+ * They are dropped, and the client's next copy finds the session.
  */
 START_TEST(early_call_waits_for_the_session)
 {
 	fake_world_t *world = create_group(2);
+	uint32_t ran = fake_call(world, 0, 0, FAKE_SUBMIT);
 	uint32_t id;
 
+	fake_answer_all(world, 0);
 	leave(world, 0);
 	id = fake_call(world, 1, 0, FAKE_SUBMIT);
+	fake_copy(world, 1, ran);
 	ck_assert_uint_eq(world->calls[id].outcomes, 0);
+	ck_assert_uint_eq(world->calls[ran].outcomes, 1);
 	fake_settle(world);
 	fake_copy(world, 1, id);
 	fake_answer_all(world, 1);
@@ -172,19 +176,22 @@
 END_TEST
 
 /*
- * Two agents are drained at the same moment. Each could choose the other,
- * and hand its sessions round in a circle until nobody runs them. The third
- * must end up with both sessions.
+ * The only two agents are drained at the same moment. Each could choose the
+ * other, and hand its sessions round in a circle until nobody runs them.
+ * They wait for a third, which must end up with both sessions.
  */
 START_TEST(two_leave_at_once)
 {
-	fake_world_t *world = create_group(3);
+	fake_world_t *world = create_group(2);
 	uint32_t id;
 	unsigned i;
 
 	fake_open(world, 1, 1);
-	dy_agent_leave(world->agents[0].agent, "test", 1);
-	dy_agent_leave(world->agents[1].agent, "test", 1);
+	dy_agent_leave(world->agents[0].agent, "test", 0);
+	dy_agent_leave(world->agents[1].agent, "test", 0);
+	fake_pass(world, 50);
+	fake_settle(world);
+	fake_start(world, 2);
 	for (i = 0; i < 3; i++)
 		fake_settle(world);
 	ck_assert_int_eq(dy_agent_state(world->agents[0].agent),
@@ -200,6 +207,45 @@
 }
 END_TEST
 
+/*
+ * The successor leaves at once, hands the session on, and ends before the
+ * old owner has heard a word. The third agent runs a reading, dies and comes
+ * back empty. Were the old owner to send it the session again, with the
+ * cache of before, a copy of that reading would be stored twice.
+ */
+START_TEST(silent_successor_is_not_passed_over)
+{
+	fake_world_t *world = create_group(2);
+	uint32_t id;
+
+	leave(world, 0);
+	fake_pass(world, 50);
+	ck_assert(fake_deliver(world));
+	ck_assert(fake_lose(world));
+	fake_start(world, 2);
+	fake_poll(world, 1);
+	leave(world, 1);
+	fake_pass(world, 50);
+	ck_assert(fake_deliver(world));
+	ck_assert(fake_deliver(world));
+	fake_pass(world, 50);
+	ck_assert_int_eq(dy_agent_state(world->agents[1].agent),
+			 DY_MEMBER_LEFT);
+	id = fake_call(world, 2, 0, FAKE_SUBMIT);
+	ck_assert_uint_eq(world->calls[id].runs, 1);
+	fake_kill(world, 1);
+	fake_start(world, 2);
+	fake_settle(world);
+	fake_copy(world, 2, id);
+	fake_pass(world, 12000);
+	fake_settle(world);
+	fake_copy(world, 2, id);
+	ck_assert_uint_eq(fake_counter(world, 0, "sessions_lost"), 1);
+	ck_assert_int_eq(world->calls[id].verdict, DY_MAY_HAVE_RUN);
+	fake_world_destroy(world);
+}
+END_TEST
+
 /*
  * The successor dies with a session that it never acknowledged. It may have
  * run calls of it. Nobody may run a copy of them; the caller is told so.
@@ -287,6 +333,7 @@
 		call_in_progress_ends_first,
 		early_call_waits_for_the_session,
 		two_leave_at_once,
+		silent_successor_is_not_passed_over,
 		dead_successor_loses_the_session,
 		last_agent_ends_without_successor,
 		longer_body_is_read,
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -24,7 +24,7 @@
 
 START_TEST(full_table_refuses_and_keeps_the_open)
 {
-	dy_sessions_t *sessions = dy_sessions_create(2, DY_RETRANSMIT_MS);
+	dy_sessions_t *sessions = dy_sessions_create(2, DY_RETRANSMIT_MS, 1);
 	dy_moved_body_t moved = { 0 };
 
 	ck_assert_ptr_nonnull(open_at(sessions, 1, 0));
@@ -43,7 +43,7 @@
  */
 START_TEST(idle_session_outlives_its_copies)
 {
-	dy_sessions_t *sessions = dy_sessions_create(9, 1);
+	dy_sessions_t *sessions = dy_sessions_create(9, 1, 1);
 	dy_session_t *session = open_at(sessions, 1, 0);
 
 	open_at(sessions, 2, 0);
@@ -59,7 +59,7 @@
 
 START_TEST(opening_id_tells_callers_apart)
 {
-	dy_sessions_t *sessions = dy_sessions_create(9, 1);
+	dy_sessions_t *sessions = dy_sessions_create(9, 1, 1);
 	dy_address_t a;
 	dy_address_t b;
 	uint64_t id;
@@ -86,7 +86,7 @@
 
 START_TEST(memory_of_many_sessions)
 {
-	dy_sessions_t *sessions = dy_sessions_create(MANY, 1);
+	dy_sessions_t *sessions = dy_sessions_create(MANY, 1, 1);
 	size_t before = bytes_in_use();
 	size_t each;
 	uint64_t i;
