--- a/include/damaskyard/admission.h
+++ b/include/damaskyard/admission.h
@@ -64,6 +64,7 @@
 	uint8_t is_long;
 	uint32_t freezes;
 	dy_list_t link;
+	uint64_t submitted_us;
 	uint64_t started_us;
 	uint64_t give_up_us;
 	uint64_t until_us;
@@ -94,6 +95,12 @@
 	 */
 	uint32_t hold_percent;
 
+	/*
+	 * The same while each call has waited for a second already: it is
+	 * then no burst, a long queue adds only to the wait of each call.
+	 */
+	uint32_t standing_hold_percent;
+
 	/* Service time taken for a procedure that was never seen. */
 	uint64_t first_estimate_us;
 
@@ -105,8 +112,9 @@
 	uint32_t submission_percent;
 
 	/*
-	 * Slots that long calls leave free while short calls are about. 0
-	 * turns it off; at least one slot is always open to long calls.
+	 * Slots that long calls leave free while short calls are about,
+	 * above those that the short ones keep busy, and up to half of all.
+	 * 0 turns both off.
 	 */
 	uint32_t short_slots;
 
