--- a/fuzz/fuzz_agent.c
+++ b/fuzz/fuzz_agent.c
@@ -86,7 +86,8 @@
 	fake_world_t *world = run->world;
 	uint32_t id;
 
-	if (!world->call_count)
+	if (!world->call_count ||
+	    world->call_count + FAKE_CALLERS >= FAKE_CALLS)
 		return;
 	id = world->call_count - 1 - take_below(run, MIN(8, world->call_count));
 	if (world->callers[world->calls[id].caller].has_token)
--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -48,7 +48,7 @@
 	if (!agent)
 		return;
 	agent_call_drop_all(agent);
-	agent_cancel_fail_all(agent);
+	agent_cancel_drop_all(agent);
 	dy_sessions_destroy(agent->sessions);
 	dy_admission_destroy(agent->admission);
 	g_hash_table_destroy(agent->members);
--- a/src/process/agent_cancel.c
+++ b/src/process/agent_cancel.c
@@ -239,6 +239,11 @@
 		settle_first(agent, 0);
 }
 
+void agent_cancel_drop_all(dy_agent_t *agent)
+{
+	g_queue_clear_full(&agent->cancels, g_free);
+}
+
 void agent_cancel_tick(dy_agent_t *agent)
 {
 	cancel_t *cancel;
--- a/src/process/agent_private.h
+++ b/src/process/agent_private.h
@@ -253,6 +253,7 @@
 void agent_cancel_tell_target(dy_agent_t *agent, const call_t *call);
 void agent_cancel_receive(dy_agent_t *agent, const uint8_t *bytes, size_t len);
 void agent_cancel_fail_all(dy_agent_t *agent);
+void agent_cancel_drop_all(dy_agent_t *agent);
 void agent_cancel_tick(dy_agent_t *agent);
 
 /* agent_member.c: what control says of other agents. */
--- a/tests/fake_agents.c
+++ b/tests/fake_agents.c
@@ -113,14 +113,25 @@
 		fail("said not to have run, after it ran", id);
 }
 
-static void take_cancel_result(fake_world_t *world, const dy_rpc_reply_t *reply)
+static void check_cancel(fake_world_t *world, const fake_call_t *cancel,
+			 const dy_rpc_reply_t *reply)
 {
+	fake_call_t *call = &world->calls[cancel->meant];
+	dy_refusal_t *result = &world->cancel_result;
 	XDR xdrs;
 
+	if (reply->denied || reply->status != SUCCESS)
+		return;
 	xdrmem_create(&xdrs, (char *)reply->results, (u_int)reply->results_len,
 		      XDR_DECODE);
-	world->has_cancel_result =
-		xdr_dy_refusal_t(&xdrs, &world->cancel_result);
+	world->has_cancel_result = xdr_dy_refusal_t(&xdrs, result);
+	if (call->procedure != FAKE_SUBMIT)
+		return;
+	if (result->verdict == DY_NOT_RUN && call->runs)
+		fail("cancelled as not run, after it ran", cancel->meant);
+	if (result->verdict == DY_RAN && !call->runs)
+		fail("said to have run before it was cancelled", cancel->meant);
+	call->not_run |= result->verdict == DY_NOT_RUN;
 }
 
 static void on_answer(void *context, const dy_address_t *to,
@@ -139,14 +150,13 @@
 		fail("an answer that passes no balancer", 0);
 	if (!reply.denied && reply.status == SUCCESS)
 		take_token(&world->callers[caller], from, &reply);
-	if (reply.xid == world->cancel_xid) {
-		take_cancel_result(world, &reply);
-		return;
-	}
 	call = find_call(world, caller, reply.xid);
 	if (!call)
 		fail("an answer to no call", reply.xid);
-	check_answer(world, call, &reply);
+	if (call->procedure == FAKE_CANCEL)
+		check_cancel(world, call, &reply);
+	else
+		check_answer(world, call, &reply);
 }
 
 static void on_bounce(void *context, const dy_address_t *to,
@@ -590,26 +600,36 @@
 	return dy_rpc_write_call(call, out, cap);
 }
 
-uint32_t fake_call(fake_world_t *world, unsigned index, unsigned caller,
-		   uint32_t procedure)
+/* Enter a call into the account of calls. */
+static uint32_t enter_call(fake_world_t *world, unsigned caller,
+			   dy_rpc_call_t *call)
 {
 	uint32_t id = world->call_count++;
 	fake_call_t *entry = &world->calls[id];
-	uint32_t word = htonl(id);
+
+	entry->len = write_call(world, caller, call, entry->bytes,
+				sizeof(entry->bytes));
+	entry->xid = call->xid;
+	entry->caller = caller;
+	entry->procedure =
+		call->program == PROGRAM ? call->procedure : FAKE_CANCEL;
+	entry->sent_us = world->now_us;
+	entry->token = world->callers[caller].fields;
+	return id;
+}
+
+uint32_t fake_call(fake_world_t *world, unsigned index, unsigned caller,
+		   uint32_t procedure)
+{
+	uint32_t word = htonl(world->call_count);
 	dy_rpc_call_t call = { .program = PROGRAM,
 			       .program_version = 1,
 			       .procedure = procedure,
 			       .args = (uint8_t *)&word,
 			       .args_len = 4 };
+	uint32_t id = enter_call(world, caller, &call);
 
-	entry->len = write_call(world, caller, &call, entry->bytes,
-				sizeof(entry->bytes));
-	entry->xid = call.xid;
-	entry->caller = caller;
-	entry->procedure = procedure;
-	entry->sent_us = world->now_us;
-	entry->token = world->callers[caller].fields;
-	forward_bytes(world, index, caller, entry->bytes, entry->len);
+	fake_copy(world, index, id);
 	return id;
 }
 
@@ -620,22 +640,20 @@
 	forward_bytes(world, index, call->caller, call->bytes, call->len);
 }
 
-void fake_cancel(fake_world_t *world, unsigned index, uint32_t id)
+void fake_cancel(fake_world_t *world, unsigned index, uint32_t meant)
 {
-	const fake_call_t *entry = &world->calls[id];
-	uint32_t word = htonl(entry->xid);
+	uint32_t word = htonl(world->calls[meant].xid);
 	dy_rpc_call_t call = { .program = DY_CALLER_PROGRAM,
 			       .program_version = 1,
 			       .procedure = DY_CALLER_CANCEL,
 			       .args = (uint8_t *)&word,
 			       .args_len = 4 };
-	uint8_t bytes[256];
-	size_t len =
-		write_call(world, entry->caller, &call, bytes, sizeof(bytes));
+	uint32_t id;
 
 	world->has_cancel_result = 0;
-	world->cancel_xid = call.xid;
-	forward_bytes(world, index, entry->caller, bytes, len);
+	id = enter_call(world, world->calls[meant].caller, &call);
+	world->calls[id].meant = meant;
+	fake_copy(world, index, id);
 }
 
 void fake_open(fake_world_t *world, unsigned index, unsigned caller)
--- a/tests/fake_agents.h
+++ b/tests/fake_agents.h
@@ -18,8 +18,9 @@
 #define FAKE_AGENTS 3
 #define FAKE_CALLERS 4
 #define FAKE_CALLS 4096
-#define FAKE_SUBMIT 1 /* not idempotent */
-#define FAKE_COUNT 2  /* idempotent */
+#define FAKE_SUBMIT 1	   /* not idempotent */
+#define FAKE_COUNT 2	   /* idempotent */
+#define FAKE_CANCEL 0xffff /* of the public cancellation program */
 #define FAKE_SLOTS 2
 
 /* What a target does with the call on a connection. */
@@ -73,6 +74,7 @@
 	uint32_t retry_ms;
 	uint32_t status;
 	unsigned outcomes;
+	uint32_t meant; /* FAKE_CANCEL: the call's id */
 	uint64_t sent_us;
 	uint8_t bytes[256];
 	size_t len;
@@ -98,10 +100,8 @@
 	GPtrArray *members; /* control's log, of dy_member_t */
 	unsigned bounces;
 	dy_reason_t bounce_reason;
-	unsigned cancels;
 	dy_refusal_t cancel_result;
 	int has_cancel_result;
-	uint32_t cancel_xid;
 };
 
 fake_world_t *fake_world_create(void);
