--- a/fuzz/fuzz_agent.c
+++ b/fuzz/fuzz_agent.c
@@ -243,12 +243,15 @@
 	case 10:
 		dy_agent_supersede(agent->agent);
 		break;
+	case 11:
+		agent->frozen = !agent->frozen;
+		break;
 	default:
 		break;
 	}
 }
 
-#define UNPLANNED_OPS 11
+#define UNPLANNED_OPS 12
 
 static void operate(run_t *run)
 {
@@ -308,7 +311,7 @@
 	run_t run = { NULL, bytes, len, 0 };
 	unsigned i;
 
-	dy_log_configure(DY_LOG_ERROR, NULL);
+	dy_log_configure(DY_LOG_ERROR + 1, NULL);
 	run.world = fake_world_create();
 	run.planned = take(&run) & 1;
 	for (i = 0; i < FAKE_AGENTS; i++)
--- a/src/process/agent_event.c
+++ b/src/process/agent_event.c
@@ -49,6 +49,7 @@
 	[EVENT_TARGET_LEASE_LAPSED] = { "target_lease_lapsed", DY_LOG_WARN },
 	[EVENT_LINK_UP] = { "link_up", DY_LOG_DEBUG },
 	[EVENT_LINK_DOWN] = { "link_down", DY_LOG_WARN },
+	[EVENT_PROBE_UNANSWERED] = { "probe_unanswered", DY_LOG_WARN },
 	[EVENT_ANSWER_BAD] = { "answer_bad", DY_LOG_WARN },
 	[EVENT_ANSWER_TOO_LARGE] = { "answer_too_large", DY_LOG_WARN },
 	[EVENT_ANSWER_SHED] = { "answer_shed", DY_LOG_INFO },
--- a/src/process/agent_forward.c
+++ b/src/process/agent_forward.c
@@ -112,7 +112,7 @@
 		return DY_REASON_NOT_READY;
 	if (agent->state != DY_MEMBER_SERVING)
 		return DY_REASON_DRAINING;
-	if (!agent_target_ready(agent))
+	if (!agent_target_answers(agent))
 		return DY_REASON_TARGET_LOST;
 	if (dy_sessions_count(agent->sessions) >=
 	    dy_sessions_cap(agent->sessions))
@@ -206,7 +206,7 @@
 		return;
 	}
 	/* A pull whose own target is away may be served by another one. */
-	if (arrival->idempotent && !agent_target_ready(agent)) {
+	if (arrival->idempotent && !agent_target_answers(agent)) {
 		send_elsewhere(agent, arrival, DY_REASON_TARGET_LOST, RETRY_MS);
 		return;
 	}
--- a/src/process/agent_private.h
+++ b/src/process/agent_private.h
@@ -53,6 +53,7 @@
 	EVENT_TARGET_LEASE_LAPSED,
 	EVENT_LINK_UP,
 	EVENT_LINK_DOWN,
+	EVENT_PROBE_UNANSWERED,
 	EVENT_ANSWER_BAD,
 	EVENT_ANSWER_TOO_LARGE,
 	EVENT_ANSWER_SHED,
@@ -94,11 +95,18 @@
 	size_t args_len;
 } call_t;
 
-typedef enum link_state { LINK_CLOSED, LINK_OPENING, LINK_UP } link_state_t;
+typedef enum link_state {
+	LINK_CLOSED,
+	LINK_OPENING,
+	LINK_PROBING, /* connected; the target has not answered NULL yet */
+	LINK_UP
+} link_state_t;
 
 typedef struct target_link {
 	link_state_t state;
 	call_t *call;
+	uint32_t probe_xid;
+	uint64_t probed_ms;
 	uint64_t retry_at_ms;
 	uint32_t attempts;
 } target_link_t;
@@ -243,6 +251,8 @@
 
 /* agent_target.c: the target and the connections to it. */
 int agent_target_ready(const dy_agent_t *agent);
+/* And has answered on a connection that stands: it may get new work. */
+int agent_target_answers(const dy_agent_t *agent);
 void agent_target_set_slots(dy_agent_t *agent);
 void agent_link_close(dy_agent_t *agent, unsigned index);
 void agent_target_tick(dy_agent_t *agent);
--- a/src/process/agent_target.c
+++ b/src/process/agent_target.c
@@ -8,6 +8,13 @@
 #define CONNECT_MIN_MS 50
 #define CONNECT_MAX_MS 1000
 
+/*
+ * A connection whose NULL call is not answered by then is closed, in ms. A
+ * NULL call takes a target well below a millisecond, also under load, since
+ * each connection has its turn.
+ */
+#define PROBE_TIMEOUT_MS 500
+
 /* Sessions of one target at most: 50 times the largest of today. */
 #define CONNECTIONS_MAX 100000
 
@@ -17,6 +24,11 @@
 	       !agent->superseded;
 }
 
+int agent_target_answers(const dy_agent_t *agent)
+{
+	return agent_target_ready(agent) && agent->up;
+}
+
 void agent_target_set_slots(dy_agent_t *agent)
 {
 	uint32_t slots = agent->target.slots;
@@ -75,18 +87,60 @@
 	agent_call_pump(agent);
 }
 
-void dy_agent_link_up(dy_agent_t *agent, unsigned index)
+/*
+ * Guards against a target that is frozen while its announcements go on: its
+ * kernel still takes connections, and each call handed to one would end as
+ * may have run. It holds because a connection carries no call before the
+ * target has answered NULL on it, and every call that is given up on closes
+ * its connection: a stall costs one such call for each slot.
+ */
+static void probe(dy_agent_t *agent, unsigned index)
 {
-	if (agent->links[index].state != LINK_OPENING)
+	target_link_t *link = &agent->links[index];
+	dy_rpc_call_t message = { 0 };
+	size_t len;
+
+	link->state = LINK_PROBING;
+	link->probe_xid = agent->next_xid++;
+	link->probed_ms = agent_now_ms(agent);
+	message.xid = link->probe_xid;
+	message.program = agent->service.program;
+	message.program_version = agent->service.program_version;
+	len = dy_rpc_write_call(&message, agent->call_out,
+				sizeof(agent->call_out));
+	if (agent->config.callbacks->link_send(agent->config.context, index,
+					       agent->call_out, len))
+		agent_link_close(agent, index);
+}
+
+/* Any reply to the probe shows that the target runs. */
+static void take_probe(dy_agent_t *agent, unsigned index, const uint8_t *bytes,
+		       size_t len)
+{
+	target_link_t *link = &agent->links[index];
+	dy_rpc_reply_t reply;
+
+	if (!bytes || dy_rpc_parse_reply(bytes, len, &reply) ||
+	    reply.xid != link->probe_xid) {
+		agent_note(agent, EVENT_ANSWER_BAD, "link=%u probe=1", index);
+		agent_link_close(agent, index);
 		return;
-	agent->links[index].state = LINK_UP;
+	}
+	link->state = LINK_UP;
 	agent_note(agent, EVENT_LINK_UP, "link=%u", index);
-	if (index == DY_AGENT_CANCEL_LINK)
-		return;
 	agent->up++;
 	dy_assert(agent->up <= DY_AGENT_SLOTS_MAX);
 	agent_target_set_slots(agent);
-	agent_call_pump(agent);
+}
+
+void dy_agent_link_up(dy_agent_t *agent, unsigned index)
+{
+	if (agent->links[index].state != LINK_OPENING)
+		return;
+	if (index == DY_AGENT_CANCEL_LINK)
+		agent->links[index].state = LINK_UP;
+	else
+		probe(agent, index);
 }
 
 static dy_call_event_t classify(const dy_rpc_reply_t *reply, uint32_t *retry_ms)
@@ -143,14 +197,16 @@
 	target_link_t *link = &agent->links[index];
 	dy_rpc_reply_t reply;
 
-	if (link->state != LINK_UP)
+	if (link->state < LINK_PROBING)
 		return;
 	link->attempts = 0;
 	if (index == DY_AGENT_CANCEL_LINK) {
 		agent_cancel_receive(agent, bytes, len);
 		return;
 	}
-	if (!bytes)
+	if (link->state == LINK_PROBING)
+		take_probe(agent, index, bytes, len);
+	else if (!bytes)
 		take_bad(agent, index, DY_EVENT_ANSWER_TOO_LARGE);
 	else if (!link->call || dy_rpc_parse_reply(bytes, len, &reply) ||
 		 reply.xid != link->call->target_xid)
@@ -294,6 +350,9 @@
 
 static int is_wanted(const dy_agent_t *agent, unsigned index)
 {
+	/* The probe needs the service's program. */
+	if (!agent->service.known)
+		return 0;
 	if (index == DY_AGENT_CANCEL_LINK)
 		return agent->target.takes_cancel;
 	return index < agent->slots;
@@ -308,6 +367,11 @@
 			agent_link_close(agent, index);
 		return;
 	}
+	if (link->state == LINK_PROBING &&
+	    agent_now_ms(agent) - link->probed_ms >= PROBE_TIMEOUT_MS) {
+		agent_note(agent, EVENT_PROBE_UNANSWERED, "link=%u", index);
+		agent_link_close(agent, index);
+	}
 	if (link->state != LINK_CLOSED ||
 	    agent_now_ms(agent) < link->retry_at_ms)
 		return;
--- a/tests/fake_agents.h
+++ b/tests/fake_agents.h
@@ -42,6 +42,7 @@
 	int open; /* asked for */
 	int up;
 	int busy;
+	int probed; /* has a NULL call of the agent's own */
 	uint32_t target_xid;
 	uint32_t id; /* of the cancel link: the xid that is meant */
 } fake_link_t;
@@ -58,6 +59,7 @@
 	int announcing; /* its target lives and takes connections */
 	int left;
 	int refuse_sends;
+	int frozen; /* its target takes connections and answers nothing */
 	fake_link_t links[DY_AGENT_LINKS];
 	char name[8];
 } fake_agent_t;
--- a/tests/test_agent.c
+++ b/tests/test_agent.c
@@ -183,6 +183,39 @@
 }
 END_TEST
 
+/*
+ * A target freezes, and its announcements go on. Its kernel takes every new
+ * connection, so that each reading after the first would wait out its
+ * deadline and be told that it may have run: a night of doubtful readings.
+ * Only what the target had may have run; the rest is refused as not run, and
+ * new flows go elsewhere.
+ */
+START_TEST(frozen_target_gets_no_more_calls)
+{
+	fake_world_t *world = create_open();
+	unsigned doubtful = 0;
+	uint32_t id;
+	unsigned i;
+
+	world->agents[0].frozen = 1;
+	for (i = 0; i < 10; i++) {
+		id = fake_call(world, 0, 0, FAKE_SUBMIT);
+		fake_pass(world, 1100);
+		doubtful += world->calls[id].verdict == DY_MAY_HAVE_RUN;
+	}
+	ck_assert_uint_eq(doubtful, FAKE_SLOTS);
+	ck_assert_int_eq(world->calls[id].verdict, DY_NOT_RUN);
+	fake_open(world, 0, 1);
+	ck_assert_int_eq(world->bounce_reason, DY_REASON_TARGET_LOST);
+	world->agents[0].frozen = 0;
+	fake_pass(world, 2000);
+	id = fake_call(world, 0, 0, FAKE_SUBMIT);
+	fake_answer_all(world, 0);
+	ck_assert_int_eq(world->calls[id].answered, 1);
+	fake_world_destroy(world);
+}
+END_TEST
+
 /*
  * A target restarts while a call is with it. Its earlier life's answer must
  * reach nobody, and the call is said to have perhaps run.
@@ -318,6 +351,7 @@
 		late_answer_reaches_no_other_call,
 		target_lost_before_and_after_sending,
 		send_that_hands_over_nothing_is_not_run,
+		frozen_target_gets_no_more_calls,
 		restarted_target_closes_every_connection,
 		token_of_a_dead_incarnation_never_runs,
 		cancel_has_a_verdict_at_each_stage,
