--- a/include/damaskyard/agent.h
+++ b/include/damaskyard/agent.h
@@ -46,6 +46,13 @@
  */
 #define DY_TARGET_LEASE_MS 3000
 
+/*
+ * A target that has taken no call for this long, in ms, is taken for lost: its
+ * sessions are handed over, if another target of the service can take them.
+ * Twice the lease, so that a target that is merely started anew keeps them.
+ */
+#define DY_TARGET_LOST_MS 6000
+
 /* Call dy_agent_tick() this often, in ms. */
 #define DY_AGENT_TICK_MS 50
 
@@ -96,9 +103,15 @@
 	/* Tell control of this agent's state. */
 	void (*state)(void *context, dy_member_state_t state,
 		      const uint64_t *successors, unsigned count);
-	/* What the agent says of itself in its polls has changed. */
+	/*
+	 * What the agent says of itself in its polls has changed; 0 slots
+	 * while its target answers nothing.
+	 */
 	void (*info)(void *context, const dy_announcement_t *target);
-	/* It has left, and no call needs it any more: the process may end. */
+	/*
+	 * It has left, and no call needs it any more: the process may end, or
+	 * create a new core for the target's next life.
+	 */
 	void (*left)(void *context);
 } dy_agent_callbacks_t;
 
@@ -140,7 +153,10 @@
  */
 void dy_agent_set_document(dy_agent_t *agent, const dy_document_t *document);
 
-/* Take an announcement of the target; *result is the reply to it. */
+/*
+ * Take an announcement of the target; *result is the reply to it. The first
+ * one binds the agent to its service, unless that target is draining.
+ */
 void dy_agent_announce(dy_agent_t *agent, const dy_announcement_t *announcement,
 		       dy_announce_result_t *result);
 
--- a/include/damaskyard/subscriber.h
+++ b/include/damaskyard/subscriber.h
@@ -80,6 +80,13 @@
 /* Say that the document of that number is in force here. Polls at once. */
 void dy_subscriber_set_document(dy_subscriber_t *subscriber, uint64_t number);
 
+/*
+ * Join anew, as another start of this member would: for one that has left and
+ * whose process goes on. A new incarnation is granted, and all state is given
+ * again. Call dy_subscriber_set_info() next.
+ */
+void dy_subscriber_rejoin(dy_subscriber_t *subscriber);
+
 /* Take a reply; one that answers no poll of this subscriber is ignored. */
 void dy_subscriber_receive(dy_subscriber_t *subscriber,
 			   const dy_sealed_t *message);
--- a/src/process/agent_event.c
+++ b/src/process/agent_event.c
@@ -47,6 +47,8 @@
 	[EVENT_TARGET_MALFORMED] = { "target_malformed", DY_LOG_WARN },
 	[EVENT_TARGET_RESTARTED] = { "target_restarted", DY_LOG_WARN },
 	[EVENT_TARGET_LEASE_LAPSED] = { "target_lease_lapsed", DY_LOG_WARN },
+	[EVENT_TARGET_AWAY] = { "target_away", DY_LOG_WARN },
+	[EVENT_TARGET_BACK] = { "target_back", DY_LOG_INFO },
 	[EVENT_LINK_UP] = { "link_up", DY_LOG_DEBUG },
 	[EVENT_LINK_DOWN] = { "link_down", DY_LOG_WARN },
 	[EVENT_PROBE_UNANSWERED] = { "probe_unanswered", DY_LOG_WARN },
--- a/src/process/agent_forward.c
+++ b/src/process/agent_forward.c
@@ -19,6 +19,9 @@
 
 	if (message->procedure == NULLPROC)
 		return 1;
+	/* Also a cancellation belongs to its own session alone. */
+	if (message->program != agent->service.program)
+		return 0;
 	for (i = 0; i < agent->service.idempotent_count; i++)
 		if (agent->service.idempotent[i] == message->procedure)
 			return 1;
@@ -293,8 +296,7 @@
 static void serve_foreign(dy_agent_t *agent, const arrival_t *arrival)
 {
 	const dy_token_t *token = &arrival->token;
-	int is_pull = arrival->idempotent && !arrival->is_null &&
-		      arrival->message.program == agent->service.program;
+	int is_pull = arrival->idempotent && !arrival->is_null;
 
 	switch (agent_member_fate(agent, token->agent, token->incarnation)) {
 	case OWNER_DEAD:
@@ -383,8 +385,7 @@
 		return -1;
 	}
 	arrival->is_null = message->procedure == NULLPROC;
-	arrival->idempotent = message->program == DY_CALLER_PROGRAM ||
-			      is_idempotent(agent, message);
+	arrival->idempotent = is_idempotent(agent, message);
 	return 0;
 }
 
--- a/src/process/agent_member.c
+++ b/src/process/agent_member.c
@@ -58,6 +58,7 @@
 	member->incarnation = from->incarnation;
 	member->state = from->state;
 	member->address = from->info.address;
+	member->slots = from->info.slots;
 	member->service[0] = '\0';
 	if (from->info.kind == DY_MEMBER_AGENT &&
 	    !strcmp(from->info.environment, agent->config.environment))
@@ -127,7 +128,8 @@
 		const member_t *member = value;
 
 		if (member->id != agent->id &&
-		    member->state == DY_MEMBER_SERVING && *member->service &&
+		    member->state == DY_MEMBER_SERVING && member->slots &&
+		    *member->service &&
 		    !strcmp(member->service, agent->target.service))
 			candidates[count++] = member->id;
 	}
--- a/src/process/agent_private.h
+++ b/src/process/agent_private.h
@@ -51,6 +51,8 @@
 	EVENT_TARGET_MALFORMED,
 	EVENT_TARGET_RESTARTED,
 	EVENT_TARGET_LEASE_LAPSED,
+	EVENT_TARGET_AWAY,
+	EVENT_TARGET_BACK,
 	EVENT_LINK_UP,
 	EVENT_LINK_DOWN,
 	EVENT_PROBE_UNANSWERED,
@@ -130,6 +132,7 @@
 	dy_member_state_t state;
 	dy_address_t address;
 	char service[DY_NAME_BYTES + 1]; /* of agents of this environment */
+	uint32_t slots;
 } member_t;
 
 /* An incarnation that has left, and to whom. */
@@ -151,6 +154,8 @@
 	int takes_cancel;
 	uint64_t announced_ms;
 	int healthy;
+	uint64_t silent_ms; /* since when it answers nothing; 0: it does */
+	int away;	    /* control was told so */
 } agent_target_t;
 
 typedef struct agent_service {
--- a/src/process/agent_target.c
+++ b/src/process/agent_target.c
@@ -15,6 +15,9 @@
  */
 #define PROBE_TIMEOUT_MS 500
 
+/* Control is told of a target that answers nothing after this, in ms. */
+#define AWAY_MS 1000
+
 /* Sessions of one target at most: 50 times the largest of today. */
 #define CONNECTIONS_MAX 100000
 
@@ -293,6 +296,18 @@
 	g_strlcpy(target->labels, from->labels, sizeof(target->labels));
 }
 
+static void tell_info(dy_agent_t *agent)
+{
+	agent_target_t *target = &agent->target;
+	dy_announcement_t info = { 0 };
+
+	info.service = target->service;
+	info.labels = target->labels;
+	info.slots = target->away ? 0 : target->slots;
+	info.connections = target->connections;
+	agent->config.callbacks->info(agent->config.context, &info);
+}
+
 static void take_announcement(dy_agent_t *agent, const dy_announcement_t *from,
 			      const dy_address_t *address)
 {
@@ -311,7 +326,7 @@
 	if (!changed)
 		return;
 	agent_apply_limits(agent);
-	agent->config.callbacks->info(agent->config.context, from);
+	tell_info(agent);
 }
 
 void dy_agent_announce(dy_agent_t *agent, const dy_announcement_t *from,
@@ -327,7 +342,8 @@
 		return;
 	}
 	result->status = judge(agent, from, &address);
-	if (result->status != DY_ANNOUNCE_OK)
+	if (result->status != DY_ANNOUNCE_OK ||
+	    (from->draining && !agent->target.known))
 		return;
 	take_announcement(agent, from, &address);
 	if (from->draining)
@@ -348,6 +364,47 @@
 	agent_call_stop_unsent(agent, DY_EVENT_TARGET_LOST);
 }
 
+static void set_away(dy_agent_t *agent, int away)
+{
+	agent_target_t *target = &agent->target;
+
+	if (target->away == away)
+		return;
+	target->away = away;
+	agent_note(agent, away ? EVENT_TARGET_AWAY : EVENT_TARGET_BACK,
+		   "service=%s sessions=%u", target->service,
+		   dy_sessions_count(agent->sessions));
+	tell_info(agent);
+}
+
+/*
+ * Guards against flows that stay bound to a target that is gone, while
+ * others could serve them: each of their calls would be refused until the
+ * caller gives up. Their sessions and what they remember are whole here, and
+ * move as in a planned stop.
+ */
+static void check_silence(dy_agent_t *agent)
+{
+	uint64_t successors[DY_SUCCESSORS_MAX];
+	uint64_t now_ms = agent_now_ms(agent);
+	agent_target_t *target = &agent->target;
+
+	if (agent_target_answers(agent)) {
+		target->silent_ms = 0;
+		set_away(agent, 0);
+		return;
+	}
+	if (!target->silent_ms)
+		target->silent_ms = now_ms;
+	if (now_ms - target->silent_ms >= AWAY_MS)
+		set_away(agent, 1);
+	if (now_ms - target->silent_ms >= DY_TARGET_LOST_MS &&
+	    agent->state == DY_MEMBER_SERVING &&
+	    dy_sessions_count(agent->sessions) &&
+	    agent_member_successors(agent, successors))
+		dy_agent_leave(agent, "target_lost", 0);
+}
+
 static int is_wanted(const dy_agent_t *agent, unsigned index)
 {
 	/* The probe needs the service's program. */
@@ -387,6 +444,8 @@
 	if (!agent->target.known)
 		return;
 	check_lease(agent);
+	if (agent->service.known)
+		check_silence(agent);
 	for (i = 0; i < DY_AGENT_LINKS; i++)
 		keep_link(agent, i);
 }
--- a/src/process/cmd_agent.c
+++ b/src/process/cmd_agent.c
@@ -52,6 +52,9 @@
 	dy_document_t *document;
 	char service[DY_NAME_BYTES + 1];
 	char labels[DY_LABELS_BYTES + 1];
+	int ends;	 /* once it has left, the process does */
+	int has_left;	 /* create a new core at the next tick */
+	int must_rejoin; /* control knows of the last core's end */
 	uint64_t superseded_ms;
 	int exit_code;
 	uint64_t *truncated;
@@ -136,6 +139,9 @@
 {
 	agent_process_t *process = context;
 
+	/* Control knows of the last core's end, and of no newer one yet. */
+	if (process->must_rejoin)
+		return;
 	dy_subscriber_set_state(process->subscriber, state, successors, count);
 }
 
@@ -155,6 +161,9 @@
 	info.labels = process->labels;
 	info.slots = target->slots;
 	info.connections = target->connections;
+	if (process->must_rejoin)
+		dy_subscriber_rejoin(process->subscriber);
+	process->must_rejoin = 0;
 	dy_subscriber_set_info(process->subscriber, &info);
 }
 
@@ -162,7 +171,9 @@
 {
 	agent_process_t *process = context;
 
-	dy_loop_end(process->loop);
+	if (process->ends)
+		dy_loop_end(process->loop);
+	process->has_left = 1;
 }
 
 static const dy_agent_callbacks_t agent_callbacks = {
@@ -251,6 +262,7 @@
 {
 	agent_process_t *process = context;
 
+	process->ends = 1;
 	dy_agent_leave(process->agent, "operator", 0);
 }
 
@@ -427,25 +439,11 @@
 	dy_endpoint_send(process->announce, process->out, len, from);
 }
 
-static void on_tick(void *context)
-{
-	agent_process_t *process = context;
-
-	dy_agent_set_lease(process->agent,
-			   dy_subscriber_age_ms(process->subscriber) <
-				   LEASE_MS);
-	record_links_tick(process->links);
-	dy_agent_tick(process->agent);
-	if (process->superseded_ms &&
-	    dy_loop_now_ms(process->loop) - process->superseded_ms >=
-		    SUPERSEDED_MS)
-		dy_loop_end(process->loop);
-}
-
 static void on_stop(void *context)
 {
 	agent_process_t *process = context;
 
+	process->ends = 1;
 	dy_agent_leave(process->agent, "signal", 1);
 }
 
@@ -484,7 +482,23 @@
 		.callbacks = &agent_callbacks,
 		.context = process,
 	};
-	dy_subscriber_config_t subscriber = {
+
+	dy_random_fill(&config.seed, sizeof(config.seed));
+	process->agent = dy_agent_create(&config);
+	process->links =
+		record_links_create(dy_loop_uv(process->loop), DY_AGENT_LINKS,
+				    &link_callbacks, process);
+}
+
+static void destroy_agent(agent_process_t *process)
+{
+	dy_agent_destroy(process->agent);
+	record_links_destroy(process->links);
+}
+
+static void create_subscriber(agent_process_t *process)
+{
+	dy_subscriber_config_t config = {
 		.loop = process->loop,
 		.endpoint = process->endpoint,
 		.seal = process->seal,
@@ -494,12 +508,39 @@
 		.context = process,
 	};
 
-	dy_random_fill(&config.seed, sizeof(config.seed));
-	process->subscriber = dy_subscriber_create(&subscriber);
-	process->agent = dy_agent_create(&config);
-	process->links =
-		record_links_create(dy_loop_uv(process->loop), DY_AGENT_LINKS,
-				    &link_callbacks, process);
+	process->subscriber = dy_subscriber_create(&config);
+}
+
+/*
+ * The target has left, or was lost, and its sessions are handed over; its
+ * next life, or another target, may bind this agent. That is a new core and
+ * a new incarnation: nothing of the last one's may be taken for its own.
+ */
+static void begin_anew(agent_process_t *process)
+{
+	destroy_agent(process);
+	create_agent(process);
+	process->has_left = 0;
+	process->must_rejoin = 1;
+	dy_log_event(DY_LOG_INFO, "agent_free", "name=%s",
+		     process->settings.name);
+}
+
+static void on_tick(void *context)
+{
+	agent_process_t *process = context;
+
+	dy_agent_set_lease(process->agent,
+			   dy_subscriber_age_ms(process->subscriber) <
+				   LEASE_MS);
+	record_links_tick(process->links);
+	dy_agent_tick(process->agent);
+	if (process->has_left && !process->ends)
+		begin_anew(process);
+	if (process->superseded_ms &&
+	    dy_loop_now_ms(process->loop) - process->superseded_ms >=
+		    SUPERSEDED_MS)
+		dy_loop_end(process->loop);
 }
 
 static gboolean start(agent_process_t *process, GError **error)
@@ -516,6 +557,7 @@
 	process->keyring = dy_keyring_create(&process->secrets);
 	if (!open_endpoints(process, error))
 		return FALSE;
+	create_subscriber(process);
 	create_agent(process);
 	dy_loop_every(process->loop, DY_AGENT_TICK_MS, on_tick, process);
 	dy_loop_on_stop(process->loop, on_stop, process);
@@ -524,8 +566,7 @@
 
 static void finish(agent_process_t *process)
 {
-	dy_agent_destroy(process->agent);
-	record_links_destroy(process->links);
+	destroy_agent(process);
 	dy_subscriber_destroy(process->subscriber);
 	dy_endpoint_destroy(process->endpoint);
 	dy_endpoint_destroy(process->announce);
--- a/src/process/subscriber.c
+++ b/src/process/subscriber.c
@@ -386,6 +386,21 @@
 	subscriber->next_poll_ms = 0;
 }
 
+void dy_subscriber_rejoin(dy_subscriber_t *subscriber)
+{
+	end_fetch(&subscriber->fetch);
+	dy_random_fill(&subscriber->boot, sizeof(subscriber->boot));
+	subscriber->incarnation = 0;
+	subscriber->state_version = 0;
+	subscriber->document = 0;
+	subscriber->newest_document = 0;
+	subscriber->state = DY_MEMBER_SERVING;
+	subscriber->successor_count = 0;
+	subscriber->polling = 0;
+	subscriber->drain_told = 0;
+	poll_soon(subscriber);
+}
+
 void dy_subscriber_set_info(dy_subscriber_t *subscriber,
 			    const dy_member_info_t *info)
 {
--- a/tests/fake_agents.c
+++ b/tests/fake_agents.c
@@ -257,7 +257,7 @@
 }
 
 static void publish(fake_agent_t *agent, dy_member_state_t state,
-		    const uint64_t *successors, unsigned count)
+		    unsigned slots, const uint64_t *successors, unsigned count)
 {
 	dy_member_t *member = g_new0(dy_member_t, 1);
 
@@ -270,6 +270,7 @@
 	member->info.domain = "d1";
 	member->info.service = "readings";
 	member->info.labels = "";
+	member->info.slots = slots;
 	fill_address(&member->info.address, agent->index);
 	member->successors.successors_len = count;
 	member->successors.successors_val =
@@ -280,13 +281,16 @@
 static void on_state(void *context, dy_member_state_t state,
 		     const uint64_t *successors, unsigned count)
 {
-	publish(context, state, successors, count);
+	publish(context, state, FAKE_SLOTS, successors, count);
 }
 
 static void on_info(void *context, const dy_announcement_t *target)
 {
-	(void)context;
-	(void)target;
+	fake_agent_t *agent = context;
+
+	if (agent->agent && dy_agent_state(agent->agent) != DY_MEMBER_LEFT)
+		publish(agent, dy_agent_state(agent->agent), target->slots,
+			NULL, 0);
 }
 
 static void on_left(void *context)
@@ -413,7 +417,7 @@
 	agent->seen = 0;
 	agent->left = 0;
 	agent->announcing = 1;
-	publish(agent, DY_MEMBER_SERVING, NULL, 0);
+	publish(agent, DY_MEMBER_SERVING, FAKE_SLOTS, NULL, 0);
 	dy_agent_grant(agent->agent, agent->incarnation);
 	dy_agent_set_lease(agent->agent, 1);
 	fake_announce(world, index, 0);
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -270,6 +270,53 @@
 }
 END_TEST
 
+/*
+ * A target dies and does not come back. Its agent lives, and each reading of
+ * its stations would be refused until they give up: the night is broken. The
+ * sessions go to the other target, with what they remember.
+ */
+START_TEST(lost_target_hands_its_sessions_on)
+{
+	fake_world_t *world = create_group(2);
+	uint32_t doubtful = fake_call(world, 0, 0, FAKE_SUBMIT);
+	uint32_t next;
+
+	world->agents[0].announcing = 0;
+	fake_hang_up(world, 0, 0);
+	ck_assert_int_eq(world->calls[doubtful].verdict, DY_MAY_HAVE_RUN);
+	fake_pass(world, 10000);
+	fake_settle(world);
+	ck_assert_int_eq(dy_agent_state(world->agents[0].agent),
+			 DY_MEMBER_LEFT);
+	next = fake_call(world, 1, 0, FAKE_SUBMIT);
+	fake_answer_all(world, 1);
+	ck_assert_int_eq(world->calls[next].answered, 1);
+	fake_copy(world, 1, doubtful);
+	ck_assert_uint_eq(world->calls[doubtful].runs, 1);
+	fake_world_destroy(world);
+}
+END_TEST
+
+/* A target that answers nothing is no successor. */
+START_TEST(silent_target_is_no_successor)
+{
+	fake_world_t *world = create_group(2);
+
+	world->agents[1].announcing = 0;
+	fake_pass(world, 5000);
+	fake_poll(world, 0);
+	dy_agent_leave(world->agents[0].agent, "test", 0);
+	fake_settle(world);
+	ck_assert_int_eq(dy_agent_state(world->agents[0].agent),
+			 DY_MEMBER_DRAINING);
+	world->agents[1].announcing = 1;
+	fake_settle(world);
+	ck_assert_int_eq(dy_agent_state(world->agents[0].agent),
+			 DY_MEMBER_LEFT);
+	fake_world_destroy(world);
+}
+END_TEST
+
 /* Leaving agents take no new flow, and end without a successor in time. */
 START_TEST(last_agent_ends_without_successor)
 {
@@ -335,6 +382,8 @@
 		two_leave_at_once,
 		silent_successor_is_not_passed_over,
 		dead_successor_loses_the_session,
+		lost_target_hands_its_sessions_on,
+		silent_target_is_no_successor,
 		last_agent_ends_without_successor,
 		longer_body_is_read,
 		NULL,
