--- a/fuzz/fuzz_agent.c
+++ b/fuzz/fuzz_agent.c
@@ -86,7 +86,8 @@
 	fake_world_t *world = run->world;
 	uint32_t id;
 
-	if (!world->call_count)
+	if (!world->call_count ||
+	    world->call_count + FAKE_CALLERS >= FAKE_CALLS)
 		return;
 	id = world->call_count - 1 - take_below(run, MIN(8, world->call_count));
 	if (world->callers[world->calls[id].caller].has_token)
@@ -242,12 +243,15 @@
 	case 10:
 		dy_agent_supersede(agent->agent);
 		break;
+	case 11:
+		agent->frozen = !agent->frozen;
+		break;
 	default:
 		break;
 	}
 }
 
-#define UNPLANNED_OPS 11
+#define UNPLANNED_OPS 12
 
 static void operate(run_t *run)
 {
@@ -307,7 +311,7 @@
 	run_t run = { NULL, bytes, len, 0 };
 	unsigned i;
 
-	dy_log_configure(DY_LOG_ERROR, NULL);
+	dy_log_configure(DY_LOG_ERROR + 1, NULL);
 	run.world = fake_world_create();
 	run.planned = take(&run) & 1;
 	for (i = 0; i < FAKE_AGENTS; i++)
