--- a/include/damaskyard/registry.h
+++ b/include/damaskyard/registry.h
@@ -154,7 +154,6 @@
 	uint64_t heard_ms;	    /* the leader's clock */
 	uint64_t document;	    /* number in force there, as heard */
 	/* Shared strings: members repeat all but their names. */
-	char *name;
 	char *domain;
 	char *service;
 	char *labels;
@@ -170,6 +169,7 @@
 	uint8_t drain;
 	uint8_t current;  /* the newest record of its name */
 	uint8_t proposed; /* a mark of it is under way */
+	char name[];
 } dy_registry_member_t;
 
 /* Find the newest record of a member, or NULL. */
--- a/src/version/registry_members.c
+++ b/src/version/registry_members.c
@@ -124,7 +124,6 @@
 
 void registry_free_member(dy_registry_member_t *member)
 {
-	g_ref_string_release(member->name);
 	g_ref_string_release(member->domain);
 	g_ref_string_release(member->service);
 	g_ref_string_release(member->labels);
@@ -225,14 +224,16 @@
 static dy_registry_member_t *create_member(const dy_member_info_t *info,
 					   uint64_t boot, uint64_t incarnation)
 {
-	dy_registry_member_t *member = g_new0(dy_registry_member_t, 1);
+	size_t name_size = strlen(info->name) + 1;
+	dy_registry_member_t *member;
 
+	member = g_malloc0(sizeof(*member) + name_size);
+	memcpy(member->name, info->name, name_size);
 	member->id = info_id(info);
 	member->incarnation = incarnation;
 	member->boot = boot;
 	member->kind = (uint8_t)info->kind;
 	member->environment = (uint8_t)dy_environment_find(info->environment);
-	member->name = g_ref_string_new(info->name);
 	store_info(member, info);
 	dy_list_init(&member->environment_link);
 	dy_list_init(&member->service_link);
@@ -434,7 +435,7 @@
 	shown->incarnation = member->incarnation;
 	shown->state = member->state;
 	shown->info.kind = member->kind;
-	shown->info.name = member->name;
+	shown->info.name = (char *)member->name;
 	shown->info.environment =
 		(char *)dy_environment_name(member->environment);
 	shown->info.domain = member->domain;
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -343,6 +343,28 @@
 }
 END_TEST
 
+/*
+ * Two machines start under one name at the same moment: both joins are
+ * judged before either is committed, and both would be granted.
+ */
+START_TEST(one_of_two_joins_under_way_is_granted)
+{
+	dy_poll_t one = poll_of(DY_MEMBER_AGENT, "a", "readings", 1);
+	dy_poll_t two = poll_of(DY_MEMBER_AGENT, "a", "readings", 2);
+	dy_command_t first;
+	dy_command_t second;
+	dy_status_t status;
+
+	dy_registry_judge_poll(registry, &one, &first, &status);
+	dy_registry_judge_poll(registry, &two, &second, &status);
+	fake_registry_apply(registry, &first);
+	fake_registry_apply(registry, &second);
+	ck_assert_int_eq(send_poll(&two), DY_STATUS_NAME_TAKEN);
+	ck_assert_int_eq(send_poll(&one), DY_STATUS_OK);
+	ck_assert_uint_eq(one.incarnation, 1);
+}
+END_TEST
+
 /*
  * A lost answer to the first poll: the member polls again without an
  * incarnation, and is told that its name is taken, by itself.
@@ -655,6 +677,39 @@
 }
 END_TEST
 
+static void apply_key_step(dy_key_step_kind_t step, uint32_t id)
+{
+	dy_command_t command = { .kind = DY_COMMAND_KEY };
+
+	command.dy_command_t_u.key.step = step;
+	command.dy_command_t_u.key.id = id;
+	fake_registry_apply(registry, &command);
+}
+
+/*
+ * Two leaders, one after the other, propose the same step of a rotation: the
+ * second would retire the key that signs, or bring back an older one.
+ */
+START_TEST(key_steps_that_come_late_change_nothing)
+{
+	const dy_registry_key_t *keys;
+	unsigned count;
+
+	apply_key_step(DY_KEY_ADD, 0);
+	apply_key_step(DY_KEY_RETIRE, 1);
+	apply_key_step(DY_KEY_ADD, 0);
+	apply_key_step(DY_KEY_ADD, 0);
+	apply_key_step(DY_KEY_RETIRE, 2);
+	apply_key_step(DY_KEY_ACTIVATE, 2);
+	apply_key_step(DY_KEY_ACTIVATE, 1);
+	apply_key_step(DY_KEY_ACTIVATE, 9);
+	keys = dy_registry_keys(registry, &count);
+	ck_assert_uint_eq(count, 2);
+	ck_assert(!keys[0].info.active && !keys[0].info.retired);
+	ck_assert(keys[1].info.active && !keys[1].info.retired);
+}
+END_TEST
+
 /* Rotation for ever keeps a bounded number of keys, one of them active. */
 START_TEST(keys_are_bounded)
 {
@@ -738,6 +793,7 @@
 	tcase_add_test(tcase, damaged_or_wrong_content_is_refused);
 	tcase_add_test(tcase, contents_are_paged_and_bounded);
 	tcase_add_test(tcase, name_passes_on_only_when_its_lease_ran_out);
+	tcase_add_test(tcase, one_of_two_joins_under_way_is_granted);
 	tcase_add_test(tcase, resent_join_gets_the_same_incarnation);
 	tcase_add_test(tcase, suspect_that_polls_again_is_back);
 	tcase_add_test(tcase, new_leader_gives_every_member_a_full_lease);
@@ -749,6 +805,7 @@
 	tcase_add_test(tcase, records_of_those_gone_are_bounded);
 	tcase_add_test(tcase, operators_drain_and_remove_by_name);
 	tcase_add_test(tcase, keys_are_distributed_before_and_accepted_after);
+	tcase_add_test(tcase, key_steps_that_come_late_change_nothing);
 	tcase_add_test(tcase, keys_are_bounded);
 	tcase_add_test(tcase, malformed_input_changes_nothing);
 	tcase_add_loop_test(tcase, random_run_agrees_with_the_oracle, 0, 20);
