--- a/src/process/control.c
+++ b/src/process/control.c
@@ -348,6 +348,7 @@
 	};
 	static const dy_log_limit_t limit = DY_LOG_LIMIT_INIT(100, 1000);
 	static const dy_log_limit_t rare = DY_LOG_LIMIT_INIT(3, 10000);
+	static const dy_log_limit_t one = DY_LOG_LIMIT_INIT(1, WAITING_MS);
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(names); i++)
@@ -359,6 +360,7 @@
 		control->event_limits[i] = limit;
 	}
 	control->join_limit = rare;
+	control->waiting_limit = one;
 	control->malformed_limit = rare;
 }
 
@@ -424,6 +426,8 @@
 	control->options = *options;
 	control->loop = loop;
 	control->metrics = metrics;
+	control->started_ms = control_now_ms(control);
+	control->reviewed_ms = control->started_ms;
 	dy_list_init(&control->requests);
 	register_counters(control);
 	founding_init(&control->founding, &control->options.peers,
--- a/src/process/control_group.c
+++ b/src/process/control_group.c
@@ -239,6 +239,25 @@
 	}
 }
 
+/* An operator must see why a control that is up serves nobody. */
+static void log_waiting(dy_control_t *control)
+{
+	unsigned answered = 0;
+	unsigned empty = 0;
+	uint32_t slot;
+
+	for (slot = 1; slot <= DY_RAFT_MEMBERS_MAX; slot++) {
+		answered += !!control->founding.heard[slot].answered;
+		empty += !!control->founding.heard[slot].empty;
+	}
+	if (control_now_ms(control) - control->started_ms >= WAITING_MS &&
+	    dy_log_allow(&control->waiting_limit, "group_awaited",
+			 control_now_ms(control)))
+		dy_log_event(DY_LOG_WARN, "group_awaited",
+			     "peers=%u answered=%u empty=%u",
+			     control->options.peers.count - 1, answered, empty);
+}
+
 void control_review_group(dy_control_t *control)
 {
 	if (dy_raft_role(control->raft) == DY_RAFT_LEADER) {
@@ -252,4 +271,5 @@
 		found_group(control);
 	else
 		ask_peers(control);
+	log_waiting(control);
 }
--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -26,6 +26,9 @@
 /* A planned stop ends by then, whatever is still waiting. */
 #define STOP_MS 5000
 
+/* A control that is in no group says so after, and then each, 10 s. */
+#define WAITING_MS 10000
+
 /* Requests waiting for the log at once; more are refused at once. */
 #define REQUESTS_MAX 16384
 
@@ -77,6 +80,7 @@
 	uv_check_t check;
 	dy_list_t requests;
 	unsigned request_count;
+	uint64_t started_ms;
 	uint64_t reviewed_ms;
 	uint64_t stop_at_ms; /* 0: not stopping */
 	int transferring;
@@ -86,6 +90,7 @@
 	int tried_proposed;
 	dy_log_limit_t event_limits[DY_EVENTS];
 	dy_log_limit_t join_limit;
+	dy_log_limit_t waiting_limit;
 	dy_log_limit_t malformed_limit;
 	uint8_t out[DATAGRAM_BYTES];
 };
