--- a/src/process/control.c
+++ b/src/process/control.c
@@ -424,6 +424,8 @@
 	};
 
 	control->options = *options;
+	control->leases = options->leases;
+	control->keys = options->keys;
 	control->loop = loop;
 	control->metrics = metrics;
 	control->started_ms = control_now_ms(control);
--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -88,6 +88,10 @@
 	int served; /* was a majority of the peers ever voting? */
 	int key_proposed;
 	int tried_proposed;
+	/* Options, but no shorter than the documents' longest pause. */
+	dy_lease_times_t leases;
+	dy_key_times_t keys;
+	uint64_t idle_numbers;
 	dy_log_limit_t event_limits[DY_EVENTS];
 	dy_log_limit_t join_limit;
 	dy_log_limit_t waiting_limit;
--- a/src/process/control_review.c
+++ b/src/process/control_review.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "control_private.h"
+#include "damaskyard/document.h"
 
 static void on_done(void *context, dy_raft_result_t result, uint64_t index)
 {
@@ -13,6 +14,55 @@
 	(void)index;
 }
 
+static uint64_t longest_idle_ms(const dy_control_t *control,
+				dy_environment_t environment)
+{
+	const dy_registry_document_t *info =
+		dy_registry_document(control->registry, environment);
+	dy_document_t *document;
+	const uint8_t *bytes;
+	uint64_t longest_s = 0;
+	uint32_t size;
+	unsigned i;
+
+	bytes = dy_registry_find_content(control->registry, info->digest,
+					 &size);
+	document = bytes ? dy_document_parse(bytes, size, NULL) : NULL;
+	if (!document)
+		return 0;
+	for (i = 0; i < dy_document_service_count(document); i++)
+		longest_s =
+			MAX(longest_s,
+			    dy_document_service(document, i)->session_idle_s);
+	dy_document_destroy(document);
+	return longest_s * 1000;
+}
+
+/*
+ * Guards against a session that pauses for as long as its document allows
+ * and then names a member that is forgotten, or a key that is retired: both
+ * outlive the longest pause, whatever the settings say.
+ */
+static void review_idle(dy_control_t *control)
+{
+	uint64_t longest_ms = 0;
+	uint64_t numbers = 0;
+	int i;
+
+	for (i = 0; i < DY_ENVIRONMENTS; i++)
+		numbers += dy_registry_document(control->registry, i)->number;
+	if (numbers == control->idle_numbers)
+		return;
+	control->idle_numbers = numbers;
+	for (i = 0; i < DY_ENVIRONMENTS; i++)
+		longest_ms = MAX(longest_ms, longest_idle_ms(control, i));
+	longest_ms += DY_RETRANSMIT_MS;
+	control->leases = control->options.leases;
+	control->leases.keep_ms = MAX(control->leases.keep_ms, longest_ms);
+	control->keys = control->options.keys;
+	control->keys.renew_ms = MAX(control->keys.renew_ms, longest_ms);
+}
+
 static void review_leases(dy_control_t *control)
 {
 	dy_command_t command = { .kind = DY_COMMAND_MARK };
@@ -20,8 +70,8 @@
 	int i;
 
 	for (i = 0; i < MARKS_MAX; i++) {
-		if (!dy_registry_next_mark(control->registry,
-					   &control->options.leases, mark))
+		if (!dy_registry_next_mark(control->registry, &control->leases,
+					   mark))
 			return;
 		if (control_propose(control, &command, on_done, NULL) ==
 		    DY_RAFT_DONE)
@@ -46,8 +96,7 @@
 	dy_key_step_t *step = &command.dy_command_t_u.key;
 
 	if (control->key_proposed ||
-	    !dy_registry_next_key_step(control->registry,
-				       &control->options.keys, step))
+	    !dy_registry_next_key_step(control->registry, &control->keys, step))
 		return;
 	if (step->step == DY_KEY_ADD)
 		dy_random_fill(step->salt, sizeof(step->salt));
@@ -152,6 +201,7 @@
 		dy_registry_restart_leases(control->registry);
 		return;
 	}
+	review_idle(control);
 	review_leases(control);
 	review_keys(control);
 	control_try_document(control, 0);
