--- a/src/process/balancer.c
+++ b/src/process/balancer.c
@@ -23,8 +23,9 @@
 
 /*
  * A planned stop: the fabric is told for as long that this balancer is not
- * ready, then it goes once no caller has been heard for the quiet time, and
- * at the latest after the last.
+ * ready, then it goes once nothing was forwarded for the quiet time, and
+ * at the latest after the last. The fabric's probes never fall quiet, so
+ * that datagrams alone don't tell.
  */
 #define STOP_UNREADY_MS 3000
 #define STOP_QUIET_MS 1000
@@ -50,6 +51,7 @@
 	int caught_up;
 	int document_applied;
 	uint64_t stopping_ms; /* since when; 0: not stopping */
+	uint64_t forwarded_ms;
 	uint64_t *lease_lapses;
 	uint64_t *document_changes;
 } balancer_t;
@@ -62,6 +64,7 @@
 	balancer_t *balancer = context;
 	size_t len;
 
+	balancer->forwarded_ms = dy_loop_now_ms(balancer->loop);
 	forward->state_version = dy_subscriber_version(balancer->subscriber);
 	len = dy_seal_write_call(balancer->seal, &head,
 				 (xdrproc_t)xdr_dy_forward_t, forward, out,
@@ -263,14 +266,15 @@
 /* A planned stop ends once callers have found the other balancers. */
 static void check_stop(balancer_t *balancer)
 {
+	uint64_t now = dy_loop_now_ms(balancer->loop);
 	uint64_t since;
 
 	if (!balancer->stopping_ms)
 		return;
-	since = dy_loop_now_ms(balancer->loop) - balancer->stopping_ms;
+	since = now - balancer->stopping_ms;
 	if (since < STOP_UNREADY_MS)
 		return;
-	if (service_sockets_quiet_ms(balancer->sockets) < STOP_QUIET_MS &&
+	if (now - balancer->forwarded_ms < STOP_QUIET_MS &&
 	    since < STOP_LATEST_MS)
 		return;
 	dy_log_event(DY_LOG_INFO, "stop_ended", "ms=%lu", (unsigned long)since);
--- a/src/process/service_sockets.c
+++ b/src/process/service_sockets.c
@@ -25,7 +25,6 @@
 	dy_list_t sockets;
 	GHashTable *by_number;
 	uint64_t next_number;
-	uint64_t heard_ms;
 };
 
 service_sockets_t *service_sockets_create(dy_loop_t *loop, dy_router_t *router,
@@ -91,7 +90,6 @@
 	uint64_t now = dy_loop_now_ms(socket->owner->loop);
 
 	socket->heard_ms = now;
-	socket->owner->heard_ms = now;
 	datagram.service = socket->service;
 	datagram.socket = socket->number;
 	dy_address_load(&datagram.caller, from);
@@ -233,8 +231,3 @@
 {
 	close_unneeded(sockets);
 }
-
-uint64_t service_sockets_quiet_ms(const service_sockets_t *sockets)
-{
-	return dy_loop_now_ms(sockets->loop) - sockets->heard_ms;
-}
--- a/src/process/service_sockets.h
+++ b/src/process/service_sockets.h
@@ -40,7 +40,4 @@
 /* Close sockets that no document needs and that have been quiet. */
 void service_sockets_expire(service_sockets_t *sockets);
 
-/* Milliseconds since the last datagram from any caller. */
-uint64_t service_sockets_quiet_ms(const service_sockets_t *sockets);
-
 #endif
