--- a/src/process/balancer.c
+++ b/src/process/balancer.c
@@ -23,9 +23,8 @@
 
 /*
  * A planned stop: the fabric is told for as long that this balancer is not
- * ready, then it goes once nothing was forwarded for the quiet time, and
- * at the latest after the last. The fabric's probes never fall quiet, so
- * that datagrams alone don't tell.
+ * ready, then it goes once no caller has been heard for the quiet time, and
+ * at the latest after the last.
  */
 #define STOP_UNREADY_MS 3000
 #define STOP_QUIET_MS 1000
@@ -50,8 +49,8 @@
 	int confirmed;
 	int caught_up;
 	int document_applied;
-	uint64_t stopping_ms; /* since when; 0: not stopping */
-	uint64_t forwarded_ms;
+	uint64_t stopping_ms;  /* since when; 0: not stopping */
+	uint64_t forwarded_ms; /* the last datagram passed on, either way */
 	uint64_t *lease_lapses;
 	uint64_t *document_changes;
 } balancer_t;
@@ -89,6 +88,7 @@
 	if (!dy_sealed_load(message, (xdrproc_t)xdr_dy_answer_t, &answer,
 			    sizeof(answer)))
 		return;
+	balancer->forwarded_ms = dy_loop_now_ms(balancer->loop);
 	dy_router_answered(balancer->router, &answer,
 			   dy_loop_now_ms(balancer->loop));
 	xdr_free((xdrproc_t)xdr_dy_answer_t, (char *)&answer);
--- a/src/request/admission.c
+++ b/src/request/admission.c
@@ -1,10 +1,6 @@
 #include "damaskyard/admission.h"
 
-#include "fair_lane.h"
-#include "service_time.h"
-
-/* The first time a slot comes free when the target has none. */
-#define NEVER_US (1ULL << 60)
+#include "admission_state.h"
 
 /*
  * Short calls are "about" for this long after the newest one. At a handful a
@@ -19,37 +15,26 @@
  */
 #define FREEZE_US 1000000
 
-/* A look at the whole queue costs some 10 us: not more often than this. */
-#define PROJECT_EVERY_US 2000
-
-#define US_PER_MS 1000
-#define PERCENT 100
-
-enum { SUBMISSIONS, PULLS, LANES };
-
-enum { ENDED, QUEUED, GIVEN_UP, RUNNING };
-
-typedef struct lane {
-	dy_fair_lane_t fair;
-	uint32_t percent; /* share of the slot time while both lanes wait */
-	uint64_t pass_us; /* slot time had, scaled by the share */
-} lane_t;
-
-struct dy_admission {
-	dy_admission_config_t config;
-	GRand *rand;
-	uint64_t now_us;
-	uint64_t projected_us;
-	uint64_t booked_us; /* retry times are given out up to here */
-	uint64_t last_short_us;
-	uint32_t freezes;
-	uint32_t in_flight;
-	uint32_t long_in_flight;
-	dy_list_t running;
-	dy_list_t given_up;
-	dy_service_times_t times;
-	lane_t lanes[LANES];
-};
+/*
+ * A look at the whole queue costs some 10 us; the times to hold a call are
+ * hundreds of ms.
+ */
+#define PROJECT_EVERY_US 10000
+
+/*
+ * A lane of which each call has waited longer than this, for as long as that,
+ * is overloaded and not in a burst: its queue then adds to each wait and
+ * nothing to the goodput (as in CoDel, RFC 8289).
+ */
+#define STANDING_WAIT_US 5000
+#define STANDING_US 1000000
+
+/*
+ * A call is queued only if it is expected to wait this part of the time that
+ * it may be held, in percent: what is refused is refused at once, and seldom
+ * after it has waited.
+ */
+#define QUEUE_MARGIN_PERCENT 75
 
 void dy_admission_config_init(dy_admission_config_t *config, uint32_t slots)
 {
@@ -57,6 +42,7 @@
 	config->queue = 256;
 	config->default_budget_us = 5000000;
 	config->hold_percent = 50;
+	config->standing_hold_percent = 12;
 	config->first_estimate_us = 5000;
 	config->submission_percent = 75;
 	config->short_slots = 1;
@@ -113,103 +99,6 @@
 	       adm->lanes[PULLS].fair.count;
 }
 
-/*
- * How long a running call will still hold its slot. One that is overdue is
- * taken to need as long again as it took: the longer it has stalled, the less
- * its slot is counted on. The owner gives it up at its deadline.
- */
-static uint64_t residual_us(const dy_admission_item_t *item, uint64_t now_us)
-{
-	uint64_t elapsed =
-		now_us > item->started_us ? now_us - item->started_us : 0;
-	uint64_t left =
-		elapsed < item->cost_us ? item->cost_us - elapsed : elapsed;
-
-	if (item->until_us <= now_us)
-		return 0;
-	return MIN(left, item->until_us - now_us);
-}
-
-static uint64_t first_free_us(const dy_admission_t *adm, uint64_t now_us)
-{
-	const dy_admission_item_t *item;
-	uint64_t first = NEVER_US;
-	dy_list_t *pos;
-
-	if (adm->in_flight < adm->config.slots)
-		return 0;
-	if (!adm->config.slots)
-		return NEVER_US;
-	DY_LIST_EACH(pos, &adm->running)
-	{
-		item = DY_LIST_ITEM(pos, dy_admission_item_t, link);
-		first = MIN(first, residual_us(item, now_us));
-	}
-	return first;
-}
-
-/* Slots that are free or come free within horizon_us; at least 1. */
-static uint32_t usable_slots(const dy_admission_t *adm, uint64_t now_us,
-			     uint64_t horizon_us)
-{
-	const dy_admission_item_t *item;
-	uint32_t usable = adm->config.slots;
-	dy_list_t *pos;
-
-	DY_LIST_EACH(pos, &adm->running)
-	{
-		item = DY_LIST_ITEM(pos, dy_admission_item_t, link);
-		if (usable > 1 && residual_us(item, now_us) > horizon_us)
-			usable--;
-	}
-	return MAX(usable, 1);
-}
-
-/* The wait of a call that has ahead_us of work before it in its lane. */
-static uint64_t expected_wait_us(const dy_admission_t *adm, const lane_t *lane,
-				 uint64_t ahead_us, uint64_t now_us)
-{
-	const lane_t *other = lane == &adm->lanes[PULLS]
-				      ? &adm->lanes[SUBMISSIONS]
-				      : &adm->lanes[PULLS];
-	uint64_t first = first_free_us(adm, now_us);
-	uint64_t total;
-
-	if (first >= NEVER_US)
-		return NEVER_US;
-	total = ahead_us * other->percent / lane->percent;
-	total = ahead_us + MIN(total, other->fair.queued_us);
-	if (!total)
-		return first;
-	return first + total / usable_slots(adm, now_us,
-					    first + total / adm->config.slots);
-}
-
-/*
- * When a refused caller should come back: each is booked behind the backlog
- * and behind those refused before it, at the rate at which the slots work. So
- * a refused crowd comes back spread out, and not all at the same time.
- */
-static uint32_t book_retry_ms(dy_admission_t *adm,
-			      const dy_admission_item_t *item)
-{
-	const dy_admission_config_t *config = &adm->config;
-	uint64_t backlog = adm->lanes[SUBMISSIONS].fair.queued_us +
-			   adm->lanes[PULLS].fair.queued_us;
-	uint32_t slots = MAX(config->slots, 1);
-	uint64_t ms;
-
-	adm->booked_us = MAX(adm->booked_us, adm->now_us + backlog / slots) +
-			 item->cost_us / slots;
-	adm->booked_us =
-		MIN(adm->booked_us,
-		    adm->now_us + (uint64_t)config->retry_max_ms * US_PER_MS);
-	ms = (adm->booked_us - adm->now_us) / US_PER_MS;
-	ms = (uint64_t)((double)ms *
-			g_rand_double_range(adm->rand, 0.75, 1.25));
-	return (uint32_t)CLAMP(ms, config->retry_min_ms, config->retry_max_ms);
-}
-
 static dy_admission_outcome_t refuse(dy_admission_t *adm,
 				     dy_admission_item_t *item,
 				     dy_admission_reason_t reason,
@@ -218,7 +107,7 @@
 	item->state = ENDED;
 	item->reason = reason;
 	refusal->reason = reason;
-	refusal->retry_after_ms = book_retry_ms(adm, item);
+	refusal->retry_after_ms = dy_admission_book_retry_ms(adm, item);
 	return DY_ADMISSION_REFUSED;
 }
 
@@ -231,12 +120,23 @@
 	dy_list_append(&adm->given_up, &item->link);
 }
 
+/* How long a call may be held, in percent of the time to its deadline. */
+static uint32_t hold_percent(const dy_admission_t *adm, const lane_t *lane)
+{
+	if (lane->fair.count &&
+	    adm->now_us - lane->waiting_since_us > STANDING_US)
+		return adm->config.standing_hold_percent;
+	return adm->config.hold_percent;
+}
+
 static void prepare(dy_admission_t *adm, dy_admission_item_t *item)
 {
+	lane_t *lane = lane_of(adm, item);
 	uint64_t budget;
 
 	dy_list_init(&item->link);
 	item->reason = DY_ADMISSION_ACCEPTED;
+	item->submitted_us = adm->now_us;
 	item->cost_us = dy_service_times_mean(&adm->times, item->procedure);
 	item->is_long = dy_service_times_is_long(&adm->times, item->procedure);
 	item->until_us = item->deadline_us;
@@ -245,10 +145,10 @@
 	budget =
 		item->until_us > adm->now_us ? item->until_us - adm->now_us : 0;
 	item->give_up_us =
-		adm->now_us + budget * adm->config.hold_percent / PERCENT;
+		adm->now_us + budget * hold_percent(adm, lane) / PERCENT;
 	if (!item->is_long)
 		adm->last_short_us = adm->now_us;
-	dy_fair_lane_place(&lane_of(adm, item)->fair, item);
+	dy_fair_lane_place(&lane->fair, item);
 }
 
 static int is_too_late(const dy_admission_t *adm,
@@ -260,18 +160,28 @@
 	return adm->now_us + MAX(needs, 1) > item->until_us;
 }
 
-/* Long calls leave slots to short ones while these are about. */
-static int has_slot(const dy_admission_t *adm, const dy_admission_item_t *item)
+/*
+ * Long calls leave slots to short ones while these are about: as many as the
+ * short ones kept busy of late and short_slots more, up to half of the slots.
+ */
+static uint32_t open_to_long(const dy_admission_t *adm)
 {
 	uint32_t slots = adm->config.slots;
-	uint32_t reserved = adm->config.short_slots;
+	uint64_t busy = dy_usage_read(&adm->short_usage, adm->now_us);
+	uint64_t reserved = adm->config.short_slots + busy / DY_USAGE_US;
 
-	if (adm->in_flight >= slots)
-		return 0;
-	if (!item->is_long ||
+	if (!adm->config.short_slots ||
 	    adm->now_us - adm->last_short_us > SHORT_RECENT_US)
-		return 1;
-	return adm->long_in_flight < (slots > reserved ? slots - reserved : 1);
+		return slots;
+	reserved = MIN(reserved, slots / 2);
+	return slots - (uint32_t)reserved;
+}
+
+static int has_slot(const dy_admission_t *adm, const dy_admission_item_t *item)
+{
+	if (adm->in_flight >= adm->config.slots)
+		return 0;
+	return !item->is_long || adm->long_in_flight < open_to_long(adm);
 }
 
 /* The first call of a lane that can take a slot now. */
@@ -300,6 +210,9 @@
 	adm->in_flight++;
 	adm->long_in_flight += item->is_long;
 	lane->pass_us += item->cost_us * PERCENT / lane->percent;
+	dy_usage_add(&lane->usage, item->cost_us, adm->now_us);
+	if (!item->is_long)
+		dy_usage_add(&adm->short_usage, item->cost_us, adm->now_us);
 }
 
 /* A lane that had nothing to do saves up no share for later. */
@@ -342,7 +255,7 @@
 	if (!lane->fair.count)
 		return 0;
 	last = DY_LIST_ITEM(lane->fair.items.prev, dy_admission_item_t, link);
-	if (last->start_tag <= item->start_tag)
+	if (dy_fair_lane_finish_tag(last) <= dy_fair_lane_finish_tag(item))
 		return 0;
 	give_up(adm, last, DY_ADMISSION_FULL);
 	return 1;
@@ -368,14 +281,19 @@
 		start(adm, lane, item);
 		return DY_ADMISSION_RUN;
 	}
-	wait = expected_wait_us(
-		adm, lane, dy_fair_lane_ahead_us(&lane->fair, item->start_tag),
+	wait = dy_admission_wait_us(
+		adm, lane,
+		dy_fair_lane_ahead_us(&lane->fair,
+				      dy_fair_lane_finish_tag(item)),
 		adm->now_us);
-	if (adm->now_us + wait > item->give_up_us)
+	if (wait >
+	    (item->give_up_us - adm->now_us) * QUEUE_MARGIN_PERCENT / PERCENT)
 		return refuse(adm, item, DY_ADMISSION_LATE, refusal);
 	if (!make_room(adm, lane, item))
 		return refuse(adm, item, DY_ADMISSION_FULL, refusal);
 	join_lane(adm, lane);
+	if (!lane->fair.count)
+		lane->waiting_since_us = adm->now_us;
 	dy_fair_lane_add(&lane->fair, item);
 	item->state = QUEUED;
 	return DY_ADMISSION_QUEUED;
@@ -440,6 +358,8 @@
 	if (!item)
 		return NULL;
 	dy_fair_lane_take(&lane->fair, item);
+	if (adm->now_us - item->submitted_us < STANDING_WAIT_US)
+		lane->waiting_since_us = adm->now_us;
 	start(adm, lane, item);
 	return item;
 }
@@ -455,7 +375,7 @@
 	DY_LIST_EACH_SAFE(pos, tmp, &lane->fair.items)
 	{
 		item = DY_LIST_ITEM(pos, dy_admission_item_t, link);
-		wait = expected_wait_us(adm, lane, ahead, adm->now_us);
+		wait = dy_admission_wait_us(adm, lane, ahead, adm->now_us);
 		if (adm->now_us + wait > item->give_up_us)
 			give_up(adm, item, DY_ADMISSION_LATE);
 		else
@@ -497,9 +417,11 @@
 	load->slots = adm->config.slots;
 	load->in_flight = adm->in_flight;
 	load->queued = count_queued(adm);
-	load->expected_wait_us = expected_wait_us(
+	load->expected_wait_us = dy_admission_wait_us(
 		adm, pulls,
-		dy_fair_lane_ahead_us(&pulls->fair, pulls->fair.virtual_us),
+		dy_fair_lane_ahead_us(&pulls->fair,
+				      pulls->fair.virtual_us +
+					      adm->times.lightest_us),
 		now);
 }
 
