--- a/src/process/cmd_drain.c
+++ b/src/process/cmd_drain.c
@@ -5,6 +5,7 @@
 
 static const dy_setting_t settings[] = {
 	OPERATOR_SETTINGS(TRUE),
+	OPERATOR_REQUEST_SETTING,
 	{ .flag = "environment",
 	  .kind = DY_SETTING_NAME,
 	  .value = &environment,
--- a/src/process/cmd_promote.c
+++ b/src/process/cmd_promote.c
@@ -5,6 +5,7 @@
 
 static const dy_setting_t settings[] = {
 	OPERATOR_SETTINGS(TRUE),
+	OPERATOR_REQUEST_SETTING,
 	{ .flag = "number",
 	  .kind = DY_SETTING_NUMBER,
 	  .value = &number,
--- a/src/process/cmd_rotate.c
+++ b/src/process/cmd_rotate.c
@@ -3,6 +3,7 @@
 
 static const dy_setting_t settings[] = {
 	OPERATOR_SETTINGS(TRUE),
+	OPERATOR_REQUEST_SETTING,
 	{ 0 },
 };
 
--- a/src/process/cmd_submit.c
+++ b/src/process/cmd_submit.c
@@ -15,6 +15,7 @@
 
 static const dy_setting_t settings[] = {
 	OPERATOR_SETTINGS(TRUE),
+	OPERATOR_REQUEST_SETTING,
 	{ .flag = "environment",
 	  .kind = DY_SETTING_NAME,
 	  .value = &values.environment,
--- a/src/process/operator.c
+++ b/src/process/operator.c
@@ -213,8 +213,25 @@
 	return -1;
 }
 
+/* Without --request-id, one that nobody else has. */
+static void name_request(void)
+{
+	uint8_t bytes[16];
+	unsigned i;
+
+	if (operator_values.request_id)
+		return;
+	operator_values.request_id = g_malloc0(2 * sizeof(bytes) + 1);
+	dy_random_fill(bytes, sizeof(bytes));
+	for (i = 0; i < sizeof(bytes); i++)
+		g_snprintf(operator_values.request_id + (size_t)2 * i, 3,
+			   "%02x", bytes[i]);
+}
+
 void operator_begin_change(dy_change_t *change, dy_change_kind_t kind)
 {
+	uint8_t digest[DY_DIGEST_BYTES];
+
 	memset(change, 0, sizeof(*change));
 	change->kind = kind;
 	change->operator_name = operator_values.name
@@ -222,7 +239,10 @@
 					: (char *)g_get_user_name();
 	change->environment = "";
 	change->name = "";
-	dy_random_fill(change->request, sizeof(change->request));
+	name_request();
+	dy_document_digest(operator_values.request_id,
+			   strlen(operator_values.request_id), digest);
+	memcpy(change->request, digest, sizeof(change->request));
 }
 
 const char *operator_status_name(dy_status_t status)
@@ -240,8 +260,14 @@
 {
 	fprintf(stderr,
 		"damaskyard %s: no leader of the control group answered within "
-		"%lu ms\n",
+		"%lu ms",
 		op->command, (unsigned long)operator_values.timeout_ms);
+	if (operator_values.request_id)
+		fprintf(stderr,
+			"; it may have been made: send it again with "
+			"--request-id %s",
+			operator_values.request_id);
+	fputc('\n', stderr);
 	return DY_EXIT_FAILED;
 }
 
--- a/src/process/operator.h
+++ b/src/process/operator.h
@@ -21,6 +21,7 @@
 	char *key_file;
 	uint64_t timeout_ms;
 	char *name;
+	char *request_id;
 } operator_values_t;
 
 /* What the settings below are loaded into. */
@@ -55,6 +56,15 @@
 		.help = "give up after so long without an answer"          \
 	}
 
+/* The flag of every command that makes a change, beside those above. */
+#define OPERATOR_REQUEST_SETTING                                            \
+	{                                                                   \
+		.flag = "request-id", .kind = DY_SETTING_NAME,              \
+		.value = &operator_values.request_id, .argument = "ID",     \
+		.help = "name of this change: sent again, it is made once " \
+			"and gets the first answer"                         \
+	}
+
 typedef struct operator operator_t;
 
 /*
@@ -84,7 +94,10 @@
 int operator_call_process(operator_t *op, const dy_address_t *address,
 			  const operator_call_t *call, void *result);
 
-/* Fill in a change's operator and a fresh request id. */
+/*
+ * Fill in a change's operator and its request id: of --request-id, or a
+ * fresh one.
+ */
 void operator_begin_change(dy_change_t *change, dy_change_kind_t kind);
 
 /*
