--- a/tests/fake_calls.c
+++ b/tests/fake_calls.c
@@ -93,7 +93,7 @@
 			    target->now_us);
 }
 
-void fake_pass(fake_target_t *target, uint64_t us)
+void fake_calls_pass(fake_target_t *target, uint64_t us)
 {
 	uint64_t until_us = target->now_us + us;
 	guint i;
@@ -114,7 +114,7 @@
 
 	for (i = 0; i < 20; i++) {
 		fake_issue(target, &template, service_us, 100 * service_us);
-		fake_pass(target, service_us);
+		fake_calls_pass(target, service_us);
 	}
 }
 
--- a/tests/fake_calls.h
+++ b/tests/fake_calls.h
@@ -57,7 +57,7 @@
 			uint64_t service_us, uint64_t budget_us);
 
 /* Let time pass, 1 ms a step. */
-void fake_pass(fake_target_t *target, uint64_t us);
+void fake_calls_pass(fake_target_t *target, uint64_t us);
 
 /* Let calls of a procedure run, so that its service time is learned. */
 void fake_teach(fake_target_t *target, uint32_t procedure, uint64_t service_us);
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -45,7 +45,7 @@
 
 	for (i = 0; i < 40; i++)
 		issue_of(target, 1 + i, 0);
-	fake_pass(target, FAKE_S);
+	fake_calls_pass(target, FAKE_S);
 	ck_assert_uint_eq(fake_count_good(target, 0), 40);
 	ck_assert_uint_eq(target->most_running, 4);
 	fake_target_destroy(target);
@@ -66,7 +66,7 @@
 	for (i = 0; i < 150; i++)
 		issue_of(target, 1, 0);
 	other = issue_of(target, 2, 0);
-	fake_pass(target, 2 * FAKE_S);
+	fake_calls_pass(target, 2 * FAKE_S);
 	ck_assert_int_eq(other->end, FAKE_ANSWERED);
 	ck_assert_uint_le(other->ended_us - other->issued_us, 30 * FAKE_MS);
 	fake_target_destroy(target);
@@ -88,7 +88,7 @@
 		issue_of(target, 1 + i, 7);
 	other = issue_of(target, 1000, 8);
 	again = issue_of(target, 100, 9);
-	fake_pass(target, 2 * FAKE_S);
+	fake_calls_pass(target, 2 * FAKE_S);
 	ck_assert_int_eq(other->end, FAKE_ANSWERED);
 	ck_assert_uint_le(other->ended_us - other->issued_us, 30 * FAKE_MS);
 	ck_assert_int_eq(again->end, FAKE_ANSWERED);
@@ -115,7 +115,7 @@
 	ck_assert_uint_eq(fake_count(target, 0, FAKE_REFUSED), 1);
 	ck_assert_int_eq(issue_of(target, 1, 0)->refusal.reason,
 			 DY_ADMISSION_FULL);
-	fake_pass(target, FAKE_S);
+	fake_calls_pass(target, FAKE_S);
 	ck_assert_int_eq(other->end, FAKE_ANSWERED);
 	fake_target_destroy(target);
 }
@@ -136,9 +136,9 @@
 	from = target->calls->len;
 	for (i = 0; i < 300; i++) {
 		fake_issue(target, &pull, 300 * FAKE_MS, 500 * FAKE_MS);
-		fake_pass(target, 10 * FAKE_MS);
+		fake_calls_pass(target, 10 * FAKE_MS);
 	}
-	fake_pass(target, FAKE_S);
+	fake_calls_pass(target, FAKE_S);
 	late = fake_count(target, from, FAKE_ABANDONED);
 	ck_assert_uint_ge(fake_count_good(target, from), 30);
 	ck_assert_uint_le(late, 8);
@@ -165,17 +165,17 @@
 	from = target->calls->len;
 	for (i = 0; i < 40; i++) {
 		fake_issue(target, &pull, FAKE_NEVER, 2 * FAKE_S);
-		fake_pass(target, 50 * FAKE_MS);
+		fake_calls_pass(target, 50 * FAKE_MS);
 	}
-	fake_pass(target, 2 * FAKE_S);
+	fake_calls_pass(target, 2 * FAKE_S);
 	ck_assert_uint_ge(fake_count(target, from, FAKE_REFUSED), 30);
 	ck_assert_uint_le(fake_longest_refusal_us(target, from),
 			  1050 * FAKE_MS);
 	call = g_ptr_array_index(target->calls, from + 20);
 	ck_assert_uint_ge(call->refusal.retry_after_ms, 50);
-	fake_pass(target, 4 * FAKE_S);
+	fake_calls_pass(target, 4 * FAKE_S);
 	call = fake_issue(target, &pull, 10 * FAKE_MS, FAKE_S);
-	fake_pass(target, 50 * FAKE_MS);
+	fake_calls_pass(target, 50 * FAKE_MS);
 	ck_assert_int_eq(call->end, FAKE_ANSWERED);
 	fake_target_destroy(target);
 }
@@ -198,11 +198,11 @@
 	for (i = 0; i < 6; i++)
 		fake_issue(target, &pull, 10 * FAKE_MS, FAKE_S);
 	target->now_us += 60 * FAKE_S;
-	fake_pass(target, FAKE_MS);
+	fake_calls_pass(target, FAKE_MS);
 	ck_assert_uint_eq(fake_count(target, from, FAKE_REFUSED), 4);
 	call = fake_issue(target, &pull, 10 * FAKE_MS, FAKE_S);
 	ck_assert_int_eq(call->end, FAKE_RUNS);
-	fake_pass(target, 20 * FAKE_MS);
+	fake_calls_pass(target, 20 * FAKE_MS);
 	ck_assert_int_eq(call->end, FAKE_ANSWERED);
 	fake_target_destroy(target);
 }
@@ -250,10 +250,10 @@
 	from = target->calls->len;
 	for (i = 0; i < 50; i++) {
 		fake_issue(target, &pull, 10 * FAKE_MS, 100 * FAKE_MS);
-		fake_pass(target, 20 * FAKE_MS);
+		fake_calls_pass(target, 20 * FAKE_MS);
 	}
 	ck_assert_uint_eq(fake_count_good(target, from), 50);
-	fake_pass(target, 20 * FAKE_S);
+	fake_calls_pass(target, 20 * FAKE_S);
 	ck_assert_uint_eq(fake_count_good(target, from - 20), 70);
 	fake_target_destroy(target);
 }
@@ -268,9 +268,9 @@
 	for (ms = 0; ms < 3000; ms += 5) {
 		for (i = 0; i < 2 * load; i++)
 			fake_issue(target, template, 10 * FAKE_MS, FAKE_S);
-		fake_pass(target, 5 * FAKE_MS);
+		fake_calls_pass(target, 5 * FAKE_MS);
 	}
-	fake_pass(target, FAKE_S);
+	fake_calls_pass(target, FAKE_S);
 }
 
 /*
@@ -321,9 +321,9 @@
 		if (ms % 15 == 0)
 			calls[n++] =
 				fake_issue(target, few, 10 * FAKE_MS, FAKE_S);
-		fake_pass(target, 5 * FAKE_MS);
+		fake_calls_pass(target, 5 * FAKE_MS);
 	}
-	fake_pass(target, FAKE_S);
+	fake_calls_pass(target, FAKE_S);
 	for (i = 0; i < n; i++)
 		good += calls[i]->end == FAKE_ANSWERED;
 	ck_assert_uint_eq(n, 200);
@@ -345,10 +345,10 @@
 	for (i = 0; i < 10; i++)
 		issue_of(target, 1 + i, 0);
 	dy_admission_set_slots(target->admission, 1);
-	fake_pass(target, 10 * FAKE_MS);
+	fake_calls_pass(target, 10 * FAKE_MS);
 	ck_assert_uint_eq(target->running, 1);
 	target->most_running = 0;
-	fake_pass(target, FAKE_S);
+	fake_calls_pass(target, FAKE_S);
 	ck_assert_uint_eq(fake_count_good(target, 0), 10);
 	ck_assert_uint_le(target->most_running, 1);
 	dy_admission_set_slots(target->admission, 0);
@@ -367,7 +367,7 @@
 	ck_assert(!dy_admission_cancel(target->admission, &first->item));
 	ck_assert(dy_admission_cancel(target->admission, &second->item));
 	ck_assert(!dy_admission_cancel(target->admission, &second->item));
-	fake_pass(target, 100 * FAKE_MS);
+	fake_calls_pass(target, 100 * FAKE_MS);
 	ck_assert_int_eq(second->end, FAKE_WAITS);
 	dy_admission_load(target->admission, target->now_us, &load);
 	ck_assert_uint_eq(load.in_flight + load.queued, 0);
