--- a/include/damaskyard/control.h
+++ b/include/damaskyard/control.h
@@ -79,7 +79,7 @@
 /*
  * Create a control on loop. options is copied; loop and metrics are kept by
  * reference. Returns NULL with error set if its disk or its socket does not
- * open. Destroy it after the loop has ended and before the loop is.
+ * open. Destroy it after the loop's last run and before the loop.
  */
 dy_control_t *dy_control_create(dy_loop_t *loop, dy_metrics_t *metrics,
 				const dy_control_options_t *options,
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -404,12 +404,28 @@
 {
 	uv_loop_t *uv = dy_loop_uv(control->loop);
 
-	uv_prepare_init(uv, &control->prepare);
-	control->prepare.data = control;
-	uv_prepare_start(&control->prepare, on_prepare);
-	uv_check_init(uv, &control->check);
-	control->check.data = control;
-	uv_check_start(&control->check, on_check);
+	control->prepare = g_new0(uv_prepare_t, 1);
+	uv_prepare_init(uv, control->prepare);
+	control->prepare->data = control;
+	uv_prepare_start(control->prepare, on_prepare);
+	control->check = g_new0(uv_check_t, 1);
+	uv_check_init(uv, control->check);
+	control->check->data = control;
+	uv_check_start(control->check, on_check);
+}
+
+static void free_handle(uv_handle_t *handle)
+{
+	g_free(handle);
+}
+
+/* The loop may close and free them after the control. */
+static void stop_flushing(dy_control_t *control)
+{
+	if (!control->prepare)
+		return;
+	uv_close((uv_handle_t *)control->prepare, free_handle);
+	uv_close((uv_handle_t *)control->check, free_handle);
 }
 
 dy_control_t *dy_control_create(dy_loop_t *loop, dy_metrics_t *metrics,
@@ -454,12 +470,6 @@
 	return control;
 }
 
-static void close_handle(uv_handle_t *handle)
-{
-	if (handle->data)
-		uv_close(handle, NULL);
-}
-
 void dy_control_destroy(dy_control_t *control)
 {
 	dy_list_t *pos;
@@ -467,9 +477,7 @@
 
 	if (!control)
 		return;
-	close_handle((uv_handle_t *)&control->prepare);
-	close_handle((uv_handle_t *)&control->check);
-	uv_run(dy_loop_uv(control->loop), UV_RUN_NOWAIT);
+	stop_flushing(control);
 	if (control->raft)
 		dy_raft_destroy(control->raft);
 	DY_LIST_EACH_SAFE(pos, tmp, &control->requests)
--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -76,8 +76,8 @@
 	dy_registry_t *registry;
 	uploads_t *uploads;
 	founding_t founding;
-	uv_prepare_t prepare;
-	uv_check_t check;
+	uv_prepare_t *prepare;
+	uv_check_t *check;
 	dy_list_t requests;
 	unsigned request_count;
 	uint64_t started_ms;
