--- a/src/process/agent_private.h
+++ b/src/process/agent_private.h
@@ -51,8 +51,11 @@
 	EVENT_TARGET_MALFORMED,
 	EVENT_TARGET_RESTARTED,
 	EVENT_TARGET_LEASE_LAPSED,
+	EVENT_TARGET_AWAY,
+	EVENT_TARGET_BACK,
 	EVENT_LINK_UP,
 	EVENT_LINK_DOWN,
+	EVENT_PROBE_UNANSWERED,
 	EVENT_ANSWER_BAD,
 	EVENT_ANSWER_TOO_LARGE,
 	EVENT_ANSWER_SHED,
@@ -94,11 +97,18 @@
 	size_t args_len;
 } call_t;
 
-typedef enum link_state { LINK_CLOSED, LINK_OPENING, LINK_UP } link_state_t;
+typedef enum link_state {
+	LINK_CLOSED,
+	LINK_OPENING,
+	LINK_PROBING, /* connected; the target has not answered NULL yet */
+	LINK_UP
+} link_state_t;
 
 typedef struct target_link {
 	link_state_t state;
 	call_t *call;
+	uint32_t probe_xid;
+	uint64_t probed_ms;
 	uint64_t retry_at_ms;
 	uint32_t attempts;
 } target_link_t;
@@ -122,6 +132,7 @@
 	dy_member_state_t state;
 	dy_address_t address;
 	char service[DY_NAME_BYTES + 1]; /* of agents of this environment */
+	uint32_t slots;
 } member_t;
 
 /* An incarnation that has left, and to whom. */
@@ -143,6 +154,8 @@
 	int takes_cancel;
 	uint64_t announced_ms;
 	int healthy;
+	uint64_t silent_ms; /* since when it answers nothing; 0: it does */
+	int away;	    /* control was told so */
 } agent_target_t;
 
 typedef struct agent_service {
@@ -243,6 +256,8 @@
 
 /* agent_target.c: the target and the connections to it. */
 int agent_target_ready(const dy_agent_t *agent);
+/* And has answered on a connection that stands: it may get new work. */
+int agent_target_answers(const dy_agent_t *agent);
 void agent_target_set_slots(dy_agent_t *agent);
 void agent_link_close(dy_agent_t *agent, unsigned index);
 void agent_target_tick(dy_agent_t *agent);
@@ -253,6 +268,7 @@
 void agent_cancel_tell_target(dy_agent_t *agent, const call_t *call);
 void agent_cancel_receive(dy_agent_t *agent, const uint8_t *bytes, size_t len);
 void agent_cancel_fail_all(dy_agent_t *agent);
+void agent_cancel_drop_all(dy_agent_t *agent);
 void agent_cancel_tick(dy_agent_t *agent);
 
 /* agent_member.c: what control says of other agents. */
