--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -38,6 +38,7 @@
 		FIRST_CONNECTIONS, DY_SERVICE_SESSION_IDLE_S * 1000ULL,
 		config->seed);
 	agent->admission = create_admission(agent);
+	g_queue_init(&agent->claimed);
 	g_queue_init(&agent->cancels);
 	agent_event_init(agent);
 	return agent;
@@ -209,7 +210,7 @@
 	unsigned expired;
 
 	agent_target_tick(agent);
-	agent_call_expire_sent(agent);
+	agent_call_expire_started(agent);
 	agent_cancel_tick(agent);
 	agent_call_pump(agent);
 	expired = dy_sessions_expire(agent->sessions, agent_now_ms(agent),
--- a/src/process/agent_call.c
+++ b/src/process/agent_call.c
@@ -37,7 +37,10 @@
 		break;
 	case DY_STAGE_CLAIMED:
 	case DY_STAGE_SENT:
-		agent->links[call->on_link].call = NULL;
+		if (call->has_link)
+			agent->links[call->on_link].call = NULL;
+		else
+			g_queue_remove(&agent->claimed, call);
 		dy_admission_finish(agent->admission, &call->admission, end,
 				    agent_now_us(agent));
 		break;
@@ -178,34 +181,58 @@
  * reading twice. It holds because the cache marks the xid as started for
  * good, and a moved session never becomes one of this agent again.
  */
-static void start_call(dy_agent_t *agent, call_t *call)
+static void send_call(dy_agent_t *agent, call_t *call, unsigned index)
 {
-	int index = find_idle_link(agent);
 	dy_session_t *session = call->session;
 	size_t len;
 
-	dy_assert(index >= 0);
 	dy_assert(session->place == DY_SESSION_HERE ||
 		  session->place == DY_SESSION_CLOSING);
-	dy_assert(call->stage < DY_STAGE_CLAIMED);
-	call->stage = DY_STAGE_CLAIMED;
-	call->on_link = (unsigned)index;
+	dy_assert(call->stage == DY_STAGE_CLAIMED && !call->has_link);
+	dy_assert(!agent->links[index].call);
+	call->has_link = 1;
+	call->on_link = index;
 	call->target_xid = agent->next_xid++;
 	agent->links[index].call = call;
 	len = write_to_target(agent, call);
 	dy_assert(len);
 	if (!call->idempotent)
 		dy_drc_start(session->drc, call->xid);
-	if (agent->config.callbacks->link_send(agent->config.context,
-					       (unsigned)index, agent->call_out,
-					       len)) {
-		agent_link_close(agent, (unsigned)index);
+	if (agent->config.callbacks->link_send(agent->config.context, index,
+					       agent->call_out, len)) {
+		agent_link_close(agent, index);
 		return;
 	}
 	call->stage = DY_STAGE_SENT;
 	agent_count(agent, EVENT_CALLS_SENT);
 }
 
+/*
+ * The call has a slot. Its connection may be on its way still, where the
+ * target was started anew or the last one was closed.
+ */
+static void claim(dy_agent_t *agent, dy_admission_item_t *item)
+{
+	call_t *call = DY_LIST_ITEM(item, call_t, admission);
+
+	dy_assert(call->stage < DY_STAGE_CLAIMED);
+	call->stage = DY_STAGE_CLAIMED;
+	g_queue_push_tail(&agent->claimed, call);
+}
+
+static void send_claimed(dy_agent_t *agent)
+{
+	int index;
+
+	while (!g_queue_is_empty(&agent->claimed)) {
+		index = find_idle_link(agent);
+		if (index < 0)
+			return;
+		send_call(agent, g_queue_pop_head(&agent->claimed),
+			  (unsigned)index);
+	}
+}
+
 void agent_call_pump(dy_agent_t *agent)
 {
 	dy_admission_refusal_t refusal;
@@ -221,7 +248,8 @@
 	}
 	while ((item = dy_admission_next(agent->admission,
 					 agent_now_us(agent))))
-		start_call(agent, DY_LIST_ITEM(item, call_t, admission));
+		claim(agent, item);
+	send_claimed(agent);
 }
 
 static void submit_call(dy_agent_t *agent, call_t *call)
@@ -232,7 +260,7 @@
 	switch (dy_admission_submit(agent->admission, &call->admission,
 				    agent_now_us(agent), &refusal)) {
 	case DY_ADMISSION_RUN:
-		start_call(agent, call);
+		claim(agent, &call->admission);
 		break;
 	case DY_ADMISSION_QUEUED:
 		call->stage = DY_STAGE_QUEUED;
@@ -325,7 +353,18 @@
  * its connection is closed: whatever the target still answers there reaches
  * nobody.
  */
-void agent_call_expire_sent(dy_agent_t *agent)
+static void give_up_sent(dy_agent_t *agent, call_t *call)
+{
+	unsigned index = call->on_link;
+
+	agent_note(agent, EVENT_DEADLINE_PASSED, "session=%016lx xid=%08x",
+		   (unsigned long)call->session->id, call->xid);
+	agent_cancel_tell_target(agent, call);
+	agent_call_event(agent, call, DY_EVENT_DEADLINE, 0);
+	agent_link_close(agent, index);
+}
+
+void agent_call_expire_started(dy_agent_t *agent)
 {
 	uint64_t now_us = agent_now_us(agent);
 	call_t *call;
@@ -333,14 +372,15 @@
 
 	for (i = 0; i < DY_AGENT_SLOTS_MAX; i++) {
 		call = agent->links[i].call;
-		if (!call || now_us < call->deadline_us)
-			continue;
-		agent_note(agent, EVENT_DEADLINE_PASSED,
-			   "session=%016lx xid=%08x",
-			   (unsigned long)call->session->id, call->xid);
-		agent_cancel_tell_target(agent, call);
-		agent_call_event(agent, call, DY_EVENT_DEADLINE, 0);
-		agent_link_close(agent, i);
+		if (call && now_us >= call->deadline_us)
+			give_up_sent(agent, call);
+	}
+	for (i = 0; (call = g_queue_peek_nth(&agent->claimed, i));) {
+		if (now_us >= call->deadline_us)
+			agent_call_event(agent, call, DY_EVENT_DEADLINE,
+					 RETRY_MS);
+		else
+			i++;
 	}
 }
 
--- a/src/process/agent_private.h
+++ b/src/process/agent_private.h
@@ -91,7 +91,8 @@
 	uint32_t procedure;
 	int idempotent;
 	dy_stage_t stage;
-	unsigned on_link;
+	unsigned on_link; /* once sent, or being sent */
+	int has_link;
 	uint64_t deadline_us;
 	uint8_t *args;
 	size_t args_len;
@@ -193,6 +194,7 @@
 	unsigned slots; /* connections wanted */
 	unsigned up;	/* that stand */
 	uint32_t next_xid;
+	GQueue claimed; /* of call_t that have a slot and no connection yet */
 	GQueue cancels; /* of cancel_t, oldest first */
 
 	int ends;
@@ -249,7 +251,7 @@
 		     const dy_rpc_reply_t *reply);
 /* Start what may start, refuse what waits in vain. */
 void agent_call_pump(dy_agent_t *agent);
-void agent_call_expire_sent(dy_agent_t *agent);
+void agent_call_expire_started(dy_agent_t *agent);
 /* End every call that has not been handed to the target. */
 void agent_call_stop_unsent(dy_agent_t *agent, dy_call_event_t event);
 void agent_call_drop_all(dy_agent_t *agent);
--- a/src/process/agent_target.c
+++ b/src/process/agent_target.c
@@ -15,7 +15,11 @@
  */
 #define PROBE_TIMEOUT_MS 500
 
-/* Control is told of a target that answers nothing after this, in ms. */
+/*
+ * A target that answers nothing for this long, in ms, is away: control is
+ * told, and what waits for it is refused. A target that is started anew, or
+ * whose connections were closed, answers well before.
+ */
 #define AWAY_MS 1000
 
 /* Sessions of one target at most: 50 times the largest of today. */
@@ -39,7 +43,10 @@
 	if (agent->service.known)
 		slots = MIN(slots, agent->service.slots);
 	agent->slots = MIN(slots, DY_AGENT_SLOTS_MAX);
-	dy_admission_set_slots(agent->admission, MIN(agent->up, agent->slots));
+	if (agent->target.away)
+		slots = 0;
+	dy_admission_set_slots(agent->admission,
+			       MIN(slots, DY_AGENT_SLOTS_MAX));
 }
 
 static void schedule(dy_agent_t *agent, target_link_t *link)
@@ -65,7 +72,6 @@
 	}
 	if (was_up)
 		agent->up--;
-	agent_target_set_slots(agent);
 	if (link->call)
 		agent_call_event(agent, link->call, DY_EVENT_TARGET_LOST,
 				 RETRY_MS);
@@ -133,7 +139,6 @@
 	agent_note(agent, EVENT_LINK_UP, "link=%u", index);
 	agent->up++;
 	dy_assert(agent->up <= DY_AGENT_SLOTS_MAX);
-	agent_target_set_slots(agent);
 }
 
 void dy_agent_link_up(dy_agent_t *agent, unsigned index)
@@ -371,6 +376,7 @@
 	if (target->away == away)
 		return;
 	target->away = away;
+	agent_target_set_slots(agent);
 	agent_note(agent, away ? EVENT_TARGET_AWAY : EVENT_TARGET_BACK,
 		   "service=%s sessions=%u", target->service,
 		   dy_sessions_count(agent->sessions));
