--- a/tests/fake_cluster.c
+++ b/tests/fake_cluster.c
@@ -1,4 +1,5 @@
 #include "fake_cluster.h"
+#include "fake_operator.h"
 #include "fake_process.h"
 
 #include <check.h>
@@ -19,6 +20,7 @@
 	char *peers;
 	unsigned ports[PORTS];
 	unsigned ports_used;
+	unsigned document;     /* number of the one in force */
 	GHashTable *processes; /* of fake_process_t, by name */
 };
 
@@ -151,37 +153,19 @@
 	return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
-static void spawn_operator(fake_cluster_t *cluster, const char *name,
-			   const char *word, va_list arguments)
+const char *fake_cluster_controls(const fake_cluster_t *cluster)
 {
-	GString *command = g_string_new("damaskyard");
-
-	for (; word; word = va_arg(arguments, const char *))
-		g_string_append_printf(command, " %s", word);
-	fake_cluster_spawn(cluster, name, "%s --controls %s --key-file %s",
-			   command->str, cluster->controls, cluster->key);
-	g_string_free(command, TRUE);
+	return cluster->controls;
 }
 
-void fake_cluster_spawn_operator(fake_cluster_t *cluster, const char *name,
-				 const char *word, ...)
+unsigned *fake_cluster_document(fake_cluster_t *cluster)
 {
-	va_list arguments;
-
-	va_start(arguments, word);
-	spawn_operator(cluster, name, word, arguments);
-	va_end(arguments);
+	return &cluster->document;
 }
 
-int fake_cluster_operate(fake_cluster_t *cluster, char **output,
-			 const char *word, ...)
+const char *fake_cluster_key(const fake_cluster_t *cluster)
 {
-	va_list arguments;
-
-	va_start(arguments, word);
-	spawn_operator(cluster, "operator", word, arguments);
-	va_end(arguments);
-	return fake_cluster_wait(cluster, "operator", output);
+	return cluster->key;
 }
 
 static void load_ports(fake_cluster_t *cluster)
@@ -272,11 +256,6 @@
 	fake_cluster_await(cluster, "balancers listen", write_balancers, NULL);
 }
 
-static int has_leader(fake_cluster_t *cluster, void *context)
-{
-	return !fake_cluster_operate(cluster, NULL, "status", NULL);
-}
-
 static void start_controls(fake_cluster_t *cluster)
 {
 	char *addresses[FAKE_CONTROLS + 1] = { NULL };
@@ -302,7 +281,6 @@
 			cluster->peers, cluster->key);
 		g_free(addresses[i]);
 	}
-	fake_cluster_await(cluster, "a leader", has_leader, NULL);
 }
 
 static void start_balancers(fake_cluster_t *cluster)
@@ -414,12 +392,7 @@
 			    -1, NULL);
 	load_ports(cluster);
 	start_controls(cluster);
-	ck_assert_int_eq(fake_cluster_operate(cluster, NULL, "submit",
-					      "examples/ciel-noir.conf",
-					      "--environment", "trial", NULL),
-			 0);
-	ck_assert_int_eq(fake_cluster_operate(cluster, NULL, "promote", NULL),
-			 0);
+	fake_operator_change_document(cluster);
 	start_balancers(cluster);
 	start_targets(cluster);
 	start_fabrics(cluster, seed, lose, duplicate);
--- a/tests/fake_cluster.h
+++ b/tests/fake_cluster.h
@@ -72,17 +72,12 @@
  */
 void fake_cluster_point_fabrics(fake_cluster_t *cluster);
 
-/*
- * Run a command of an operator: NULL-ended words after "damaskyard"; the
- * controls and the key file are added. Returns the exit code; *output, if
- * wanted, is what it printed, to be freed.
- */
-int fake_cluster_operate(fake_cluster_t *cluster, char **output,
-			 const char *word, ...) G_GNUC_NULL_TERMINATED;
+/* What an operator's command needs. */
+const char *fake_cluster_controls(const fake_cluster_t *cluster);
+const char *fake_cluster_key(const fake_cluster_t *cluster);
 
-/* Start, without waiting for it, a command as above under a name. */
-void fake_cluster_spawn_operator(fake_cluster_t *cluster, const char *name,
-				 const char *word, ...) G_GNUC_NULL_TERMINATED;
+/* Number of the document in force, kept by fake_operator_. */
+unsigned *fake_cluster_document(fake_cluster_t *cluster);
 
 /* Path of a file in the cluster's folder, to be freed. */
 char *fake_cluster_path(fake_cluster_t *cluster, const char *name);
--- a/tests/fake_stations.h
+++ b/tests/fake_stations.h
@@ -5,7 +5,7 @@
 
 #include "fake_cluster.h"
 
-#define FAKE_STATIONS 6
+#define FAKE_STATIONS 12
 
 typedef struct fake_account {
 	unsigned sent;
--- a/tests/test_end_to_end.c
+++ b/tests/test_end_to_end.c
@@ -1,3 +1,4 @@
+#include "fake_operator.h"
 #include "fake_stations.h"
 
 #include <check.h>
@@ -80,7 +81,32 @@
 	fake_cluster_signal(cluster, victim, SIGCONT);
 }
 
+static void drain(fake_cluster_t *cluster, const char *victim)
+{
+	fake_operator_drain(cluster, victim);
+}
+
+static void restart(fake_cluster_t *cluster, const char *victim)
+{
+	fake_cluster_stop(cluster, victim);
+	fake_cluster_start(cluster, victim);
+	fake_operator_await_state(cluster, victim, "serving");
+}
+
+static void change_document(fake_cluster_t *cluster, const char *victim)
+{
+	fake_operator_change_document(cluster);
+}
+
+static void rotate_keys(fake_cluster_t *cluster, const char *victim)
+{
+	ck_assert_int_eq(fake_operator_run(cluster, NULL, "rotate", NULL), 0);
+}
+
 static const event_t events[] = {
+	{ "drain_agent", "agent", drain, restart, FAKE_TARGETS, 1 },
+	{ "new_document", "document", change_document, NULL, 1, 1 },
+	{ "rotate_keys", "key", rotate_keys, NULL, 1, 1 },
 	{ "stop_balancer", "balancer", stop_process, start_balancer,
 	  FAKE_BALANCERS, 1 },
 	{ "stop_control", "control", stop_process, start_process, FAKE_CONTROLS,
@@ -135,9 +161,12 @@
 	first->begin(cluster, one);
 	second->begin(cluster, other);
 	fake_stations_await(cluster, CALM);
-	first->end(cluster, one);
-	second->end(cluster, other);
+	if (first->end)
+		first->end(cluster, one);
+	if (second->end)
+		second->end(cluster, other);
 	fake_stations_await(cluster, CALM);
+	fake_operator_await_document(cluster);
 }
 
 static void print_account(unsigned seed, const fake_account_t *account)
@@ -206,32 +235,13 @@
 }
 END_TEST
 
-/* The example with another queue, so that its digest differs. */
-static char *write_variant(fake_cluster_t *cluster, const char *name,
-			   const char *queue)
-{
-	char *path = fake_cluster_path(cluster, name);
-	char *text = NULL;
-	GString *variant;
-
-	ck_assert(g_file_get_contents("examples/ciel-noir.conf", &text, NULL,
-				      NULL));
-	variant = g_string_new(text);
-	ck_assert_uint_eq(g_string_replace(variant, "queue = 64", queue, 1), 1);
-	g_file_set_contents(path, variant->str, -1, NULL);
-	g_string_free(variant, TRUE);
-	g_free(text);
-	return path;
-}
-
 static void submit_second(fake_cluster_t *cluster, const char *process,
 			  const char *operator_name, const char *path,
 			  const char *request)
 {
-	fake_cluster_spawn_operator(cluster, process, "submit", path,
-				    "--environment", "trial", "--number", "2",
-				    "--operator", operator_name, "--request-id",
-				    request, NULL);
+	fake_operator_spawn(cluster, process, "submit", path, "--environment",
+			    "trial", "--number", "2", "--operator",
+			    operator_name, "--request-id", request, NULL);
 }
 
 /*
@@ -246,8 +256,8 @@
 		"00000000000000000000000000000002"
 	};
 	fake_cluster_t *cluster = fake_cluster_create(51, 0, 0);
-	char *paths[2] = { write_variant(cluster, "ann.conf", "queue = 65"),
-			   write_variant(cluster, "ben.conf", "queue = 66") };
+	char *paths[2] = { fake_operator_write_document(cluster, 65),
+			   fake_operator_write_document(cluster, 66) };
 	const char *const names[2] = { "ann", "ben" };
 	char *outputs[2] = { NULL, NULL };
 	char *again = NULL;
@@ -273,8 +283,7 @@
 		      requests[winner]);
 	ck_assert_int_eq(fake_cluster_wait(cluster, "again", &again), 0);
 	ck_assert_str_eq(again, outputs[winner]);
-	ck_assert_int_eq(fake_cluster_operate(cluster, NULL, "promote", NULL),
-			 0);
+	ck_assert_int_eq(fake_operator_run(cluster, NULL, "promote", NULL), 0);
 	fake_stations_await(cluster, CALM);
 	account = finish(cluster, 51);
 	ck_assert_uint_eq(account.broken, 0);
