--- a/bench/common_agent.c
+++ b/bench/common_agent.c
@@ -10,7 +10,7 @@
 #define COLD_US (3 * US_PER_S)
 
 /* The queue that holds what the deadline test would have refused. */
-#define UNSHED_QUEUE 2000
+#define UNSHED_QUEUE 1000
 
 static void tick(void *context, void *argument);
 
--- a/bench/common_call.c
+++ b/bench/common_call.c
@@ -31,11 +31,17 @@
 	return klass == CLASS_LONG ? LONG_BUDGET_US : PULL_BUDGET_US;
 }
 
+void call_destroy(call_t *call)
+{
+	dy_list_remove(&call->link);
+	g_free(call);
+}
+
 void call_lost(call_t *call)
 {
 	if (call->is_counted)
 		class_of(call)->late++;
-	g_free(call);
+	call_destroy(call);
 }
 
 static void arrive_at_agent(void *context, void *argument)
@@ -98,6 +104,7 @@
 	double mean = (double)world->setting->service_us;
 
 	call->world = world;
+	dy_list_append(&world->calls, &call->link);
 	call->flow = flow;
 	call->klass = klass;
 	call->issued_us = heap_now(world->heap);
@@ -129,7 +136,7 @@
 		else
 			result->late++;
 	}
-	g_free(call);
+	call_destroy(call);
 }
 
 static void end_refused(call_t *call)
@@ -140,7 +147,7 @@
 		result->refused_full++;
 	else if (call->is_counted)
 		result->refused_late++;
-	g_free(call);
+	call_destroy(call);
 }
 
 /* A refused caller comes back when it was told to, if that is in time. */
@@ -177,7 +184,7 @@
 	case CALL_MAY_HAVE_RUN:
 		if (call->is_counted)
 			class_of(call)->may_have_run++;
-		g_free(call);
+		call_destroy(call);
 		break;
 	}
 }
--- a/bench/common_flow.c
+++ b/bench/common_flow.c
@@ -17,6 +17,7 @@
 typedef enum open_end { OPEN_TAKEN, OPEN_AT_CAP, OPEN_LATER } open_end_t;
 
 typedef struct opening {
+	dy_list_t link; /* in the world's openings */
 	world_t *world;
 	flow_t *flow;
 	balancer_t *balancer;
@@ -40,11 +41,26 @@
 	return balancer;
 }
 
+static void destroy_opening(opening_t *opening)
+{
+	dy_list_remove(&opening->link);
+	g_free(opening);
+}
+
+void flow_forget_openings(world_t *world)
+{
+	dy_list_t *pos, *tmp;
+
+	DY_LIST_EACH_SAFE(pos, tmp, &world->openings)
+	destroy_opening(DY_LIST_ITEM(pos, opening_t, link));
+}
+
 static void start_opening(void *context, void *argument)
 {
 	world_t *world = context;
 	opening_t *opening = g_new0(opening_t, 1);
 
+	dy_list_append(&world->openings, &opening->link);
 	opening->world = world;
 	opening->flow = argument;
 	opening->balancer = balancer_any(world);
@@ -77,7 +93,7 @@
 
 	heap_add(world->heap, heap_now(world->heap) + after_us, start_opening,
 		 world, opening->flow);
-	g_free(opening);
+	destroy_opening(opening);
 }
 
 /* Send it to another target, if the balancer's budget for retries allows. */
@@ -133,7 +149,7 @@
 		flow->closed_us = now_us;
 		flow_open(world, flow);
 	}
-	g_free(opening);
+	destroy_opening(opening);
 }
 
 static void opening_answered(void *context, void *argument)
--- a/bench/common_parts.h
+++ b/bench/common_parts.h
@@ -67,6 +67,7 @@
 
 typedef struct call {
 	dy_admission_item_t item;
+	dy_list_t link; /* in the world's calls */
 	world_t *world;
 	flow_t *flow;
 	call_class_t klass;
@@ -94,6 +95,8 @@
 	agent_t agents[WORLD_TARGETS_MAX];
 	balancer_t balancers[BALANCERS_MAX];
 	flow_t *flows;
+	dy_list_t calls;    /* all that have not ended */
+	dy_list_t openings; /* the same */
 };
 
 static inline int world_hides(const world_t *world, unsigned what)
@@ -128,9 +131,11 @@
 balancer_t *balancer_any(world_t *world);
 void flow_open(world_t *world, flow_t *flow);
 void flow_close(world_t *world, flow_t *flow);
+void flow_forget_openings(world_t *world);
 
 /* common_call.c */
 void call_lost(call_t *call); /* with the agent it was at */
+void call_destroy(call_t *call);
 void call_issue(world_t *world, flow_t *flow, call_class_t klass);
 void call_ended(call_t *call); /* by the agent: end and refusal are set */
 
--- a/bench/common_world.c
+++ b/bench/common_world.c
@@ -362,6 +362,8 @@
 {
 	uint32_t i;
 
+	dy_list_init(&world->calls);
+	dy_list_init(&world->openings);
 	for (i = 0; i < world->setting->targets; i++)
 		agent_init(&world->agents[i], world, i);
 	for (i = 0; i < world->setting->balancers; i++)
@@ -388,8 +390,12 @@
 
 static void clear_world(world_t *world)
 {
+	dy_list_t *pos, *tmp;
 	uint32_t i;
 
+	DY_LIST_EACH_SAFE(pos, tmp, &world->calls)
+	call_destroy(DY_LIST_ITEM(pos, call_t, link));
+	flow_forget_openings(world);
 	for (i = 0; i < world->setting->targets; i++)
 		agent_clear(&world->agents[i]);
 	g_free(world->flows);
--- a/bench/measure_policy.c
+++ b/bench/measure_policy.c
@@ -291,5 +291,9 @@
 			measure_pattern(&patterns[i], deployment, service,
 					policy, (uint32_t)seed);
 	g_option_context_free(options);
+	g_free(pattern);
+	g_free(deployment);
+	g_free(service);
+	g_free(policy);
 	return EXIT_SUCCESS;
 }
