--- a/include/damaskyard/burn.h
+++ b/include/damaskyard/burn.h
@@ -16,6 +16,8 @@
 
 #include <stdint.h>
 
+#include "damaskyard/metrics.h"
+
 typedef enum dy_outcome {
 	DY_OUTCOME_GOOD,	 /* ran, whole answer before the deadline */
 	DY_OUTCOME_LATE,	 /* ran, answer after the deadline */
@@ -56,6 +58,14 @@
 
 uint64_t dy_tally_total(const dy_tally_t *tally);
 
+/*
+ * Set the counters "burn_WINDOW_OUTCOME:SERVICE" of all windows and outcomes,
+ * which `damaskyard report` reads from every process and adds up. service
+ * is copied.
+ */
+void dy_burn_publish(dy_burn_t *burn, dy_metrics_t *metrics,
+		     const char *service, uint64_t now_ms);
+
 /* Names as counters and the report print them: "late", "5m". */
 const char *dy_outcome_name(dy_outcome_t outcome);
 const char *dy_window_name(dy_window_t window);
--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -5,6 +5,9 @@
 /* Sessions that end for want of use, in one turn. */
 #define EXPIRE_MOST 64
 
+/* The report reads windows of minutes and more, in ms. */
+#define BURN_PUBLISH_MS 1000
+
 /* Until a document says how many. */
 #define FIRST_CONNECTIONS 2000
 
@@ -38,6 +41,7 @@
 		FIRST_CONNECTIONS, DY_SERVICE_SESSION_IDLE_S * 1000ULL,
 		config->seed);
 	agent->admission = create_admission(agent);
+	agent->burn = dy_burn_create();
 	g_queue_init(&agent->claimed);
 	g_queue_init(&agent->cancels);
 	agent_event_init(agent);
@@ -51,6 +55,7 @@
 	agent_call_drop_all(agent);
 	agent_cancel_drop_all(agent);
 	dy_sessions_destroy(agent->sessions);
+	dy_burn_destroy(agent->burn);
 	dy_admission_destroy(agent->admission);
 	g_hash_table_destroy(agent->members);
 	g_hash_table_destroy(agent->departed);
@@ -147,6 +152,7 @@
 	service->idempotent_count = from->idempotent_count;
 	service->slots = from->slots;
 	service->connections = from->connections;
+	service->objective = from->objective;
 	service->queue = from->queue;
 	service->deadline_ms = from->deadline_ms;
 	service->session_idle_s = from->session_idle_s;
@@ -201,6 +207,22 @@
 		start_service(agent, service);
 }
 
+static void publish_burn(dy_agent_t *agent)
+{
+	uint64_t now = agent_now_ms(agent);
+	char name[2 * DY_NAME_BYTES];
+
+	if (!agent->service.known ||
+	    now - agent->burn_published_ms < BURN_PUBLISH_MS)
+		return;
+	agent->burn_published_ms = now;
+	dy_burn_publish(agent->burn, agent->config.metrics, agent->service.name,
+			now);
+	g_snprintf(name, sizeof(name), "objective_ppm:%s", agent->service.name);
+	*dy_metrics_counter(agent->config.metrics, g_intern_string(name)) =
+		(uint64_t)(agent->service.objective * 10000);
+}
+
 static void adapt_crowd(dy_agent_t *agent)
 {
 	dy_admission_load_t load;
@@ -219,6 +241,7 @@
 	agent_cancel_tick(agent);
 	agent_call_pump(agent);
 	adapt_crowd(agent);
+	publish_burn(agent);
 	expired = dy_sessions_expire(agent->sessions, agent_now_ms(agent),
 				     EXPIRE_MOST);
 	if (expired) {
--- a/src/process/agent_call.c
+++ b/src/process/agent_call.c
@@ -69,6 +69,7 @@
 	dy_session_t *session = call->session;
 
 	close_call(agent, call, end);
+	agent_count_refusal(agent, refusal->verdict);
 	if (!call->idempotent)
 		dy_drc_refuse(session->drc, call->xid, refusal,
 			      agent_now_ms(agent));
@@ -128,6 +129,11 @@
 			      reply->results, reply->results_len,
 			      agent_now_ms(agent));
 	agent_count(agent, EVENT_CALLS_ANSWERED);
+	agent_count_outcome(agent,
+			    call->deadline_us && agent_now_us(agent) >
+							 call->deadline_us
+				    ? DY_OUTCOME_LATE
+				    : DY_OUTCOME_GOOD);
 	dy_assert(!agent_answer(agent, session, &call->route, call->xid,
 				reply->status, reply->results,
 				reply->results_len));
--- a/src/process/agent_event.c
+++ b/src/process/agent_event.c
@@ -101,3 +101,15 @@
 	va_end(args);
 	dy_log_event(events[event].level, events[event].name, "%s", line);
 }
+
+void agent_count_outcome(dy_agent_t *agent, dy_outcome_t outcome)
+{
+	dy_burn_add(agent->burn, outcome, agent_now_ms(agent));
+}
+
+void agent_count_refusal(dy_agent_t *agent, dy_verdict_t verdict)
+{
+	agent_count_outcome(agent, verdict == DY_NOT_RUN
+					   ? DY_OUTCOME_REFUSED
+					   : DY_OUTCOME_MAY_HAVE_RUN);
+}
--- a/src/process/agent_forward.c
+++ b/src/process/agent_forward.c
@@ -33,6 +33,7 @@
 {
 	dy_refusal_t refusal = { verdict, reason, retry_ms };
 
+	agent_count_refusal(agent, verdict);
 	agent_note(agent,
 		   verdict == DY_NOT_RUN ? EVENT_CALLS_NOT_RUN
 					 : EVENT_CALLS_MAY_HAVE_RUN,
--- a/src/process/agent_private.h
+++ b/src/process/agent_private.h
@@ -6,6 +6,7 @@
 #include "damaskyard/admission.h"
 #include "damaskyard/agent.h"
 #include "damaskyard/budget.h"
+#include "damaskyard/burn.h"
 #include "damaskyard/invariant.h"
 #include "damaskyard/session.h"
 #include "damaskyard/verdict.h"
@@ -160,6 +161,7 @@
 } agent_target_t;
 
 typedef struct agent_service {
+	double objective;
 	int known;
 	char name[DY_NAME_BYTES + 1];
 	uint64_t id;
@@ -190,6 +192,8 @@
 	dy_sessions_t *sessions;
 	dy_admission_t *admission;
 	dy_crowd_limit_t crowd;
+	dy_burn_t *burn;
+	uint64_t burn_published_ms;
 	target_link_t links[DY_AGENT_LINKS];
 	unsigned slots; /* connections wanted */
 	unsigned up;	/* that stand */
@@ -226,6 +230,9 @@
 void agent_count(dy_agent_t *agent, agent_event_t event);
 void agent_note(dy_agent_t *agent, agent_event_t event, const char *pairs, ...)
 	__attribute__((format(printf, 3, 4)));
+/* Count what a caller got, for the service-level report. */
+void agent_count_outcome(dy_agent_t *agent, dy_outcome_t outcome);
+void agent_count_refusal(dy_agent_t *agent, dy_verdict_t verdict);
 
 /* agent_answer.c: what goes back to a balancer. */
 void agent_answer_refusal(dy_agent_t *agent, const route_t *route, uint32_t xid,
--- a/src/process/burn.c
+++ b/src/process/burn.c
@@ -121,3 +121,30 @@
 {
 	return shapes[window].name;
 }
+
+static void publish_window(dy_metrics_t *metrics, const char *service,
+			   dy_window_t window, const dy_tally_t *tally)
+{
+	char name[128];
+	int i;
+
+	for (i = 0; i < DY_OUTCOMES; i++) {
+		g_snprintf(name, sizeof(name), "burn_%s_%s:%s",
+			   dy_window_name(window),
+			   dy_outcome_name((dy_outcome_t)i), service);
+		*dy_metrics_counter(metrics, g_intern_string(name)) =
+			tally->counts[i];
+	}
+}
+
+void dy_burn_publish(dy_burn_t *burn, dy_metrics_t *metrics,
+		     const char *service, uint64_t now_ms)
+{
+	dy_tally_t tally;
+	int i;
+
+	for (i = 0; i < DY_WINDOWS; i++) {
+		dy_burn_load(burn, (dy_window_t)i, now_ms, &tally);
+		publish_window(metrics, service, (dy_window_t)i, &tally);
+	}
+}
--- a/src/process/cmd_status.c
+++ b/src/process/cmd_status.c
@@ -1,8 +1,7 @@
 #include <stdio.h>
-#include <string.h>
 
 #include "command.h"
-#include "operator.h"
+#include "operator_lines.h"
 
 static dy_address_t process;
 
@@ -16,47 +15,30 @@
 	{ 0 },
 };
 
-static unsigned count_lines(const char *lines)
+static void print_line(void *context, const char *line)
 {
-	unsigned count = 0;
-
-	for (; *lines; lines++)
-		count += *lines == '\n';
-	return count;
+	(void)context;
+	puts(line);
 }
 
-/* Print page after page; a page without a line would be the last one. */
-static int print_pages(operator_t *op, operator_call_t *call)
+static int print_status(operator_t *op)
 {
-	dy_inspect_t args = { 0 };
-	dy_inspect_result_t result;
-	unsigned lines;
-	int more;
+	int failed;
 
-	call->args = &args;
-	do {
-		if (process.port
-			    ? operator_call_process(op, &process, call, &result)
-			    : operator_call(op, call, &result))
-			return operator_fail_unanswered(op);
-		fputs(result.lines, stdout);
-		lines = count_lines(result.lines);
-		args.from += lines;
-		more = result.more && lines;
-		xdr_free(call->result_proc, (char *)&result);
-	} while (more);
-	return DY_EXIT_OK;
+	if (process.port) {
+		failed = operator_process_lines(op, &process, print_line, NULL);
+	} else if (operator_values.controls.count) {
+		failed = operator_group_lines(op, print_line, NULL);
+	} else {
+		fputs("damaskyard status: --controls or --process is missing\n",
+		      stderr);
+		return DY_EXIT_USAGE;
+	}
+	return failed ? operator_fail_unanswered(op) : DY_EXIT_OK;
 }
 
 int dy_command_status(int argc, char **argv)
 {
-	operator_call_t call = {
-		.program = DY_CONTROL_PROGRAM,
-		.procedure = DY_CONTROL_INSPECT,
-		.args_proc = (xdrproc_t)xdr_dy_inspect_t,
-		.result_proc = (xdrproc_t)xdr_dy_inspect_result_t,
-		.result_size = sizeof(dy_inspect_result_t),
-	};
 	operator_t *op;
 	int code;
 
@@ -65,17 +47,7 @@
 			   settings, NULL);
 	if (!op)
 		return DY_EXIT_USAGE;
-	if (process.port) {
-		call.program = DY_STATUS_PROGRAM;
-		call.procedure = DY_STATUS_COUNTERS;
-	}
-	if (process.port || operator_values.controls.count) {
-		code = print_pages(op, &call);
-	} else {
-		fputs("damaskyard status: --controls or --process is missing\n",
-		      stderr);
-		code = DY_EXIT_USAGE;
-	}
+	code = print_status(op);
 	operator_destroy(op);
 	dy_settings_clear(settings);
 	return code;
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -20,6 +20,7 @@
 	{ "promote", dy_command_promote,
 	  "put trial's document into production" },
 	{ "remove", dy_command_remove, "strike a member that is lost" },
+	{ "report", dy_command_report, "print service-level burn" },
 	{ "rotate", dy_command_rotate, "begin a new token key" },
 	{ "status", dy_command_status, "print the group or a process" },
 	{ "submit", dy_command_submit, "submit a document to trial" },
--- a/src/process/operator.c
+++ b/src/process/operator.c
@@ -380,3 +380,8 @@
 	dy_settings_clear(settings);
 	return code;
 }
+
+void operator_set_timeout(operator_t *op, uint64_t timeout_ms)
+{
+	op->give_up_ms = now_ms(op) + timeout_ms;
+}
--- a/src/process/operator.h
+++ b/src/process/operator.h
@@ -90,6 +90,9 @@
  */
 int operator_call(operator_t *op, const operator_call_t *call, void *result);
 
+/* Give up this many milliseconds from now, whatever --timeout-ms says. */
+void operator_set_timeout(operator_t *op, uint64_t timeout_ms);
+
 /* Make a call of one process. Returns 0, or -1 after the timeout. */
 int operator_call_process(operator_t *op, const dy_address_t *address,
 			  const operator_call_t *call, void *result);
--- a/src/request/router.c
+++ b/src/request/router.c
@@ -4,6 +4,7 @@
 
 #include <rpc/rpc.h>
 
+#include "damaskyard/burn.h"
 #include "damaskyard/log.h"
 #include "damaskyard/pick.h"
 #include "damaskyard/successor.h"
@@ -23,6 +24,9 @@
 #define RETRY_NOT_READY_MS 1000
 #define RETRY_NO_TARGET_MS 2000
 
+/* The report reads windows of minutes and more, in ms. */
+#define BURN_PUBLISH_MS 1000
+
 typedef struct counters {
 	uint64_t *received;
 	uint64_t *malformed;
@@ -41,6 +45,13 @@
 	uint64_t *chained;
 } counters_t;
 
+/* What this balancer itself refused of a service. */
+typedef struct service_burn {
+	uint64_t id;
+	char *name;
+	dy_burn_t *burn;
+} service_burn_t;
+
 struct dy_router {
 	dy_router_config_t config;
 	route_table_t *table;
@@ -51,6 +62,8 @@
 	int ready;
 	counters_t counters;
 	dy_log_limit_t drop_limit;
+	GHashTable *burns; /* service id: service_burn_t, once one burned */
+	uint64_t burn_published_ms;
 };
 
 /* One datagram on its way through. */
@@ -85,6 +98,15 @@
 	counters->chained = dy_metrics_counter(metrics, "calls_to_successor");
 }
 
+static void destroy_burn(gpointer data)
+{
+	service_burn_t *burn = data;
+
+	dy_burn_destroy(burn->burn);
+	g_free(burn->name);
+	g_free(burn);
+}
+
 dy_router_t *dy_router_create(const dy_router_config_t *config)
 {
 	static const dy_log_limit_t limit = DY_LOG_LIMIT_INIT(5, 10000);
@@ -93,6 +115,8 @@
 	router->config = *config;
 	router->table = route_table_create();
 	router->openings = openings_create();
+	router->burns = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					      destroy_burn);
 	router->domain = route_table_domain(router->table, config->domain);
 	router->drop_limit = limit;
 	dy_pick_config_init(&router->pick, DY_PICK_BROKEN_FLOWS);
@@ -106,6 +130,7 @@
 		return;
 	route_table_destroy(router->table);
 	openings_destroy(router->openings);
+	g_hash_table_destroy(router->burns);
 	g_free(router);
 }
 
@@ -176,12 +201,34 @@
 					  (gint32)around_ms * 3 / 2);
 }
 
+static void count_burn(dy_router_t *router, const packet_t *packet,
+		       dy_outcome_t outcome)
+{
+	service_burn_t *burn;
+
+	if (!packet->service)
+		return;
+	burn = g_hash_table_lookup(router->burns,
+				   &packet->service->service->id);
+	if (!burn) {
+		burn = g_new0(service_burn_t, 1);
+		burn->id = packet->service->service->id;
+		burn->name = g_strdup(packet->service->service->name);
+		burn->burn = dy_burn_create();
+		g_hash_table_insert(router->burns, &burn->id, burn);
+	}
+	dy_burn_add(burn->burn, outcome, packet->now_ms);
+}
+
 static void refuse(dy_router_t *router, const packet_t *packet,
 		   dy_verdict_t verdict, dy_reason_t reason, uint32_t around_ms)
 {
 	dy_refusal_t refusal = { verdict, reason, 0 };
 	uint8_t out[DY_RPC_HEAD_BYTES];
 
+	count_burn(router, packet,
+		   verdict == DY_NOT_RUN ? DY_OUTCOME_REFUSED
+					 : DY_OUTCOME_BROKEN_FLOW);
 	refusal.retry_after_ms = spread_retry(router, around_ms);
 	send_answer(router, packet->datagram, out,
 		    dy_rpc_write_refusal(packet->call.xid, &refusal, out,
@@ -618,6 +665,23 @@
 	       RETRY_NO_TARGET_MS);
 }
 
+static void publish_burns(dy_router_t *router, uint64_t now_ms)
+{
+	GHashTableIter iter;
+	service_burn_t *burn;
+	gpointer value;
+
+	if (now_ms - router->burn_published_ms < BURN_PUBLISH_MS)
+		return;
+	router->burn_published_ms = now_ms;
+	g_hash_table_iter_init(&iter, router->burns);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		burn = value;
+		dy_burn_publish(burn->burn, router->config.metrics, burn->name,
+				now_ms);
+	}
+}
+
 void dy_router_expire(dy_router_t *router, uint64_t now_ms)
 {
 	dy_pick_target_t *pick;
@@ -628,4 +692,5 @@
 		if (pick)
 			dy_pick_failed(pick, 1, now_ms);
 	}
+	publish_burns(router, now_ms);
 }
