--- a/src/version/pick.c
+++ b/src/version/pick.c
@@ -41,6 +41,13 @@
  */
 #define LOCAL_PERMILLE 0
 
+/*
+ * A wait of a second, the least that callers wait at all, counts as much as
+ * all connections taken. Without it a target that stalls while its agent
+ * refuses looks like any busy one: all slots taken, nobody waits.
+ */
+#define FULL_WAIT_MS 1000
+
 /* What one look over the targets finds. */
 typedef struct sample {
 	int index[DY_PICK_SAMPLE];
@@ -130,6 +137,7 @@
 		return HOPELESS;
 	load = sessions * FULL / target->session_cap;
 	load += work * FULL / target->slots / WORK_PART;
+	load += (uint64_t)target->expected_wait_ms * FULL / FULL_WAIT_MS;
 	load += distrust * FULL / DY_PICK_TRUST_FULL;
 	return (uint32_t)MIN(load, HOPELESS);
 }
--- a/tests/test_pick.c
+++ b/tests/test_pick.c
@@ -105,6 +105,27 @@
 }
 END_TEST
 
+/*
+ * A target stalls with all slots taken, and its agent refuses at once, so
+ * nobody waits there. By slots and queue it looks like any busy target; its
+ * agent expects a wait of two seconds.
+ */
+START_TEST(stalled_target_gets_none)
+{
+	dy_pick_report_t stalled = { SLOTS, SLOTS, 0, 900, 2000 };
+	view_t view;
+	int i;
+
+	set_up(&view, _i, 1);
+	for (i = 0; i < TARGETS; i++)
+		report(&view, i, SLOTS, 0, 1000);
+	dy_pick_answered(&view.targets[0], &stalled, 0, view.now_ms);
+	pick(&view, 700, 1);
+	ck_assert_uint_eq(view.picked[0], 0);
+	g_rand_free(view.rand);
+}
+END_TEST
+
 START_TEST(draining_target_gets_none)
 {
 	view_t view;
@@ -361,6 +382,7 @@
 
 	tcase_add_loop_test(tcase, many_balancers_make_no_herd, 0, 2);
 	tcase_add_loop_test(tcase, busy_target_gets_few, 0, 2);
+	tcase_add_loop_test(tcase, stalled_target_gets_none, 0, 2);
 	tcase_add_loop_test(tcase, draining_target_gets_none, 0, 2);
 	tcase_add_loop_test(tcase, stale_report_is_not_spent_twice, 0, 2);
 	tcase_add_loop_test(tcase, full_target_gets_none, 0, 2);
