--- a/bench/bench_control.c
+++ b/bench/bench_control.c
@@ -214,17 +214,19 @@
 
 static void report(const world_t *world, unsigned seconds)
 {
+	uint64_t answers = MAX(world->answers, 1);
+
 	printf("bench=control_polls members=%u controls=%d answers=%lu "
 	       "answers_a_second=%lu bytes_a_poll=%lu bytes_an_answer=%lu\n",
 	       world->count, CONTROLS, (unsigned long)world->answers,
 	       (unsigned long)(world->answers / seconds),
-	       (unsigned long)(world->bytes_out / world->answers),
-	       (unsigned long)(world->bytes_in / world->answers));
+	       (unsigned long)(world->bytes_out / answers),
+	       (unsigned long)(world->bytes_in / answers));
 }
 
 int main(int argc, char **argv)
 {
-	unsigned seconds = argc > 2 ? (unsigned)atoi(argv[2]) : SECONDS;
+	unsigned seconds = argc > 2 ? MAX(atoi(argv[2]), 1) : SECONDS;
 	world_t world = { 0 };
 
 	dy_log_configure(DY_LOG_ERROR, NULL);
--- a/fuzz/fuzz_registry.c
+++ b/fuzz/fuzz_registry.c
@@ -8,8 +8,7 @@
 
 #include "fake_registry.h"
 
-int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
-
+/* libFuzzer's own name. NOLINTNEXTLINE(readability-identifier-naming) */
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	fake_run_t *run = fake_run_create();
