--- /dev/null
+++ b/tests/test_commands.c
@@ -0,0 +1,280 @@
+/*
+ * Operators' commands of the true binary against a group of three. What is
+ * printed and the exit codes are what scripts rely on.
+ */
+
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <check.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+
+#include "fake_process.h"
+#include "fake_suite.h"
+
+#define CONTROLS 3
+#define STOP_WAIT_MS 20000
+
+#define DOCUMENT                                         \
+	"[document]\nweigh = imbalance\n"                \
+	"[service readings]\naddress = 10.20.0.1:4000\n" \
+	"program = 0x2A000001\nversion = 1\nidempotent = 2\n"
+
+typedef struct group {
+	char *folder;
+	char *binary;
+	char *key;
+	char *addresses;
+	fake_process_t *controls[CONTROLS];
+} group_t;
+
+/* Ports that are free together; each is given up again. */
+static void find_ports(unsigned ports[CONTROLS])
+{
+	struct sockaddr_in at = { .sin_family = AF_INET };
+	socklen_t len = sizeof(at);
+	int sockets[CONTROLS];
+	int i;
+
+	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	for (i = 0; i < CONTROLS; i++) {
+		at.sin_port = 0;
+		sockets[i] = socket(AF_INET, SOCK_DGRAM, 0);
+		ck_assert(!bind(sockets[i], (struct sockaddr *)&at, len));
+		getsockname(sockets[i], (struct sockaddr *)&at, &len);
+		ports[i] = ntohs(at.sin_port);
+	}
+	for (i = 0; i < CONTROLS; i++)
+		close(sockets[i]);
+}
+
+static char *write_file(const group_t *group, const char *name,
+			const char *text)
+{
+	char *path = g_build_filename(group->folder, name, NULL);
+
+	ck_assert(g_file_set_contents(path, text, -1, NULL));
+	return path;
+}
+
+static group_t *open_group(void)
+{
+	const char *build = g_getenv("DY_BUILD");
+	group_t *group = g_new0(group_t, 1);
+	unsigned ports[CONTROLS];
+	char *command;
+	char *peers;
+	char *name;
+	int i;
+
+	group->folder = g_dir_make_tmp("dy-commands-XXXXXX", NULL);
+	group->binary =
+		g_build_filename(build ? build : "build", "damaskyard", NULL);
+	group->key = write_file(group, "key",
+				"00112233445566778899aabbccddeeff"
+				"00112233445566778899aabbccddeeff\n");
+	find_ports(ports);
+	peers = g_strdup_printf("1=127.0.0.1:%u,2=127.0.0.1:%u,3=127.0.0.1:%u",
+				ports[0], ports[1], ports[2]);
+	group->addresses =
+		g_strdup_printf("127.0.0.1:%u,127.0.0.1:%u,127.0.0.1:%u",
+				ports[0], ports[1], ports[2]);
+	for (i = 0; i < CONTROLS; i++) {
+		name = g_strdup_printf("control%d", i + 1);
+		command = g_strdup_printf(
+			"%s control --id %d --data %s/d%d --listen "
+			"127.0.0.1:%u --peers %s --key-file %s",
+			group->binary, i + 1, group->folder, i + 1, ports[i],
+			peers, group->key);
+		group->controls[i] =
+			fake_process_create(group->folder, name, command);
+		fake_process_start(group->controls[i]);
+		g_free(command);
+		g_free(name);
+	}
+	g_free(peers);
+	return group;
+}
+
+static void remove_tree(const char *folder)
+{
+	char *argv[] = { "rm", "-rf", (char *)folder, NULL };
+
+	g_spawn_sync(NULL, argv, NULL, G_SPAWN_SEARCH_PATH, NULL, NULL, NULL,
+		     NULL, NULL, NULL);
+}
+
+static void close_group(group_t *group)
+{
+	int i;
+
+	for (i = 0; i < CONTROLS; i++)
+		fake_process_destroy(group->controls[i]);
+	remove_tree(group->folder);
+	g_free(group->folder);
+	g_free(group->binary);
+	g_free(group->key);
+	g_free(group->addresses);
+	g_free(group);
+}
+
+/* Words after the binary's name, split at blanks. Returns the exit code. */
+static int run(const group_t *group, const char *words, char **out, char **err)
+{
+	char *line = g_strdup_printf("%s %s", group->binary, words);
+	char **argv = g_strsplit(line, " ", -1);
+	char **envp = g_get_environ();
+	int status;
+
+	envp = g_environ_setenv(envp, "DAMASKYARD_KEY_FILE", group->key, 1);
+	envp = g_environ_setenv(envp, "DAMASKYARD_CONTROLS", group->addresses,
+				1);
+	envp = g_environ_setenv(envp, "DAMASKYARD_TIMEOUT_MS", "30000", 0);
+	ck_assert(g_spawn_sync(NULL, argv, envp, G_SPAWN_DEFAULT, NULL, NULL,
+			       out, err, &status, NULL));
+	ck_assert(WIFEXITED(status));
+	g_strfreev(envp);
+	g_strfreev(argv);
+	g_free(line);
+	return WEXITSTATUS(status);
+}
+
+static unsigned count_lines(const char *text)
+{
+	unsigned count = 0;
+
+	for (; *text; text++)
+		count += *text == '\n';
+	return count;
+}
+
+/* Run, and check exit code, what stands in the one line, and its place. */
+static void expect(const group_t *group, const char *words, int code,
+		   const char *part)
+{
+	char *out;
+	char *err;
+
+	ck_assert_msg(run(group, words, &out, &err) == code,
+		      "\"%s\" printed \"%s\" and \"%s\"", words, out, err);
+	ck_assert_msg(!!strstr(code ? err : out, part), "\"%s\" printed \"%s\"",
+		      words, code ? err : out);
+	ck_assert_uint_eq(count_lines(code ? err : out), 1);
+	ck_assert_str_eq(code ? out : err, "");
+	g_free(out);
+	g_free(err);
+}
+
+/*
+ * The life of a document. Ann and Bob prepare change 1 at the same time: one
+ * is accepted, the other is told who won. Trial's document is promoted, and
+ * sent twice it is promoted once. The leader stops meanwhile.
+ */
+START_TEST(document_goes_from_trial_to_production)
+{
+	group_t *group = open_group();
+	char *doc = write_file(group, "doc", DOCUMENT);
+	char *other = write_file(group, "other", DOCUMENT "slots = 9\n");
+	char *submit =
+		g_strdup_printf("submit %s --number 1 --operator ann", doc);
+	char *rival =
+		g_strdup_printf("submit %s --number 1 --operator bob", other);
+	char *wrong = write_file(group, "wrong", "[document]\nwiegh = 1\n");
+	char *submit_wrong = g_strdup_printf("submit %s", wrong);
+	char *out;
+
+	expect(group, "promote", 1, "status=not_found");
+	expect(group, submit, 0,
+	       "result=accepted environment=trial number=1 digest=");
+	expect(group, rival, 1, "status=conflict");
+	expect(group, rival, 1, "winner_operator=ann");
+	expect(group, submit_wrong, 1, "status=malformed");
+	fake_process_signal(group->controls[0], SIGTERM);
+	ck_assert_int_eq(fake_process_join(group->controls[0], STOP_WAIT_MS),
+			 0);
+	expect(group, "promote", 0,
+	       "result=accepted environment=production number=1 digest=");
+	expect(group, "promote", 0, "in force already");
+	expect(group, "promote --number 1", 0, "in force already");
+	ck_assert_int_eq(run(group, "status", &out, NULL), 0);
+	ck_assert_ptr_nonnull(
+		strstr(out, "document environment=production number=1 "));
+	ck_assert_ptr_nonnull(strstr(out, "control id=3 address=127.0.0.1:"));
+	g_free(out);
+	g_free(doc);
+	g_free(other);
+	g_free(wrong);
+	g_free(submit);
+	g_free(rival);
+	g_free(submit_wrong);
+	close_group(group);
+}
+END_TEST
+
+START_TEST(members_and_keys_are_changed_by_name)
+{
+	group_t *group = open_group();
+	char *words;
+	char *out;
+
+	expect(group, "rotate", 0, "result=accepted key=2");
+	expect(group, "rotate", 1, "status=conflict");
+	expect(group, "drain nobody", 1, "status=not_found");
+	expect(group, "remove nobody --environment trial", 1,
+	       "status=not_found");
+	words = g_strdup_printf("status --process %s",
+				strrchr(group->addresses, ',') + 1);
+	ck_assert_int_eq(run(group, words, &out, NULL), 0);
+	ck_assert_ptr_nonnull(strstr(out, "counter name=control_polls value="));
+	ck_assert_uint_gt(count_lines(out), 60);
+	g_free(out);
+	g_free(words);
+	close_group(group);
+}
+END_TEST
+
+/* A command that cannot be done says so in one line and never hangs. */
+START_TEST(wrong_use_and_silence_are_told)
+{
+	group_t *group = open_group();
+	int i;
+
+	expect(group, "submit", 2, "operand is missing");
+	expect(group, "submit /nowhere/doc", 2, "/nowhere/doc");
+	expect(group, "drain a b", 2, "\"b\" is not expected here");
+	expect(group, "promote x", 2, "\"x\" is not expected here");
+	expect(group, "status --timeout-ms 5", 2, "timeout-ms");
+	expect(group, "status --controls nonsense", 2, "nonsense");
+	expect(group, "status --key-file /nowhere", 2, "/nowhere");
+	expect(group,
+	       "control --id 4 --data x --listen 127.0.0.1:0 "
+	       "--peers 1=127.0.0.1:9",
+	       2, "--peers");
+	for (i = 0; i < CONTROLS; i++) {
+		fake_process_signal(group->controls[i], SIGKILL);
+		fake_process_join(group->controls[i], STOP_WAIT_MS);
+	}
+	expect(group, "status --timeout-ms 300", 1,
+	       "no leader of the control group answered within 300 ms");
+	close_group(group);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		document_goes_from_trial_to_production,
+		members_and_keys_are_changed_by_name,
+		wrong_use_and_silence_are_told,
+		NULL,
+	};
+
+	return fake_suite_run("commands", tests);
+}
