--- a/bench/bench_control.c
+++ b/bench/bench_control.c
@@ -226,7 +226,7 @@
 
 int main(int argc, char **argv)
 {
-	unsigned seconds = argc > 2 ? (unsigned)atoi(argv[2]) : SECONDS;
+	unsigned seconds = argc > 2 ? MAX(atoi(argv[2]), 1) : SECONDS;
 	world_t world = { 0 };
 
 	dy_log_configure(DY_LOG_ERROR, NULL);
