--- a/fuzz/fuzz_agent.c
+++ b/fuzz/fuzz_agent.c
@@ -49,7 +49,7 @@
 
 	if (!run->planned && byte >= 0xc0)
 		return byte % FAKE_AGENTS;
-	return fake_route(run->world, token);
+	return world_route(run->world, token);
 }
 
 static void make_call(run_t *run, uint32_t procedure)
@@ -60,9 +60,9 @@
 		return;
 	if (run->planned && !run->world->callers[caller].has_token)
 		return;
-	fake_call(run->world,
-		  choose_agent(run, &run->world->callers[caller].fields),
-		  caller, procedure);
+	world_call(run->world,
+		   choose_agent(run, &run->world->callers[caller].fields),
+		   caller, procedure);
 }
 
 static void copy_call(run_t *run, unsigned within)
@@ -78,7 +78,7 @@
 	call = &world->calls[id];
 	if (world->now_us - call->sent_us > COPY_US)
 		return;
-	fake_copy(world, choose_agent(run, &call->token), id);
+	world_copy(world, choose_agent(run, &call->token), id);
 }
 
 static void cancel_call(run_t *run)
@@ -91,8 +91,8 @@
 		return;
 	id = world->call_count - 1 - take_below(run, MIN(8, world->call_count));
 	if (world->callers[world->calls[id].caller].has_token)
-		fake_cancel(world, choose_agent(run, &world->calls[id].token),
-			    id);
+		world_cancel(world, choose_agent(run, &world->calls[id].token),
+			     id);
 }
 
 static unsigned count_serving(const fake_world_t *world)
@@ -122,7 +122,7 @@
 	fake_agent_t *agent = &run->world->agents[index];
 
 	if (!run->planned || !agent->agent || agent->left)
-		fake_start(run->world, index);
+		world_start(run->world, index);
 }
 
 static void open_flow(run_t *run, unsigned index)
@@ -132,7 +132,7 @@
 	if (run->planned && run->world->callers[caller].has_token)
 		return;
 	if (run->world->call_count + FAKE_CALLERS < FAKE_CALLS)
-		fake_open(run->world, index, caller);
+		world_open(run->world, index, caller);
 }
 
 static void answer_everything(fake_world_t *world)
@@ -141,7 +141,7 @@
 
 	for (i = 0; i < FAKE_AGENTS; i++)
 		if (world->agents[i].agent)
-			fake_answer_all(world, i);
+			world_answer_all(world, i);
 }
 
 static void pass(run_t *run)
@@ -150,8 +150,8 @@
 
 	if (run->planned)
 		answer_everything(run->world);
-	fake_pass(run->world,
-		  byte < 250 || run->planned ? 50 * (byte % 8 + 1) : 40000);
+	world_pass(run->world,
+		   byte < 250 || run->planned ? 50 * (byte % 8 + 1) : 40000);
 }
 
 /* What may happen to a group in which every change is planned. */
@@ -169,23 +169,23 @@
 		copy_call(run, 16);
 		break;
 	case 4:
-		fake_answer(run->world, index, take_below(run, FAKE_SLOTS),
-			    FAKE_OK);
+		world_answer(run->world, index, take_below(run, FAKE_SLOTS),
+			     FAKE_OK);
 		break;
 	case 5:
 		pass(run);
 		break;
 	case 6:
-		fake_poll(run->world, index);
+		world_poll(run->world, index);
 		break;
 	case 7:
-		fake_deliver(run->world);
+		world_deliver(run->world);
 		break;
 	case 8:
-		fake_double(run->world);
+		world_double(run->world);
 		break;
 	case 9:
-		fake_reorder(run->world);
+		world_reorder(run->world);
 		break;
 	case 10:
 		open_flow(run, index);
@@ -210,23 +210,23 @@
 
 	switch (op) {
 	case 0:
-		fake_lose(world);
+		world_lose(world);
 		break;
 	case 1:
-		fake_answer(world, index, take_below(run, FAKE_SLOTS),
-			    take_below(run, FAKE_REPLIES));
+		world_answer(world, index, take_below(run, FAKE_SLOTS),
+			     take_below(run, FAKE_REPLIES));
 		break;
 	case 2:
-		fake_hang_up(world, index, take_below(run, DY_AGENT_LINKS));
+		world_hang_up(world, index, take_below(run, DY_AGENT_LINKS));
 		break;
 	case 3:
-		fake_restart_target(world, index);
+		world_restart_target(world, index);
 		break;
 	case 4:
 		cancel_call(run);
 		break;
 	case 5:
-		fake_answer_cancel(world, index, take_below(run, 2));
+		world_answer_cancel(world, index, take_below(run, 2));
 		break;
 	case 6:
 		agent->announcing = !agent->announcing;
@@ -276,7 +276,7 @@
 	for (id = 0; id < world->call_count; id++) {
 		call = &world->calls[id];
 		if (call->procedure == FAKE_SUBMIT && !call->outcomes)
-			fake_copy(world, fake_route(world, &call->token), id);
+			world_copy(world, world_route(world, &call->token), id);
 	}
 }
 
@@ -315,11 +315,11 @@
 	run.world = fake_world_create();
 	run.planned = take(&run) & 1;
 	for (i = 0; i < FAKE_AGENTS; i++)
-		fake_start(run.world, i);
+		world_start(run.world, i);
 	while (run.len)
 		operate(&run);
 	for (i = 0; run.planned && i < SETTLE_TURNS; i++) {
-		fake_settle(run.world);
+		world_settle(run.world);
 		send_unanswered(run.world);
 	}
 	if (run.planned)
--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -165,11 +165,10 @@
 			       MIN(service->connections, target->connections),
 			       service->session_idle_s * 1000ULL);
 	agent_target_set_slots(agent);
-	dy_crowd_limit_init(&agent->crowd,
-			    agent->slots * DY_CROWD_RATE_PER_SLOT,
-			    agent->slots * DY_CROWD_RATE_PER_SLOT *
-				    DY_CROWD_BURST_MS / 1000,
-			    agent_now_ms(agent));
+	if (agent->slots == agent->crowd_slots)
+		return;
+	agent->crowd_slots = agent->slots;
+	dy_crowd_limit_init(&agent->crowd, agent->slots, agent_now_ms(agent));
 }
 
 static void start_service(dy_agent_t *agent, const dy_service_t *service)
@@ -205,6 +204,15 @@
 		start_service(agent, service);
 }
 
+static void adapt_crowd(dy_agent_t *agent)
+{
+	dy_admission_load_t load;
+
+	dy_admission_load(agent->admission, agent_now_us(agent), &load);
+	dy_crowd_limit_adapt(&agent->crowd, load.expected_wait_us / 1000,
+			     agent_now_ms(agent));
+}
+
 void dy_agent_tick(dy_agent_t *agent)
 {
 	unsigned expired;
@@ -213,6 +221,7 @@
 	agent_call_expire_started(agent);
 	agent_cancel_tick(agent);
 	agent_call_pump(agent);
+	adapt_crowd(agent);
 	expired = dy_sessions_expire(agent->sessions, agent_now_ms(agent),
 				     EXPIRE_MOST);
 	if (expired) {
--- a/src/process/agent_private.h
+++ b/src/process/agent_private.h
@@ -190,6 +190,7 @@
 	dy_sessions_t *sessions;
 	dy_admission_t *admission;
 	dy_crowd_limit_t crowd;
+	unsigned crowd_slots; /* for which it was made */
 	target_link_t links[DY_AGENT_LINKS];
 	unsigned slots; /* connections wanted */
 	unsigned up;	/* that stand */
--- a/tests/fake_agents.c
+++ b/tests/fake_agents.c
@@ -345,15 +345,15 @@
 	unsigned i;
 
 	for (i = 0; i < FAKE_AGENTS; i++)
-		fake_kill(world, i);
-	while (fake_lose(world))
+		world_kill(world, i);
+	while (world_lose(world))
 		;
 	g_ptr_array_free(world->members, TRUE);
 	dy_document_destroy(world->document);
 	g_free(world);
 }
 
-void fake_kill(fake_world_t *world, unsigned index)
+void world_kill(fake_world_t *world, unsigned index)
 {
 	fake_agent_t *agent = &world->agents[index];
 
@@ -366,7 +366,7 @@
 	memset(agent->links, 0, sizeof(agent->links));
 }
 
-void fake_announce(fake_world_t *world, unsigned index, int draining)
+void world_announce(fake_world_t *world, unsigned index, int draining)
 {
 	fake_agent_t *agent = &world->agents[index];
 	dy_announcement_t announcement = {
@@ -381,7 +381,7 @@
 		dy_agent_set_document(agent->agent, world->document);
 }
 
-void fake_poll(fake_world_t *world, unsigned index)
+void world_poll(fake_world_t *world, unsigned index)
 {
 	fake_agent_t *agent = &world->agents[index];
 
@@ -393,7 +393,7 @@
 	dy_agent_caught_up(agent->agent);
 }
 
-void fake_start(fake_world_t *world, unsigned index)
+void world_start(fake_world_t *world, unsigned index)
 {
 	fake_agent_t *agent = &world->agents[index];
 	dy_key_info_t key = { .id = 1, .active = TRUE };
@@ -403,7 +403,7 @@
 				     .callbacks = &callbacks,
 				     .context = agent };
 
-	fake_kill(world, index);
+	world_kill(world, index);
 	agent->metrics = dy_metrics_create();
 	agent->ring = dy_keyring_create(&world->secrets);
 	dy_keyring_apply(agent->ring, &key);
@@ -420,9 +420,9 @@
 	publish(agent, DY_MEMBER_SERVING, FAKE_SLOTS, NULL, 0);
 	dy_agent_grant(agent->agent, agent->incarnation);
 	dy_agent_set_lease(agent->agent, 1);
-	fake_announce(world, index, 0);
-	fake_poll(world, index);
-	fake_pass(world, 100);
+	world_announce(world, index, 0);
+	world_poll(world, index);
+	world_pass(world, 100);
 }
 
 static void answer_probe(fake_agent_t *agent, unsigned index)
@@ -451,7 +451,7 @@
 	}
 }
 
-void fake_pass(fake_world_t *world, unsigned ms)
+void world_pass(fake_world_t *world, unsigned ms)
 {
 	fake_agent_t *agent;
 	unsigned i;
@@ -463,7 +463,7 @@
 			if (!agent->agent)
 				continue;
 			if (agent->announcing)
-				fake_announce(world, i, 0);
+				world_announce(world, i, 0);
 			dy_agent_tick(agent->agent);
 			raise_links(agent);
 		}
@@ -524,7 +524,7 @@
 		deliver_forward(to, mail->from, &xdrs);
 }
 
-int fake_deliver(fake_world_t *world)
+int world_deliver(fake_world_t *world)
 {
 	mail_t *mail = g_queue_pop_head(&world->mail);
 
@@ -535,7 +535,7 @@
 	return 1;
 }
 
-int fake_lose(fake_world_t *world)
+int world_lose(fake_world_t *world)
 {
 	mail_t *mail = g_queue_pop_head(&world->mail);
 
@@ -545,7 +545,7 @@
 	return 1;
 }
 
-int fake_double(fake_world_t *world)
+int world_double(fake_world_t *world)
 {
 	mail_t *mail = g_queue_peek_head(&world->mail);
 	mail_t *copy;
@@ -558,7 +558,7 @@
 	return 1;
 }
 
-int fake_reorder(fake_world_t *world)
+int world_reorder(fake_world_t *world)
 {
 	mail_t *mail = g_queue_pop_head(&world->mail);
 
@@ -567,20 +567,20 @@
 	return !!mail;
 }
 
-void fake_settle(fake_world_t *world)
+void world_settle(fake_world_t *world)
 {
 	unsigned turns;
 	unsigned i;
 
 	for (turns = 0; turns < 40; turns++) {
-		while (fake_deliver(world))
+		while (world_deliver(world))
 			;
 		for (i = 0; i < FAKE_AGENTS; i++) {
-			fake_poll(world, i);
+			world_poll(world, i);
 			if (world->agents[i].agent)
-				fake_answer_all(world, i);
+				world_answer_all(world, i);
 		}
-		fake_pass(world, STEP_MS);
+		world_pass(world, STEP_MS);
 	}
 }
 
@@ -637,8 +637,8 @@
 	return id;
 }
 
-uint32_t fake_call(fake_world_t *world, unsigned index, unsigned caller,
-		   uint32_t procedure)
+uint32_t world_call(fake_world_t *world, unsigned index, unsigned caller,
+		    uint32_t procedure)
 {
 	uint32_t word = htonl(world->call_count);
 	dy_rpc_call_t call = { .program = PROGRAM,
@@ -648,18 +648,18 @@
 			       .args_len = 4 };
 	uint32_t id = enter_call(world, caller, &call);
 
-	fake_copy(world, index, id);
+	world_copy(world, index, id);
 	return id;
 }
 
-void fake_copy(fake_world_t *world, unsigned index, uint32_t id)
+void world_copy(fake_world_t *world, unsigned index, uint32_t id)
 {
 	const fake_call_t *call = &world->calls[id];
 
 	forward_bytes(world, index, call->caller, call->bytes, call->len);
 }
 
-void fake_cancel(fake_world_t *world, unsigned index, uint32_t meant)
+void world_cancel(fake_world_t *world, unsigned index, uint32_t meant)
 {
 	uint32_t word = htonl(world->calls[meant].xid);
 	dy_rpc_call_t call = { .program = DY_CALLER_PROGRAM,
@@ -672,13 +672,13 @@
 	world->has_cancel_result = 0;
 	id = enter_call(world, world->calls[meant].caller, &call);
 	world->calls[id].meant = meant;
-	fake_copy(world, index, id);
+	world_copy(world, index, id);
 }
 
-void fake_open(fake_world_t *world, unsigned index, unsigned caller)
+void world_open(fake_world_t *world, unsigned index, unsigned caller)
 {
 	world->callers[caller].has_token = 0;
-	fake_call(world, index, caller, NULLPROC);
+	world_call(world, index, caller, NULLPROC);
 }
 
 static size_t write_reply(const fake_link_t *link, fake_reply_t kind,
@@ -708,8 +708,8 @@
 	return dy_rpc_write_reply(&reply, out, cap);
 }
 
-int fake_answer(fake_world_t *world, unsigned index, unsigned at,
-		fake_reply_t kind)
+int world_answer(fake_world_t *world, unsigned index, unsigned at,
+		 fake_reply_t kind)
 {
 	static uint8_t out[DY_DATAGRAM_BYTES + DY_RPC_HEAD_BYTES];
 	fake_agent_t *agent = &world->agents[index];
@@ -730,16 +730,16 @@
 	return 1;
 }
 
-void fake_answer_all(fake_world_t *world, unsigned index)
+void world_answer_all(fake_world_t *world, unsigned index)
 {
 	unsigned i;
 
 	for (i = 0; i < DY_AGENT_SLOTS_MAX; i++)
-		while (fake_answer(world, index, i, FAKE_OK))
+		while (world_answer(world, index, i, FAKE_OK))
 			;
 }
 
-void fake_hang_up(fake_world_t *world, unsigned index, unsigned link)
+void world_hang_up(fake_world_t *world, unsigned index, unsigned link)
 {
 	fake_agent_t *agent = &world->agents[index];
 
@@ -765,7 +765,7 @@
 	return 0;
 }
 
-void fake_answer_cancel(fake_world_t *world, unsigned index, int granted)
+void world_answer_cancel(fake_world_t *world, unsigned index, int granted)
 {
 	fake_agent_t *agent = &world->agents[index];
 	fake_link_t *link = &agent->links[DY_AGENT_CANCEL_LINK];
@@ -783,10 +783,10 @@
 	dy_agent_link_receive(agent->agent, DY_AGENT_CANCEL_LINK, out, len);
 }
 
-void fake_restart_target(fake_world_t *world, unsigned index)
+void world_restart_target(fake_world_t *world, unsigned index)
 {
 	world->agents[index].target_incarnation++;
-	fake_announce(world, index, 0);
+	world_announce(world, index, 0);
 }
 
 static const dy_member_t *find_member(const fake_world_t *world, uint64_t id,
@@ -804,7 +804,7 @@
 	return NULL;
 }
 
-unsigned fake_route(const fake_world_t *world, const dy_token_t *token)
+unsigned world_route(const fake_world_t *world, const dy_token_t *token)
 {
 	const dy_member_t *member =
 		find_member(world, token->agent, token->incarnation);
@@ -823,13 +823,13 @@
 	return token->address.port ? token->address.port - 9000 : 0;
 }
 
-unsigned fake_owner(const fake_world_t *world, unsigned caller)
+unsigned world_owner(const fake_world_t *world, unsigned caller)
 {
 	return world->callers[caller].fields.address.port - 9000;
 }
 
-uint64_t fake_counter(const fake_world_t *world, unsigned index,
-		      const char *name)
+uint64_t world_counter(const fake_world_t *world, unsigned index,
+		       const char *name)
 {
 	return dy_metrics_value(world->agents[index].metrics, name);
 }
--- a/tests/fake_agents.h
+++ b/tests/fake_agents.h
@@ -110,48 +110,48 @@
 void fake_world_destroy(fake_world_t *world);
 
 /* Start an agent and its target; returns when it serves. */
-void fake_start(fake_world_t *world, unsigned index);
+void world_start(fake_world_t *world, unsigned index);
 /* End an agent's process without warning. */
-void fake_kill(fake_world_t *world, unsigned index);
-void fake_announce(fake_world_t *world, unsigned index, int draining);
+void world_kill(fake_world_t *world, unsigned index);
+void world_announce(fake_world_t *world, unsigned index, int draining);
 /* Give an agent all that control's log holds. */
-void fake_poll(fake_world_t *world, unsigned index);
+void world_poll(fake_world_t *world, unsigned index);
 /* Let time pass; targets that announce go on announcing. */
-void fake_pass(fake_world_t *world, unsigned ms);
+void world_pass(fake_world_t *world, unsigned ms);
 
 /* Deliver or lose the oldest message between agents. Returns 0 if none. */
-int fake_deliver(fake_world_t *world);
-int fake_lose(fake_world_t *world);
-int fake_double(fake_world_t *world);
-int fake_reorder(fake_world_t *world);
+int world_deliver(fake_world_t *world);
+int world_lose(fake_world_t *world);
+int world_double(fake_world_t *world);
+int world_reorder(fake_world_t *world);
 /* Deliver, poll and let time pass until nothing more happens. */
-void fake_settle(fake_world_t *world);
+void world_settle(fake_world_t *world);
 
 /* Make a call with the caller's token, if it has one. Returns its id. */
-uint32_t fake_call(fake_world_t *world, unsigned index, unsigned caller,
-		   uint32_t procedure);
+uint32_t world_call(fake_world_t *world, unsigned index, unsigned caller,
+		    uint32_t procedure);
 /* Send the very bytes again, to any agent. */
-void fake_copy(fake_world_t *world, unsigned index, uint32_t id);
-void fake_cancel(fake_world_t *world, unsigned index, uint32_t id);
+void world_copy(fake_world_t *world, unsigned index, uint32_t id);
+void world_cancel(fake_world_t *world, unsigned index, uint32_t id);
 /* NULL, by which the caller gets a token from that agent. */
-void fake_open(fake_world_t *world, unsigned index, unsigned caller);
+void world_open(fake_world_t *world, unsigned index, unsigned caller);
 
 /* The target answers on that connection. Returns 0 if it has no call. */
-int fake_answer(fake_world_t *world, unsigned index, unsigned link,
-		fake_reply_t reply);
-void fake_answer_all(fake_world_t *world, unsigned index);
+int world_answer(fake_world_t *world, unsigned index, unsigned link,
+		 fake_reply_t reply);
+void world_answer_all(fake_world_t *world, unsigned index);
 /* The target closes that connection. */
-void fake_hang_up(fake_world_t *world, unsigned index, unsigned link);
-void fake_answer_cancel(fake_world_t *world, unsigned index, int granted);
+void world_hang_up(fake_world_t *world, unsigned index, unsigned link);
+void world_answer_cancel(fake_world_t *world, unsigned index, int granted);
 /* The target starts anew. */
-void fake_restart_target(fake_world_t *world, unsigned index);
+void world_restart_target(fake_world_t *world, unsigned index);
 
 /* Where a balancer that knows control's whole log sends a call. */
-unsigned fake_route(const fake_world_t *world, const dy_token_t *token);
+unsigned world_route(const fake_world_t *world, const dy_token_t *token);
 
 /* The agent whose number stands in the caller's token. */
-unsigned fake_owner(const fake_world_t *world, unsigned caller);
-uint64_t fake_counter(const fake_world_t *world, unsigned index,
-		      const char *name);
+unsigned world_owner(const fake_world_t *world, unsigned caller);
+uint64_t world_counter(const fake_world_t *world, unsigned index,
+		       const char *name);
 
 #endif
--- a/tests/test_agent.c
+++ b/tests/test_agent.c
@@ -7,8 +7,8 @@
 {
 	fake_world_t *world = fake_world_create();
 
-	fake_start(world, 0);
-	fake_open(world, 0, 0);
+	world_start(world, 0);
+	world_open(world, 0, 0);
 	ck_assert(world->callers[0].has_token);
 	return world;
 }
@@ -16,9 +16,9 @@
 START_TEST(call_runs_once_and_its_answer_comes_back)
 {
 	fake_world_t *world = create_open();
-	uint32_t id = fake_call(world, 0, 0, FAKE_SUBMIT);
+	uint32_t id = world_call(world, 0, 0, FAKE_SUBMIT);
 
-	ck_assert(fake_answer(world, 0, 0, FAKE_OK));
+	ck_assert(world_answer(world, 0, 0, FAKE_OK));
 	ck_assert_int_eq(world->calls[id].answered, 1);
 	ck_assert_uint_eq(world->calls[id].runs, 1);
 	fake_world_destroy(world);
@@ -34,16 +34,16 @@
 START_TEST(copies_never_run_again)
 {
 	fake_world_t *world = create_open();
-	uint32_t id = fake_call(world, 0, 0, FAKE_SUBMIT);
+	uint32_t id = world_call(world, 0, 0, FAKE_SUBMIT);
 
-	fake_copy(world, 0, id);
+	world_copy(world, 0, id);
 	ck_assert_uint_eq(world->calls[id].outcomes, 0);
-	fake_answer(world, 0, 0, FAKE_OK);
-	fake_copy(world, 0, id);
+	world_answer(world, 0, 0, FAKE_OK);
+	world_copy(world, 0, id);
 	ck_assert_uint_eq(world->calls[id].outcomes, 2);
 	ck_assert_uint_eq(world->calls[id].runs, 1);
-	ck_assert_uint_eq(fake_counter(world, 0, "copies_in_progress"), 1);
-	ck_assert_uint_eq(fake_counter(world, 0, "copies_answered"), 1);
+	ck_assert_uint_eq(world_counter(world, 0, "copies_in_progress"), 1);
+	ck_assert_uint_eq(world_counter(world, 0, "copies_answered"), 1);
 	fake_world_destroy(world);
 }
 END_TEST
@@ -57,7 +57,7 @@
 	fake_world_t *world = create_open();
 	uint64_t session = world->callers[0].fields.session;
 
-	fake_copy(world, 0, 0);
+	world_copy(world, 0, 0);
 	ck_assert_uint_eq(dy_agent_session_count(world->agents[0].agent), 1);
 	ck_assert_uint_eq(world->callers[0].fields.session, session);
 	fake_world_destroy(world);
@@ -69,12 +69,12 @@
 	fake_world_t *world = fake_world_create();
 	uint32_t id;
 
-	fake_start(world, 0);
-	id = fake_call(world, 0, 0, FAKE_SUBMIT);
+	world_start(world, 0);
+	id = world_call(world, 0, 0, FAKE_SUBMIT);
 	ck_assert_uint_eq(world->calls[id].status, AUTH_TOOWEAK);
 	ck_assert_int_eq(world->calls[id].verdict, DY_NOT_RUN);
-	id = fake_call(world, 0, 0, FAKE_COUNT);
-	fake_answer(world, 0, 0, FAKE_OK);
+	id = world_call(world, 0, 0, FAKE_COUNT);
+	world_answer(world, 0, 0, FAKE_OK);
 	ck_assert(world->callers[0].has_token);
 	ck_assert_int_eq(world->calls[id].answered, 1);
 	fake_world_destroy(world);
@@ -103,15 +103,15 @@
 	unsigned i;
 
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
-		id = fake_call(world, 0, 0, FAKE_SUBMIT);
-		ck_assert(fake_answer(world, 0, 0, cases[i].reply) ||
-			  fake_answer(world, 0, 1, cases[i].reply));
+		id = world_call(world, 0, 0, FAKE_SUBMIT);
+		ck_assert(world_answer(world, 0, 0, cases[i].reply) ||
+			  world_answer(world, 0, 1, cases[i].reply));
 		ck_assert_int_eq(world->calls[id].verdict, cases[i].verdict);
 		ck_assert_int_eq(world->calls[id].reason, cases[i].reason);
-		fake_copy(world, 0, id);
+		world_copy(world, 0, id);
 		ck_assert_uint_eq(world->calls[id].outcomes, 2);
 		ck_assert_int_eq(world->calls[id].verdict, cases[i].verdict);
-		fake_pass(world, 200);
+		world_pass(world, 200);
 	}
 	fake_world_destroy(world);
 }
@@ -126,13 +126,13 @@
 START_TEST(late_answer_reaches_no_other_call)
 {
 	fake_world_t *world = create_open();
-	uint32_t id = fake_call(world, 0, 0, FAKE_SUBMIT);
+	uint32_t id = world_call(world, 0, 0, FAKE_SUBMIT);
 
-	fake_pass(world, 1100);
+	world_pass(world, 1100);
 	ck_assert_int_eq(world->calls[id].verdict, DY_MAY_HAVE_RUN);
 	ck_assert_int_eq(world->calls[id].reason, DY_REASON_DEADLINE);
 	ck_assert_int_eq(world->agents[0].links[0].busy, 0);
-	fake_copy(world, 0, id);
+	world_copy(world, 0, id);
 	ck_assert_uint_eq(world->calls[id].runs, 1);
 	ck_assert_int_eq(world->calls[id].verdict, DY_MAY_HAVE_RUN);
 	fake_world_destroy(world);
@@ -147,23 +147,23 @@
 START_TEST(target_lost_before_and_after_sending)
 {
 	fake_world_t *world = create_open();
-	uint32_t sent = fake_call(world, 0, 0, FAKE_SUBMIT);
+	uint32_t sent = world_call(world, 0, 0, FAKE_SUBMIT);
 	uint32_t refused;
 
-	fake_call(world, 0, 0, FAKE_SUBMIT);
-	refused = fake_call(world, 0, 0, FAKE_SUBMIT);
+	world_call(world, 0, 0, FAKE_SUBMIT);
+	refused = world_call(world, 0, 0, FAKE_SUBMIT);
 	world->agents[0].announcing = 0;
-	fake_hang_up(world, 0, 0);
+	world_hang_up(world, 0, 0);
 	ck_assert_int_eq(world->calls[sent].verdict, DY_MAY_HAVE_RUN);
 	ck_assert_int_eq(world->calls[sent].reason, DY_REASON_TARGET_LOST);
-	fake_pass(world, 3200);
+	world_pass(world, 3200);
 	ck_assert_int_eq(world->calls[refused].verdict, DY_NOT_RUN);
 	ck_assert_uint_gt(world->calls[refused].retry_ms, 0);
-	refused = fake_call(world, 0, 0, FAKE_SUBMIT);
+	refused = world_call(world, 0, 0, FAKE_SUBMIT);
 	ck_assert_int_eq(world->calls[refused].reason, DY_REASON_TARGET_LOST);
-	fake_restart_target(world, 0);
-	fake_pass(world, 200);
-	fake_copy(world, 0, refused);
+	world_restart_target(world, 0);
+	world_pass(world, 200);
+	world_copy(world, 0, refused);
 	ck_assert_uint_eq(world->calls[refused].runs, 0);
 	ck_assert_int_eq(world->calls[refused].verdict, DY_NOT_RUN);
 	fake_world_destroy(world);
@@ -176,7 +176,7 @@
 	uint32_t id;
 
 	world->agents[0].refuse_sends = 1;
-	id = fake_call(world, 0, 0, FAKE_SUBMIT);
+	id = world_call(world, 0, 0, FAKE_SUBMIT);
 	ck_assert_int_eq(world->calls[id].verdict, DY_NOT_RUN);
 	ck_assert_int_eq(world->calls[id].reason, DY_REASON_TARGET_LOST);
 	fake_world_destroy(world);
@@ -199,18 +199,18 @@
 
 	world->agents[0].frozen = 1;
 	for (i = 0; i < 10; i++) {
-		id = fake_call(world, 0, 0, FAKE_SUBMIT);
-		fake_pass(world, 1100);
+		id = world_call(world, 0, 0, FAKE_SUBMIT);
+		world_pass(world, 1100);
 		doubtful += world->calls[id].verdict == DY_MAY_HAVE_RUN;
 	}
 	ck_assert_uint_eq(doubtful, FAKE_SLOTS);
 	ck_assert_int_eq(world->calls[id].verdict, DY_NOT_RUN);
-	fake_open(world, 0, 1);
+	world_open(world, 0, 1);
 	ck_assert_int_eq(world->bounce_reason, DY_REASON_TARGET_LOST);
 	world->agents[0].frozen = 0;
-	fake_pass(world, 2000);
-	id = fake_call(world, 0, 0, FAKE_SUBMIT);
-	fake_answer_all(world, 0);
+	world_pass(world, 2000);
+	id = world_call(world, 0, 0, FAKE_SUBMIT);
+	world_answer_all(world, 0);
 	ck_assert_int_eq(world->calls[id].answered, 1);
 	fake_world_destroy(world);
 }
@@ -223,14 +223,14 @@
 START_TEST(restarted_target_closes_every_connection)
 {
 	fake_world_t *world = create_open();
-	uint32_t id = fake_call(world, 0, 0, FAKE_SUBMIT);
+	uint32_t id = world_call(world, 0, 0, FAKE_SUBMIT);
 
-	fake_restart_target(world, 0);
+	world_restart_target(world, 0);
 	ck_assert_int_eq(world->calls[id].verdict, DY_MAY_HAVE_RUN);
-	ck_assert_int_eq(fake_answer(world, 0, 0, FAKE_OK), 0);
-	fake_pass(world, 200);
-	id = fake_call(world, 0, 0, FAKE_SUBMIT);
-	fake_answer_all(world, 0);
+	ck_assert_int_eq(world_answer(world, 0, 0, FAKE_OK), 0);
+	world_pass(world, 200);
+	id = world_call(world, 0, 0, FAKE_SUBMIT);
+	world_answer_all(world, 0);
 	ck_assert_int_eq(world->calls[id].answered, 1);
 	fake_world_destroy(world);
 }
@@ -244,16 +244,16 @@
 START_TEST(token_of_a_dead_incarnation_never_runs)
 {
 	fake_world_t *world = create_open();
-	uint32_t id = fake_call(world, 0, 0, FAKE_SUBMIT);
+	uint32_t id = world_call(world, 0, 0, FAKE_SUBMIT);
 	uint32_t pull;
 
-	fake_start(world, 0);
-	fake_copy(world, 0, id);
+	world_start(world, 0);
+	world_copy(world, 0, id);
 	ck_assert_uint_eq(world->calls[id].runs, 1);
 	ck_assert_int_eq(world->calls[id].verdict, DY_MAY_HAVE_RUN);
 	ck_assert_int_eq(world->calls[id].reason, DY_REASON_UNKNOWN_SESSION);
-	pull = fake_call(world, 0, 0, FAKE_COUNT);
-	fake_answer_all(world, 0);
+	pull = world_call(world, 0, 0, FAKE_COUNT);
+	world_answer_all(world, 0);
 	ck_assert_int_eq(world->calls[pull].answered, 1);
 	ck_assert_uint_eq(world->callers[0].fields.incarnation,
 			  world->agents[0].incarnation);
@@ -268,24 +268,24 @@
 	unsigned i;
 
 	for (i = 0; i < 3; i++)
-		ids[i] = fake_call(world, 0, 0, FAKE_SUBMIT);
-	fake_cancel(world, 0, ids[2]); /* waits for a slot */
+		ids[i] = world_call(world, 0, 0, FAKE_SUBMIT);
+	world_cancel(world, 0, ids[2]); /* waits for a slot */
 	ck_assert_int_eq(world->cancel_result.verdict, DY_NOT_RUN);
 	ck_assert_int_eq(world->calls[ids[2]].verdict, DY_NOT_RUN);
-	fake_answer(world, 0, 1, FAKE_OK);
-	fake_cancel(world, 0, ids[1]); /* has its answer */
+	world_answer(world, 0, 1, FAKE_OK);
+	world_cancel(world, 0, ids[1]); /* has its answer */
 	ck_assert_int_eq(world->cancel_result.verdict, DY_RAN);
-	fake_cancel(world, 0, ids[0]); /* with the target */
+	world_cancel(world, 0, ids[0]); /* with the target */
 	ck_assert_int_eq(world->has_cancel_result, 0);
-	fake_answer_cancel(world, 0, 1);
+	world_answer_cancel(world, 0, 1);
 	ck_assert_int_eq(world->cancel_result.verdict, DY_NOT_RUN);
 	ck_assert_int_eq(world->calls[ids[0]].reason, DY_REASON_CANCELLED);
-	fake_pass(world, 200);
-	ids[3] = fake_call(world, 0, 0, FAKE_SUBMIT);
-	fake_cancel(world, 0, ids[3]);
-	fake_answer_cancel(world, 0, 0); /* the target goes on */
+	world_pass(world, 200);
+	ids[3] = world_call(world, 0, 0, FAKE_SUBMIT);
+	world_cancel(world, 0, ids[3]);
+	world_answer_cancel(world, 0, 0); /* the target goes on */
 	ck_assert_int_eq(world->cancel_result.verdict, DY_MAY_HAVE_RUN);
-	fake_answer_all(world, 0);
+	world_answer_all(world, 0);
 	ck_assert_int_eq(world->calls[ids[3]].answered, 1);
 	fake_world_destroy(world);
 }
@@ -317,7 +317,7 @@
 	dy_agent_forward(world->agents[0].agent, &balancer, &forward);
 	ck_assert_uint_eq(world->bounces, 1);
 	ck_assert_uint_eq(world->calls[0].outcomes, 1);
-	ck_assert_uint_eq(fake_counter(world, 0, "forward_misdirected"), 1);
+	ck_assert_uint_eq(world_counter(world, 0, "forward_misdirected"), 1);
 	fake_world_destroy(world);
 }
 END_TEST
@@ -329,10 +329,10 @@
 	uint32_t id;
 
 	dy_agent_set_lease(world->agents[0].agent, 0);
-	id = fake_call(world, 0, 0, FAKE_SUBMIT);
-	fake_answer_all(world, 0);
+	id = world_call(world, 0, 0, FAKE_SUBMIT);
+	world_answer_all(world, 0);
 	ck_assert_int_eq(world->calls[id].answered, 1);
-	fake_open(world, 0, 1);
+	world_open(world, 0, 1);
 	ck_assert_int_eq(world->callers[1].has_token, 0);
 	ck_assert_uint_eq(world->bounces, 1);
 	ck_assert_int_eq(world->bounce_reason, DY_REASON_NOT_READY);
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -11,10 +11,10 @@
 	unsigned i;
 
 	for (i = 0; i < agents; i++)
-		fake_start(world, i);
+		world_start(world, i);
 	for (i = 0; i < agents; i++)
-		fake_poll(world, i);
-	fake_open(world, 0, 0);
+		world_poll(world, i);
+	world_open(world, 0, 0);
 	ck_assert(world->callers[0].has_token);
 	return world;
 }
@@ -22,7 +22,7 @@
 static void leave(fake_world_t *world, unsigned index)
 {
 	dy_agent_leave(world->agents[index].agent, "test", 1);
-	fake_poll(world, index);
+	world_poll(world, index);
 }
 
 START_TEST(same_successor_everywhere)
@@ -51,26 +51,26 @@
 START_TEST(session_moves_with_its_cache)
 {
 	fake_world_t *world = create_group(2);
-	uint32_t ran = fake_call(world, 0, 0, FAKE_SUBMIT);
+	uint32_t ran = world_call(world, 0, 0, FAKE_SUBMIT);
 	uint32_t shed;
 	uint32_t next;
 
-	fake_answer_all(world, 0);
-	shed = fake_call(world, 0, 0, FAKE_SUBMIT);
-	ck_assert(fake_answer(world, 0, 0, FAKE_SHED));
+	world_answer_all(world, 0);
+	shed = world_call(world, 0, 0, FAKE_SUBMIT);
+	ck_assert(world_answer(world, 0, 0, FAKE_SHED));
 	leave(world, 0);
-	fake_settle(world);
+	world_settle(world);
 	ck_assert_int_eq(dy_agent_state(world->agents[0].agent),
 			 DY_MEMBER_LEFT);
-	fake_copy(world, 1, ran);
-	fake_copy(world, 1, shed);
+	world_copy(world, 1, ran);
+	world_copy(world, 1, shed);
 	ck_assert_uint_eq(world->calls[ran].outcomes, 2);
 	ck_assert_int_eq(world->calls[ran].verdict, DY_RAN);
 	ck_assert_int_eq(world->calls[shed].reason, DY_REASON_SHED);
-	next = fake_call(world, 1, 0, FAKE_SUBMIT);
-	fake_answer_all(world, 1);
+	next = world_call(world, 1, 0, FAKE_SUBMIT);
+	world_answer_all(world, 1);
 	ck_assert_int_eq(world->calls[next].answered, 1);
-	ck_assert_uint_eq(fake_owner(world, 0), 1);
+	ck_assert_uint_eq(world_owner(world, 0), 1);
 	fake_world_destroy(world);
 }
 END_TEST
@@ -86,15 +86,15 @@
 	uint32_t id;
 
 	leave(world, 0);
-	fake_pass(world, 50);
-	ck_assert(fake_deliver(world)); /* MOVE */
-	ck_assert(fake_lose(world));	/* TAKEN */
-	id = fake_call(world, 0, 0, FAKE_SUBMIT);
-	ck_assert_uint_eq(fake_counter(world, 0, "calls_sent"), 0);
-	ck_assert(fake_deliver(world)); /* the call itself */
-	ck_assert_uint_eq(fake_counter(world, 1, "calls_sent"), 1);
-	fake_copy(world, 0, id);
-	fake_settle(world);
+	world_pass(world, 50);
+	ck_assert(world_deliver(world)); /* MOVE */
+	ck_assert(world_lose(world));	 /* TAKEN */
+	id = world_call(world, 0, 0, FAKE_SUBMIT);
+	ck_assert_uint_eq(world_counter(world, 0, "calls_sent"), 0);
+	ck_assert(world_deliver(world)); /* the call itself */
+	ck_assert_uint_eq(world_counter(world, 1, "calls_sent"), 1);
+	world_copy(world, 0, id);
+	world_settle(world);
 	ck_assert_uint_eq(world->calls[id].runs, 1);
 	ck_assert_int_eq(world->calls[id].answered, 1);
 	ck_assert_int_eq(dy_agent_state(world->agents[0].agent),
@@ -114,15 +114,15 @@
 	uint32_t id;
 
 	leave(world, 0);
-	fake_pass(world, 50);
-	fake_double(world);
-	ck_assert(fake_deliver(world));
-	id = fake_call(world, 1, 0, FAKE_SUBMIT);
-	fake_answer_all(world, 1);
-	fake_settle(world);
-	fake_copy(world, 1, id);
+	world_pass(world, 50);
+	world_double(world);
+	ck_assert(world_deliver(world));
+	id = world_call(world, 1, 0, FAKE_SUBMIT);
+	world_answer_all(world, 1);
+	world_settle(world);
+	world_copy(world, 1, id);
 	ck_assert_uint_eq(world->calls[id].runs, 1);
-	ck_assert_uint_eq(fake_counter(world, 1, "sessions_received"), 1);
+	ck_assert_uint_eq(world_counter(world, 1, "sessions_received"), 1);
 	fake_world_destroy(world);
 }
 END_TEST
@@ -131,19 +131,19 @@
 START_TEST(call_in_progress_ends_first)
 {
 	fake_world_t *world = create_group(2);
-	uint32_t id = fake_call(world, 0, 0, FAKE_SUBMIT);
+	uint32_t id = world_call(world, 0, 0, FAKE_SUBMIT);
 	uint32_t next;
 
 	leave(world, 0);
-	fake_pass(world, 300);
-	ck_assert_uint_eq(fake_counter(world, 0, "sessions_moved"), 0);
-	next = fake_call(world, 0, 0, FAKE_SUBMIT);
+	world_pass(world, 300);
+	ck_assert_uint_eq(world_counter(world, 0, "sessions_moved"), 0);
+	next = world_call(world, 0, 0, FAKE_SUBMIT);
 	ck_assert_uint_eq(world->calls[next].runs, 0);
-	fake_answer_all(world, 0);
+	world_answer_all(world, 0);
 	ck_assert_int_eq(world->calls[id].answered, 1);
-	fake_settle(world);
-	fake_copy(world, 1, next);
-	fake_answer_all(world, 1);
+	world_settle(world);
+	world_copy(world, 1, next);
+	world_answer_all(world, 1);
 	ck_assert_int_eq(world->calls[next].answered, 1);
 	fake_world_destroy(world);
 }
@@ -158,18 +158,18 @@
 START_TEST(early_call_waits_for_the_session)
 {
 	fake_world_t *world = create_group(2);
-	uint32_t ran = fake_call(world, 0, 0, FAKE_SUBMIT);
+	uint32_t ran = world_call(world, 0, 0, FAKE_SUBMIT);
 	uint32_t id;
 
-	fake_answer_all(world, 0);
+	world_answer_all(world, 0);
 	leave(world, 0);
-	id = fake_call(world, 1, 0, FAKE_SUBMIT);
-	fake_copy(world, 1, ran);
+	id = world_call(world, 1, 0, FAKE_SUBMIT);
+	world_copy(world, 1, ran);
 	ck_assert_uint_eq(world->calls[id].outcomes, 0);
 	ck_assert_uint_eq(world->calls[ran].outcomes, 1);
-	fake_settle(world);
-	fake_copy(world, 1, id);
-	fake_answer_all(world, 1);
+	world_settle(world);
+	world_copy(world, 1, id);
+	world_answer_all(world, 1);
 	ck_assert_int_eq(world->calls[id].answered, 1);
 	fake_world_destroy(world);
 }
@@ -186,21 +186,21 @@
 	uint32_t id;
 	unsigned i;
 
-	fake_open(world, 1, 1);
+	world_open(world, 1, 1);
 	dy_agent_leave(world->agents[0].agent, "test", 0);
 	dy_agent_leave(world->agents[1].agent, "test", 0);
-	fake_pass(world, 50);
-	fake_settle(world);
-	fake_start(world, 2);
+	world_pass(world, 50);
+	world_settle(world);
+	world_start(world, 2);
 	for (i = 0; i < 3; i++)
-		fake_settle(world);
+		world_settle(world);
 	ck_assert_int_eq(dy_agent_state(world->agents[0].agent),
 			 DY_MEMBER_LEFT);
 	ck_assert_int_eq(dy_agent_state(world->agents[1].agent),
 			 DY_MEMBER_LEFT);
 	for (i = 0; i < 2; i++) {
-		id = fake_call(world, 2, i, FAKE_SUBMIT);
-		fake_answer_all(world, 2);
+		id = world_call(world, 2, i, FAKE_SUBMIT);
+		world_answer_all(world, 2);
 		ck_assert_int_eq(world->calls[id].answered, 1);
 	}
 	fake_world_destroy(world);
@@ -219,28 +219,28 @@
 	uint32_t id;
 
 	leave(world, 0);
-	fake_pass(world, 50);
-	ck_assert(fake_deliver(world));
-	ck_assert(fake_lose(world));
-	fake_start(world, 2);
-	fake_poll(world, 1);
+	world_pass(world, 50);
+	ck_assert(world_deliver(world));
+	ck_assert(world_lose(world));
+	world_start(world, 2);
+	world_poll(world, 1);
 	leave(world, 1);
-	fake_pass(world, 50);
-	ck_assert(fake_deliver(world));
-	ck_assert(fake_deliver(world));
-	fake_pass(world, 50);
+	world_pass(world, 50);
+	ck_assert(world_deliver(world));
+	ck_assert(world_deliver(world));
+	world_pass(world, 50);
 	ck_assert_int_eq(dy_agent_state(world->agents[1].agent),
 			 DY_MEMBER_LEFT);
-	id = fake_call(world, 2, 0, FAKE_SUBMIT);
+	id = world_call(world, 2, 0, FAKE_SUBMIT);
 	ck_assert_uint_eq(world->calls[id].runs, 1);
-	fake_kill(world, 1);
-	fake_start(world, 2);
-	fake_settle(world);
-	fake_copy(world, 2, id);
-	fake_pass(world, 12000);
-	fake_settle(world);
-	fake_copy(world, 2, id);
-	ck_assert_uint_eq(fake_counter(world, 0, "sessions_lost"), 1);
+	world_kill(world, 1);
+	world_start(world, 2);
+	world_settle(world);
+	world_copy(world, 2, id);
+	world_pass(world, 12000);
+	world_settle(world);
+	world_copy(world, 2, id);
+	ck_assert_uint_eq(world_counter(world, 0, "sessions_lost"), 1);
 	ck_assert_int_eq(world->calls[id].verdict, DY_MAY_HAVE_RUN);
 	fake_world_destroy(world);
 }
@@ -256,14 +256,14 @@
 	uint32_t id;
 
 	leave(world, 0);
-	fake_pass(world, 50);
-	ck_assert(fake_deliver(world));
-	id = fake_call(world, 1, 0, FAKE_SUBMIT);
-	ck_assert(fake_lose(world));
-	fake_start(world, 1);
-	fake_settle(world);
-	ck_assert_uint_eq(fake_counter(world, 0, "sessions_lost"), 1);
-	fake_copy(world, 0, id);
+	world_pass(world, 50);
+	ck_assert(world_deliver(world));
+	id = world_call(world, 1, 0, FAKE_SUBMIT);
+	ck_assert(world_lose(world));
+	world_start(world, 1);
+	world_settle(world);
+	ck_assert_uint_eq(world_counter(world, 0, "sessions_lost"), 1);
+	world_copy(world, 0, id);
 	ck_assert_uint_eq(world->calls[id].runs, 1);
 	ck_assert_int_eq(world->calls[id].verdict, DY_MAY_HAVE_RUN);
 	fake_world_destroy(world);
@@ -278,20 +278,20 @@
 START_TEST(lost_target_hands_its_sessions_on)
 {
 	fake_world_t *world = create_group(2);
-	uint32_t doubtful = fake_call(world, 0, 0, FAKE_SUBMIT);
+	uint32_t doubtful = world_call(world, 0, 0, FAKE_SUBMIT);
 	uint32_t next;
 
 	world->agents[0].announcing = 0;
-	fake_hang_up(world, 0, 0);
+	world_hang_up(world, 0, 0);
 	ck_assert_int_eq(world->calls[doubtful].verdict, DY_MAY_HAVE_RUN);
-	fake_pass(world, 10000);
-	fake_settle(world);
+	world_pass(world, 10000);
+	world_settle(world);
 	ck_assert_int_eq(dy_agent_state(world->agents[0].agent),
 			 DY_MEMBER_LEFT);
-	next = fake_call(world, 1, 0, FAKE_SUBMIT);
-	fake_answer_all(world, 1);
+	next = world_call(world, 1, 0, FAKE_SUBMIT);
+	world_answer_all(world, 1);
 	ck_assert_int_eq(world->calls[next].answered, 1);
-	fake_copy(world, 1, doubtful);
+	world_copy(world, 1, doubtful);
 	ck_assert_uint_eq(world->calls[doubtful].runs, 1);
 	fake_world_destroy(world);
 }
@@ -303,14 +303,14 @@
 	fake_world_t *world = create_group(2);
 
 	world->agents[1].announcing = 0;
-	fake_pass(world, 5000);
-	fake_poll(world, 0);
+	world_pass(world, 5000);
+	world_poll(world, 0);
 	dy_agent_leave(world->agents[0].agent, "test", 0);
-	fake_settle(world);
+	world_settle(world);
 	ck_assert_int_eq(dy_agent_state(world->agents[0].agent),
 			 DY_MEMBER_DRAINING);
 	world->agents[1].announcing = 1;
-	fake_settle(world);
+	world_settle(world);
 	ck_assert_int_eq(dy_agent_state(world->agents[0].agent),
 			 DY_MEMBER_LEFT);
 	fake_world_destroy(world);
@@ -323,13 +323,13 @@
 	fake_world_t *world = create_group(1);
 
 	leave(world, 0);
-	fake_open(world, 0, 1);
+	world_open(world, 0, 1);
 	ck_assert_int_eq(world->bounce_reason, DY_REASON_DRAINING);
-	fake_pass(world, 4000);
+	world_pass(world, 4000);
 	ck_assert_int_eq(world->agents[0].left, 0);
-	fake_pass(world, 2000);
-	fake_poll(world, 0);
-	fake_pass(world, 6000);
+	world_pass(world, 2000);
+	world_poll(world, 0);
+	world_pass(world, 6000);
 	ck_assert_int_eq(world->agents[0].left, 1);
 	fake_world_destroy(world);
 }
