--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -171,6 +171,9 @@
 			       MIN(service->connections, target->connections),
 			       service->session_idle_s * 1000ULL);
 	agent_target_set_slots(agent);
+	if (agent->slots == agent->crowd_slots)
+		return;
+	agent->crowd_slots = agent->slots;
 	dy_crowd_limit_init(&agent->crowd, agent->slots, agent_now_ms(agent));
 }
 
--- a/src/process/agent_private.h
+++ b/src/process/agent_private.h
@@ -194,6 +194,7 @@
 	dy_crowd_limit_t crowd;
 	dy_burn_t *burn;
 	uint64_t burn_published_ms;
+	unsigned crowd_slots; /* for which it was made */
 	target_link_t links[DY_AGENT_LINKS];
 	unsigned slots; /* connections wanted */
 	unsigned up;	/* that stand */
