--- a/fuzz/fuzz_registry.c
+++ b/fuzz/fuzz_registry.c
@@ -1,12 +1,12 @@
 /*
- * The registry against its oracle (tests/fake_registry.h), four bytes a
+ * The registry against its oracle (tests/fake_registry_run.h), four bytes a
  * step; snapshots are written and loaded at random points.
  */
 
 #include <stddef.h>
 #include <stdint.h>
 
-#include "fake_registry.h"
+#include "fake_registry_run.h"
 
 /* libFuzzer's own name. NOLINTNEXTLINE(readability-identifier-naming) */
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -315,55 +315,6 @@
 	control->reviewed_ms = now;
 }
 
-static void register_counters(dy_control_t *control)
-{
-	const struct {
-		const char *name;
-		uint64_t **counter;
-	} names[] = {
-		{ "control_polls", &control->counters.polls },
-		{ "control_fetches", &control->counters.fetches },
-		{ "control_puts", &control->counters.puts },
-		{ "control_changes", &control->counters.changes },
-		{ "control_inspects", &control->counters.inspects },
-		{ "control_proposals", &control->counters.proposals },
-		{ "control_calls_malformed", &control->counters.malformed },
-		{ "control_truncated", &control->counters.truncated },
-		{ "control_unsent", &control->counters.unsent },
-		{ "control_not_leader", &control->counters.not_leader },
-		{ "control_unavailable", &control->counters.unavailable },
-		{ "control_name_taken", &control->counters.name_taken },
-		{ "control_superseded", &control->counters.superseded },
-		{ "control_refused_full", &control->counters.refused_full },
-		{ "uploads_dropped", &control->counters.uploads_dropped },
-		{ "leader_elected", &control->counters.led },
-		{ "group_founded", &control->counters.founded },
-		{ "learner_added", &control->counters.learners_added },
-		{ "control_promoted", &control->counters.members_promoted },
-		{ "control_removed", &control->counters.members_removed },
-		{ "control_join_refused", &control->counters.joins_refused },
-		{ "disk_failed", &control->counters.disk_failures },
-		{ "snapshots_written", &control->counters.snapshots },
-		{ "promoted_untried", &control->counters.untried },
-	};
-	static const dy_log_limit_t limit = DY_LOG_LIMIT_INIT(100, 1000);
-	static const dy_log_limit_t rare = DY_LOG_LIMIT_INIT(3, 10000);
-	static const dy_log_limit_t one = DY_LOG_LIMIT_INIT(1, WAITING_MS);
-	size_t i;
-
-	for (i = 0; i < G_N_ELEMENTS(names); i++)
-		*names[i].counter =
-			dy_metrics_counter(control->metrics, names[i].name);
-	for (i = 0; i < DY_EVENTS; i++) {
-		control->counters.events[i] = dy_metrics_counter(
-			control->metrics, dy_registry_event_name(i));
-		control->event_limits[i] = limit;
-	}
-	control->join_limit = rare;
-	control->waiting_limit = one;
-	control->malformed_limit = rare;
-}
-
 static int open_store(dy_control_t *control, GError **error)
 {
 	dy_store_options_t options = { 0 };
@@ -447,7 +398,7 @@
 	control->started_ms = control_now_ms(control);
 	control->reviewed_ms = control->started_ms;
 	dy_list_init(&control->requests);
-	register_counters(control);
+	control_register_counters(control);
 	founding_init(&control->founding, &control->options.peers,
 		      options->slot);
 	control->seal = dy_seal_create(&options->secrets, metrics);
--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -113,6 +113,9 @@
 	} args;
 } request_t;
 
+/* control_counters.c; sets the limits of log lines too. */
+void control_register_counters(dy_control_t *control);
+
 /* control.c */
 uint64_t control_now_ms(const dy_control_t *control);
 /* Whether this control leads a group that may serve. */
