--- a/proto/dy_control.x
+++ b/proto/dy_control.x
@@ -125,11 +125,19 @@
 struct dy_fetch_t {
 	string environment<DY_NAME_BYTES>;
 	opaque digest[DY_DIGEST_BYTES];
+	opaque base[DY_DIGEST_BYTES];	/* held already; zero: none */
 	unsigned int offset;
 };
 
+/*
+ * The document is the first `prefix` bytes of the base, then `size` bytes
+ * that are fetched, then the last `suffix` bytes of the base. Both are 0 for
+ * a base that this control does not hold any more.
+ */
 struct dy_fetch_result_t {
 	dy_status_t status;
+	unsigned int prefix;
+	unsigned int suffix;
 	unsigned int size;
 	opaque page<DY_PAGE_BYTES>;
 };
--- a/src/gen/dy_control.h
+++ b/src/gen/dy_control.h
@@ -140,12 +140,15 @@
 struct dy_fetch_t {
 	char *environment;
 	char digest[DY_DIGEST_BYTES];
+	char base[DY_DIGEST_BYTES];
 	u_int offset;
 };
 typedef struct dy_fetch_t dy_fetch_t;
 
 struct dy_fetch_result_t {
 	dy_status_t status;
+	u_int prefix;
+	u_int suffix;
 	u_int size;
 	struct {
 		u_int page_len;
--- a/src/gen/dy_control_xdr.c
+++ b/src/gen/dy_control_xdr.c
@@ -209,6 +209,8 @@
 		 return FALSE;
 	 if (!xdr_opaque (xdrs, objp->digest, DY_DIGEST_BYTES))
 		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->base, DY_DIGEST_BYTES))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->offset))
 		 return FALSE;
 	return TRUE;
@@ -219,8 +221,55 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_dy_status_t (xdrs, &objp->status))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->prefix))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->suffix))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->size))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->prefix);
+		IXDR_PUT_U_LONG(buf, objp->suffix);
+		IXDR_PUT_U_LONG(buf, objp->size);
+		}
+		 if (!xdr_bytes (xdrs, (char **)&objp->page.page_val, (u_int *) &objp->page.page_len, DY_PAGE_BYTES))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_dy_status_t (xdrs, &objp->status))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->prefix))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->suffix))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->size))
+				 return FALSE;
+
+		} else {
+		objp->prefix = IXDR_GET_U_LONG(buf);
+		objp->suffix = IXDR_GET_U_LONG(buf);
+		objp->size = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_bytes (xdrs, (char **)&objp->page.page_val, (u_int *) &objp->page.page_len, DY_PAGE_BYTES))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_dy_status_t (xdrs, &objp->status))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->prefix))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->suffix))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->size))
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->page.page_val, (u_int *) &objp->page.page_len, DY_PAGE_BYTES))
--- a/src/process/control_change.c
+++ b/src/process/control_change.c
@@ -5,13 +5,35 @@
 #include <string.h>
 
 #include "control_private.h"
+#include "damaskyard/document_patch.h"
 #include "damaskyard/invariant.h"
 
+/* Only what differs from the member's own document, if that is at hand. */
+static void fill_fetch(dy_control_t *control, const dy_fetch_t *args,
+		       const uint8_t *bytes, uint32_t len,
+		       dy_fetch_result_t *result)
+{
+	dy_document_patch_t patch;
+
+	recent_documents_add(control->recent, args->digest, bytes, len);
+	recent_documents_compare(control->recent, args->base, args->digest,
+				 bytes, len, &patch);
+	result->prefix = patch.prefix;
+	result->suffix = patch.suffix;
+	result->size = patch.size;
+	if (args->offset >= patch.size)
+		return;
+	result->page.page_val = (char *)bytes + patch.prefix + args->offset;
+	result->page.page_len =
+		MIN(patch.size - args->offset, (uint32_t)DY_PAGE_BYTES);
+}
+
 void control_fetch(dy_control_t *control, const dy_sealed_t *message,
 		   const struct sockaddr *from)
 {
 	dy_fetch_result_t result = { 0 };
 	const uint8_t *bytes;
+	uint32_t len = 0;
 	dy_fetch_t args;
 
 	++*control->counters.fetches;
@@ -22,14 +44,11 @@
 	}
 	/* Content is named by its digest: any control's copy is the same. */
 	bytes = dy_registry_find_content(control->registry,
-					 (uint8_t *)args.digest, &result.size);
-	if (!bytes) {
+					 (uint8_t *)args.digest, &len);
+	if (bytes)
+		fill_fetch(control, &args, bytes, len, &result);
+	else
 		result.status = DY_STATUS_NOT_FOUND;
-	} else if (args.offset < result.size) {
-		result.page.page_val = (char *)bytes + args.offset;
-		result.page.page_len =
-			MIN(result.size - args.offset, (uint32_t)DY_PAGE_BYTES);
-	}
 	control_answer(control, from, message->xid,
 		       (xdrproc_t)xdr_dy_fetch_result_t, &result);
 	xdr_free((xdrproc_t)xdr_dy_fetch_t, (char *)&args);
--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -8,6 +8,7 @@
 #include "damaskyard/seal.h"
 #include "damaskyard/store.h"
 #include "founding.h"
+#include "recent_documents.h"
 #include "uploads.h"
 
 /*
@@ -75,6 +76,7 @@
 	dy_raft_t *raft;
 	dy_registry_t *registry;
 	uploads_t *uploads;
+	recent_documents_t *recent;
 	founding_t founding;
 	uv_prepare_t *prepare;
 	uv_check_t *check;
--- a/src/process/subscriber.c
+++ b/src/process/subscriber.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-#include "damaskyard/document.h"
 #include "damaskyard/log.h"
+#include "document_fetch.h"
 
 /* The loop looks this often whether a poll or a page is due, in ms. */
 #define TICK_MS 50
@@ -11,17 +11,6 @@
 /* Bytes of a poll or a request for a page, with its seal. */
 #define REQUEST_BYTES 4096
 
-/* A document on its way here, page by page. */
-typedef struct fetch {
-	dy_document_info_t info;
-	char *environment;
-	uint8_t *bytes;
-	uint32_t received;
-	uint32_t xid;
-	uint64_t sent_ms;
-	int active;
-} fetch_t;
-
 struct dy_subscriber {
 	dy_subscriber_config_t config;
 	dy_member_info_t info;
@@ -30,7 +19,6 @@
 	uint64_t incarnation;
 	uint64_t state_version;
 	uint64_t document;
-	uint64_t newest_document;
 	dy_member_state_t state;
 	uint64_t successors[DY_SUCCESSORS_MAX];
 	unsigned successor_count;
@@ -46,7 +34,7 @@
 	uint64_t confirmed_ms;
 	int confirmed;
 	int drain_told;
-	fetch_t fetch;
+	document_fetch_t *fetch;
 	uint64_t *polls;
 	uint64_t *poll_timeouts;
 	uint64_t *stale_answers;
@@ -104,88 +92,47 @@
 		     (xdrproc_t)xdr_dy_poll_t, &poll);
 }
 
-static void send_fetch(dy_subscriber_t *subscriber)
+static uint32_t send_fetch(void *context, dy_fetch_t *request)
 {
-	fetch_t *fetch = &subscriber->fetch;
-	dy_fetch_t request = { 0 };
-
-	request.environment = fetch->environment;
-	memcpy(request.digest, fetch->info.digest, DY_DIGEST_BYTES);
-	request.offset = fetch->received;
-	fetch->xid = dy_seal_next_xid(subscriber->config.seal);
-	fetch->sent_ms = now_ms(subscriber);
-	send_request(subscriber, DY_CONTROL_FETCH, fetch->xid,
-		     (xdrproc_t)xdr_dy_fetch_t, &request);
+	dy_subscriber_t *subscriber = context;
+	uint32_t xid = dy_seal_next_xid(subscriber->config.seal);
+
+	send_request(subscriber, DY_CONTROL_FETCH, xid,
+		     (xdrproc_t)xdr_dy_fetch_t, request);
+	return xid;
 }
 
-static void end_fetch(fetch_t *fetch)
+static void turn_from_control(void *context)
 {
-	g_free(fetch->bytes);
-	g_free(fetch->environment);
-	memset(fetch, 0, sizeof(*fetch));
+	choose_next_control(context);
 }
 
-static void begin_fetch(dy_subscriber_t *subscriber,
-			const dy_document_info_t *info)
+static void take_document(void *context, const dy_document_info_t *info,
+			  const uint8_t *bytes, size_t len)
 {
-	fetch_t *fetch = &subscriber->fetch;
+	dy_subscriber_t *subscriber = context;
 
-	if (info->number <= subscriber->newest_document ||
-	    info->size > DY_DOCUMENT_BYTES)
-		return;
-	end_fetch(fetch);
-	subscriber->newest_document = info->number;
-	fetch->info = *info;
-	fetch->environment = g_strdup(info->environment);
-	fetch->info.environment = fetch->environment;
-	fetch->bytes = g_malloc(info->size + 1);
-	fetch->active = 1;
-	send_fetch(subscriber);
+	subscriber->config.callbacks->document(subscriber->config.context, info,
+					       bytes, len);
 }
 
-static void finish_fetch(dy_subscriber_t *subscriber)
-{
-	fetch_t *fetch = &subscriber->fetch;
-	uint8_t digest[DY_DIGEST_BYTES];
-
-	dy_document_digest(fetch->bytes, fetch->info.size, digest);
-	if (memcmp(digest, fetch->info.digest, DY_DIGEST_BYTES)) {
-		++*subscriber->bad_documents;
-		dy_log_event(DY_LOG_ERROR, "document_digest_wrong",
-			     "number=%lu", (unsigned long)fetch->info.number);
-		fetch->received = 0;
-		choose_next_control(subscriber);
-		return;
-	}
-	subscriber->config.callbacks->document(subscriber->config.context,
-					       &fetch->info, fetch->bytes,
-					       fetch->info.size);
-	end_fetch(fetch);
-}
+static const document_fetch_callbacks_t fetch_callbacks = {
+	send_fetch,
+	turn_from_control,
+	take_document,
+};
 
 static void receive_page(dy_subscriber_t *subscriber,
 			 const dy_sealed_t *message)
 {
-	fetch_t *fetch = &subscriber->fetch;
 	dy_fetch_result_t result;
-	uint32_t len;
 
 	if (!dy_sealed_load(message, (xdrproc_t)xdr_dy_fetch_result_t, &result,
 			    sizeof(result)))
 		return;
-	len = result.page.page_len;
-	if (result.status != DY_STATUS_OK) {
-		choose_next_control(subscriber);
-	} else if (result.size == fetch->info.size &&
-		   len <= fetch->info.size - fetch->received) {
-		memcpy(fetch->bytes + fetch->received, result.page.page_val,
-		       len);
-		fetch->received += len;
-		if (fetch->received == fetch->info.size)
-			finish_fetch(subscriber);
-		else if (len)
-			send_fetch(subscriber);
-	}
+	document_fetch_receive(subscriber->fetch, message->xid, &result,
+			       now_ms(subscriber));
+	*subscriber->bad_documents = document_fetch_wrong(subscriber->fetch);
 	xdr_free((xdrproc_t)xdr_dy_fetch_result_t, (char *)&result);
 }
 
@@ -196,7 +143,9 @@
 
 	switch (delta->kind) {
 	case DY_DELTA_DOCUMENT:
-		begin_fetch(subscriber, &delta->dy_delta_t_u.document);
+		document_fetch_begin(subscriber->fetch,
+				     &delta->dy_delta_t_u.document,
+				     now_ms(subscriber));
 		break;
 	case DY_DELTA_MEMBER:
 		calls->member(context, &delta->dy_delta_t_u.member);
@@ -322,8 +271,7 @@
 		return;
 	if (subscriber->polling && message->xid == subscriber->poll_xid)
 		receive_poll_result(subscriber, message);
-	else if (subscriber->fetch.active &&
-		 message->xid == subscriber->fetch.xid)
+	else if (document_fetch_waits(subscriber->fetch, message->xid))
 		receive_page(subscriber, message);
 }
 
@@ -331,7 +279,6 @@
 {
 	dy_subscriber_t *subscriber = context;
 	uint64_t now = now_ms(subscriber);
-	fetch_t *fetch = &subscriber->fetch;
 
 	if (!subscriber->has_info)
 		return;
@@ -344,8 +291,7 @@
 	}
 	if (!subscriber->polling && now >= subscriber->next_poll_ms)
 		send_poll(subscriber);
-	if (fetch->active && now - fetch->sent_ms >= DY_POLL_TIMEOUT_MS)
-		send_fetch(subscriber);
+	document_fetch_tick(subscriber->fetch, now, DY_POLL_TIMEOUT_MS);
 }
 
 dy_subscriber_t *dy_subscriber_create(const dy_subscriber_config_t *config)
@@ -355,6 +301,7 @@
 	uint32_t start;
 
 	subscriber->config = *config;
+	subscriber->fetch = document_fetch_create(&fetch_callbacks, subscriber);
 	subscriber->state = DY_MEMBER_SERVING;
 	subscriber->refused_limit = limit;
 	dy_random_fill(&subscriber->boot, sizeof(subscriber->boot));
@@ -376,7 +323,7 @@
 {
 	if (!subscriber)
 		return;
-	end_fetch(&subscriber->fetch);
+	document_fetch_destroy(subscriber->fetch);
 	g_free(subscriber);
 }
 
@@ -388,12 +335,11 @@
 
 void dy_subscriber_rejoin(dy_subscriber_t *subscriber)
 {
-	end_fetch(&subscriber->fetch);
+	document_fetch_reset(subscriber->fetch);
 	dy_random_fill(&subscriber->boot, sizeof(subscriber->boot));
 	subscriber->incarnation = 0;
 	subscriber->state_version = 0;
 	subscriber->document = 0;
-	subscriber->newest_document = 0;
 	subscriber->state = DY_MEMBER_SERVING;
 	subscriber->successor_count = 0;
 	subscriber->polling = 0;
