--- a/src/process/main.c
+++ b/src/process/main.c
@@ -1,9 +1,78 @@
 #include <stdio.h>
+#include <string.h>
+
+#include "command.h"
+
+typedef struct command {
+	const char *name;
+	int (*run)(int argc, char **argv);
+	const char *summary;
+} command_t;
+
+static const command_t commands[] = {
+	{ "agent", dy_command_agent, "serve one target, beside it" },
+	{ "announce", dy_command_announce, "announce a target to its agent" },
+	{ "balancer", dy_command_balancer, "forward datagrams to agents" },
+	{ "call", dy_command_call, "make one call as a caller would" },
+	{ "check", dy_command_check, "check a document" },
+	{ "control", dy_command_control, "run one of the control group" },
+	{ "drain", dy_command_drain, "take a member out of service" },
+	{ "promote", dy_command_promote,
+	  "put trial's document into production" },
+	{ "remove", dy_command_remove, "strike a member that is lost" },
+	{ "report", dy_command_report, "print service-level burn" },
+	{ "rotate", dy_command_rotate, "begin a new token key" },
+	{ "status", dy_command_status, "print the group or a process" },
+	{ "submit", dy_command_submit, "submit a document to trial" },
+	{ NULL, NULL, NULL },
+};
+
+static void print_help(FILE *out)
+{
+	const command_t *command;
+
+	fputs("Usage: damaskyard COMMAND [--help] [FLAG...]\n\n"
+	      "A layer-4 load balancer whose flows outlive planned changes.\n\n"
+	      "Commands:\n",
+	      out);
+	for (command = commands; command->name; command++)
+		fprintf(out, "  %-10s %s\n", command->name, command->summary);
+	fputs("\n  --help, --version\n", out);
+}
+
+static const command_t *find_command(const char *name)
+{
+	const command_t *command;
+
+	for (command = commands; command->name; command++)
+		if (!strcmp(command->name, name))
+			return command;
+	return NULL;
+}
 
 int main(int argc, char **argv)
 {
-	(void)argc;
-	(void)argv;
-	puts("damaskyard " DY_VERSION);
-	return 0;
+	const command_t *command;
+
+	if (argc < 2) {
+		print_help(stderr);
+		return DY_EXIT_USAGE;
+	}
+	if (!strcmp(argv[1], "--help") || !strcmp(argv[1], "help")) {
+		print_help(stdout);
+		return DY_EXIT_OK;
+	}
+	if (!strcmp(argv[1], "--version")) {
+		puts("damaskyard " DY_VERSION);
+		return DY_EXIT_OK;
+	}
+	command = find_command(argv[1]);
+	if (!command) {
+		fprintf(stderr,
+			"damaskyard: there is no command \"%s\"; "
+			"see damaskyard --help\n",
+			argv[1]);
+		return DY_EXIT_USAGE;
+	}
+	return command->run(argc - 1, argv + 1);
 }
