--- a/src/process/agent_leave.c
+++ b/src/process/agent_leave.c
@@ -9,7 +9,8 @@
  *
  * 1. It takes no new flow, and tells control that it drains.
  * 2. Once control's log holds that, and all that stands before it in the
- *    log is known here, it chooses its successors among those that serve.
+ *    log is known here, it chooses its successors among those that serve
+ *    and answer (agent_successors.c).
  *    Of two agents that leave at the same time, the one whose draining
  *    stands later in the log sees the other's and does not choose it: no
  *    session is ever handed round in a circle.
@@ -67,21 +68,6 @@
 		agent->view_current = 1;
 }
 
-static void choose_successors(dy_agent_t *agent)
-{
-	agent->successor_count =
-		agent_member_successors(agent, agent->successors);
-	if (!agent->successor_count) {
-		if (dy_sessions_count(agent->sessions))
-			agent_note(agent, EVENT_NO_SUCCESSOR, "sessions=%u",
-				   dy_sessions_count(agent->sessions));
-		return;
-	}
-	agent->has_successors = 1;
-	agent_note(agent, EVENT_SUCCESSORS_CHOSEN, "count=%u sessions=%u",
-		   agent->successor_count, dy_sessions_count(agent->sessions));
-}
-
 /* One turn of the handover over all sessions. */
 typedef struct turn {
 	dy_agent_t *agent;
@@ -305,7 +291,8 @@
 	dy_sessions_each(agent->sessions, visit_session, &turn);
 	send_due(agent, turn.due);
 	g_ptr_array_free(turn.due, TRUE);
-	if ((!turn.unsettled && agent->view_current) ||
+	if ((!turn.unsettled && agent->view_current &&
+	     !agent_successors_pending(agent)) ||
 	    has_waited_enough(agent))
 		finish_leaving(agent);
 }
@@ -330,7 +317,7 @@
 {
 	if (agent->state == DY_MEMBER_DRAINING) {
 		if (agent->view_current && !agent->has_successors)
-			choose_successors(agent);
+			agent_successors_tick(agent);
 		hand_over(agent);
 	}
 	if (agent->state == DY_MEMBER_LEFT && !is_needed(agent))
@@ -380,71 +367,6 @@
 			route, forward);
 }
 
-static dy_session_t *receive_session(dy_agent_t *agent,
-				     const dy_moved_session_t *moved)
-{
-	dy_session_t *session = NULL;
-	dy_moved_body_t body = { 0 };
-	XDR xdrs;
-
-	xdrmem_create(&xdrs, moved->body.body_val, moved->body.body_len,
-		      XDR_DECODE);
-	if (xdr_dy_moved_body_t(&xdrs, &body))
-		session = dy_sessions_receive(agent->sessions, moved->id, &body,
-					      agent_now_ms(agent));
-	xdr_free((xdrproc_t)xdr_dy_moved_body_t, (char *)&body);
-	if (session)
-		agent_count(agent, EVENT_SESSIONS_RECEIVED);
-	else
-		agent_note(agent, EVENT_HANDOVER_MALFORMED, "session=%016lx",
-			   (unsigned long)moved->id);
-	return session;
-}
-
-/*
- * A session that is known here was taken before, whatever became of it
- * since: taking it again would bring back an older account of its calls.
- */
-static void take_session(dy_agent_t *agent, const dy_moved_session_t *moved,
-			 dy_handover_result_t *result)
-{
-	uint64_t *refused = result->refused.refused_val;
-	uint64_t *sessions = result->sessions.sessions_val;
-
-	int known = !!dy_sessions_find(agent->sessions, moved->id);
-
-	if (!known && (agent->state == DY_MEMBER_LEFT || agent->superseded))
-		refused[result->refused.refused_len++] = moved->id;
-	else if (known || receive_session(agent, moved))
-		sessions[result->sessions.sessions_len++] = moved->id;
-}
-
-void dy_agent_take_handover(dy_agent_t *agent, const dy_handover_t *handover,
-			    dy_handover_result_t *result)
-{
-	unsigned count = handover->sessions.sessions_len;
-	unsigned i;
-
-	memset(result, 0, sizeof(*result));
-	result->agent = agent->id;
-	result->incarnation = agent->incarnation;
-	if (handover->to_agent != agent->id ||
-	    handover->to_incarnation != agent->incarnation ||
-	    !agent->service.known || handover->service != agent->service.id) {
-		agent_note(agent, EVENT_HANDOVER_STALE, "from=%016lx",
-			   (unsigned long)handover->agent);
-		result->status = DY_HANDOVER_STALE;
-		return;
-	}
-	result->sessions.sessions_val = g_new0(uint64_t, count + 1);
-	result->refused.refused_val = g_new0(uint64_t, count + 1);
-	for (i = 0; i < count; i++)
-		take_session(agent, &handover->sessions.sessions_val[i],
-			     result);
-	if (result->refused.refused_len)
-		result->status = DY_HANDOVER_LEFT;
-}
-
 static dy_session_t *find_moved(const dy_agent_t *agent, uint64_t id,
 				const dy_handover_result_t *result)
 {
@@ -468,6 +390,7 @@
 			   (unsigned long)result->agent);
 		return;
 	}
+	agent_successors_answered(agent, result);
 	for (i = 0; i < result->sessions.sessions_len; i++) {
 		session = find_moved(agent, result->sessions.sessions_val[i],
 				     result);
--- a/src/process/agent_private.h
+++ b/src/process/agent_private.h
@@ -174,6 +174,14 @@
 	uint32_t session_idle_s;
 } agent_service_t;
 
+/* An agent that was asked whether it would be a successor. */
+typedef struct candidate {
+	uint64_t id;
+	uint64_t incarnation;
+	uint64_t asked_ms;
+	int answered;
+} candidate_t;
+
 struct dy_agent {
 	dy_agent_config_t config;
 	uint64_t id;
@@ -202,6 +210,9 @@
 	uint64_t ends_ms;
 	int drain_recorded; /* control has taken up that this agent drains */
 	int view_current;   /* and all that it took up before is known here */
+	candidate_t candidates[DY_SUCCESSORS_MAX];
+	unsigned candidate_count;
+	uint64_t offered_ms;
 	int has_successors;
 	uint64_t successors[DY_SUCCESSORS_MAX];
 	unsigned successor_count;
@@ -290,6 +301,12 @@
 unsigned agent_member_successors(const dy_agent_t *agent,
 				 uint64_t chosen[DY_SUCCESSORS_MAX]);
 
+/* agent_successors.c: until agent->has_successors is set. */
+void agent_successors_tick(dy_agent_t *agent);
+void agent_successors_answered(dy_agent_t *agent,
+			       const dy_handover_result_t *result);
+int agent_successors_pending(const dy_agent_t *agent);
+
 /* agent_leave.c */
 void agent_leave_tick(dy_agent_t *agent);
 /* Pass a call of a moved session on. Returns 0, or -1 if nobody has it. */
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -19,10 +19,14 @@
 	return world;
 }
 
+/* Up to where its successors have answered and no session has moved. */
 static void leave(fake_world_t *world, unsigned index)
 {
 	dy_agent_leave(world->agents[index].agent, "test", 1);
 	world_poll(world, index);
+	world_pass(world, 50);
+	while (world_deliver(world))
+		;
 }
 
 START_TEST(same_successor_everywhere)
@@ -317,6 +321,33 @@
 }
 END_TEST
 
+/*
+ * An agent was killed a moment ago and control does not know yet. Another one
+ * is drained: the sessions that it would send there are lost, for a planned
+ * change. Only agents that answer are chosen.
+ */
+START_TEST(killed_agent_is_no_successor)
+{
+	fake_world_t *world = create_group(3);
+	unsigned i;
+	uint32_t id;
+
+	for (i = 1; i < FAKE_CALLERS; i++)
+		world_open(world, 0, i);
+	world_kill(world, 1);
+	leave(world, 0);
+	world_settle(world);
+	ck_assert_int_eq(dy_agent_state(world->agents[0].agent),
+			 DY_MEMBER_LEFT);
+	for (i = 0; i < FAKE_CALLERS; i++) {
+		id = world_call(world, 2, i, FAKE_SUBMIT);
+		world_answer_all(world, 2);
+		ck_assert_int_eq(world->calls[id].answered, 1);
+	}
+	fake_world_destroy(world);
+}
+END_TEST
+
 /* Leaving agents take no new flow, and end without a successor in time. */
 START_TEST(last_agent_ends_without_successor)
 {
@@ -384,6 +415,7 @@
 		dead_successor_loses_the_session,
 		lost_target_hands_its_sessions_on,
 		silent_target_is_no_successor,
+		killed_agent_is_no_successor,
 		last_agent_ends_without_successor,
 		longer_body_is_read,
 		NULL,
