--- a/tests/fake_group.h
+++ b/tests/fake_group.h
@@ -113,6 +113,15 @@
 /* All heal; every member must come to hold all that was acknowledged. */
 void fake_group_settle(fake_group_t *group);
 
+/* A group whose slots are all voters, a little after it formed. */
+fake_group_t *fake_group_create_formed(uint32_t seed, uint32_t size);
+/* Propose to whoever leads, and see all of it acknowledged. */
+void fake_group_accept(fake_group_t *group, int count);
+uint64_t fake_group_counter(const fake_group_t *group, const char *name);
+/* Another member than this one. */
+fake_member_t *fake_group_other(fake_group_t *group,
+				const fake_member_t *member);
+
 /* Put a message of the test's own into the bag. */
 void fake_group_put(fake_group_t *group, const dy_raft_message_t *message);
 
