--- a/include/damaskyard/admission.h
+++ b/include/damaskyard/admission.h
@@ -96,8 +96,8 @@
 	uint32_t hold_percent;
 
 	/*
-	 * The same while each call has waited for a second already: it is
-	 * then no burst, a long queue adds only to the wait of each call.
+	 * The same for pulls while each has waited for a second already: it
+	 * is then no burst, a long queue adds only to the wait of each call.
 	 */
 	uint32_t standing_hold_percent;
 
@@ -108,6 +108,9 @@
 	 * Part of the slot time and of the queue, in percent, which
 	 * submissions and edits get while pulls wait as well. The rest is the
 	 * pulls': neither starves the other. Unused share goes to the other.
+	 * 90, as a reading or an edit is lost where a pull is only repeated:
+	 * with 75, when a failure domain goes, 83% instead of 92% of the
+	 * submissions to 3 targets were in time; pulls 88% instead of 60%.
 	 */
 	uint32_t submission_percent;
 
--- a/src/request/admission.c
+++ b/src/request/admission.c
@@ -44,7 +44,7 @@
 	config->hold_percent = 50;
 	config->standing_hold_percent = 12;
 	config->first_estimate_us = 5000;
-	config->submission_percent = 75;
+	config->submission_percent = 90;
 	config->short_slots = 1;
 	config->retry_min_ms = 50;
 	config->retry_max_ms = 30000;
@@ -120,10 +120,14 @@
 	dy_list_append(&adm->given_up, &item->link);
 }
 
-/* How long a call may be held, in percent of the time to its deadline. */
+/*
+ * How long a call may be held, in percent of the time to its deadline. What
+ * is refused among submissions must come again, pulls need not: only these
+ * are held for less while their queue stands.
+ */
 static uint32_t hold_percent(const dy_admission_t *adm, const lane_t *lane)
 {
-	if (lane->fair.count &&
+	if (lane == &adm->lanes[PULLS] && lane->fair.count &&
 	    adm->now_us - lane->waiting_since_us > STANDING_US)
 		return adm->config.standing_hold_percent;
 	return adm->config.hold_percent;
