--- a/bench/measure_policy.c
+++ b/bench/measure_policy.c
@@ -72,13 +72,13 @@
 	{ .name = "slow-target",
 	  .submissions = 0.3,
 	  .pulls = 0.3,
-	  .churn = 0.05,
+	  .churn = 0.2,
 	  .slow = 5,
 	  .policies = "no-deadline pick-round-robin pick-weighted" },
 	{ .name = "stalled-target",
 	  .submissions = 0.3,
 	  .pulls = 0.3,
-	  .churn = 0.05,
+	  .churn = 0.2,
 	  .stalls = 1,
 	  .policies = "no-deadline pick-round-robin" },
 	{ .name = "false-report",
@@ -291,5 +291,9 @@
 			measure_pattern(&patterns[i], deployment, service,
 					policy, (uint32_t)seed);
 	g_option_context_free(options);
+	g_free(pattern);
+	g_free(deployment);
+	g_free(service);
+	g_free(policy);
 	return EXIT_SUCCESS;
 }
--- a/fuzz/fuzz_registry.c
+++ b/fuzz/fuzz_registry.c
@@ -1,15 +1,14 @@
 /*
- * The registry against its oracle (tests/fake_registry.h), four bytes a
+ * The registry against its oracle (tests/fake_registry_run.h), four bytes a
  * step; snapshots are written and loaded at random points.
  */
 
 #include <stddef.h>
 #include <stdint.h>
 
-#include "fake_registry.h"
-
-int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+#include "fake_registry_run.h"
 
+/* libFuzzer's own name. NOLINTNEXTLINE(readability-identifier-naming) */
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	fake_run_t *run = fake_run_create();
--- a/src/process/agent_private.h
+++ b/src/process/agent_private.h
@@ -6,6 +6,7 @@
 #include "damaskyard/admission.h"
 #include "damaskyard/agent.h"
 #include "damaskyard/budget.h"
+#include "damaskyard/burn.h"
 #include "damaskyard/invariant.h"
 #include "damaskyard/session.h"
 #include "damaskyard/verdict.h"
@@ -91,7 +92,8 @@
 	uint32_t procedure;
 	int idempotent;
 	dy_stage_t stage;
-	unsigned on_link;
+	unsigned on_link; /* once sent, or being sent */
+	int has_link;
 	uint64_t deadline_us;
 	uint8_t *args;
 	size_t args_len;
@@ -159,6 +161,7 @@
 } agent_target_t;
 
 typedef struct agent_service {
+	double objective;
 	int known;
 	char name[DY_NAME_BYTES + 1];
 	uint64_t id;
@@ -173,6 +176,14 @@
 	uint32_t session_idle_s;
 } agent_service_t;
 
+/* An agent that was asked whether it would be a successor. */
+typedef struct candidate {
+	uint64_t id;
+	uint64_t incarnation;
+	uint64_t asked_ms;
+	int answered;
+} candidate_t;
+
 struct dy_agent {
 	dy_agent_config_t config;
 	uint64_t id;
@@ -189,16 +200,23 @@
 	dy_sessions_t *sessions;
 	dy_admission_t *admission;
 	dy_crowd_limit_t crowd;
+	dy_burn_t *burn;
+	uint64_t burn_published_ms;
+	unsigned crowd_slots; /* for which it was made */
 	target_link_t links[DY_AGENT_LINKS];
 	unsigned slots; /* connections wanted */
 	unsigned up;	/* that stand */
 	uint32_t next_xid;
+	GQueue claimed; /* of call_t that have a slot and no connection yet */
 	GQueue cancels; /* of cancel_t, oldest first */
 
 	int ends;
 	uint64_t ends_ms;
 	int drain_recorded; /* control has taken up that this agent drains */
 	int view_current;   /* and all that it took up before is known here */
+	candidate_t candidates[DY_SUCCESSORS_MAX];
+	unsigned candidate_count;
+	uint64_t offered_ms;
 	int has_successors;
 	uint64_t successors[DY_SUCCESSORS_MAX];
 	unsigned successor_count;
@@ -224,6 +242,9 @@
 void agent_count(dy_agent_t *agent, agent_event_t event);
 void agent_note(dy_agent_t *agent, agent_event_t event, const char *pairs, ...)
 	__attribute__((format(printf, 3, 4)));
+/* Count what a caller got, for the service-level report. */
+void agent_count_outcome(dy_agent_t *agent, dy_outcome_t outcome);
+void agent_count_refusal(dy_agent_t *agent, dy_verdict_t verdict);
 
 /* agent_answer.c: what goes back to a balancer. */
 void agent_answer_refusal(dy_agent_t *agent, const route_t *route, uint32_t xid,
@@ -249,7 +270,7 @@
 		     const dy_rpc_reply_t *reply);
 /* Start what may start, refuse what waits in vain. */
 void agent_call_pump(dy_agent_t *agent);
-void agent_call_expire_sent(dy_agent_t *agent);
+void agent_call_expire_started(dy_agent_t *agent);
 /* End every call that has not been handed to the target. */
 void agent_call_stop_unsent(dy_agent_t *agent, dy_call_event_t event);
 void agent_call_drop_all(dy_agent_t *agent);
@@ -287,6 +308,12 @@
 unsigned agent_member_successors(const dy_agent_t *agent,
 				 uint64_t chosen[DY_SUCCESSORS_MAX]);
 
+/* agent_successors.c: until agent->has_successors is set. */
+void agent_successors_tick(dy_agent_t *agent);
+void agent_successors_answered(dy_agent_t *agent,
+			       const dy_handover_result_t *result);
+int agent_successors_pending(const dy_agent_t *agent);
+
 /* agent_leave.c */
 void agent_leave_tick(dy_agent_t *agent);
 /* Pass a call of a moved session on. Returns 0, or -1 if nobody has it. */
--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -8,6 +8,7 @@
 #include "damaskyard/seal.h"
 #include "damaskyard/store.h"
 #include "founding.h"
+#include "recent_documents.h"
 #include "uploads.h"
 
 /*
@@ -75,9 +76,10 @@
 	dy_raft_t *raft;
 	dy_registry_t *registry;
 	uploads_t *uploads;
+	recent_documents_t *recent;
 	founding_t founding;
-	uv_prepare_t prepare;
-	uv_check_t check;
+	uv_prepare_t *prepare;
+	uv_check_t *check;
 	dy_list_t requests;
 	unsigned request_count;
 	uint64_t started_ms;
@@ -113,6 +115,9 @@
 	} args;
 } request_t;
 
+/* control_counters.c; sets the limits of log lines too. */
+void control_register_counters(dy_control_t *control);
+
 /* control.c */
 uint64_t control_now_ms(const dy_control_t *control);
 /* Whether this control leads a group that may serve. */
