--- a/src/request/router.c
+++ b/src/request/router.c
@@ -653,7 +653,9 @@
 	pick = find_pick(router, forward->service, forward->incarnation);
 	if (pick) {
 		note_answer(pick, &bounce->load, 1, now_ms);
-		dy_pick_refused(pick);
+		/* Else an agent that has just joined would get no flow. */
+		if (bounce->reason != DY_REASON_NOT_READY)
+			dy_pick_refused(pick);
 	}
 	packet.service = route_table_service(router->table, datagram.service);
 	if (packet.service && packet.hops < HOPS_MAX) {
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -419,6 +419,34 @@
 }
 END_TEST
 
+/*
+ * An agent that joins gets an opening before it has learnt enough to serve,
+ * and gives it back. If that were held against its reports, as a refusal
+ * with free slots is, it would stay without flows until the other targets
+ * are a quarter full: nothing else makes it trusted again.
+ */
+START_TEST(agent_that_was_not_ready_gets_flows)
+{
+	dy_bounce_t bounce = { .load.slots = 4, .reason = DY_REASON_NOT_READY };
+	unsigned received = 0;
+	uint64_t first;
+	uint32_t xid;
+	fake_t fake;
+
+	setup(&fake);
+	send_call(&fake, 1, 0, NULL);
+	first = fake.to_incarnation;
+	bounce.forward = fake.last;
+	dy_router_bounced(fake.router, &bounce, fake.now_ms + 1);
+	for (xid = 2; xid < 42; xid++) {
+		send_call(&fake, xid, 0, NULL);
+		received += fake.to_incarnation == first;
+	}
+	ck_assert_uint_ge(received, 10);
+	teardown(&fake);
+}
+END_TEST
+
 START_TEST(oversized_and_malformed_calls)
 {
 	uint8_t bytes[DY_DATAGRAM_BYTES + 1] = { 0 };
@@ -481,6 +509,7 @@
 		unconfirmed_balancer_opens_no_flow,
 		draining_target_gets_no_new_flow,
 		bounced_opening_goes_elsewhere,
+		agent_that_was_not_ready_gets_flows,
 		oversized_and_malformed_calls,
 		new_document_keeps_and_drops,
 		NULL,
