--- a/src/version/registry_changes.c
+++ b/src/version/registry_changes.c
@@ -246,12 +246,17 @@
 		registry_kill(registry, member);
 }
 
+/*
+ * A rotation that is asked for while one is under way is that one: its key
+ * signs nothing yet, so it serves the second wish as well.
+ */
 static void rotate(dy_registry_t *registry, const char *salt,
 		   dy_change_result_t *result)
 {
-	if (!registry_add_key(registry, salt))
-		refuse(result, DY_STATUS_CONFLICT,
-		       "a rotation is under way, or too many keys are in use");
+	if (registry_key_waits(registry))
+		result->message = "a rotation is under way already";
+	else if (!registry_add_key(registry, salt))
+		refuse(result, DY_STATUS_CONFLICT, "too many keys are in use");
 	result->number = registry->last_key;
 }
 
--- a/src/version/registry_keys.c
+++ b/src/version/registry_keys.c
@@ -79,6 +79,13 @@
 				   : NULL;
 }
 
+int registry_key_waits(const dy_registry_t *registry)
+{
+	const dy_registry_key_t *newest = newest_key(registry);
+
+	return newest && is_waiting(newest);
+}
+
 int registry_add_key(dy_registry_t *registry, const char *salt)
 {
 	const dy_registry_key_t *newest = newest_key(registry);
@@ -88,7 +95,7 @@
 
 	for (i = 0; i < registry->key_count; i++)
 		in_use += !registry->keys[i].info.retired;
-	if (in_use >= DY_TOKEN_KEYS_MAX || (newest && is_waiting(newest)))
+	if (in_use >= DY_TOKEN_KEYS_MAX || registry_key_waits(registry))
 		return 0;
 	dy_assert(registry->key_count < KEYS_MAX);
 	key = &registry->keys[registry->key_count++];
--- a/src/version/registry_private.h
+++ b/src/version/registry_private.h
@@ -99,6 +99,8 @@
 void registry_drop_answers(dy_registry_t *registry);
 
 /* registry_keys.c */
+/* Whether the newest key does not sign yet. */
+int registry_key_waits(const dy_registry_t *registry);
 /* Whether it was taken; else there is no room or an earlier one waits. */
 int registry_add_key(dy_registry_t *registry, const char *salt);
 void registry_step_key(dy_registry_t *registry, const dy_key_step_t *step);
