--- a/src/process/control_counters.c
+++ b/src/process/control_counters.c
@@ -1,4 +1,4 @@
-/* Names of the counters; they are listed in docs/OPERATIONS.md. */
+/* Names of the counters; docs/CONTROL.md says what they mean. */
 
 #include "control_private.h"
 
