--- a/include/damaskyard/secret.h
+++ b/include/damaskyard/secret.h
@@ -34,10 +34,16 @@
 			 GError **error);
 
 /*
- * HMAC-SHA256 of data under key, whole; a truncated one is a prefix of it.
+ * HMAC-SHA256 under a key that is used often: the key is taken in once, which
+ * is a quarter of the work for a message of 300 bytes. A truncated MAC is a
+ * prefix of the whole.
  */
-void dy_hmac(const uint8_t key[DY_SECRET_BYTES], const void *data, size_t len,
-	     uint8_t mac[DY_SECRET_BYTES]);
+typedef struct dy_hmac dy_hmac_t;
+
+dy_hmac_t *dy_hmac_create(const uint8_t key[DY_SECRET_BYTES]);
+void dy_hmac_destroy(dy_hmac_t *hmac);
+void dy_hmac_digest(const dy_hmac_t *hmac, const void *data, size_t len,
+		    uint8_t mac[DY_SECRET_BYTES]);
 
 /* Compare two MACs in a time that does not depend on where they differ. */
 int dy_mac_equal(const uint8_t *a, const uint8_t *b, size_t len);
--- a/src/connection/token.c
+++ b/src/connection/token.c
@@ -15,11 +15,11 @@
 
 typedef struct token_key {
 	uint32_t id;
-	uint8_t key[DY_SECRET_BYTES];
+	dy_hmac_t *hmac;
 } token_key_t;
 
 struct dy_keyring {
-	uint8_t secret[DY_SECRET_BYTES];
+	dy_hmac_t *secret; /* keys are derived from it */
 	token_key_t keys[DY_TOKEN_KEYS_MAX];
 	int count;
 	uint32_t active_id;
@@ -31,15 +31,19 @@
 {
 	dy_keyring_t *ring = g_new0(dy_keyring_t, 1);
 
-	memcpy(ring->secret, secrets->secrets[0], DY_SECRET_BYTES);
+	ring->secret = dy_hmac_create(secrets->secrets[0]);
 	return ring;
 }
 
 void dy_keyring_destroy(dy_keyring_t *ring)
 {
+	int i;
+
 	if (!ring)
 		return;
-	memset(ring, 0, sizeof(*ring));
+	for (i = 0; i < ring->count; i++)
+		dy_hmac_destroy(ring->keys[i].hmac);
+	dy_hmac_destroy(ring->secret);
 	g_free(ring);
 }
 
@@ -59,6 +63,7 @@
 
 	if (!key)
 		return;
+	dy_hmac_destroy(key->hmac);
 	*key = ring->keys[--ring->count];
 	if (ring->has_active && ring->active_id == id)
 		ring->has_active = 0;
@@ -82,6 +87,7 @@
 static void add_key(dy_keyring_t *ring, const dy_key_info_t *info)
 {
 	uint8_t material[DY_SALT_BYTES + 4];
+	uint8_t bytes[DY_SECRET_BYTES];
 	token_key_t *key;
 	uint32_t id = htonl(info->id);
 
@@ -90,7 +96,9 @@
 	memcpy(material + DY_SALT_BYTES, &id, sizeof(id));
 	key = &ring->keys[ring->count++];
 	key->id = info->id;
-	dy_hmac(ring->secret, material, sizeof(material), key->key);
+	dy_hmac_digest(ring->secret, material, sizeof(material), bytes);
+	key->hmac = dy_hmac_create(bytes);
+	memset(bytes, 0, sizeof(bytes));
 }
 
 void dy_keyring_apply(dy_keyring_t *ring, const dy_key_info_t *info)
@@ -120,7 +128,7 @@
 static void sign(const token_key_t *key, const uint8_t bytes[DY_TOKEN_BYTES],
 		 uint8_t mac[DY_SECRET_BYTES])
 {
-	dy_hmac(key->key, bytes, MAC_OFFSET, mac);
+	dy_hmac_digest(key->hmac, bytes, MAC_OFFSET, mac);
 }
 
 size_t dy_token_write(dy_keyring_t *ring, dy_token_t *token,
--- a/src/process/agent_answer.c
+++ b/src/process/agent_answer.c
@@ -39,17 +39,19 @@
 }
 
 /*
- * A fresh token goes out with every success: one whose key is outdated, or
- * that names the session's earlier owner, is replaced without another
- * message. A guest keeps the token of its own agent.
+ * A token goes out with a success unless the caller holds the current one: a
+ * token whose key is outdated, or that names the session's earlier owner, is
+ * replaced without another message. Signing each answer would cost as much as
+ * sealing it. A guest keeps the token of its own agent.
  */
 static uint32_t write_token(dy_agent_t *agent, dy_session_t *session,
+			    const route_t *route,
 			    uint8_t body[DY_TOKEN_VERIFIER_BYTES])
 {
 	dy_token_t token = { 0 };
 	size_t len;
 
-	if (session->guest)
+	if (session->guest || route->session == session->id)
 		return 0;
 	token.service = agent->service.id;
 	token.agent = agent->id;
@@ -72,7 +74,7 @@
 	reply.xid = xid;
 	reply.status = status;
 	if (status == SUCCESS)
-		reply.verifier.len = write_token(agent, session, body);
+		reply.verifier.len = write_token(agent, session, route, body);
 	if (reply.verifier.len)
 		reply.verifier.flavor = AUTH_SHORT;
 	reply.verifier.body = body;
--- a/src/process/agent_forward.c
+++ b/src/process/agent_forward.c
@@ -54,12 +54,22 @@
 		refuse(agent, arrival, DY_NOT_RUN, reason, retry_ms);
 }
 
+/* Whether the answer needs no new token. */
+static int is_current(const dy_agent_t *agent, const dy_token_t *token)
+{
+	return token->agent == agent->id &&
+	       token->incarnation == agent->incarnation &&
+	       !dy_keyring_outdated(agent->config.keyring, token->key_id);
+}
+
 static int read_token(dy_agent_t *agent, arrival_t *arrival)
 {
 	switch (dy_token_load(agent->config.keyring,
 			      &arrival->message.credential, &arrival->token)) {
 	case DY_TOKEN_OK:
 		arrival->has_token = 1;
+		if (is_current(agent, &arrival->token))
+			arrival->route.session = arrival->token.session;
 		return 0;
 	case DY_TOKEN_NONE:
 		return 0;
--- a/src/process/agent_private.h
+++ b/src/process/agent_private.h
@@ -80,6 +80,7 @@
 	dy_address_t to; /* the balancer */
 	dy_address_t caller;
 	uint64_t socket;
+	uint64_t session; /* of the current token that the caller holds; or 0 */
 } route_t;
 
 typedef struct call {
--- a/src/process/seal.c
+++ b/src/process/seal.c
@@ -24,7 +24,8 @@
 } replay_window_t;
 
 struct dy_seal {
-	dy_secrets_t secrets;
+	dy_hmac_t *hmacs[DY_SECRETS_MAX]; /* the first one signs */
+	int hmac_count;
 	uint64_t sender;
 	uint64_t sequence;
 	uint32_t next_xid;
@@ -37,8 +38,11 @@
 dy_seal_t *dy_seal_create(const dy_secrets_t *secrets, dy_metrics_t *metrics)
 {
 	dy_seal_t *seal = g_new0(dy_seal_t, 1);
+	int i;
 
-	seal->secrets = *secrets;
+	seal->hmac_count = secrets->count;
+	for (i = 0; i < secrets->count; i++)
+		seal->hmacs[i] = dy_hmac_create(secrets->secrets[i]);
 	dy_random_fill(&seal->sender, sizeof(seal->sender));
 	dy_random_fill(&seal->next_xid, sizeof(seal->next_xid));
 	seal->windows = g_hash_table_new_full(g_int64_hash, g_int64_equal,
@@ -51,10 +55,13 @@
 
 void dy_seal_destroy(dy_seal_t *seal)
 {
+	int i;
+
 	if (!seal)
 		return;
 	g_hash_table_destroy(seal->windows);
-	memset(&seal->secrets, 0, sizeof(seal->secrets));
+	for (i = 0; i < seal->hmac_count; i++)
+		dy_hmac_destroy(seal->hmacs[i]);
 	g_free(seal);
 }
 
@@ -98,7 +105,7 @@
 	if (!proc(&xdrs, value))
 		return 0;
 	len = head_len + xdr_getpos(&xdrs);
-	dy_hmac(seal->secrets.secrets[0], out, len, mac);
+	dy_hmac_digest(seal->hmacs[0], out, len, mac);
 	memcpy(out + mac_at, mac, DY_SEAL_MAC_BYTES);
 	return len;
 }
@@ -181,8 +188,8 @@
 
 	memcpy(claimed, at, sizeof(claimed));
 	memset(at, 0, sizeof(claimed));
-	for (i = 0; i < seal->secrets.count && !ok; i++) {
-		dy_hmac(seal->secrets.secrets[i], bytes, len, mac);
+	for (i = 0; i < seal->hmac_count && !ok; i++) {
+		dy_hmac_digest(seal->hmacs[i], bytes, len, mac);
 		ok = dy_mac_equal(mac, claimed, sizeof(claimed));
 	}
 	memcpy(at, claimed, sizeof(claimed));
--- a/src/process/secret.c
+++ b/src/process/secret.c
@@ -66,16 +66,35 @@
 	return ok;
 }
 
-void dy_hmac(const uint8_t key[DY_SECRET_BYTES], const void *data, size_t len,
-	     uint8_t mac[DY_SECRET_BYTES])
+struct dy_hmac {
+	GHmac *keyed;
+};
+
+dy_hmac_t *dy_hmac_create(const uint8_t key[DY_SECRET_BYTES])
+{
+	dy_hmac_t *hmac = g_new0(dy_hmac_t, 1);
+
+	hmac->keyed = g_hmac_new(G_CHECKSUM_SHA256, key, DY_SECRET_BYTES);
+	return hmac;
+}
+
+void dy_hmac_destroy(dy_hmac_t *hmac)
+{
+	if (!hmac)
+		return;
+	g_hmac_unref(hmac->keyed);
+	g_free(hmac);
+}
+
+void dy_hmac_digest(const dy_hmac_t *hmac, const void *data, size_t len,
+		    uint8_t mac[DY_SECRET_BYTES])
 {
+	GHmac *copy = g_hmac_copy(hmac->keyed);
 	gsize mac_len = DY_SECRET_BYTES;
-	GHmac *hmac;
 
-	hmac = g_hmac_new(G_CHECKSUM_SHA256, key, DY_SECRET_BYTES);
-	g_hmac_update(hmac, data, (gssize)len);
-	g_hmac_get_digest(hmac, mac, &mac_len);
-	g_hmac_unref(hmac);
+	g_hmac_update(copy, data, (gssize)len);
+	g_hmac_get_digest(copy, mac, &mac_len);
+	g_hmac_unref(copy);
 }
 
 int dy_mac_equal(const uint8_t *a, const uint8_t *b, size_t len)
