--- a/include/damaskyard/pick.h
+++ b/include/damaskyard/pick.h
@@ -17,6 +17,8 @@
  * - balancer cut off: never ejects most of a service; one bad link empties a
  *   service
  * - target reports falsely: trust; one that looks idle and refuses gets all
+ * - a shunned target is well again: trouble fades with the age of its report;
+ *   it is shunned for good, as no answer tells of its recovery
  * - connections run out: each balancer its share of what is free; openings
  *   above the cap, refused there
  *
@@ -62,7 +64,6 @@
 	uint32_t expected_wait_ms;    /* the newest report */
 	uint32_t pending;	      /* own openings not answered yet */
 	uint64_t report_ms;	      /* when the newest report came; 0 none */
-	uint64_t last_answer_ms;      /* of any call; 0 none */
 	uint64_t first_unanswered_ms; /* oldest unanswered send; 0 none */
 	uint64_t failed_ms;	      /* the newest failure; 0 none */
 } dy_pick_target_t;
--- a/src/version/pick.c
+++ b/src/version/pick.c
@@ -48,6 +48,15 @@
  */
 #define FULL_WAIT_MS 1000
 
+/* The trouble that a report tells of halves for each second of its age. */
+#define FADE_MS 1000
+
+/*
+ * A target that was full is asked again when its report is this old, one
+ * opening at a time. Its agent refuses it if it still is, at no harm.
+ */
+#define ASK_AGAIN_MS 5000
+
 /* What one look over the targets finds. */
 typedef struct sample {
 	int index[DY_PICK_SAMPLE];
@@ -99,18 +108,31 @@
 	return !target->pending && now_ms >= since + config->eject_ms;
 }
 
+static uint64_t report_age_ms(const dy_pick_target_t *target, uint64_t now_ms)
+{
+	return now_ms > target->report_ms ? now_ms - target->report_ms : 0;
+}
+
+/* Whether a target that was full is worth an opening to ask again. */
+static int may_ask_again(const dy_pick_target_t *target, uint64_t now_ms)
+{
+	return target->sessions >= target->session_cap && !target->pending &&
+	       report_age_ms(target, now_ms) >= ASK_AGAIN_MS;
+}
+
 /*
  * Whether this balancer's share of the free connections is not used up. Each
  * may use only its part of what a report showed free, so that all balancers
  * together stay below the cap though none sees what the others send.
  */
 static int has_connection(const dy_pick_config_t *config,
-			  const dy_pick_target_t *target, GRand *rand)
+			  const dy_pick_target_t *target, GRand *rand,
+			  uint64_t now_ms)
 {
 	uint32_t free_sessions;
 
 	if (target->sessions >= target->session_cap)
-		return 0;
+		return may_ask_again(target, now_ms);
 	free_sessions = target->session_cap - target->sessions;
 	if (free_sessions >= config->balancers)
 		return target->pending < free_sessions / config->balancers;
@@ -119,26 +141,43 @@
 		       (gint32)free_sessions;
 }
 
+/*
+ * What a report says against a target, beside its flows: calls under way, the
+ * wait, and that it should not be trusted.
+ */
+static uint64_t weigh_trouble(const dy_pick_target_t *target)
+{
+	uint64_t work = (uint64_t)target->in_flight + target->queued;
+	uint64_t distrust = DY_PICK_TRUST_FULL - target->trust;
+
+	return work * FULL / target->slots / WORK_PART +
+	       (uint64_t)target->expected_wait_ms * FULL / FULL_WAIT_MS +
+	       distrust * FULL / DY_PICK_TRUST_FULL;
+}
+
 /*
  * The load in thousandths: lower is better. What a target reports against the
  * evidence of its refusals is not scaled but added to: one that claims no
  * load at all would stay at zero.
+ *
+ * Trouble fades with the age of its report. A target that is shunned sends no
+ * answers to this balancer and so no better report: it would be shunned for
+ * good, long after it is well again.
  */
 static uint32_t weigh_load(const dy_pick_config_t *config,
-			   const dy_pick_target_t *target)
+			   const dy_pick_target_t *target, uint64_t now_ms)
 {
 	uint64_t pending = (uint64_t)target->pending * config->balancers;
 	uint64_t sessions = target->sessions + pending;
-	uint64_t work = (uint64_t)target->in_flight + target->queued;
-	uint64_t distrust = DY_PICK_TRUST_FULL - target->trust;
+	uint64_t halvings = report_age_ms(target, now_ms) / FADE_MS;
 	uint64_t load;
 
 	if (!target->slots || !target->session_cap)
 		return HOPELESS;
+	if (may_ask_again(target, now_ms))
+		return 0;
 	load = sessions * FULL / target->session_cap;
-	load += work * FULL / target->slots / WORK_PART;
-	load += (uint64_t)target->expected_wait_ms * FULL / FULL_WAIT_MS;
-	load += distrust * FULL / DY_PICK_TRUST_FULL;
+	load += weigh_trouble(target) >> MIN(halvings, 63);
 	return (uint32_t)MIN(load, HOPELESS);
 }
 
@@ -175,7 +214,7 @@
 
 	for (i = 0; i < sample->n; i++) {
 		target = &targets[sample->index[i]];
-		if (!has_connection(config, target, rand))
+		if (!has_connection(config, target, rand, now_ms))
 			continue;
 		if (may_eject && dy_pick_is_ejected(config, target, now_ms) &&
 		    !may_probe(config, target, now_ms))
@@ -208,8 +247,8 @@
 		     const dy_pick_target_t *targets, int a, int b, GRand *rand,
 		     uint64_t now_ms)
 {
-	uint32_t load_a = weigh_load(config, &targets[a]);
-	uint32_t load_b = weigh_load(config, &targets[b]);
+	uint32_t load_a = weigh_load(config, &targets[a], now_ms);
+	uint32_t load_b = weigh_load(config, &targets[b], now_ms);
 	uint32_t apart = load_a > load_b ? load_a - load_b : load_b - load_a;
 	int local_a = targets[a].domain == config->domain;
 	int local_b = targets[b].domain == config->domain;
@@ -263,7 +302,6 @@
 {
 	if (opened && target->pending)
 		target->pending--;
-	target->last_answer_ms = now_ms;
 	target->first_unanswered_ms = target->pending ? now_ms : 0;
 	target->failures = 0;
 	target->trust += (DY_PICK_TRUST_FULL - target->trust +
--- a/tests/test_pick.c
+++ b/tests/test_pick.c
@@ -126,6 +126,32 @@
 }
 END_TEST
 
+/*
+ * The same target, and one that was full, are well again, but have no flow of
+ * this balancer any more: no answer tells it so. They must not be shunned for
+ * good: as the reports grow old, flows are opened there again.
+ */
+START_TEST(old_trouble_is_forgotten)
+{
+	dy_pick_report_t stalled = { SLOTS, SLOTS, 9, 0, 30000 };
+	view_t view;
+	int i;
+
+	set_up(&view, _i, 1);
+	dy_pick_answered(&view.targets[0], &stalled, 0, view.now_ms);
+	report(&view, 1, 0, 0, CAP);
+	pick(&view, 500, 1);
+	ck_assert_uint_eq(view.picked[0] + view.picked[1], 0);
+	view.now_ms += 20000;
+	for (i = 2; i < TARGETS; i++)
+		report(&view, i, 3, 0, 500);
+	pick(&view, 500, 0);
+	ck_assert_uint_ge(view.picked[0], 50);
+	ck_assert_uint_eq(view.picked[1], 1);
+	g_rand_free(view.rand);
+}
+END_TEST
+
 START_TEST(draining_target_gets_none)
 {
 	view_t view;
@@ -341,6 +367,7 @@
 		dy_pick_target_init(&targets[i], 0, SLOTS, CAP, 0);
 		targets[i].draining = i % 10 == 1;
 		targets[i].sessions = i % 10 == 2 ? CAP : 500;
+		targets[i].report_ms = OLD_MS;
 	}
 	for (n = 0; n < 40000; n++) {
 		i = dy_pick(&config, targets, 5000, rand, OLD_MS);
@@ -383,6 +410,7 @@
 	tcase_add_loop_test(tcase, many_balancers_make_no_herd, 0, 2);
 	tcase_add_loop_test(tcase, busy_target_gets_few, 0, 2);
 	tcase_add_loop_test(tcase, stalled_target_gets_none, 0, 2);
+	tcase_add_loop_test(tcase, old_trouble_is_forgotten, 0, 2);
 	tcase_add_loop_test(tcase, draining_target_gets_none, 0, 2);
 	tcase_add_loop_test(tcase, stale_report_is_not_spent_twice, 0, 2);
 	tcase_add_loop_test(tcase, full_target_gets_none, 0, 2);
