--- a/fuzz/fuzz_store.c
+++ b/fuzz/fuzz_store.c
@@ -2,8 +2,11 @@
  * A run of operations on one store over a disk in memory, against an array:
  * after any crash the log holds all that was acknowledged, in order and with
  * the bytes that were given, and at most a prefix of what was not; term and
- * vote never go back. A crash alone never stops an opening; a flipped bit
- * either stops it with DY_STORE_ERROR_CORRUPT or costs nothing acknowledged.
+ * vote never go back. Of a leader's snapshot that was interrupted either
+ * nothing is left, and the old log is whole with its old terms, or the
+ * snapshot is there and no entry. A crash alone never stops an opening; a
+ * flipped bit either stops it with DY_STORE_ERROR_CORRUPT or costs nothing
+ * acknowledged.
  */
 
 #include <stdint.h>
@@ -29,6 +32,8 @@
 	/* A change that failed half way: both states are right. */
 	uint64_t maybe_cut;
 	uint64_t maybe_snapshot;
+	/* Term of a leader's snapshot that would replace the log, else 0. */
+	uint64_t maybe_replaced_term;
 	uint64_t vote_term;
 	uint64_t maybe_vote_term;
 	uint64_t next_value;
@@ -66,25 +71,51 @@
 
 	FAKE_CHECK(entry != NULL && entry->index == index);
 	FAKE_CHECK(entry->term == run->oracle.term[index]);
+	FAKE_CHECK(entry->term >= dy_store_entry_term(run->store, index - 1));
 	memcpy(&value, entry->data.data_val, 8);
 	FAKE_CHECK(value == run->oracle.value[index]);
 	FAKE_CHECK(entry->data.data_len == size_of(value));
 }
 
-/* Compare, and take over what the crash left open. */
-static void check_opened(run_t *run)
+/* The own log is given up, from the first entry to the last. */
+static void take_replacement(oracle_t *oracle, uint64_t index, uint64_t term)
+{
+	oracle->term[index] = term;
+	oracle->last = index;
+	oracle->acknowledged = index;
+	oracle->maybe_cut = index;
+}
+
+/* Returns the last index that it covers. */
+static uint64_t check_snapshot(run_t *run)
 {
 	oracle_t *oracle = &run->oracle;
 	const dy_store_snapshot_t *snapshot = dy_store_snapshot(run->store);
 	uint64_t covered = snapshot ? snapshot->last_index : 0;
-	uint64_t last = dy_store_last_index(run->store);
-	uint64_t i;
 
 	FAKE_CHECK(covered == oracle->snapshot ||
 		   covered == oracle->maybe_snapshot);
+	if (oracle->maybe_replaced_term && covered == oracle->maybe_snapshot)
+		take_replacement(oracle, covered, oracle->maybe_replaced_term);
 	FAKE_CHECK(!snapshot || snapshot->size == covered * 97);
+	FAKE_CHECK(!snapshot || snapshot->last_term == oracle->term[covered]);
+	oracle->snapshot = covered;
+	oracle->maybe_snapshot = covered;
+	oracle->maybe_replaced_term = 0;
+	return covered;
+}
+
+/* Compare, and take over what the crash left open. */
+static void check_opened(run_t *run)
+{
+	oracle_t *oracle = &run->oracle;
+	uint64_t covered = check_snapshot(run);
+	uint64_t last = dy_store_last_index(run->store);
+	uint64_t i;
+
+	FAKE_CHECK(dy_store_first_index(run->store) == covered + 1);
 	FAKE_CHECK(last >= oracle->acknowledged || last >= oracle->maybe_cut);
-	FAKE_CHECK(last <= MAX(oracle->last, covered));
+	FAKE_CHECK(last <= oracle->last);
 	FAKE_CHECK(dy_store_synced_index(run->store) == last);
 	for (i = dy_store_first_index(run->store); i <= last; i++)
 		check_entry(run, i);
@@ -92,8 +123,6 @@
 		   dy_store_term(run->store) == oracle->maybe_vote_term);
 	oracle->vote_term = dy_store_term(run->store);
 	oracle->maybe_vote_term = oracle->vote_term;
-	oracle->snapshot = covered;
-	oracle->maybe_snapshot = covered;
 	oracle->last = last;
 	oracle->acknowledged = last;
 	oracle->maybe_cut = last;
@@ -195,27 +224,22 @@
 		meta.last_term = oracle->term[oracle->last] + 1;
 	bytes = g_malloc0(meta.last_index * 97);
 	oracle->maybe_snapshot = meta.last_index;
+	oracle->maybe_replaced_term = ahead ? meta.last_term : 0;
 	failed = dy_store_snapshot_begin(run->store, &meta, NULL) ||
 		 dy_store_snapshot_add(run->store, bytes, meta.last_index * 97,
 				       NULL) ||
 		 dy_store_snapshot_commit(run->store, NULL);
 	g_free(bytes);
-	if (failed && !dy_store_failed(run->store)) {
+	if (failed && dy_store_failed(run->store))
+		return;
+	oracle->maybe_replaced_term = 0;
+	if (failed) {
 		oracle->maybe_snapshot = oracle->snapshot;
 		return;
 	}
-	if (ahead) {
-		oracle->term[meta.last_index] = meta.last_term;
-		oracle->maybe_cut = MIN(oracle->acknowledged, meta.last_index);
-		oracle->last = MAX(oracle->last, meta.last_index);
-	}
-	if (failed)
-		return;
 	oracle->snapshot = meta.last_index;
 	if (ahead)
-		oracle->last = meta.last_index;
-	oracle->acknowledged = oracle->last;
-	oracle->maybe_cut = oracle->last;
+		take_replacement(oracle, meta.last_index, meta.last_term);
 	FAKE_CHECK(dy_store_last_index(run->store) == oracle->last);
 }
 
