--- a/bench/bench_table.c
+++ b/bench/bench_table.c
@@ -89,7 +89,7 @@
 	member.info.labels = "";
 	member.info.slots = 7;
 	member.info.connections = 2000;
-	dy_router_set_member(router, &member);
+	dy_router_set_member(router, &member, 1000);
 }
 
 /* dy_service_id of a service and a call of it, with a token or without. */
@@ -159,8 +159,8 @@
 {
 	double start = now_us();
 
-	dy_router_set_document(router,
-			       dy_document_parse(text->str, text->len, NULL));
+	dy_router_set_document(
+		router, dy_document_parse(text->str, text->len, NULL), 1000);
 	return now_us() - start;
 }
 
--- a/include/damaskyard/router.h
+++ b/include/damaskyard/router.h
@@ -62,11 +62,13 @@
 void dy_router_destroy(dy_router_t *router);
 
 /* Take a newer document, which the router then owns. */
-void dy_router_set_document(dy_router_t *router, dy_document_t *document);
+void dy_router_set_document(dy_router_t *router, dy_document_t *document,
+			    uint64_t now_ms);
 const dy_document_t *dy_router_document(const dy_router_t *router);
 
 /* Take what control says of a member. */
-void dy_router_set_member(dy_router_t *router, const dy_member_t *member);
+void dy_router_set_member(dy_router_t *router, const dy_member_t *member,
+			  uint64_t now_ms);
 
 /*
  * Whether a majority confirmed this balancer's state lately. While it did
@@ -97,7 +99,10 @@
 void dy_router_bounced(dy_router_t *router, const dy_bounce_t *bounce,
 		       uint64_t now_ms);
 
-/* Note openings that had no answer in time. Call it a few times a second. */
+/*
+ * Note openings that had no answer in time, and forget members that are over.
+ * Call it a few times a second.
+ */
 void dy_router_expire(dy_router_t *router, uint64_t now_ms);
 
 /* Targets that may serve a service, and those of them that are ejected. */
--- a/src/process/balancer.c
+++ b/src/process/balancer.c
@@ -172,7 +172,8 @@
 		return;
 	}
 	failed = service_sockets_apply(balancer->sockets, document);
-	dy_router_set_document(balancer->router, document);
+	dy_router_set_document(balancer->router, document,
+			       dy_loop_now_ms(balancer->loop));
 	balancer->document_applied = !failed;
 	++*balancer->document_changes;
 	dy_log_event(DY_LOG_INFO, "document_in_force",
@@ -189,7 +190,8 @@
 {
 	balancer_t *balancer = context;
 
-	dy_router_set_member(balancer->router, member);
+	dy_router_set_member(balancer->router, member,
+			     dy_loop_now_ms(balancer->loop));
 }
 
 static void on_key(void *context, const dy_key_info_t *key)
--- a/src/request/router.c
+++ b/src/request/router.c
@@ -4,6 +4,7 @@
 
 #include <rpc/rpc.h>
 
+#include "damaskyard/budget.h"
 #include "damaskyard/burn.h"
 #include "damaskyard/log.h"
 #include "damaskyard/pick.h"
@@ -17,6 +18,14 @@
  */
 #define HOPS_MAX 3
 
+/*
+ * What is tried again at another target adds at most a fifth to the openings,
+ * so that targets that all give back do not get three times the load; a
+ * drained target's openings of one poll, some hundred, may all move at once.
+ */
+#define RETRY_RATIO_PERMILLE 200
+#define RETRY_BURST 200
+
 /*
  * When a refused caller should come back, in ms: half to one and a half
  * times this, so that a refused crowd does not come back as one.
@@ -57,6 +66,7 @@
 	route_table_t *table;
 	openings_t *openings;
 	dy_pick_config_t pick;
+	dy_retry_budget_t retries;
 	uint16_t domain;
 	int confirmed;
 	int ready;
@@ -121,6 +131,8 @@
 	router->drop_limit = limit;
 	dy_pick_config_init(&router->pick, DY_PICK_BROKEN_FLOWS);
 	register_counters(&router->counters, config->metrics);
+	dy_retry_budget_init(&router->retries, RETRY_RATIO_PERMILLE,
+			     RETRY_BURST);
 	return router;
 }
 
@@ -146,9 +158,10 @@
 	router->pick.domain = router->domain;
 }
 
-void dy_router_set_document(dy_router_t *router, dy_document_t *document)
+void dy_router_set_document(dy_router_t *router, dy_document_t *document,
+			    uint64_t now_ms)
 {
-	route_table_set_document(router->table, document, 0);
+	route_table_set_document(router->table, document, now_ms);
 	configure_pick(router);
 }
 
@@ -157,9 +170,10 @@
 	return route_table_document(router->table);
 }
 
-void dy_router_set_member(dy_router_t *router, const dy_member_t *member)
+void dy_router_set_member(dy_router_t *router, const dy_member_t *member,
+			  uint64_t now_ms)
 {
-	route_table_set_member(router->table, member, 0);
+	route_table_set_member(router->table, member, now_ms);
 	if (member->info.kind == DY_MEMBER_BALANCER)
 		configure_pick(router);
 }
@@ -311,8 +325,10 @@
 		return;
 	}
 	opening.key = openings_key(&packet->datagram->caller, packet->call.xid);
-	if (!packet->hops)
+	if (!packet->hops) {
+		dy_retry_budget_first(&router->retries);
 		member = find_earlier(router, packet, opening.key);
+	}
 	if (member) {
 		forward_to(router, packet, member);
 		return;
@@ -595,6 +611,8 @@
 	dy_pick_answered(pick, &report, opened, now_ms);
 	if (load->draining)
 		pick->draining = 1;
+	if (load->cold)
+		pick->cold_since_ms = now_ms;
 }
 
 static int take_opening(dy_router_t *router, const dy_address_t *caller,
@@ -658,7 +676,8 @@
 			dy_pick_refused(pick);
 	}
 	packet.service = route_table_service(router->table, datagram.service);
-	if (packet.service && packet.hops < HOPS_MAX) {
+	if (packet.service && packet.hops < HOPS_MAX &&
+	    dy_retry_budget_take(&router->retries, DY_RETRY_NOT_RUN)) {
 		open_flow(router, &packet);
 		return;
 	}
@@ -695,4 +714,5 @@
 			dy_pick_failed(pick, 1, now_ms);
 	}
 	publish_burns(router, now_ms);
+	route_table_expire(router->table, now_ms);
 }
--- a/src/version/route_table.c
+++ b/src/version/route_table.c
@@ -12,6 +12,7 @@
 	GHashTable *current;	/* id: newest route_member_t */
 	GHashTable *balancers;	/* ids of those that serve */
 	GPtrArray *domains;	/* names; the index is the domain's */
+	uint64_t expired_ms;	/* when members were last looked through */
 };
 
 static void destroy_member(gpointer data)
@@ -304,6 +305,12 @@
 			  member->successor_count * sizeof(uint64_t));
 }
 
+static int is_over(const route_member_t *member)
+{
+	return member->state == DY_MEMBER_LEFT ||
+	       member->state == DY_MEMBER_DEAD;
+}
+
 static void make_current(route_table_t *table, route_member_t *member)
 {
 	route_member_t *held = route_table_current(table, member->id);
@@ -329,6 +336,10 @@
 				    member);
 	}
 	fill_member(table, member, from);
+	if (!is_over(member))
+		member->over_ms = 0;
+	else if (!member->over_ms)
+		member->over_ms = now_ms;
 	make_current(table, member);
 	place_everywhere(table, member, now_ms);
 }
@@ -355,3 +366,31 @@
 
 	return count ? count : 1;
 }
+
+/* Members are looked through this often, in ms: 110,000 take some 10 ms. */
+#define EXPIRE_PERIOD_MS 60000
+
+static int is_forgotten(const route_member_t *member, uint64_t now_ms)
+{
+	return member->over_ms && now_ms - member->over_ms >= ROUTE_KEEP_MS;
+}
+
+void route_table_expire(route_table_t *table, uint64_t now_ms)
+{
+	route_member_t *member;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (now_ms - table->expired_ms < EXPIRE_PERIOD_MS)
+		return;
+	table->expired_ms = now_ms;
+	g_hash_table_iter_init(&iter, table->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		member = value;
+		if (!is_forgotten(member, now_ms))
+			continue;
+		if (route_table_current(table, member->id) == member)
+			g_hash_table_remove(table->current, &member->id);
+		g_hash_table_iter_remove(&iter);
+	}
+}
--- a/src/version/route_table.h
+++ b/src/version/route_table.h
@@ -15,7 +15,11 @@
 /* Successors of a chain of planned stops that a packet is sent along. */
 #define ROUTE_CHAIN_MAX 8
 
+/* Longer than the longest idle time that a document is expected to allow. */
+#define ROUTE_KEEP_MS (24 * 3600 * UINT64_C(1000))
+
 typedef struct route_member {
+	uint64_t over_ms;     /* since when it is LEFT or DEAD; 0: it is not */
 	uint64_t incarnation; /* the key: one for each start of an agent */
 	uint64_t id;
 	dy_address_t address;
@@ -48,10 +52,15 @@
 			      uint64_t now_ms);
 const dy_document_t *route_table_document(const route_table_t *table);
 
-/* Returns 1 if the member is new or changed in more than its address. */
 void route_table_set_member(route_table_t *table, const dy_member_t *member,
 			    uint64_t now_ms);
 
+/*
+ * Forget members that have been over for ROUTE_KEEP_MS: control does, and no
+ * session of them is left by then.
+ */
+void route_table_expire(route_table_t *table, uint64_t now_ms);
+
 /* Each returns NULL if there is none. */
 route_service_t *route_table_service(route_table_t *table, uint64_t service);
 route_member_t *route_table_incarnation(route_table_t *table,
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -86,7 +86,7 @@
 	member.info.address.port = (u_int)incarnation;
 	member.successors.successors_val = successors;
 	member.successors.successors_len = count;
-	dy_router_set_member(fake->router, &member);
+	dy_router_set_member(fake->router, &member, fake->now_ms);
 }
 
 static void setup(fake_t *fake)
@@ -110,7 +110,8 @@
 	fake->router = dy_router_create(&config);
 	dy_router_set_document(
 		fake->router,
-		dy_document_parse(document_text, strlen(document_text), NULL));
+		dy_document_parse(document_text, strlen(document_text), NULL),
+		NOW);
 	set_member(fake, "readings", 11, 101, DY_MEMBER_SERVING, NULL, 0);
 	set_member(fake, "readings", 12, 102, DY_MEMBER_SERVING, NULL, 0);
 	set_member(fake, "maps", 21, 201, DY_MEMBER_SERVING, NULL, 0);
@@ -447,6 +448,64 @@
 }
 END_TEST
 
+/*
+ * All targets of a service give their openings back, say because a rack's
+ * restart left each of them without its target. Tried twice more each, the
+ * openings would be three times what callers send, just when it hurts.
+ */
+START_TEST(bounces_are_tried_again_under_a_budget)
+{
+	dy_bounce_t bounce = { 0 };
+	unsigned openings = 2000;
+	unsigned retries = 0;
+	uint32_t xid;
+	fake_t fake;
+
+	setup(&fake);
+	for (xid = 0; xid < openings; xid++) {
+		fake.now_ms++;
+		fake.forwards = 0;
+		send_call(&fake, xid, 0, NULL);
+		if (!fake.forwards)
+			continue;
+		bounce.forward = fake.last;
+		fake.forwards = 0;
+		dy_router_bounced(fake.router, &bounce, fake.now_ms);
+		retries += fake.forwards;
+	}
+	ck_assert_uint_gt(retries, 0);
+	ck_assert_uint_le(retries, openings / 5 + 200);
+	teardown(&fake);
+}
+END_TEST
+
+/*
+ * Agents restart every day for months. A balancer that kept every old
+ * incarnation would grow until it is killed. Those that are over are
+ * forgotten after a day, and those that serve never.
+ */
+START_TEST(members_that_are_over_are_forgotten)
+{
+	dy_token_t token = token_of(11, 101);
+	fake_t fake;
+
+	setup(&fake);
+	set_member(&fake, "readings", 11, 101, DY_MEMBER_DEAD, NULL, 0);
+	dy_router_expire(fake.router, fake.now_ms + 3600 * 1000);
+	send_call(&fake, 1, SUBMIT, &token);
+	expect_refused(&fake, DY_MAY_HAVE_RUN, DY_REASON_TARGET_LOST);
+	dy_router_expire(fake.router, fake.now_ms + 25 * 3600 * 1000);
+	send_call(&fake, 2, SUBMIT, &token);
+	expect_forwarded(&fake, 101);
+	ck_assert_uint_eq(fake.to.port, 555);
+	token = token_of(12, 102);
+	send_call(&fake, 3, SUBMIT, &token);
+	expect_forwarded(&fake, 102);
+	ck_assert_uint_eq(fake.to.port, 102);
+	teardown(&fake);
+}
+END_TEST
+
 START_TEST(oversized_and_malformed_calls)
 {
 	uint8_t bytes[DY_DATAGRAM_BYTES + 1] = { 0 };
@@ -484,7 +543,8 @@
 
 	setup(&fake);
 	dy_router_set_document(fake.router,
-			       dy_document_parse(other, strlen(other), NULL));
+			       dy_document_parse(other, strlen(other), NULL),
+			       NOW);
 	ck_assert_uint_eq(
 		dy_router_target_count(fake.router, dy_service_id("maps")), 1);
 	send_call(&fake, 1, 0, NULL);
@@ -509,6 +569,8 @@
 		unconfirmed_balancer_opens_no_flow,
 		draining_target_gets_no_new_flow,
 		bounced_opening_goes_elsewhere,
+		bounces_are_tried_again_under_a_budget,
+		members_that_are_over_are_forgotten,
 		agent_that_was_not_ready_gets_flows,
 		oversized_and_malformed_calls,
 		new_document_keeps_and_drops,
