--- a/tests/test_end_to_end.c
+++ b/tests/test_end_to_end.c
@@ -303,6 +303,29 @@
 }
 END_TEST
 
+/* DY_SEED=N runs that seed alone, with DY_PAIRS pairs of events. */
+START_TEST(given_seed_doubles_and_loses_nothing)
+{
+	const char *pairs = g_getenv("DY_PAIRS");
+
+	run_seed(strtoul(g_getenv("DY_SEED"), NULL, 10), 0,
+		 pairs ? strtoul(pairs, NULL, 10) : 10);
+}
+END_TEST
+
+static void add_tests(TCase *tcase)
+{
+	if (g_getenv("DY_SEED")) {
+		tcase_set_timeout(tcase, 3600);
+		tcase_add_test(tcase, given_seed_doubles_and_loses_nothing);
+		return;
+	}
+	tcase_set_timeout(tcase, 150);
+	tcase_add_loop_test(tcase, planned_changes_break_no_flow, 0, 2);
+	tcase_add_loop_test(tcase, failures_double_and_lose_nothing, 0, 3);
+	tcase_add_test(tcase, racing_operators_have_one_winner);
+}
+
 int main(void)
 {
 	Suite *suite = suite_create("end_to_end");
@@ -310,10 +333,7 @@
 	SRunner *runner;
 	int failures;
 
-	tcase_set_timeout(tcase, 150);
-	tcase_add_loop_test(tcase, planned_changes_break_no_flow, 0, 2);
-	tcase_add_loop_test(tcase, failures_double_and_lose_nothing, 0, 3);
-	tcase_add_test(tcase, racing_operators_have_one_winner);
+	add_tests(tcase);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
