--- /dev/null
+++ b/src/request/router_answer.c
@@ -0,0 +1,124 @@
+#include "router_private.h"
+
+#include <string.h>
+
+#include <rpc/rpc.h>
+
+/*
+ * Targets that one datagram is tried at. Each has said that it did not run
+ * it; after three a caller had better wait.
+ */
+#define HOPS_MAX 3
+
+static dy_pick_target_t *find_pick(dy_router_t *router, uint64_t service_id,
+				   uint64_t incarnation)
+{
+	route_service_t *service =
+		route_table_service(router->table, service_id);
+	route_member_t *member =
+		route_table_incarnation(router->table, incarnation);
+
+	return service && member ? route_service_find(service, member) : NULL;
+}
+
+static void note_answer(dy_pick_target_t *pick, const dy_load_t *load,
+			int opened, uint64_t now_ms)
+{
+	dy_pick_report_t report = { 0 };
+
+	report.slots = (uint16_t)load->slots;
+	report.in_flight = (uint16_t)load->in_flight;
+	report.queued = (uint16_t)load->queued;
+	report.sessions = load->sessions;
+	report.expected_wait_ms = load->wait_ms;
+	dy_pick_answered(pick, &report, opened, now_ms);
+	if (load->draining)
+		pick->draining = 1;
+	if (load->cold)
+		pick->cold_since_ms = now_ms;
+}
+
+static int take_opening(dy_router_t *router, const dy_address_t *caller,
+			const uint8_t *bytes, size_t len)
+{
+	opening_t opening;
+	uint32_t xid;
+
+	if (len < sizeof(xid))
+		return 0;
+	memcpy(&xid, bytes, sizeof(xid));
+	return openings_take(router->openings, openings_key(caller, ntohl(xid)),
+			     &opening);
+}
+
+void dy_router_answered(dy_router_t *router, const dy_answer_t *answer,
+			uint64_t now_ms)
+{
+	const uint8_t *bytes = (const uint8_t *)answer->datagram.datagram_val;
+	size_t len = answer->datagram.datagram_len;
+	dy_pick_target_t *pick;
+	int opened;
+
+	opened = take_opening(router, &answer->caller, bytes, len);
+	pick = find_pick(router, answer->service, answer->incarnation);
+	if (pick) {
+		note_answer(pick, &answer->load, opened, now_ms);
+		if (answer->verdict == DY_NOT_RUN)
+			dy_pick_refused(pick);
+	}
+	++*router->counters.answered;
+	router->config.callbacks->answer(router->config.context, answer->socket,
+					 &answer->caller, bytes, len);
+}
+
+void dy_router_bounced(dy_router_t *router, const dy_bounce_t *bounce,
+		       uint64_t now_ms)
+{
+	const dy_forward_t *forward = &bounce->forward;
+	dy_router_datagram_t datagram = { 0 };
+	packet_t packet = { 0 };
+	dy_pick_target_t *pick;
+
+	++*router->counters.bounced;
+	datagram.service = forward->service;
+	datagram.socket = forward->socket;
+	datagram.caller = forward->caller;
+	datagram.bytes = (const uint8_t *)forward->datagram.datagram_val;
+	datagram.len = forward->datagram.datagram_len;
+	packet.datagram = &datagram;
+	packet.now_ms = now_ms;
+	packet.hops = forward->hops + 1;
+	if (dy_rpc_parse_call(datagram.bytes, datagram.len, &packet.call))
+		return;
+	take_opening(router, &datagram.caller, datagram.bytes, datagram.len);
+	pick = find_pick(router, forward->service, forward->incarnation);
+	if (pick) {
+		note_answer(pick, &bounce->load, 1, now_ms);
+		/* Else an agent that has just joined would get no flow. */
+		if (bounce->reason != DY_REASON_NOT_READY)
+			dy_pick_refused(pick);
+	}
+	packet.service = route_table_service(router->table, datagram.service);
+	if (packet.service && packet.hops < HOPS_MAX &&
+	    dy_retry_budget_take(&router->retries, DY_RETRY_NOT_RUN)) {
+		router_open_flow(router, &packet);
+		return;
+	}
+	++*router->counters.no_target;
+	router_refuse(router, &packet, DY_NOT_RUN, DY_REASON_NO_TARGET,
+		      RETRY_NO_TARGET_MS);
+}
+
+void dy_router_expire(dy_router_t *router, uint64_t now_ms)
+{
+	dy_pick_target_t *pick;
+	opening_t opening;
+
+	while (openings_expire(router->openings, now_ms, &opening)) {
+		pick = find_pick(router, opening.service, opening.incarnation);
+		if (pick)
+			dy_pick_failed(pick, 1, now_ms);
+	}
+	router_publish_burns(router, now_ms);
+	route_table_expire(router->table, now_ms);
+}
