--- a/include/damaskyard/admission.h
+++ b/include/damaskyard/admission.h
@@ -221,7 +221,10 @@
  */
 void dy_admission_set_slots(dy_admission_t *admission, uint32_t slots);
 
-/* Read the load at now_us. */
+/*
+ * Read the load at now_us. Without slots the expected wait is an hour, the
+ * longest that is reported.
+ */
 void dy_admission_load(const dy_admission_t *admission, uint64_t now_us,
 		       dy_admission_load_t *load);
 
--- a/include/damaskyard/pick.h
+++ b/include/damaskyard/pick.h
@@ -153,7 +153,9 @@
 /*
  * Note that the agent refused an opening or a call because it is full or
  * late, after dy_pick_answered() for the same answer. If its report showed
- * free slots, that report is trusted less.
+ * free slots and connections, that report is trusted less. A refusal for any
+ * other reason (the crowd limit, a drain, a missing token) is not noted: it
+ * says nothing against the report.
  */
 void dy_pick_refused(dy_pick_target_t *target);
 
--- a/src/request/admission.c
+++ b/src/request/admission.c
@@ -21,6 +21,9 @@
  */
 #define PROJECT_EVERY_US 10000
 
+/* The longest wait that is reported, in milliseconds it fits 32 bits. */
+#define WAIT_MOST_US 3600000000ULL
+
 /*
  * A lane of which each call has waited longer than this, for as long as that,
  * is overloaded and not in a burst: its queue then adds to each wait and
@@ -432,6 +435,7 @@
 	load->queued = count_queued(adm);
 	load->expected_wait_us = MAX(newcomer_wait_us(adm, SUBMISSIONS, now),
 				     newcomer_wait_us(adm, PULLS, now));
+	load->expected_wait_us = MIN(load->expected_wait_us, WAIT_MOST_US);
 }
 
 const char *dy_admission_reason_name(dy_admission_reason_t reason)
--- a/src/version/pick.c
+++ b/src/version/pick.c
@@ -319,7 +319,8 @@
 
 void dy_pick_refused(dy_pick_target_t *target)
 {
-	if (target->in_flight >= target->slots || target->queued)
+	if (target->in_flight >= target->slots || target->queued ||
+	    target->sessions >= target->session_cap)
 		return;
 	target->trust -= target->trust >> TRUST_LOSS_SHIFT;
 }
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -342,6 +342,7 @@
 START_TEST(fewer_slots_cut_nothing)
 {
 	fake_target_t *target = create_target(4, 0);
+	dy_admission_load_t load;
 	int i;
 
 	for (i = 0; i < 10; i++)
@@ -355,6 +356,8 @@
 	ck_assert_uint_le(target->most_running, 1);
 	dy_admission_set_slots(target->admission, 0);
 	ck_assert_int_eq(issue_of(target, 1, 0)->end, FAKE_REFUSED);
+	dy_admission_load(target->admission, target->now_us, &load);
+	ck_assert_uint_eq(load.expected_wait_us, 3600 * FAKE_S);
 	fake_target_destroy(target);
 }
 END_TEST
--- a/tests/test_pick.c
+++ b/tests/test_pick.c
@@ -337,7 +337,7 @@
 }
 END_TEST
 
-/* A refusal by a target that says it is full is no lie. */
+/* A refusal by a target that says it is full is no lie, in either way. */
 START_TEST(honest_refusal_costs_no_trust)
 {
 	view_t view;
@@ -346,6 +346,9 @@
 	report(&view, 0, SLOTS, 3, 100);
 	dy_pick_refused(&view.targets[0]);
 	ck_assert_uint_eq(view.targets[0].trust, DY_PICK_TRUST_FULL);
+	report(&view, 0, 1, 0, CAP);
+	dy_pick_refused(&view.targets[0]);
+	ck_assert_uint_eq(view.targets[0].trust, DY_PICK_TRUST_FULL);
 	g_rand_free(view.rand);
 }
 END_TEST
