--- a/src/process/control.c
+++ b/src/process/control.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "damaskyard/document.h"
+#include "damaskyard/rpc.h"
 #include "damaskyard/status_service.h"
 #include "dy_group.h"
 
@@ -74,20 +75,13 @@
 	return result;
 }
 
-/*
- * What a request meets before anything is done for it. A leader with too
- * many waiting refuses the next at once: its answer would come too late.
- */
-dy_raft_result_t control_admit(dy_control_t *control)
+dy_raft_result_t control_admit(const dy_control_t *control)
 {
 	if (dy_raft_role(control->raft) != DY_RAFT_LEADER)
 		return DY_RAFT_NOT_LEADER;
 	if (!control_serves(control))
 		return DY_RAFT_BUSY;
-	if (control->request_count <= REQUESTS_MAX)
-		return DY_RAFT_DONE;
-	++*control->counters.refused_full;
-	return DY_RAFT_BUSY;
+	return DY_RAFT_DONE;
 }
 
 request_t *control_keep_request(dy_control_t *control,
@@ -177,6 +171,26 @@
 		control_count_malformed(control, message->procedure);
 }
 
+/*
+ * Guards against a storm of polls, as when thousands of members start at
+ * once, that unseats the leader: the group's own messages come by the same
+ * socket, are lost where it overflows, and the leader loses its majority.
+ * Polls beyond what may wait are dropped before their seal is even looked
+ * at, so the socket is emptied faster than it fills. A member polls again.
+ */
+static int is_shed(dy_control_t *control, const uint8_t *bytes, size_t len)
+{
+	dy_rpc_call_t call;
+
+	if (control->request_count < REQUESTS_MAX ||
+	    dy_rpc_parse_call(bytes, len, &call) ||
+	    call.program != DY_CONTROL_PROGRAM ||
+	    call.procedure != DY_CONTROL_POLL)
+		return 0;
+	++*control->counters.polls_shed;
+	return 1;
+}
+
 static void on_datagram(void *context, uint8_t *bytes, size_t len,
 			const struct sockaddr *from, int truncated)
 {
@@ -187,6 +201,8 @@
 		++*control->counters.truncated;
 		return;
 	}
+	if (is_shed(control, bytes, len))
+		return;
 	if (dy_seal_open(control->seal, bytes, len, &message) != DY_SEAL_OK ||
 	    message.is_reply)
 		return;
--- a/src/process/control_counters.c
+++ b/src/process/control_counters.c
@@ -21,7 +21,7 @@
 		{ "control_unavailable", &control->counters.unavailable },
 		{ "control_name_taken", &control->counters.name_taken },
 		{ "control_superseded", &control->counters.superseded },
-		{ "control_refused_full", &control->counters.refused_full },
+		{ "control_polls_shed", &control->counters.polls_shed },
 		{ "uploads_dropped", &control->counters.uploads_dropped },
 		{ "leader_elected", &control->counters.led },
 		{ "group_founded", &control->counters.founded },
--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -31,11 +31,10 @@
 #define WAITING_MS 10000
 
 /*
- * Requests waiting for the log; more are refused at once. A group answers
- * some 70,000 a second (bench_control), so these are answered within the
- * 400 ms for which a member waits.
+ * Polls waiting for the log; more are dropped. At some 70,000 answers a
+ * second (bench_control) these are 15 ms of work, half a heartbeat.
  */
-#define REQUESTS_MAX 16384
+#define REQUESTS_MAX 1024
 
 /* Marks proposed in one review: a failure domain is marked in seconds. */
 #define MARKS_MAX 256
@@ -54,7 +53,7 @@
 	uint64_t *unavailable;
 	uint64_t *name_taken;
 	uint64_t *superseded;
-	uint64_t *refused_full;
+	uint64_t *polls_shed;
 	uint64_t *uploads_dropped;
 	uint64_t *led;
 	uint64_t *founded;
@@ -127,7 +126,7 @@
 /* Whether this control leads a group that may serve. */
 int control_serves(const dy_control_t *control);
 /* DONE if a request that was kept may begin. */
-dy_raft_result_t control_admit(dy_control_t *control);
+dy_raft_result_t control_admit(const dy_control_t *control);
 /* Address of the leader; port 0 if none is known. */
 void control_show_leader(const dy_control_t *control, dy_address_t *leader);
 /* The status that a request ends with when the log did not take it. */
