--- a/fuzz/fuzz_agent.c
+++ b/fuzz/fuzz_agent.c
@@ -20,7 +20,7 @@
 /* A caller's copies come within this, in us: below what the cache keeps. */
 #define COPY_US 55000000ULL
 
-#define SETTLE_TURNS 6
+#define SETTLE_TURNS 3
 
 typedef struct run {
 	fake_world_t *world;
@@ -117,6 +117,29 @@
 	dy_agent_leave(agent->agent, "fuzz", 1);
 }
 
+static void answer_everything(fake_world_t *world)
+{
+	unsigned i;
+
+	for (i = 0; i < FAKE_AGENTS; i++)
+		if (world->agents[i].agent)
+			world_answer_all(world, i);
+}
+
+/* Up to where the first messages that hold sessions are under way. */
+static void begin_handover(run_t *run, unsigned index)
+{
+	leave(run, index);
+	world_poll(run->world, index);
+	world_pass(run->world, 50);
+	while (world_deliver(run->world))
+		;
+	world_pass(run->world, 50);
+	/* Else their deadlines, and not the change, would end the calls. */
+	if (run->planned)
+		answer_everything(run->world);
+}
+
 static void restart(run_t *run, unsigned index)
 {
 	fake_agent_t *agent = &run->world->agents[index];
@@ -135,15 +158,6 @@
 		world_open(run->world, index, caller);
 }
 
-static void answer_everything(fake_world_t *world)
-{
-	unsigned i;
-
-	for (i = 0; i < FAKE_AGENTS; i++)
-		if (world->agents[i].agent)
-			world_answer_all(world, i);
-}
-
 static void pass(run_t *run)
 {
 	unsigned byte = take(run);
@@ -196,12 +210,15 @@
 	case 12:
 		restart(run, index);
 		break;
+	case 13:
+		begin_handover(run, index);
+		break;
 	default:
 		break;
 	}
 }
 
-#define PLANNED_OPS 13
+#define PLANNED_OPS 14
 
 static void operate_unplanned(run_t *run, unsigned op, unsigned index)
 {
@@ -291,8 +308,10 @@
 			continue;
 		if (call->runs == 1 && call->answered)
 			continue;
-		/* Refused as not run, with a time to come back, is no loss. */
-		if (!call->runs && call->not_run && call->retry_ms)
+		/* Refused for want of room, not for the change, is no loss. */
+		if (!call->runs && call->not_run && call->retry_ms &&
+		    (call->reason == DY_REASON_OVERLOAD ||
+		     call->reason == DY_REASON_DEADLINE))
 			continue;
 		fprintf(stderr,
 			"a planned change broke call %u: runs=%u outcomes=%u "
@@ -316,6 +335,8 @@
 	run.planned = take(&run) & 1;
 	for (i = 0; i < FAKE_AGENTS; i++)
 		world_start(run.world, i);
+	for (i = 0; i < FAKE_CALLERS; i++)
+		world_open(run.world, take_below(&run, FAKE_AGENTS), i);
 	while (run.len)
 		operate(&run);
 	for (i = 0; run.planned && i < SETTLE_TURNS; i++) {
--- a/src/process/agent_forward.c
+++ b/src/process/agent_forward.c
@@ -154,6 +154,8 @@
 static void answer_copy(dy_agent_t *agent, dy_session_t *session,
 			const arrival_t *arrival, const dy_drc_found_t *found)
 {
+	dy_refusal_t refusal;
+
 	if (found->state == DY_DRC_ANSWERED) {
 		agent_count(agent, EVENT_COPIES_ANSWERED);
 		agent_answer(agent, session, &arrival->route,
@@ -161,10 +163,14 @@
 			     found->results, found->results_len);
 		return;
 	}
+	/* The cache keeps the verdict, not when to come back. */
+	refusal = found->refusal;
+	if (refusal.verdict == DY_NOT_RUN)
+		refusal.retry_after_ms = RETRY_MS;
 	agent_note(agent, EVENT_COPIES_REFUSED, "reason=%s xid=%08x",
-		   dy_reason_name(found->refusal.reason), arrival->message.xid);
+		   dy_reason_name(refusal.reason), arrival->message.xid);
 	agent_answer_refusal(agent, &arrival->route, arrival->message.xid,
-			     &found->refusal);
+			     &refusal);
 }
 
 /* Returns 1 if the call is a copy of one that is known; it is dealt with. */
--- a/tests/fake_agents.c
+++ b/tests/fake_agents.c
@@ -10,6 +10,10 @@
 #define PROGRAM 0x2A000001
 #define STEP_MS 50
 
+/* A long time passes in longer steps. */
+#define LONG_MS 20000
+#define LONG_STEP_MS 500
+
 /* The network's maximum segment lifetime. */
 #define MAIL_LIFE_US 60000000ULL
 
@@ -456,8 +460,10 @@
 	fake_agent_t *agent;
 	unsigned i;
 
-	for (; ms >= STEP_MS; ms -= STEP_MS) {
-		world->now_us += STEP_MS * 1000ULL;
+	unsigned step_ms = ms >= LONG_MS ? LONG_STEP_MS : STEP_MS;
+
+	for (; ms >= step_ms; ms -= step_ms) {
+		world->now_us += step_ms * 1000ULL;
 		for (i = 0; i < FAKE_AGENTS; i++) {
 			agent = &world->agents[i];
 			if (!agent->agent)
