--- a/fuzz/fuzz_store.c
+++ b/fuzz/fuzz_store.c
@@ -245,7 +245,7 @@
 
 static void write_vote(run_t *run)
 {
-	dy_member_id_t candidate = { 2, 5 };
+	dy_voter_id_t candidate = { 2, 5 };
 
 	run->oracle.maybe_vote_term = run->oracle.vote_term + 1;
 	if (!dy_store_write_vote(run->store, run->oracle.maybe_vote_term,
--- a/include/damaskyard/raft.h
+++ b/include/damaskyard/raft.h
@@ -104,7 +104,7 @@
 			     void *read_context);
 	/* Role or leader changed; may be NULL. */
 	void (*changed)(void *context, dy_raft_role_t role,
-			dy_member_id_t leader);
+			dy_voter_id_t leader);
 	/*
 	 * The disk failed: this member neither votes nor acknowledges any
 	 * more, and the process should stop. error is the module's. Called
@@ -204,7 +204,7 @@
  */
 
 /* Add a member that receives the log and does not vote. */
-dy_raft_result_t dy_raft_add_learner(dy_raft_t *raft, dy_member_id_t id,
+dy_raft_result_t dy_raft_add_learner(dy_raft_t *raft, dy_voter_id_t id,
 				     const char *address,
 				     dy_raft_done_cb_t *done, void *context);
 
@@ -213,21 +213,21 @@
  * loses a second voter at once does not wait for the new one's copy. REFUSED
  * while another voter holds its slot.
  */
-dy_raft_result_t dy_raft_promote(dy_raft_t *raft, dy_member_id_t id,
+dy_raft_result_t dy_raft_promote(dy_raft_t *raft, dy_voter_id_t id,
 				 dy_raft_done_cb_t *done, void *context);
 
 /*
  * Remove a learner or voter. REFUSED for the leader itself, which transfers
  * the lead first, and for the last voter.
  */
-dy_raft_result_t dy_raft_remove(dy_raft_t *raft, dy_member_id_t id,
+dy_raft_result_t dy_raft_remove(dy_raft_t *raft, dy_voter_id_t id,
 				dy_raft_done_cb_t *done, void *context);
 
 /* State, for status and for tests. */
 dy_raft_role_t dy_raft_role(const dy_raft_t *raft);
-dy_member_id_t dy_raft_id(const dy_raft_t *raft);
+dy_voter_id_t dy_raft_id(const dy_raft_t *raft);
 /* Identity 0 where none is known. */
-dy_member_id_t dy_raft_leader(const dy_raft_t *raft);
+dy_voter_id_t dy_raft_leader(const dy_raft_t *raft);
 uint64_t dy_raft_term(const dy_raft_t *raft);
 uint64_t dy_raft_commit_index(const dy_raft_t *raft);
 uint64_t dy_raft_applied_index(const dy_raft_t *raft);
@@ -240,16 +240,16 @@
  * Address of a member of the configuration, or NULL if it is unknown (then
  * answer the source of the last datagram heard under that id).
  */
-const char *dy_raft_find_address(const dy_raft_t *raft, dy_member_id_t id);
+const char *dy_raft_find_address(const dy_raft_t *raft, dy_voter_id_t id);
 /*
  * On a leader: entries that the member has not acknowledged, and in
  * heard_ms_ago the time since it answered. Returns UINT64_MAX if the member
  * is unknown or this member does not lead.
  */
-uint64_t dy_raft_member_lag(const dy_raft_t *raft, dy_member_id_t id,
+uint64_t dy_raft_member_lag(const dy_raft_t *raft, dy_voter_id_t id,
 			    uint64_t *heard_ms_ago);
 
 /* Whether two ids name the same member. */
-int dy_member_id_equal(dy_member_id_t a, dy_member_id_t b);
+int dy_voter_id_equal(dy_voter_id_t a, dy_voter_id_t b);
 
 #endif
--- a/include/damaskyard/store.h
+++ b/include/damaskyard/store.h
@@ -107,7 +107,7 @@
 
 /* Group and identity of this member. */
 uint64_t dy_store_group(const dy_store_t *store);
-dy_member_id_t dy_store_id(const dy_store_t *store);
+dy_voter_id_t dy_store_id(const dy_store_t *store);
 
 /* Bytes that were cut as a torn tail when the store was opened. */
 uint64_t dy_store_torn_bytes(const dy_store_t *store);
@@ -117,14 +117,14 @@
 
 /* Term and vote. The vote's identity is 0 when none was given. */
 uint64_t dy_store_term(const dy_store_t *store);
-dy_member_id_t dy_store_vote(const dy_store_t *store);
+dy_voter_id_t dy_store_vote(const dy_store_t *store);
 
 /*
  * Write term and vote and sync them. The term must not go back. Returns 0,
  * or -1 with error set.
  */
 int dy_store_write_vote(dy_store_t *store, uint64_t term,
-			dy_member_id_t voted_for, GError **error);
+			dy_voter_id_t voted_for, GError **error);
 
 /*
  * The log holds the entries from first to last, all of them in memory too.
--- a/proto/dy_group.x
+++ b/proto/dy_group.x
@@ -17,7 +17,7 @@
  */
 struct dy_hello_t {
 	unsigned hyper group;
-	dy_member_id_t id;
+	dy_voter_id_t id;
 	bool empty;			/* its store holds nothing */
 	bool answer;			/* the receiver is to answer */
 	unsigned hyper echo;
--- a/proto/dy_raft.x
+++ b/proto/dy_raft.x
@@ -13,8 +13,8 @@
 const DY_RAFT_CHUNK_BYTES = 16384;
 const DY_RAFT_MESSAGE_BYTES = 49152;
 
-/* Identity 0 names nobody. */
-struct dy_member_id_t {
+/* A control in its group, also while it learns. Identity 0 names nobody. */
+struct dy_voter_id_t {
 	unsigned int slot;
 	unsigned hyper identity;
 };
@@ -25,7 +25,7 @@
 };
 
 struct dy_raft_member_t {
-	dy_member_id_t id;
+	dy_voter_id_t id;
 	dy_member_role_t role;
 	string address<DY_RAFT_ADDRESS_MAX>;
 };
@@ -130,8 +130,8 @@
 /* config_index is the index of the newest configuration that from holds. */
 struct dy_raft_message_t {
 	unsigned hyper group;
-	dy_member_id_t from;
-	dy_member_id_t to;
+	dy_voter_id_t from;
+	dy_voter_id_t to;
 	unsigned hyper term;
 	unsigned hyper config_index;
 	dy_raft_body_t body;
@@ -153,13 +153,13 @@
 
 struct dy_record_identity_t {
 	unsigned hyper group;
-	dy_member_id_t id;
+	dy_voter_id_t id;
 };
 
 struct dy_record_vote_t {
-	dy_member_id_t id;
+	dy_voter_id_t id;
 	unsigned hyper term;
-	dy_member_id_t voted_for;
+	dy_voter_id_t voted_for;
 };
 
 struct dy_record_entry_t {
@@ -169,7 +169,7 @@
 
 struct dy_record_segment_t {
 	unsigned hyper first_index;
-	dy_member_id_t id;
+	dy_voter_id_t id;
 };
 
 struct dy_record_snapshot_t {
--- a/src/gen/dy_group.h
+++ b/src/gen/dy_group.h
@@ -17,7 +17,7 @@
 
 struct dy_hello_t {
 	u_quad_t group;
-	dy_member_id_t id;
+	dy_voter_id_t id;
 	bool_t empty;
 	bool_t answer;
 	u_quad_t echo;
--- a/src/gen/dy_group_xdr.c
+++ b/src/gen/dy_group_xdr.c
@@ -13,7 +13,7 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->group))
 		 return FALSE;
-	 if (!xdr_dy_member_id_t (xdrs, &objp->id))
+	 if (!xdr_dy_voter_id_t (xdrs, &objp->id))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->empty))
 		 return FALSE;
--- a/src/gen/dy_raft.h
+++ b/src/gen/dy_raft.h
@@ -21,11 +21,11 @@
 #define DY_RAFT_CHUNK_BYTES 16384
 #define DY_RAFT_MESSAGE_BYTES 49152
 
-struct dy_member_id_t {
+struct dy_voter_id_t {
 	u_int slot;
 	u_quad_t identity;
 };
-typedef struct dy_member_id_t dy_member_id_t;
+typedef struct dy_voter_id_t dy_voter_id_t;
 
 enum dy_member_role_t {
 	DY_MEMBER_VOTER = 1,
@@ -34,7 +34,7 @@
 typedef enum dy_member_role_t dy_member_role_t;
 
 struct dy_raft_member_t {
-	dy_member_id_t id;
+	dy_voter_id_t id;
 	dy_member_role_t role;
 	char *address;
 };
@@ -152,8 +152,8 @@
 
 struct dy_raft_message_t {
 	u_quad_t group;
-	dy_member_id_t from;
-	dy_member_id_t to;
+	dy_voter_id_t from;
+	dy_voter_id_t to;
 	u_quad_t term;
 	u_quad_t config_index;
 	dy_raft_body_t body;
@@ -173,14 +173,14 @@
 
 struct dy_record_identity_t {
 	u_quad_t group;
-	dy_member_id_t id;
+	dy_voter_id_t id;
 };
 typedef struct dy_record_identity_t dy_record_identity_t;
 
 struct dy_record_vote_t {
-	dy_member_id_t id;
+	dy_voter_id_t id;
 	u_quad_t term;
-	dy_member_id_t voted_for;
+	dy_voter_id_t voted_for;
 };
 typedef struct dy_record_vote_t dy_record_vote_t;
 
@@ -192,7 +192,7 @@
 
 struct dy_record_segment_t {
 	u_quad_t first_index;
-	dy_member_id_t id;
+	dy_voter_id_t id;
 };
 typedef struct dy_record_segment_t dy_record_segment_t;
 
@@ -231,7 +231,7 @@
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern  bool_t xdr_dy_member_id_t (XDR *, dy_member_id_t*);
+extern  bool_t xdr_dy_voter_id_t (XDR *, dy_voter_id_t*);
 extern  bool_t xdr_dy_member_role_t (XDR *, dy_member_role_t*);
 extern  bool_t xdr_dy_raft_member_t (XDR *, dy_raft_member_t*);
 extern  bool_t xdr_dy_raft_config_t (XDR *, dy_raft_config_t*);
@@ -256,7 +256,7 @@
 extern  bool_t xdr_dy_record_t (XDR *, dy_record_t*);
 
 #else /* K&R C */
-extern bool_t xdr_dy_member_id_t ();
+extern bool_t xdr_dy_voter_id_t ();
 extern bool_t xdr_dy_member_role_t ();
 extern bool_t xdr_dy_raft_member_t ();
 extern bool_t xdr_dy_raft_config_t ();
--- a/src/gen/dy_raft_xdr.c
+++ b/src/gen/dy_raft_xdr.c
@@ -6,7 +6,7 @@
 #include "dy_raft.h"
 
 bool_t
-xdr_dy_member_id_t (XDR *xdrs, dy_member_id_t *objp)
+xdr_dy_voter_id_t (XDR *xdrs, dy_voter_id_t *objp)
 {
 	register int32_t *buf;
 
@@ -32,7 +32,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_dy_member_id_t (xdrs, &objp->id))
+	 if (!xdr_dy_voter_id_t (xdrs, &objp->id))
 		 return FALSE;
 	 if (!xdr_dy_member_role_t (xdrs, &objp->role))
 		 return FALSE;
@@ -244,9 +244,9 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->group))
 		 return FALSE;
-	 if (!xdr_dy_member_id_t (xdrs, &objp->from))
+	 if (!xdr_dy_voter_id_t (xdrs, &objp->from))
 		 return FALSE;
-	 if (!xdr_dy_member_id_t (xdrs, &objp->to))
+	 if (!xdr_dy_voter_id_t (xdrs, &objp->to))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->term))
 		 return FALSE;
@@ -274,7 +274,7 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->group))
 		 return FALSE;
-	 if (!xdr_dy_member_id_t (xdrs, &objp->id))
+	 if (!xdr_dy_voter_id_t (xdrs, &objp->id))
 		 return FALSE;
 	return TRUE;
 }
@@ -284,11 +284,11 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_dy_member_id_t (xdrs, &objp->id))
+	 if (!xdr_dy_voter_id_t (xdrs, &objp->id))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->term))
 		 return FALSE;
-	 if (!xdr_dy_member_id_t (xdrs, &objp->voted_for))
+	 if (!xdr_dy_voter_id_t (xdrs, &objp->voted_for))
 		 return FALSE;
 	return TRUE;
 }
@@ -312,7 +312,7 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->first_index))
 		 return FALSE;
-	 if (!xdr_dy_member_id_t (xdrs, &objp->id))
+	 if (!xdr_dy_voter_id_t (xdrs, &objp->id))
 		 return FALSE;
 	return TRUE;
 }
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -19,7 +19,7 @@
 
 void control_show_leader(const dy_control_t *control, dy_address_t *leader)
 {
-	dy_member_id_t id = dy_raft_leader(control->raft);
+	dy_voter_id_t id = dy_raft_leader(control->raft);
 
 	memset(leader, 0, sizeof(*leader));
 	if (id.identity && id.slot <= DY_RAFT_MEMBERS_MAX)
@@ -219,8 +219,7 @@
 	return dy_registry_load(control->registry, read, read_context);
 }
 
-static void on_changed(void *context, dy_raft_role_t role,
-		       dy_member_id_t leader)
+static void on_changed(void *context, dy_raft_role_t role, dy_voter_id_t leader)
 {
 	static const char *const names[] = { "follower", "pre_candidate",
 					     "candidate", "leader" };
--- a/src/process/control_group.c
+++ b/src/process/control_group.c
@@ -167,14 +167,14 @@
 }
 
 static void log_step(dy_control_t *control, const char *event,
-		     uint64_t *counter, dy_member_id_t id)
+		     uint64_t *counter, dy_voter_id_t id)
 {
 	++*counter;
 	dy_log_event(DY_LOG_INFO, event, "slot=%u identity=%lx", id.slot,
 		     (unsigned long)id.identity);
 }
 
-static void refuse_join(dy_control_t *control, dy_member_id_t id)
+static void refuse_join(dy_control_t *control, dy_voter_id_t id)
 {
 	++*control->counters.joins_refused;
 	if (dy_log_allow(&control->join_limit, "control_join_refused",
@@ -184,8 +184,7 @@
 			     id.slot, (unsigned long)id.identity);
 }
 
-static void take_step(dy_control_t *control, join_step_t step,
-		      dy_member_id_t id)
+static void take_step(dy_control_t *control, join_step_t step, dy_voter_id_t id)
 {
 	const dy_address_t *address = &control->options.peers.slots[id.slot];
 	char text[DY_ADDRESS_TEXT_BYTES];
@@ -222,7 +221,7 @@
 {
 	join_member_t voter;
 	join_member_t learner;
-	dy_member_id_t id;
+	dy_voter_id_t id;
 	join_step_t step;
 	uint32_t slot;
 
--- a/src/process/control_inspect.c
+++ b/src/process/control_inspect.c
@@ -34,7 +34,7 @@
 static void add_control(const dy_control_t *control, dy_status_page_t *page,
 			const dy_raft_member_t *member)
 {
-	int self = dy_member_id_equal(member->id, dy_raft_id(control->raft));
+	int self = dy_voter_id_equal(member->id, dy_raft_id(control->raft));
 	uint64_t heard_ms = 0;
 	uint64_t lag = 0;
 
--- a/src/process/raft.c
+++ b/src/process/raft.c
@@ -47,7 +47,7 @@
 }
 
 void raft_begin_message(const dy_raft_t *raft, dy_raft_message_t *message,
-			dy_raft_kind_t kind, dy_member_id_t to)
+			dy_raft_kind_t kind, dy_voter_id_t to)
 {
 	memset(message, 0, sizeof(*message));
 	message->group = dy_store_group(raft->store);
@@ -272,7 +272,7 @@
 		refuse(raft, message, raft->counters.refused_group, "group");
 		return 0;
 	}
-	if (!dy_member_id_equal(message->to, raft->id)) {
+	if (!dy_voter_id_equal(message->to, raft->id)) {
 		refuse(raft, message, raft->counters.refused_identity,
 		       "identity");
 		return 0;
@@ -408,7 +408,7 @@
 {
 	tell_ended(raft);
 	if (raft->role != raft->told_role ||
-	    !dy_member_id_equal(raft->leader, raft->told_leader)) {
+	    !dy_voter_id_equal(raft->leader, raft->told_leader)) {
 		raft->told_role = raft->role;
 		raft->told_leader = raft->leader;
 		if (raft->callbacks.changed)
--- a/src/process/raft_config.c
+++ b/src/process/raft_config.c
@@ -9,7 +9,7 @@
 /* Members of the largest size, each with its length words. */
 #define CONFIG_MAX_BYTES (DY_RAFT_MEMBERS_MAX * (DY_RAFT_ADDRESS_MAX + 32))
 
-int dy_member_id_equal(dy_member_id_t a, dy_member_id_t b)
+int dy_voter_id_equal(dy_voter_id_t a, dy_voter_id_t b)
 {
 	return a.slot == b.slot && a.identity == b.identity;
 }
--- a/src/process/raft_election.c
+++ b/src/process/raft_election.c
@@ -2,7 +2,7 @@
 
 #include "damaskyard/invariant.h"
 
-static const dy_member_id_t nobody;
+static const dy_voter_id_t nobody;
 
 void raft_reset_election(dy_raft_t *raft)
 {
@@ -12,10 +12,10 @@
 			       g_rand_int_range(raft->rand, 0, (gint32)least);
 }
 
-static void set_leader(dy_raft_t *raft, dy_member_id_t leader)
+static void set_leader(dy_raft_t *raft, dy_voter_id_t leader)
 {
 	dy_assert(raft->seen_leader_term < raft->term ||
-		  dy_member_id_equal(raft->seen_leader, leader));
+		  dy_voter_id_equal(raft->seen_leader, leader));
 	raft->seen_leader_term = raft->term;
 	raft->seen_leader = leader;
 	raft->leader = leader;
@@ -58,7 +58,7 @@
 	raft->role = DY_RAFT_FOLLOWER;
 }
 
-void raft_follow(dy_raft_t *raft, dy_member_id_t leader)
+void raft_follow(dy_raft_t *raft, dy_voter_id_t leader)
 {
 	dy_assert(raft->role != DY_RAFT_LEADER);
 	raft_step_down(raft, raft->term);
@@ -180,7 +180,7 @@
 	if (message->term != raft->term || !may_vote(raft, message))
 		return 0;
 	if (raft->vote.identity &&
-	    !dy_member_id_equal(raft->vote, message->from))
+	    !dy_voter_id_equal(raft->vote, message->from))
 		return 0;
 	if (!raft->vote.identity) {
 		raft->vote = message->from;
@@ -234,7 +234,7 @@
 void raft_handle_timeout_now(dy_raft_t *raft, const dy_raft_message_t *message)
 {
 	if (raft->role == DY_RAFT_LEADER || !raft_is_voter(raft) ||
-	    !dy_member_id_equal(raft->leader, message->from))
+	    !dy_voter_id_equal(raft->leader, message->from))
 		return;
 	raft_start_election(raft, 0, 1);
 }
--- a/src/process/raft_internal.h
+++ b/src/process/raft_internal.h
@@ -8,7 +8,7 @@
 
 /* What a leader knows of another member. */
 typedef struct peer {
-	dy_member_id_t id;
+	dy_voter_id_t id;
 	int voter;
 	/* Next entry to send; last one known to be durable there. */
 	uint64_t next_index;
@@ -73,22 +73,22 @@
 	dy_metrics_t *own_metrics;
 	raft_counters_t counters;
 	GRand *rand;
-	dy_member_id_t id;
+	dy_voter_id_t id;
 	uint64_t now_ms;
 
 	/* Written to the store when vote_changed, before anything is sent. */
 	uint64_t term;
-	dy_member_id_t vote;
+	dy_voter_id_t vote;
 	int vote_changed;
 
 	dy_raft_role_t role;
-	dy_member_id_t leader;
+	dy_voter_id_t leader;
 	dy_raft_role_t told_role;
-	dy_member_id_t told_leader;
+	dy_voter_id_t told_leader;
 	uint64_t leader_heard_ms;
 	uint64_t election_at_ms;
 	/* The leader last seen and its term: there is one in each. */
-	dy_member_id_t seen_leader;
+	dy_voter_id_t seen_leader;
 	uint64_t seen_leader_term;
 
 	uint64_t commit_index;
@@ -111,7 +111,7 @@
 
 	waiting_t transfer;
 	uint64_t transfer_until_ms;
-	dy_member_id_t transfer_target;
+	dy_voter_id_t transfer_target;
 
 	/* Snapshot being received: its last index or 0, who sends it, size. */
 	uint64_t install_index;
@@ -131,7 +131,7 @@
 /* Write term and vote if they changed. Returns -1 once failed. */
 int raft_persist_vote(dy_raft_t *raft);
 void raft_begin_message(const dy_raft_t *raft, dy_raft_message_t *message,
-			dy_raft_kind_t kind, dy_member_id_t to);
+			dy_raft_kind_t kind, dy_voter_id_t to);
 /* Queue a message that holds no pointers. */
 void raft_queue(dy_raft_t *raft, const dy_raft_message_t *message);
 /* End a proposal or read; told in the next flush. */
@@ -147,7 +147,7 @@
 /* Follow; term is the current one or a greater one. */
 void raft_step_down(dy_raft_t *raft, uint64_t term);
 /* Take a message of the current term from its leader. */
-void raft_follow(dy_raft_t *raft, dy_member_id_t leader);
+void raft_follow(dy_raft_t *raft, dy_voter_id_t leader);
 void raft_handle_vote(dy_raft_t *raft, const dy_raft_message_t *message);
 void raft_handle_vote_reply(dy_raft_t *raft, const dy_raft_message_t *message);
 void raft_handle_timeout_now(dy_raft_t *raft, const dy_raft_message_t *message);
@@ -194,11 +194,11 @@
 /* Read the snapshot's and the log's configurations anew. */
 void raft_reload_configs(dy_raft_t *raft);
 const dy_raft_member_t *raft_find_member(const dy_raft_t *raft,
-					 dy_member_id_t id);
+					 dy_voter_id_t id);
 /* Whether id is in the newest configuration or in the committed one. */
-int raft_knows_member(const dy_raft_t *raft, dy_member_id_t id);
+int raft_knows_member(const dy_raft_t *raft, dy_voter_id_t id);
 int raft_is_voter(const dy_raft_t *raft);
-peer_t *raft_find_peer(const dy_raft_t *raft, dy_member_id_t id);
+peer_t *raft_find_peer(const dy_raft_t *raft, dy_voter_id_t id);
 peer_t *raft_peer_at(const dy_raft_t *raft, guint position);
 /* Voters needed for a majority. */
 guint raft_majority(const dy_raft_t *raft);
--- a/src/process/raft_member.c
+++ b/src/process/raft_member.c
@@ -32,23 +32,23 @@
 }
 
 static const dy_raft_member_t *find_member(const dy_raft_config_t *config,
-					   dy_member_id_t id)
+					   dy_voter_id_t id)
 {
 	u_int i;
 
 	for (i = 0; i < config->members.members_len; i++)
-		if (dy_member_id_equal(config->members.members_val[i].id, id))
+		if (dy_voter_id_equal(config->members.members_val[i].id, id))
 			return &config->members.members_val[i];
 	return NULL;
 }
 
 const dy_raft_member_t *raft_find_member(const dy_raft_t *raft,
-					 dy_member_id_t id)
+					 dy_voter_id_t id)
 {
 	return find_member(&raft_newest_config(raft)->config, id);
 }
 
-int raft_knows_member(const dy_raft_t *raft, dy_member_id_t id)
+int raft_knows_member(const dy_raft_t *raft, dy_voter_id_t id)
 {
 	const placed_config_t *committed =
 		raft_config_at(raft, raft->commit_index);
@@ -69,12 +69,12 @@
 	return &g_array_index(raft->peers, peer_t, position);
 }
 
-peer_t *raft_find_peer(const dy_raft_t *raft, dy_member_id_t id)
+peer_t *raft_find_peer(const dy_raft_t *raft, dy_voter_id_t id)
 {
 	guint i;
 
 	for (i = 0; i < raft->peers->len; i++)
-		if (dy_member_id_equal(raft_peer_at(raft, i)->id, id))
+		if (dy_voter_id_equal(raft_peer_at(raft, i)->id, id))
 			return raft_peer_at(raft, i);
 	return NULL;
 }
@@ -106,7 +106,7 @@
 
 	for (i = 0; i < config->members.members_len; i++) {
 		member = &config->members.members_val[i];
-		if (dy_member_id_equal(member->id, raft->id))
+		if (dy_voter_id_equal(member->id, raft->id))
 			continue;
 		memset(&peer, 0, sizeof(peer));
 		peer.id = member->id;
@@ -228,7 +228,7 @@
 	return members;
 }
 
-dy_raft_result_t dy_raft_add_learner(dy_raft_t *raft, dy_member_id_t id,
+dy_raft_result_t dy_raft_add_learner(dy_raft_t *raft, dy_voter_id_t id,
 				     const char *address,
 				     dy_raft_done_cb_t *done, void *context)
 {
@@ -263,7 +263,7 @@
 	return 0;
 }
 
-dy_raft_result_t dy_raft_promote(dy_raft_t *raft, dy_member_id_t id,
+dy_raft_result_t dy_raft_promote(dy_raft_t *raft, dy_voter_id_t id,
 				 dy_raft_done_cb_t *done, void *context)
 {
 	dy_raft_result_t result = check_change(raft);
@@ -282,13 +282,13 @@
 	members = copy_members(raft);
 	for (i = 0; i < members->len; i++) {
 		member = &g_array_index(members, dy_raft_member_t, i);
-		if (dy_member_id_equal(member->id, id))
+		if (dy_voter_id_equal(member->id, id))
 			member->role = DY_MEMBER_VOTER;
 	}
 	return change(raft, members, done, context);
 }
 
-dy_raft_result_t dy_raft_remove(dy_raft_t *raft, dy_member_id_t id,
+dy_raft_result_t dy_raft_remove(dy_raft_t *raft, dy_voter_id_t id,
 				dy_raft_done_cb_t *done, void *context)
 {
 	dy_raft_result_t result = check_change(raft);
@@ -297,11 +297,11 @@
 
 	if (result != DY_RAFT_DONE)
 		return result;
-	if (dy_member_id_equal(id, raft->id) || !raft_find_peer(raft, id))
+	if (dy_voter_id_equal(id, raft->id) || !raft_find_peer(raft, id))
 		return DY_RAFT_REFUSED;
 	members = copy_members(raft);
 	for (i = 0; i < members->len; i++)
-		if (dy_member_id_equal(
+		if (dy_voter_id_equal(
 			    g_array_index(members, dy_raft_member_t, i).id, id))
 			break;
 	g_array_remove_index(members, i);
--- a/src/process/raft_status.c
+++ b/src/process/raft_status.c
@@ -7,12 +7,12 @@
 	return raft->role;
 }
 
-dy_member_id_t dy_raft_id(const dy_raft_t *raft)
+dy_voter_id_t dy_raft_id(const dy_raft_t *raft)
 {
 	return raft->id;
 }
 
-dy_member_id_t dy_raft_leader(const dy_raft_t *raft)
+dy_voter_id_t dy_raft_leader(const dy_raft_t *raft)
 {
 	return raft->leader;
 }
@@ -55,14 +55,14 @@
 	return heard >= raft_majority(raft);
 }
 
-const char *dy_raft_find_address(const dy_raft_t *raft, dy_member_id_t id)
+const char *dy_raft_find_address(const dy_raft_t *raft, dy_voter_id_t id)
 {
 	const dy_raft_member_t *member = raft_find_member(raft, id);
 
 	return member ? member->address : NULL;
 }
 
-uint64_t dy_raft_member_lag(const dy_raft_t *raft, dy_member_id_t id,
+uint64_t dy_raft_member_lag(const dy_raft_t *raft, dy_voter_id_t id,
 			    uint64_t *heard_ms_ago)
 {
 	const peer_t *peer = raft_find_peer(raft, id);
--- a/src/process/store.c
+++ b/src/process/store.c
@@ -165,7 +165,7 @@
 }
 
 int dy_store_write_vote(dy_store_t *store, uint64_t term,
-			dy_member_id_t voted_for, GError **error)
+			dy_voter_id_t voted_for, GError **error)
 {
 	dy_assert(term >= store->term);
 	dy_assert(term > store->term || !store->vote.identity ||
@@ -370,7 +370,7 @@
 	return store->group;
 }
 
-dy_member_id_t dy_store_id(const dy_store_t *store)
+dy_voter_id_t dy_store_id(const dy_store_t *store)
 {
 	return store->id;
 }
@@ -390,7 +390,7 @@
 	return store->term;
 }
 
-dy_member_id_t dy_store_vote(const dy_store_t *store)
+dy_voter_id_t dy_store_vote(const dy_store_t *store)
 {
 	return store->vote;
 }
--- a/src/process/store_internal.h
+++ b/src/process/store_internal.h
@@ -31,13 +31,13 @@
 struct dy_store {
 	const dy_disk_t *disk;
 	uint64_t group;
-	dy_member_id_t id;
+	dy_voter_id_t id;
 	uint32_t segment_bytes;
 	int failed;
 	uint64_t torn_bytes;
 
 	uint64_t term;
-	dy_member_id_t vote;
+	dy_voter_id_t vote;
 
 	GPtrArray *entries;
 	uint64_t first_index;
--- a/tests/fake_group.c
+++ b/tests/fake_group.c
@@ -169,7 +169,7 @@
 }
 
 static void member_changed(void *context, dy_raft_role_t role,
-			   dy_member_id_t leader)
+			   dy_voter_id_t leader)
 {
 	fake_member_t *member = context;
 	char key[32];
--- a/tests/fake_group_operator.c
+++ b/tests/fake_group_operator.c
@@ -26,12 +26,12 @@
 }
 
 static const dy_raft_member_t *find_in(const dy_raft_config_t *config,
-				       dy_member_id_t id)
+				       dy_voter_id_t id)
 {
 	u_int i;
 
 	for (i = 0; i < config->members.members_len; i++)
-		if (dy_member_id_equal(config->members.members_val[i].id, id))
+		if (dy_voter_id_equal(config->members.members_val[i].id, id))
 			return &config->members.members_val[i];
 	return NULL;
 }
@@ -41,7 +41,7 @@
 	fake_member_t *leader = fake_group_leader(group);
 	const dy_raft_config_t *config;
 	const dy_raft_member_t *found;
-	dy_member_id_t id = { 0, 0 };
+	dy_voter_id_t id = { 0, 0 };
 	uint32_t i;
 
 	if (!leader)
--- a/tests/test_raft_member.c
+++ b/tests/test_raft_member.c
@@ -102,7 +102,7 @@
 	fake_group_t *group = fake_group_create_formed(4, 3);
 	fake_member_t *leader = fake_group_leader(group);
 	fake_member_t *wiped = fake_group_other(group, leader);
-	dy_member_id_t id = { wiped->slot, 0 };
+	dy_voter_id_t id = { wiped->slot, 0 };
 
 	fake_group_wipe(wiped);
 	fake_group_start(wiped);
@@ -127,8 +127,8 @@
 	fake_group_t *group = fake_group_create_formed(6, 3);
 	fake_member_t *leader = fake_group_leader(group);
 	fake_member_t *lost = fake_group_other(group, leader);
-	dy_member_id_t old = dy_raft_id(lost->raft);
-	dy_member_id_t id = old;
+	dy_voter_id_t old = dy_raft_id(lost->raft);
+	dy_voter_id_t id = old;
 
 	fake_group_accept(group, 100);
 	fake_group_wipe(lost);
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -15,7 +15,7 @@
 {
 	fake_disk_t *disk = fake_disk_create(1);
 	dy_store_t *store = fake_store_open(disk);
-	dy_member_id_t candidate = { 3, 1234 };
+	dy_voter_id_t candidate = { 3, 1234 };
 
 	fake_store_add(store, 1, 200);
 	fake_store_sync(store);
--- a/tests/test_store_recover.c
+++ b/tests/test_store_recover.c
@@ -197,7 +197,7 @@
 {
 	fake_disk_t *disk = fake_disk_create((uint32_t)_i);
 	dy_store_t *store = fake_store_open(disk);
-	dy_member_id_t candidate = { 1, 11 };
+	dy_voter_id_t candidate = { 1, 11 };
 	int vote = _i % 2;
 
 	if (!vote) {
