--- a/src/process/subscriber.c
+++ b/src/process/subscriber.c
@@ -11,6 +11,10 @@
 /* Polls are never further apart, whatever control says, in ms. */
 #define POLL_MOST_MS 5000
 
+/* Bytes of IPv4 and UDP around a datagram, and of them and a seal. */
+#define DATAGRAM_HEAD_BYTES 28
+#define REPLY_HEAD_BYTES (DATAGRAM_HEAD_BYTES + 56)
+
 /* Bytes of a poll or a request for a page, with its seal. */
 #define REQUEST_BYTES 4096
 
@@ -43,6 +47,8 @@
 	uint64_t *poll_timeouts;
 	uint64_t *stale_answers;
 	uint64_t *bad_documents;
+	uint64_t *bytes_sent;
+	uint64_t *bytes_received;
 	dy_log_limit_t refused_limit;
 };
 
@@ -69,9 +75,11 @@
 
 	len = dy_seal_write_call(subscriber->config.seal, &head, proc, args,
 				 out, sizeof(out));
-	if (len)
-		dy_endpoint_send_to(subscriber->config.endpoint, out, len,
-				    &subscriber->control);
+	if (!len)
+		return;
+	*subscriber->bytes_sent += len + DATAGRAM_HEAD_BYTES;
+	dy_endpoint_send_to(subscriber->config.endpoint, out, len,
+			    &subscriber->control);
 }
 
 static void send_poll(dy_subscriber_t *subscriber)
@@ -275,6 +283,7 @@
 {
 	if (!message->is_reply)
 		return;
+	*subscriber->bytes_received += message->body_len + REPLY_HEAD_BYTES;
 	if (subscriber->polling && message->xid == subscriber->poll_xid)
 		receive_poll_result(subscriber, message);
 	else if (document_fetch_waits(subscriber->fetch, message->xid))
@@ -322,6 +331,10 @@
 		dy_metrics_counter(config->metrics, "stale_state_refused");
 	subscriber->bad_documents =
 		dy_metrics_counter(config->metrics, "document_digest_wrong");
+	subscriber->bytes_sent =
+		dy_metrics_counter(config->metrics, "control_bytes_sent");
+	subscriber->bytes_received =
+		dy_metrics_counter(config->metrics, "control_bytes_received");
 	dy_loop_every(config->loop, TICK_MS, on_tick, subscriber);
 	return subscriber;
 }
--- /dev/null
+++ b/tests/test_loop.c
@@ -0,0 +1,141 @@
+#include "damaskyard/loop.h"
+
+#include <string.h>
+
+#include "fake_suite.h"
+
+typedef struct fake {
+	dy_loop_t *loop;
+	dy_metrics_t *metrics;
+	dy_endpoint_t *from;
+	dy_endpoint_t *to;
+	unsigned received;
+	uint8_t last;
+	unsigned ticks;
+	uint64_t stall_ms;
+} fake_t;
+
+static void on_datagram(void *context, uint8_t *bytes, size_t len,
+			const struct sockaddr *from, int truncated)
+{
+	fake_t *fake = context;
+
+	(void)from;
+	(void)truncated;
+	fake->received++;
+	if (len)
+		fake->last = bytes[0];
+}
+
+static void setup(fake_t *fake)
+{
+	dy_address_t any;
+
+	memset(fake, 0, sizeof(*fake));
+	dy_address_parse("127.0.0.1:0", &any);
+	fake->metrics = dy_metrics_create();
+	fake->loop = dy_loop_create(fake->metrics);
+	fake->from =
+		dy_endpoint_create(fake->loop, &any, on_datagram, fake, NULL);
+	fake->to =
+		dy_endpoint_create(fake->loop, &any, on_datagram, fake, NULL);
+	ck_assert_ptr_nonnull(fake->to);
+}
+
+static void teardown(fake_t *fake)
+{
+	dy_endpoint_destroy(fake->from);
+	dy_endpoint_destroy(fake->to);
+	dy_loop_destroy(fake->loop);
+	dy_metrics_destroy(fake->metrics);
+}
+
+static void send_byte(fake_t *fake, uint8_t byte)
+{
+	ck_assert_int_eq(dy_endpoint_send_to(fake->from, &byte, 1,
+					     dy_endpoint_address(fake->to)),
+			 0);
+}
+
+/* First tick: send, and stop the process for a while. Later: look. */
+static void on_tick(void *context)
+{
+	fake_t *fake = context;
+
+	fake->ticks++;
+	if (fake->ticks == 1) {
+		send_byte(fake, 1);
+		send_byte(fake, 2);
+		send_byte(fake, 3);
+		g_usleep(fake->stall_ms * 1000);
+	} else if (fake->ticks == 10) {
+		send_byte(fake, 9);
+	} else if (fake->ticks == 20) {
+		dy_loop_end(fake->loop);
+	}
+}
+
+/*
+ * A balancer is stopped for an hour with a reading in its socket. Meanwhile
+ * the reading was answered by way of another one, and its record of
+ * duplicates has expired. On its return the balancer would forward the old
+ * copy, and it would run again. What waited must be dropped, and what comes
+ * after must not.
+ */
+START_TEST(datagrams_that_waited_out_a_stall_are_dropped)
+{
+	fake_t fake;
+
+	setup(&fake);
+	fake.stall_ms = DY_STALL_MS + 500;
+	dy_loop_every(fake.loop, 20, on_tick, &fake);
+	dy_loop_run(fake.loop);
+	ck_assert_uint_eq(fake.received, 1);
+	ck_assert_uint_eq(fake.last, 9);
+	ck_assert_uint_eq(dy_metrics_value(fake.metrics, "stalled_datagrams"),
+			  3);
+	teardown(&fake);
+}
+END_TEST
+
+START_TEST(short_pause_drops_nothing)
+{
+	fake_t fake;
+
+	setup(&fake);
+	fake.stall_ms = 100;
+	dy_loop_every(fake.loop, 20, on_tick, &fake);
+	dy_loop_run(fake.loop);
+	ck_assert_uint_eq(fake.received, 4);
+	ck_assert_uint_eq(dy_metrics_value(fake.metrics, "stalled_datagrams"),
+			  0);
+	teardown(&fake);
+}
+END_TEST
+
+START_TEST(taken_port_is_an_error)
+{
+	GError *error = NULL;
+	fake_t fake;
+
+	setup(&fake);
+	ck_assert_ptr_null(dy_endpoint_create(fake.loop,
+					      dy_endpoint_address(fake.to),
+					      on_datagram, &fake, &error));
+	ck_assert_ptr_nonnull(strstr(error->message, "cannot listen on"));
+	g_error_free(error);
+	teardown(&fake);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		datagrams_that_waited_out_a_stall_are_dropped,
+		short_pause_drops_nothing,
+		taken_port_is_an_error,
+		NULL,
+	};
+
+	return fake_suite_run("loop", tests);
+}
