--- a/fuzz/fuzz_store.c
+++ b/fuzz/fuzz_store.c
@@ -199,7 +199,17 @@
 	oracle->acknowledged = index - 1;
 }
 
-/* ahead is a snapshot that a leader sent, beyond or beside the own log. */
+/* Where a leader's snapshot ends: inside the own log or beyond it. */
+static uint64_t pick_foreign(const oracle_t *oracle, uint32_t draw)
+{
+	uint64_t inside = oracle->last - oracle->snapshot;
+
+	if (draw % 2 && inside)
+		return oracle->last - MIN(draw, inside - 1);
+	return MIN(oracle->last + draw, ENTRIES_MAX - 3);
+}
+
+/* ahead is a snapshot that a leader sent, of a term above the own log's. */
 static void snapshot_store(run_t *run, uint32_t back, int ahead)
 {
 	oracle_t *oracle = &run->oracle;
@@ -213,7 +223,7 @@
 	meta.last_index =
 		oracle->last - MIN(back, oracle->last - oracle->snapshot);
 	if (ahead)
-		meta.last_index = MIN(oracle->last + back, ENTRIES_MAX - 3);
+		meta.last_index = pick_foreign(oracle, back);
 	if (!meta.last_index || meta.last_index < oracle->snapshot)
 		return;
 	/* What is committed has one term; no leader sends another. */
