--- a/src/process/agent_leave.c
+++ b/src/process/agent_leave.c
@@ -278,7 +278,7 @@
 		return 0;
 	if (!agent->incarnation)
 		return 1;
-	if (agent->view_current && !agent->has_successors)
+	if (agent->view_current && !agent->candidate_count)
 		return waited_ms >= NO_SUCCESSOR_MS;
 	return waited_ms >= DY_AGENT_STOP_MAX_MS;
 }
