--- a/src/request/router_answer.c
+++ b/src/request/router_answer.c
@@ -31,13 +31,29 @@
 	report.queued = (uint16_t)load->queued;
 	report.sessions = load->sessions;
 	report.expected_wait_ms = load->wait_ms;
-	dy_pick_answered(pick, &report, opened, now_ms);
+	dy_pick_answered(pick, load->slots ? &report : NULL, opened, now_ms);
 	if (load->draining)
 		pick->draining = 1;
 	if (load->cold)
 		pick->cold_since_ms = now_ms;
 }
 
+/*
+ * An agent without its target reports no slots. Taken for load, that report
+ * would keep every flow away for good, since only an answer brings a newer
+ * one; taken for a failure, the target is tried again after a while.
+ */
+static void note_bounce(dy_pick_target_t *pick, const dy_bounce_t *bounce,
+			uint64_t now_ms)
+{
+	note_answer(pick, &bounce->load, 1, now_ms);
+	if (!bounce->load.slots)
+		dy_pick_failed(pick, 0, now_ms);
+	/* Else an agent that has just joined would get no flow. */
+	else if (bounce->reason != DY_REASON_NOT_READY)
+		dy_pick_refused(pick);
+}
+
 static int take_opening(dy_router_t *router, const dy_address_t *caller,
 			const uint8_t *bytes, size_t len)
 {
@@ -92,12 +108,8 @@
 		return;
 	take_opening(router, &datagram.caller, datagram.bytes, datagram.len);
 	pick = find_pick(router, forward->service, forward->incarnation);
-	if (pick) {
-		note_answer(pick, &bounce->load, 1, now_ms);
-		/* Else an agent that has just joined would get no flow. */
-		if (bounce->reason != DY_REASON_NOT_READY)
-			dy_pick_refused(pick);
-	}
+	if (pick)
+		note_bounce(pick, bounce, now_ms);
 	packet.service = route_table_service(router->table, datagram.service);
 	if (packet.service && packet.hops < HOPS_MAX &&
 	    dy_retry_budget_take(&router->retries, DY_RETRY_NOT_RUN)) {
--- a/src/version/route_table.c
+++ b/src/version/route_table.c
@@ -141,6 +141,12 @@
 	       dy_service_accepts(service->service, &info);
 }
 
+static uint16_t slots_of(const route_service_t *service,
+			 const route_member_t *member)
+{
+	return (uint16_t)MIN(member->slots, service->service->slots);
+}
+
 /* What registration and document say; the view of load stays. */
 static void refresh_pick(dy_pick_target_t *pick, const route_service_t *service,
 			 const route_member_t *member)
@@ -149,6 +155,8 @@
 		MIN(member->connections, service->service->connections);
 	pick->domain = member->domain;
 	pick->draining = member->state != DY_MEMBER_SERVING;
+	if (!pick->slots)
+		pick->slots = slots_of(service, member);
 }
 
 static void place_member(route_service_t *service, route_member_t *member,
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -153,6 +153,25 @@
 	dy_router_receive(fake->router, &datagram, fake->now_ms);
 }
 
+/* The agent that got the last datagram answers and has room. */
+static void answer_last(fake_t *fake)
+{
+	dy_answer_t answer = { 0 };
+	dy_refusal_t none = { 0 };
+	dy_rpc_call_t call;
+
+	dy_rpc_parse_call(fake->bytes, fake->last.datagram.datagram_len, &call);
+	answer.service = fake->last.service;
+	answer.incarnation = fake->last.incarnation;
+	answer.caller = fake->last.caller;
+	answer.load.slots = 4;
+	answer.load.connections = 2000;
+	answer.datagram.datagram_val = (char *)fake->answer;
+	answer.datagram.datagram_len = (u_int)dy_rpc_write_refusal(
+		call.xid, &none, fake->answer, sizeof(fake->answer));
+	dy_router_answered(fake->router, &answer, fake->now_ms);
+}
+
 static dy_token_t token_of(uint64_t agent, uint64_t incarnation)
 {
 	dy_token_t token = { .service = dy_service_id("readings"),
@@ -506,6 +525,40 @@
 }
 END_TEST
 
+/*
+ * A target is away for a minute and its agent gives openings back, saying
+ * that it has no slots. When the target is back no flow would ever open
+ * there again: only an answer could tell that it has slots.
+ */
+START_TEST(target_that_comes_back_gets_flows)
+{
+	dy_bounce_t bounce = { 0 };
+	unsigned to_first = 0;
+	uint32_t xid;
+	fake_t fake;
+
+	setup(&fake);
+	bounce.reason = DY_REASON_TARGET_LOST;
+	for (xid = 0; xid < 40; xid++) {
+		send_call(&fake, xid, 0, NULL);
+		if (fake.to_incarnation != 101)
+			continue;
+		bounce.forward = fake.last;
+		dy_router_bounced(fake.router, &bounce, ++fake.now_ms);
+	}
+	fake.now_ms += 60000;
+	dy_router_expire(fake.router, fake.now_ms);
+	for (; xid < 200; xid++) {
+		answer_last(&fake);
+		fake.now_ms += 500;
+		send_call(&fake, xid, 0, NULL);
+		to_first += fake.to_incarnation == 101;
+	}
+	ck_assert_uint_gt(to_first, 20);
+	teardown(&fake);
+}
+END_TEST
+
 START_TEST(oversized_and_malformed_calls)
 {
 	uint8_t bytes[DY_DATAGRAM_BYTES + 1] = { 0 };
@@ -571,6 +624,7 @@
 		bounced_opening_goes_elsewhere,
 		bounces_are_tried_again_under_a_budget,
 		members_that_are_over_are_forgotten,
+		target_that_comes_back_gets_flows,
 		agent_that_was_not_ready_gets_flows,
 		oversized_and_malformed_calls,
 		new_document_keeps_and_drops,
