--- a/include/damaskyard/token.h
+++ b/include/damaskyard/token.h
@@ -38,7 +38,10 @@
 
 typedef struct dy_keyring dy_keyring_t;
 
-/* Derives token keys from the group's first secret. */
+/*
+ * Derives token keys from the group's secrets: the first one signs, a token
+ * under any of them is good.
+ */
 dy_keyring_t *dy_keyring_create(const dy_secrets_t *secrets);
 void dy_keyring_destroy(dy_keyring_t *ring);
 
--- a/src/connection/token.c
+++ b/src/connection/token.c
@@ -15,11 +15,12 @@
 
 typedef struct token_key {
 	uint32_t id;
-	dy_hmac_t *hmac;
+	dy_hmac_t *hmacs[DY_SECRETS_MAX]; /* one for each secret */
 } token_key_t;
 
 struct dy_keyring {
-	dy_hmac_t *secret; /* keys are derived from it */
+	dy_hmac_t *secrets[DY_SECRETS_MAX]; /* keys are derived from them */
+	int secret_count;
 	token_key_t keys[DY_TOKEN_KEYS_MAX];
 	int count;
 	uint32_t active_id;
@@ -30,11 +31,23 @@
 dy_keyring_t *dy_keyring_create(const dy_secrets_t *secrets)
 {
 	dy_keyring_t *ring = g_new0(dy_keyring_t, 1);
+	int i;
 
-	ring->secret = dy_hmac_create(secrets->secrets[0]);
+	ring->secret_count = secrets->count;
+	for (i = 0; i < secrets->count; i++)
+		ring->secrets[i] = dy_hmac_create(secrets->secrets[i]);
 	return ring;
 }
 
+static void clear_key(token_key_t *key)
+{
+	int i;
+
+	for (i = 0; i < DY_SECRETS_MAX; i++)
+		dy_hmac_destroy(key->hmacs[i]);
+	memset(key, 0, sizeof(*key));
+}
+
 void dy_keyring_destroy(dy_keyring_t *ring)
 {
 	int i;
@@ -42,8 +55,9 @@
 	if (!ring)
 		return;
 	for (i = 0; i < ring->count; i++)
-		dy_hmac_destroy(ring->keys[i].hmac);
-	dy_hmac_destroy(ring->secret);
+		clear_key(&ring->keys[i]);
+	for (i = 0; i < ring->secret_count; i++)
+		dy_hmac_destroy(ring->secrets[i]);
 	g_free(ring);
 }
 
@@ -63,7 +77,7 @@
 
 	if (!key)
 		return;
-	dy_hmac_destroy(key->hmac);
+	clear_key(key);
 	*key = ring->keys[--ring->count];
 	if (ring->has_active && ring->active_id == id)
 		ring->has_active = 0;
@@ -90,14 +104,18 @@
 	uint8_t bytes[DY_SECRET_BYTES];
 	token_key_t *key;
 	uint32_t id = htonl(info->id);
+	int i;
 
 	make_room(ring);
 	memcpy(material, info->salt, DY_SALT_BYTES);
 	memcpy(material + DY_SALT_BYTES, &id, sizeof(id));
 	key = &ring->keys[ring->count++];
 	key->id = info->id;
-	dy_hmac_digest(ring->secret, material, sizeof(material), bytes);
-	key->hmac = dy_hmac_create(bytes);
+	for (i = 0; i < ring->secret_count; i++) {
+		dy_hmac_digest(ring->secrets[i], material, sizeof(material),
+			       bytes);
+		key->hmacs[i] = dy_hmac_create(bytes);
+	}
 	memset(bytes, 0, sizeof(bytes));
 }
 
@@ -125,12 +143,6 @@
 	return ring->has_active && ring->active_id != key_id;
 }
 
-static void sign(const token_key_t *key, const uint8_t bytes[DY_TOKEN_BYTES],
-		 uint8_t mac[DY_SECRET_BYTES])
-{
-	dy_hmac_digest(key->hmac, bytes, MAC_OFFSET, mac);
-}
-
 size_t dy_token_write(dy_keyring_t *ring, dy_token_t *token,
 		      uint8_t out[DY_TOKEN_BYTES])
 {
@@ -147,23 +159,39 @@
 	xdrmem_create(&xdrs, (char *)out, DY_TOKEN_BYTES, XDR_ENCODE);
 	if (!xdr_dy_token_t(&xdrs, token))
 		return 0;
-	sign(key, out, mac);
+	dy_hmac_digest(key->hmacs[0], out, MAC_OFFSET, mac);
 	memcpy(token->mac, mac, DY_TOKEN_MAC_BYTES);
 	memcpy(out + MAC_OFFSET, mac, DY_TOKEN_MAC_BYTES);
 	return DY_TOKEN_BYTES;
 }
 
+/*
+ * Any secret of the key file may have signed, so that a token outlives the
+ * roll-over of the file, process by process.
+ */
+static int has_mac(const dy_keyring_t *ring, const token_key_t *key,
+		   const uint8_t *bytes)
+{
+	uint8_t mac[DY_SECRET_BYTES];
+	int i;
+
+	for (i = 0; i < ring->secret_count; i++) {
+		dy_hmac_digest(key->hmacs[i], bytes, MAC_OFFSET, mac);
+		if (dy_mac_equal(mac, bytes + MAC_OFFSET, DY_TOKEN_MAC_BYTES))
+			return 1;
+	}
+	return 0;
+}
+
 static int check_mac(dy_keyring_t *ring, const token_key_t *key,
 		     const uint8_t *bytes)
 {
 	uint8_t *cached;
-	uint8_t mac[DY_SECRET_BYTES];
 
 	cached = ring->cache[XXH3_64bits(bytes, DY_TOKEN_BYTES) % CACHE_SLOTS];
 	if (!memcmp(cached, bytes, DY_TOKEN_BYTES))
 		return 1;
-	sign(key, bytes, mac);
-	if (!dy_mac_equal(mac, bytes + MAC_OFFSET, DY_TOKEN_MAC_BYTES))
+	if (!has_mac(ring, key, bytes))
 		return 0;
 	memcpy(cached, bytes, DY_TOKEN_BYTES);
 	return 1;
--- a/src/request/openings.h
+++ b/src/request/openings.h
@@ -18,8 +18,12 @@
  */
 #define OPENINGS_MAX 4096
 
-/* An opening without an answer for this long has failed, in ms. */
-#define OPENING_TIMEOUT_MS 1000
+/*
+ * An opening without an answer for this long has failed, in ms, and a copy of
+ * it goes elsewhere: before a stock client sends its second copy, and a
+ * hundred times the way there and back between failure domains.
+ */
+#define OPENING_TIMEOUT_MS 400
 
 typedef struct openings openings_t;
 
--- a/src/request/rpc.c
+++ b/src/request/rpc.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include <glib.h>
 #include <rpc/rpc.h>
 
 static bool_t parse_auth(XDR *xdrs, dy_rpc_auth_t *auth)
@@ -198,7 +199,7 @@
 {
 	static const char *const names[] = { "ran", "not_run", "may_have_run" };
 
-	return verdict <= DY_MAY_HAVE_RUN ? names[verdict] : "unknown";
+	return verdict < G_N_ELEMENTS(names) ? names[verdict] : "unknown";
 }
 
 const char *dy_reason_name(uint32_t reason)
@@ -218,7 +219,8 @@
 		"draining",
 		"unknown_session",
 		"duplicate",
+		"unknown_program",
 	};
 
-	return reason <= DY_REASON_UNKNOWN_PROGRAM ? names[reason] : "unknown";
+	return reason < G_N_ELEMENTS(names) ? names[reason] : "unknown";
 }
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -161,6 +161,53 @@
 }
 END_TEST
 
+/*
+ * The key file is rolled over process by process: the new secret is added
+ * everywhere, then moved first. A station's token from before, or from an
+ * agent that has not been restarted yet, must stay good, or its flow breaks.
+ */
+START_TEST(token_outlives_the_roll_over_of_the_key_file)
+{
+	static const dy_secrets_t added = { { { 1 }, { 2 } }, 2 };
+	static const dy_secrets_t moved = { { { 2 }, { 1 } }, 2 };
+	static const dy_secrets_t removed = { { { 2 } }, 1 };
+	const dy_secrets_t *const steps[] = { &secrets, &added, &moved,
+					      &removed };
+	dy_key_info_t key = { .id = 1, .active = TRUE };
+	dy_keyring_t *rings[4];
+	uint8_t bytes[DY_TOKEN_BYTES];
+	dy_token_t token = { .session = 5 };
+	dy_token_t back;
+	int i;
+	int k;
+
+	for (i = 0; i < 4; i++) {
+		rings[i] = dy_keyring_create(steps[i]);
+		dy_keyring_apply(rings[i], &key);
+	}
+	for (i = 0; i < 4; i++) {
+		dy_token_write(rings[i], &token, bytes);
+		for (k = MAX(i - 1, 0); k <= MIN(i + 1, 3); k++)
+			ck_assert_int_eq(load_bytes(rings[k], bytes, &back),
+					 DY_TOKEN_OK);
+	}
+	dy_token_write(rings[0], &token, bytes);
+	ck_assert_int_eq(load_bytes(rings[3], bytes, &back), DY_TOKEN_FORGED);
+	for (i = 0; i < 4; i++)
+		dy_keyring_destroy(rings[i]);
+}
+END_TEST
+
+START_TEST(every_reason_has_a_name)
+{
+	ck_assert_str_eq(dy_reason_name(DY_REASON_DUPLICATE), "duplicate");
+	ck_assert_str_eq(dy_reason_name(DY_REASON_UNKNOWN_PROGRAM),
+			 "unknown_program");
+	ck_assert_str_eq(dy_reason_name(99), "unknown");
+	ck_assert_str_eq(dy_verdict_name(99), "unknown");
+}
+END_TEST
+
 static size_t write_sealed(dy_seal_t *seal, uint8_t *out, size_t cap)
 {
 	dy_seal_head_t head = { 4, DY_AGENT_PROGRAM, DY_AGENT_FORWARD };
@@ -243,6 +290,8 @@
 		cut_and_changed_calls_are_safe,
 		changed_token_is_forged,
 		rotation_keeps_older_tokens,
+		token_outlives_the_roll_over_of_the_key_file,
+		every_reason_has_a_name,
 		replayed_and_forged_messages_are_dropped,
 		secret_is_rolled_over,
 		NULL,
