--- a/src/process/agent_event.c
+++ b/src/process/agent_event.c
@@ -66,7 +66,7 @@
 	[EVENT_SUCCESSORS_CHOSEN] = { "successors_chosen", DY_LOG_INFO },
 	[EVENT_NO_SUCCESSOR] = { "no_successor", DY_LOG_WARN },
 	[EVENT_LEFT] = { "left", DY_LOG_INFO },
-	[EVENT_CONTROL_LEASE] = { "control_lease", DY_LOG_WARN },
+	[EVENT_CONTROL_LEASE] = { "control_lease", DY_LOG_INFO },
 };
 
 void agent_event_init(dy_agent_t *agent)
--- a/src/process/operator.c
+++ b/src/process/operator.c
@@ -33,6 +33,7 @@
 	dy_endpoint_t *endpoint;
 	dy_seal_t *seal;
 	uint64_t give_up_ms;
+	int asks_process; /* not the group */
 	uint64_t wake_ms;
 	dy_address_t control;
 	int next_control;
@@ -207,6 +208,7 @@
 int operator_call_process(operator_t *op, const dy_address_t *address,
 			  const operator_call_t *call, void *result)
 {
+	op->asks_process = 1;
 	while (now_ms(op) < op->give_up_ms)
 		if (!try_call(op, address, call, result))
 			return 0;
@@ -258,10 +260,11 @@
 
 int operator_fail_unanswered(const operator_t *op)
 {
-	fprintf(stderr,
-		"damaskyard %s: no leader of the control group answered within "
-		"%lu ms",
-		op->command, (unsigned long)operator_values.timeout_ms);
+	fprintf(stderr, "damaskyard %s: %s did not answer within %lu ms",
+		op->command,
+		op->asks_process ? "the process"
+				 : "a leader of the control group",
+		(unsigned long)operator_values.timeout_ms);
 	if (operator_values.request_id)
 		fprintf(stderr,
 			"; it may have been made: send it again with "
--- a/src/process/seal.c
+++ b/src/process/seal.c
@@ -4,6 +4,7 @@
 
 #include <rpc/rpc.h>
 
+#include "damaskyard/log.h"
 #include "damaskyard/rpc.h"
 #include "dy_seal.h"
 
@@ -33,10 +34,12 @@
 	uint64_t *malformed;
 	uint64_t *forged;
 	uint64_t *replayed;
+	dy_log_limit_t drop_limit;
 };
 
 dy_seal_t *dy_seal_create(const dy_secrets_t *secrets, dy_metrics_t *metrics)
 {
+	static const dy_log_limit_t limit = DY_LOG_LIMIT_INIT(5, 10000);
 	dy_seal_t *seal = g_new0(dy_seal_t, 1);
 	int i;
 
@@ -47,6 +50,7 @@
 	dy_random_fill(&seal->next_xid, sizeof(seal->next_xid));
 	seal->windows = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					      g_free, g_free);
+	seal->drop_limit = limit;
 	seal->malformed = dy_metrics_counter(metrics, "seal_malformed");
 	seal->forged = dy_metrics_counter(metrics, "seal_forged");
 	seal->replayed = dy_metrics_counter(metrics, "seal_replayed");
@@ -244,6 +248,27 @@
 	return 1;
 }
 
+static dy_seal_status_t drop(dy_seal_t *seal, dy_seal_status_t status,
+			     uint64_t sender)
+{
+	uint64_t now_ms = (uint64_t)g_get_monotonic_time() / 1000;
+	const char *event = "seal_malformed";
+	uint64_t *counter = seal->malformed;
+
+	if (status == DY_SEAL_FORGED) {
+		event = "seal_forged";
+		counter = seal->forged;
+	} else if (status == DY_SEAL_REPLAYED) {
+		event = "seal_replayed";
+		counter = seal->replayed;
+	}
+	++*counter;
+	if (dy_log_allow(&seal->drop_limit, event, now_ms))
+		dy_log_event(DY_LOG_WARN, event, "sender=%016lx",
+			     (unsigned long)sender);
+	return status;
+}
+
 dy_seal_status_t dy_seal_open(dy_seal_t *seal, const uint8_t *bytes, size_t len,
 			      dy_sealed_t *message)
 {
@@ -253,22 +278,18 @@
 
 	if (parse_message(bytes, len, message, &auth) ||
 	    auth.flavor != DY_AUTH_SEAL || auth.len != SEAL_BODY_BYTES) {
-		++*seal->malformed;
-		return DY_SEAL_MALFORMED;
+		return drop(seal, DY_SEAL_MALFORMED, 0);
 	}
 	xdrmem_create(&xdrs, (char *)auth.body, SEAL_BODY_BYTES, XDR_DECODE);
 	if (!xdr_dy_seal_body_t(&xdrs, &fields)) {
-		++*seal->malformed;
-		return DY_SEAL_MALFORMED;
+		return drop(seal, DY_SEAL_MALFORMED, 0);
 	}
 	if (!check_mac(seal, bytes, len, &auth)) {
-		++*seal->forged;
-		return DY_SEAL_FORGED;
+		return drop(seal, DY_SEAL_FORGED, fields.sender);
 	}
 	if (!accept_sequence(find_window(seal, fields.sender),
 			     fields.sequence)) {
-		++*seal->replayed;
-		return DY_SEAL_REPLAYED;
+		return drop(seal, DY_SEAL_REPLAYED, fields.sender);
 	}
 	message->sender = fields.sender;
 	return DY_SEAL_OK;
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -168,12 +168,15 @@
 {
 	GOptionContext *context;
 	char **copy = g_new0(char *, argc + 1);
+	char program[VARIABLE_BYTES];
 	char **strv = copy;
 	gboolean ok;
 	int i;
 
 	for (i = 0; i < argc; i++)
 		copy[i] = g_strdup(argv[i]);
+	g_snprintf(program, sizeof(program), "damaskyard %s", argv[0]);
+	g_set_prgname(program);
 	context = g_option_context_new(operands ? "OPERAND..." : NULL);
 	g_option_context_set_summary(context, summary);
 	g_option_context_set_description(
--- a/src/process/subscriber.c
+++ b/src/process/subscriber.c
@@ -47,6 +47,7 @@
 	uint64_t *poll_timeouts;
 	uint64_t *stale_answers;
 	uint64_t *bad_documents;
+	uint64_t *unreadable;
 	uint64_t *bytes_sent;
 	uint64_t *bytes_received;
 	dy_log_limit_t refused_limit;
@@ -250,14 +251,28 @@
 					      status);
 }
 
+/*
+ * A control of another version of the messages leads. Without a word this
+ * member would lose its lease while the group looks healthy.
+ */
+static void note_unreadable(dy_subscriber_t *subscriber)
+{
+	++*subscriber->unreadable;
+	if (dy_log_allow(&subscriber->refused_limit, "poll_answer_unreadable",
+			 now_ms(subscriber)))
+		dy_log_event(DY_LOG_ERROR, "poll_answer_unreadable", "");
+}
+
 static void receive_poll_result(dy_subscriber_t *subscriber,
 				const dy_sealed_t *message)
 {
 	dy_poll_result_t result;
 
 	if (!dy_sealed_load(message, (xdrproc_t)xdr_dy_poll_result_t, &result,
-			    sizeof(result)))
+			    sizeof(result))) {
+		note_unreadable(subscriber);
 		return;
+	}
 	subscriber->polling = 0;
 	switch (result.status) {
 	case DY_STATUS_OK:
@@ -331,6 +346,8 @@
 		dy_metrics_counter(config->metrics, "stale_state_refused");
 	subscriber->bad_documents =
 		dy_metrics_counter(config->metrics, "document_digest_wrong");
+	subscriber->unreadable =
+		dy_metrics_counter(config->metrics, "poll_answers_unreadable");
 	subscriber->bytes_sent =
 		dy_metrics_counter(config->metrics, "control_bytes_sent");
 	subscriber->bytes_received =
--- a/src/request/router.c
+++ b/src/request/router.c
@@ -52,6 +52,7 @@
 					      destroy_burn);
 	router->domain = route_table_domain(router->table, config->domain);
 	router->drop_limit = limit;
+	router->refuse_limit = limit;
 	dy_pick_config_init(&router->pick, DY_PICK_BROKEN_FLOWS);
 	register_counters(&router->counters, config->metrics);
 	dy_retry_budget_init(&router->retries, RETRY_RATIO_PERMILLE,
--- a/src/request/router_answer.c
+++ b/src/request/router_answer.c
@@ -67,6 +67,24 @@
 			     &opening);
 }
 
+/*
+ * Whether a call was refused for want of room, which a report of free slots
+ * would contradict. Refusals of openings, by the limit on crowds, and those
+ * for want of a token or a target say nothing of it.
+ */
+static int is_full(const uint8_t *bytes, size_t len)
+{
+	dy_refusal_t refusal;
+	dy_rpc_reply_t reply;
+
+	if (dy_rpc_parse_reply(bytes, len, &reply) ||
+	    dy_rpc_load_refusal(&reply, &refusal))
+		return 0;
+	return refusal.verdict == DY_NOT_RUN &&
+	       (refusal.reason == DY_REASON_OVERLOAD ||
+		refusal.reason == DY_REASON_DEADLINE);
+}
+
 void dy_router_answered(dy_router_t *router, const dy_answer_t *answer,
 			uint64_t now_ms)
 {
@@ -79,7 +97,7 @@
 	pick = find_pick(router, answer->service, answer->incarnation);
 	if (pick) {
 		note_answer(pick, &answer->load, opened, now_ms);
-		if (answer->verdict == DY_NOT_RUN)
+		if (!opened && is_full(bytes, len))
 			dy_pick_refused(pick);
 	}
 	++*router->counters.answered;
--- a/src/request/router_private.h
+++ b/src/request/router_private.h
@@ -53,6 +53,7 @@
 	int ready;
 	counters_t counters;
 	dy_log_limit_t drop_limit;
+	dy_log_limit_t refuse_limit;
 	GHashTable *burns; /* service id: service_burn_t, once one burned */
 	uint64_t burn_published_ms;
 };
--- a/src/request/router_refuse.c
+++ b/src/request/router_refuse.c
@@ -48,6 +48,13 @@
 	dy_refusal_t refusal = { verdict, reason, 0 };
 	uint8_t out[DY_RPC_HEAD_BYTES];
 
+	if (dy_log_allow(&router->refuse_limit, "call_refused", packet->now_ms))
+		dy_log_event(DY_LOG_WARN, "call_refused",
+			     "verdict=%s reason=%s service=%s xid=%08x",
+			     dy_verdict_name(verdict), dy_reason_name(reason),
+			     packet->service ? packet->service->service->name
+					     : "-",
+			     packet->call.xid);
 	count_burn(router, packet,
 		   verdict == DY_NOT_RUN ? DY_OUTCOME_REFUSED
 					 : DY_OUTCOME_BROKEN_FLOW);
