--- a/src/process/operator.c
+++ b/src/process/operator.c
@@ -260,10 +260,9 @@
 
 int operator_fail_unanswered(const operator_t *op)
 {
-	fprintf(stderr, "damaskyard %s: %s did not answer within %lu ms",
-		op->command,
-		op->asks_process ? "the process"
-				 : "a leader of the control group",
+	fprintf(stderr, "damaskyard %s: %s within %lu ms", op->command,
+		op->asks_process ? "the process did not answer"
+				 : "no leader of the control group answered",
 		(unsigned long)operator_values.timeout_ms);
 	if (operator_values.request_id)
 		fprintf(stderr,
