--- a/Makefile
+++ b/Makefile
@@ -146,8 +146,9 @@
 measure: $(filter $(BUILD)/bench/measure_%,$(BENCH_BIN))
 	@for m in $^; do $$m || exit 1; done
 
-bench: $(BIN) $(filter $(BUILD)/bench/bench_%,$(BENCH_BIN))
-	@for b in $(filter $(BUILD)/bench/bench_%,$^); do $$b || exit 1; done
+bench: $(BIN) $(STANDIN_BIN) $(filter $(BUILD)/bench/bench_%,$(BENCH_BIN))
+	@for b in $(filter $(BUILD)/bench/bench_%,$^); do $$b 2>/dev/null || exit 1; done
+	@bench/path
 
 format:
 	clang-format -i $(OWN_SRC) $(OWN_HDR)
