--- a/tests/fake_operator.c
+++ b/tests/fake_operator.c
@@ -127,14 +127,13 @@
 			   NULL);
 }
 
-static int is_in_state(fake_cluster_t *cluster, void *context)
+/* words: how a line of status begins, and what it must hold. */
+static int has_line(fake_cluster_t *cluster, void *words)
 {
-	char *const *words = context;
-	char *start = g_strdup_printf("member name=%s ", words[0]);
-	char *line = find_line(cluster, start, words[1]);
+	char *const *start_and_word = words;
+	char *line = find_line(cluster, start_and_word[0], start_and_word[1]);
 	int found = line != NULL;
 
-	g_free(start);
 	g_free(line);
 	return found;
 }
@@ -142,13 +141,38 @@
 void fake_operator_await_state(fake_cluster_t *cluster, const char *member,
 			       const char *state)
 {
+	char *start = g_strdup_printf("member name=%s ", member);
 	char *word = g_strdup_printf(" state=%s ", state);
-	const char *words[] = { member, word };
+	char *words[] = { start, word };
 
-	fake_cluster_await(cluster, member, is_in_state, words);
+	fake_cluster_await(cluster, member, has_line, words);
+	g_free(start);
 	g_free(word);
 }
 
+static int follows_leader(fake_cluster_t *cluster, void *control)
+{
+	char *log = fake_cluster_log(cluster, control);
+	int found = g_regex_match_simple(
+		"role_now=(follower leader=[1-9]|leader)", log, 0, 0);
+
+	g_free(log);
+	return found;
+}
+
+/* A leader may still list what the control was before its disk was lost. */
+void fake_operator_await_voter(fake_cluster_t *cluster, const char *control)
+{
+	char *start = g_strdup_printf("control id=%s ",
+				      strpbrk(control, "0123456789"));
+	char *words[] = { start, " role=voter lag=0 " };
+
+	fake_cluster_await(cluster, "a leader for it", follows_leader,
+			   (char *)control);
+	fake_cluster_await(cluster, control, has_line, words);
+	g_free(start);
+}
+
 void fake_operator_drain(fake_cluster_t *cluster, const char *member)
 {
 	must(cluster, fake_operator_run(cluster, NULL, "drain", member, NULL),
--- a/tests/fake_operator.h
+++ b/tests/fake_operator.h
@@ -29,6 +29,9 @@
 /* Drain a member, and wait until it has left. */
 void fake_operator_drain(fake_cluster_t *cluster, const char *member);
 
+/* Wait until a control, "control1", votes and lacks nothing. */
+void fake_operator_await_voter(fake_cluster_t *cluster, const char *control);
+
 /* Wait until a member is in this state. */
 void fake_operator_await_state(fake_cluster_t *cluster, const char *member,
 			       const char *state);
--- a/tests/test_end_to_end.c
+++ b/tests/test_end_to_end.c
@@ -36,6 +36,13 @@
 	fake_cluster_point_fabrics(cluster);
 }
 
+/* Until it votes again, no other control's disk may be lost. */
+static void start_control(fake_cluster_t *cluster, const char *victim)
+{
+	fake_cluster_start(cluster, victim);
+	fake_operator_await_voter(cluster, victim);
+}
+
 static void stop_process(fake_cluster_t *cluster, const char *victim)
 {
 	fake_cluster_stop(cluster, victim);
@@ -81,6 +88,56 @@
 	fake_cluster_signal(cluster, victim, SIGCONT);
 }
 
+static char *target_of(const char *agent)
+{
+	return g_strconcat("readings", strpbrk(agent, "0123456789"), NULL);
+}
+
+/* A whole VM is lost: the target, its announcer and its agent. */
+static void kill_vm(fake_cluster_t *cluster, const char *victim)
+{
+	char *target = target_of(victim);
+
+	fake_cluster_kill(cluster, victim);
+	kill_target(cluster, target);
+	g_free(target);
+}
+
+static void start_vm(fake_cluster_t *cluster, const char *victim)
+{
+	char *target = target_of(victim);
+
+	fake_cluster_start(cluster, victim);
+	start_target(cluster, target);
+	g_free(target);
+}
+
+static char *next_control(const char *control)
+{
+	int number = atoi(strpbrk(control, "0123456789"));
+
+	return g_strdup_printf("control%d", number % FAKE_CONTROLS + 1);
+}
+
+/* A control's disk is lost, it is repaired, and a second one dies at once. */
+static void repair_and_lose(fake_cluster_t *cluster, const char *victim)
+{
+	char *second = next_control(victim);
+
+	erase_control(cluster, victim);
+	start_control(cluster, victim);
+	fake_cluster_kill(cluster, second);
+	g_free(second);
+}
+
+static void start_second(fake_cluster_t *cluster, const char *victim)
+{
+	char *second = next_control(victim);
+
+	start_control(cluster, second);
+	g_free(second);
+}
+
 static void drain(fake_cluster_t *cluster, const char *victim)
 {
 	fake_operator_drain(cluster, victim);
@@ -90,7 +147,6 @@
 {
 	fake_cluster_stop(cluster, victim);
 	fake_cluster_start(cluster, victim);
-	fake_operator_await_state(cluster, victim, "serving");
 }
 
 static void change_document(fake_cluster_t *cluster, const char *victim)
@@ -115,12 +171,12 @@
 	{ "rotate_keys", "key", rotate_keys, NULL, 1, 1 },
 	{ "stop_balancer", "balancer", stop_process, start_balancer,
 	  FAKE_BALANCERS, 1 },
-	{ "stop_control", "control", stop_process, start_process, FAKE_CONTROLS,
+	{ "stop_control", "control", stop_process, start_control, FAKE_CONTROLS,
 	  1 },
 	{ "stop_agent", "agent", stop_process, start_process, FAKE_TARGETS, 1 },
 	{ "kill_balancer", "balancer", kill_process, start_balancer,
 	  FAKE_BALANCERS, 0 },
-	{ "kill_control", "control", kill_process, start_process, FAKE_CONTROLS,
+	{ "kill_control", "control", kill_process, start_control, FAKE_CONTROLS,
 	  0 },
 	{ "kill_agent", "agent", kill_process, start_process, FAKE_TARGETS, 0 },
 	{ "kill_target", "readings", kill_target, start_target, FAKE_TARGETS,
@@ -129,10 +185,21 @@
 	{ "freeze_control", "control", freeze, thaw, FAKE_CONTROLS, 0 },
 	{ "freeze_agent", "agent", freeze, thaw, FAKE_TARGETS, 0 },
 	{ "freeze_target", "readings", freeze, thaw, FAKE_TARGETS, 0 },
-	{ "erase_control", "control", erase_control, start_process,
+	{ "kill_vm", "agent", kill_vm, start_vm, FAKE_TARGETS, 0 },
+	{ "repair_and_lose", "control", repair_and_lose, start_second,
+	  FAKE_CONTROLS, 0 },
+	{ "erase_control", "control", erase_control, start_control,
 	  FAKE_CONTROLS, 0 },
 };
 
+/* Whether two events may touch the same process. */
+static int clash(const event_t *one, const event_t *other)
+{
+	return !strcmp(one->group, other->group) ||
+	       (one->begin == kill_vm && !strcmp(other->group, "readings")) ||
+	       (other->begin == kill_vm && !strcmp(one->group, "readings"));
+}
+
 static const event_t *draw(GRand *rand, int planned, const event_t *other)
 {
 	const event_t *event;
@@ -140,8 +207,7 @@
 	do
 		event = &events[g_rand_int_range(rand, 0,
 						 G_N_ELEMENTS(events))];
-	while ((planned && !event->planned) ||
-	       (other && !strcmp(other->group, event->group)));
+	while ((planned && !event->planned) || (other && clash(event, other)));
 	return event;
 }
 
@@ -151,6 +217,18 @@
 		   g_rand_int_range(rand, 1, (int)event->victims + 1));
 }
 
+static void await_agents(fake_cluster_t *cluster)
+{
+	unsigned i;
+
+	for (i = 1; i <= FAKE_TARGETS; i++) {
+		char name[32];
+
+		g_snprintf(name, sizeof(name), "agent%u", i);
+		fake_operator_await_state(cluster, name, "serving");
+	}
+}
+
 /* Two events at once, work in between, then both made good. */
 static void run_pair(fake_cluster_t *cluster, GRand *rand, int planned)
 {
@@ -172,6 +250,7 @@
 	if (second->end)
 		second->end(cluster, other);
 	fake_stations_await(cluster, CALM);
+	await_agents(cluster);
 	fake_operator_await_document(cluster);
 }
 
