--- a/src/process/agent_forward.c
+++ b/src/process/agent_forward.c
@@ -54,12 +54,22 @@
 		refuse(agent, arrival, DY_NOT_RUN, reason, retry_ms);
 }
 
+/* Whether the answer needs no new token. */
+static int is_current(const dy_agent_t *agent, const dy_token_t *token)
+{
+	return token->agent == agent->id &&
+	       token->incarnation == agent->incarnation &&
+	       !dy_keyring_outdated(agent->config.keyring, token->key_id);
+}
+
 static int read_token(dy_agent_t *agent, arrival_t *arrival)
 {
 	switch (dy_token_load(agent->config.keyring,
 			      &arrival->message.credential, &arrival->token)) {
 	case DY_TOKEN_OK:
 		arrival->has_token = 1;
+		if (is_current(agent, &arrival->token))
+			arrival->route.session = arrival->token.session;
 		return 0;
 	case DY_TOKEN_NONE:
 		return 0;
@@ -154,6 +164,8 @@
 static void answer_copy(dy_agent_t *agent, dy_session_t *session,
 			const arrival_t *arrival, const dy_drc_found_t *found)
 {
+	dy_refusal_t refusal;
+
 	if (found->state == DY_DRC_ANSWERED) {
 		agent_count(agent, EVENT_COPIES_ANSWERED);
 		agent_answer(agent, session, &arrival->route,
@@ -161,10 +173,14 @@
 			     found->results, found->results_len);
 		return;
 	}
+	/* The cache keeps the verdict, not when to come back. */
+	refusal = found->refusal;
+	if (refusal.verdict == DY_NOT_RUN)
+		refusal.retry_after_ms = RETRY_MS;
 	agent_note(agent, EVENT_COPIES_REFUSED, "reason=%s xid=%08x",
-		   dy_reason_name(found->refusal.reason), arrival->message.xid);
+		   dy_reason_name(refusal.reason), arrival->message.xid);
 	agent_answer_refusal(agent, &arrival->route, arrival->message.xid,
-			     &found->refusal);
+			     &refusal);
 }
 
 /* Returns 1 if the call is a copy of one that is known; it is dealt with. */
--- a/src/process/control_inspect.c
+++ b/src/process/control_inspect.c
@@ -34,7 +34,7 @@
 static void add_control(const dy_control_t *control, dy_status_page_t *page,
 			const dy_raft_member_t *member)
 {
-	int self = dy_member_id_equal(member->id, dy_raft_id(control->raft));
+	int self = dy_voter_id_equal(member->id, dy_raft_id(control->raft));
 	uint64_t heard_ms = 0;
 	uint64_t lag = 0;
 
@@ -175,6 +175,7 @@
 				       sizeof(dy_inspect_t));
 	if (!request)
 		return;
+	/* Also of a group that does not serve yet: operators ask why. */
 	result = dy_raft_read(control->raft, on_confirmed, request);
 	if (result != DY_RAFT_DONE)
 		answer_inspect(request, control_status_of(control, result));
--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -30,8 +30,11 @@
 /* A control that is in no group says so after, and then each, 10 s. */
 #define WAITING_MS 10000
 
-/* Requests waiting for the log at once; more are refused at once. */
-#define REQUESTS_MAX 16384
+/*
+ * Polls waiting for the log; more are dropped. At some 70,000 answers a
+ * second (bench_control) these are 15 ms of work, half a heartbeat.
+ */
+#define REQUESTS_MAX 1024
 
 /* Marks proposed in one review: a failure domain is marked in seconds. */
 #define MARKS_MAX 256
@@ -50,7 +53,7 @@
 	uint64_t *unavailable;
 	uint64_t *name_taken;
 	uint64_t *superseded;
-	uint64_t *refused_full;
+	uint64_t *polls_shed;
 	uint64_t *uploads_dropped;
 	uint64_t *led;
 	uint64_t *founded;
@@ -122,6 +125,8 @@
 uint64_t control_now_ms(const dy_control_t *control);
 /* Whether this control leads a group that may serve. */
 int control_serves(const dy_control_t *control);
+/* DONE if a request that was kept may begin. */
+dy_raft_result_t control_admit(const dy_control_t *control);
 /* Address of the leader; port 0 if none is known. */
 void control_show_leader(const dy_control_t *control, dy_address_t *leader);
 /* The status that a request ends with when the log did not take it. */
@@ -134,7 +139,7 @@
 				 const dy_command_t *command,
 				 dy_raft_done_cb_t *done, void *context);
 
-/* Requests. NULL: too many, or malformed, and nothing is to be done. */
+/* Requests. NULL: malformed, and nothing is to be done. */
 request_t *control_keep_request(dy_control_t *control,
 				const dy_sealed_t *message,
 				const struct sockaddr *from, xdrproc_t proc,
@@ -143,6 +148,10 @@
 void control_answer_request(request_t *request, xdrproc_t proc, void *result);
 
 /* control_poll.c, control_change.c, control_inspect.c: one call each. */
+/* How often members poll, and how long a lease lasts, at the size of now. */
+uint32_t control_poll_ms(const dy_control_t *control);
+uint64_t control_lease_ms(const dy_control_t *control);
+
 void control_poll(dy_control_t *control, const dy_sealed_t *message,
 		  const struct sockaddr *from);
 void control_change(dy_control_t *control, const dy_sealed_t *message,
--- a/src/process/seal.c
+++ b/src/process/seal.c
@@ -4,6 +4,7 @@
 
 #include <rpc/rpc.h>
 
+#include "damaskyard/log.h"
 #include "damaskyard/rpc.h"
 #include "dy_seal.h"
 
@@ -24,7 +25,8 @@
 } replay_window_t;
 
 struct dy_seal {
-	dy_secrets_t secrets;
+	dy_hmac_t *hmacs[DY_SECRETS_MAX]; /* the first one signs */
+	int hmac_count;
 	uint64_t sender;
 	uint64_t sequence;
 	uint32_t next_xid;
@@ -32,17 +34,23 @@
 	uint64_t *malformed;
 	uint64_t *forged;
 	uint64_t *replayed;
+	dy_log_limit_t drop_limit;
 };
 
 dy_seal_t *dy_seal_create(const dy_secrets_t *secrets, dy_metrics_t *metrics)
 {
+	static const dy_log_limit_t limit = DY_LOG_LIMIT_INIT(5, 10000);
 	dy_seal_t *seal = g_new0(dy_seal_t, 1);
+	int i;
 
-	seal->secrets = *secrets;
+	seal->hmac_count = secrets->count;
+	for (i = 0; i < secrets->count; i++)
+		seal->hmacs[i] = dy_hmac_create(secrets->secrets[i]);
 	dy_random_fill(&seal->sender, sizeof(seal->sender));
 	dy_random_fill(&seal->next_xid, sizeof(seal->next_xid));
 	seal->windows = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					      g_free, g_free);
+	seal->drop_limit = limit;
 	seal->malformed = dy_metrics_counter(metrics, "seal_malformed");
 	seal->forged = dy_metrics_counter(metrics, "seal_forged");
 	seal->replayed = dy_metrics_counter(metrics, "seal_replayed");
@@ -51,10 +59,13 @@
 
 void dy_seal_destroy(dy_seal_t *seal)
 {
+	int i;
+
 	if (!seal)
 		return;
 	g_hash_table_destroy(seal->windows);
-	memset(&seal->secrets, 0, sizeof(seal->secrets));
+	for (i = 0; i < seal->hmac_count; i++)
+		dy_hmac_destroy(seal->hmacs[i]);
 	g_free(seal);
 }
 
@@ -98,7 +109,7 @@
 	if (!proc(&xdrs, value))
 		return 0;
 	len = head_len + xdr_getpos(&xdrs);
-	dy_hmac(seal->secrets.secrets[0], out, len, mac);
+	dy_hmac_digest(seal->hmacs[0], out, len, mac);
 	memcpy(out + mac_at, mac, DY_SEAL_MAC_BYTES);
 	return len;
 }
@@ -181,8 +192,8 @@
 
 	memcpy(claimed, at, sizeof(claimed));
 	memset(at, 0, sizeof(claimed));
-	for (i = 0; i < seal->secrets.count && !ok; i++) {
-		dy_hmac(seal->secrets.secrets[i], bytes, len, mac);
+	for (i = 0; i < seal->hmac_count && !ok; i++) {
+		dy_hmac_digest(seal->hmacs[i], bytes, len, mac);
 		ok = dy_mac_equal(mac, claimed, sizeof(claimed));
 	}
 	memcpy(at, claimed, sizeof(claimed));
@@ -237,6 +248,27 @@
 	return 1;
 }
 
+static dy_seal_status_t drop(dy_seal_t *seal, dy_seal_status_t status,
+			     uint64_t sender)
+{
+	uint64_t now_ms = (uint64_t)g_get_monotonic_time() / 1000;
+	const char *event = "seal_malformed";
+	uint64_t *counter = seal->malformed;
+
+	if (status == DY_SEAL_FORGED) {
+		event = "seal_forged";
+		counter = seal->forged;
+	} else if (status == DY_SEAL_REPLAYED) {
+		event = "seal_replayed";
+		counter = seal->replayed;
+	}
+	++*counter;
+	if (dy_log_allow(&seal->drop_limit, event, now_ms))
+		dy_log_event(DY_LOG_WARN, event, "sender=%016lx",
+			     (unsigned long)sender);
+	return status;
+}
+
 dy_seal_status_t dy_seal_open(dy_seal_t *seal, const uint8_t *bytes, size_t len,
 			      dy_sealed_t *message)
 {
@@ -246,22 +278,18 @@
 
 	if (parse_message(bytes, len, message, &auth) ||
 	    auth.flavor != DY_AUTH_SEAL || auth.len != SEAL_BODY_BYTES) {
-		++*seal->malformed;
-		return DY_SEAL_MALFORMED;
+		return drop(seal, DY_SEAL_MALFORMED, 0);
 	}
 	xdrmem_create(&xdrs, (char *)auth.body, SEAL_BODY_BYTES, XDR_DECODE);
 	if (!xdr_dy_seal_body_t(&xdrs, &fields)) {
-		++*seal->malformed;
-		return DY_SEAL_MALFORMED;
+		return drop(seal, DY_SEAL_MALFORMED, 0);
 	}
 	if (!check_mac(seal, bytes, len, &auth)) {
-		++*seal->forged;
-		return DY_SEAL_FORGED;
+		return drop(seal, DY_SEAL_FORGED, fields.sender);
 	}
 	if (!accept_sequence(find_window(seal, fields.sender),
 			     fields.sequence)) {
-		++*seal->replayed;
-		return DY_SEAL_REPLAYED;
+		return drop(seal, DY_SEAL_REPLAYED, fields.sender);
 	}
 	message->sender = fields.sender;
 	return DY_SEAL_OK;
--- a/src/process/subscriber.c
+++ b/src/process/subscriber.c
@@ -8,6 +8,13 @@
 /* The loop looks this often whether a poll or a page is due, in ms. */
 #define TICK_MS 50
 
+/* Polls are never further apart, whatever control says, in ms. */
+#define POLL_MOST_MS 5000
+
+/* Bytes of IPv4 and UDP around a datagram, and of them and a seal. */
+#define DATAGRAM_HEAD_BYTES 28
+#define REPLY_HEAD_BYTES (DATAGRAM_HEAD_BYTES + 56)
+
 /* Bytes of a poll or a request for a page, with its seal. */
 #define REQUEST_BYTES 4096
 
@@ -28,6 +35,7 @@
 	int polling;
 	uint64_t poll_sent_ms;
 	uint64_t next_poll_ms;
+	uint64_t poll_ms; /* between polls, as control told */
 	uint32_t state_generation;
 	uint32_t polled_generation;
 	uint32_t settled_generation;
@@ -39,6 +47,9 @@
 	uint64_t *poll_timeouts;
 	uint64_t *stale_answers;
 	uint64_t *bad_documents;
+	uint64_t *unreadable;
+	uint64_t *bytes_sent;
+	uint64_t *bytes_received;
 	dy_log_limit_t refused_limit;
 };
 
@@ -65,9 +76,11 @@
 
 	len = dy_seal_write_call(subscriber->config.seal, &head, proc, args,
 				 out, sizeof(out));
-	if (len)
-		dy_endpoint_send_to(subscriber->config.endpoint, out, len,
-				    &subscriber->control);
+	if (!len)
+		return;
+	*subscriber->bytes_sent += len + DATAGRAM_HEAD_BYTES;
+	dy_endpoint_send_to(subscriber->config.endpoint, out, len,
+			    &subscriber->control);
 }
 
 static void send_poll(dy_subscriber_t *subscriber)
@@ -85,7 +98,8 @@
 	subscriber->poll_xid = dy_seal_next_xid(subscriber->config.seal);
 	subscriber->polling = 1;
 	subscriber->poll_sent_ms = now_ms(subscriber);
-	subscriber->next_poll_ms = subscriber->poll_sent_ms + DY_POLL_MS;
+	subscriber->next_poll_ms =
+		subscriber->poll_sent_ms + subscriber->poll_ms;
 	subscriber->polled_generation = subscriber->state_generation;
 	++*subscriber->polls;
 	send_request(subscriber, DY_CONTROL_POLL, subscriber->poll_xid,
@@ -207,6 +221,7 @@
 	for (i = 0; i < result->deltas.deltas_len; i++)
 		apply_delta(subscriber, &result->deltas.deltas_val[i]);
 	subscriber->state_version = result->state_version;
+	subscriber->poll_ms = CLAMP(result->poll_ms, DY_POLL_MS, POLL_MOST_MS);
 	if (result->more)
 		subscriber->next_poll_ms = now_ms(subscriber);
 	else
@@ -236,14 +251,28 @@
 					      status);
 }
 
+/*
+ * A control of another version of the messages leads. Without a word this
+ * member would lose its lease while the group looks healthy.
+ */
+static void note_unreadable(dy_subscriber_t *subscriber)
+{
+	++*subscriber->unreadable;
+	if (dy_log_allow(&subscriber->refused_limit, "poll_answer_unreadable",
+			 now_ms(subscriber)))
+		dy_log_event(DY_LOG_ERROR, "poll_answer_unreadable", "");
+}
+
 static void receive_poll_result(dy_subscriber_t *subscriber,
 				const dy_sealed_t *message)
 {
 	dy_poll_result_t result;
 
 	if (!dy_sealed_load(message, (xdrproc_t)xdr_dy_poll_result_t, &result,
-			    sizeof(result)))
+			    sizeof(result))) {
+		note_unreadable(subscriber);
 		return;
+	}
 	subscriber->polling = 0;
 	switch (result.status) {
 	case DY_STATUS_OK:
@@ -269,6 +298,7 @@
 {
 	if (!message->is_reply)
 		return;
+	*subscriber->bytes_received += message->body_len + REPLY_HEAD_BYTES;
 	if (subscriber->polling && message->xid == subscriber->poll_xid)
 		receive_poll_result(subscriber, message);
 	else if (document_fetch_waits(subscriber->fetch, message->xid))
@@ -302,6 +332,7 @@
 
 	subscriber->config = *config;
 	subscriber->fetch = document_fetch_create(&fetch_callbacks, subscriber);
+	subscriber->poll_ms = DY_POLL_MS;
 	subscriber->state = DY_MEMBER_SERVING;
 	subscriber->refused_limit = limit;
 	dy_random_fill(&subscriber->boot, sizeof(subscriber->boot));
@@ -315,6 +346,12 @@
 		dy_metrics_counter(config->metrics, "stale_state_refused");
 	subscriber->bad_documents =
 		dy_metrics_counter(config->metrics, "document_digest_wrong");
+	subscriber->unreadable =
+		dy_metrics_counter(config->metrics, "poll_answers_unreadable");
+	subscriber->bytes_sent =
+		dy_metrics_counter(config->metrics, "control_bytes_sent");
+	subscriber->bytes_received =
+		dy_metrics_counter(config->metrics, "control_bytes_received");
 	dy_loop_every(config->loop, TICK_MS, on_tick, subscriber);
 	return subscriber;
 }
