--- a/include/damaskyard/settings.h
+++ b/include/damaskyard/settings.h
@@ -22,11 +22,12 @@
 } dy_address_list_t;
 
 typedef enum dy_setting_kind {
-	DY_SETTING_TEXT,	  /* char **, freed by dy_settings_clear() */
-	DY_SETTING_NAME,	  /* char **: 1 to 63 of a-z 0-9 . _ - */
-	DY_SETTING_NUMBER,	  /* uint64_t *, decimal or 0x hexadecimal */
-	DY_SETTING_FLAG,	  /* gboolean * */
-	DY_SETTING_ADDRESS,	  /* dy_address_t * */
+	DY_SETTING_TEXT,    /* char **, freed by dy_settings_clear() */
+	DY_SETTING_NAME,    /* char **: 1 to 63 of a-z 0-9 . _ - */
+	DY_SETTING_CHOICE,  /* char **: one of those in argument, "a|b|c" */
+	DY_SETTING_NUMBER,  /* uint64_t *, decimal or 0x hexadecimal */
+	DY_SETTING_FLAG,    /* gboolean * */
+	DY_SETTING_ADDRESS, /* dy_address_t * */
 	DY_SETTING_ADDRESSES_LIST /* dy_address_list_t * */
 } dy_setting_kind_t;
 
--- a/src/process/cmd_balancer.c
+++ b/src/process/cmd_balancer.c
@@ -1,6 +1,5 @@
 #include "balancer.h"
 #include "command.h"
-#include "damaskyard/log.h"
 
 static dy_balancer_settings_t values;
 
@@ -12,11 +11,11 @@
 	  .argument = "NAME",
 	  .help = "name of this balancer in its environment" },
 	{ .flag = "environment",
-	  .kind = DY_SETTING_NAME,
+	  .kind = DY_SETTING_CHOICE,
 	  .value = &values.environment,
 	  .required = TRUE,
-	  .argument = "NAME",
-	  .help = "trial or production" },
+	  .argument = DY_ENVIRONMENT_CHOICES,
+	  .help = "where it serves" },
 	{ .flag = "domain",
 	  .kind = DY_SETTING_NAME,
 	  .value = &values.domain,
@@ -47,31 +46,23 @@
 	  .argument = "FILE",
 	  .help = "the group's key" },
 	{ .flag = "log-level",
-	  .kind = DY_SETTING_TEXT,
+	  .kind = DY_SETTING_CHOICE,
 	  .value = &values.log_level,
 	  .fallback = "info",
-	  .argument = "LEVEL",
-	  .help = "debug, info, warn or error" },
+	  .argument = DY_LOG_CHOICES,
+	  .help = "least level that is logged" },
 	{ 0 },
 };
 
 int dy_command_balancer(int argc, char **argv)
 {
 	GError *error = NULL;
-	dy_log_level_t level;
 
 	if (!dy_settings_load(argc, argv,
 			      "Forward callers' datagrams to agents.", settings,
 			      NULL, &error))
 		return dy_command_fail_usage("balancer", error);
-	if (dy_log_parse_level(values.log_level, &level)) {
-		g_set_error(&error, DY_SETTINGS_ERROR, DY_SETTINGS_ERROR_VALUE,
-			    "--log-level: \"%s\" is not allowed: expected "
-			    "debug, info, warn or error",
-			    values.log_level);
-		return dy_command_fail_usage("balancer", error);
-	}
-	dy_log_configure(level, "balancer");
+	dy_command_start_log(values.log_level, "balancer");
 	if (!dy_balancer_run(&values, &error))
 		return dy_command_fail_usage("balancer", error);
 	dy_settings_clear(settings);
--- a/src/process/cmd_control.c
+++ b/src/process/cmd_control.c
@@ -98,11 +98,11 @@
 	  .argument = "S",
 	  .help = "a key is accepted for so long after it signed" },
 	{ .flag = "log-level",
-	  .kind = DY_SETTING_TEXT,
+	  .kind = DY_SETTING_CHOICE,
 	  .value = &values.log_level,
 	  .fallback = "info",
-	  .argument = "LEVEL",
-	  .help = "debug, info, warn or error" },
+	  .argument = DY_LOG_CHOICES,
+	  .help = "least level that is logged" },
 	{ 0 },
 };
 
@@ -117,12 +117,7 @@
 
 static gboolean load_options(dy_control_options_t *options, GError **error)
 {
-	dy_log_level_t level;
-
-	if (dy_log_parse_level(values.log_level, &level))
-		return refuse("log-level", values.log_level,
-			      "debug, info, warn or error", error);
-	dy_log_configure(level, "control");
+	dy_command_start_log(values.log_level, "control");
 	if (!dy_peers_parse(&options->peers, values.peers, error) ||
 	    !dy_secrets_load(&options->secrets, values.key_file, error))
 		return FALSE;
--- a/src/process/cmd_remove.c
+++ b/src/process/cmd_remove.c
@@ -7,9 +7,9 @@
 	OPERATOR_SETTINGS(TRUE),
 	OPERATOR_REQUEST_SETTING,
 	{ .flag = "environment",
-	  .kind = DY_SETTING_NAME,
+	  .kind = DY_SETTING_CHOICE,
 	  .value = &environment,
-	  .argument = "NAME",
+	  .argument = DY_ENVIRONMENT_CHOICES,
 	  .help = "needed where two environments have the name" },
 	{ 0 },
 };
--- a/src/process/cmd_report.c
+++ b/src/process/cmd_report.c
@@ -15,10 +15,10 @@
 static const dy_setting_t settings[] = {
 	OPERATOR_SETTINGS(TRUE),
 	{ .flag = "environment",
-	  .kind = DY_SETTING_NAME,
+	  .kind = DY_SETTING_CHOICE,
 	  .value = &environment,
 	  .fallback = "production",
-	  .argument = "NAME",
+	  .argument = DY_ENVIRONMENT_CHOICES,
 	  .help = "trial or production; production if not given" },
 	{ .flag = "pairs",
 	  .kind = DY_SETTING_FLAG,
--- a/src/process/command.c
+++ b/src/process/command.c
@@ -2,9 +2,19 @@
 
 #include <stdio.h>
 
+#include "damaskyard/log.h"
+
 int dy_command_fail_usage(const char *name, GError *error)
 {
 	fprintf(stderr, "damaskyard %s: %s\n", name, error->message);
 	g_error_free(error);
 	return DY_EXIT_USAGE;
 }
+
+void dy_command_start_log(const char *level, const char *role)
+{
+	dy_log_level_t least = DY_LOG_INFO;
+
+	dy_log_parse_level(level, &least);
+	dy_log_configure(least, role);
+}
--- a/src/process/command.h
+++ b/src/process/command.h
@@ -8,6 +8,10 @@
 
 #include <glib.h>
 
+/* Values of --environment and --log-level. */
+#define DY_ENVIRONMENT_CHOICES "trial|production"
+#define DY_LOG_CHOICES "debug|info|warn|error"
+
 #define DY_EXIT_OK 0
 #define DY_EXIT_FAILED 1 /* refused, not found, not answered */
 #define DY_EXIT_USAGE 2	 /* a wrong flag, setting or file */
@@ -32,4 +36,7 @@
  */
 int dy_command_fail_usage(const char *name, GError *error);
 
+/* Log from now on at a level of DY_LOG_CHOICES, under the name of a role. */
+void dy_command_start_log(const char *level, const char *role);
+
 #endif
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -45,6 +45,19 @@
 	return TRUE;
 }
 
+static gboolean store_choice(const dy_setting_t *setting, const char *text,
+			     GError **error)
+{
+	char **choices = g_strsplit(setting->argument, "|", -1);
+	gboolean ok = g_strv_contains((const char *const *)choices, text);
+
+	g_strfreev(choices);
+	if (!ok)
+		return refuse_value(setting, text, setting->argument, error);
+	*(char **)setting->value = g_strdup(text);
+	return TRUE;
+}
+
 static gboolean store_number(const dy_setting_t *setting, const char *text,
 			     GError **error)
 {
@@ -96,6 +109,8 @@
 		return TRUE;
 	case DY_SETTING_NAME:
 		return store_name(setting, text, error);
+	case DY_SETTING_CHOICE:
+		return store_choice(setting, text, error);
 	case DY_SETTING_NUMBER:
 		return store_number(setting, text, error);
 	case DY_SETTING_FLAG:
@@ -223,7 +238,8 @@
 
 	for (i = 0; settings[i].flag; i++) {
 		if (settings[i].kind != DY_SETTING_TEXT &&
-		    settings[i].kind != DY_SETTING_NAME)
+		    settings[i].kind != DY_SETTING_NAME &&
+		    settings[i].kind != DY_SETTING_CHOICE)
 			continue;
 		g_clear_pointer((char **)settings[i].value, g_free);
 	}
