--- a/include/damaskyard/seal.h
+++ b/include/damaskyard/seal.h
@@ -83,8 +83,13 @@
 
 /*
  * Decode the body into value, which is cleared first. Returns 1, or 0 if the
- * body is malformed or has bytes left over; value is freed then. After 1 the
- * caller owns what value points to and frees it with xdr_free().
+ * body is malformed; value is freed then. After 1 the caller owns what value
+ * points to and frees it with xdr_free().
+ *
+ * Processes are rolled out one by one, so builds differ for a while. Messages
+ * grow by fields appended to their end only: an older reader passes over
+ * what it does not know, and a newer one reads what an older sender left out
+ * as zero. The MAC covers the whole, so nothing is missing by accident.
  */
 int dy_sealed_load(const dy_sealed_t *message, xdrproc_t proc, void *value,
 		   size_t value_size);
--- a/src/process/seal.c
+++ b/src/process/seal.c
@@ -295,17 +295,30 @@
 	return DY_SEAL_OK;
 }
 
+/*
+ * Bytes of zero behind a body: fields that an older sender does not have, 16
+ * numbers of 64 bits or as many empty strings.
+ */
+#define GROWTH_BYTES 128
+
+/* The largest datagram of UDP. */
+#define BODY_BYTES 65536
+
 int dy_sealed_load(const dy_sealed_t *message, xdrproc_t proc, void *value,
 		   size_t value_size)
 {
+	static uint8_t padded[BODY_BYTES + GROWTH_BYTES];
 	XDR xdrs;
 
 	memset(value, 0, value_size);
-	if (message->body_len > UINT32_MAX / 2)
+	if (message->body_len > BODY_BYTES)
 		return 0;
-	xdrmem_create(&xdrs, (char *)message->body, (u_int)message->body_len,
-		      XDR_DECODE);
-	if (proc(&xdrs, value) && xdr_getpos(&xdrs) == message->body_len)
+	if (message->body_len)
+		memcpy(padded, message->body, message->body_len);
+	memset(padded + message->body_len, 0, GROWTH_BYTES);
+	xdrmem_create(&xdrs, (char *)padded,
+		      (u_int)message->body_len + GROWTH_BYTES, XDR_DECODE);
+	if (proc(&xdrs, value))
 		return 1;
 	xdr_free(proc, value);
 	return 0;
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -256,6 +256,36 @@
 }
 END_TEST
 
+/*
+ * A version is rolled out process by process. A newer control answers an
+ * older balancer with a field more: refused as malformed, the balancer would
+ * lose its lease, and all of them in turn.
+ */
+START_TEST(messages_of_other_builds_are_read)
+{
+	uint8_t bytes[64] = { 0 };
+	dy_sealed_t message = { .body = bytes };
+	dy_address_t address = { .port = 5 };
+	dy_poll_result_t result;
+	XDR xdrs;
+
+	xdrmem_create(&xdrs, (char *)bytes, sizeof(bytes), XDR_ENCODE);
+	ck_assert(xdr_dy_address_t(&xdrs, &address));
+	message.body_len = xdr_getpos(&xdrs) + 8;
+	ck_assert(dy_sealed_load(&message, (xdrproc_t)xdr_dy_address_t,
+				 &address, sizeof(address)));
+	ck_assert_uint_eq(address.port, 5);
+	message.body_len = xdr_getpos(&xdrs) - 4;
+	ck_assert(dy_sealed_load(&message, (xdrproc_t)xdr_dy_address_t,
+				 &address, sizeof(address)));
+	ck_assert_uint_eq(address.port, 0);
+	memset(bytes, 0xff, sizeof(bytes));
+	message.body_len = sizeof(bytes);
+	ck_assert(!dy_sealed_load(&message, (xdrproc_t)xdr_dy_poll_result_t,
+				  &result, sizeof(result)));
+}
+END_TEST
+
 START_TEST(secret_is_rolled_over)
 {
 	static const dy_secrets_t both = { { { 2 }, { 1 } }, 2 };
@@ -294,6 +324,7 @@
 		every_reason_has_a_name,
 		replayed_and_forged_messages_are_dropped,
 		secret_is_rolled_over,
+		messages_of_other_builds_are_read,
 		NULL,
 	};
 
