--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -402,9 +402,8 @@
 	send_bad(bench, 100);
 	ck_assert_uint_eq(dy_metrics_value(bench->metrics, "seal_malformed"),
 			  1);
-	len = dy_seal_write_call(bench->seal, &head,
-				 (xdrproc_t)xdr_dy_put_t, &args, bench->out,
-				 sizeof(bench->out));
+	len = dy_seal_write_call(bench->seal, &head, (xdrproc_t)xdr_dy_put_t,
+				 &args, bench->out, sizeof(bench->out));
 	send_bad(bench, len);
 	ck_assert_uint_eq(
 		dy_metrics_value(bench->metrics, "control_calls_malformed"), 1);
