--- a/include/damaskyard/successor.h
+++ b/include/damaskyard/successor.h
@@ -15,8 +15,9 @@
 #include "dy_control.h"
 
 /*
- * Returns the member id among `members` that holds `session`, or 0 if count
- * is 0. The order of the members does not matter.
+ * Returns which of `members` holds `session`, or 0 if count is 0. Control's
+ * record names them by incarnation, since a name may be in use again. The order
+ * of the members does not matter.
  */
 uint64_t dy_successor_pick(uint64_t session, const uint64_t *members,
 			   unsigned count);
--- a/proto/dy_control.x
+++ b/proto/dy_control.x
@@ -71,7 +71,7 @@
 	unsigned hyper incarnation;	/* log index of its joining */
 	dy_member_state_t state;
 	dy_member_info_t info;
-	unsigned hyper successors<DY_SUCCESSORS_MAX>;	/* member ids */
+	unsigned hyper successors<DY_SUCCESSORS_MAX>;	/* incarnations */
 };
 
 /*
--- a/src/process/agent_leave.c
+++ b/src/process/agent_leave.c
@@ -96,16 +96,19 @@
 static void move_session(turn_t *turn, dy_session_t *session)
 {
 	dy_agent_t *agent = turn->agent;
-	uint64_t id;
+	uint64_t incarnation;
 
 	if (!dy_list_empty(&session->calls)) {
 		session->place = DY_SESSION_CLOSING;
 		return;
 	}
-	id = dy_successor_pick(session->id, agent->successors,
-			       agent->successor_count);
-	if (set_successor(session, agent_member_find(agent, id)))
+	incarnation = dy_successor_pick(session->id, agent->successors,
+					agent->successor_count);
+	if (set_successor(session, agent_member_follow(agent, session->id,
+						       incarnation))) {
+		lose_session(agent, session);
 		return;
+	}
 	session->place = DY_SESSION_MOVED;
 	agent_count(agent, EVENT_SESSIONS_MOVED);
 	turn->outstanding++;
@@ -124,9 +127,9 @@
 		return 0;
 	if (session->refused)
 		return set_successor(
-			session, agent_member_follow(
-					 agent, session->id, session->successor,
-					 session->successor_incarnation));
+			session,
+			agent_member_follow(agent, session->id,
+					    session->successor_incarnation));
 	return session->tries < TRIES_MAX ? 0 : -1;
 }
 
@@ -353,7 +356,6 @@
 		return -1;
 	return relay_to(agent,
 			agent_member_follow(agent, session->id,
-					    session->successor,
 					    session->successor_incarnation),
 			route, forward);
 }
@@ -361,10 +363,10 @@
 int agent_leave_pass(dy_agent_t *agent, const dy_token_t *token,
 		     const route_t *route, const dy_forward_t *forward)
 {
-	return relay_to(agent,
-			agent_member_follow(agent, token->session, token->agent,
-					    token->incarnation),
-			route, forward);
+	return relay_to(
+		agent,
+		agent_member_follow(agent, token->session, token->incarnation),
+		route, forward);
 }
 
 static dy_session_t *find_moved(const dy_agent_t *agent, uint64_t id,
--- a/src/process/agent_member.c
+++ b/src/process/agent_member.c
@@ -90,8 +90,30 @@
 /* Agents that one session has been handed over in turn, at most. */
 #define FOLLOW_MAX 8
 
+static const member_t *find_incarnation(const dy_agent_t *agent,
+					uint64_t incarnation)
+{
+	const member_t *member;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, agent->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		member = value;
+		if (member->incarnation == incarnation)
+			return member;
+	}
+	return NULL;
+}
+
+/*
+ * Successors are recorded as incarnations. Guards against a name that is in
+ * use again: agents are started anew one after another, and a flow that was
+ * silent all the while would be looked for at the next life of an agent that
+ * has long handed it on.
+ */
 const member_t *agent_member_follow(const dy_agent_t *agent, uint64_t session,
-				    uint64_t id, uint64_t incarnation)
+				    uint64_t incarnation)
 {
 	const departed_t *departed;
 	const member_t *member;
@@ -101,15 +123,11 @@
 		departed = g_hash_table_lookup(agent->departed, &incarnation);
 		if (!departed)
 			break;
-		id = dy_successor_pick(session, departed->successors,
-				       departed->count);
-		member = agent_member_find(agent, id);
-		if (!member)
-			return NULL;
-		incarnation = member->incarnation;
+		incarnation = dy_successor_pick(session, departed->successors,
+						departed->count);
 	}
-	member = agent_member_find(agent, id);
-	if (!member || agent_member_fate(agent, id, incarnation) == OWNER_DEAD)
+	member = find_incarnation(agent, incarnation);
+	if (!member || member->state == DY_MEMBER_DEAD)
 		return NULL;
 	return member;
 }
--- a/src/process/agent_private.h
+++ b/src/process/agent_private.h
@@ -219,7 +219,7 @@
 	unsigned candidate_count;
 	uint64_t offered_ms;
 	int has_successors;
-	uint64_t successors[DY_SUCCESSORS_MAX];
+	uint64_t successors[DY_SUCCESSORS_MAX]; /* incarnations */
 	unsigned successor_count;
 	uint64_t left_ms;
 	int left_recorded;
@@ -304,7 +304,7 @@
  * left since. Returns the member that should have it now, or NULL.
  */
 const member_t *agent_member_follow(const dy_agent_t *agent, uint64_t session,
-				    uint64_t id, uint64_t incarnation);
+				    uint64_t incarnation);
 /* The agents that may take this one's sessions. Returns their number. */
 unsigned agent_member_successors(const dy_agent_t *agent,
 				 uint64_t chosen[DY_SUCCESSORS_MAX]);
--- a/src/process/agent_successors.c
+++ b/src/process/agent_successors.c
@@ -79,7 +79,7 @@
 	for (i = 0; i < agent->candidate_count; i++)
 		if (agent->candidates[i].answered)
 			agent->successors[agent->successor_count++] =
-				agent->candidates[i].id;
+				agent->candidates[i].incarnation;
 	agent->has_successors = 1;
 	agent_note(agent, EVENT_SUCCESSORS_CHOSEN,
 		   "count=%u candidates=%u sessions=%u", agent->successor_count,
--- a/src/request/router_flow.c
+++ b/src/request/router_flow.c
@@ -145,7 +145,7 @@
 		if (!next)
 			return NULL;
 		++*router->counters.chained;
-		member = route_table_current(router->table, next);
+		member = route_table_incarnation(router->table, next);
 	}
 	return NULL;
 }
--- a/tests/fake_agents.c
+++ b/tests/fake_agents.c
@@ -795,16 +795,15 @@
 	world_announce(world, index, 0);
 }
 
-static const dy_member_t *find_member(const fake_world_t *world, uint64_t id,
-				      uint64_t incarnation)
+static const dy_member_t *find_incarnation(const fake_world_t *world,
+					   uint64_t incarnation)
 {
 	const dy_member_t *member;
 	unsigned i;
 
 	for (i = world->members->len; i--;) {
 		member = g_ptr_array_index(world->members, i);
-		if (member->id == id &&
-		    (!incarnation || member->incarnation == incarnation))
+		if (member->incarnation == incarnation)
 			return member;
 	}
 	return NULL;
@@ -812,19 +811,17 @@
 
 unsigned world_route(const fake_world_t *world, const dy_token_t *token)
 {
-	const dy_member_t *member =
-		find_member(world, token->agent, token->incarnation);
+	const dy_member_t *member = find_incarnation(world, token->incarnation);
 	unsigned hops;
 
 	for (hops = 0; member && hops < 8; hops++) {
 		if (member->state != DY_MEMBER_LEFT)
 			return member->info.address.port - 9000;
-		member = find_member(
+		member = find_incarnation(
 			world,
 			dy_successor_pick(token->session,
 					  member->successors.successors_val,
-					  member->successors.successors_len),
-			0);
+					  member->successors.successors_len));
 	}
 	return token->address.port ? token->address.port - 9000 : 0;
 }
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -348,6 +348,34 @@
 }
 END_TEST
 
+/*
+ * Agents are started anew one after another, as in an upgrade, while a flow
+ * is silent. Its token names an agent that handed on to a name which is in
+ * use again: looked for there, the session would be unknown, and the next
+ * reading said to have perhaps run.
+ */
+START_TEST(silent_flow_outlives_an_upgrade_of_all)
+{
+	fake_world_t *world = create_group(2);
+	uint32_t id;
+	unsigned i;
+
+	for (i = 0; i < 4; i++) {
+		dy_agent_leave(world->agents[i % 2].agent, "test", 1);
+		world_settle(world);
+		ck_assert_int_eq(dy_agent_state(world->agents[i % 2].agent),
+				 DY_MEMBER_LEFT);
+		world_start(world, i % 2);
+		world_settle(world);
+	}
+	id = world_call(world, world_route(world, &world->callers[0].fields), 0,
+			FAKE_SUBMIT);
+	world_settle(world);
+	ck_assert_int_eq(world->calls[id].answered, 1);
+	fake_world_destroy(world);
+}
+END_TEST
+
 /* Leaving agents take no new flow, and end without a successor in time. */
 START_TEST(last_agent_ends_without_successor)
 {
@@ -416,6 +444,7 @@
 		lost_target_hands_its_sessions_on,
 		silent_target_is_no_successor,
 		killed_agent_is_no_successor,
+		silent_flow_outlives_an_upgrade_of_all,
 		last_agent_ends_without_successor,
 		longer_body_is_read,
 		NULL,
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -314,13 +314,13 @@
  * A target stops as planned and hands its sessions over; later its successor
  * stops too. A flow that was silent all the while must be found at the end
  * of the chain, at the same member on every balancer, even after the first
- * one is back under its old name.
+ * two are back under their old names.
  */
 START_TEST(planned_stops_are_followed_to_the_successor)
 {
 	dy_token_t token = token_of(11, 101);
-	uint64_t first[] = { 12 };
-	uint64_t second[] = { 13, 14 };
+	uint64_t first[] = { 102 };
+	uint64_t second[] = { 103, 104 };
 	uint64_t last;
 	fake_t fake;
 
@@ -332,7 +332,8 @@
 	expect_forwarded(&fake, 102);
 	set_member(&fake, "readings", 12, 102, DY_MEMBER_LEFT, second, 2);
 	set_member(&fake, "readings", 11, 120, DY_MEMBER_SERVING, NULL, 0);
-	last = dy_successor_pick(token.session, second, 2) == 13 ? 103 : 104;
+	set_member(&fake, "readings", 12, 121, DY_MEMBER_SERVING, NULL, 0);
+	last = dy_successor_pick(token.session, second, 2);
 	send_call(&fake, 2, SUBMIT, &token);
 	expect_forwarded(&fake, last);
 	set_member(&fake, "readings", last - 90, last, DY_MEMBER_DEAD, NULL, 0);
