--- a/fuzz/fuzz_router.c
+++ b/fuzz/fuzz_router.c
@@ -164,6 +164,17 @@
 	tell(run, member);
 }
 
+/* Any start of an agent of the same service, or one not heard of yet. */
+static uint64_t draw_successor(run_t *run, const member_t *member)
+{
+	unsigned i = take(run, run->count + 1);
+
+	for (; i < run->count; i++)
+		if (run->members[i].service == member->service)
+			return run->members[i].incarnation;
+	return 101 + MEMBERS_MAX;
+}
+
 static void change(run_t *run)
 {
 	member_t *member;
@@ -180,8 +191,7 @@
 	if (member->state == DY_MEMBER_LEFT)
 		member->successor_count = take(run, 3);
 	for (i = 0; i < member->successor_count; i++)
-		member->successors[i] =
-			1 + (unsigned)member->service + 2 * take(run, 3);
+		member->successors[i] = draw_successor(run, member);
 	tell(run, member);
 }
 
@@ -199,7 +209,7 @@
 			return member->incarnation;
 		next = dy_successor_pick(session, member->successors,
 					 member->successor_count);
-		member = next ? find_current(run, next) : NULL;
+		member = next ? find_incarnation(run, next) : NULL;
 	}
 	return NONE;
 }
--- a/src/request/router.c
+++ b/src/request/router.c
@@ -29,6 +29,7 @@
 		dy_metrics_counter(metrics, "refused_target_lost");
 	counters->too_weak = dy_metrics_counter(metrics, "refused_too_weak");
 	counters->chained = dy_metrics_counter(metrics, "calls_to_successor");
+	counters->too_early = dy_metrics_counter(metrics, "calls_before_state");
 }
 
 static void destroy_burn(gpointer data)
@@ -105,6 +106,8 @@
 void dy_router_set_confirmed(dy_router_t *router, int confirmed)
 {
 	router->confirmed = confirmed;
+	if (confirmed)
+		router->complete = 1;
 }
 
 void dy_router_set_ready(dy_router_t *router, int ready)
--- a/src/request/router_flow.c
+++ b/src/request/router_flow.c
@@ -93,6 +93,10 @@
  * The incarnation that its token names is gone, and no successor has its
  * session. A copy of a non-idempotent call may have run there, so it gets
  * may have run and never a second run.
+ *
+ * Guards against a balancer that has just started and knows a part of the
+ * state: the record that leads to the session may come with the next page,
+ * and a verdict now would break the flow. The caller sends again.
  */
 static void answer_lost(dy_router_t *router, const packet_t *packet)
 {
@@ -100,6 +104,11 @@
 		router_open_flow(router, packet);
 		return;
 	}
+	if (!router->complete) {
+		router_drop(router, router->counters.too_early,
+			    "call_before_state", packet);
+		return;
+	}
 	++*router->counters.target_lost;
 	router_refuse(router, packet, DY_MAY_HAVE_RUN, DY_REASON_TARGET_LOST,
 		      RETRY_NOT_READY_MS);
--- a/src/request/router_private.h
+++ b/src/request/router_private.h
@@ -33,6 +33,7 @@
 	uint64_t *target_lost;
 	uint64_t *too_weak;
 	uint64_t *chained;
+	uint64_t *too_early;
 } counters_t;
 
 /* What this balancer itself refused of a service. */
@@ -50,6 +51,7 @@
 	dy_retry_budget_t retries;
 	uint16_t domain;
 	int confirmed;
+	int complete; /* it was confirmed once, so all of the state is here */
 	int ready;
 	counters_t counters;
 	dy_log_limit_t drop_limit;
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -89,7 +89,7 @@
 	dy_router_set_member(fake->router, &member, fake->now_ms);
 }
 
-static void setup(fake_t *fake)
+static void setup_starting(fake_t *fake)
 {
 	static const dy_secrets_t secrets = { { { 1 } }, 1 };
 	dy_key_info_t key = { .id = 1, .active = TRUE };
@@ -115,6 +115,11 @@
 	set_member(fake, "readings", 11, 101, DY_MEMBER_SERVING, NULL, 0);
 	set_member(fake, "readings", 12, 102, DY_MEMBER_SERVING, NULL, 0);
 	set_member(fake, "maps", 21, 201, DY_MEMBER_SERVING, NULL, 0);
+}
+
+static void setup(fake_t *fake)
+{
+	setup_starting(fake);
 	dy_router_set_confirmed(fake->router, 1);
 }
 
@@ -560,6 +565,31 @@
 }
 END_TEST
 
+/*
+ * A balancer starts and has the first page of the state: the new start of an
+ * agent, not yet the record that its last one left and to whom. A station's
+ * flow goes on with the successor, but this balancer would say that it is
+ * lost. It must say nothing until it knows all.
+ */
+START_TEST(starting_balancer_declares_no_flow_lost)
+{
+	dy_token_t token = token_of(12, 90);
+	uint64_t successors[] = { 101 };
+	fake_t fake;
+
+	setup_starting(&fake);
+	send_call(&fake, 1, SUBMIT, &token);
+	ck_assert_uint_eq(fake.forwards + fake.answers, 0);
+	ck_assert_uint_eq(dy_metrics_value(fake.metrics, "calls_before_state"),
+			  1);
+	set_member(&fake, "readings", 12, 90, DY_MEMBER_LEFT, successors, 1);
+	dy_router_set_confirmed(fake.router, 1);
+	send_call(&fake, 1, SUBMIT, &token);
+	expect_forwarded(&fake, 101);
+	teardown(&fake);
+}
+END_TEST
+
 START_TEST(oversized_and_malformed_calls)
 {
 	uint8_t bytes[DY_DATAGRAM_BYTES + 1] = { 0 };
@@ -625,6 +655,7 @@
 		bounced_opening_goes_elsewhere,
 		bounces_are_tried_again_under_a_budget,
 		members_that_are_over_are_forgotten,
+		starting_balancer_declares_no_flow_lost,
 		target_that_comes_back_gets_flows,
 		agent_that_was_not_ready_gets_flows,
 		oversized_and_malformed_calls,
