--- a/src/process/agent_process.c
+++ b/src/process/agent_process.c
@@ -144,9 +144,9 @@
 	g_strlcpy(process->service, target->service, sizeof(process->service));
 	g_strlcpy(process->labels, target->labels, sizeof(process->labels));
 	info.kind = DY_MEMBER_AGENT;
-	info.name = process->settings->name;
-	info.environment = process->settings->environment;
-	info.domain = process->settings->domain;
+	info.name = process->settings->member.name;
+	info.environment = process->settings->member.environment;
+	info.domain = process->settings->member.domain;
 	info.address = *dy_endpoint_address(process->endpoint);
 	info.service = process->service;
 	info.labels = process->labels;
@@ -379,7 +379,8 @@
 	return !memcmp(from->ip, mapped_loopback, sizeof(mapped_loopback)) ||
 	       !memcmp(from->ip, loopback, DY_IP_BYTES) ||
 	       !memcmp(from->ip, process->settings->announce.ip, DY_IP_BYTES) ||
-	       !memcmp(from->ip, process->settings->listen.ip, DY_IP_BYTES);
+	       !memcmp(from->ip, process->settings->member.listen.ip,
+		       DY_IP_BYTES);
 }
 
 static size_t answer_announcement(agent_process_t *process,
@@ -443,9 +444,9 @@
 	char address[DY_ADDRESS_TEXT_BYTES];
 	char announce[DY_ADDRESS_TEXT_BYTES];
 
-	process->endpoint =
-		dy_endpoint_create(process->loop, &process->settings->listen,
-				   on_receive, process, error);
+	process->endpoint = dy_endpoint_create(
+		process->loop, &process->settings->member.listen, on_receive,
+		process, error);
 	if (!process->endpoint)
 		return FALSE;
 	process->announce =
@@ -464,9 +465,9 @@
 static void create_agent(agent_process_t *process)
 {
 	dy_agent_config_t config = {
-		.name = process->settings->name,
-		.environment = process->settings->environment,
-		.domain = process->settings->domain,
+		.name = process->settings->member.name,
+		.environment = process->settings->member.environment,
+		.domain = process->settings->member.domain,
 		.address = *dy_endpoint_address(process->endpoint),
 		.keyring = process->keyring,
 		.metrics = process->metrics,
@@ -494,7 +495,7 @@
 		.endpoint = process->endpoint,
 		.seal = process->seal,
 		.metrics = process->metrics,
-		.controls = &process->settings->controls,
+		.controls = &process->settings->member.controls,
 		.callbacks = &subscriber_callbacks,
 		.context = process,
 	};
@@ -514,7 +515,7 @@
 	process->has_left = 0;
 	process->must_rejoin = 1;
 	dy_log_event(DY_LOG_INFO, "agent_free", "name=%s",
-		     process->settings->name);
+		     process->settings->member.name);
 }
 
 static void on_tick(void *context)
@@ -575,7 +576,8 @@
 	gboolean ok;
 
 	process->settings = settings;
-	ok = dy_secrets_load(&process->secrets, settings->key_file, error) &&
+	ok = dy_secrets_load(&process->secrets, settings->member.key_file,
+			     error) &&
 	     start(process, error);
 	if (ok) {
 		dy_loop_run(process->loop);
--- a/src/process/agent_process.h
+++ b/src/process/agent_process.h
@@ -8,17 +8,10 @@
 
 #include <glib.h>
 
-#include "damaskyard/address.h"
-#include "damaskyard/settings.h"
+#include "member_settings.h"
 
 typedef struct dy_agent_settings {
-	char *name;
-	char *environment;
-	char *domain;
-	char *key_file;
-	char *log_level;
-	dy_address_list_t controls;
-	dy_address_t listen;
+	member_settings_t member;
 	dy_address_t announce;
 } dy_agent_settings_t;
 
--- a/src/process/balancer.c
+++ b/src/process/balancer.c
@@ -313,7 +313,7 @@
 	router.keyring = balancer->keyring;
 	router.metrics = balancer->metrics;
 	router.rand = balancer->rand;
-	router.domain = settings->domain;
+	router.domain = settings->member.domain;
 	router.callbacks = &router_callbacks;
 	router.context = balancer;
 	balancer->router = dy_router_create(&router);
@@ -330,14 +330,14 @@
 	config.endpoint = balancer->endpoint;
 	config.seal = balancer->seal;
 	config.metrics = balancer->metrics;
-	config.controls = &balancer->settings->controls;
+	config.controls = &balancer->settings->member.controls;
 	config.callbacks = &subscriber_callbacks;
 	config.context = balancer;
 	balancer->subscriber = dy_subscriber_create(&config);
 	balancer->info.kind = DY_MEMBER_BALANCER;
-	balancer->info.name = balancer->settings->name;
-	balancer->info.environment = balancer->settings->environment;
-	balancer->info.domain = balancer->settings->domain;
+	balancer->info.name = balancer->settings->member.name;
+	balancer->info.environment = balancer->settings->member.environment;
+	balancer->info.domain = balancer->settings->member.domain;
 	balancer->info.address = *dy_endpoint_address(balancer->endpoint);
 	balancer->info.service = "";
 	balancer->info.labels = "";
@@ -365,11 +365,13 @@
 	balancer_t balancer = { 0 };
 
 	balancer.settings = settings;
-	if (!dy_secrets_load(&balancer.secrets, settings->key_file, error))
+	if (!dy_secrets_load(&balancer.secrets, settings->member.key_file,
+			     error))
 		return FALSE;
 	create_parts(&balancer);
-	balancer.endpoint = dy_endpoint_create(balancer.loop, &settings->listen,
-					       on_message, &balancer, error);
+	balancer.endpoint =
+		dy_endpoint_create(balancer.loop, &settings->member.listen,
+				   on_message, &balancer, error);
 	if (balancer.endpoint) {
 		subscribe(&balancer);
 		dy_loop_on_stop(balancer.loop, begin_stop, &balancer);
--- a/src/process/balancer.h
+++ b/src/process/balancer.h
@@ -8,19 +8,11 @@
 
 #include <glib.h>
 
-#include "damaskyard/address.h"
-#include "damaskyard/secret.h"
-#include "damaskyard/settings.h"
+#include "member_settings.h"
 
 typedef struct dy_balancer_settings {
-	char *name;
-	char *environment;
-	char *domain;
-	dy_address_list_t controls;
-	dy_address_t listen;
+	member_settings_t member;
 	char *bind_host; /* NULL: bind each service's own address */
-	char *key_file;
-	char *log_level;
 } dy_balancer_settings_t;
 
 /*
--- a/src/process/operator.c
+++ b/src/process/operator.c
@@ -387,3 +387,36 @@
 {
 	op->give_up_ms = now_ms(op) + timeout_ms;
 }
+
+static char *member_environment;
+
+static const dy_setting_t member_settings[] = {
+	OPERATOR_SETTINGS(TRUE),
+	OPERATOR_REQUEST_SETTING,
+	{ .flag = "environment",
+	  .kind = DY_SETTING_CHOICE,
+	  .value = &member_environment,
+	  .argument = DY_ENVIRONMENT_CHOICES,
+	  .help = "needed where two environments have the name" },
+	{ 0 },
+};
+
+int operator_change_member(int argc, char **argv, const char *summary,
+			   dy_change_kind_t kind)
+{
+	char *name = NULL;
+	dy_change_t change;
+	operator_t *op;
+	int code;
+
+	op = operator_load(argc, argv, summary, member_settings, &name);
+	if (!op)
+		return DY_EXIT_USAGE;
+	operator_begin_change(&change, kind);
+	if (member_environment)
+		change.environment = member_environment;
+	change.name = name;
+	code = operator_run_change(op, member_settings, &change);
+	g_free(name);
+	return code;
+}
--- a/src/process/operator.h
+++ b/src/process/operator.h
@@ -124,6 +124,10 @@
 operator_t *operator_load(int argc, char **argv, const char *summary,
 			  const dy_setting_t *settings, char **operand);
 
+/* The whole of a command that makes one change to the member NAME. */
+int operator_change_member(int argc, char **argv, const char *summary,
+			   dy_change_kind_t kind);
+
 /* The whole of a command that makes one change and has no other flags. */
 int operator_run_change(operator_t *op, const dy_setting_t *settings,
 			dy_change_t *change);
