--- a/src/process/subscriber.c
+++ b/src/process/subscriber.c
@@ -283,6 +283,7 @@
 		break;
 	case DY_STATUS_UNAVAILABLE:
 		choose_next_control(subscriber);
+		subscriber->next_poll_ms = now_ms(subscriber) + TICK_MS;
 		break;
 	default:
 		take_refusal(subscriber, result.status);
