--- a/src/process/raft_member.c
+++ b/src/process/raft_member.c
@@ -1,4 +1,4 @@
-#include "raft_internal.h"
+#include "raft_private.h"
 
 #include <string.h>
 
--- a/src/process/raft_internal.h
+++ b/src/process/raft_private.h
@@ -1,5 +1,5 @@
-#ifndef RAFT_INTERNAL_H
-#define RAFT_INTERNAL_H
+#ifndef RAFT_PRIVATE_H
+#define RAFT_PRIVATE_H
 
 /* What the files of the replicated log share; told in raft.h. */
 
--- a/src/process/raft_read.c
+++ b/src/process/raft_read.c
@@ -1,4 +1,4 @@
-#include "raft_internal.h"
+#include "raft_private.h"
 
 /*
  * Reads confirmed by a majority (ReadIndex). A read waits for a round that
--- a/src/process/store.c
+++ b/src/process/store.c
@@ -1,4 +1,4 @@
-#include "store_internal.h"
+#include "store_private.h"
 
 #include <errno.h>
 #include <stdio.h>
--- a/src/process/store_internal.h
+++ b/src/process/store_private.h
@@ -1,5 +1,5 @@
-#ifndef STORE_INTERNAL_H
-#define STORE_INTERNAL_H
+#ifndef STORE_PRIVATE_H
+#define STORE_PRIVATE_H
 
 /* What the files of the store share; the subject is told in store.h. */
 
