--- a/include/damaskyard/seal.h
+++ b/include/damaskyard/seal.h
@@ -94,4 +94,11 @@
 int dy_sealed_load(const dy_sealed_t *message, xdrproc_t proc, void *value,
 		   size_t value_size);
 
+/*
+ * Decode the body into value, whose pointers point to room for as much as their
+ * types allow: nothing is allocated and nothing is to be freed. For what passes
+ * for each datagram. Returns 1, or 0 if the body is malformed.
+ */
+int dy_sealed_fill(const dy_sealed_t *message, xdrproc_t proc, void *value);
+
 #endif
--- a/src/process/agent_process.c
+++ b/src/process/agent_process.c
@@ -277,15 +277,15 @@
 			    const dy_sealed_t *message,
 			    const dy_address_t *from)
 {
-	dy_forward_t forward;
+	static char room[DY_DATAGRAM_BYTES];
+	dy_forward_t forward = { 0 };
 
-	if (!dy_sealed_load(message, (xdrproc_t)xdr_dy_forward_t, &forward,
-			    sizeof(forward))) {
+	forward.datagram.datagram_val = room;
+	if (!dy_sealed_fill(message, (xdrproc_t)xdr_dy_forward_t, &forward)) {
 		++*process->unknown;
 		return;
 	}
 	dy_agent_forward(process->agent, from, &forward);
-	xdr_free((xdrproc_t)xdr_dy_forward_t, (char *)&forward);
 }
 
 static void receive_move(agent_process_t *process, const dy_sealed_t *message,
--- a/src/process/balancer.c
+++ b/src/process/balancer.c
@@ -83,27 +83,27 @@
 
 static void receive_answer(balancer_t *balancer, const dy_sealed_t *message)
 {
-	dy_answer_t answer;
+	static char room[DY_DATAGRAM_BYTES];
+	dy_answer_t answer = { 0 };
 
-	if (!dy_sealed_load(message, (xdrproc_t)xdr_dy_answer_t, &answer,
-			    sizeof(answer)))
+	answer.datagram.datagram_val = room;
+	if (!dy_sealed_fill(message, (xdrproc_t)xdr_dy_answer_t, &answer))
 		return;
 	balancer->forwarded_ms = dy_loop_now_ms(balancer->loop);
 	dy_router_answered(balancer->router, &answer,
 			   dy_loop_now_ms(balancer->loop));
-	xdr_free((xdrproc_t)xdr_dy_answer_t, (char *)&answer);
 }
 
 static void receive_bounce(balancer_t *balancer, const dy_sealed_t *message)
 {
-	dy_bounce_t bounce;
+	static char room[DY_DATAGRAM_BYTES];
+	dy_bounce_t bounce = { 0 };
 
-	if (!dy_sealed_load(message, (xdrproc_t)xdr_dy_bounce_t, &bounce,
-			    sizeof(bounce)))
+	bounce.forward.datagram.datagram_val = room;
+	if (!dy_sealed_fill(message, (xdrproc_t)xdr_dy_bounce_t, &bounce))
 		return;
 	dy_router_bounced(balancer->router, &bounce,
 			  dy_loop_now_ms(balancer->loop));
-	xdr_free((xdrproc_t)xdr_dy_bounce_t, (char *)&bounce);
 }
 
 static void answer_status(balancer_t *balancer, const dy_sealed_t *message,
--- a/src/process/seal.c
+++ b/src/process/seal.c
@@ -304,13 +304,11 @@
 /* The largest datagram of UDP. */
 #define BODY_BYTES 65536
 
-int dy_sealed_load(const dy_sealed_t *message, xdrproc_t proc, void *value,
-		   size_t value_size)
+int dy_sealed_fill(const dy_sealed_t *message, xdrproc_t proc, void *value)
 {
 	static uint8_t padded[BODY_BYTES + GROWTH_BYTES];
 	XDR xdrs;
 
-	memset(value, 0, value_size);
 	if (message->body_len > BODY_BYTES)
 		return 0;
 	if (message->body_len)
@@ -318,7 +316,14 @@
 	memset(padded + message->body_len, 0, GROWTH_BYTES);
 	xdrmem_create(&xdrs, (char *)padded,
 		      (u_int)message->body_len + GROWTH_BYTES, XDR_DECODE);
-	if (proc(&xdrs, value))
+	return proc(&xdrs, value);
+}
+
+int dy_sealed_load(const dy_sealed_t *message, xdrproc_t proc, void *value,
+		   size_t value_size)
+{
+	memset(value, 0, value_size);
+	if (dy_sealed_fill(message, proc, value))
 		return 1;
 	xdr_free(proc, value);
 	return 0;
