--- a/src/process/control.c
+++ b/src/process/control.c
@@ -431,6 +431,7 @@
 	control->seal = dy_seal_create(&options->secrets, metrics);
 	control->uploads = uploads_create();
 	control->recent = recent_documents_create();
+	control->services = control_services_create();
 	control->registry = dy_registry_create(&callbacks);
 	dy_registry_set_clock(control->registry, control_now_ms(control));
 	if (!open_store(control, error) && !open_raft(control, error))
@@ -467,6 +468,7 @@
 	dy_registry_destroy(control->registry);
 	uploads_destroy(control->uploads);
 	recent_documents_destroy(control->recent);
+	control_services_destroy(control->services);
 	dy_seal_destroy(control->seal);
 	g_free(control);
 }
--- a/src/process/control_inspect.c
+++ b/src/process/control_inspect.c
@@ -5,6 +5,7 @@
  *	control id=1 address=IP:PORT role=voter lag=0 heard_ms=12
  *	document environment=trial number=3 digest=HEX in_force=8/8 tried=1
  *		operator=NAME
+ *	service environment=trial name=readings address=IP:PORT targets=7
  *	key id=2 active=1 retired=0
  *	member name=a1 kind=agent environment=trial service=readings
  *		state=serving incarnation=70 address=IP:PORT domain=d1
@@ -144,6 +145,7 @@
 		add_controls(control, &page);
 		for (i = 0; i < DY_ENVIRONMENTS; i++)
 			add_document(control, &page, i);
+		control_services_add(control, &page);
 		add_keys(control, &page);
 		dy_registry_each_member(control->registry, add_member, &lines);
 	}
--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -8,6 +8,8 @@
 #include "damaskyard/seal.h"
 #include "damaskyard/store.h"
 #include "founding.h"
+#include "damaskyard/document.h"
+#include "damaskyard/status_service.h"
 #include "recent_documents.h"
 #include "uploads.h"
 
@@ -67,6 +69,8 @@
 	uint64_t *events[DY_EVENTS];
 } control_counters_t;
 
+typedef struct control_services control_services_t;
+
 struct dy_control {
 	dy_control_options_t options;
 	dy_loop_t *loop;
@@ -80,6 +84,7 @@
 	dy_registry_t *registry;
 	uploads_t *uploads;
 	recent_documents_t *recent;
+	control_services_t *services;
 	founding_t founding;
 	uv_prepare_t *prepare;
 	uv_check_t *check;
@@ -160,6 +165,11 @@
 		 const struct sockaddr *from);
 void control_fetch(dy_control_t *control, const dy_sealed_t *message,
 		   const struct sockaddr *from);
+/* control_services.c: a line for each service in force. */
+control_services_t *control_services_create(void);
+void control_services_destroy(control_services_t *services);
+void control_services_add(dy_control_t *control, dy_status_page_t *page);
+
 void control_inspect(dy_control_t *control, const dy_sealed_t *message,
 		     const struct sockaddr *from);
 
--- a/tests/test_commands.c
+++ b/tests/test_commands.c
@@ -206,6 +206,10 @@
 	ck_assert_int_eq(run(group, "status", &out, NULL), 0);
 	ck_assert_ptr_nonnull(
 		strstr(out, "document environment=production number=1 "));
+	/* Nobody has announced itself yet, and the operator sees it. */
+	ck_assert_ptr_nonnull(strstr(
+		out, "service environment=production name=readings address="));
+	ck_assert_ptr_nonnull(strstr(out, " targets=0\n"));
 	ck_assert_ptr_nonnull(strstr(out, "control id=3 address=127.0.0.1:"));
 	g_free(out);
 	g_free(doc);
