--- a/tests/fake_agents.c
+++ b/tests/fake_agents.c
@@ -1,4 +1,4 @@
-#include "fake_agents.h"
+#include "fake_agents_private.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -7,7 +7,6 @@
 
 #include "damaskyard/successor.h"
 
-#define PROGRAM 0x2A000001
 #define STEP_MS 50
 
 /* A long time passes in longer steps. */
@@ -33,13 +32,13 @@
 	size_t len;
 } mail_t;
 
-static void fail(const char *what, uint32_t id)
+void world_fail(const char *what, uint32_t id)
 {
 	fprintf(stderr, "promise broken: %s, call %u\n", what, id);
 	abort();
 }
 
-static void fill_address(dy_address_t *address, unsigned index)
+void world_address(dy_address_t *address, unsigned index)
 {
 	char text[32];
 
@@ -61,7 +60,7 @@
 		return;
 	token.body = reply->verifier.body + 8;
 	if (dy_token_load(from->ring, &token, &caller->fields) != DY_TOKEN_OK)
-		fail("a token of its own agent is not good", 0);
+		world_fail("a token of its own agent is not good", 0);
 	memcpy(caller->token, token.body, DY_TOKEN_BYTES);
 	caller->has_token = 1;
 }
@@ -88,9 +87,9 @@
 		return;
 	memcpy(&word, reply->results, 4);
 	if (reply->results_len != 4 || ntohl(word) != id)
-		fail("an answer is another call's, or not whole", id);
+		world_fail("an answer is another call's, or not whole", id);
 	if (!call->runs)
-		fail("an answer to a call that never ran", id);
+		world_fail("an answer to a call that never ran", id);
 }
 
 static void check_answer(fake_world_t *world, fake_call_t *call,
@@ -114,7 +113,7 @@
 		return;
 	call->not_run = 1;
 	if (call->runs)
-		fail("said not to have run, after it ran", id);
+		world_fail("said not to have run, after it ran", id);
 }
 
 static void check_cancel(fake_world_t *world, const fake_call_t *cancel,
@@ -132,9 +131,10 @@
 	if (call->procedure != FAKE_SUBMIT)
 		return;
 	if (result->verdict == DY_NOT_RUN && call->runs)
-		fail("cancelled as not run, after it ran", cancel->meant);
+		world_fail("cancelled as not run, after it ran", cancel->meant);
 	if (result->verdict == DY_RAN && !call->runs)
-		fail("said to have run before it was cancelled", cancel->meant);
+		world_fail("said to have run before it was cancelled",
+			   cancel->meant);
 	call->not_run |= result->verdict == DY_NOT_RUN;
 }
 
@@ -149,14 +149,14 @@
 
 	if (dy_rpc_parse_reply((uint8_t *)answer->datagram.datagram_val,
 			       answer->datagram.datagram_len, &reply))
-		fail("a malformed answer", 0);
+		world_fail("a malformed answer", 0);
 	if (to->port != 7000)
-		fail("an answer that passes no balancer", 0);
+		world_fail("an answer that passes no balancer", 0);
 	if (!reply.denied && reply.status == SUCCESS)
 		take_token(&world->callers[caller], from, &reply);
 	call = find_call(world, caller, reply.xid);
 	if (!call)
-		fail("an answer to no call", reply.xid);
+		world_fail("an answer to no call", reply.xid);
 	if (call->procedure == FAKE_CANCEL)
 		check_cancel(world, call, &reply);
 	else
@@ -173,7 +173,7 @@
 	dy_rpc_parse_call((uint8_t *)bounce->forward.datagram.datagram_val,
 			  bounce->forward.datagram.datagram_len, &call);
 	if (call.procedure == FAKE_SUBMIT)
-		fail("a non-idempotent call is sent elsewhere", call.xid);
+		world_fail("a non-idempotent call is sent elsewhere", call.xid);
 	world->bounces++;
 	world->bounce_reason = bounce->reason;
 }
@@ -187,7 +187,7 @@
 
 	xdrmem_create(&xdrs, (char *)bytes, sizeof(bytes), XDR_ENCODE);
 	if (!proc(&xdrs, value))
-		fail("a message that cannot be written", 0);
+		world_fail("a message that cannot be written", 0);
 	mail->kind = kind;
 	mail->posted_us = from->world->now_us;
 	mail->from = from->index;
@@ -229,9 +229,9 @@
 	fake_call_t *call = &world->calls[id];
 
 	if (call->procedure == FAKE_SUBMIT && call->runs)
-		fail("it runs twice", id);
+		world_fail("it runs twice", id);
 	if (call->not_run)
-		fail("it runs after it was said not to have run", id);
+		world_fail("it runs after it was said not to have run", id);
 	call->runs++;
 }
 
@@ -246,7 +246,7 @@
 	if (agent->refuse_sends)
 		return -1;
 	if (!link->up || link->busy || dy_rpc_parse_call(bytes, len, &call))
-		fail("two calls on one connection", 0);
+		world_fail("two calls on one connection", 0);
 	link->target_xid = call.xid;
 	link->probed = call.program == PROGRAM && call.procedure == NULLPROC;
 	if (link->probed)
@@ -275,7 +275,7 @@
 	member->info.service = "readings";
 	member->info.labels = "";
 	member->info.slots = slots;
-	fill_address(&member->info.address, agent->index);
+	world_address(&member->info.address, agent->index);
 	member->successors.successors_len = count;
 	member->successors.successors_val =
 		g_memdup2(successors, count * sizeof(uint64_t));
@@ -414,7 +414,7 @@
 	config.seed = 1 + world->members->len;
 	config.metrics = agent->metrics;
 	config.keyring = agent->ring;
-	fill_address(&config.address, index);
+	world_address(&config.address, index);
 	agent->agent = dy_agent_create(&config);
 	agent->incarnation = world->members->len + 1;
 	agent->target_incarnation = agent->incarnation;
@@ -483,9 +483,9 @@
 	dy_address_t address;
 
 	if (!xdr_dy_handover_t(xdrs, &handover))
-		fail("a handover that cannot be read", 0);
+		world_fail("a handover that cannot be read", 0);
 	dy_agent_take_handover(to->agent, &handover, &result);
-	fill_address(&address, from);
+	world_address(&address, from);
 	post(to, MAIL_TAKEN, &address, (xdrproc_t)xdr_dy_handover_result_t,
 	     &result);
 	xdr_free((xdrproc_t)xdr_dy_handover_t, (char *)&handover);
@@ -497,7 +497,7 @@
 	dy_handover_result_t result = { 0 };
 
 	if (!xdr_dy_handover_result_t(xdrs, &result))
-		fail("a result that cannot be read", 0);
+		world_fail("a result that cannot be read", 0);
 	dy_agent_handover_result(to->agent, &result);
 	xdr_free((xdrproc_t)xdr_dy_handover_result_t, (char *)&result);
 }
@@ -508,8 +508,8 @@
 	dy_address_t address;
 
 	if (!xdr_dy_forward_t(xdrs, &forward))
-		fail("a forward that cannot be read", 0);
-	fill_address(&address, from);
+		world_fail("a forward that cannot be read", 0);
+	world_address(&address, from);
 	dy_agent_forward(to->agent, &address, &forward);
 	xdr_free((xdrproc_t)xdr_dy_forward_t, (char *)&forward);
 }
@@ -589,250 +589,3 @@
 		world_pass(world, STEP_MS);
 	}
 }
-
-static void forward_bytes(fake_world_t *world, unsigned index, unsigned caller,
-			  const uint8_t *bytes, size_t len)
-{
-	fake_agent_t *agent = &world->agents[index];
-	dy_forward_t forward = { 0 };
-	dy_address_t balancer;
-
-	if (!agent->agent)
-		return;
-	fill_address(&forward.caller, 0);
-	forward.caller.port = 5000 + caller;
-	fill_address(&balancer, 0);
-	balancer.port = 7000;
-	forward.service = dy_service_id("readings");
-	forward.agent = dy_agent_id(agent->agent);
-	forward.incarnation = agent->incarnation;
-	forward.datagram.datagram_val = (char *)bytes;
-	forward.datagram.datagram_len = (u_int)len;
-	dy_agent_forward(agent->agent, &balancer, &forward);
-}
-
-static size_t write_call(fake_world_t *world, unsigned caller,
-			 dy_rpc_call_t *call, uint8_t *out, size_t cap)
-{
-	fake_caller_t *from = &world->callers[caller];
-
-	call->xid = from->next_xid++;
-	if (from->has_token) {
-		call->credential.flavor = AUTH_SHORT;
-		call->credential.len = DY_TOKEN_BYTES;
-		call->credential.body = from->token;
-	}
-	return dy_rpc_write_call(call, out, cap);
-}
-
-/* Enter a call into the account of calls. */
-static uint32_t enter_call(fake_world_t *world, unsigned caller,
-			   dy_rpc_call_t *call)
-{
-	uint32_t id = world->call_count++;
-	fake_call_t *entry = &world->calls[id];
-
-	entry->len = write_call(world, caller, call, entry->bytes,
-				sizeof(entry->bytes));
-	entry->xid = call->xid;
-	entry->caller = caller;
-	entry->procedure =
-		call->program == PROGRAM ? call->procedure : FAKE_CANCEL;
-	entry->sent_us = world->now_us;
-	entry->token = world->callers[caller].fields;
-	return id;
-}
-
-uint32_t world_call(fake_world_t *world, unsigned index, unsigned caller,
-		    uint32_t procedure)
-{
-	uint32_t word = htonl(world->call_count);
-	dy_rpc_call_t call = { .program = PROGRAM,
-			       .program_version = 1,
-			       .procedure = procedure,
-			       .args = (uint8_t *)&word,
-			       .args_len = 4 };
-	uint32_t id = enter_call(world, caller, &call);
-
-	world_copy(world, index, id);
-	return id;
-}
-
-void world_copy(fake_world_t *world, unsigned index, uint32_t id)
-{
-	const fake_call_t *call = &world->calls[id];
-
-	forward_bytes(world, index, call->caller, call->bytes, call->len);
-}
-
-void world_cancel(fake_world_t *world, unsigned index, uint32_t meant)
-{
-	uint32_t word = htonl(world->calls[meant].xid);
-	dy_rpc_call_t call = { .program = DY_CALLER_PROGRAM,
-			       .program_version = 1,
-			       .procedure = DY_CALLER_CANCEL,
-			       .args = (uint8_t *)&word,
-			       .args_len = 4 };
-	uint32_t id;
-
-	world->has_cancel_result = 0;
-	id = enter_call(world, world->calls[meant].caller, &call);
-	world->calls[id].meant = meant;
-	world_copy(world, index, id);
-}
-
-void world_open(fake_world_t *world, unsigned index, unsigned caller)
-{
-	world->callers[caller].has_token = 0;
-	world_call(world, index, caller, NULLPROC);
-}
-
-static size_t write_reply(const fake_link_t *link, fake_reply_t kind,
-			  uint8_t *out, size_t cap)
-{
-	static const uint8_t large[DY_DATAGRAM_BYTES];
-	dy_refusal_t refusal = { DY_NOT_RUN, DY_REASON_SHED, 7 };
-	uint32_t word = htonl(link->id);
-	dy_rpc_reply_t reply = { .xid = link->target_xid,
-				 .results = (uint8_t *)&word,
-				 .results_len = 4 };
-
-	if (kind == FAKE_SHED)
-		return dy_rpc_write_refusal(reply.xid, &refusal, out, cap);
-	reply.xid += kind == FAKE_WRONG_XID;
-	reply.denied = kind == FAKE_DENIED;
-	if (kind == FAKE_PROG_UNAVAIL)
-		reply.status = PROG_UNAVAIL;
-	if (kind == FAKE_SYSTEM_ERR)
-		reply.status = SYSTEM_ERR;
-	if (kind == FAKE_DENIED)
-		reply.status = AUTH_REJECTEDCRED;
-	if (kind == FAKE_LARGE) {
-		reply.results = large;
-		reply.results_len = sizeof(large);
-	}
-	return dy_rpc_write_reply(&reply, out, cap);
-}
-
-int world_answer(fake_world_t *world, unsigned index, unsigned at,
-		 fake_reply_t kind)
-{
-	static uint8_t out[DY_DATAGRAM_BYTES + DY_RPC_HEAD_BYTES];
-	fake_agent_t *agent = &world->agents[index];
-	fake_link_t *link = &agent->links[at];
-	size_t len;
-
-	if (!agent->agent || !link->busy || agent->frozen ||
-	    at == DY_AGENT_CANCEL_LINK)
-		return 0;
-	link->busy = 0;
-	/* A target that sheds did not run what it was sent. */
-	if (kind == FAKE_SHED)
-		world->calls[link->id].runs--;
-	len = write_reply(link, kind, out, sizeof(out));
-	if (kind == FAKE_GARBAGE)
-		memset(out, 0xff, len);
-	dy_agent_link_receive(agent->agent, at, out, len);
-	return 1;
-}
-
-void world_answer_all(fake_world_t *world, unsigned index)
-{
-	unsigned i;
-
-	for (i = 0; i < DY_AGENT_SLOTS_MAX; i++)
-		while (world_answer(world, index, i, FAKE_OK))
-			;
-}
-
-void world_hang_up(fake_world_t *world, unsigned index, unsigned link)
-{
-	fake_agent_t *agent = &world->agents[index];
-
-	if (!agent->agent || !agent->links[link].up)
-		return;
-	memset(&agent->links[link], 0, sizeof(fake_link_t));
-	dy_agent_link_down(agent->agent, link);
-}
-
-/* A target can only say of a call that it has that it will not run it. */
-static int revoke_run(fake_world_t *world, fake_agent_t *agent, uint32_t xid)
-{
-	fake_link_t *link;
-	unsigned i;
-
-	for (i = 0; i < DY_AGENT_SLOTS_MAX; i++) {
-		link = &agent->links[i];
-		if (!link->busy || world->calls[link->id].xid != xid)
-			continue;
-		world->calls[link->id].runs--;
-		return 1;
-	}
-	return 0;
-}
-
-void world_answer_cancel(fake_world_t *world, unsigned index, int granted)
-{
-	fake_agent_t *agent = &world->agents[index];
-	fake_link_t *link = &agent->links[DY_AGENT_CANCEL_LINK];
-	dy_rpc_reply_t reply = { .xid = link->target_xid, .results_len = 4 };
-	uint8_t out[64];
-	uint32_t word;
-	size_t len;
-
-	if (!agent->agent || !link->busy)
-		return;
-	link->busy = 0;
-	word = htonl(granted && revoke_run(world, agent, link->id));
-	reply.results = (uint8_t *)&word;
-	len = dy_rpc_write_reply(&reply, out, sizeof(out));
-	dy_agent_link_receive(agent->agent, DY_AGENT_CANCEL_LINK, out, len);
-}
-
-void world_restart_target(fake_world_t *world, unsigned index)
-{
-	world->agents[index].target_incarnation++;
-	world_announce(world, index, 0);
-}
-
-static const dy_member_t *find_incarnation(const fake_world_t *world,
-					   uint64_t incarnation)
-{
-	const dy_member_t *member;
-	unsigned i;
-
-	for (i = world->members->len; i--;) {
-		member = g_ptr_array_index(world->members, i);
-		if (member->incarnation == incarnation)
-			return member;
-	}
-	return NULL;
-}
-
-unsigned world_route(const fake_world_t *world, const dy_token_t *token)
-{
-	const dy_member_t *member = find_incarnation(world, token->incarnation);
-	unsigned hops;
-
-	for (hops = 0; member && hops < 8; hops++) {
-		if (member->state != DY_MEMBER_LEFT)
-			return member->info.address.port - 9000;
-		member = find_incarnation(
-			world,
-			dy_successor_pick(token->session,
-					  member->successors.successors_val,
-					  member->successors.successors_len));
-	}
-	return token->address.port ? token->address.port - 9000 : 0;
-}
-
-unsigned world_owner(const fake_world_t *world, unsigned caller)
-{
-	return world->callers[caller].fields.address.port - 9000;
-}
-
-uint64_t world_counter(const fake_world_t *world, unsigned index,
-		       const char *name)
-{
-	return dy_metrics_value(world->agents[index].metrics, name);
-}
