--- a/src/request/router.c
+++ b/src/request/router.c
@@ -28,6 +28,8 @@
 	counters->target_lost =
 		dy_metrics_counter(metrics, "refused_target_lost");
 	counters->too_weak = dy_metrics_counter(metrics, "refused_too_weak");
+	counters->unknown_program =
+		dy_metrics_counter(metrics, "refused_unknown_program");
 	counters->chained = dy_metrics_counter(metrics, "calls_to_successor");
 	counters->too_early = dy_metrics_counter(metrics, "calls_before_state");
 }
@@ -199,6 +201,7 @@
 	if (is_cancel(&packet.call)) {
 		packet.idempotent = 0;
 	} else if (!serves_program(packet.service, &packet.call)) {
+		++*router->counters.unknown_program;
 		router_refuse(router, &packet, DY_NOT_RUN,
 			      DY_REASON_UNKNOWN_PROGRAM, 0);
 		return;
--- a/src/request/router_private.h
+++ b/src/request/router_private.h
@@ -32,6 +32,7 @@
 	uint64_t *no_target;
 	uint64_t *target_lost;
 	uint64_t *too_weak;
+	uint64_t *unknown_program;
 	uint64_t *chained;
 	uint64_t *too_early;
 } counters_t;
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -604,6 +604,13 @@
 	dy_router_receive(fake.router, &datagram, NOW);
 	ck_assert_uint_eq(fake.answers + fake.forwards, 0);
 	ck_assert_uint_eq(dy_metrics_value(fake.metrics, "calls_malformed"), 1);
+	call.program = READINGS + 9;
+	call.program_version = 1;
+	datagram.len = dy_rpc_write_call(&call, bytes, sizeof(bytes));
+	dy_router_receive(fake.router, &datagram, NOW);
+	expect_refused(&fake, DY_NOT_RUN, DY_REASON_UNKNOWN_PROGRAM);
+	ck_assert_uint_eq(
+		dy_metrics_value(fake.metrics, "refused_unknown_program"), 1);
 	dy_rpc_write_call(&call, bytes, sizeof(bytes));
 	datagram.len = sizeof(bytes);
 	dy_router_receive(fake.router, &datagram, NOW);
