--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 
 CC = gcc
 CLANG = clang
-PKGS = libuv libtirpc glib-2.0 libxxhash
+PKGS = libuv libtirpc glib-2.0 libxxhash jansson
 PREFIX = /usr/local
 VERSION = 0.1.0
 
@@ -30,17 +30,17 @@
 	-Wdeclaration-after-statement -Wshadow -Wvla -Wpointer-arith \
 	-Wno-unused-parameter -Wno-format-zero-length -Werror
 DEPS_CFLAGS := $(shell pkg-config --cflags $(PKGS) | sed 's/-I/-isystem /g')
-DEPS_LIBS := $(shell pkg-config --libs $(PKGS)) -lm
+DEPS_LIBS := $(shell pkg-config --libs $(PKGS)) -lhttp_parser -lm
 CHECK_LIBS := $(shell pkg-config --libs check 2>/dev/null)
 CFLAGS = -std=gnu11 -O2 -g
-INCLUDES = -Iinclude -Isrc/gen
+INCLUDES = -Iinclude -Isrc/gen -I.
 ALL_CFLAGS = $(CFLAGS) $(WARN) $(SAN) $(INCLUDES) $(DEPS_CFLAGS) \
 	-DDY_VERSION='"$(VERSION)"' -MMD -MP
 
 GEN_X := $(wildcard proto/*.x)
 GEN_SRC := $(sort $(wildcard src/gen/*.c))
 LIB_SRC := $(sort $(wildcard src/request/*.c src/connection/*.c \
-	src/version/*.c src/process/*.c))
+	src/version/*.c src/process/*.c platform/*.c))
 MAIN_SRC = src/process/main.c
 LIB_OBJ := $(patsubst %.c,$(BUILD)/obj/%.o, \
 	$(filter-out $(MAIN_SRC),$(LIB_SRC)) $(GEN_SRC))
@@ -66,7 +66,7 @@
 OWN_SRC := $(LIB_SRC) $(sort $(wildcard standin/*.c tests/*.c bench/*.c \
 	fuzz/*.c))
 OWN_HDR := $(sort $(wildcard include/damaskyard/*.h src/request/*.h \
-	src/connection/*.h src/version/*.h src/process/*.h standin/*.h \
+	src/connection/*.h src/version/*.h src/process/*.h platform/*.h standin/*.h \
 	tests/*.h bench/*.h fuzz/*.h))
 
 .PHONY: all standins test-programs benches fuzzers test fuzz measure bench lint format \
--- a/include/damaskyard/address.h
+++ b/include/damaskyard/address.h
@@ -29,6 +29,9 @@
 void dy_address_load(dy_address_t *address, const struct sockaddr *from);
 void dy_address_write(const dy_address_t *address, struct sockaddr_storage *to);
 
+/* Set from an IPv4 number and a port, both in host order. */
+void dy_address_set_ipv4(dy_address_t *address, uint32_t ip, uint16_t port);
+
 /* Whether both name the same IP number and port. */
 int dy_address_equal(const dy_address_t *a, const dy_address_t *b);
 
--- a/include/damaskyard/control.h
+++ b/include/damaskyard/control.h
@@ -25,6 +25,7 @@
 #include "damaskyard/metrics.h"
 #include "damaskyard/registry.h"
 #include "damaskyard/secret.h"
+#include "dy_control.h"
 #include "dy_raft.h"
 
 /* Default times, in ms. */
@@ -63,12 +64,39 @@
 /* The lowest slot of peers. */
 uint32_t dy_peers_lowest(const dy_peers_t *peers);
 
+/*
+ * Voters of a group that grows by itself. Five bear the loss of two; each
+ * more costs every entry one more copy.
+ */
+#define DY_VOTERS_MAX 5
+
+/* How a control ended. */
+typedef enum dy_control_end {
+	DY_CONTROL_STOPPED,
+	DY_CONTROL_DISK_FAILED, /* it may be started again on the same folder */
+	DY_CONTROL_EVICTED	/* no member any more; start on an empty one */
+} dy_control_end_t;
+
 typedef struct dy_control_options {
 	uint64_t group;
 	uint32_t slot;
 	const char *folder;
 	dy_address_t listen;
+	/* The group at its founding, or with `open` those of it that answer. */
 	dy_peers_t peers;
+	/*
+	 * The group's members are those of its log, not those of peers: a
+	 * control at a new address is taken in, and one that is gone for good
+	 * is let go once there are more than needed.
+	 */
+	int open;
+	/*
+	 * Whether bytes are a document that every process would take; writes
+	 * the reason into message if not. NULL: the product's own document.
+	 */
+	int (*check)(void *context, const uint8_t *bytes, size_t size,
+		     char *message, size_t message_size);
+	void *check_context;
 	dy_secrets_t secrets;
 	dy_lease_times_t leases;
 	dy_key_times_t keys;
@@ -92,7 +120,34 @@
  */
 void dy_control_stop(void *control);
 
-/* Whether the loop ended because the disk failed. */
-int dy_control_failed(const dy_control_t *control);
+/* How the control ended; valid once the loop has ended. */
+dy_control_end_t dy_control_end(const dy_control_t *control);
+
+/*
+ * Documents that come from elsewhere than a `damaskyard submit`, as by another
+ * door of the same process. Each callback is called once, at once or later;
+ * it must not destroy the control.
+ *
+ * dy_control_raise() brings bytes into force in trial under number, unless
+ * that or a higher one is in force. Status OK: they are, or were overtaken.
+ * MALFORMED, with message: not a document. Others: not known to be in force.
+ */
+typedef void dy_control_raised_cb_t(void *context, dy_status_t status,
+				    const char *message);
+void dy_control_raise(dy_control_t *control, const uint8_t *bytes, size_t size,
+		      uint64_t number, dy_control_raised_cb_t *done,
+		      void *context);
+
+/*
+ * Load trial's document, confirmed by a majority. With any status but OK
+ * bytes is NULL; NOT_FOUND: there is none yet.
+ */
+typedef void dy_control_loaded_cb_t(void *context, dy_status_t status,
+				    const uint8_t *bytes, size_t size);
+void dy_control_load(dy_control_t *control, dy_control_loaded_cb_t *done,
+		     void *context);
+
+/* Address of the leader; port 0 if none is known. */
+void dy_control_leader(const dy_control_t *control, dy_address_t *leader);
 
 #endif
--- /dev/null
+++ b/include/damaskyard/flow_holder.h
@@ -0,0 +1,120 @@
+#ifndef DAMASKYARD_FLOW_HOLDER_H
+#define DAMASKYARD_FLOW_HOLDER_H
+
+/*
+ * An agent's decisions about packet flows of the target beside it. No
+ * network: notices and packets of the target and forwards of balancers go in;
+ * packets to the target, to callers and messages come out.
+ *
+ * The target is the truth of which flows it holds: it gives back what it does
+ * not. The agent's own record only saves asking. An agent that was started
+ * after its target asks for each flow that it does not know; one that was
+ * there from the target's start knows that such a flow is not there.
+ *
+ * Whom to take in. An opening packet is taken only for the service that the
+ * target announced, while it is ready. Draining is acknowledged to the target
+ * and begins here in one step, so no opening packet follows it, whatever
+ * balancers believe. What cannot be taken goes to the next of the balancer's
+ * choices, and after the last is refused at once.
+ */
+
+#include <stdint.h>
+
+#include "damaskyard/metrics.h"
+#include "damaskyard/packet.h"
+#include "damaskyard/target_notice.h"
+
+/*
+ * A target that sent no notice for so long is taken for gone, in ms: it takes
+ * no new flow. Notices come each 1.2 s; three may be lost on a bad link.
+ */
+#define DY_TARGET_SILENT_MS 4000
+
+/* A flow without packets for so long is forgotten, in ms; see above. */
+#define DY_HELD_IDLE_MS 60000
+
+/* A flow that its caller did not finish opening is forgotten, in ms. */
+#define DY_HALF_OPEN_MS 5000
+
+/* A flow that has ended is remembered for copies of its last packets, in ms. */
+#define DY_ENDED_MS 5000
+
+/*
+ * Forwards whose packets the target may still give back. It does so in well
+ * under a second; at 1,000 packets a second these are two.
+ */
+#define DY_FORWARDS_KEPT 2048
+
+/* Balancers that are told of the load; ones not heard for 2 s are not. */
+#define DY_REPORTED_MAX 256
+#define DY_REPORTED_MS 2000
+
+typedef struct dy_flow_holder dy_flow_holder_t;
+
+typedef struct dy_flow_holder_callbacks {
+	/* Send a packet's bytes to the target, marked with note. */
+	void (*to_target)(void *context, uint8_t *bytes, size_t len,
+			  uint32_t note);
+	/* Send a packet of the target to the flow's caller. */
+	void (*to_caller)(void *context, const dy_flow_id_t *flow,
+			  const uint8_t *bytes, size_t len);
+	/* Pass a forward on to the agent at forward->tries[forward->step]. */
+	void (*pass_on)(void *context, dy_flow_forward_t *forward);
+	void (*held)(void *context, const dy_address_t *balancer,
+		     dy_flow_held_t *held);
+	void (*nowhere)(void *context, const dy_address_t *balancer,
+			dy_flow_nowhere_t *nowhere);
+	void (*report)(void *context, const dy_address_t *balancer,
+		       dy_flow_report_t *report);
+	/* The target's service, slots or state changed. */
+	void (*changed)(void *context);
+} dy_flow_holder_callbacks_t;
+
+typedef struct dy_flow_holder_config {
+	dy_address_t self;   /* as in the lists of balancers */
+	const char *service; /* the only one that the target may announce */
+	dy_address_t target;
+	dy_metrics_t *metrics;
+	const dy_flow_holder_callbacks_t *callbacks;
+	void *context;
+} dy_flow_holder_config_t;
+
+/* config is copied; what it points to must outlive the holder. */
+dy_flow_holder_t *dy_flow_holder_create(const dy_flow_holder_config_t *config);
+void dy_flow_holder_destroy(dy_flow_holder_t *holder);
+
+/*
+ * Take a notice. Returns 1 if it is to be acknowledged: it is of the target
+ * beside this agent, also if it comes late or again; 0 if it names another
+ * service or address, and is to be refused.
+ */
+int dy_flow_holder_notice(dy_flow_holder_t *holder,
+			  const dy_target_notice_t *notice, uint64_t now_ms);
+
+/* The target with that id has ended. */
+void dy_flow_holder_leave(dy_flow_holder_t *holder, const char *id);
+
+/* Take no opening packet any more: the agent itself is stopping. */
+void dy_flow_holder_stop(dy_flow_holder_t *holder);
+
+/* Take a forward; packet is its packet, decoded. */
+void dy_flow_holder_take(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
+			 const dy_packet_t *packet, uint64_t now_ms);
+
+/* Take a packet that the target sent, or gave back. */
+void dy_flow_holder_from_target(dy_flow_holder_t *holder,
+				const dy_packet_t *packet, uint8_t *bytes,
+				size_t len, uint64_t now_ms);
+
+/* Report the load and forget what is over. Call it each 200 ms. */
+void dy_flow_holder_tick(dy_flow_holder_t *holder, uint64_t now_ms);
+
+/* Whether opening packets are taken, the announced slots, and whether a
+ * target was heard of at all. */
+int dy_flow_holder_accepts(const dy_flow_holder_t *holder);
+uint32_t dy_flow_holder_slots(const dy_flow_holder_t *holder);
+int dy_flow_holder_has_target(const dy_flow_holder_t *holder);
+/* Open or opening flows. */
+unsigned dy_flow_holder_count(const dy_flow_holder_t *holder);
+
+#endif
--- /dev/null
+++ b/include/damaskyard/flow_router.h
@@ -0,0 +1,86 @@
+#ifndef DAMASKYARD_FLOW_ROUTER_H
+#define DAMASKYARD_FLOW_ROUTER_H
+
+/*
+ * A balancer's decisions about packets of flows: where each goes. No network:
+ * packets and agents' messages go in, forwards and resets come out.
+ *
+ * A flow's holder is remembered once its agent has told it. A packet of a
+ * flow that is not known here, as after a restart of this balancer or a
+ * change of the fabric's spraying, is sent along the agents that may hold it;
+ * the one that does tells. Nothing is shared between balancers.
+ */
+
+#include <stdint.h>
+
+#include "damaskyard/flow_rules.h"
+#include "damaskyard/flow_targets.h"
+#include "damaskyard/metrics.h"
+#include "damaskyard/packet.h"
+
+/*
+ * How long the holder of a flow without packets is remembered, in ms. The
+ * longest pause that a configuration allows is 15 s; a flow that outlives the
+ * record is found again by asking.
+ */
+#define DY_FLOW_IDLE_MS 30000
+
+/*
+ * A flow that no agent holds is only reset if that was so twice, this far
+ * apart, in ms: an agent that joined between two polls of this balancer may
+ * hold it.
+ */
+#define DY_FLOW_MISSING_MS 1200
+
+typedef struct dy_flow_router dy_flow_router_t;
+
+typedef struct dy_flow_router_callbacks {
+	/* Send forward to the agent at forward->tries[0]. */
+	void (*forward)(void *context, dy_flow_forward_t *forward);
+	/* Reset a flow towards its caller. */
+	void (*reset)(void *context, const dy_flow_id_t *flow, uint32_t seq);
+} dy_flow_router_callbacks_t;
+
+typedef struct dy_flow_router_config {
+	dy_address_t self; /* where agents answer */
+	const char *domain;
+	dy_metrics_t *metrics;
+	const dy_flow_router_callbacks_t *callbacks;
+	void *context;
+} dy_flow_router_config_t;
+
+/* config is copied; what it points to must outlive the router. */
+dy_flow_router_t *dy_flow_router_create(const dy_flow_router_config_t *config);
+void dy_flow_router_destroy(dy_flow_router_t *router);
+
+/* Take over rules; an older version than the one held is dropped. */
+void dy_flow_router_set_rules(dy_flow_router_t *router, dy_flow_rules_t *rules);
+
+void dy_flow_router_set_member(dy_flow_router_t *router,
+			       const dy_member_t *member);
+
+/*
+ * Say whether members and rules were confirmed lately. If not, a flow that is
+ * not found is not reset.
+ */
+void dy_flow_router_set_confirmed(dy_flow_router_t *router, int confirmed);
+
+/* Take a packet of a caller; bytes is what was decoded into packet. */
+void dy_flow_router_take(dy_flow_router_t *router, const dy_packet_t *packet,
+			 uint8_t *bytes, size_t len, uint64_t now_ms);
+
+/* Take what agents say. packet is nowhere->packet, decoded. */
+void dy_flow_router_held(dy_flow_router_t *router, const dy_flow_held_t *held,
+			 uint64_t now_ms);
+void dy_flow_router_nowhere(dy_flow_router_t *router,
+			    const dy_flow_nowhere_t *nowhere,
+			    const dy_packet_t *packet, uint64_t now_ms);
+void dy_flow_router_report(dy_flow_router_t *router,
+			   const dy_flow_report_t *report);
+
+/* Forget flows that were idle for too long. Call it some times a second. */
+void dy_flow_router_expire(dy_flow_router_t *router, uint64_t now_ms);
+
+unsigned dy_flow_router_count(const dy_flow_router_t *router);
+
+#endif
--- /dev/null
+++ b/include/damaskyard/flow_targets.h
@@ -0,0 +1,103 @@
+#ifndef DAMASKYARD_FLOW_TARGETS_H
+#define DAMASKYARD_FLOW_TARGETS_H
+
+/*
+ * The targets that a balancer may send flows to, and in which order. No
+ * network: members and loads go in, lists of agents come out.
+ *
+ * Who may hold a flow: every process orders a service's targets for a flow by
+ * rendezvous hashing, so that a balancer that never saw the flow tries the
+ * same few agents that another one chose from, without a table that all share.
+ *
+ * Whom a new flow goes to.
+ *	Load pattern: long flows that cannot be moved once they are open, and
+ *	short ones among them; a target that turned slow or started a short
+ *	time ago; a burst of openings between two reports of load.
+ *	What happens without it: by hash alone the fullest of seven targets has
+ *	half as many flows again as the mean, for as long as flows last; by the
+ *	last report alone all openings until the next go to one target.
+ *	What is done: of the first DY_FLOW_CHOICES in the flow's order the one
+ *	with the fewest flows for its slots, those opened since its report
+ *	counted in, and requests that wait there counted more.
+ */
+
+#include <stdint.h>
+
+#include "damaskyard/packet.h"
+#include "dy_control.h"
+
+/*
+ * Targets among which load decides. Of small services all are compared; of
+ * two choices at random the fuller is already rarely far above the mean, and
+ * eight leave half of DY_FLOW_TRIES for targets that came or went since.
+ */
+#define DY_FLOW_CHOICES 8
+
+/*
+ * Weight of a request that waits for a slot, in flows for each slot: it delays
+ * the new flow's first request by a whole service time, where an open flow is
+ * idle most of the time.
+ */
+#define DY_FLOW_WAITING_WEIGHT 4.0
+
+/*
+ * What a target outside of the balancer's own failure domain is set back, in
+ * flows for each slot: bytes between domains are paid for. Small against the
+ * five to ten flows for each slot of long flows, so that it decides between
+ * nearly equal targets only; short flows, below one, stay in the domain.
+ */
+#define DY_FLOW_DOMAIN_WEIGHT 0.3
+
+/* What a target that started a short time ago is set back, likewise. */
+#define DY_FLOW_COLD_WEIGHT 1.0
+
+/*
+ * A target that did not answer an opening is chosen last for so long, in ms:
+ * until its lease has run out, should it be gone.
+ */
+#define DY_FLOW_SILENT_MS 3000
+
+typedef struct dy_flow_targets dy_flow_targets_t;
+
+/* domain is this balancer's failure domain, kept by reference. */
+dy_flow_targets_t *dy_flow_targets_create(const char *domain);
+void dy_flow_targets_destroy(dy_flow_targets_t *targets);
+
+/* Take a member of the registry; others than agents are passed over. */
+void dy_flow_targets_set_member(dy_flow_targets_t *targets,
+				const dy_member_t *member);
+
+/* Take what the agent at that address said of its load. */
+void dy_flow_targets_set_load(dy_flow_targets_t *targets,
+			      const dy_address_t *agent,
+			      const dy_flow_load_t *load);
+
+/* Note that a flow was sent to the agent, or that it did not answer one. */
+void dy_flow_targets_note_opened(dy_flow_targets_t *targets,
+				 const dy_address_t *agent);
+void dy_flow_targets_note_silent(dy_flow_targets_t *targets,
+				 const dy_address_t *agent, uint64_t now_ms);
+
+/*
+ * List the agents for a new flow of a service, best first. Returns how many.
+ */
+unsigned dy_flow_targets_choose(const dy_flow_targets_t *targets,
+				const char *service, const dy_flow_id_t *flow,
+				uint64_t now_ms,
+				dy_address_t list[DY_FLOW_TRIES]);
+
+/*
+ * List the agents that may hold an open flow, likeliest first, after the
+ * `count` that list holds already. complete is cleared if there are more than
+ * fit. Returns the new count.
+ */
+unsigned dy_flow_targets_holders(const dy_flow_targets_t *targets,
+				 const char *service, const dy_flow_id_t *flow,
+				 uint64_t now_ms, unsigned count, int *complete,
+				 dy_address_t list[DY_FLOW_TRIES]);
+
+/* Number of agents of a service that take new flows, for logs. */
+unsigned dy_flow_targets_count(const dy_flow_targets_t *targets,
+			       const char *service);
+
+#endif
--- a/include/damaskyard/loop.h
+++ b/include/damaskyard/loop.h
@@ -35,7 +35,11 @@
 
 typedef struct dy_loop dy_loop_t;
 
-/* Registers the counters stalls and stalled_datagrams in metrics. */
+/*
+ * Registers the counters stalls and stalled_datagrams in metrics. SIGPIPE is
+ * ignored from then on: a write to a closed connection is an error of that
+ * connection alone.
+ */
 dy_loop_t *dy_loop_create(dy_metrics_t *metrics);
 
 /* Closes every handle that is still open, runs their callbacks and frees. */
@@ -53,6 +57,13 @@
 typedef void dy_loop_stop_cb_t(void *context);
 void dy_loop_on_stop(dy_loop_t *loop, dy_loop_stop_cb_t *stop, void *context);
 
+/*
+ * Call reload(context) at each SIGHUP. Without this call SIGHUP ends the
+ * process.
+ */
+void dy_loop_on_reload(dy_loop_t *loop, dy_loop_stop_cb_t *reload,
+		       void *context);
+
 /* Run until dy_loop_end(). */
 void dy_loop_run(dy_loop_t *loop);
 void dy_loop_end(dy_loop_t *loop);
--- a/include/damaskyard/raft.h
+++ b/include/damaskyard/raft.h
@@ -234,6 +234,10 @@
 int dy_raft_failed(const dy_raft_t *raft);
 /* The newest configuration in the log, committed or not. */
 const dy_raft_config_t *dy_raft_config(const dy_raft_t *raft);
+/* Whether the newest configuration is committed. */
+int dy_raft_config_settled(const dy_raft_t *raft);
+/* Whether a configuration names the member. */
+int dy_raft_config_has(const dy_raft_config_t *config, dy_voter_id_t id);
 /* Whether a majority answered this leader within an election timeout. */
 int dy_raft_has_quorum(const dy_raft_t *raft);
 /*
--- a/include/damaskyard/store.h
+++ b/include/damaskyard/store.h
@@ -105,6 +105,19 @@
 			    const dy_store_options_t *options, GError **error);
 void dy_store_destroy(dy_store_t *store);
 
+/*
+ * Whether a data folder belongs to a member already, and in which slot.
+ * Returns 1, 0 if it is empty, or -1 with error set. The folder is made if it
+ * is missing.
+ */
+int dy_store_find_slot(const char *folder, uint32_t *slot, GError **error);
+
+/*
+ * Give a data folder up, for one that is no member any more: every file is
+ * removed, durably. Returns 0, or -1 with error set.
+ */
+int dy_store_clear(const char *folder, GError **error);
+
 /* Group and identity of this member. */
 uint64_t dy_store_group(const dy_store_t *store);
 dy_voter_id_t dy_store_id(const dy_store_t *store);
--- a/proto/dy_control.x
+++ b/proto/dy_control.x
@@ -14,6 +14,7 @@
 const DY_DELTAS_MAX = 64;		/* in one answer to a poll */
 const DY_SUCCESSORS_MAX = 16;
 const DY_PAGE_BYTES = 4096;		/* of a document */
+const DY_CONTROLS_MAX = 16;
 const DY_DOCUMENT_BYTES = 16777216;
 
 enum dy_member_kind_t {
@@ -121,6 +122,7 @@
 	bool more;
 	bool drain;			/* an operator wants this member out */
 	dy_delta_t deltas<DY_DELTAS_MAX>;
+	dy_address_t controls<DY_CONTROLS_MAX>;	/* the group as it is now */
 };
 
 struct dy_fetch_t {
@@ -159,7 +161,8 @@
 	DY_CHANGE_PROMOTE = 2,	/* what is in force in trial to production */
 	DY_CHANGE_DRAIN = 3,	/* the member `name` */
 	DY_CHANGE_ROTATE = 4,	/* token keys */
-	DY_CHANGE_REMOVE = 5	/* the member `name`, lost for good */
+	DY_CHANGE_REMOVE = 5,	/* the member `name`, lost for good */
+	DY_CHANGE_RAISE = 6	/* as SUBMIT, under any higher number */
 };
 
 struct dy_change_t {
--- /dev/null
+++ b/src/connection/flow_router.c
@@ -0,0 +1,424 @@
+#include "damaskyard/flow_router.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "damaskyard/address.h"
+#include "damaskyard/list.h"
+#include "damaskyard/log.h"
+
+/* What a balancer remembers of a flow. */
+typedef struct flow {
+	dy_list_t link; /* ordered by used_ms */
+	dy_flow_id_t id;
+	dy_address_t agent; /* port 0: not known */
+	int told;	    /* the agent said that it holds the flow */
+	int open;	    /* and that its target has the whole handshake */
+	uint64_t used_ms;
+	uint64_t missing_ms; /* when it was first found nowhere; 0: not */
+} flow_t;
+
+struct dy_flow_router {
+	dy_flow_router_config_t config;
+	dy_flow_targets_t *targets;
+	dy_flow_rules_t *rules;
+	GHashTable *flows;
+	dy_list_t by_use;
+	int confirmed;
+	dy_log_limit_t assigned_limit;
+	dy_log_limit_t reset_limit;
+	uint64_t *packets;
+	uint64_t *opened;
+	uint64_t *searched;
+	uint64_t *resets;
+	uint64_t *refused;
+	uint64_t *no_entry;
+	uint64_t *lost;
+	uint64_t *second_chances;
+};
+
+dy_flow_router_t *dy_flow_router_create(const dy_flow_router_config_t *config)
+{
+	static const dy_log_limit_t limit = DY_LOG_LIMIT_INIT(100, 1000);
+	dy_flow_router_t *router = g_new0(dy_flow_router_t, 1);
+	dy_metrics_t *metrics = config->metrics;
+
+	router->config = *config;
+	router->targets = dy_flow_targets_create(config->domain);
+	router->flows = g_hash_table_new_full(dy_flow_id_table_hash,
+					      dy_flow_id_table_equal, NULL,
+					      g_free);
+	dy_list_init(&router->by_use);
+	router->assigned_limit = limit;
+	router->reset_limit = limit;
+	router->packets = dy_metrics_counter(metrics, "packets");
+	router->opened = dy_metrics_counter(metrics, "flows_opened");
+	router->searched = dy_metrics_counter(metrics, "flows_searched");
+	router->resets = dy_metrics_counter(metrics, "flows_reset");
+	router->refused = dy_metrics_counter(metrics, "openings_refused");
+	router->no_entry = dy_metrics_counter(metrics, "packets_no_entry");
+	router->lost = dy_metrics_counter(metrics, "packets_unplaced");
+	router->second_chances =
+		dy_metrics_counter(metrics, "openings_second_chance");
+	return router;
+}
+
+void dy_flow_router_destroy(dy_flow_router_t *router)
+{
+	if (!router)
+		return;
+	g_hash_table_destroy(router->flows);
+	dy_flow_targets_destroy(router->targets);
+	dy_flow_rules_destroy(router->rules);
+	g_free(router);
+}
+
+void dy_flow_router_set_rules(dy_flow_router_t *router, dy_flow_rules_t *rules)
+{
+	if (router->rules && dy_flow_rules_version(rules) <
+				     dy_flow_rules_version(router->rules)) {
+		dy_flow_rules_destroy(rules);
+		return;
+	}
+	dy_flow_rules_destroy(router->rules);
+	router->rules = rules;
+}
+
+void dy_flow_router_set_member(dy_flow_router_t *router,
+			       const dy_member_t *member)
+{
+	dy_flow_targets_set_member(router->targets, member);
+}
+
+void dy_flow_router_set_confirmed(dy_flow_router_t *router, int confirmed)
+{
+	router->confirmed = confirmed;
+}
+
+static void touch(dy_flow_router_t *router, flow_t *flow, uint64_t now_ms)
+{
+	flow->used_ms = now_ms;
+	dy_list_remove(&flow->link);
+	dy_list_append(&router->by_use, &flow->link);
+}
+
+static flow_t *keep_flow(dy_flow_router_t *router, const dy_flow_id_t *id,
+			 uint64_t now_ms)
+{
+	flow_t *flow = g_hash_table_lookup(router->flows, id);
+
+	if (!flow) {
+		flow = g_new0(flow_t, 1);
+		flow->id = *id;
+		dy_list_init(&flow->link);
+		g_hash_table_insert(router->flows, &flow->id, flow);
+	}
+	touch(router, flow, now_ms);
+	return flow;
+}
+
+static void drop_flow(dy_flow_router_t *router, flow_t *flow)
+{
+	dy_list_remove(&flow->link);
+	g_hash_table_remove(router->flows, &flow->id);
+}
+
+static void reset(dy_flow_router_t *router, const dy_packet_t *packet,
+		  const char *reason, uint64_t now_ms)
+{
+	char text[DY_FLOW_TEXT_BYTES];
+
+	/* The caller has given the flow up itself. */
+	if (packet->marks & DY_PACKET_RST)
+		return;
+	++*router->resets;
+	if (dy_log_allow(&router->reset_limit, "flow_reset", now_ms))
+		dy_log_event(DY_LOG_INFO, "flow_reset",
+			     "flow=%s opening=%d reason=%s",
+			     dy_flow_id_format(&packet->flow, text),
+			     !!(packet->marks & DY_PACKET_SYN), reason);
+	router->config.callbacks->reset(router->config.context, &packet->flow,
+					packet->ack);
+}
+
+static void emit(dy_flow_router_t *router, dy_flow_forward_t *forward,
+		 uint8_t *bytes, size_t len)
+{
+	forward->balancer = router->config.self;
+	forward->packet.packet_val = (char *)bytes;
+	forward->packet.packet_len = (u_int)len;
+	forward->certain = 1;
+	if (!forward->service)
+		forward->service = "";
+	router->config.callbacks->forward(router->config.context, forward);
+}
+
+static void send_to_holder(dy_flow_router_t *router, flow_t *flow,
+			   const char *service, uint8_t *bytes, size_t len)
+{
+	dy_flow_forward_t forward = { 0 };
+
+	forward.service = (char *)service;
+	forward.tell = !flow->open;
+	forward.tries.tries_val = &flow->agent;
+	forward.tries.tries_len = 1;
+	emit(router, &forward, bytes, len);
+}
+
+static const dy_flow_entry_t *find_entry(const dy_flow_router_t *router,
+					 const dy_flow_id_t *flow)
+{
+	if (!router->rules)
+		return NULL;
+	return dy_flow_rules_find(router->rules, flow->entry_ip,
+				  (uint16_t)flow->entry_port);
+}
+
+/*
+ * The service of a new flow and its agents, best first: the service that the
+ * flow's draw gives, or the entry's next one where that has no target.
+ */
+static unsigned choose(const dy_flow_router_t *router,
+		       const dy_flow_entry_t *entry, const dy_flow_id_t *flow,
+		       uint64_t now_ms, const char **service,
+		       dy_address_t list[DY_FLOW_TRIES])
+{
+	uint8_t order[DY_FLOW_SHARES_MAX];
+	const dy_flow_share_t *share;
+	unsigned count = 0;
+	unsigned i;
+
+	dy_flow_entry_order(entry, flow, order);
+	for (i = 0; i < entry->share_count && !count; i++) {
+		share = &entry->shares[order[i]];
+		if (!share->weight)
+			continue;
+		*service = share->service;
+		count = dy_flow_targets_choose(router->targets, share->service,
+					       flow, now_ms, list);
+	}
+	return count;
+}
+
+static void log_assigned(dy_flow_router_t *router, const flow_t *flow,
+			 const char *service, unsigned choices, uint32_t copy,
+			 uint64_t now_ms)
+{
+	char text[DY_FLOW_TEXT_BYTES];
+	char agent[DY_ADDRESS_TEXT_BYTES];
+
+	if (!dy_log_allow(&router->assigned_limit, "flow_assigned", now_ms))
+		return;
+	dy_log_event(DY_LOG_INFO, "flow_assigned",
+		     "flow=%s service=%s agent=%s choices=%u copy=%u "
+		     "version=%lu",
+		     dy_flow_id_format(&flow->id, text), service,
+		     dy_address_format(&flow->agent, agent), choices, copy,
+		     (unsigned long)dy_flow_rules_version(router->rules));
+}
+
+/*
+ * A copy of an opening packet that went to an agent which did not answer is a
+ * second chance: that agent may be gone, so the flow goes to another. Should
+ * both answer, the caller acknowledges one, and the agents tell by that whose
+ * the flow is.
+ */
+static void note_unanswered(dy_flow_router_t *router, const flow_t *flow,
+			    uint64_t now_ms)
+{
+	if (!flow || !flow->agent.port)
+		return;
+	++*router->second_chances;
+	dy_flow_targets_note_silent(router->targets, &flow->agent, now_ms);
+}
+
+static void take_opening(dy_flow_router_t *router, const dy_packet_t *packet,
+			 uint8_t *bytes, size_t len, uint64_t now_ms)
+{
+	const dy_flow_entry_t *entry = find_entry(router, &packet->flow);
+	flow_t *flow = g_hash_table_lookup(router->flows, &packet->flow);
+	dy_address_t list[DY_FLOW_TRIES];
+	dy_flow_forward_t forward = { 0 };
+	const char *service = NULL;
+	unsigned count;
+
+	if (!entry) {
+		++*router->no_entry;
+		reset(router, packet, "no_entry", now_ms);
+		return;
+	}
+	if (flow && flow->told) {
+		touch(router, flow, now_ms);
+		send_to_holder(router, flow, "", bytes, len);
+		return;
+	}
+	note_unanswered(router, flow, now_ms);
+	count = choose(router, entry, &packet->flow, now_ms, &service, list);
+	if (!count) {
+		++*router->refused;
+		reset(router, packet, "no_target", now_ms);
+		return;
+	}
+	++*router->opened;
+	flow = keep_flow(router, &packet->flow, now_ms);
+	flow->agent = list[0];
+	dy_flow_targets_note_opened(router->targets, &list[0]);
+	log_assigned(router, flow, service, count, packet->ack, now_ms);
+	forward.service = (char *)service;
+	forward.tell = 1;
+	forward.complete = 1;
+	forward.tries.tries_val = list;
+	forward.tries.tries_len = count;
+	emit(router, &forward, bytes, len);
+}
+
+/* Send a packet along all that may hold its flow. */
+static void search(dy_flow_router_t *router, const dy_packet_t *packet,
+		   uint8_t *bytes, size_t len, uint64_t now_ms)
+{
+	const dy_flow_entry_t *entry = find_entry(router, &packet->flow);
+	dy_address_t list[DY_FLOW_TRIES];
+	uint8_t order[DY_FLOW_SHARES_MAX];
+	dy_flow_forward_t forward = { 0 };
+	unsigned count = 0;
+	int complete = 1;
+	unsigned i;
+
+	if (!entry) {
+		++*router->no_entry;
+		return;
+	}
+	dy_flow_entry_order(entry, &packet->flow, order);
+	for (i = 0; i < entry->share_count; i++)
+		count = dy_flow_targets_holders(
+			router->targets, entry->shares[order[i]].service,
+			&packet->flow, now_ms, count, &complete, list);
+	if (!count) {
+		++*router->lost;
+		return;
+	}
+	++*router->searched;
+	forward.tell = 1;
+	forward.complete = complete;
+	forward.tries.tries_val = list;
+	forward.tries.tries_len = count;
+	emit(router, &forward, bytes, len);
+}
+
+void dy_flow_router_take(dy_flow_router_t *router, const dy_packet_t *packet,
+			 uint8_t *bytes, size_t len, uint64_t now_ms)
+{
+	flow_t *flow;
+
+	++*router->packets;
+	if (packet->marks & DY_PACKET_SYN) {
+		take_opening(router, packet, bytes, len, now_ms);
+		return;
+	}
+	flow = g_hash_table_lookup(router->flows, &packet->flow);
+	if (!flow || !flow->agent.port) {
+		search(router, packet, bytes, len, now_ms);
+		return;
+	}
+	touch(router, flow, now_ms);
+	send_to_holder(router, flow, "", bytes, len);
+}
+
+void dy_flow_router_held(dy_flow_router_t *router, const dy_flow_held_t *held,
+			 uint64_t now_ms)
+{
+	flow_t *flow = keep_flow(router, &held->flow, now_ms);
+
+	dy_flow_targets_set_load(router->targets, &held->agent, &held->load);
+	/* One that only half holds it does not speak against one that does. */
+	if (flow->open && !held->open &&
+	    !dy_address_equal(&flow->agent, &held->agent))
+		return;
+	flow->agent = held->agent;
+	flow->told = 1;
+	flow->open = held->open;
+	flow->missing_ms = 0;
+}
+
+/* Whether a flow that was found nowhere certainly is over. */
+static int is_over(dy_flow_router_t *router, flow_t *flow,
+		   const dy_flow_nowhere_t *nowhere, uint64_t now_ms)
+{
+	if (!nowhere->certain || !router->confirmed)
+		return 0;
+	if (flow->open && dy_address_equal(&flow->agent, &nowhere->agent))
+		return 1;
+	if (!nowhere->complete)
+		return 0;
+	if (!flow->missing_ms)
+		flow->missing_ms = now_ms;
+	return now_ms - flow->missing_ms >= DY_FLOW_MISSING_MS;
+}
+
+static void take_refusal(dy_flow_router_t *router, flow_t *flow,
+			 const dy_packet_t *packet, uint64_t now_ms)
+{
+	/* Another copy of the opening packet may have found a place. */
+	if (flow && flow->told)
+		return;
+	++*router->refused;
+	reset(router, packet, "refused", now_ms);
+	if (flow)
+		drop_flow(router, flow);
+}
+
+void dy_flow_router_nowhere(dy_flow_router_t *router,
+			    const dy_flow_nowhere_t *nowhere,
+			    const dy_packet_t *packet, uint64_t now_ms)
+{
+	flow_t *flow = g_hash_table_lookup(router->flows, &nowhere->flow);
+
+	if (nowhere->reason == DY_FLOW_REFUSED) {
+		take_refusal(router, flow, packet, now_ms);
+		return;
+	}
+	if (!flow)
+		flow = keep_flow(router, &nowhere->flow, now_ms);
+	if (is_over(router, flow, nowhere, now_ms)) {
+		reset(router, packet, "nowhere", now_ms);
+		drop_flow(router, flow);
+		return;
+	}
+	/* The one that was thought to hold it does not: ask the others. */
+	if (flow->agent.port &&
+	    dy_address_equal(&flow->agent, &nowhere->agent)) {
+		memset(&flow->agent, 0, sizeof(flow->agent));
+		flow->told = 0;
+		flow->open = 0;
+	}
+	if (nowhere->tries == 1 && !nowhere->complete)
+		search(router, packet, (uint8_t *)nowhere->packet.packet_val,
+		       nowhere->packet.packet_len, now_ms);
+	else
+		++*router->lost;
+}
+
+void dy_flow_router_report(dy_flow_router_t *router,
+			   const dy_flow_report_t *report)
+{
+	dy_flow_targets_set_load(router->targets, &report->agent,
+				 &report->load);
+}
+
+void dy_flow_router_expire(dy_flow_router_t *router, uint64_t now_ms)
+{
+	flow_t *flow;
+
+	while (!dy_list_empty(&router->by_use)) {
+		flow = DY_LIST_ITEM(router->by_use.next, flow_t, link);
+		if (now_ms - flow->used_ms < DY_FLOW_IDLE_MS)
+			return;
+		drop_flow(router, flow);
+	}
+}
+
+unsigned dy_flow_router_count(const dy_flow_router_t *router)
+{
+	return g_hash_table_size(router->flows);
+}
--- a/src/gen/dy_control.h
+++ b/src/gen/dy_control.h
@@ -19,6 +19,7 @@
 #define DY_DELTAS_MAX 64
 #define DY_SUCCESSORS_MAX 16
 #define DY_PAGE_BYTES 4096
+#define DY_CONTROLS_MAX 16
 #define DY_DOCUMENT_BYTES 16777216
 
 enum dy_member_kind_t {
@@ -135,6 +136,10 @@
 		u_int deltas_len;
 		dy_delta_t *deltas_val;
 	} deltas;
+	struct {
+		u_int controls_len;
+		dy_address_t *controls_val;
+	} controls;
 };
 typedef struct dy_poll_result_t dy_poll_result_t;
 
@@ -175,6 +180,7 @@
 	DY_CHANGE_DRAIN = 3,
 	DY_CHANGE_ROTATE = 4,
 	DY_CHANGE_REMOVE = 5,
+	DY_CHANGE_RAISE = 6,
 };
 typedef enum dy_change_kind_t dy_change_kind_t;
 
--- a/src/gen/dy_control_xdr.c
+++ b/src/gen/dy_control_xdr.c
@@ -198,6 +198,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->deltas.deltas_val, (u_int *) &objp->deltas.deltas_len, DY_DELTAS_MAX,
 		sizeof (dy_delta_t), (xdrproc_t) xdr_dy_delta_t))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->controls.controls_val, (u_int *) &objp->controls.controls_len, DY_CONTROLS_MAX,
+		sizeof (dy_address_t), (xdrproc_t) xdr_dy_address_t))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/gen/dy_group.h
+++ b/src/gen/dy_group.h
@@ -14,6 +14,7 @@
 #endif
 
 #include "dy_raft.h"
+#include "dy_wire.h"
 
 struct dy_hello_t {
 	u_quad_t group;
@@ -24,6 +25,42 @@
 };
 typedef struct dy_hello_t dy_hello_t;
 
+struct dy_find_t {
+	u_quad_t group;
+	dy_voter_id_t id;
+	u_quad_t echo;
+};
+typedef struct dy_find_t dy_find_t;
+
+enum dy_place_status_t {
+	DY_PLACE_UNKNOWN = 0,
+	DY_PLACE_ASK = 1,
+	DY_PLACE_GIVEN = 2,
+	DY_PLACE_HELD = 3,
+	DY_PLACE_LOST = 4,
+};
+typedef enum dy_place_status_t dy_place_status_t;
+
+struct dy_seat_t {
+	u_int slot;
+	dy_address_t address;
+};
+typedef struct dy_seat_t dy_seat_t;
+#define DY_SEATS_MAX 16
+
+struct dy_place_t {
+	u_quad_t group;
+	u_quad_t echo;
+	dy_place_status_t status;
+	u_int slot;
+	dy_address_t leader;
+	struct {
+		u_int seats_len;
+		dy_seat_t *seats_val;
+	} seats;
+};
+typedef struct dy_place_t dy_place_t;
+
 #define DY_GROUP_PROGRAM 0x2A00D008
 #define DY_GROUP_V1 1
 
@@ -37,6 +74,12 @@
 #define DY_GROUP_HELLO 2
 extern  void * dy_group_hello_1(dy_hello_t *, CLIENT *);
 extern  void * dy_group_hello_1_svc(dy_hello_t *, struct svc_req *);
+#define DY_GROUP_FIND 3
+extern  void * dy_group_find_1(dy_find_t *, CLIENT *);
+extern  void * dy_group_find_1_svc(dy_find_t *, struct svc_req *);
+#define DY_GROUP_PLACE 4
+extern  void * dy_group_place_1(dy_place_t *, CLIENT *);
+extern  void * dy_group_place_1_svc(dy_place_t *, struct svc_req *);
 extern int dy_group_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -49,6 +92,12 @@
 #define DY_GROUP_HELLO 2
 extern  void * dy_group_hello_1();
 extern  void * dy_group_hello_1_svc();
+#define DY_GROUP_FIND 3
+extern  void * dy_group_find_1();
+extern  void * dy_group_find_1_svc();
+#define DY_GROUP_PLACE 4
+extern  void * dy_group_place_1();
+extern  void * dy_group_place_1_svc();
 extern int dy_group_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -56,9 +105,17 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_dy_hello_t (XDR *, dy_hello_t*);
+extern  bool_t xdr_dy_find_t (XDR *, dy_find_t*);
+extern  bool_t xdr_dy_place_status_t (XDR *, dy_place_status_t*);
+extern  bool_t xdr_dy_seat_t (XDR *, dy_seat_t*);
+extern  bool_t xdr_dy_place_t (XDR *, dy_place_t*);
 
 #else /* K&R C */
 extern bool_t xdr_dy_hello_t ();
+extern bool_t xdr_dy_find_t ();
+extern bool_t xdr_dy_place_status_t ();
+extern bool_t xdr_dy_seat_t ();
+extern bool_t xdr_dy_place_t ();
 
 #endif /* K&R C */
 
--- a/src/gen/dy_group_xdr.c
+++ b/src/gen/dy_group_xdr.c
@@ -5,6 +5,7 @@
 
 #include "dy_group.h"
 #include "dy_raft.h"
+#include "dy_wire.h"
 
 bool_t
 xdr_dy_hello_t (XDR *xdrs, dy_hello_t *objp)
@@ -23,3 +24,60 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_dy_find_t (XDR *xdrs, dy_find_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->group))
+		 return FALSE;
+	 if (!xdr_dy_voter_id_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->echo))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dy_place_status_t (XDR *xdrs, dy_place_status_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dy_seat_t (XDR *xdrs, dy_seat_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->slot))
+		 return FALSE;
+	 if (!xdr_dy_address_t (xdrs, &objp->address))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dy_place_t (XDR *xdrs, dy_place_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->group))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->echo))
+		 return FALSE;
+	 if (!xdr_dy_place_status_t (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slot))
+		 return FALSE;
+	 if (!xdr_dy_address_t (xdrs, &objp->leader))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->seats.seats_val, (u_int *) &objp->seats.seats_len, DY_SEATS_MAX,
+		sizeof (dy_seat_t), (xdrproc_t) xdr_dy_seat_t))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/process/address.c
+++ b/src/process/address.c
@@ -39,6 +39,15 @@
 	return inet_pton(AF_INET6, text, address->ip) == 1 ? 0 : -1;
 }
 
+void dy_address_set_ipv4(dy_address_t *address, uint32_t ip, uint16_t port)
+{
+	uint32_t wire = htonl(ip);
+
+	memcpy(address->ip, mapped_prefix, sizeof(mapped_prefix));
+	memcpy(address->ip + sizeof(mapped_prefix), &wire, sizeof(wire));
+	address->port = port;
+}
+
 int dy_address_parse(const char *text, dy_address_t *address)
 {
 	char ip[DY_ADDRESS_TEXT_BYTES];
--- /dev/null
+++ b/src/process/cmd_flow_agent.c
@@ -0,0 +1,435 @@
+/*
+ * The agent of packet flows: its sockets, its target's notices, its
+ * subscription and its stop.
+ */
+
+#include <string.h>
+
+#include "command.h"
+#include "damaskyard/flow_holder.h"
+#include "damaskyard/http.h"
+#include "damaskyard/log.h"
+#include "flow_member.h"
+#include "platform/calls.h"
+#include "platform/heartbeat.h"
+#include "platform/packet.h"
+
+/*
+ * Between two reports of the load, in ms: a fifth of a second's openings are
+ * chosen by an older one, and counted in by the balancer itself.
+ */
+#define REPORT_MS 200
+
+/* How often the stop is looked at, in ms. */
+#define CHECK_MS 50
+
+/*
+ * A planned stop waits so long, in ms, for balancers to learn that they are
+ * to choose others: a poll and a half. It is short, for while this agent is
+ * away nothing reaches its target.
+ */
+#define STOP_MS 800
+
+/* Bytes of a notice at most. */
+#define BODY_MAX_BYTES 16384
+
+typedef struct flow_agent {
+	flow_member_t member;
+	dy_flow_holder_t *holder;
+	dy_endpoint_t *packets;
+	dy_endpoint_t *outbound;
+	dy_http_server_t *http;
+	dy_http_server_t *ready_http;
+	uint64_t stopping_ms;
+	dy_log_limit_t refused_limit;
+	uint64_t *malformed;
+} flow_agent_t;
+
+static uint64_t now_ms(const flow_agent_t *agent)
+{
+	return dy_loop_now_ms(agent->member.loop);
+}
+
+static void send_to_target(void *context, uint8_t *bytes, size_t len,
+			   uint32_t note)
+{
+	flow_agent_t *agent = context;
+
+	platform_packet_mark(bytes, note);
+	dy_endpoint_send_to(agent->outbound, bytes, len,
+			    &agent->member.settings.target);
+}
+
+static void send_to_caller(void *context, const dy_flow_id_t *flow,
+			   const uint8_t *bytes, size_t len)
+{
+	flow_agent_t *agent = context;
+	dy_address_t caller;
+
+	dy_address_set_ipv4(&caller, flow->caller_ip,
+			    (uint16_t)agent->member.settings.packets.port);
+	dy_endpoint_send_to(agent->packets, bytes, len, &caller);
+}
+
+static void pass_on(void *context, dy_flow_forward_t *forward)
+{
+	flow_agent_t *agent = context;
+
+	platform_packet_mark((uint8_t *)forward->packet.packet_val, 0);
+	flow_member_send(&agent->member,
+			 &forward->tries.tries_val[forward->step],
+			 DY_FLOW_AGENT_PROGRAM, DY_FLOW_FORWARD,
+			 (xdrproc_t)xdr_dy_flow_forward_t, forward);
+}
+
+static void send_held(void *context, const dy_address_t *balancer,
+		      dy_flow_held_t *held)
+{
+	flow_agent_t *agent = context;
+
+	flow_member_send(&agent->member, balancer, DY_FLOW_BALANCER_PROGRAM,
+			 DY_FLOW_HELD, (xdrproc_t)xdr_dy_flow_held_t, held);
+}
+
+static void send_nowhere(void *context, const dy_address_t *balancer,
+			 dy_flow_nowhere_t *nowhere)
+{
+	flow_agent_t *agent = context;
+
+	platform_packet_mark((uint8_t *)nowhere->packet.packet_val, 0);
+	flow_member_send(&agent->member, balancer, DY_FLOW_BALANCER_PROGRAM,
+			 DY_FLOW_NOWHERE, (xdrproc_t)xdr_dy_flow_nowhere_t,
+			 nowhere);
+}
+
+static void send_report(void *context, const dy_address_t *balancer,
+			dy_flow_report_t *report)
+{
+	flow_agent_t *agent = context;
+
+	flow_member_send(&agent->member, balancer, DY_FLOW_BALANCER_PROGRAM,
+			 DY_FLOW_REPORT, (xdrproc_t)xdr_dy_flow_report_t,
+			 report);
+}
+
+static dy_member_state_t member_state(const flow_agent_t *agent)
+{
+	return dy_flow_holder_accepts(agent->holder) ? DY_MEMBER_SERVING
+						     : DY_MEMBER_DRAINING;
+}
+
+/* Tell control what the target is and whether it takes flows. */
+static void on_changed(void *context)
+{
+	flow_agent_t *agent = context;
+	flow_member_t *member = &agent->member;
+
+	if (dy_flow_holder_has_target(agent->holder))
+		member->info.service = member->settings.service;
+	member->info.slots = dy_flow_holder_slots(agent->holder);
+	dy_subscriber_set_info(member->subscriber, &member->info);
+	dy_subscriber_set_state(member->subscriber, member_state(agent), NULL,
+				0);
+}
+
+static const dy_flow_holder_callbacks_t holder_callbacks = {
+	send_to_target, send_to_caller, pass_on,    send_held,
+	send_nowhere,	send_report,	on_changed,
+};
+
+static void on_outbound(void *context, uint8_t *bytes, size_t len,
+			const struct sockaddr *from, int truncated)
+{
+	flow_agent_t *agent = context;
+	dy_packet_t packet;
+	int bounced;
+
+	(void)from;
+	/* What is given back is still the caller's packet. */
+	if (truncated ||
+	    platform_packet_load(bytes, len, PLATFORM_FROM_TARGET, &packet)) {
+		++*agent->malformed;
+		return;
+	}
+	bounced = !!(packet.marks & DY_PACKET_BOUNCED);
+	if (bounced)
+		platform_packet_load(bytes, len, PLATFORM_FROM_CALLER, &packet);
+	dy_flow_holder_from_target(agent->holder, &packet, bytes, len,
+				   now_ms(agent));
+}
+
+/* Nothing is sent to the address that answers go out from. */
+static void on_stray(void *context, uint8_t *bytes, size_t len,
+		     const struct sockaddr *from, int truncated)
+{
+	flow_agent_t *agent = context;
+
+	(void)bytes;
+	(void)len;
+	(void)from;
+	(void)truncated;
+	++*agent->malformed;
+}
+
+static void receive_forward(flow_agent_t *agent, const dy_sealed_t *message)
+{
+	static char packet_room[DY_PACKET_BYTES];
+	static char service_room[DY_NAME_BYTES + 1];
+	static dy_address_t tries_room[DY_FLOW_TRIES];
+	dy_flow_forward_t forward = { 0 };
+	dy_packet_t packet;
+
+	forward.service = service_room;
+	forward.packet.packet_val = packet_room;
+	forward.tries.tries_val = tries_room;
+	if (!dy_sealed_fill(message, (xdrproc_t)xdr_dy_flow_forward_t,
+			    &forward) ||
+	    platform_packet_load((uint8_t *)packet_room,
+				 forward.packet.packet_len,
+				 PLATFORM_FROM_CALLER, &packet)) {
+		++*agent->malformed;
+		return;
+	}
+	dy_flow_holder_take(agent->holder, &forward, &packet, now_ms(agent));
+}
+
+static void on_message(void *context, uint8_t *bytes, size_t len,
+		       const struct sockaddr *from, int truncated)
+{
+	flow_agent_t *agent = context;
+	dy_sealed_t message;
+
+	(void)from;
+	if (truncated || dy_seal_open(agent->member.seal, bytes, len,
+				      &message) != DY_SEAL_OK)
+		return;
+	if (message.is_reply)
+		dy_subscriber_receive(agent->member.subscriber, &message);
+	else if (message.program == DY_FLOW_AGENT_PROGRAM &&
+		 message.procedure == DY_FLOW_FORWARD)
+		receive_forward(agent, &message);
+}
+
+static void take_notice(flow_agent_t *agent, dy_http_exchange_t *exchange,
+			const dy_http_request_t *request, const char *id)
+{
+	dy_target_notice_t notice;
+	GError *error = NULL;
+
+	if (!platform_heartbeat_parse(id, request->body, request->body_len,
+				      &notice, &error)) {
+		if (dy_log_allow(&agent->refused_limit, "notice_unreadable",
+				 now_ms(agent)))
+			dy_log_event(DY_LOG_WARN, "notice_unreadable",
+				     "id=%s error=%s", dy_log_quote(id),
+				     dy_log_quote(error->message));
+		g_error_free(error);
+		dy_http_answer_status(exchange, 400);
+		return;
+	}
+	dy_http_answer_status(exchange,
+			      dy_flow_holder_notice(agent->holder, &notice,
+						    now_ms(agent))
+				      ? 200
+				      : 400);
+}
+
+static void on_request(void *context, dy_http_exchange_t *exchange,
+		       const dy_http_request_t *request)
+{
+	flow_agent_t *agent = context;
+	const char *id;
+
+	switch (platform_call_find(request, &id)) {
+	case PLATFORM_CALL_HEARTBEAT:
+		take_notice(agent, exchange, request, id);
+		return;
+	case PLATFORM_CALL_LEAVE:
+		dy_flow_holder_leave(agent->holder, id);
+		dy_http_answer_status(exchange, 200);
+		return;
+	case PLATFORM_CALL_READY:
+		dy_http_answer_status(exchange, agent->stopping_ms ? 503 : 200);
+		return;
+	case PLATFORM_CALL_METHOD:
+		dy_http_answer_status(exchange, 405);
+		return;
+	default:
+		dy_http_answer_status(exchange, 404);
+	}
+}
+
+static void on_document(void *context, const dy_document_info_t *info,
+			const uint8_t *bytes, size_t len)
+{
+	(void)context;
+	(void)info;
+	(void)bytes;
+	(void)len;
+}
+
+static void on_member(void *context, const dy_member_t *member)
+{
+	(void)context;
+	(void)member;
+}
+
+static void on_key(void *context, const dy_key_info_t *key)
+{
+	(void)context;
+	(void)key;
+}
+
+static void on_granted(void *context, uint64_t incarnation)
+{
+	(void)context;
+	(void)incarnation;
+}
+
+static void on_caught_up(void *context)
+{
+	(void)context;
+}
+
+static void begin_stop(void *context)
+{
+	flow_agent_t *agent = context;
+
+	if (agent->stopping_ms)
+		return;
+	agent->stopping_ms = now_ms(agent);
+	dy_log_event(DY_LOG_INFO, "stop_begun", "flows=%u",
+		     dy_flow_holder_count(agent->holder));
+	dy_flow_holder_stop(agent->holder);
+	dy_subscriber_set_state(agent->member.subscriber, DY_MEMBER_DRAINING,
+				NULL, 0);
+}
+
+/* As in the balancer: its lease ran out while it was stopped. */
+static void on_refused(void *context, dy_status_t status)
+{
+	flow_agent_t *agent = context;
+
+	if (status != DY_STATUS_SUPERSEDED || agent->stopping_ms)
+		return;
+	dy_subscriber_rejoin(agent->member.subscriber);
+	on_changed(agent);
+}
+
+static const dy_subscriber_callbacks_t subscriber_callbacks = {
+	on_document,  on_member,  on_key,     on_granted,
+	on_caught_up, begin_stop, on_refused,
+};
+
+static void on_report(void *context)
+{
+	flow_agent_t *agent = context;
+
+	dy_flow_holder_tick(agent->holder, now_ms(agent));
+}
+
+static void on_check(void *context)
+{
+	flow_agent_t *agent = context;
+
+	if (!agent->stopping_ms ||
+	    now_ms(agent) - agent->stopping_ms < STOP_MS)
+		return;
+	dy_log_event(DY_LOG_INFO, "stop_ended", "");
+	dy_loop_end(agent->member.loop);
+}
+
+static dy_http_server_t *open_http(flow_agent_t *agent,
+				   const dy_address_t *listen, GError **error)
+{
+	dy_http_config_t http = { 0 };
+
+	http.listen = *listen;
+	http.body_max = BODY_MAX_BYTES;
+	http.handle = on_request;
+	http.context = agent;
+	return dy_http_server_create(agent->member.loop, agent->member.metrics,
+				     &http, error);
+}
+
+static gboolean open_sockets(flow_agent_t *agent, GError **error)
+{
+	const dy_flow_settings_t *settings = &agent->member.settings;
+	dy_loop_t *loop = agent->member.loop;
+
+	agent->packets = dy_endpoint_create(loop, &settings->packets, on_stray,
+					    agent, error);
+	if (!agent->packets)
+		return FALSE;
+	agent->outbound = dy_endpoint_create(loop, &settings->outbound,
+					     on_outbound, agent, error);
+	if (!agent->outbound)
+		return FALSE;
+	agent->http = open_http(agent, &settings->control, error);
+	if (agent->http && settings->ready.port)
+		agent->ready_http = open_http(agent, &settings->ready, error);
+	return agent->http && (agent->ready_http || !settings->ready.port);
+}
+
+static void create_holder(flow_agent_t *agent)
+{
+	static const dy_log_limit_t limit = DY_LOG_LIMIT_INIT(5, 10000);
+	dy_flow_holder_config_t config = { 0 };
+
+	config.self = agent->member.settings.inner;
+	config.service = agent->member.settings.service;
+	config.target = agent->member.settings.target;
+	config.metrics = agent->member.metrics;
+	config.callbacks = &holder_callbacks;
+	config.context = agent;
+	agent->holder = dy_flow_holder_create(&config);
+	agent->refused_limit = limit;
+	agent->malformed = dy_metrics_counter(agent->member.metrics,
+					      "packets_malformed");
+}
+
+static gboolean run(flow_agent_t *agent, GError **error)
+{
+	gboolean ok;
+
+	ok = flow_member_open(&agent->member, on_message, agent, error);
+	if (ok) {
+		create_holder(agent);
+		ok = open_sockets(agent, error);
+	}
+	if (ok) {
+		flow_member_subscribe(&agent->member, DY_MEMBER_AGENT,
+				      &subscriber_callbacks);
+		dy_subscriber_set_state(agent->member.subscriber,
+					DY_MEMBER_DRAINING, NULL, 0);
+		dy_loop_on_stop(agent->member.loop, begin_stop, agent);
+		dy_loop_every(agent->member.loop, REPORT_MS, on_report, agent);
+		dy_loop_every(agent->member.loop, CHECK_MS, on_check, agent);
+		dy_log_event(DY_LOG_INFO, "started", "name=%s service=%s",
+			     agent->member.settings.name,
+			     agent->member.settings.service);
+		dy_loop_run(agent->member.loop);
+	}
+	dy_http_server_destroy(agent->http);
+	dy_http_server_destroy(agent->ready_http);
+	dy_endpoint_destroy(agent->packets);
+	dy_endpoint_destroy(agent->outbound);
+	flow_member_close(&agent->member);
+	dy_flow_holder_destroy(agent->holder);
+	return ok;
+}
+
+int dy_command_flow_agent(int argc, char **argv)
+{
+	static flow_agent_t agent;
+	GError *error = NULL;
+	int code = flow_member_load(&agent.member, argc, argv, "flow-agent",
+				    "Hold the packet flows of one target, "
+				    "beside it.",
+				    DY_FLOW_AGENT);
+
+	if (code == DY_EXIT_OK && !run(&agent, &error))
+		code = dy_command_fail_usage("flow-agent", error);
+	flow_member_clear(&agent.member);
+	return code;
+}
--- /dev/null
+++ b/src/process/cmd_flow_balancer.c
@@ -0,0 +1,389 @@
+/*
+ * The balancer of packet flows: its sockets, its subscription and its stop.
+ */
+
+#include <string.h>
+
+#include "command.h"
+#include "damaskyard/flow_router.h"
+#include "damaskyard/http.h"
+#include "damaskyard/log.h"
+#include "flow_member.h"
+#include "platform/calls.h"
+#include "platform/configuration.h"
+#include "platform/packet.h"
+
+/*
+ * Without a majority's confirmation for this long, in ms, the fabric is told
+ * to send new flows elsewhere: a document that was replaced must not open
+ * flows that it no longer allows. Five polls; longer than an election.
+ */
+#define CONFIRMED_MS 2500
+
+/* How often that, and idle flows, are looked at, in ms. */
+#define CHECK_MS 100
+
+/*
+ * A planned stop: not ready from its start. The fabric asks twice a second and
+ * believes the second refusal, so after this time, in ms, packets stop; it
+ * ends once none came for the quiet time.
+ */
+#define STOP_UNREADY_MS 1500
+#define STOP_QUIET_MS 400
+
+/* What a stop leaves of the time that it may take, in ms. */
+#define STOP_MARGIN_MS 700
+
+/* The document's limit: HTTP bodies of the readiness call are empty. */
+#define BODY_MAX_BYTES 1024
+
+typedef struct flow_balancer {
+	flow_member_t member;
+	dy_flow_router_t *router;
+	dy_endpoint_t *packets;
+	dy_http_server_t *http;
+	int confirmed;
+	int caught_up;
+	int has_document;
+	int ready;
+	uint64_t stopping_ms; /* since when; 0: not stopping */
+	uint64_t packet_ms;   /* the last packet of a caller */
+	uint64_t *malformed;
+	uint64_t *unready_packets;
+} flow_balancer_t;
+
+static uint64_t now_ms(const flow_balancer_t *balancer)
+{
+	return dy_loop_now_ms(balancer->member.loop);
+}
+
+static void send_forward(void *context, dy_flow_forward_t *forward)
+{
+	flow_balancer_t *balancer = context;
+
+	flow_member_send(&balancer->member,
+			 &forward->tries.tries_val[forward->step],
+			 DY_FLOW_AGENT_PROGRAM, DY_FLOW_FORWARD,
+			 (xdrproc_t)xdr_dy_flow_forward_t, forward);
+}
+
+static void send_reset(void *context, const dy_flow_id_t *flow, uint32_t seq)
+{
+	flow_balancer_t *balancer = context;
+	uint8_t bytes[PLATFORM_HEAD_BYTES];
+	dy_address_t caller;
+
+	platform_packet_write_reset(bytes, flow, seq);
+	dy_address_set_ipv4(&caller, flow->caller_ip,
+			    (uint16_t)balancer->member.settings.packets.port);
+	dy_endpoint_send_to(balancer->packets, bytes, sizeof(bytes), &caller);
+}
+
+static const dy_flow_router_callbacks_t router_callbacks = {
+	send_forward,
+	send_reset,
+};
+
+static void on_packet(void *context, uint8_t *bytes, size_t len,
+		      const struct sockaddr *from, int truncated)
+{
+	flow_balancer_t *balancer = context;
+	dy_packet_t packet;
+
+	(void)from;
+	if (truncated ||
+	    platform_packet_load(bytes, len, PLATFORM_FROM_CALLER, &packet)) {
+		++*balancer->malformed;
+		return;
+	}
+	balancer->packet_ms = now_ms(balancer);
+	/*
+	 * Guards against a start that knows no targets yet: it would refuse
+	 * what others serve. The caller's copy finds it ready, or another.
+	 */
+	if (!balancer->has_document || !balancer->caught_up) {
+		++*balancer->unready_packets;
+		return;
+	}
+	dy_flow_router_take(balancer->router, &packet, bytes, len,
+			    balancer->packet_ms);
+}
+
+static void receive_held(flow_balancer_t *balancer, const dy_sealed_t *message)
+{
+	dy_flow_held_t held = { 0 };
+
+	if (dy_sealed_fill(message, (xdrproc_t)xdr_dy_flow_held_t, &held))
+		dy_flow_router_held(balancer->router, &held, now_ms(balancer));
+}
+
+static void receive_nowhere(flow_balancer_t *balancer,
+			    const dy_sealed_t *message)
+{
+	static char room[DY_PACKET_BYTES];
+	dy_flow_nowhere_t nowhere = { 0 };
+	dy_packet_t packet;
+
+	nowhere.packet.packet_val = room;
+	if (!dy_sealed_fill(message, (xdrproc_t)xdr_dy_flow_nowhere_t,
+			    &nowhere) ||
+	    platform_packet_load((uint8_t *)room, nowhere.packet.packet_len,
+				 PLATFORM_FROM_CALLER, &packet))
+		return;
+	dy_flow_router_nowhere(balancer->router, &nowhere, &packet,
+			       now_ms(balancer));
+}
+
+static void receive_report(flow_balancer_t *balancer,
+			   const dy_sealed_t *message)
+{
+	dy_flow_report_t report = { 0 };
+
+	if (dy_sealed_fill(message, (xdrproc_t)xdr_dy_flow_report_t, &report))
+		dy_flow_router_report(balancer->router, &report);
+}
+
+static void on_message(void *context, uint8_t *bytes, size_t len,
+		       const struct sockaddr *from, int truncated)
+{
+	flow_balancer_t *balancer = context;
+	dy_sealed_t message;
+
+	(void)from;
+	if (truncated || dy_seal_open(balancer->member.seal, bytes, len,
+				      &message) != DY_SEAL_OK)
+		return;
+	if (message.is_reply)
+		dy_subscriber_receive(balancer->member.subscriber, &message);
+	else if (message.program != DY_FLOW_BALANCER_PROGRAM)
+		return;
+	else if (message.procedure == DY_FLOW_HELD)
+		receive_held(balancer, &message);
+	else if (message.procedure == DY_FLOW_NOWHERE)
+		receive_nowhere(balancer, &message);
+	else if (message.procedure == DY_FLOW_REPORT)
+		receive_report(balancer, &message);
+}
+
+static void on_request(void *context, dy_http_exchange_t *exchange,
+		       const dy_http_request_t *request)
+{
+	flow_balancer_t *balancer = context;
+	const char *id;
+
+	switch (platform_call_find(request, &id)) {
+	case PLATFORM_CALL_READY:
+		dy_http_answer_status(exchange, balancer->ready ? 200 : 503);
+		return;
+	case PLATFORM_CALL_METHOD:
+		dy_http_answer_status(exchange, 405);
+		return;
+	default:
+		dy_http_answer_status(exchange, 404);
+	}
+}
+
+static void update_ready(flow_balancer_t *balancer)
+{
+	int ready = balancer->confirmed && balancer->caught_up &&
+		    balancer->has_document && !balancer->stopping_ms;
+
+	dy_flow_router_set_confirmed(balancer->router,
+				     balancer->confirmed &&
+					     balancer->caught_up);
+	if (ready == balancer->ready)
+		return;
+	balancer->ready = ready;
+	dy_log_event(DY_LOG_INFO, ready ? "ready" : "not_ready",
+		     "confirmed=%d caught_up=%d document=%d stopping=%d",
+		     balancer->confirmed, balancer->caught_up,
+		     balancer->has_document, !!balancer->stopping_ms);
+}
+
+static void on_document(void *context, const dy_document_info_t *info,
+			const uint8_t *bytes, size_t len)
+{
+	flow_balancer_t *balancer = context;
+	GError *error = NULL;
+	dy_flow_rules_t *rules;
+
+	rules = platform_configuration_parse(bytes, len, &error);
+	if (!rules) {
+		dy_log_event(DY_LOG_ERROR, "document_refused",
+			     "number=%lu error=%s", (unsigned long)info->number,
+			     dy_log_quote(error->message));
+		g_error_free(error);
+		return;
+	}
+	dy_log_event(DY_LOG_INFO, "document_in_force", "number=%lu entries=%u",
+		     (unsigned long)info->number, dy_flow_rules_count(rules));
+	dy_flow_router_set_rules(balancer->router, rules);
+	balancer->has_document = 1;
+	dy_subscriber_set_document(balancer->member.subscriber, info->number);
+	update_ready(balancer);
+}
+
+static void on_member(void *context, const dy_member_t *member)
+{
+	flow_balancer_t *balancer = context;
+
+	dy_flow_router_set_member(balancer->router, member);
+}
+
+static void on_key(void *context, const dy_key_info_t *key)
+{
+	(void)context;
+	(void)key;
+}
+
+static void on_granted(void *context, uint64_t incarnation)
+{
+	(void)context;
+	(void)incarnation;
+}
+
+static void on_caught_up(void *context)
+{
+	flow_balancer_t *balancer = context;
+
+	balancer->caught_up = 1;
+}
+
+static void begin_stop(void *context)
+{
+	flow_balancer_t *balancer = context;
+
+	if (balancer->stopping_ms)
+		return;
+	balancer->stopping_ms = now_ms(balancer);
+	dy_log_event(DY_LOG_INFO, "stop_begun", "flows=%u",
+		     dy_flow_router_count(balancer->router));
+	dy_subscriber_set_state(balancer->member.subscriber, DY_MEMBER_DRAINING,
+				NULL, 0);
+	update_ready(balancer);
+}
+
+/*
+ * Another incarnation has this member's name, as when its lease ran out while
+ * it was stopped: it joins as a new one and learns all state again.
+ */
+static void on_refused(void *context, dy_status_t status)
+{
+	flow_balancer_t *balancer = context;
+
+	if (status != DY_STATUS_SUPERSEDED || balancer->stopping_ms)
+		return;
+	dy_subscriber_rejoin(balancer->member.subscriber);
+	dy_subscriber_set_info(balancer->member.subscriber,
+			       &balancer->member.info);
+}
+
+static const dy_subscriber_callbacks_t subscriber_callbacks = {
+	on_document,  on_member,  on_key,     on_granted,
+	on_caught_up, begin_stop, on_refused,
+};
+
+static void check_stop(flow_balancer_t *balancer)
+{
+	uint64_t now = now_ms(balancer);
+	uint64_t since = now - balancer->stopping_ms;
+	uint64_t latest = balancer->member.settings.stop_ms;
+
+	if (!balancer->stopping_ms)
+		return;
+	latest -= MIN(latest, (uint64_t)STOP_MARGIN_MS);
+	if (since < latest && (since < STOP_UNREADY_MS ||
+			       now - balancer->packet_ms < STOP_QUIET_MS))
+		return;
+	dy_log_event(DY_LOG_INFO, "stop_ended", "ms=%lu", (unsigned long)since);
+	dy_loop_end(balancer->member.loop);
+}
+
+static void on_check(void *context)
+{
+	flow_balancer_t *balancer = context;
+
+	balancer->confirmed =
+		dy_subscriber_age_ms(balancer->member.subscriber) <
+		CONFIRMED_MS;
+	update_ready(balancer);
+	dy_flow_router_expire(balancer->router, now_ms(balancer));
+	check_stop(balancer);
+}
+
+static gboolean open_sockets(flow_balancer_t *balancer, GError **error)
+{
+	const dy_flow_settings_t *settings = &balancer->member.settings;
+	dy_http_config_t http = { 0 };
+
+	http.listen = settings->ready;
+	http.body_max = BODY_MAX_BYTES;
+	http.handle = on_request;
+	http.context = balancer;
+	balancer->packets =
+		dy_endpoint_create(balancer->member.loop, &settings->packets,
+				   on_packet, balancer, error);
+	if (!balancer->packets)
+		return FALSE;
+	balancer->http =
+		dy_http_server_create(balancer->member.loop,
+				      balancer->member.metrics, &http, error);
+	return balancer->http != NULL;
+}
+
+static void create_router(flow_balancer_t *balancer)
+{
+	dy_flow_router_config_t config = { 0 };
+	dy_metrics_t *metrics = balancer->member.metrics;
+
+	config.self = balancer->member.settings.inner;
+	config.domain = balancer->member.settings.domain;
+	config.metrics = metrics;
+	config.callbacks = &router_callbacks;
+	config.context = balancer;
+	balancer->router = dy_flow_router_create(&config);
+	balancer->malformed = dy_metrics_counter(metrics, "packets_malformed");
+	balancer->unready_packets =
+		dy_metrics_counter(metrics, "packets_unready");
+}
+
+static gboolean run(flow_balancer_t *balancer, GError **error)
+{
+	gboolean ok;
+
+	ok = flow_member_open(&balancer->member, on_message, balancer, error);
+	if (ok) {
+		create_router(balancer);
+		ok = open_sockets(balancer, error);
+	}
+	if (ok) {
+		flow_member_subscribe(&balancer->member, DY_MEMBER_BALANCER,
+				      &subscriber_callbacks);
+		dy_loop_on_stop(balancer->member.loop, begin_stop, balancer);
+		dy_loop_every(balancer->member.loop, CHECK_MS, on_check,
+			      balancer);
+		dy_log_event(DY_LOG_INFO, "started", "name=%s",
+			     balancer->member.settings.name);
+		dy_loop_run(balancer->member.loop);
+	}
+	dy_http_server_destroy(balancer->http);
+	dy_endpoint_destroy(balancer->packets);
+	flow_member_close(&balancer->member);
+	dy_flow_router_destroy(balancer->router);
+	return ok;
+}
+
+int dy_command_flow_balancer(int argc, char **argv)
+{
+	static flow_balancer_t balancer;
+	GError *error = NULL;
+	int code = flow_member_load(&balancer.member, argc, argv,
+				    "flow-balancer",
+				    "Forward packets of flows to agents.",
+				    DY_FLOW_BALANCER);
+
+	if (code == DY_EXIT_OK && !run(&balancer, &error))
+		code = dy_command_fail_usage("flow-balancer", error);
+	flow_member_clear(&balancer.member);
+	return code;
+}
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -275,6 +275,12 @@
 	dy_log_event(DY_LOG_ERROR, "disk_failed", "message=%s",
 		     dy_log_quote(error->message));
 	control->failed = 1;
+	control_end(control, DY_CONTROL_DISK_FAILED);
+}
+
+void control_end(dy_control_t *control, dy_control_end_t end)
+{
+	control->end = end;
 	dy_loop_end(control->loop);
 }
 
@@ -298,10 +304,15 @@
 static int on_check_document(void *context, const uint8_t *bytes, size_t size,
 			     char *message, size_t message_size)
 {
+	const dy_control_t *control = context;
+	dy_document_t *document;
 	GError *error = NULL;
-	dy_document_t *document = dy_document_parse(bytes, size, &error);
 
-	(void)context;
+	if (control->options.check)
+		return control->options.check(control->options.check_context,
+					      bytes, size, message,
+					      message_size);
+	document = dy_document_parse(bytes, size, &error);
 	if (document) {
 		dy_document_destroy(document);
 		return 1;
@@ -335,6 +346,7 @@
 	if (control->failed)
 		return;
 	dy_registry_set_clock(control->registry, now);
+	control_refresh_peers(control);
 	dy_raft_tick(control->raft, now);
 	if (now - control->reviewed_ms < REVIEW_MS)
 		return;
@@ -432,6 +444,7 @@
 	control->uploads = uploads_create();
 	control->recent = recent_documents_create();
 	control->services = control_services_create();
+	control->raises = control_raises_create(control);
 	control->registry = dy_registry_create(&callbacks);
 	dy_registry_set_clock(control->registry, control_now_ms(control));
 	if (!open_store(control, error) && !open_raft(control, error))
@@ -458,8 +471,10 @@
 	if (!control)
 		return;
 	stop_flushing(control);
+	control_raises_close(control->raises);
 	if (control->raft)
 		dy_raft_destroy(control->raft);
+	control_raises_destroy(control->raises);
 	DY_LIST_EACH_SAFE(pos, tmp, &control->requests)
 	control_drop_request(DY_LIST_ITEM(pos, request_t, link));
 	dy_endpoint_destroy(control->endpoint);
@@ -484,7 +499,12 @@
 		     control->request_count);
 }
 
-int dy_control_failed(const dy_control_t *control)
+dy_control_end_t dy_control_end(const dy_control_t *control)
+{
+	return control->end;
+}
+
+void dy_control_leader(const dy_control_t *control, dy_address_t *leader)
 {
-	return control->failed;
+	control_show_leader(control, leader);
 }
--- a/src/process/control_change.c
+++ b/src/process/control_change.c
@@ -129,13 +129,9 @@
 	(void)index;
 }
 
-/*
- * Propose the bytes of an upload that the registry does not hold. They stand
- * before the change in the log, so every control has them when it applies it.
- */
-static dy_raft_result_t propose_content(dy_control_t *control,
-					const char *digest,
-					const uint8_t *bytes, uint32_t size)
+dy_raft_result_t control_propose_content(dy_control_t *control,
+					 const char *digest,
+					 const uint8_t *bytes, uint32_t size)
 {
 	dy_command_t command = { .kind = DY_COMMAND_PAGE };
 	dy_content_page_t *page = &command.dy_command_t_u.page;
@@ -173,7 +169,7 @@
 			      "put the document's bytes first");
 		return 1;
 	}
-	result = propose_content(control, digest, bytes, size);
+	result = control_propose_content(control, digest, bytes, size);
 	if (result == DY_RAFT_DONE)
 		return 0;
 	refuse_change(request, control_status_of(control, result),
@@ -188,7 +184,8 @@
 	dy_operator_change_t *args = &command.dy_command_t_u.change;
 	dy_raft_result_t result;
 
-	if (request->args.change.kind == DY_CHANGE_SUBMIT &&
+	if ((request->args.change.kind == DY_CHANGE_SUBMIT ||
+	     request->args.change.kind == DY_CHANGE_RAISE) &&
 	    bring_content(request))
 		return;
 	if (request->args.change.kind == DY_CHANGE_PROMOTE)
--- a/src/process/control_group.c
+++ b/src/process/control_group.c
@@ -65,12 +65,13 @@
 	}
 	if (hello.group != control->options.group)
 		return;
-	founding_hear(&control->founding, &hello,
+	dy_address_load(&address, from);
+	control_note_newcomer(control, &hello, &address);
+	founding_hear(&control->founding, &hello, &address,
 		      hello.echo == dy_seal_sender(control->seal),
 		      control_now_ms(control));
 	if (!hello.answer)
 		return;
-	dy_address_load(&address, from);
 	send_hello(control, &address, 0, message->sender);
 }
 
@@ -94,6 +95,10 @@
 		receive_raft(control, message);
 	else if (message->procedure == DY_GROUP_HELLO)
 		receive_hello(control, message, from);
+	else if (message->procedure == DY_GROUP_FIND)
+		control_receive_find(control, message, from);
+	else if (message->procedure == DY_GROUP_PLACE)
+		control_receive_place(control, message);
 	else
 		control_count_malformed(control, message->procedure);
 }
@@ -234,8 +239,13 @@
 		step = founding_next_join(&control->founding, slot, &voter,
 					  &learner, control_now_ms(control),
 					  &id.identity);
+		if (step == JOIN_PROMOTE && control->options.open &&
+		    control_count_voters(control) >= DY_VOTERS_MAX)
+			continue;
 		take_step(control, step, id);
 	}
+	if (control_find_surplus(control, &id))
+		take_step(control, JOIN_REMOVE, id);
 }
 
 /* An operator must see why a control that is up serves nobody. */
@@ -260,12 +270,16 @@
 void control_review_group(dy_control_t *control)
 {
 	if (dy_raft_role(control->raft) == DY_RAFT_LEADER) {
+		control->led_ms = control_now_ms(control);
 		if (dy_raft_has_quorum(control->raft))
 			review_joins(control);
 		return;
 	}
-	if (!store_is_empty(control))
+	if (!store_is_empty(control)) {
+		if (control->options.open)
+			control_ask_membership(control);
 		return;
+	}
 	if (founding_is_due(&control->founding))
 		found_group(control);
 	else
--- /dev/null
+++ b/src/process/control_place.c
@@ -0,0 +1,268 @@
+/*
+ * An open group: its members are those of the log, and a control that knows
+ * no more than some addresses of the group finds its place in it.
+ */
+
+#include <string.h>
+
+#include "control_private.h"
+
+/* Voters that are kept even if they are silent: a majority must remain. */
+#define VOTERS_LEAST 3
+
+/*
+ * A member without a leader for so long, in ms, asks whether it still is one:
+ * ten elections, so that a change of leader raises no questions.
+ */
+#define LEADERLESS_MS 3000
+
+/* Between two such questions, in ms. */
+#define ASK_AGAIN_MS 500
+
+void control_refresh_peers(dy_control_t *control)
+{
+	const dy_raft_config_t *config = dy_raft_config(control->raft);
+	const dy_raft_member_t *member;
+	dy_address_t address;
+	unsigned i;
+
+	if (!control->options.open)
+		return;
+	for (i = 0; i < config->members.members_len; i++) {
+		member = &config->members.members_val[i];
+		if (member->id.slot <= DY_RAFT_MEMBERS_MAX &&
+		    !dy_address_parse(member->address, &address))
+			control->options.peers.slots[member->id.slot] = address;
+	}
+}
+
+static int slot_is_member(const dy_control_t *control, uint32_t slot)
+{
+	const dy_raft_config_t *config = dy_raft_config(control->raft);
+	unsigned i;
+
+	for (i = 0; i < config->members.members_len; i++)
+		if (config->members.members_val[i].id.slot == slot)
+			return 1;
+	return 0;
+}
+
+void control_note_newcomer(dy_control_t *control, const dy_hello_t *hello,
+			   const dy_address_t *from)
+{
+	uint32_t slot = hello->id.slot;
+
+	if (!control->options.open || !hello->empty || !slot ||
+	    slot > DY_RAFT_MEMBERS_MAX || slot_is_member(control, slot))
+		return;
+	control->options.peers.slots[slot] = *from;
+}
+
+/*
+ * The slot for a control at that address: the one it held before its disk was
+ * lost, or the lowest that is no member's and that nobody asks for.
+ */
+static uint32_t choose_slot(const dy_control_t *control,
+			    const dy_address_t *address)
+{
+	const dy_peers_t *peers = &control->options.peers;
+	uint64_t now = control_now_ms(control);
+	uint32_t slot;
+
+	for (slot = 1; slot <= DY_RAFT_MEMBERS_MAX; slot++)
+		if (slot_is_member(control, slot) &&
+		    dy_address_equal(&peers->slots[slot], address))
+			return slot;
+	for (slot = 1; slot <= DY_RAFT_MEMBERS_MAX; slot++)
+		if (!slot_is_member(control, slot) &&
+		    (dy_address_equal(&peers->slots[slot], address) ||
+		     !founding_is_wished(&control->founding, slot, now)))
+			return slot;
+	return 0;
+}
+
+static void list_seats(const dy_control_t *control, dy_place_t *place,
+		       dy_seat_t seats[DY_SEATS_MAX])
+{
+	const dy_peers_t *peers = &control->options.peers;
+	uint32_t slot;
+
+	place->seats.seats_val = seats;
+	for (slot = 1; slot <= DY_RAFT_MEMBERS_MAX; slot++) {
+		if (!slot_is_member(control, slot))
+			continue;
+		seats[place->seats.seats_len].slot = slot;
+		seats[place->seats.seats_len].address = peers->slots[slot];
+		place->seats.seats_len++;
+	}
+}
+
+/*
+ * Guards against a member that is told it is none by a configuration that is
+ * then undone, and gives up its disk: only what is committed counts.
+ */
+static void judge_identity(const dy_control_t *control, const dy_find_t *find,
+			   dy_place_t *place)
+{
+	if (dy_raft_config_has(dy_raft_config(control->raft), find->id))
+		place->status = DY_PLACE_HELD;
+	else if (dy_raft_config_settled(control->raft))
+		place->status = DY_PLACE_LOST;
+}
+
+static void fill_place(const dy_control_t *control, const dy_find_t *find,
+		       const dy_address_t *from, dy_place_t *place)
+{
+	control_show_leader(control, &place->leader);
+	if (dy_raft_role(control->raft) != DY_RAFT_LEADER) {
+		if (place->leader.port)
+			place->status = DY_PLACE_ASK;
+		return;
+	}
+	if (!control_serves(control) || !dy_raft_has_quorum(control->raft))
+		return;
+	if (find->id.identity) {
+		judge_identity(control, find, place);
+		return;
+	}
+	place->slot = choose_slot(control, from);
+	if (place->slot)
+		place->status = DY_PLACE_GIVEN;
+}
+
+void control_receive_find(dy_control_t *control, const dy_sealed_t *message,
+			  const struct sockaddr *from)
+{
+	dy_seal_head_t head = { 0, DY_GROUP_PROGRAM, DY_GROUP_PLACE };
+	dy_seat_t seats[DY_SEATS_MAX];
+	dy_place_t place = { 0 };
+	dy_address_t address;
+	dy_find_t find;
+	size_t len;
+
+	if (!dy_sealed_load(message, (xdrproc_t)xdr_dy_find_t, &find,
+			    sizeof(find))) {
+		control_count_malformed(control, message->procedure);
+		return;
+	}
+	if (find.group != control->options.group)
+		return;
+	dy_address_load(&address, from);
+	place.group = find.group;
+	place.echo = find.echo;
+	list_seats(control, &place, seats);
+	fill_place(control, &find, &address, &place);
+	len = dy_seal_write_call(control->seal, &head,
+				 (xdrproc_t)xdr_dy_place_t, &place,
+				 control->out, sizeof(control->out));
+	if (len)
+		dy_endpoint_send(control->endpoint, control->out, len, from);
+}
+
+void control_receive_place(dy_control_t *control, const dy_sealed_t *message)
+{
+	dy_place_t place;
+
+	if (!dy_sealed_load(message, (xdrproc_t)xdr_dy_place_t, &place,
+			    sizeof(place))) {
+		control_count_malformed(control, message->procedure);
+		return;
+	}
+	if (place.group == control->options.group &&
+	    place.echo == dy_store_id(control->store).identity &&
+	    place.status == DY_PLACE_LOST) {
+		dy_log_event(DY_LOG_WARN, "control_evicted", "slot=%u",
+			     dy_store_id(control->store).slot);
+		control_end(control, DY_CONTROL_EVICTED);
+	}
+	xdr_free((xdrproc_t)xdr_dy_place_t, (char *)&place);
+}
+
+/*
+ * Guards against a member that was let go while it was cut off: nobody sends
+ * to it any more, so it would wait for a leader for ever.
+ */
+void control_ask_membership(dy_control_t *control)
+{
+	dy_seal_head_t head = { 0, DY_GROUP_PROGRAM, DY_GROUP_FIND };
+	uint64_t now = control_now_ms(control);
+	dy_find_t find = { 0 };
+	uint32_t slot;
+	size_t len;
+
+	if (dy_raft_leader(control->raft).identity) {
+		control->led_ms = now;
+		return;
+	}
+	if (now - control->led_ms < LEADERLESS_MS ||
+	    now - control->asked_ms < ASK_AGAIN_MS)
+		return;
+	control->asked_ms = now;
+	find.group = control->options.group;
+	find.id = dy_store_id(control->store);
+	find.echo = find.id.identity;
+	for (slot = 1; slot <= DY_RAFT_MEMBERS_MAX; slot++) {
+		if (!control->options.peers.slots[slot].port ||
+		    slot == control->options.slot)
+			continue;
+		len = dy_seal_write_call(control->seal, &head,
+					 (xdrproc_t)xdr_dy_find_t, &find,
+					 control->out, sizeof(control->out));
+		if (len)
+			dy_endpoint_send_to(
+				control->endpoint, control->out, len,
+				&control->options.peers.slots[slot]);
+	}
+}
+
+/* What a review of the voters found. */
+typedef struct voters {
+	unsigned count;
+	unsigned silent;
+	unsigned learners; /* that answer */
+	dy_voter_id_t silent_id;
+} voters_t;
+
+static void count_members(const dy_control_t *control, voters_t *voters)
+{
+	const dy_raft_config_t *config = dy_raft_config(control->raft);
+	const dy_raft_member_t *member;
+	uint64_t silent_ms;
+	unsigned i;
+
+	memset(voters, 0, sizeof(*voters));
+	for (i = 0; i < config->members.members_len; i++) {
+		member = &config->members.members_val[i];
+		silent_ms = 0;
+		if (member->id.slot != control->options.slot)
+			dy_raft_member_lag(control->raft, member->id,
+					   &silent_ms);
+		if (member->role != DY_MEMBER_VOTER) {
+			voters->learners += silent_ms < MEMBER_SILENT_MS;
+			continue;
+		}
+		voters->count++;
+		if (silent_ms < MEMBER_SILENT_MS)
+			continue;
+		voters->silent++;
+		voters->silent_id = member->id;
+	}
+}
+
+/*
+ * Guards against a voter that is gone for good and still counts: with four
+ * voters, one of them gone, the next loss stops the group. It is let go where
+ * enough remain and its place is taken, or the group is better off uneven.
+ */
+int control_find_surplus(dy_control_t *control, dy_voter_id_t *id)
+{
+	voters_t voters;
+
+	if (!control->options.open)
+		return 0;
+	count_members(control, &voters);
+	*id = voters.silent_id;
+	return voters.silent && voters.count - voters.silent >= VOTERS_LEAST &&
+	       (voters.learners || voters.count % 2 == 0 ||
+		voters.count > DY_VOTERS_MAX);
+}
--- a/src/process/control_poll.c
+++ b/src/process/control_poll.c
@@ -32,10 +32,29 @@
 		   POLLS_A_LEASE * (uint64_t)control_poll_ms(control));
 }
 
+/* The members of an open group, so that whoever polls outlives its settings. */
+static unsigned list_controls(const dy_control_t *control,
+			      dy_address_t controls[DY_CONTROLS_MAX])
+{
+	const dy_raft_config_t *config = dy_raft_config(control->raft);
+	unsigned count = 0;
+	unsigned i;
+
+	if (!control->options.open)
+		return 0;
+	for (i = 0; i < config->members.members_len; i++)
+		if (count < DY_CONTROLS_MAX &&
+		    !dy_address_parse(config->members.members_val[i].address,
+				      &controls[count]))
+			count++;
+	return count;
+}
+
 static void answer_poll(request_t *request, dy_status_t status)
 {
 	dy_control_t *control = request->control;
 	dy_delta_t deltas[DY_DELTAS_MAX];
+	dy_address_t controls[DY_CONTROLS_MAX];
 	dy_poll_result_t result = { 0 };
 
 	result.status = status;
@@ -43,6 +62,8 @@
 	result.lease_ms = (uint32_t)control_lease_ms(control);
 	result.deltas.deltas_val = deltas;
 	control_show_leader(control, &result.leader);
+	result.controls.controls_val = controls;
+	result.controls.controls_len = list_controls(control, controls);
 	if (status == DY_STATUS_NAME_TAKEN)
 		++*control->counters.name_taken;
 	if (status == DY_STATUS_SUPERSEDED)
--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -70,6 +70,7 @@
 } control_counters_t;
 
 typedef struct control_services control_services_t;
+typedef struct control_raises control_raises_t;
 
 struct dy_control {
 	dy_control_options_t options;
@@ -95,6 +96,10 @@
 	uint64_t stop_at_ms; /* 0: not stopping */
 	int transferring;
 	int failed;
+	dy_control_end_t end;
+	uint64_t led_ms;   /* when a leader was last known */
+	uint64_t asked_ms; /* about the own membership */
+	control_raises_t *raises;
 	int served; /* was a majority of the peers ever voting? */
 	int key_proposed;
 	int tried_proposed;
@@ -165,6 +170,21 @@
 		 const struct sockaddr *from);
 void control_fetch(dy_control_t *control, const dy_sealed_t *message,
 		   const struct sockaddr *from);
+/*
+ * Propose the bytes of a document that the registry does not hold. They stand
+ * before the change in the log, so every control has them when it applies it.
+ */
+dy_raft_result_t control_propose_content(dy_control_t *control,
+					 const char *digest,
+					 const uint8_t *bytes, uint32_t size);
+
+/* control_raise.c */
+control_raises_t *control_raises_create(dy_control_t *control);
+/* End what waits as UNAVAILABLE, and begin nothing more. */
+void control_raises_close(control_raises_t *raises);
+/* After the log has ended what is under way. */
+void control_raises_destroy(control_raises_t *raises);
+
 /* control_services.c: a line for each service in force. */
 control_services_t *control_services_create(void);
 void control_services_destroy(control_services_t *services);
@@ -176,6 +196,21 @@
 /* control_group.c */
 void control_receive_group(dy_control_t *control, const dy_sealed_t *message,
 			   const struct sockaddr *from);
+/* End the loop, and with it the control's life. */
+void control_end(dy_control_t *control, dy_control_end_t end);
+
+/* control_place.c: an open group. */
+void control_refresh_peers(dy_control_t *control);
+/* Note the address of an empty control that holds a slot of no member. */
+void control_note_newcomer(dy_control_t *control, const dy_hello_t *hello,
+			   const dy_address_t *from);
+void control_receive_find(dy_control_t *control, const dy_sealed_t *message,
+			  const struct sockaddr *from);
+void control_receive_place(dy_control_t *control, const dy_sealed_t *message);
+void control_ask_membership(dy_control_t *control);
+/* Whether there is a silent voter to let go; id is set to it. */
+int control_find_surplus(dy_control_t *control, dy_voter_id_t *id);
+
 void control_send_raft(void *control, const dy_raft_message_t *message);
 void control_review_group(dy_control_t *control);
 unsigned control_count_voters(const dy_control_t *control);
--- /dev/null
+++ b/src/process/flow_member.c
@@ -0,0 +1,120 @@
+#include "flow_member.h"
+
+#include "command.h"
+#include "damaskyard/log.h"
+
+int flow_member_load(flow_member_t *member, int argc, char **argv,
+		     const char *command, const char *summary,
+		     dy_flow_role_t role)
+{
+	char *path = NULL;
+	const dy_setting_t flags[] = {
+		{ .flag = "settings",
+		  .kind = DY_SETTING_TEXT,
+		  .value = &path,
+		  .argument = "FILE",
+		  .help = "key file; DAMASKYARD_CONFIG if not given" },
+		{ 0 },
+	};
+	GError *error = NULL;
+
+	if (!dy_settings_load(argc, argv, summary, flags, NULL, &error))
+		return dy_command_fail_usage(command, error);
+	if (!path)
+		path = g_strdup(g_getenv("DAMASKYARD_CONFIG"));
+	if (!path)
+		g_set_error(&error, DY_SETTINGS_ERROR, DY_SETTINGS_ERROR_USAGE,
+			    "expected --settings FILE or DAMASKYARD_CONFIG");
+	if (!path ||
+	    !dy_flow_settings_load(&member->settings, path, role, &error)) {
+		g_free(path);
+		return dy_command_fail_usage(command, error);
+	}
+	member->path = path;
+	dy_command_start_log(member->settings.log_level, command);
+	return DY_EXIT_OK;
+}
+
+static void on_settings(void *context)
+{
+	flow_member_t *member = context;
+
+	dy_flow_settings_refresh(&member->settings, member->path);
+}
+
+static void on_datagram(void *context, uint8_t *bytes, size_t len,
+			const struct sockaddr *from, int truncated)
+{
+	flow_member_t *member = context;
+
+	member->receive(member->context, bytes, len, from, truncated);
+}
+
+gboolean flow_member_open(flow_member_t *member, dy_endpoint_cb_t *receive,
+			  void *context, GError **error)
+{
+	member->receive = receive;
+	member->context = context;
+	member->metrics = dy_metrics_create();
+	member->loop = dy_loop_create(member->metrics);
+	member->seal =
+		dy_seal_create(&member->settings.secrets, member->metrics);
+	member->inner =
+		dy_endpoint_create(member->loop, &member->settings.inner,
+				   on_datagram, member, error);
+	if (!member->inner)
+		return FALSE;
+	dy_loop_every(member->loop, FLOW_SETTINGS_MS, on_settings, member);
+	dy_loop_on_reload(member->loop, on_settings, member);
+	return TRUE;
+}
+
+void flow_member_subscribe(flow_member_t *member, dy_member_kind_t kind,
+			   const dy_subscriber_callbacks_t *callbacks)
+{
+	dy_subscriber_config_t config = { 0 };
+
+	config.loop = member->loop;
+	config.endpoint = member->inner;
+	config.seal = member->seal;
+	config.metrics = member->metrics;
+	config.controls = &member->settings.seeds;
+	config.callbacks = callbacks;
+	config.context = member->context;
+	member->subscriber = dy_subscriber_create(&config);
+	member->info.kind = kind;
+	member->info.name = member->settings.name;
+	member->info.environment = FLOW_ENVIRONMENT;
+	member->info.domain = member->settings.domain;
+	member->info.address = member->settings.inner;
+	member->info.service = "";
+	member->info.labels = "";
+	dy_subscriber_set_info(member->subscriber, &member->info);
+}
+
+void flow_member_send(flow_member_t *member, const dy_address_t *to,
+		      uint32_t program, uint32_t procedure, xdrproc_t proc,
+		      void *args)
+{
+	dy_seal_head_t head = { 0, program, procedure };
+	size_t len = dy_seal_write_call(member->seal, &head, proc, args,
+					member->out, sizeof(member->out));
+
+	if (len)
+		dy_endpoint_send_to(member->inner, member->out, len, to);
+}
+
+void flow_member_close(flow_member_t *member)
+{
+	dy_subscriber_destroy(member->subscriber);
+	dy_endpoint_destroy(member->inner);
+	dy_loop_destroy(member->loop);
+	dy_seal_destroy(member->seal);
+	dy_metrics_destroy(member->metrics);
+}
+
+void flow_member_clear(flow_member_t *member)
+{
+	dy_flow_settings_clear(&member->settings);
+	g_free(member->path);
+}
--- /dev/null
+++ b/src/process/flow_settings.c
@@ -0,0 +1,281 @@
+#include "damaskyard/flow_settings.h"
+
+#include <string.h>
+
+#include "damaskyard/log.h"
+
+/*
+ * Inner ports, counted from the first that may be used, so that two roles on
+ * one VM do not meet.
+ */
+enum { PORT_OF_CONTROL = 0, PORT_OF_BALANCER = 1, PORT_OF_AGENT = 2 };
+
+/* Of a planned stop, in seconds, if the settings do not say. */
+#define DEFAULT_STOP_S 30
+
+typedef struct key {
+	const char *group;
+	const char *name;
+	unsigned roles; /* that need it, by bit */
+} flow_key_t;
+
+#define BALANCER (1u << DY_FLOW_BALANCER)
+#define AGENT (1u << DY_FLOW_AGENT)
+#define CONTROL (1u << DY_FLOW_CONTROL)
+#define ALL (BALANCER | AGENT | CONTROL)
+
+static const flow_key_t keys[] = {
+	{ "process", "name", ALL },
+	{ "process", "failure-domain", ALL },
+	{ "process", "data", CONTROL },
+	{ "process", "first-start", 0 },
+	{ "process", "log-level", 0 },
+	{ "process", "stop-s", 0 },
+	{ "listen", "packets", BALANCER | AGENT },
+	{ "listen", "ready", BALANCER },
+	{ "listen", "control", AGENT | CONTROL },
+	{ "listen", "outbound", AGENT },
+	{ "listen", "inner-port", ALL },
+	{ "target", "address", AGENT },
+	{ "target", "service", AGENT },
+	{ "group", "seeds", ALL },
+	{ "group", "key-file", 0 },
+};
+
+static gboolean refuse(GError **error, const char *name, const char *value,
+		       const char *expected)
+{
+	g_set_error(error, DY_SETTINGS_ERROR, DY_SETTINGS_ERROR_VALUE,
+		    "%s: \"%s\" is not allowed: expected %s", name, value,
+		    expected);
+	return FALSE;
+}
+
+/* A value with its spaces stripped, or NULL if it is empty or missing. */
+static char *load_text(GKeyFile *file, const char *group, const char *name)
+{
+	char *text = g_key_file_get_string(file, group, name, NULL);
+
+	if (text && *g_strstrip(text))
+		return text;
+	g_free(text);
+	return NULL;
+}
+
+static gboolean load_address(GKeyFile *file, const char *group,
+			     const char *name, dy_address_t *address,
+			     GError **error)
+{
+	char *text = load_text(file, group, name);
+	gboolean ok = TRUE;
+
+	if (text && (dy_address_parse(text, address) || !address->port))
+		ok = refuse(error, name, text, "IP:PORT");
+	g_free(text);
+	return ok;
+}
+
+static gboolean load_number(GKeyFile *file, const char *group, const char *name,
+			    uint64_t fallback, uint64_t most, uint64_t *number,
+			    GError **error)
+{
+	char *text = load_text(file, group, name);
+	gboolean ok = TRUE;
+
+	*number = fallback;
+	if (text && !g_ascii_string_to_unsigned(text, 10, 1, most, number,
+						NULL))
+		ok = refuse(error, name, text, "a whole number in its range");
+	g_free(text);
+	return ok;
+}
+
+static gboolean load_seeds(GKeyFile *file, uint16_t port,
+			   dy_address_list_t *seeds, GError **error)
+{
+	char *text = load_text(file, "group", "seeds");
+	int i;
+
+	seeds->count = text ? dy_address_parse_list(text, seeds->items,
+						    DY_SETTING_ADDRESSES)
+			    : 0;
+	if (seeds->count < 1) {
+		refuse(error, "seeds", text ? text : "", "IP:PORT,...");
+		g_free(text);
+		return FALSE;
+	}
+	g_free(text);
+	for (i = 0; i < seeds->count; i++)
+		seeds->items[i].port = port;
+	return TRUE;
+}
+
+/*
+ * The group's key. Without a key file messages are sealed under a key that is
+ * no secret: they are checked for damage and for coming from another
+ * protocol, not for who sent them, so the network must keep strangers out.
+ */
+static gboolean load_secrets(GKeyFile *file, dy_secrets_t *secrets,
+			     GError **error)
+{
+	static const char label[DY_SECRET_BYTES] = "damaskyard without a key";
+	char *path = load_text(file, "group", "key-file");
+	gboolean ok = TRUE;
+
+	if (path) {
+		ok = dy_secrets_load(secrets, path, error);
+		g_free(path);
+		return ok;
+	}
+	secrets->count = 1;
+	memcpy(secrets->secrets[0], label, sizeof(label));
+	return TRUE;
+}
+
+static gboolean check_needed(GKeyFile *file, dy_flow_role_t role,
+			     GError **error)
+{
+	gboolean ok = TRUE;
+	char *text;
+	size_t i;
+
+	for (i = 0; ok && i < G_N_ELEMENTS(keys); i++) {
+		if (!(keys[i].roles & 1u << role))
+			continue;
+		text = load_text(file, keys[i].group, keys[i].name);
+		if (!text)
+			ok = refuse(error, keys[i].name, "", "a value");
+		g_free(text);
+	}
+	return ok;
+}
+
+static int is_known(const char *group, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(keys); i++)
+		if (!strcmp(keys[i].group, group) &&
+		    !strcmp(keys[i].name, name))
+			return 1;
+	return 0;
+}
+
+static void log_unknown(GKeyFile *file)
+{
+	char **groups = g_key_file_get_groups(file, NULL);
+	char **names;
+	int i;
+	int j;
+
+	for (i = 0; groups[i]; i++) {
+		names = g_key_file_get_keys(file, groups[i], NULL, NULL);
+		for (j = 0; names && names[j]; j++)
+			if (!is_known(groups[i], names[j]))
+				dy_log_event(DY_LOG_WARN, "setting_unknown",
+					     "group=%s key=%s",
+					     dy_log_quote(groups[i]),
+					     dy_log_quote(names[j]));
+		g_strfreev(names);
+	}
+	g_strfreev(groups);
+}
+
+static gboolean load_listen(GKeyFile *file, dy_flow_settings_t *settings,
+			    dy_flow_role_t role, GError **error)
+{
+	static const uint16_t offsets[] = { PORT_OF_BALANCER, PORT_OF_AGENT,
+					    PORT_OF_CONTROL };
+	uint64_t port;
+
+	if (!load_address(file, "listen", "packets", &settings->packets,
+			  error) ||
+	    !load_address(file, "listen", "ready", &settings->ready, error) ||
+	    !load_address(file, "listen", "control", &settings->control,
+			  error) ||
+	    !load_address(file, "listen", "outbound", &settings->outbound,
+			  error) ||
+	    !load_number(file, "listen", "inner-port", 0, UINT16_MAX - 3, &port,
+			 error))
+		return FALSE;
+	settings->control_port = (uint16_t)port;
+	settings->inner = role == DY_FLOW_CONTROL ? settings->control
+						  : settings->packets;
+	settings->inner.port = (u_int)port + offsets[role];
+	return TRUE;
+}
+
+static gboolean load_file(GKeyFile *file, dy_flow_settings_t *settings,
+			  dy_flow_role_t role, GError **error)
+{
+	uint64_t stop_s;
+
+	if (!check_needed(file, role, error) ||
+	    !load_listen(file, settings, role, error) ||
+	    !load_address(file, "target", "address", &settings->target,
+			  error) ||
+	    !load_number(file, "process", "stop-s", DEFAULT_STOP_S, 3600,
+			 &stop_s, error) ||
+	    !load_seeds(file, settings->control_port, &settings->seeds,
+			error) ||
+	    !load_secrets(file, &settings->secrets, error))
+		return FALSE;
+	settings->stop_ms = stop_s * 1000;
+	settings->name = load_text(file, "process", "name");
+	settings->domain = load_text(file, "process", "failure-domain");
+	settings->data = load_text(file, "process", "data");
+	settings->service = load_text(file, "target", "service");
+	settings->first_start = g_key_file_get_boolean(file, "process",
+						       "first-start", NULL);
+	settings->log_level = load_text(file, "process", "log-level");
+	if (!settings->log_level)
+		settings->log_level = g_strdup("info");
+	log_unknown(file);
+	return TRUE;
+}
+
+gboolean dy_flow_settings_load(dy_flow_settings_t *settings, const char *path,
+			       dy_flow_role_t role, GError **error)
+{
+	GKeyFile *file = g_key_file_new();
+	gboolean ok;
+
+	memset(settings, 0, sizeof(*settings));
+	ok = g_key_file_load_from_file(file, path, G_KEY_FILE_NONE, error) &&
+	     load_file(file, settings, role, error);
+	g_key_file_free(file);
+	return ok;
+}
+
+void dy_flow_settings_clear(dy_flow_settings_t *settings)
+{
+	g_free(settings->name);
+	g_free(settings->domain);
+	g_free(settings->data);
+	g_free(settings->service);
+	g_free(settings->log_level);
+	memset(settings, 0, sizeof(*settings));
+}
+
+gboolean dy_flow_settings_refresh(dy_flow_settings_t *settings,
+				  const char *path)
+{
+	GKeyFile *file = g_key_file_new();
+	dy_address_list_t seeds = { 0 };
+	gboolean changed = FALSE;
+	GError *error = NULL;
+
+	if (!g_key_file_load_from_file(file, path, G_KEY_FILE_NONE, &error) ||
+	    !load_seeds(file, settings->control_port, &seeds, &error)) {
+		dy_log_event(DY_LOG_WARN, "settings_refused", "error=%s",
+			     dy_log_quote(error->message));
+		g_error_free(error);
+	} else if (memcmp(&seeds, &settings->seeds, sizeof(seeds)) != 0) {
+		settings->seeds = seeds;
+		changed = TRUE;
+		dy_log_event(DY_LOG_INFO, "seeds_changed", "count=%d",
+			     seeds.count);
+	}
+	g_key_file_free(file);
+	return changed;
+}
--- a/src/process/founding.c
+++ b/src/process/founding.c
@@ -9,8 +9,8 @@
 	founding->slot = slot;
 }
 
-void founding_hear(founding_t *founding, const dy_hello_t *hello, int mine,
-		   uint64_t now_ms)
+void founding_hear(founding_t *founding, const dy_hello_t *hello,
+		   const dy_address_t *from, int mine, uint64_t now_ms)
 {
 	founding_peer_t *peer;
 
@@ -26,6 +26,8 @@
 		return;
 	peer->wants_in = hello->id.identity;
 	peer->asked_ms = now_ms;
+	peer->in_place = dy_address_equal(
+		from, &founding->peers->slots[hello->id.slot]);
 }
 
 int founding_is_due(const founding_t *founding)
@@ -50,6 +52,14 @@
 	return member->silent_ms >= MEMBER_SILENT_MS;
 }
 
+int founding_is_wished(const founding_t *founding, uint32_t slot,
+		       uint64_t now_ms)
+{
+	const founding_peer_t *peer = &founding->heard[slot];
+
+	return peer->wants_in && now_ms - peer->asked_ms <= JOIN_FRESH_MS;
+}
+
 static uint64_t fresh_wish(const founding_t *founding, uint32_t slot,
 			   uint64_t now_ms)
 {
@@ -58,19 +68,33 @@
 	return now_ms - peer->asked_ms <= JOIN_FRESH_MS ? peer->wants_in : 0;
 }
 
+/*
+ * Whether a slot's member may be replaced: it was silent for long, or another
+ * identity asks from the slot's own address. A process is bound to that, so
+ * the one before it is over; waiting would only prolong the time in which the
+ * group cannot bear another loss.
+ */
+static int is_over(const join_member_t *member, const founding_peer_t *asker,
+		   uint64_t wish)
+{
+	return is_silent(member) ||
+	       (asker->in_place && wish && wish != member->identity);
+}
+
 static join_step_t next_of_learner(const join_member_t *voter,
-				   const join_member_t *learner, uint64_t wish,
+				   const join_member_t *learner,
+				   const founding_peer_t *asker, uint64_t wish,
 				   uint64_t *identity)
 {
 	*identity = learner->identity;
-	if (wish && wish != learner->identity && is_silent(learner))
+	if (wish && wish != learner->identity && is_over(learner, asker, wish))
 		return JOIN_REMOVE;
 	if (is_silent(learner) || learner->lag > CAUGHT_UP_ENTRIES)
 		return JOIN_NOTHING;
 	if (!voter->identity)
 		return JOIN_PROMOTE;
 	*identity = voter->identity;
-	return is_silent(voter) ? JOIN_REMOVE : JOIN_NOTHING;
+	return is_silent(voter) || asker->in_place ? JOIN_REMOVE : JOIN_NOTHING;
 }
 
 join_step_t founding_next_join(const founding_t *founding, uint32_t slot,
@@ -81,11 +105,13 @@
 	uint64_t wish = fresh_wish(founding, slot, now_ms);
 
 	if (learner->identity)
-		return next_of_learner(voter, learner, wish, identity);
+		return next_of_learner(voter, learner, &founding->heard[slot],
+				       wish, identity);
 	*identity = wish;
 	if (!wish || wish == voter->identity)
 		return JOIN_NOTHING;
-	if (voter->identity && !is_silent(voter))
+	if (voter->identity &&
+	    !is_over(voter, &founding->heard[slot], wish))
 		return JOIN_REFUSE;
 	return JOIN_ADD;
 }
--- a/src/process/founding.h
+++ b/src/process/founding.h
@@ -29,6 +29,7 @@
 	int empty;	   /* at its last answer */
 	uint64_t wants_in; /* identity that asked to join, or 0 */
 	uint64_t asked_ms;
+	int in_place; /* asked from the slot's own address */
 } founding_peer_t;
 
 typedef struct founding {
@@ -41,8 +42,12 @@
 		   uint32_t slot);
 
 /* Note a HELLO; mine: it answers one of this process. */
-void founding_hear(founding_t *founding, const dy_hello_t *hello, int mine,
-		   uint64_t now_ms);
+void founding_hear(founding_t *founding, const dy_hello_t *hello,
+		   const dy_address_t *from, int mine, uint64_t now_ms);
+
+/* Whether somebody asked for that slot a short time ago. */
+int founding_is_wished(const founding_t *founding, uint32_t slot,
+		       uint64_t now_ms);
 
 /*
  * Whether this control, whose store is empty, founds the group.
--- a/src/process/loop.c
+++ b/src/process/loop.c
@@ -1,5 +1,6 @@
 #include "damaskyard/loop.h"
 
+#include <signal.h>
 #include <string.h>
 
 #include "damaskyard/log.h"
@@ -38,6 +39,7 @@
 {
 	dy_loop_t *loop = g_new0(dy_loop_t, 1);
 
+	signal(SIGPIPE, SIG_IGN);
 	uv_loop_init(&loop->uv);
 	dy_list_init(&loop->timers);
 	loop->buffer = g_malloc(DY_LOOP_BUFFER_BYTES);
@@ -105,6 +107,24 @@
 	start_signal(loop, &loop->sigint, SIGINT);
 }
 
+static void on_reload(uv_signal_t *handle, int number)
+{
+	dy_loop_t *loop = handle->data;
+
+	dy_log_event(DY_LOG_INFO, "signal_received", "number=%d", number);
+	loop->reload(loop->reload_context);
+}
+
+void dy_loop_on_reload(dy_loop_t *loop, dy_loop_stop_cb_t *reload,
+		       void *context)
+{
+	loop->reload = reload;
+	loop->reload_context = context;
+	uv_signal_init(&loop->uv, &loop->sighup);
+	loop->sighup.data = loop;
+	uv_signal_start(&loop->sighup, on_reload, SIGHUP);
+}
+
 void dy_loop_run(dy_loop_t *loop)
 {
 	uv_run(&loop->uv, UV_RUN_DEFAULT);
--- a/src/process/loop_private.h
+++ b/src/process/loop_private.h
@@ -22,6 +22,9 @@
 	uv_timer_t tick;
 	uv_signal_t sigterm;
 	uv_signal_t sigint;
+	uv_signal_t sighup;
+	dy_loop_stop_cb_t *reload;
+	void *reload_context;
 	dy_list_t timers;
 	uint64_t last_tick_ms;
 	uint64_t stall_generation;
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -17,6 +17,12 @@
 	{ "check", dy_command_check, "check a document" },
 	{ "control", dy_command_control, "run one of the control group" },
 	{ "drain", dy_command_drain, "take a member out of service" },
+	{ "flow-agent", dy_command_flow_agent,
+	  "serve one target's packet flows" },
+	{ "flow-balancer", dy_command_flow_balancer,
+	  "forward packets of flows" },
+	{ "flow-control", dy_command_flow_control,
+	  "run a control beside packet flows" },
 	{ "promote", dy_command_promote,
 	  "put trial's document into production" },
 	{ "remove", dy_command_remove, "strike a member that is lost" },
@@ -36,7 +42,7 @@
 	      "Commands:\n",
 	      out);
 	for (command = commands; command->name; command++)
-		fprintf(out, "  %-10s %s\n", command->name, command->summary);
+		fprintf(out, "  %-13s %s\n", command->name, command->summary);
 	fputs("\n  --help, --version\n", out);
 }
 
--- a/src/process/raft_status.c
+++ b/src/process/raft_status.c
@@ -42,6 +42,21 @@
 	return &raft_newest_config(raft)->config;
 }
 
+int dy_raft_config_settled(const dy_raft_t *raft)
+{
+	return raft_newest_config(raft)->index <= raft->commit_index;
+}
+
+int dy_raft_config_has(const dy_raft_config_t *config, dy_voter_id_t id)
+{
+	unsigned i;
+
+	for (i = 0; i < config->members.members_len; i++)
+		if (dy_voter_id_equal(config->members.members_val[i].id, id))
+			return 1;
+	return 0;
+}
+
 int dy_raft_has_quorum(const dy_raft_t *raft)
 {
 	guint heard = raft_is_voter(raft);
--- a/src/process/store.c
+++ b/src/process/store.c
@@ -8,7 +8,7 @@
 #include "damaskyard/invariant.h"
 #include "store_record.h"
 
-#define IDENTITY_NAME "identity"
+#define IDENTITY_NAME STORE_IDENTITY_NAME
 #define VOTE_NAME "vote"
 #define MARKER_NAME "synced"
 #define SEGMENT_PREFIX "log-"
--- /dev/null
+++ b/src/process/store_folder.c
@@ -0,0 +1,71 @@
+/*
+ * A data folder from outside: whose it is, and giving it up.
+ */
+
+#include <errno.h>
+
+#include "damaskyard/log.h"
+#include "store_private.h"
+#include "store_record.h"
+
+int dy_store_find_slot(const char *folder, uint32_t *slot, GError **error)
+{
+	dy_disk_t *disk = dy_disk_create(folder, error);
+	dy_record_t record;
+	GByteArray *file;
+	GError *fault = NULL;
+	size_t used = 0;
+
+	if (!disk)
+		return -1;
+	file = store_read_file(disk, STORE_IDENTITY_NAME, &fault);
+	if (file)
+		used = record_decode(file->data, file->len, 0, &record);
+	if (used) {
+		*slot = record.dy_record_t_u.identity.id.slot;
+		record_drop(&record);
+	} else if (file) {
+		store_corrupt(STORE_IDENTITY_NAME, 0, "the record is damaged",
+			      &fault);
+	}
+	if (file)
+		g_byte_array_free(file, TRUE);
+	dy_disk_destroy(disk);
+	if (fault) {
+		g_propagate_error(error, fault);
+		return -1;
+	}
+	return used != 0;
+}
+
+static void collect_name(void *context, const char *name)
+{
+	g_ptr_array_add(context, g_strdup(name));
+}
+
+int dy_store_clear(const char *folder, GError **error)
+{
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+	dy_disk_t *disk = dy_disk_create(folder, error);
+	int code;
+	guint i;
+
+	if (!disk) {
+		g_ptr_array_free(names, TRUE);
+		return -1;
+	}
+	code = disk->list(disk->context, collect_name, names);
+	for (i = 0; code >= 0 && i < names->len; i++)
+		code = disk->remove(disk->context, g_ptr_array_index(names, i));
+	if (code >= 0)
+		code = disk->sync_folder(disk->context);
+	dy_log_event(DY_LOG_WARN, "store_cleared", "files=%u code=%d",
+		     names->len, code);
+	if (code < 0)
+		g_set_error(error, DY_STORE_ERROR, DY_STORE_ERROR_IO,
+			    "cannot clear the data folder: %s",
+			    g_strerror(-code));
+	g_ptr_array_free(names, TRUE);
+	dy_disk_destroy(disk);
+	return code < 0 ? -1 : 0;
+}
--- a/src/process/store_private.h
+++ b/src/process/store_private.h
@@ -58,6 +58,9 @@
 	snapshot_writer_t *writer;
 };
 
+/* The file that says whose the folder is. */
+#define STORE_IDENTITY_NAME "identity"
+
 /* Fail the store for good. Returns -1 with error set. */
 int store_fail(dy_store_t *store, const char *operation, const char *name,
 	       int code, GError **error);
--- a/src/process/subscriber.c
+++ b/src/process/subscriber.c
@@ -31,6 +31,7 @@
 	unsigned successor_count;
 	dy_address_t control;
 	int next_control;
+	dy_address_list_t learned; /* the group, as its leader named it */
 	uint32_t poll_xid;
 	int polling;
 	uint64_t poll_sent_ms;
@@ -60,11 +61,32 @@
 
 static void choose_next_control(dy_subscriber_t *subscriber)
 {
-	const dy_address_list_t *controls = subscriber->config.controls;
+	const dy_address_list_t *told = subscriber->config.controls;
+	const dy_address_list_t *learned = &subscriber->learned;
+	int next = (subscriber->next_control + 1) %
+		   (told->count + learned->count);
+
+	subscriber->next_control = next;
+	subscriber->control = next < learned->count
+				      ? learned->items[next]
+				      : told->items[next - learned->count];
+}
+
+/*
+ * Guards against a group whose members were replaced one by one, until none
+ * of the addresses in the settings answers any more.
+ */
+static void learn_controls(dy_subscriber_t *subscriber,
+			   const dy_poll_result_t *result)
+{
+	dy_address_list_t *learned = &subscriber->learned;
+	u_int count = result->controls.controls_len;
 
-	subscriber->next_control =
-		(subscriber->next_control + 1) % controls->count;
-	subscriber->control = controls->items[subscriber->next_control];
+	if (!count)
+		return;
+	learned->count = (int)MIN(count, (u_int)DY_SETTING_ADDRESSES);
+	memcpy(learned->items, result->controls.controls_val,
+	       (size_t)learned->count * sizeof(learned->items[0]));
 }
 
 static void send_request(dy_subscriber_t *subscriber, uint32_t procedure,
@@ -217,6 +239,7 @@
 	subscriber->confirmed = 1;
 	subscriber->confirmed_ms = subscriber->poll_sent_ms;
 	subscriber->settled_generation = subscriber->polled_generation;
+	learn_controls(subscriber, result);
 	take_grant(subscriber, result->incarnation);
 	for (i = 0; i < result->deltas.deltas_len; i++)
 		apply_delta(subscriber, &result->deltas.deltas_val[i]);
--- /dev/null
+++ b/src/version/flow_rules.c
@@ -0,0 +1,120 @@
+#include "damaskyard/flow_rules.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+/* Salt of the draw among shares, so that it is not the order of targets. */
+#define SHARE_SALT 0x9e3779b97f4a7c15u
+
+struct dy_flow_rules {
+	uint64_t version;
+	GHashTable *entries; /* by address, an int64 in the entry's record */
+};
+
+typedef struct record {
+	gint64 key;
+	dy_flow_entry_t entry;
+} record_t;
+
+static gint64 make_key(uint32_t ip, uint16_t port)
+{
+	return (gint64)((uint64_t)ip << 16 | port);
+}
+
+static void free_record(void *data)
+{
+	record_t *record = data;
+	int i;
+
+	for (i = 0; i < record->entry.share_count; i++)
+		g_free(record->entry.shares[i].service);
+	g_free(record);
+}
+
+dy_flow_rules_t *dy_flow_rules_create(uint64_t version)
+{
+	dy_flow_rules_t *rules = g_new0(dy_flow_rules_t, 1);
+
+	rules->version = version;
+	rules->entries = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       NULL, free_record);
+	return rules;
+}
+
+void dy_flow_rules_destroy(dy_flow_rules_t *rules)
+{
+	if (!rules)
+		return;
+	g_hash_table_destroy(rules->entries);
+	g_free(rules);
+}
+
+static uint64_t sum_weights(const dy_flow_entry_t *entry)
+{
+	uint64_t sum = 0;
+	int i;
+
+	for (i = 0; i < entry->share_count; i++)
+		sum += entry->shares[i].weight;
+	return sum;
+}
+
+const char *dy_flow_rules_add(dy_flow_rules_t *rules,
+			      const dy_flow_entry_t *entry)
+{
+	record_t *record;
+	gint64 key = make_key(entry->ip, entry->port);
+	int i;
+
+	if (!entry->share_count)
+		return "it names no service";
+	if (!sum_weights(entry))
+		return "its services have no weight";
+	if (g_hash_table_contains(rules->entries, &key))
+		return "another has its address and port";
+	record = g_new0(record_t, 1);
+	record->key = key;
+	record->entry = *entry;
+	for (i = 0; i < entry->share_count; i++)
+		record->entry.shares[i].service =
+			g_strdup(entry->shares[i].service);
+	g_hash_table_insert(rules->entries, &record->key, record);
+	return NULL;
+}
+
+const dy_flow_entry_t *dy_flow_rules_find(const dy_flow_rules_t *rules,
+					  uint32_t ip, uint16_t port)
+{
+	gint64 key = make_key(ip, port);
+	const record_t *record = g_hash_table_lookup(rules->entries, &key);
+
+	return record ? &record->entry : NULL;
+}
+
+uint64_t dy_flow_rules_version(const dy_flow_rules_t *rules)
+{
+	return rules->version;
+}
+
+unsigned dy_flow_rules_count(const dy_flow_rules_t *rules)
+{
+	return g_hash_table_size(rules->entries);
+}
+
+void dy_flow_entry_order(const dy_flow_entry_t *entry, const dy_flow_id_t *flow,
+			 uint8_t order[DY_FLOW_SHARES_MAX])
+{
+	uint64_t draw = dy_flow_id_hash(flow) * SHARE_SALT;
+	uint64_t left = (draw >> 32) % sum_weights(entry);
+	uint8_t first = 0;
+	uint8_t count = 1;
+	uint8_t i;
+
+	while (left >= entry->shares[first].weight)
+		left -= entry->shares[first++].weight;
+	order[0] = first;
+	for (i = 0; i < entry->share_count; i++)
+		if (i != first)
+			order[count++] = i;
+}
--- /dev/null
+++ b/src/version/flow_targets.c
@@ -0,0 +1,353 @@
+#include "damaskyard/flow_targets.h"
+
+#include <string.h>
+
+#include <glib.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "damaskyard/address.h"
+
+typedef struct target {
+	uint64_t id;
+	uint64_t incarnation;
+	uint64_t hash; /* of the address */
+	dy_address_t address;
+	char *service;
+	int same_domain;
+	int serving;
+	int suspect;
+	dy_flow_load_t load;
+	uint32_t opened; /* flows sent there since its last report */
+	uint64_t silent_until_ms;
+} target_t;
+
+struct dy_flow_targets {
+	const char *domain;
+	GHashTable *by_id;
+	GHashTable *by_address; /* the newest member at each */
+	GHashTable *services; /* name to GPtrArray of targets */
+};
+
+/* A target as it stands in a flow's order. */
+typedef struct place {
+	uint64_t rank;
+	double score;
+	const target_t *target;
+} place_t;
+
+static void free_target(void *data)
+{
+	target_t *target = data;
+
+	g_free(target->service);
+	g_free(target);
+}
+
+static guint hash_address(gconstpointer key)
+{
+	const dy_address_t *address = key;
+
+	return (guint)(XXH3_64bits(address->ip, DY_IP_BYTES) + address->port);
+}
+
+static gboolean same_address(gconstpointer a, gconstpointer b)
+{
+	return dy_address_equal(a, b);
+}
+
+static void free_service(void *data)
+{
+	g_ptr_array_free(data, TRUE);
+}
+
+dy_flow_targets_t *dy_flow_targets_create(const char *domain)
+{
+	dy_flow_targets_t *targets = g_new0(dy_flow_targets_t, 1);
+
+	targets->domain = domain;
+	targets->by_id = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       NULL, free_target);
+	targets->by_address =
+		g_hash_table_new(hash_address, same_address);
+	targets->services = g_hash_table_new_full(g_str_hash, g_str_equal,
+						  g_free, free_service);
+	return targets;
+}
+
+void dy_flow_targets_destroy(dy_flow_targets_t *targets)
+{
+	if (!targets)
+		return;
+	g_hash_table_destroy(targets->services);
+	g_hash_table_destroy(targets->by_address);
+	g_hash_table_destroy(targets->by_id);
+	g_free(targets);
+}
+
+static void leave_service(dy_flow_targets_t *targets, target_t *target)
+{
+	GPtrArray *list;
+
+	if (!target->service)
+		return;
+	list = g_hash_table_lookup(targets->services, target->service);
+	g_ptr_array_remove_fast(list, target);
+	if (!list->len)
+		g_hash_table_remove(targets->services, target->service);
+	g_clear_pointer(&target->service, g_free);
+}
+
+static void join_service(dy_flow_targets_t *targets, target_t *target,
+			 const char *service)
+{
+	GPtrArray *list;
+
+	if (!*service)
+		return;
+	target->service = g_strdup(service);
+	list = g_hash_table_lookup(targets->services, service);
+	if (!list) {
+		list = g_ptr_array_new();
+		g_hash_table_insert(targets->services, g_strdup(service), list);
+	}
+	g_ptr_array_add(list, target);
+}
+
+static target_t *find_by_address(const dy_flow_targets_t *targets,
+				 const dy_address_t *agent)
+{
+	return g_hash_table_lookup(targets->by_address, agent);
+}
+
+static void leave_address(dy_flow_targets_t *targets, target_t *target)
+{
+	if (find_by_address(targets, &target->address) == target)
+		g_hash_table_remove(targets->by_address, &target->address);
+}
+
+static target_t *keep_target(dy_flow_targets_t *targets,
+			     const dy_member_t *member)
+{
+	target_t *target = g_hash_table_lookup(targets->by_id, &member->id);
+
+	if (target && target->incarnation > member->incarnation)
+		return NULL;
+	if (target)
+		return target;
+	target = g_new0(target_t, 1);
+	target->id = member->id;
+	g_hash_table_insert(targets->by_id, &target->id, target);
+	return target;
+}
+
+static void drop_target(dy_flow_targets_t *targets, const dy_member_t *member)
+{
+	target_t *target = g_hash_table_lookup(targets->by_id, &member->id);
+
+	if (!target || target->incarnation > member->incarnation)
+		return;
+	leave_service(targets, target);
+	leave_address(targets, target);
+	g_hash_table_remove(targets->by_id, &member->id);
+}
+
+void dy_flow_targets_set_member(dy_flow_targets_t *targets,
+				const dy_member_t *member)
+{
+	target_t *target;
+
+	if (member->info.kind != DY_MEMBER_AGENT)
+		return;
+	if (member->state == DY_MEMBER_LEFT ||
+	    member->state == DY_MEMBER_DEAD) {
+		drop_target(targets, member);
+		return;
+	}
+	target = keep_target(targets, member);
+	if (!target)
+		return;
+	if (target->incarnation != member->incarnation) {
+		memset(&target->load, 0, sizeof(target->load));
+		target->opened = 0;
+		target->silent_until_ms = 0;
+	}
+	leave_service(targets, target);
+	join_service(targets, target, member->info.service);
+	target->incarnation = member->incarnation;
+	leave_address(targets, target);
+	target->address = member->info.address;
+	g_hash_table_replace(targets->by_address, &target->address, target);
+	target->hash = XXH3_64bits(target->address.ip, DY_IP_BYTES) ^
+		       (uint64_t)target->address.port * XXH_PRIME64_1;
+	target->same_domain = !strcmp(member->info.domain, targets->domain);
+	target->serving = member->state == DY_MEMBER_SERVING;
+	target->suspect = member->state == DY_MEMBER_SUSPECT;
+	if (!target->load.slots)
+		target->load.slots = member->info.slots;
+}
+
+void dy_flow_targets_set_load(dy_flow_targets_t *targets,
+			      const dy_address_t *agent,
+			      const dy_flow_load_t *load)
+{
+	target_t *target = find_by_address(targets, agent);
+
+	if (!target)
+		return;
+	target->load = *load;
+	target->opened = 0;
+	target->silent_until_ms = 0;
+}
+
+void dy_flow_targets_note_opened(dy_flow_targets_t *targets,
+				 const dy_address_t *agent)
+{
+	target_t *target = find_by_address(targets, agent);
+
+	if (target)
+		target->opened++;
+}
+
+void dy_flow_targets_note_silent(dy_flow_targets_t *targets,
+				 const dy_address_t *agent, uint64_t now_ms)
+{
+	target_t *target = find_by_address(targets, agent);
+
+	if (target)
+		target->silent_until_ms = now_ms + DY_FLOW_SILENT_MS;
+}
+
+static double score_of(const target_t *target, uint64_t now_ms)
+{
+	const dy_flow_load_t *load = &target->load;
+	double slots = load->slots ? load->slots : 1;
+	double score = (load->flows + target->opened) / slots;
+
+	if (load->busy > load->slots)
+		score += DY_FLOW_WAITING_WEIGHT * (load->busy - load->slots) /
+			 slots;
+	if (load->cold)
+		score += DY_FLOW_COLD_WEIGHT;
+	if (!target->same_domain)
+		score += DY_FLOW_DOMAIN_WEIGHT;
+	if (target->silent_until_ms > now_ms)
+		score += 1e6;
+	return score;
+}
+
+/* Insert into a list of at most max that is ordered by rank, highest first. */
+static unsigned insert_by_rank(place_t *places, unsigned count, unsigned max,
+			       const place_t *place)
+{
+	unsigned at = count;
+
+	while (at && places[at - 1].rank < place->rank)
+		at--;
+	if (at == max)
+		return count;
+	if (count < max)
+		count++;
+	memmove(&places[at + 1], &places[at],
+		(count - at - 1) * sizeof(*places));
+	places[at] = *place;
+	return count;
+}
+
+static uint64_t rank_of(const target_t *target, uint64_t flow_hash)
+{
+	const uint64_t pair[] = { flow_hash, target->hash };
+
+	return XXH3_64bits(pair, sizeof(pair));
+}
+
+/* The first max targets in the flow's order, all or those that serve. */
+static unsigned order_targets(const GPtrArray *list, const dy_flow_id_t *flow,
+			      int serving, unsigned max, place_t *places)
+{
+	uint64_t hash = dy_flow_id_hash(flow);
+	unsigned count = 0;
+	place_t place = { 0 };
+	guint i;
+
+	for (i = 0; i < list->len; i++) {
+		place.target = g_ptr_array_index(list, i);
+		if (serving && !place.target->serving)
+			continue;
+		place.rank = rank_of(place.target, hash);
+		count = insert_by_rank(places, count, max, &place);
+	}
+	return count;
+}
+
+static void sort_by_score(place_t *places, unsigned count)
+{
+	place_t place;
+	unsigned at;
+	unsigned i;
+
+	for (i = 1; i < count; i++) {
+		place = places[i];
+		for (at = i; at && places[at - 1].score > place.score; at--)
+			places[at] = places[at - 1];
+		places[at] = place;
+	}
+}
+
+unsigned dy_flow_targets_choose(const dy_flow_targets_t *targets,
+				const char *service, const dy_flow_id_t *flow,
+				uint64_t now_ms,
+				dy_address_t list[DY_FLOW_TRIES])
+{
+	GPtrArray *all = g_hash_table_lookup(targets->services, service);
+	place_t places[DY_FLOW_CHOICES];
+	unsigned count;
+	unsigned i;
+
+	if (!all)
+		return 0;
+	count = order_targets(all, flow, 1, DY_FLOW_CHOICES, places);
+	for (i = 0; i < count; i++)
+		places[i].score = score_of(places[i].target, now_ms);
+	sort_by_score(places, count);
+	for (i = 0; i < count; i++)
+		list[i] = places[i].target->address;
+	return count;
+}
+
+unsigned dy_flow_targets_holders(const dy_flow_targets_t *targets,
+				 const char *service, const dy_flow_id_t *flow,
+				 uint64_t now_ms, unsigned count, int *complete,
+				 dy_address_t list[DY_FLOW_TRIES])
+{
+	GPtrArray *all = g_hash_table_lookup(targets->services, service);
+	place_t places[DY_FLOW_TRIES];
+	unsigned found;
+	unsigned i;
+
+	if (!all)
+		return count;
+	found = order_targets(all, flow, 0, DY_FLOW_TRIES, places);
+	/* One that is silent would end the walk: those come last. */
+	for (i = 0; i < found; i++)
+		places[i].score = places[i].target->suspect ||
+				  places[i].target->silent_until_ms > now_ms;
+	sort_by_score(places, found);
+	for (i = 0; i < found && count < DY_FLOW_TRIES; i++)
+		list[count++] = places[i].target->address;
+	if (i < all->len)
+		*complete = 0;
+	return count;
+}
+
+unsigned dy_flow_targets_count(const dy_flow_targets_t *targets,
+			       const char *service)
+{
+	GPtrArray *all = g_hash_table_lookup(targets->services, service);
+	unsigned count = 0;
+	guint i;
+
+	for (i = 0; all && i < all->len; i++)
+		count += ((target_t *)g_ptr_array_index(all, i))->serving;
+	return count;
+}
--- a/src/version/registry_changes.c
+++ b/src/version/registry_changes.c
@@ -78,6 +78,9 @@
 {
 	if (!change->number || change->number == document->number + 1)
 		return 0;
+	if (change->kind == DY_CHANGE_RAISE &&
+	    change->number > document->number)
+		return 0;
 	name_document(result, document);
 	if (change->number <= document->number)
 		refuse(result, DY_STATUS_CONFLICT,
@@ -98,6 +101,8 @@
 	const content_t *content = registry_find_content(registry, digest);
 	uint64_t number = document->number + 1;
 
+	if (change->kind == DY_CHANGE_RAISE)
+		number = change->number;
 	dy_assert(content && content->checked && !content->fault);
 	dy_assert(number > document->number);
 	dy_assert(registry->index > document->changed);
@@ -265,6 +270,7 @@
 {
 	switch (args->change.kind) {
 	case DY_CHANGE_SUBMIT:
+	case DY_CHANGE_RAISE:
 		submit(registry, &args->change, result);
 		return;
 	case DY_CHANGE_PROMOTE:
--- a/src/version/registry_members.c
+++ b/src/version/registry_members.c
@@ -256,6 +256,13 @@
 	g_hash_table_replace(registry->members, &member->id, member);
 }
 
+int registry_is_successor(const dy_registry_member_t *member,
+			  const dy_member_info_t *info)
+{
+	return info->address.port && member->port == info->address.port &&
+	       !memcmp(member->ip, info->address.ip, DY_IP_BYTES);
+}
+
 /*
  * Guards against two processes that serve under one name, as when a machine
  * is taken for dead and replaced: the newer one is let in only after the
@@ -273,11 +280,12 @@
 	old = dy_registry_find_member(registry, info_id(&join->info));
 	if (old && dy_member_is_live(old) && old->boot == join->boot)
 		return;
-	if (old && dy_member_is_live(old) && old->state != DY_MEMBER_SUSPECT) {
+	if (old && dy_member_is_live(old) && old->state != DY_MEMBER_SUSPECT &&
+	    !registry_is_successor(old, &join->info)) {
 		tell_member(registry, DY_EVENT_MEMBER_REFUSED, old);
 		return;
 	}
-	if (old && old->state == DY_MEMBER_SUSPECT)
+	if (old && dy_member_is_live(old))
 		registry_kill(registry, old);
 	member = create_member(&join->info, join->boot, registry->index);
 	add_member(registry, member);
--- a/src/version/registry_poll.c
+++ b/src/version/registry_poll.c
@@ -82,7 +82,8 @@
 	dy_member_join_t *join = &command->dy_command_t_u.join;
 
 	if (holder && dy_member_is_live(holder) &&
-	    holder->state != DY_MEMBER_SUSPECT)
+	    holder->state != DY_MEMBER_SUSPECT &&
+	    !registry_is_successor(holder, &poll->info))
 		return refuse(status, DY_STATUS_NAME_TAKEN);
 	/*
 	 * Its state may hold members whose end is no longer told. Only one
--- a/tests/test_founding.c
+++ b/tests/test_founding.c
@@ -19,7 +19,8 @@
 {
 	dy_hello_t hello = { .id = { slot, identity }, .empty = empty };
 
-	founding_hear(&founding, &hello, mine, now_ms);
+	/* From another address than the slot's: a second process. */
+	founding_hear(&founding, &hello, &peers.slots[1], mine, now_ms);
 }
 
 /*
