--- a/include/damaskyard/flow_targets.h
+++ b/include/damaskyard/flow_targets.h
@@ -87,14 +87,24 @@
 				dy_address_t list[DY_FLOW_TRIES]);
 
 /*
- * List the agents that may hold an open flow, likeliest first, after the
- * `count` that list holds already. complete is cleared if there are more than
- * fit. Returns the new count.
+ * Agents that are searched for one flow at most. Each is a message, so the
+ * number is small; it covers every agent of deployments of today, and of
+ * larger ones the service's own.
  */
-unsigned dy_flow_targets_holders(const dy_flow_targets_t *targets,
-				 const char *service, const dy_flow_id_t *flow,
-				 uint64_t now_ms, unsigned count, int *complete,
-				 dy_address_t list[DY_FLOW_TRIES]);
+#define DY_FLOW_SEARCH_MAX 64
+
+/*
+ * List the agents that may hold an open flow, likeliest first: those of the
+ * given services, then the others, since an entry may have named another
+ * service when the flow was opened. complete tells whether these are all.
+ * Returns how many.
+ */
+unsigned dy_flow_targets_search(const dy_flow_targets_t *targets,
+				const char *const *services,
+				unsigned service_count,
+				const dy_flow_id_t *flow, uint64_t now_ms,
+				int *complete,
+				dy_address_t list[DY_FLOW_SEARCH_MAX]);
 
 /* Number of agents of a service that take new flows, for logs. */
 unsigned dy_flow_targets_count(const dy_flow_targets_t *targets,
--- a/proto/dy_flow.x
+++ b/proto/dy_flow.x
@@ -41,7 +41,8 @@
 	string service<DY_NAME_BYTES>;
 	dy_address_t balancer;	/* is told who holds the flow */
 	unsigned int step;
-	bool complete;		/* tries names every agent of the service */
+	unsigned int window;	/* of a search; 0: to the one that holds it */
+	bool complete;		/* no agent is left to be tried after these */
 	bool tell;		/* the balancer does not know the holder */
 	bool certain;		/* each agent before this step knew for sure */
 	dy_address_t tries<DY_FLOW_TRIES>;
@@ -66,9 +67,9 @@
 	dy_flow_id_t flow;
 	dy_address_t agent;	/* the last that was tried */
 	dy_flow_reason_t reason;
+	unsigned int window;	/* of the forward */
 	bool complete;		/* of the forward */
 	bool certain;		/* each that was tried knew for sure */
-	unsigned int tries;
 	opaque packet<DY_PACKET_BYTES>;
 };
 
--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -374,7 +374,7 @@
 						       : DY_FLOW_NOT_HELD;
 	nowhere.complete = forward->complete;
 	nowhere.certain = forward->certain;
-	nowhere.tries = forward->tries.tries_len;
+	nowhere.window = forward->window;
 	nowhere.packet.packet_val = forward->packet.packet_val;
 	nowhere.packet.packet_len = forward->packet.packet_len;
 	++*holder->not_held;
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -19,6 +19,12 @@
 	uint64_t missing_ms; /* when it was first found nowhere; 0: not */
 } flow_t;
 
+/* How far a search for a flow's holder is. */
+typedef struct search {
+	unsigned window;
+	int certain; /* all that were asked so far knew for sure */
+} search_t;
+
 struct dy_flow_router {
 	dy_flow_router_config_t config;
 	dy_flow_targets_t *targets;
@@ -148,7 +154,6 @@
 	forward->balancer = router->config.self;
 	forward->packet.packet_val = (char *)bytes;
 	forward->packet.packet_len = (u_int)len;
-	forward->certain = 1;
 	if (!forward->service)
 		forward->service = "";
 	router->config.callbacks->forward(router->config.context, forward);
@@ -160,6 +165,7 @@
 	dy_flow_forward_t forward = { 0 };
 
 	forward.service = (char *)service;
+	forward.certain = 1;
 	forward.tell = !flow->open;
 	forward.tries.tries_val = &flow->agent;
 	forward.tries.tries_len = 1;
@@ -267,22 +273,30 @@
 	log_assigned(router, flow, service, count, packet->ack, now_ms);
 	forward.service = (char *)service;
 	forward.tell = 1;
+	forward.certain = 1;
 	forward.complete = 1;
 	forward.tries.tries_val = list;
 	forward.tries.tries_len = count;
 	emit(router, &forward, bytes, len);
 }
 
-/* Send a packet along all that may hold its flow. */
+/*
+ * Send a packet along the agents that may hold its flow: those of one window,
+ * counted from 1, of the order in which they are asked.
+ */
 static void search(dy_flow_router_t *router, const dy_packet_t *packet,
-		   uint8_t *bytes, size_t len, uint64_t now_ms)
+		   uint8_t *bytes, size_t len, const search_t *at,
+		   uint64_t now_ms)
 {
 	const dy_flow_entry_t *entry = find_entry(router, &packet->flow);
-	dy_address_t list[DY_FLOW_TRIES];
+	const char *services[DY_FLOW_SHARES_MAX];
+	dy_address_t list[DY_FLOW_SEARCH_MAX];
 	uint8_t order[DY_FLOW_SHARES_MAX];
 	dy_flow_forward_t forward = { 0 };
-	unsigned count = 0;
-	int complete = 1;
+	unsigned first = (at->window - 1) * DY_FLOW_TRIES;
+	int complete = 0;
+	unsigned total;
+	unsigned count;
 	unsigned i;
 
 	if (!entry) {
@@ -291,21 +305,27 @@
 	}
 	dy_flow_entry_order(entry, &packet->flow, order);
 	for (i = 0; i < entry->share_count; i++)
-		count = dy_flow_targets_holders(
-			router->targets, entry->shares[order[i]].service,
-			&packet->flow, now_ms, count, &complete, list);
-	if (!count) {
+		services[i] = entry->shares[order[i]].service;
+	total = dy_flow_targets_search(router->targets, services,
+				       entry->share_count, &packet->flow,
+				       now_ms, &complete, list);
+	if (total <= first) {
 		++*router->lost;
 		return;
 	}
 	++*router->searched;
+	count = MIN(total - first, (unsigned)DY_FLOW_TRIES);
 	forward.tell = 1;
-	forward.complete = complete;
-	forward.tries.tries_val = list;
+	forward.window = at->window;
+	forward.complete = complete && first + count == total;
+	forward.certain = at->certain;
+	forward.tries.tries_val = &list[first];
 	forward.tries.tries_len = count;
 	emit(router, &forward, bytes, len);
 }
 
+static const search_t from_the_first = { 1, 1 };
+
 void dy_flow_router_take(dy_flow_router_t *router, const dy_packet_t *packet,
 			 uint8_t *bytes, size_t len, uint64_t now_ms)
 {
@@ -318,7 +338,7 @@
 	}
 	flow = g_hash_table_lookup(router->flows, &packet->flow);
 	if (!flow || !flow->agent.port) {
-		search(router, packet, bytes, len, now_ms);
+		search(router, packet, bytes, len, &from_the_first, now_ms);
 		return;
 	}
 	touch(router, flow, now_ms);
@@ -373,6 +393,7 @@
 			    const dy_packet_t *packet, uint64_t now_ms)
 {
 	flow_t *flow = g_hash_table_lookup(router->flows, &nowhere->flow);
+	search_t next;
 
 	if (nowhere->reason == DY_FLOW_REFUSED) {
 		take_refusal(router, flow, packet, now_ms);
@@ -392,11 +413,14 @@
 		flow->told = 0;
 		flow->open = 0;
 	}
-	if (nowhere->tries == 1 && !nowhere->complete)
-		search(router, packet, (uint8_t *)nowhere->packet.packet_val,
-		       nowhere->packet.packet_len, now_ms);
-	else
+	if (nowhere->complete) {
 		++*router->lost;
+		return;
+	}
+	next.window = nowhere->window + 1;
+	next.certain = nowhere->certain;
+	search(router, packet, (uint8_t *)nowhere->packet.packet_val,
+	       nowhere->packet.packet_len, &next, now_ms);
 }
 
 void dy_flow_router_report(dy_flow_router_t *router,
--- a/src/gen/dy_flow.h
+++ b/src/gen/dy_flow.h
@@ -38,6 +38,7 @@
 	char *service;
 	dy_address_t balancer;
 	u_int step;
+	u_int window;
 	bool_t complete;
 	bool_t tell;
 	bool_t certain;
@@ -70,9 +71,9 @@
 	dy_flow_id_t flow;
 	dy_address_t agent;
 	dy_flow_reason_t reason;
+	u_int window;
 	bool_t complete;
 	bool_t certain;
-	u_int tries;
 	struct {
 		u_int packet_len;
 		char *packet_val;
--- a/src/gen/dy_flow_xdr.c
+++ b/src/gen/dy_flow_xdr.c
@@ -135,10 +135,12 @@
 			 return FALSE;
 		 if (!xdr_dy_address_t (xdrs, &objp->balancer))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->step))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->window))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->complete))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->tell))
@@ -148,6 +150,7 @@
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->step);
+		IXDR_PUT_U_LONG(buf, objp->window);
 		IXDR_PUT_BOOL(buf, objp->complete);
 		IXDR_PUT_BOOL(buf, objp->tell);
 		IXDR_PUT_BOOL(buf, objp->certain);
@@ -163,10 +166,12 @@
 			 return FALSE;
 		 if (!xdr_dy_address_t (xdrs, &objp->balancer))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->step))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->window))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->complete))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->tell))
@@ -176,6 +181,7 @@
 
 		} else {
 		objp->step = IXDR_GET_U_LONG(buf);
+		objp->window = IXDR_GET_U_LONG(buf);
 		objp->complete = IXDR_GET_BOOL(buf);
 		objp->tell = IXDR_GET_BOOL(buf);
 		objp->certain = IXDR_GET_BOOL(buf);
@@ -194,6 +200,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->step))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->window))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->complete))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->tell))
@@ -249,17 +257,17 @@
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->window))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->complete))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->certain))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->tries))
-				 return FALSE;
 
 		} else {
+		IXDR_PUT_U_LONG(buf, objp->window);
 		IXDR_PUT_BOOL(buf, objp->complete);
 		IXDR_PUT_BOOL(buf, objp->certain);
-		IXDR_PUT_U_LONG(buf, objp->tries);
 		}
 		 if (!xdr_bytes (xdrs, (char **)&objp->packet.packet_val, (u_int *) &objp->packet.packet_len, DY_PACKET_BYTES))
 			 return FALSE;
@@ -273,17 +281,17 @@
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->window))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->complete))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->certain))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->tries))
-				 return FALSE;
 
 		} else {
+		objp->window = IXDR_GET_U_LONG(buf);
 		objp->complete = IXDR_GET_BOOL(buf);
 		objp->certain = IXDR_GET_BOOL(buf);
-		objp->tries = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_bytes (xdrs, (char **)&objp->packet.packet_val, (u_int *) &objp->packet.packet_len, DY_PACKET_BYTES))
 			 return FALSE;
@@ -296,12 +304,12 @@
 		 return FALSE;
 	 if (!xdr_dy_flow_reason_t (xdrs, &objp->reason))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->window))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->complete))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->certain))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->tries))
-		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->packet.packet_val, (u_int *) &objp->packet.packet_len, DY_PACKET_BYTES))
 		 return FALSE;
 	return TRUE;
--- a/src/version/flow_targets.c
+++ b/src/version/flow_targets.c
@@ -315,28 +315,85 @@
 	return count;
 }
 
-unsigned dy_flow_targets_holders(const dy_flow_targets_t *targets,
-				 const char *service, const dy_flow_id_t *flow,
-				 uint64_t now_ms, unsigned count, int *complete,
-				 dy_address_t list[DY_FLOW_TRIES])
+static int is_named(const target_t *target, const char *const *services,
+		    unsigned count)
 {
-	GPtrArray *all = g_hash_table_lookup(targets->services, service);
-	place_t places[DY_FLOW_TRIES];
-	unsigned found;
 	unsigned i;
 
-	if (!all)
-		return count;
-	found = order_targets(all, flow, 0, DY_FLOW_TRIES, places);
+	for (i = 0; i < count; i++)
+		if (!strcmp(target->service, services[i]))
+			return 1;
+	return 0;
+}
+
+/* Agents of all other services, where they are few enough to be asked. */
+static unsigned order_others(const dy_flow_targets_t *targets,
+			     const char *const *services, unsigned count,
+			     const dy_flow_id_t *flow, unsigned max,
+			     place_t *places)
+{
+	uint64_t hash = dy_flow_id_hash(flow);
+	place_t place = { 0 };
+	GHashTableIter iter;
+	unsigned found = 0;
+	gpointer value;
+
+	if (g_hash_table_size(targets->by_id) > DY_FLOW_SEARCH_MAX)
+		return 0;
+	g_hash_table_iter_init(&iter, targets->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		place.target = value;
+		if (!place.target->service ||
+		    is_named(place.target, services, count))
+			continue;
+		place.rank = rank_of(place.target, hash);
+		found = insert_by_rank(places, found, max, &place);
+	}
+	return found;
+}
+
+static unsigned count_homeless(const dy_flow_targets_t *targets)
+{
+	GHashTableIter iter;
+	unsigned count = 0;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, targets->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		count += !((const target_t *)value)->service;
+	return count;
+}
+
+unsigned dy_flow_targets_search(const dy_flow_targets_t *targets,
+				const char *const *services,
+				unsigned service_count,
+				const dy_flow_id_t *flow, uint64_t now_ms,
+				int *complete,
+				dy_address_t list[DY_FLOW_SEARCH_MAX])
+{
+	place_t places[DY_FLOW_SEARCH_MAX];
+	unsigned total = g_hash_table_size(targets->by_id);
+	unsigned count = 0;
+	const GPtrArray *all;
+	unsigned i;
+
+	for (i = 0; i < service_count; i++) {
+		all = g_hash_table_lookup(targets->services, services[i]);
+		if (all)
+			count += order_targets(all, flow, 0,
+					       DY_FLOW_SEARCH_MAX - count,
+					       &places[count]);
+	}
+	count += order_others(targets, services, service_count, flow,
+			      DY_FLOW_SEARCH_MAX - count, &places[count]);
 	/* One that is silent would end the walk: those come last. */
-	for (i = 0; i < found; i++)
+	for (i = 0; i < count; i++)
 		places[i].score = places[i].target->suspect ||
 				  places[i].target->silent_until_ms > now_ms;
-	sort_by_score(places, found);
-	for (i = 0; i < found && count < DY_FLOW_TRIES; i++)
-		list[count++] = places[i].target->address;
-	if (i < all->len)
-		*complete = 0;
+	sort_by_score(places, count);
+	for (i = 0; i < count; i++)
+		list[i] = places[i].target->address;
+	*complete = count + count_homeless(targets) == total;
 	return count;
 }
 
