--- a/include/damaskyard/control.h
+++ b/include/damaskyard/control.h
@@ -92,11 +92,17 @@
 	int open;
 	/*
 	 * Whether bytes are a document that every process would take; writes
-	 * the reason into message if not. NULL: the product's own document.
+	 * the reason into message if not. NULL: the product's own document,
+	 * which is judged where the log is applied. A check that is given is
+	 * asked before a document is proposed, and never again: a control that
+	 * has a small part of a core and restarts would else spend seconds on
+	 * judging each document of its log once more.
 	 */
 	int (*check)(void *context, const uint8_t *bytes, size_t size,
 		     char *message, size_t message_size);
 	void *check_context;
+	/* As in dy_raft_options_t; 0: the default. */
+	uint32_t snapshot_bytes;
 	dy_secrets_t secrets;
 	dy_lease_times_t leases;
 	dy_key_times_t keys;
@@ -129,7 +135,7 @@
  * it must not destroy the control.
  *
  * dy_control_raise() brings bytes into force in trial under number, unless
- * that or a higher one is in force. Status OK: they are, or were overtaken.
+ * that or a higher one is in force. The caller has judged them by the check. Status OK: they are, or were overtaken.
  * MALFORMED, with message: not a document. Others: not known to be in force.
  */
 typedef void dy_control_raised_cb_t(void *context, dy_status_t status,
--- a/include/damaskyard/flow_router.h
+++ b/include/damaskyard/flow_router.h
@@ -25,13 +25,6 @@
  */
 #define DY_FLOW_IDLE_MS 30000
 
-/*
- * A flow that no agent holds is only reset if that was so twice, this far
- * apart, in ms: an agent that joined between two polls of this balancer may
- * hold it.
- */
-#define DY_FLOW_MISSING_MS 1200
-
 typedef struct dy_flow_router dy_flow_router_t;
 
 typedef struct dy_flow_router_callbacks {
@@ -60,10 +53,14 @@
 			       const dy_member_t *member);
 
 /*
- * Say whether members and rules were confirmed lately. If not, a flow that is
- * not found is not reset.
+ * Say that the members were confirmed by a majority, in answer to a poll that
+ * was sent at polled_ms.
+ *
+ * A flow that no agent holds is reset only if it was searched for in vain
+ * before such a poll, and again after it: an agent that joined between two
+ * polls, and got the flow by another balancer, stands in the list by then.
  */
-void dy_flow_router_set_confirmed(dy_flow_router_t *router, int confirmed);
+void dy_flow_router_set_confirmed(dy_flow_router_t *router, uint64_t polled_ms);
 
 /* Take a packet of a caller; bytes is what was decoded into packet. */
 void dy_flow_router_take(dy_flow_router_t *router, const dy_packet_t *packet,
--- a/include/damaskyard/subscriber.h
+++ b/include/damaskyard/subscriber.h
@@ -28,6 +28,13 @@
 /* A control that has not answered by then is passed over, in ms. */
 #define DY_POLL_TIMEOUT_MS 400
 
+/*
+ * The same for a member that was never confirmed, in ms: it serves nobody yet,
+ * and the controls may be starting as well, as after a loss of power. Thirty
+ * round trips between failure domains.
+ */
+#define DY_POLL_FIRST_TIMEOUT_MS 100
+
 typedef struct dy_subscriber dy_subscriber_t;
 
 /*
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -31,7 +31,7 @@
 	dy_flow_rules_t *rules;
 	GHashTable *flows;
 	dy_list_t by_use;
-	int confirmed;
+	uint64_t confirmed_ms; /* when the last confirmed poll was sent */
 	dy_log_limit_t assigned_limit;
 	dy_log_limit_t reset_limit;
 	uint64_t *packets;
@@ -97,9 +97,9 @@
 	dy_flow_targets_set_member(router->targets, member);
 }
 
-void dy_flow_router_set_confirmed(dy_flow_router_t *router, int confirmed)
+void dy_flow_router_set_confirmed(dy_flow_router_t *router, uint64_t polled_ms)
 {
-	router->confirmed = confirmed;
+	router->confirmed_ms = polled_ms;
 }
 
 static void touch(dy_flow_router_t *router, flow_t *flow, uint64_t now_ms)
@@ -365,7 +365,7 @@
 static int is_over(dy_flow_router_t *router, flow_t *flow,
 		   const dy_flow_nowhere_t *nowhere, uint64_t now_ms)
 {
-	if (!nowhere->certain || !router->confirmed)
+	if (!nowhere->certain)
 		return 0;
 	if (flow->open && dy_address_equal(&flow->agent, &nowhere->agent))
 		return 1;
@@ -373,7 +373,7 @@
 		return 0;
 	if (!flow->missing_ms)
 		flow->missing_ms = now_ms;
-	return now_ms - flow->missing_ms >= DY_FLOW_MISSING_MS;
+	return router->confirmed_ms > flow->missing_ms;
 }
 
 static void take_refusal(dy_flow_router_t *router, flow_t *flow,
--- a/src/process/cmd_flow_balancer.c
+++ b/src/process/cmd_flow_balancer.c
@@ -188,9 +188,6 @@
 	int ready = balancer->confirmed && balancer->caught_up &&
 		    balancer->has_document && !balancer->stopping_ms;
 
-	dy_flow_router_set_confirmed(balancer->router,
-				     balancer->confirmed &&
-					     balancer->caught_up);
 	if (ready == balancer->ready)
 		return;
 	balancer->ready = ready;
@@ -247,6 +244,10 @@
 	flow_balancer_t *balancer = context;
 
 	balancer->caught_up = 1;
+	dy_flow_router_set_confirmed(
+		balancer->router,
+		now_ms(balancer) -
+			dy_subscriber_age_ms(balancer->member.subscriber));
 }
 
 static void begin_stop(void *context)
--- a/src/process/cmd_flow_control.c
+++ b/src/process/cmd_flow_control.c
@@ -16,6 +16,13 @@
 /* Number of the group: there is one where the seeds are told by a platform. */
 #define GROUP 1
 
+/*
+ * A snapshot is written beyond this much log, in bytes: some ten documents of
+ * today's size, which a control with a twentieth of a core applies in a few
+ * tenths of a second after a restart.
+ */
+#define SNAPSHOT_BYTES (1024 * 1024)
+
 /*
  * Before a control whose disk failed is started again, in ms. A full disk
  * refuses every write for seconds; trying costs little.
@@ -31,6 +38,7 @@
 	options->listen = settings->inner;
 	options->open = 1;
 	options->check = operator_door_check;
+	options->snapshot_bytes = SNAPSHOT_BYTES;
 	options->secrets = settings->secrets;
 	options->leases.lease_ms = DY_LEASE_MS;
 	options->leases.keep_ms = (uint64_t)DY_MEMBER_KEEP_S * 1000;
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -308,10 +308,9 @@
 	dy_document_t *document;
 	GError *error = NULL;
 
+	/* Judged before it was proposed; see dy_control_options_t. */
 	if (control->options.check)
-		return control->options.check(control->options.check_context,
-					      bytes, size, message,
-					      message_size);
+		return 1;
 	document = dy_document_parse(bytes, size, &error);
 	if (document) {
 		dy_document_destroy(document);
@@ -385,6 +384,7 @@
 
 	dy_random_fill(&options.seed, sizeof(options.seed));
 	options.metrics = control->metrics;
+	options.snapshot_bytes = control->options.snapshot_bytes;
 	control->raft = dy_raft_create(control->store, &options, &callbacks,
 				       control_now_ms(control), error);
 	return control->raft ? 0 : -1;
--- a/src/process/control_change.c
+++ b/src/process/control_change.c
@@ -156,6 +156,7 @@
 {
 	dy_control_t *control = request->control;
 	const char *digest = request->args.change.digest;
+	char message[256];
 	dy_raft_result_t result;
 	const uint8_t *bytes;
 	uint32_t size;
@@ -169,6 +170,12 @@
 			      "put the document's bytes first");
 		return 1;
 	}
+	if (control->options.check &&
+	    !control->options.check(control->options.check_context, bytes, size,
+				    message, sizeof(message))) {
+		refuse_change(request, DY_STATUS_MALFORMED, message);
+		return 1;
+	}
 	result = control_propose_content(control, digest, bytes, size);
 	if (result == DY_RAFT_DONE)
 		return 0;
--- a/src/process/subscriber.c
+++ b/src/process/subscriber.c
@@ -333,11 +333,13 @@
 {
 	dy_subscriber_t *subscriber = context;
 	uint64_t now = now_ms(subscriber);
+	uint64_t timeout_ms = subscriber->confirmed ? DY_POLL_TIMEOUT_MS
+						    : DY_POLL_FIRST_TIMEOUT_MS;
 
 	if (!subscriber->has_info)
 		return;
 	if (subscriber->polling &&
-	    now - subscriber->poll_sent_ms >= DY_POLL_TIMEOUT_MS) {
+	    now - subscriber->poll_sent_ms >= timeout_ms) {
 		++*subscriber->poll_timeouts;
 		subscriber->polling = 0;
 		subscriber->next_poll_ms = now;
