--- a/include/damaskyard/flow_router.h
+++ b/include/damaskyard/flow_router.h
@@ -25,6 +25,13 @@
  */
 #define DY_FLOW_IDLE_MS 30000
 
+/*
+ * Flows remembered at most; the one idle longest makes room. At some 250 bytes
+ * each these are 50 MB, where a balancer has 80; a flow that is not remembered
+ * is found again by asking.
+ */
+#define DY_FLOWS_MAX 200000
+
 typedef struct dy_flow_router dy_flow_router_t;
 
 typedef struct dy_flow_router_callbacks {
@@ -32,6 +39,8 @@
 	void (*forward)(void *context, dy_flow_forward_t *forward);
 	/* Reset a flow towards its caller. */
 	void (*reset)(void *context, const dy_flow_id_t *flow, uint32_t seq);
+	/* Have the members confirmed soon; see set_confirmed(). */
+	void (*confirm)(void *context);
 } dy_flow_router_callbacks_t;
 
 typedef struct dy_flow_router_config {
@@ -56,9 +65,10 @@
  * Say that the members were confirmed by a majority, in answer to a poll that
  * was sent at polled_ms.
  *
- * A flow that no agent holds is reset only if it was searched for in vain
- * before such a poll, and again after it: an agent that joined between two
- * polls, and got the flow by another balancer, stands in the list by then.
+ * A flow that no agent holds is reset only once a poll that was sent after the
+ * search told of no change of members: an agent that had joined by then, and
+ * got the flow by another balancer, would not have been asked. If there was a
+ * change, the flow is searched for again with its next packet.
  */
 void dy_flow_router_set_confirmed(dy_flow_router_t *router, uint64_t polled_ms);
 
--- a/include/damaskyard/subscriber.h
+++ b/include/damaskyard/subscriber.h
@@ -25,6 +25,9 @@
  */
 #define DY_POLL_MS 500
 
+/* Polls that are pressed for are no nearer than this, in ms. */
+#define DY_POLL_PRESSED_MS 50
+
 /* A control that has not answered by then is passed over, in ms. */
 #define DY_POLL_TIMEOUT_MS 400
 
@@ -41,7 +44,10 @@
  * Each takes what it is given by reference, for the length of the call.
  */
 typedef struct dy_subscriber_callbacks {
-	/* A newer document, whole; its digest has been checked. */
+	/*
+	 * A newer document, whole; its digest has been checked. NULL: this
+	 * member needs none, and none is fetched.
+	 */
 	void (*document)(void *context, const dy_document_info_t *info,
 			 const uint8_t *bytes, size_t len);
 	void (*member)(void *context, const dy_member_t *member);
@@ -85,6 +91,12 @@
 			     dy_member_state_t state,
 			     const uint64_t *successors, unsigned count);
 
+/*
+ * Poll now rather than at the next time, for one that waits for a confirmation.
+ * At most once in DY_POLL_PRESSED_MS.
+ */
+void dy_subscriber_press(dy_subscriber_t *subscriber);
+
 /* Say that the document of that number is in force here. Polls at once. */
 void dy_subscriber_set_document(dy_subscriber_t *subscriber, uint64_t number);
 
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -16,7 +16,10 @@
 	int told;	    /* the agent said that it holds the flow */
 	int open;	    /* and that its target has the whole handshake */
 	uint64_t used_ms;
-	uint64_t missing_ms; /* when it was first found nowhere; 0: not */
+	dy_list_t missing_link; /* found nowhere, to be confirmed */
+	uint64_t missing_ms;	/* since when */
+	uint64_t searched_among; /* generation of the members then */
+	dy_packet_t missing;	 /* the packet that was searched for */
 } flow_t;
 
 /* How far a search for a flow's holder is. */
@@ -31,7 +34,8 @@
 	dy_flow_rules_t *rules;
 	GHashTable *flows;
 	dy_list_t by_use;
-	uint64_t confirmed_ms; /* when the last confirmed poll was sent */
+	dy_list_t missing;
+	uint64_t generation; /* of the members */
 	dy_log_limit_t assigned_limit;
 	dy_log_limit_t reset_limit;
 	uint64_t *packets;
@@ -56,6 +60,7 @@
 					      dy_flow_id_table_equal, NULL,
 					      g_free);
 	dy_list_init(&router->by_use);
+	dy_list_init(&router->missing);
 	router->assigned_limit = limit;
 	router->reset_limit = limit;
 	router->packets = dy_metrics_counter(metrics, "packets");
@@ -94,14 +99,11 @@
 void dy_flow_router_set_member(dy_flow_router_t *router,
 			       const dy_member_t *member)
 {
+	if (member->info.kind == DY_MEMBER_AGENT)
+		router->generation++;
 	dy_flow_targets_set_member(router->targets, member);
 }
 
-void dy_flow_router_set_confirmed(dy_flow_router_t *router, uint64_t polled_ms)
-{
-	router->confirmed_ms = polled_ms;
-}
-
 static void touch(dy_flow_router_t *router, flow_t *flow, uint64_t now_ms)
 {
 	flow->used_ms = now_ms;
@@ -109,27 +111,32 @@
 	dy_list_append(&router->by_use, &flow->link);
 }
 
+static void drop_flow(dy_flow_router_t *router, flow_t *flow)
+{
+	dy_list_remove(&flow->link);
+	dy_list_remove(&flow->missing_link);
+	g_hash_table_remove(router->flows, &flow->id);
+}
+
 static flow_t *keep_flow(dy_flow_router_t *router, const dy_flow_id_t *id,
 			 uint64_t now_ms)
 {
 	flow_t *flow = g_hash_table_lookup(router->flows, id);
 
 	if (!flow) {
+		if (g_hash_table_size(router->flows) >= DY_FLOWS_MAX)
+			drop_flow(router, DY_LIST_ITEM(router->by_use.next,
+						       flow_t, link));
 		flow = g_new0(flow_t, 1);
 		flow->id = *id;
 		dy_list_init(&flow->link);
+		dy_list_init(&flow->missing_link);
 		g_hash_table_insert(router->flows, &flow->id, flow);
 	}
 	touch(router, flow, now_ms);
 	return flow;
 }
 
-static void drop_flow(dy_flow_router_t *router, flow_t *flow)
-{
-	dy_list_remove(&flow->link);
-	g_hash_table_remove(router->flows, &flow->id);
-}
-
 static void reset(dy_flow_router_t *router, const dy_packet_t *packet,
 		  const char *reason, uint64_t now_ms)
 {
@@ -148,6 +155,25 @@
 					packet->ack);
 }
 
+void dy_flow_router_set_confirmed(dy_flow_router_t *router, uint64_t polled_ms)
+{
+	dy_list_t *pos;
+	dy_list_t *tmp;
+	flow_t *flow;
+
+	DY_LIST_EACH_SAFE(pos, tmp, &router->missing)
+	{
+		flow = DY_LIST_ITEM(pos, flow_t, missing_link);
+		if (polled_ms <= flow->missing_ms)
+			continue;
+		dy_list_remove(&flow->missing_link);
+		if (flow->searched_among != router->generation)
+			continue;
+		reset(router, &flow->missing, "nowhere", polled_ms);
+		drop_flow(router, flow);
+	}
+}
+
 static void emit(dy_flow_router_t *router, dy_flow_forward_t *forward,
 		 uint8_t *bytes, size_t len)
 {
@@ -295,6 +321,7 @@
 	dy_flow_forward_t forward = { 0 };
 	unsigned first = (at->window - 1) * DY_FLOW_TRIES;
 	int complete = 0;
+	flow_t *flow;
 	unsigned total;
 	unsigned count;
 	unsigned i;
@@ -314,6 +341,9 @@
 		return;
 	}
 	++*router->searched;
+	flow = keep_flow(router, &packet->flow, now_ms);
+	if (at->window == 1)
+		flow->searched_among = router->generation;
 	count = MIN(total - first, (unsigned)DY_FLOW_TRIES);
 	forward.tell = 1;
 	forward.window = at->window;
@@ -358,22 +388,27 @@
 	flow->agent = held->agent;
 	flow->told = 1;
 	flow->open = held->open;
-	flow->missing_ms = 0;
+	dy_list_remove(&flow->missing_link);
+}
+
+/*
+ * Whether a flow certainly is over: the agent that had it open lost it.
+ */
+static int is_over(const flow_t *flow, const dy_flow_nowhere_t *nowhere)
+{
+	return nowhere->certain && flow->open &&
+	       dy_address_equal(&flow->agent, &nowhere->agent);
 }
 
-/* Whether a flow that was found nowhere certainly is over. */
-static int is_over(dy_flow_router_t *router, flow_t *flow,
-		   const dy_flow_nowhere_t *nowhere, uint64_t now_ms)
+/* No agent that is known here holds the flow: have that confirmed. */
+static void note_missing(dy_flow_router_t *router, flow_t *flow,
+			 const dy_packet_t *packet, uint64_t now_ms)
 {
-	if (!nowhere->certain)
-		return 0;
-	if (flow->open && dy_address_equal(&flow->agent, &nowhere->agent))
-		return 1;
-	if (!nowhere->complete)
-		return 0;
-	if (!flow->missing_ms)
-		flow->missing_ms = now_ms;
-	return router->confirmed_ms > flow->missing_ms;
+	flow->missing_ms = now_ms;
+	flow->missing = *packet;
+	dy_list_remove(&flow->missing_link);
+	dy_list_append(&router->missing, &flow->missing_link);
+	router->config.callbacks->confirm(router->config.context);
 }
 
 static void take_refusal(dy_flow_router_t *router, flow_t *flow,
@@ -401,8 +436,8 @@
 	}
 	if (!flow)
 		flow = keep_flow(router, &nowhere->flow, now_ms);
-	if (is_over(router, flow, nowhere, now_ms)) {
-		reset(router, packet, "nowhere", now_ms);
+	if (is_over(flow, nowhere)) {
+		reset(router, packet, "lost_by_holder", now_ms);
 		drop_flow(router, flow);
 		return;
 	}
@@ -415,6 +450,8 @@
 	}
 	if (nowhere->complete) {
 		++*router->lost;
+		if (nowhere->certain)
+			note_missing(router, flow, packet, now_ms);
 		return;
 	}
 	next.window = nowhere->window + 1;
--- a/src/process/cmd_flow_agent.c
+++ b/src/process/cmd_flow_agent.c
@@ -124,8 +124,6 @@
 	flow_agent_t *agent = context;
 	flow_member_t *member = &agent->member;
 
-	if (dy_flow_holder_has_target(agent->holder))
-		member->info.service = member->settings.service;
 	member->info.slots = dy_flow_holder_slots(agent->holder);
 	dy_subscriber_set_info(member->subscriber, &member->info);
 	dy_subscriber_set_state(member->subscriber, member_state(agent), NULL,
@@ -259,15 +257,6 @@
 	}
 }
 
-static void on_document(void *context, const dy_document_info_t *info,
-			const uint8_t *bytes, size_t len)
-{
-	(void)context;
-	(void)info;
-	(void)bytes;
-	(void)len;
-}
-
 static void on_member(void *context, const dy_member_t *member)
 {
 	(void)context;
@@ -317,7 +306,7 @@
 }
 
 static const dy_subscriber_callbacks_t subscriber_callbacks = {
-	on_document,  on_member,  on_key,     on_granted,
+	NULL,	      on_member,  on_key,     on_granted,
 	on_caught_up, begin_stop, on_refused,
 };
 
@@ -398,6 +387,12 @@
 		ok = open_sockets(agent, error);
 	}
 	if (ok) {
+		/*
+		 * Its service is told before its target is heard of: after a
+		 * restart of the agent the target may hold flows, and balancers
+		 * search them among the service's agents.
+		 */
+		agent->member.info.service = agent->member.settings.service;
 		flow_member_subscribe(&agent->member, DY_MEMBER_AGENT,
 				      &subscriber_callbacks);
 		dy_subscriber_set_state(agent->member.subscriber,
--- a/src/process/cmd_flow_balancer.c
+++ b/src/process/cmd_flow_balancer.c
@@ -79,9 +79,17 @@
 	dy_endpoint_send_to(balancer->packets, bytes, sizeof(bytes), &caller);
 }
 
+static void confirm_members(void *context)
+{
+	flow_balancer_t *balancer = context;
+
+	dy_subscriber_press(balancer->member.subscriber);
+}
+
 static const dy_flow_router_callbacks_t router_callbacks = {
 	send_forward,
 	send_reset,
+	confirm_members,
 };
 
 static void on_packet(void *context, uint8_t *bytes, size_t len,
--- a/src/process/flow_member.c
+++ b/src/process/flow_member.c
@@ -87,7 +87,8 @@
 	member->info.environment = FLOW_ENVIRONMENT;
 	member->info.domain = member->settings.domain;
 	member->info.address = member->settings.inner;
-	member->info.service = "";
+	if (!member->info.service)
+		member->info.service = "";
 	member->info.labels = "";
 	dy_subscriber_set_info(member->subscriber, &member->info);
 }
--- a/src/process/flow_member.h
+++ b/src/process/flow_member.h
@@ -43,7 +43,10 @@
 gboolean flow_member_open(flow_member_t *member, dy_endpoint_cb_t *receive,
 			  void *context, GError **error);
 
-/* Create the subscription; info's strings are the settings'. */
+/*
+ * Create the subscription. info's strings are the settings', but for its
+ * service, which the caller may have set.
+ */
 void flow_member_subscribe(flow_member_t *member, dy_member_kind_t kind,
 			   const dy_subscriber_callbacks_t *callbacks);
 
--- a/src/process/raft.c
+++ b/src/process/raft.c
@@ -178,7 +178,7 @@
 	dy_assert(dy_store_entry_term(store, dy_store_last_index(store)) <=
 		  raft->term);
 	raft_reload_configs(raft);
-	raft_reset_election(raft);
+	raft_expect_leader(raft);
 	if (!dy_store_snapshot(store) || !raft_load_snapshot(raft))
 		return raft;
 	g_propagate_error(error, g_error_copy(raft->failure));
--- a/src/process/raft_election.c
+++ b/src/process/raft_election.c
@@ -2,6 +2,13 @@
 
 #include "damaskyard/invariant.h"
 
+/*
+ * A member that starts waits for a leader a quarter of an election timeout:
+ * two heartbeats and more. If there is one, its followers refuse the pre-vote;
+ * if all start at once, as after a loss of power, nobody waits for longer.
+ */
+#define FIRST_ELECTION_PART 4
+
 static const dy_voter_id_t nobody;
 
 void raft_reset_election(dy_raft_t *raft)
@@ -12,6 +19,14 @@
 			       g_rand_int_range(raft->rand, 0, (gint32)least);
 }
 
+void raft_expect_leader(dy_raft_t *raft)
+{
+	uint32_t least = raft->options.election_ms / FIRST_ELECTION_PART;
+
+	raft->election_at_ms = raft->now_ms + least +
+			       g_rand_int_range(raft->rand, 0, (gint32)least);
+}
+
 static void set_leader(dy_raft_t *raft, dy_voter_id_t leader)
 {
 	dy_assert(raft->seen_leader_term < raft->term ||
--- a/src/process/raft_private.h
+++ b/src/process/raft_private.h
@@ -143,6 +143,8 @@
 
 /* raft_election.c */
 void raft_reset_election(dy_raft_t *raft);
+/* Set the election timeout of a member that has just started. */
+void raft_expect_leader(dy_raft_t *raft);
 void raft_start_election(dy_raft_t *raft, int pre, int transfer);
 /* Follow; term is the current one or a greater one. */
 void raft_step_down(dy_raft_t *raft, uint64_t term);
--- a/src/process/subscriber.c
+++ b/src/process/subscriber.c
@@ -179,6 +179,8 @@
 
 	switch (delta->kind) {
 	case DY_DELTA_DOCUMENT:
+		if (!calls->document)
+			break;
 		document_fetch_begin(subscriber->fetch,
 				     &delta->dy_delta_t_u.document,
 				     now_ms(subscriber));
@@ -431,6 +433,16 @@
 	poll_soon(subscriber);
 }
 
+void dy_subscriber_press(dy_subscriber_t *subscriber)
+{
+	uint64_t earliest = subscriber->poll_sent_ms + DY_POLL_PRESSED_MS;
+
+	if (subscriber->has_info && !subscriber->polling &&
+	    subscriber->next_poll_ms > earliest)
+		subscriber->next_poll_ms = earliest;
+	on_tick(subscriber);
+}
+
 void dy_subscriber_set_document(dy_subscriber_t *subscriber, uint64_t number)
 {
 	subscriber->document = number;
