--- a/include/damaskyard/flow_holder.h
+++ b/include/damaskyard/flow_holder.h
@@ -109,11 +109,11 @@
 /* Report the load and forget what is over. Call it each 200 ms. */
 void dy_flow_holder_tick(dy_flow_holder_t *holder, uint64_t now_ms);
 
-/* Whether opening packets are taken, the announced slots, and whether a
- * target was heard of at all. */
+/* Whether opening packets are taken, and the announced slots. */
 int dy_flow_holder_accepts(const dy_flow_holder_t *holder);
 uint32_t dy_flow_holder_slots(const dy_flow_holder_t *holder);
-int dy_flow_holder_has_target(const dy_flow_holder_t *holder);
+/* Whether no target is there: it left, fell silent, or was never heard. */
+int dy_flow_holder_is_over(const dy_flow_holder_t *holder, uint64_t now_ms);
 /* Open or opening flows. */
 unsigned dy_flow_holder_count(const dy_flow_holder_t *holder);
 
--- a/include/damaskyard/flow_router.h
+++ b/include/damaskyard/flow_router.h
@@ -9,6 +9,9 @@
  * flow that is not known here, as after a restart of this balancer or a
  * change of the fabric's spraying, is sent along the agents that may hold it;
  * the one that does tells. Nothing is shared between balancers.
+ *
+ * A flow whose agent is lost is reset at its next packet: the caller waits in
+ * vain, and can open another now.
  */
 
 #include <stdint.h>
@@ -83,7 +86,7 @@
 			    const dy_flow_nowhere_t *nowhere,
 			    const dy_packet_t *packet, uint64_t now_ms);
 void dy_flow_router_report(dy_flow_router_t *router,
-			   const dy_flow_report_t *report);
+			   const dy_flow_report_t *report, uint64_t now_ms);
 
 /* Forget flows that were idle for too long. Call it some times a second. */
 void dy_flow_router_expire(dy_flow_router_t *router, uint64_t now_ms);
--- a/include/damaskyard/flow_targets.h
+++ b/include/damaskyard/flow_targets.h
@@ -57,6 +57,12 @@
  */
 #define DY_FLOW_SILENT_MS 3000
 
+/*
+ * An agent reports each 200 ms to balancers that send it packets; ten reports
+ * in a row are not lost by a bad link, and a lease is over after 3 s.
+ */
+#define DY_FLOW_LOST_MS 2000
+
 typedef struct dy_flow_targets dy_flow_targets_t;
 
 /* domain is this balancer's failure domain, kept by reference. */
@@ -70,7 +76,15 @@
 /* Take what the agent at that address said of its load. */
 void dy_flow_targets_set_load(dy_flow_targets_t *targets,
 			      const dy_address_t *agent,
-			      const dy_flow_load_t *load);
+			      const dy_flow_load_t *load, uint64_t now_ms);
+
+/*
+ * Whether the agent at that address is lost: its lease ran out, and it has
+ * said nothing to this balancer either for DY_FLOW_LOST_MS. An agent that is
+ * cut off from control alone is not lost.
+ */
+int dy_flow_targets_is_lost(const dy_flow_targets_t *targets,
+			    const dy_address_t *agent, uint64_t now_ms);
 
 /* Note that a flow was sent to the agent, or that it did not answer one. */
 void dy_flow_targets_note_opened(dy_flow_targets_t *targets,
@@ -96,8 +110,8 @@
 /*
  * List the agents that may hold an open flow, likeliest first: those of the
  * given services, then the others, since an entry may have named another
- * service when the flow was opened. complete tells whether these are all.
- * Returns how many.
+ * service when the flow was opened. Lost agents are left out. complete tells
+ * whether these are all. Returns how many.
  */
 unsigned dy_flow_targets_search(const dy_flow_targets_t *targets,
 				const char *const *services,
--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -55,6 +55,7 @@
 	dy_flow_holder_config_t config;
 	int has_target;
 	int ready;
+	int left; /* the target said that it has ended */
 	int stopping;
 	int saw_start; /* no flow of the target is older than this agent */
 	dy_target_notice_t notice;
@@ -198,9 +199,10 @@
 	return holder->notice.slots;
 }
 
-int dy_flow_holder_has_target(const dy_flow_holder_t *holder)
+int dy_flow_holder_is_over(const dy_flow_holder_t *holder, uint64_t now_ms)
 {
-	return holder->has_target;
+	return !holder->has_target || holder->left ||
+	       now_ms - holder->noticed_ms > DY_TARGET_SILENT_MS;
 }
 
 unsigned dy_flow_holder_count(const dy_flow_holder_t *holder)
@@ -234,6 +236,7 @@
 			    notice->sequence <= FIRST_SEQUENCE;
 	drop_all_flows(holder);
 	holder->has_target = 1;
+	holder->left = 0;
 	holder->ready = 0;
 }
 
@@ -297,8 +300,10 @@
 
 void dy_flow_holder_leave(dy_flow_holder_t *holder, const char *id)
 {
-	if (holder->has_target && !strcmp(id, holder->notice.id))
-		set_ready(holder, 0, "left");
+	if (!holder->has_target || strcmp(id, holder->notice.id) != 0)
+		return;
+	holder->left = 1;
+	set_ready(holder, 0, "left");
 }
 
 void dy_flow_holder_stop(dy_flow_holder_t *holder)
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -372,6 +372,11 @@
 		return;
 	}
 	touch(router, flow, now_ms);
+	if (dy_flow_targets_is_lost(router->targets, &flow->agent, now_ms)) {
+		reset(router, packet, "agent_lost", now_ms);
+		drop_flow(router, flow);
+		return;
+	}
 	send_to_holder(router, flow, "", bytes, len);
 }
 
@@ -380,7 +385,8 @@
 {
 	flow_t *flow = keep_flow(router, &held->flow, now_ms);
 
-	dy_flow_targets_set_load(router->targets, &held->agent, &held->load);
+	dy_flow_targets_set_load(router->targets, &held->agent, &held->load,
+				 now_ms);
 	/* One that only half holds it does not speak against one that does. */
 	if (flow->open && !held->open &&
 	    !dy_address_equal(&flow->agent, &held->agent))
@@ -461,10 +467,10 @@
 }
 
 void dy_flow_router_report(dy_flow_router_t *router,
-			   const dy_flow_report_t *report)
+			   const dy_flow_report_t *report, uint64_t now_ms)
 {
-	dy_flow_targets_set_load(router->targets, &report->agent,
-				 &report->load);
+	dy_flow_targets_set_load(router->targets, &report->agent, &report->load,
+				 now_ms);
 }
 
 void dy_flow_router_expire(dy_flow_router_t *router, uint64_t now_ms)
--- a/src/process/cmd_flow_agent.c
+++ b/src/process/cmd_flow_agent.c
@@ -290,8 +290,13 @@
 	dy_log_event(DY_LOG_INFO, "stop_begun", "flows=%u",
 		     dy_flow_holder_count(agent->holder));
 	dy_flow_holder_stop(agent->holder);
-	dy_subscriber_set_state(agent->member.subscriber, DY_MEMBER_DRAINING,
-				NULL, 0);
+	/* With its target gone it holds no flow, and nobody need search it. */
+	dy_subscriber_set_state(
+		agent->member.subscriber,
+		dy_flow_holder_is_over(agent->holder, agent->stopping_ms)
+			? DY_MEMBER_LEFT
+			: DY_MEMBER_DRAINING,
+		NULL, 0);
 }
 
 /* As in the balancer: its lease ran out while it was stopped. */
--- a/src/process/cmd_flow_balancer.c
+++ b/src/process/cmd_flow_balancer.c
@@ -148,7 +148,8 @@
 	dy_flow_report_t report = { 0 };
 
 	if (dy_sealed_fill(message, (xdrproc_t)xdr_dy_flow_report_t, &report))
-		dy_flow_router_report(balancer->router, &report);
+		dy_flow_router_report(balancer->router, &report,
+				      now_ms(balancer));
 }
 
 static void on_message(void *context, uint8_t *bytes, size_t len,
--- a/src/version/flow_targets.c
+++ b/src/version/flow_targets.c
@@ -20,6 +20,7 @@
 	dy_flow_load_t load;
 	uint32_t opened; /* flows sent there since its last report */
 	uint64_t silent_until_ms;
+	uint64_t heard_ms; /* when it last said anything to this balancer */
 } target_t;
 
 struct dy_flow_targets {
@@ -189,7 +190,7 @@
 
 void dy_flow_targets_set_load(dy_flow_targets_t *targets,
 			      const dy_address_t *agent,
-			      const dy_flow_load_t *load)
+			      const dy_flow_load_t *load, uint64_t now_ms)
 {
 	target_t *target = find_by_address(targets, agent);
 
@@ -198,6 +199,20 @@
 	target->load = *load;
 	target->opened = 0;
 	target->silent_until_ms = 0;
+	target->heard_ms = now_ms;
+}
+
+static int is_lost(const target_t *target, uint64_t now_ms)
+{
+	return target->suspect && now_ms - target->heard_ms > DY_FLOW_LOST_MS;
+}
+
+int dy_flow_targets_is_lost(const dy_flow_targets_t *targets,
+			    const dy_address_t *agent, uint64_t now_ms)
+{
+	const target_t *target = find_by_address(targets, agent);
+
+	return target && is_lost(target, now_ms);
 }
 
 void dy_flow_targets_note_opened(dy_flow_targets_t *targets,
@@ -263,7 +278,8 @@
 
 /* The first max targets in the flow's order, all or those that serve. */
 static unsigned order_targets(const GPtrArray *list, const dy_flow_id_t *flow,
-			      int serving, unsigned max, place_t *places)
+			      int serving, uint64_t now_ms, unsigned max,
+			      place_t *places)
 {
 	uint64_t hash = dy_flow_id_hash(flow);
 	unsigned count = 0;
@@ -272,7 +288,8 @@
 
 	for (i = 0; i < list->len; i++) {
 		place.target = g_ptr_array_index(list, i);
-		if (serving && !place.target->serving)
+		if (serving ? !place.target->serving
+			    : is_lost(place.target, now_ms))
 			continue;
 		place.rank = rank_of(place.target, hash);
 		count = insert_by_rank(places, count, max, &place);
@@ -306,7 +323,7 @@
 
 	if (!all)
 		return 0;
-	count = order_targets(all, flow, 1, DY_FLOW_CHOICES, places);
+	count = order_targets(all, flow, 1, now_ms, DY_FLOW_CHOICES, places);
 	for (i = 0; i < count; i++)
 		places[i].score = score_of(places[i].target, now_ms);
 	sort_by_score(places, count);
@@ -329,8 +346,8 @@
 /* Agents of all other services, where they are few enough to be asked. */
 static unsigned order_others(const dy_flow_targets_t *targets,
 			     const char *const *services, unsigned count,
-			     const dy_flow_id_t *flow, unsigned max,
-			     place_t *places)
+			     const dy_flow_id_t *flow, uint64_t now_ms,
+			     unsigned max, place_t *places)
 {
 	uint64_t hash = dy_flow_id_hash(flow);
 	place_t place = { 0 };
@@ -344,6 +361,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		place.target = value;
 		if (!place.target->service ||
+		    is_lost(place.target, now_ms) ||
 		    is_named(place.target, services, count))
 			continue;
 		place.rank = rank_of(place.target, hash);
@@ -352,7 +370,9 @@
 	return found;
 }
 
-static unsigned count_homeless(const dy_flow_targets_t *targets)
+/* Agents that are not searched: in no service, or lost. */
+static unsigned count_unsearched(const dy_flow_targets_t *targets,
+				 uint64_t now_ms)
 {
 	GHashTableIter iter;
 	unsigned count = 0;
@@ -360,7 +380,8 @@
 
 	g_hash_table_iter_init(&iter, targets->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		count += !((const target_t *)value)->service;
+		count += !((const target_t *)value)->service ||
+			 is_lost(value, now_ms);
 	return count;
 }
 
@@ -380,11 +401,11 @@
 	for (i = 0; i < service_count; i++) {
 		all = g_hash_table_lookup(targets->services, services[i]);
 		if (all)
-			count += order_targets(all, flow, 0,
+			count += order_targets(all, flow, 0, now_ms,
 					       DY_FLOW_SEARCH_MAX - count,
 					       &places[count]);
 	}
-	count += order_others(targets, services, service_count, flow,
+	count += order_others(targets, services, service_count, flow, now_ms,
 			      DY_FLOW_SEARCH_MAX - count, &places[count]);
 	/* One that is silent would end the walk: those come last. */
 	for (i = 0; i < count; i++)
@@ -393,7 +414,7 @@
 	sort_by_score(places, count);
 	for (i = 0; i < count; i++)
 		list[i] = places[i].target->address;
-	*complete = count + count_homeless(targets) == total;
+	*complete = count + count_unsearched(targets, now_ms) == total;
 	return count;
 }
 
