--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 
 CC = gcc
 CLANG = clang
-PKGS = libuv libtirpc glib-2.0 libxxhash jansson
+PKGS = libuv libtirpc glib-2.0 libxxhash jansson zlib
 PREFIX = /usr/local
 VERSION = 0.1.0
 
--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -489,6 +489,17 @@
 		tell_held(holder, &forward->balancer, flow, now_ms);
 }
 
+/*
+ * Guards against a search that ends at a target which is gone: it gives
+ * nothing back, and the agents behind it are never asked. Whether the flow was
+ * there stays open.
+ */
+static int is_silent(const dy_flow_holder_t *holder, uint64_t now_ms)
+{
+	return holder->has_target &&
+	       now_ms - holder->noticed_ms > DY_TARGET_SILENT_MS;
+}
+
 void dy_flow_holder_take(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
 			 const dy_packet_t *packet, uint64_t now_ms)
 {
@@ -503,6 +514,8 @@
 		take_known(holder, forward, packet, flow, now_ms);
 	else if (knows_all(holder))
 		pass_on(holder, forward, packet, 1);
+	else if (is_silent(holder, now_ms))
+		pass_on(holder, forward, packet, 0);
 	else
 		give(holder, forward);
 }
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -18,6 +18,7 @@
 	uint64_t used_ms;
 	dy_list_t missing_link; /* found nowhere, to be confirmed */
 	uint64_t missing_ms;	/* since when */
+	unsigned searches;	/* since it was last found */
 	uint64_t searched_among; /* generation of the members then */
 	dy_packet_t missing;	 /* the packet that was searched for */
 } flow_t;
@@ -306,6 +307,24 @@
 	emit(router, &forward, bytes, len);
 }
 
+/*
+ * Guards against an agent that is gone and not known to be: a search ends at
+ * it, and a retransmission would end there again. Each further search of a
+ * flow begins further down, every second one goes backwards.
+ */
+static void turn_list(dy_address_t *list, unsigned count, unsigned searches)
+{
+	dy_address_t copy[DY_FLOW_TRIES];
+	unsigned i;
+
+	memcpy(copy, list, count * sizeof(*list));
+	for (i = 0; i < count; i++)
+		list[i] = searches % 2
+				  ? copy[(2 * count - 1 - i - searches / 2) %
+					 count]
+				  : copy[(i + searches / 2) % count];
+}
+
 /*
  * Send a packet along the agents that may hold its flow: those of one window,
  * counted from 1, of the order in which they are asked.
@@ -342,8 +361,11 @@
 	}
 	++*router->searched;
 	flow = keep_flow(router, &packet->flow, now_ms);
-	if (at->window == 1)
+	if (at->window == 1) {
 		flow->searched_among = router->generation;
+		turn_list(list, MIN(total, (unsigned)DY_FLOW_TRIES),
+			  flow->searches++);
+	}
 	count = MIN(total - first, (unsigned)DY_FLOW_TRIES);
 	forward.tell = 1;
 	forward.window = at->window;
@@ -394,6 +416,7 @@
 	flow->agent = held->agent;
 	flow->told = 1;
 	flow->open = held->open;
+	flow->searches = 0;
 	dy_list_remove(&flow->missing_link);
 }
 
--- a/src/process/cmd_flow_balancer.c
+++ b/src/process/cmd_flow_balancer.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "command.h"
+#include "damaskyard/document_pack.h"
 #include "damaskyard/flow_router.h"
 #include "damaskyard/http.h"
 #include "damaskyard/log.h"
@@ -210,15 +211,20 @@
 			const uint8_t *bytes, size_t len)
 {
 	flow_balancer_t *balancer = context;
+	GByteArray *plain = dy_document_unpack(bytes, len, DY_DOCUMENT_BYTES);
 	GError *error = NULL;
-	dy_flow_rules_t *rules;
+	dy_flow_rules_t *rules = NULL;
 
-	rules = platform_configuration_parse(bytes, len, &error);
+	if (plain) {
+		rules = platform_configuration_parse(plain->data, plain->len,
+						     &error);
+		g_byte_array_unref(plain);
+	}
 	if (!rules) {
 		dy_log_event(DY_LOG_ERROR, "document_refused",
 			     "number=%lu error=%s", (unsigned long)info->number,
-			     dy_log_quote(error->message));
-		g_error_free(error);
+			     error ? dy_log_quote(error->message) : "damaged");
+		g_clear_error(&error);
 		return;
 	}
 	dy_log_event(DY_LOG_INFO, "document_in_force", "number=%lu entries=%u",
--- a/src/process/cmd_flow_control.c
+++ b/src/process/cmd_flow_control.c
@@ -17,11 +17,11 @@
 #define GROUP 1
 
 /*
- * A snapshot is written beyond this much log, in bytes: some ten documents of
- * today's size, which a control with a twentieth of a core applies in a few
+ * A snapshot is written beyond this much log, in bytes: some twenty packed documents
+ * of today's size, which a control with a twentieth of a core applies in a few
  * tenths of a second after a restart.
  */
-#define SNAPSHOT_BYTES (1024 * 1024)
+#define SNAPSHOT_BYTES (256 * 1024)
 
 /*
  * Before a control whose disk failed is started again, in ms. A full disk
--- a/src/process/operator_door.c
+++ b/src/process/operator_door.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "damaskyard/document_pack.h"
 #include "damaskyard/log.h"
 #include "platform/calls.h"
 #include "platform/configuration.h"
@@ -108,6 +109,7 @@
 		   const dy_http_request_t *request)
 {
 	GError *error = NULL;
+	GByteArray *packed;
 	dy_flow_rules_t *rules;
 	order_t *order;
 
@@ -125,23 +127,30 @@
 	order->version = dy_flow_rules_version(rules);
 	order->began_ms = dy_loop_now_ms(door->loop);
 	dy_flow_rules_destroy(rules);
-	dy_control_raise(door->control, request->body, request->body_len,
+	packed = dy_document_pack(request->body, request->body_len);
+	dy_control_raise(door->control, packed->data, packed->len,
 			 order->version, on_raised, order);
+	g_byte_array_unref(packed);
 }
 
 static void on_loaded(void *context, dy_status_t status, const uint8_t *bytes,
 		      size_t size)
 {
 	order_t *order = context;
-	const dy_http_answer_t answer = { .status = 200,
-					  .body = bytes,
-					  .body_len = size };
+	dy_http_answer_t answer = { .status = 200 };
+	GByteArray *plain = NULL;
 
 	if (status == DY_STATUS_OK)
+		plain = dy_document_unpack(bytes, size, BODY_MAX_BYTES);
+	if (plain) {
+		answer.body = plain->data;
+		answer.body_len = plain->len;
 		dy_http_answer(order->exchange, &answer);
-	else if (status != DY_STATUS_NOT_LEADER ||
-		 !redirect(order->door, order->exchange))
+		g_byte_array_unref(plain);
+	} else if (status != DY_STATUS_NOT_LEADER ||
+		   !redirect(order->door, order->exchange)) {
 		answer_unavailable(order->door, order->exchange);
+	}
 	g_free(order);
 }
 
@@ -224,11 +233,17 @@
 int operator_door_check(void *context, const uint8_t *bytes, size_t size,
 			char *message, size_t message_size)
 {
+	GByteArray *plain = dy_document_unpack(bytes, size, BODY_MAX_BYTES);
 	GError *error = NULL;
 	dy_flow_rules_t *rules;
 
 	(void)context;
-	rules = platform_configuration_parse(bytes, size, &error);
+	if (!plain) {
+		g_strlcpy(message, "it is damaged", message_size);
+		return 0;
+	}
+	rules = platform_configuration_parse(plain->data, plain->len, &error);
+	g_byte_array_unref(plain);
 	if (rules) {
 		dy_flow_rules_destroy(rules);
 		return 1;
