--- a/include/damaskyard/control.h
+++ b/include/damaskyard/control.h
@@ -65,10 +65,10 @@
 uint32_t dy_peers_lowest(const dy_peers_t *peers);
 
 /*
- * Voters of a group that grows by itself. Five bear the loss of two; each
- * more costs every entry one more copy.
+ * Losses of controls at once that a group bears if nothing else is said: the
+ * voters are twice that and one. Each more costs every entry two more copies.
  */
-#define DY_VOTERS_MAX 5
+#define DY_LOSSES_BORNE 1
 
 /* How a control ended. */
 typedef enum dy_control_end {
@@ -90,6 +90,8 @@
 	 * is let go once there are more than needed.
 	 */
 	int open;
+	/* Open groups: losses at once to be borne; 0: DY_LOSSES_BORNE. */
+	unsigned losses;
 	/*
 	 * Whether bytes are a document that every process would take; writes
 	 * the reason into message if not. NULL: the product's own document,
--- /dev/null
+++ b/soak/processes.c
@@ -0,0 +1,260 @@
+#include "soak.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <glib/gstdio.h>
+
+process_t *process_of_balancer(int number)
+{
+	return &soak.processes[CONTROLS + number - 1];
+}
+
+process_t *process_of_agent(int number)
+{
+	return &soak.processes[CONTROLS + BALANCERS + number - 1];
+}
+
+static void write_settings(process_t *process, int class, int number,
+			   int first_start)
+{
+	GString *text = g_string_new(NULL);
+	int base = (int)soak.base_port;
+	int i;
+
+	g_string_printf(text,
+			"[process]\nname=%s\nfailure-domain=d%d\n"
+			"first-start=%s\nstop-s=4\n",
+			process->name, number, first_start ? "true" : "false");
+	if (process->data)
+		g_string_append_printf(text, "data=%s\n", process->data);
+	g_string_append_printf(text, "[listen]\ninner-port=%d\n",
+			       base + PORT_INNER);
+	if (class != NET_CONTROL)
+		g_string_append_printf(text, "packets=%s:%d\nready=%s:%d\n",
+				       soak_ip(class, number),
+				       base + PORT_PACKETS,
+				       soak_ip(class, number),
+				       base + PORT_READY);
+	if (class != NET_BALANCER)
+		g_string_append_printf(text, "control=%s:%d\n",
+				       soak_ip(class, number),
+				       base + PORT_CONTROL);
+	if (class == NET_AGENT)
+		g_string_append_printf(
+			text,
+			"outbound=%s:%d\n[target]\naddress=%s:%d\n"
+			"service=%s\n",
+			soak_ip(class, number), base + PORT_OUTBOUND,
+			soak_ip(class, number), base + PORT_APP,
+			service_names[number == TARGETS]);
+	g_string_append(text, "[group]\nseeds=");
+	for (i = 1; i <= CONTROLS; i++)
+		g_string_append_printf(text, "%s%s:%d", i > 1 ? "," : "",
+				       soak_ip(NET_CONTROL, i),
+				       base + PORT_CONTROL);
+	g_string_append(text, "\n");
+	g_file_set_contents(process->settings, text->str, -1, NULL);
+	g_string_free(text, TRUE);
+}
+
+static void run_child(const process_t *process)
+{
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	dup2(process->log, STDOUT_FILENO);
+	dup2(process->log, STDERR_FILENO);
+	execl("build/damaskyard", "damaskyard", process->command, "--settings",
+	      process->settings, (char *)NULL);
+	_exit(127);
+}
+
+static void start(process_t *process)
+{
+	process->pid = fork();
+	if (!process->pid)
+		run_child(process);
+	process->start_at_ms = 0;
+	process->resume_at_ms = 0;
+	process->paused = 0;
+	process->expected_end = 0;
+	process->disturbed_ms = soak_now_ms();
+}
+
+static void create_process(process_t *process, const char *command, int class,
+			   int number)
+{
+	char *path;
+
+	g_snprintf(process->name, sizeof(process->name), "%s%d",
+		   command + strlen("flow-"), number);
+	process->command = command;
+	process->settings = g_strdup_printf("%s/%s.ini", soak.folder,
+					    process->name);
+	if (class == NET_CONTROL)
+		process->data = g_strdup_printf("%s/%s.data", soak.folder,
+						process->name);
+	path = g_strdup_printf("%s/%s.log", soak.folder, process->name);
+	process->log = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
+			    0600);
+	g_free(path);
+	process->wanted = 1;
+	write_settings(process, class, number, 1);
+	start(process);
+}
+
+void processes_create(void)
+{
+	int i;
+
+	for (i = 1; i <= CONTROLS; i++)
+		create_process(&soak.processes[i - 1], "flow-control",
+			       NET_CONTROL, i);
+	for (i = 1; i <= BALANCERS; i++)
+		create_process(process_of_balancer(i), "flow-balancer",
+			       NET_BALANCER, i);
+	for (i = 1; i <= TARGETS; i++)
+		create_process(process_of_agent(i), "flow-agent", NET_AGENT, i);
+}
+
+static void reap(process_t *process)
+{
+	int status;
+
+	if (!process->pid || waitpid(process->pid, &status, WNOHANG) <= 0)
+		return;
+	process->pid = 0;
+	if (process->expected_end)
+		return;
+	soak_break("a process ended by itself", "process=%s status=%d",
+		   process->name, status);
+	process->start_at_ms = soak_now_ms() + 200;
+}
+
+void processes_tick(void)
+{
+	uint64_t now = soak_now_ms();
+	process_t *process;
+	int i;
+
+	for (i = 0; i < PROCESSES; i++) {
+		process = &soak.processes[i];
+		reap(process);
+		if (process->resume_at_ms && now >= process->resume_at_ms) {
+			process->resume_at_ms = 0;
+			process->paused = 0;
+			process->disturbed_ms = now;
+			kill(process->pid, SIGCONT);
+		}
+		if (!process->pid && process->wanted && process->start_at_ms &&
+		    now >= process->start_at_ms)
+			start(process);
+	}
+}
+
+static void erase(const process_t *process)
+{
+	const char *name;
+	char *path;
+	GDir *dir = g_dir_open(process->data, 0, NULL);
+
+	while (dir && (name = g_dir_read_name(dir))) {
+		path = g_build_filename(process->data, name, NULL);
+		g_unlink(path);
+		g_free(path);
+	}
+	if (dir)
+		g_dir_close(dir);
+}
+
+/* One byte of the newest file changes, as on a disk that decays. */
+static void damage(const process_t *process)
+{
+	GDir *dir = g_dir_open(process->data, 0, NULL);
+	char *path = NULL;
+	const char *name;
+	uint8_t byte;
+	int file;
+
+	while (dir && (name = g_dir_read_name(dir)))
+		if (g_str_has_prefix(name, "log-")) {
+			g_free(path);
+			path = g_build_filename(process->data, name, NULL);
+		}
+	if (dir)
+		g_dir_close(dir);
+	file = path ? open(path, O_RDWR | O_CLOEXEC) : -1;
+	if (file >= 0 && pread(file, &byte, 1, 40) == 1) {
+		byte ^= 0x40;
+		if (pwrite(file, &byte, 1, 40) != 1)
+			fprintf(stderr, "soak: %s was not damaged\n", path);
+	}
+	if (file >= 0)
+		close(file);
+	g_free(path);
+}
+
+/* wipe: 1 its disk is lost, 2 a file is damaged. */
+void process_kill(process_t *process, int wipe, uint64_t back_ms)
+{
+	int status;
+
+	if (!process->pid)
+		return;
+	process->expected_end = 1;
+	kill(process->pid, SIGKILL);
+	waitpid(process->pid, &status, 0);
+	process->pid = 0;
+	process->paused = 0;
+	process->resume_at_ms = 0;
+	process->disturbed_ms = soak_now_ms();
+	process->start_at_ms = soak_now_ms() + back_ms;
+	if (process->data)
+		write_settings(process, NET_CONTROL,
+			       (int)(process - soak.processes) + 1, 0);
+	if (wipe == 1)
+		erase(process);
+	else if (wipe == 2)
+		damage(process);
+}
+
+void process_pause(process_t *process, uint64_t for_ms)
+{
+	if (!process->pid || process->paused)
+		return;
+	kill(process->pid, SIGSTOP);
+	process->paused = 1;
+	process->disturbed_ms = soak_now_ms();
+	process->resume_at_ms = soak_now_ms() + for_ms;
+}
+
+void process_stop(process_t *process, uint64_t back_ms)
+{
+	if (!process->pid || process->paused)
+		return;
+	process->expected_end = 1;
+	kill(process->pid, SIGTERM);
+	if (process->data)
+		write_settings(process, NET_CONTROL,
+			       (int)(process - soak.processes) + 1, 0);
+	process->start_at_ms = soak_now_ms() + back_ms;
+}
+
+void processes_destroy(void)
+{
+	process_t *process;
+	int i;
+
+	for (i = 0; i < PROCESSES; i++) {
+		process = &soak.processes[i];
+		process_kill(process, 0, 0);
+		close(process->log);
+		g_free(process->settings);
+		g_free(process->data);
+	}
+}
--- a/src/process/cmd_flow_control.c
+++ b/src/process/cmd_flow_control.c
@@ -43,6 +43,7 @@
 	options->folder = settings->data;
 	options->listen = settings->inner;
 	options->open = 1;
+	options->losses = settings->losses;
 	options->check = operator_door_check;
 	options->snapshot_bytes = SNAPSHOT_BYTES;
 	options->first_election_ms = FIRST_ELECTION_MS;
--- a/src/process/control_group.c
+++ b/src/process/control_group.c
@@ -239,8 +239,7 @@
 		step = founding_next_join(&control->founding, slot, &voter,
 					  &learner, control_now_ms(control),
 					  &id.identity);
-		if (step == JOIN_PROMOTE && control->options.open &&
-		    control_count_voters(control) >= DY_VOTERS_MAX)
+		if (step == JOIN_PROMOTE && !control_wants_voter(control))
 			continue;
 		take_step(control, step, id);
 	}
@@ -284,5 +283,6 @@
 		found_group(control);
 	else
 		ask_peers(control);
+	control_check_waiting(control);
 	log_waiting(control);
 }
--- a/src/process/control_place.c
+++ b/src/process/control_place.c
@@ -7,8 +7,17 @@
 
 #include "control_private.h"
 
-/* Voters that are kept even if they are silent: a majority must remain. */
-#define VOTERS_LEAST 3
+/*
+ * A slot is kept for the address that it was given to for so long, in ms: it
+ * is asked for again some times in that time by whoever still wants it.
+ */
+#define SEAT_KEPT_MS 3000
+
+/*
+ * An empty control that was not taken in for so long, in ms, asks for another
+ * place. Founding and joining take about one second.
+ */
+#define WAIT_IN_VAIN_MS 8000
 
 /*
  * A member without a leader for so long, in ms, asks whether it still is one:
@@ -58,6 +67,21 @@
 	control->options.peers.slots[slot] = *from;
 }
 
+/*
+ * Guards against several controls that ask at the same moment, as when all
+ * start: given the same slot, all but one would wait in it for ever.
+ */
+static int is_promised(const dy_control_t *control, uint32_t slot,
+		       const dy_address_t *address, uint64_t now_ms)
+{
+	const seat_t *seat = &control->seats[slot];
+
+	if (seat->given_ms && now_ms - seat->given_ms <= SEAT_KEPT_MS)
+		return !dy_address_equal(&seat->address, address);
+	return founding_is_wished(&control->founding, slot, now_ms) &&
+	       !dy_address_equal(&control->options.peers.slots[slot], address);
+}
+
 /*
  * The slot for a control at that address: the one it held before its disk was
  * lost, or the lowest that is no member's and that nobody asks for.
@@ -75,8 +99,7 @@
 			return slot;
 	for (slot = 1; slot <= DY_RAFT_MEMBERS_MAX; slot++)
 		if (!slot_is_member(control, slot) &&
-		    (dy_address_equal(&peers->slots[slot], address) ||
-		     !founding_is_wished(&control->founding, slot, now)))
+		    !is_promised(control, slot, address, now))
 			return slot;
 	return 0;
 }
@@ -110,7 +133,7 @@
 		place->status = DY_PLACE_LOST;
 }
 
-static void fill_place(const dy_control_t *control, const dy_find_t *find,
+static void fill_place(dy_control_t *control, const dy_find_t *find,
 		       const dy_address_t *from, dy_place_t *place)
 {
 	control_show_leader(control, &place->leader);
@@ -126,8 +149,11 @@
 		return;
 	}
 	place->slot = choose_slot(control, from);
-	if (place->slot)
-		place->status = DY_PLACE_GIVEN;
+	if (!place->slot)
+		return;
+	place->status = DY_PLACE_GIVEN;
+	control->seats[place->slot].address = *from;
+	control->seats[place->slot].given_ms = control_now_ms(control);
 }
 
 void control_receive_find(dy_control_t *control, const dy_sealed_t *message,
@@ -215,11 +241,20 @@
 	}
 }
 
+void control_check_waiting(dy_control_t *control)
+{
+	if (!control->options.open ||
+	    control_now_ms(control) - control->started_ms < WAIT_IN_VAIN_MS)
+		return;
+	dy_log_event(DY_LOG_WARN, "control_waited_in_vain", "slot=%u",
+		     control->options.slot);
+	control_end(control, DY_CONTROL_EVICTED);
+}
+
 /* What a review of the voters found. */
 typedef struct voters {
 	unsigned count;
 	unsigned silent;
-	unsigned learners; /* that answer */
 	dy_voter_id_t silent_id;
 } voters_t;
 
@@ -237,10 +272,8 @@
 		if (member->id.slot != control->options.slot)
 			dy_raft_member_lag(control->raft, member->id,
 					   &silent_ms);
-		if (member->role != DY_MEMBER_VOTER) {
-			voters->learners += silent_ms < MEMBER_SILENT_MS;
+		if (member->role != DY_MEMBER_VOTER)
 			continue;
-		}
 		voters->count++;
 		if (silent_ms < MEMBER_SILENT_MS)
 			continue;
@@ -249,10 +282,28 @@
 	}
 }
 
+static unsigned wanted_voters(const dy_control_t *control)
+{
+	unsigned losses = control->options.losses ? control->options.losses
+						  : DY_LOSSES_BORNE;
+
+	return 2 * losses + 1;
+}
+
+int control_wants_voter(dy_control_t *control)
+{
+	voters_t voters;
+
+	if (!control->options.open)
+		return 1;
+	count_members(control, &voters);
+	return voters.count - voters.silent < wanted_voters(control);
+}
+
 /*
  * Guards against a voter that is gone for good and still counts: with four
- * voters, one of them gone, the next loss stops the group. It is let go where
- * enough remain and its place is taken, or the group is better off uneven.
+ * voters, one of them gone, the next loss stops the group. It is let go once
+ * another has its place; never so that fewer remain than bear the losses.
  */
 int control_find_surplus(dy_control_t *control, dy_voter_id_t *id)
 {
@@ -262,7 +313,5 @@
 		return 0;
 	count_members(control, &voters);
 	*id = voters.silent_id;
-	return voters.silent && voters.count - voters.silent >= VOTERS_LEAST &&
-	       (voters.learners || voters.count % 2 == 0 ||
-		voters.count > DY_VOTERS_MAX);
+	return voters.silent && voters.count > wanted_voters(control);
 }
--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -72,6 +72,12 @@
 typedef struct control_services control_services_t;
 typedef struct control_raises control_raises_t;
 
+/* A slot that was given to an address, and when. */
+typedef struct seat {
+	dy_address_t address;
+	uint64_t given_ms; /* 0: not given */
+} seat_t;
+
 struct dy_control {
 	dy_control_options_t options;
 	dy_loop_t *loop;
@@ -99,6 +105,7 @@
 	dy_control_end_t end;
 	uint64_t led_ms;   /* when a leader was last known */
 	uint64_t asked_ms; /* about the own membership */
+	seat_t seats[DY_RAFT_MEMBERS_MAX + 1]; /* given to newcomers */
 	control_raises_t *raises;
 	int served; /* was a majority of the peers ever voting? */
 	int key_proposed;
@@ -208,6 +215,10 @@
 			  const struct sockaddr *from);
 void control_receive_place(dy_control_t *control, const dy_sealed_t *message);
 void control_ask_membership(dy_control_t *control);
+/* Give up a slot that an empty control waits in, in vain. */
+void control_check_waiting(dy_control_t *control);
+/* Whether an open group has a place for one more voter. */
+int control_wants_voter(dy_control_t *control);
 /* Whether there is a silent voter to let go; id is set to it. */
 int control_find_surplus(dy_control_t *control, dy_voter_id_t *id);
 
--- a/src/process/flow_settings.c
+++ b/src/process/flow_settings.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "damaskyard/control.h"
 #include "damaskyard/log.h"
 
 /*
@@ -13,6 +14,9 @@
 /* Of a planned stop, in seconds, if the settings do not say. */
 #define DEFAULT_STOP_S 30
 
+/* Losses at once at most: twice that and one must fit the group's slots. */
+#define LOSSES_MAX 7
+
 typedef struct key {
 	const char *group;
 	const char *name;
@@ -40,6 +44,7 @@
 	{ "target", "service", AGENT },
 	{ "group", "seeds", ALL },
 	{ "group", "key-file", 0 },
+	{ "group", "losses", 0 },
 };
 
 static gboolean refuse(GError **error, const char *name, const char *value,
@@ -75,16 +80,28 @@
 	return ok;
 }
 
+/* What a number may be, and what it is if it is not given. */
+typedef struct range {
+	uint64_t fallback;
+	uint64_t least;
+	uint64_t most;
+} range_t;
+
+static const range_t port_range = { 0, 1, UINT16_MAX - 3 };
+static const range_t stop_range = { DEFAULT_STOP_S, 1, 3600 };
+/* 0, as a platform may say that bears none, is the default too. */
+static const range_t losses_range = { 0, 0, LOSSES_MAX };
+
 static gboolean load_number(GKeyFile *file, const char *group, const char *name,
-			    uint64_t fallback, uint64_t most, uint64_t *number,
+			    const range_t *range, uint64_t *number,
 			    GError **error)
 {
 	char *text = load_text(file, group, name);
 	gboolean ok = TRUE;
 
-	*number = fallback;
-	if (text && !g_ascii_string_to_unsigned(text, 10, 1, most, number,
-						NULL))
+	*number = range->fallback;
+	if (text && !g_ascii_string_to_unsigned(text, 10, range->least,
+						range->most, number, NULL))
 		ok = refuse(error, name, text, "a whole number in its range");
 	g_free(text);
 	return ok;
@@ -195,7 +212,7 @@
 			  error) ||
 	    !load_address(file, "listen", "outbound", &settings->outbound,
 			  error) ||
-	    !load_number(file, "listen", "inner-port", 0, UINT16_MAX - 3, &port,
+	    !load_number(file, "listen", "inner-port", &port_range, &port,
 			 error))
 		return FALSE;
 	settings->control_port = (uint16_t)port;
@@ -208,18 +225,22 @@
 static gboolean load_file(GKeyFile *file, dy_flow_settings_t *settings,
 			  dy_flow_role_t role, GError **error)
 {
+	uint64_t losses;
 	uint64_t stop_s;
 
 	if (!check_needed(file, role, error) ||
 	    !load_listen(file, settings, role, error) ||
 	    !load_address(file, "target", "address", &settings->target,
 			  error) ||
-	    !load_number(file, "process", "stop-s", DEFAULT_STOP_S, 3600,
-			 &stop_s, error) ||
+	    !load_number(file, "process", "stop-s", &stop_range, &stop_s,
+			 error) ||
+	    !load_number(file, "group", "losses", &losses_range, &losses,
+			 error) ||
 	    !load_seeds(file, settings->control_port, &settings->seeds,
 			error) ||
 	    !load_secrets(file, &settings->secrets, error))
 		return FALSE;
+	settings->losses = (unsigned)losses;
 	settings->stop_ms = stop_s * 1000;
 	settings->name = load_text(file, "process", "name");
 	settings->domain = load_text(file, "process", "failure-domain");
