--- a/include/damaskyard/flow_targets.h
+++ b/include/damaskyard/flow_targets.h
@@ -110,14 +110,14 @@
 /*
  * List the agents that may hold an open flow, likeliest first: those of the
  * given services, then the others, since an entry may have named another
- * service when the flow was opened. Lost agents are left out. complete tells
- * whether these are all. Returns how many.
+ * service when the flow was opened. complete tells whether these are all. The
+ * order changes with the members only, so a search may go through it piece by
+ * piece and asks each once. Returns how many.
  */
 unsigned dy_flow_targets_search(const dy_flow_targets_t *targets,
 				const char *const *services,
 				unsigned service_count,
-				const dy_flow_id_t *flow, uint64_t now_ms,
-				int *complete,
+				const dy_flow_id_t *flow, int *complete,
 				dy_address_t list[DY_FLOW_SEARCH_MAX]);
 
 /* Number of agents of a service that take new flows, for logs. */
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -325,6 +325,30 @@
 				  : copy[(i + searches / 2) % count];
 }
 
+/*
+ * Move the agents of a window, counted from 1, to the front of the list, the
+ * lost ones left out: a search that is sent to one ends there. Goes on to the
+ * next window if none is left. Returns how many.
+ */
+static unsigned take_window(const dy_flow_router_t *router, dy_address_t *list,
+			    unsigned total, unsigned *window, uint64_t now_ms)
+{
+	unsigned count = 0;
+	unsigned i;
+
+	for (;; ++*window) {
+		i = (*window - 1) * DY_FLOW_TRIES;
+		if (i >= total)
+			return 0;
+		for (; i < MIN(total, *window * DY_FLOW_TRIES); i++)
+			if (!dy_flow_targets_is_lost(router->targets, &list[i],
+						     now_ms))
+				list[count++] = list[i];
+		if (count)
+			return count;
+	}
+}
+
 /*
  * Send a packet along the agents that may hold its flow: those of one window,
  * counted from 1, of the order in which they are asked.
@@ -338,7 +362,7 @@
 	dy_address_t list[DY_FLOW_SEARCH_MAX];
 	uint8_t order[DY_FLOW_SHARES_MAX];
 	dy_flow_forward_t forward = { 0 };
-	unsigned first = (at->window - 1) * DY_FLOW_TRIES;
+	unsigned window = at->window;
 	int complete = 0;
 	flow_t *flow;
 	unsigned total;
@@ -354,8 +378,9 @@
 		services[i] = entry->shares[order[i]].service;
 	total = dy_flow_targets_search(router->targets, services,
 				       entry->share_count, &packet->flow,
-				       now_ms, &complete, list);
-	if (total <= first) {
+				       &complete, list);
+	count = take_window(router, list, total, &window, now_ms);
+	if (!count) {
 		++*router->lost;
 		return;
 	}
@@ -363,15 +388,13 @@
 	flow = keep_flow(router, &packet->flow, now_ms);
 	if (at->window == 1) {
 		flow->searched_among = router->generation;
-		turn_list(list, MIN(total, (unsigned)DY_FLOW_TRIES),
-			  flow->searches++);
+		turn_list(list, count, flow->searches++);
 	}
-	count = MIN(total - first, (unsigned)DY_FLOW_TRIES);
 	forward.tell = 1;
-	forward.window = at->window;
-	forward.complete = complete && first + count == total;
+	forward.window = window;
+	forward.complete = complete && window * DY_FLOW_TRIES >= total;
 	forward.certain = at->certain;
-	forward.tries.tries_val = &list[first];
+	forward.tries.tries_val = list;
 	forward.tries.tries_len = count;
 	emit(router, &forward, bytes, len);
 }
--- a/src/version/flow_targets.c
+++ b/src/version/flow_targets.c
@@ -278,8 +278,7 @@
 
 /* The first max targets in the flow's order, all or those that serve. */
 static unsigned order_targets(const GPtrArray *list, const dy_flow_id_t *flow,
-			      int serving, uint64_t now_ms, unsigned max,
-			      place_t *places)
+			      int serving, unsigned max, place_t *places)
 {
 	uint64_t hash = dy_flow_id_hash(flow);
 	unsigned count = 0;
@@ -288,8 +287,7 @@
 
 	for (i = 0; i < list->len; i++) {
 		place.target = g_ptr_array_index(list, i);
-		if (serving ? !place.target->serving
-			    : is_lost(place.target, now_ms))
+		if (serving && !place.target->serving)
 			continue;
 		place.rank = rank_of(place.target, hash);
 		count = insert_by_rank(places, count, max, &place);
@@ -323,7 +321,7 @@
 
 	if (!all)
 		return 0;
-	count = order_targets(all, flow, 1, now_ms, DY_FLOW_CHOICES, places);
+	count = order_targets(all, flow, 1, DY_FLOW_CHOICES, places);
 	for (i = 0; i < count; i++)
 		places[i].score = score_of(places[i].target, now_ms);
 	sort_by_score(places, count);
@@ -346,8 +344,8 @@
 /* Agents of all other services, where they are few enough to be asked. */
 static unsigned order_others(const dy_flow_targets_t *targets,
 			     const char *const *services, unsigned count,
-			     const dy_flow_id_t *flow, uint64_t now_ms,
-			     unsigned max, place_t *places)
+			     const dy_flow_id_t *flow, unsigned max,
+			     place_t *places)
 {
 	uint64_t hash = dy_flow_id_hash(flow);
 	place_t place = { 0 };
@@ -361,7 +359,6 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		place.target = value;
 		if (!place.target->service ||
-		    is_lost(place.target, now_ms) ||
 		    is_named(place.target, services, count))
 			continue;
 		place.rank = rank_of(place.target, hash);
@@ -370,9 +367,8 @@
 	return found;
 }
 
-/* Agents that are not searched: in no service, or lost. */
-static unsigned count_unsearched(const dy_flow_targets_t *targets,
-				 uint64_t now_ms)
+/* Agents that are not searched, since they serve nothing. */
+static unsigned count_homeless(const dy_flow_targets_t *targets)
 {
 	GHashTableIter iter;
 	unsigned count = 0;
@@ -380,16 +376,14 @@
 
 	g_hash_table_iter_init(&iter, targets->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		count += !((const target_t *)value)->service ||
-			 is_lost(value, now_ms);
+		count += !((const target_t *)value)->service;
 	return count;
 }
 
 unsigned dy_flow_targets_search(const dy_flow_targets_t *targets,
 				const char *const *services,
 				unsigned service_count,
-				const dy_flow_id_t *flow, uint64_t now_ms,
-				int *complete,
+				const dy_flow_id_t *flow, int *complete,
 				dy_address_t list[DY_FLOW_SEARCH_MAX])
 {
 	place_t places[DY_FLOW_SEARCH_MAX];
@@ -401,20 +395,15 @@
 	for (i = 0; i < service_count; i++) {
 		all = g_hash_table_lookup(targets->services, services[i]);
 		if (all)
-			count += order_targets(all, flow, 0, now_ms,
+			count += order_targets(all, flow, 0,
 					       DY_FLOW_SEARCH_MAX - count,
 					       &places[count]);
 	}
-	count += order_others(targets, services, service_count, flow, now_ms,
+	count += order_others(targets, services, service_count, flow,
 			      DY_FLOW_SEARCH_MAX - count, &places[count]);
-	/* One that is silent would end the walk: those come last. */
-	for (i = 0; i < count; i++)
-		places[i].score = places[i].target->suspect ||
-				  places[i].target->silent_until_ms > now_ms;
-	sort_by_score(places, count);
 	for (i = 0; i < count; i++)
 		list[i] = places[i].target->address;
-	*complete = count + count_unsearched(targets, now_ms) == total;
+	*complete = count + count_homeless(targets) == total;
 	return count;
 }
 
--- a/tests/test_flow_router.c
+++ b/tests/test_flow_router.c
@@ -333,6 +333,58 @@
 }
 END_TEST
 
+/* Count the agents of the last forward. */
+static void count_asked(unsigned asked[64])
+{
+	unsigned i;
+
+	for (i = 0; i < world.forward.tries.tries_len; i++)
+		asked[(uint8_t)world.tries[i].ip[DY_IP_BYTES - 1]]++;
+}
+
+/* Ten agents do not answer an opening; the last forward is kept. */
+static void let_some_fall_silent(void)
+{
+	dy_flow_forward_t forward = world.forward;
+	dy_address_t tries[DY_FLOW_TRIES];
+	unsigned i;
+
+	memcpy(tries, world.tries, sizeof(tries));
+	for (i = 0; i < 10; i++) {
+		take(100 + i, DY_PACKET_SYN, 0);
+		take(100 + i, DY_PACKET_SYN, 1);
+	}
+	world.forward = forward;
+	memcpy(world.tries, tries, sizeof(tries));
+}
+
+/*
+ * Between two windows of a search an agent falls silent, or speaks again. If
+ * that moves others in the order, one is never asked, and its live flow is
+ * found nowhere and reset.
+ */
+START_TEST(search_asks_each_agent_though_others_fall_silent)
+{
+	unsigned asked[64];
+	unsigned flow;
+	unsigned i;
+
+	for (flow = 1; flow <= 20; flow++) {
+		begin(20);
+		memset(asked, 0, sizeof(asked));
+		take(flow, DY_PACKET_ACK, 5);
+		count_asked(asked);
+		let_some_fall_silent();
+		tell_nowhere(flow, DY_PACKET_ACK, 1);
+		count_asked(asked);
+		ck_assert(world.forward.complete);
+		for (i = 1; i <= 20; i++)
+			ck_assert_uint_eq(asked[i], 1);
+		end();
+	}
+}
+END_TEST
+
 /*
  * A flow's target is gone and started anew. Without a reset the caller waits
  * until its deadline. But an agent may have joined since the last poll and got
@@ -404,6 +456,28 @@
 }
 END_TEST
 
+/*
+ * An agent was killed with its VM. A search that is sent to it ends there, and
+ * the caller waits until its deadline.
+ */
+START_TEST(lost_agents_are_left_out_of_a_search)
+{
+	unsigned asked[64] = { 0 };
+
+	begin(18);
+	set_member(5, DY_MEMBER_SUSPECT, "readings");
+	world.now_ms += DY_FLOW_LOST_MS + 1;
+	take(1, DY_PACKET_ACK, 5);
+	count_asked(asked);
+	tell_nowhere(1, DY_PACKET_ACK, 1);
+	count_asked(asked);
+	ck_assert_uint_eq(asked[5], 0);
+	ck_assert_uint_eq(asked[4], 1);
+	ck_assert(world.forward.complete);
+	end();
+}
+END_TEST
+
 /*
  * The VM of a flow's target is lost. Its lease runs out, and it says nothing
  * to this balancer either: the caller waits in vain, and is told to open
@@ -506,10 +580,12 @@
 		unknown_flow_is_searched_and_then_known,
 		repeated_search_takes_another_way,
 		search_goes_on_in_windows,
+		search_asks_each_agent_though_others_fall_silent,
 		flow_found_nowhere_is_reset_once_members_are_confirmed,
 		flow_found_nowhere_is_kept_if_an_agent_joined,
 		uncertain_search_resets_nothing,
 		holder_that_lost_the_flow_is_believed,
+		lost_agents_are_left_out_of_a_search,
 		flow_of_a_lost_agent_is_reset,
 		reset_of_a_caller_is_not_answered,
 		packet_without_an_entry_is_dropped_not_reset,
--- a/tests/test_flow_targets.c
+++ b/tests/test_flow_targets.c
@@ -79,15 +79,15 @@
 	return number_of(&list[0]);
 }
 
-static int search(dy_flow_targets_t *targets, unsigned number, uint64_t now_ms,
+static int search(dy_flow_targets_t *targets, unsigned number,
 		  unsigned *count, dy_address_t list[DY_FLOW_SEARCH_MAX])
 {
 	const char *services[] = { SERVICE };
 	dy_flow_id_t id = flow(number);
 	int complete;
 
-	*count = dy_flow_targets_search(targets, services, 1, &id, now_ms,
-					&complete, list);
+	*count = dy_flow_targets_search(targets, services, 1, &id, &complete,
+					list);
 	return complete;
 }
 
@@ -270,7 +270,7 @@
 	set(after, 7, 17, DY_MEMBER_DRAINING, "d1");
 	for (i = 0; i < 500; i++) {
 		holder = open_flow(before, i);
-		search(after, i, 0, &count, list);
+		search(after, i, &count, list);
 		for (at = 0; number_of(&list[at]) != holder; at++)
 			ck_assert_uint_lt(at, DY_FLOW_TRIES);
 	}
@@ -280,24 +280,18 @@
 END_TEST
 
 /*
- * An agent was killed with its VM. A search that ends at it never ends, and
- * callers wait until their deadline; but one that is cut off from control
- * alone holds its flows, and must still be asked.
+ * An agent was killed with its VM: it is lost, and callers wait in vain. One
+ * that is cut off from control alone still speaks here, and is not.
  */
-START_TEST(lost_agents_are_not_searched)
+START_TEST(agent_is_lost_once_all_miss_it)
 {
 	dy_flow_targets_t *targets = create(3);
-	dy_address_t list[DY_FLOW_SEARCH_MAX];
 	dy_address_t second = agent(2);
-	unsigned count;
 
+	ck_assert(
+		!dy_flow_targets_is_lost(targets, &second, DY_FLOW_LOST_MS + 1));
 	set(targets, 2, 12, DY_MEMBER_SUSPECT, "d1");
-	ck_assert(search(targets, 1, DY_FLOW_LOST_MS, &count, list));
-	ck_assert_uint_eq(count, 3);
-	ck_assert_uint_eq(number_of(&list[2]), 2);
 	ck_assert(!dy_flow_targets_is_lost(targets, &second, DY_FLOW_LOST_MS));
-	ck_assert(search(targets, 1, DY_FLOW_LOST_MS + 1, &count, list));
-	ck_assert_uint_eq(count, 2);
 	ck_assert(
 		dy_flow_targets_is_lost(targets, &second, DY_FLOW_LOST_MS + 1));
 	dy_flow_targets_destroy(targets);
@@ -316,7 +310,7 @@
 	dy_flow_id_t id = flow(1);
 	int complete = 0;
 
-	ck_assert_uint_eq(dy_flow_targets_search(targets, services, 1, &id, 0,
+	ck_assert_uint_eq(dy_flow_targets_search(targets, services, 1, &id,
 						 &complete, list),
 			  3);
 	ck_assert(complete);
@@ -331,7 +325,7 @@
 	dy_address_t list[DY_FLOW_SEARCH_MAX];
 	unsigned count;
 
-	ck_assert(!search(targets, 1, 0, &count, list));
+	ck_assert(!search(targets, 1, &count, list));
 	ck_assert_uint_eq(count, DY_FLOW_SEARCH_MAX);
 	dy_flow_targets_destroy(targets);
 }
@@ -350,7 +344,7 @@
 		only_serving_targets_are_chosen,
 		late_end_of_an_earlier_start_changes_nothing,
 		holder_is_found_among_the_first_after_changes,
-		lost_agents_are_not_searched,
+		agent_is_lost_once_all_miss_it,
 		agents_of_other_services_are_searched_too,
 		search_of_too_many_is_not_complete,
 		NULL,
