--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -489,6 +489,14 @@
 		tell_held(holder, &forward->balancer, flow, now_ms);
 }
 
+static void pass_on_known(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
+			  const dy_packet_t *packet, const char *reason,
+			  uint64_t now_ms)
+{
+	log_flow(holder, "packet_passed_on", &packet->flow, reason, now_ms);
+	pass_on(holder, forward, packet, 1);
+}
+
 /*
  * Guards against a search that ends at a target which is gone: it gives
  * nothing back, and the agents behind it are never asked. Whether the flow was
@@ -513,7 +521,7 @@
 	else if (flow)
 		take_known(holder, forward, packet, flow, now_ms);
 	else if (knows_all(holder))
-		pass_on(holder, forward, packet, 1);
+		pass_on_known(holder, forward, packet, "not_held", now_ms);
 	else if (is_silent(holder, now_ms))
 		pass_on(holder, forward, packet, 0);
 	else
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -19,7 +19,7 @@
 	dy_list_t missing_link; /* found nowhere, to be confirmed */
 	uint64_t missing_ms;	/* since when */
 	unsigned searches;	/* since it was last found */
-	uint64_t searched_among; /* generation of the members then */
+	uint64_t searched_among; /* generation when the search began */
 	dy_packet_t missing;	 /* the packet that was searched for */
 } flow_t;
 
@@ -36,7 +36,7 @@
 	GHashTable *flows;
 	dy_list_t by_use;
 	dy_list_t missing;
-	uint64_t generation; /* of the members */
+	uint64_t generation; /* of members and rules: of every search order */
 	dy_log_limit_t assigned_limit;
 	dy_log_limit_t reset_limit;
 	uint64_t *packets;
@@ -95,6 +95,7 @@
 	}
 	dy_flow_rules_destroy(router->rules);
 	router->rules = rules;
+	router->generation++;
 }
 
 void dy_flow_router_set_member(dy_flow_router_t *router,
@@ -508,6 +509,9 @@
 	}
 	next.window = nowhere->window + 1;
 	next.certain = nowhere->certain;
+	/* Another order now: those of the windows asked would be missed. */
+	if (flow->searched_among != router->generation)
+		next = from_the_first;
 	search(router, packet, (uint8_t *)nowhere->packet.packet_val,
 	       nowhere->packet.packet_len, &next, now_ms);
 }
--- a/tests/test_flow_router.c
+++ b/tests/test_flow_router.c
@@ -385,6 +385,36 @@
 }
 END_TEST
 
+/*
+ * A newer document names another service for an entry while a flow of it is
+ * searched for. The agents that are left are counted off in another order, the
+ * holder is not among them, and its live flow is reset.
+ */
+START_TEST(search_begins_anew_when_the_order_changes)
+{
+	unsigned i;
+
+	begin(16);
+	for (i = 17; i <= 24; i++)
+		set_member(i, DY_MEMBER_SERVING, "maps");
+	take(1, DY_PACKET_ACK, 5);
+	set_rules(6, "maps", NULL);
+	tell_nowhere(1, DY_PACKET_ACK, 1);
+	ck_assert_uint_eq(world.forward.window, 1);
+	ck_assert_uint_eq(world.forward.tries.tries_len, 16);
+	set_member(25, DY_MEMBER_SERVING, "readings");
+	tell_nowhere(1, DY_PACKET_ACK, 1);
+	ck_assert_uint_eq(world.forward.window, 1);
+	tell_nowhere(1, DY_PACKET_ACK, 1);
+	ck_assert_uint_eq(world.forward.window, 2);
+	set_rules(7, "readings", NULL);
+	tell_nowhere(1, DY_PACKET_ACK, 1);
+	dy_flow_router_set_confirmed(world.router, world.now_ms + 1);
+	ck_assert_uint_eq(world.resets, 0);
+	end();
+}
+END_TEST
+
 /*
  * A flow's target is gone and started anew. Without a reset the caller waits
  * until its deadline. But an agent may have joined since the last poll and got
@@ -581,6 +611,7 @@
 		repeated_search_takes_another_way,
 		search_goes_on_in_windows,
 		search_asks_each_agent_though_others_fall_silent,
+		search_begins_anew_when_the_order_changes,
 		flow_found_nowhere_is_reset_once_members_are_confirmed,
 		flow_found_nowhere_is_kept_if_an_agent_joined,
 		uncertain_search_resets_nothing,
