--- a/include/damaskyard/control.h
+++ b/include/damaskyard/control.h
@@ -138,8 +138,9 @@
  * it must not destroy the control.
  *
  * dy_control_raise() brings bytes into force in trial under number, unless
- * that or a higher one is in force. The caller has judged them by the check. Status OK: they are, or were overtaken.
- * MALFORMED, with message: not a document. Others: not known to be in force.
+ * that or a higher one is in force. The caller has judged them by the check.
+ * Status OK: they are, or were overtaken. MALFORMED, with message: not a
+ * document. Others: not known to be in force.
  */
 typedef void dy_control_raised_cb_t(void *context, dy_status_t status,
 				    const char *message);
--- a/include/damaskyard/packet.h
+++ b/include/damaskyard/packet.h
@@ -11,10 +11,10 @@
 #include "dy_flow.h"
 
 /* Marks of a packet. */
-#define DY_PACKET_SYN 1u     /* opens a flow */
-#define DY_PACKET_ACK 2u     /* ack is valid */
-#define DY_PACKET_FIN 4u     /* its sender sends no more */
-#define DY_PACKET_RST 8u     /* the flow is over */
+#define DY_PACKET_SYN 1u      /* opens a flow */
+#define DY_PACKET_ACK 2u      /* ack is valid */
+#define DY_PACKET_FIN 4u      /* its sender sends no more */
+#define DY_PACKET_RST 8u      /* the flow is over */
 #define DY_PACKET_BOUNCED 16u /* a target gave it back */
 
 typedef struct dy_packet {
@@ -26,6 +26,12 @@
 	 */
 	uint32_t note;
 	uint16_t data_bytes;
+	/*
+	 * The id of the request that begins in the data, for logs alone: bytes
+	 * of the packet, not ended by a NUL. NULL: none was looked for, or found.
+	 */
+	const char *request;
+	unsigned request_len;
 	uint32_t seq;
 	uint32_t ack;
 } dy_packet_t;
--- a/soak/http.c
+++ b/soak/http.c
@@ -96,8 +96,8 @@
 static void on_connected(uv_connect_t *connect, int status)
 {
 	call_t *call = connect->handle->data;
-	uv_buf_t buf = uv_buf_init(call->request->str,
-				   (unsigned)call->request->len);
+	uv_buf_t buf =
+		uv_buf_init(call->request->str, (unsigned)call->request->len);
 
 	if (call->closing)
 		return;
--- a/soak/processes.c
+++ b/soak/processes.c
@@ -37,11 +37,10 @@
 	g_string_append_printf(text, "[listen]\ninner-port=%d\n",
 			       base + PORT_INNER);
 	if (class != NET_CONTROL)
-		g_string_append_printf(text, "packets=%s:%d\nready=%s:%d\n",
-				       soak_ip(class, number),
-				       base + PORT_PACKETS,
-				       soak_ip(class, number),
-				       base + PORT_READY);
+		g_string_append_printf(
+			text, "packets=%s:%d\nready=%s:%d\n",
+			soak_ip(class, number), base + PORT_PACKETS,
+			soak_ip(class, number), base + PORT_READY);
 	if (class != NET_BALANCER)
 		g_string_append_printf(text, "control=%s:%d\n",
 				       soak_ip(class, number),
@@ -94,14 +93,14 @@
 	g_snprintf(process->name, sizeof(process->name), "%s%d",
 		   command + strlen("flow-"), number);
 	process->command = command;
-	process->settings = g_strdup_printf("%s/%s.ini", soak.folder,
-					    process->name);
+	process->settings =
+		g_strdup_printf("%s/%s.ini", soak.folder, process->name);
 	if (class == NET_CONTROL)
 		process->data = g_strdup_printf("%s/%s.data", soak.folder,
 						process->name);
 	path = g_strdup_printf("%s/%s.log", soak.folder, process->name);
-	process->log = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
-			    0600);
+	process->log =
+		open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
 	g_free(path);
 	process->wanted = 1;
 	write_settings(process, class, number, 1);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -49,11 +49,11 @@
 	int log;
 	GPid pid; /* 0: not running */
 	int paused;
-	int wanted;		/* to be started again after an exit */
-	uint64_t start_at_ms;	/* when it is to be started; 0: not */
-	uint64_t resume_at_ms;	/* when it is to go on; 0: not paused */
-	uint64_t disturbed_ms;	/* the last kill, pause or start */
-	int expected_end;	/* it was told to end */
+	int wanted;	       /* to be started again after an exit */
+	uint64_t start_at_ms;  /* when it is to be started; 0: not */
+	uint64_t resume_at_ms; /* when it is to go on; 0: not paused */
+	uint64_t disturbed_ms; /* the last kill, pause or start */
+	int expected_end;      /* it was told to end */
 } process_t;
 
 typedef struct soak {
--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "damaskyard/address.h"
+#include "damaskyard/histogram.h"
 #include "damaskyard/list.h"
 #include "damaskyard/log.h"
 
@@ -18,6 +19,9 @@
  */
 #define REPLACED_MS 3000
 
+/* Bytes of a request's id in a log line, with its terminating NUL. */
+#define REQUEST_BYTES 40
+
 typedef enum stage {
 	STAGE_HALF, /* the target answered an opening packet, or is to */
 	STAGE_OPEN,
@@ -30,9 +34,11 @@
 	dy_flow_id_t id;
 	stage_t stage;
 	dy_address_t opener; /* the balancer that sent the opening packet */
-	int answered; /* the target's opening packet was seen */
+	int answered;	     /* the target's opening packet was seen */
 	uint32_t target_seq;
 	int busy; /* a request was begun and not answered */
+	uint64_t busy_ms; /* since when */
+	char request[REQUEST_BYTES]; /* its id, for logs */
 	int caller_ended;
 	int target_ended;
 	uint64_t used_ms;
@@ -71,6 +77,9 @@
 	unsigned balancer_count;
 	dy_log_limit_t flow_limit;
 	dy_log_limit_t refused_limit;
+	dy_log_limit_t request_limit;
+	dy_histogram_t opening_ms; /* until the target answered an opening */
+	dy_histogram_t answer_ms;  /* until it began to answer a request */
 	uint64_t *opened;
 	uint64_t *passed_on;
 	uint64_t *refused;
@@ -90,14 +99,16 @@
 	int i;
 
 	holder->config = *config;
-	holder->flows = g_hash_table_new_full(dy_flow_id_table_hash,
-					      dy_flow_id_table_equal, NULL,
-					      g_free);
+	holder->flows = g_hash_table_new_full(
+		dy_flow_id_table_hash, dy_flow_id_table_equal, NULL, g_free);
 	for (i = 0; i < STAGES; i++)
 		dy_list_init(&holder->stages[i]);
 	holder->kept = g_new0(kept_forward_t, DY_FORWARDS_KEPT);
 	holder->flow_limit = limit;
 	holder->refused_limit = limit;
+	holder->request_limit = limit;
+	dy_histogram_init(&holder->opening_ms, metrics, "opening_ms");
+	dy_histogram_init(&holder->answer_ms, metrics, "answer_ms");
 	holder->opened = dy_metrics_counter(metrics, "flows_opened");
 	holder->passed_on = dy_metrics_counter(metrics, "packets_passed_on");
 	holder->refused = dy_metrics_counter(metrics, "openings_refused");
@@ -122,10 +133,48 @@
 
 /* The flows' records. */
 
-static void set_busy(dy_flow_holder_t *holder, flow_t *flow, int busy)
+static void log_request(dy_flow_holder_t *holder, const char *event,
+			const flow_t *flow, const char *outcome,
+			uint64_t now_ms)
 {
-	holder->busy += busy - flow->busy;
-	flow->busy = busy;
+	char text[DY_FLOW_TEXT_BYTES];
+
+	if (!*flow->request ||
+	    !dy_log_allow(&holder->request_limit, event, now_ms))
+		return;
+	dy_log_event(DY_LOG_INFO, event,
+		     "request=%s flow=%s outcome=%s ms=%lu target=%s busy=%u "
+		     "slots=%u",
+		     dy_log_quote(flow->request),
+		     dy_flow_id_format(&flow->id, text), outcome,
+		     (unsigned long)(now_ms - flow->busy_ms),
+		     dy_log_quote(holder->notice.id), holder->busy,
+		     holder->notice.slots);
+}
+
+/* A caller's data where none was waiting begins a request. */
+static void begin_request(dy_flow_holder_t *holder, flow_t *flow,
+			  const dy_packet_t *packet, uint64_t now_ms)
+{
+	if (flow->busy)
+		return;
+	flow->busy = 1;
+	flow->busy_ms = now_ms;
+	holder->busy++;
+	g_snprintf(flow->request, sizeof(flow->request), "%.*s",
+		   packet->request ? (int)packet->request_len : 0,
+		   packet->request ? packet->request : "");
+	log_request(holder, "request_begun", flow, "given_to_target", now_ms);
+}
+
+static void end_request(dy_flow_holder_t *holder, flow_t *flow,
+			const char *outcome, uint64_t now_ms)
+{
+	if (!flow->busy)
+		return;
+	flow->busy = 0;
+	holder->busy--;
+	log_request(holder, "request_ended", flow, outcome, now_ms);
 }
 
 static void enter_stage(dy_flow_holder_t *holder, flow_t *flow, stage_t stage,
@@ -138,7 +187,7 @@
 	dy_list_remove(&flow->link);
 	dy_list_append(&holder->stages[stage], &flow->link);
 	if (stage == STAGE_ENDED)
-		set_busy(holder, flow, 0);
+		end_request(holder, flow, "flow_ended", now_ms);
 }
 
 static void touch(dy_flow_holder_t *holder, flow_t *flow, uint64_t now_ms)
@@ -161,22 +210,27 @@
 	return flow;
 }
 
-static void drop_flow(dy_flow_holder_t *holder, flow_t *flow)
+static void drop_flow(dy_flow_holder_t *holder, flow_t *flow,
+		      const char *reason, uint64_t now_ms)
 {
-	set_busy(holder, flow, 0);
+	end_request(holder, flow, reason, now_ms);
 	holder->counts[flow->stage]--;
 	dy_list_remove(&flow->link);
 	g_hash_table_remove(holder->flows, &flow->id);
 }
 
-static void drop_all_flows(dy_flow_holder_t *holder)
+static void drop_all_flows(dy_flow_holder_t *holder, uint64_t now_ms)
 {
+	dy_list_t *list;
 	int i;
 
-	for (i = 0; i < STAGES; i++)
-		while (!dy_list_empty(&holder->stages[i]))
-			drop_flow(holder, DY_LIST_ITEM(holder->stages[i].next,
-						       flow_t, link));
+	for (i = 0; i < STAGES; i++) {
+		list = &holder->stages[i];
+		while (!dy_list_empty(list))
+			drop_flow(holder,
+				  DY_LIST_ITEM(list->next, flow_t, link),
+				  "target_started_anew", now_ms);
+	}
 }
 
 static void fill_load(const dy_flow_holder_t *holder, dy_flow_load_t *load,
@@ -226,15 +280,15 @@
 
 /* A start of the target that was not heard of before. */
 static void begin_target(dy_flow_holder_t *holder,
-			 const dy_target_notice_t *notice)
+			 const dy_target_notice_t *notice, uint64_t now_ms)
 {
 	dy_log_event(DY_LOG_INFO, "target_started",
 		     "id=%s born_ms=%lu slots=%u flows_dropped=%u",
 		     dy_log_quote(notice->id), (unsigned long)notice->born_ms,
 		     notice->slots, g_hash_table_size(holder->flows));
-	holder->saw_start = holder->has_target ||
-			    notice->sequence <= FIRST_SEQUENCE;
-	drop_all_flows(holder);
+	holder->saw_start =
+		holder->has_target || notice->sequence <= FIRST_SEQUENCE;
+	drop_all_flows(holder, now_ms);
 	holder->has_target = 1;
 	holder->left = 0;
 	holder->ready = 0;
@@ -289,7 +343,7 @@
 	if (age == NOTICE_OLD)
 		return 1;
 	if (age == NOTICE_OTHER_START)
-		begin_target(holder, notice);
+		begin_target(holder, notice, now_ms);
 	holder->notice = *notice;
 	holder->noticed_ms = now_ms;
 	holder->cold_until_ms = now_ms + notice->cold_ms;
@@ -429,7 +483,7 @@
 		return;
 	}
 	if (flow)
-		drop_flow(holder, flow);
+		drop_flow(holder, flow, "opened_anew", now_ms);
 	++*holder->opened;
 	flow = add_flow(holder, &packet->flow, STAGE_HALF, now_ms);
 	flow->opener = forward->balancer;
@@ -466,7 +520,7 @@
 	if (flow->stage == STAGE_ENDED)
 		return;
 	if (packet->data_bytes)
-		set_busy(holder, flow, 1);
+		begin_request(holder, flow, packet, now_ms);
 	if (packet->marks & DY_PACKET_FIN)
 		flow->caller_ended = 1;
 	if (packet->marks & DY_PACKET_RST ||
@@ -540,7 +594,7 @@
 
 	++*holder->bounced;
 	if (flow && (!opening || flow->stage == STAGE_HALF))
-		drop_flow(holder, flow);
+		drop_flow(holder, flow, "given_back", now_ms);
 	if (!packet->note || kept->note != packet->note) {
 		++*holder->stale_notes;
 		return;
@@ -558,12 +612,17 @@
 			const dy_packet_t *packet, uint64_t now_ms)
 {
 	if (packet->marks & DY_PACKET_SYN) {
+		if (!flow->answered)
+			dy_histogram_add(&holder->opening_ms,
+					 now_ms - flow->used_ms);
 		flow->answered = 1;
 		flow->target_seq = packet->seq;
 	}
 	touch(holder, flow, now_ms);
+	if (packet->data_bytes && flow->busy)
+		dy_histogram_add(&holder->answer_ms, now_ms - flow->busy_ms);
 	if (packet->data_bytes)
-		set_busy(holder, flow, 0);
+		end_request(holder, flow, "answered", now_ms);
 	if (packet->marks & DY_PACKET_FIN)
 		flow->target_ended = 1;
 	if (packet->marks & DY_PACKET_RST ||
@@ -606,7 +665,7 @@
 		flow = DY_LIST_ITEM(holder->stages[stage].next, flow_t, link);
 		if (now_ms - flow->used_ms < after_ms)
 			return;
-		drop_flow(holder, flow);
+		drop_flow(holder, flow, "idle", now_ms);
 	}
 }
 
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -16,9 +16,9 @@
 	int told;	    /* the agent said that it holds the flow */
 	int open;	    /* and that its target has the whole handshake */
 	uint64_t used_ms;
-	dy_list_t missing_link; /* found nowhere, to be confirmed */
-	uint64_t missing_ms;	/* since when */
-	unsigned searches;	/* since it was last found */
+	dy_list_t missing_link;	 /* found nowhere, to be confirmed */
+	uint64_t missing_ms;	 /* since when */
+	unsigned searches;	 /* since it was last found */
 	uint64_t searched_among; /* generation when the search began */
 	dy_packet_t missing;	 /* the packet that was searched for */
 } flow_t;
@@ -57,9 +57,8 @@
 
 	router->config = *config;
 	router->targets = dy_flow_targets_create(config->domain);
-	router->flows = g_hash_table_new_full(dy_flow_id_table_hash,
-					      dy_flow_id_table_equal, NULL,
-					      g_free);
+	router->flows = g_hash_table_new_full(
+		dy_flow_id_table_hash, dy_flow_id_table_equal, NULL, g_free);
 	dy_list_init(&router->by_use);
 	dy_list_init(&router->missing);
 	router->assigned_limit = limit;
--- a/src/connection/packet.c
+++ b/src/connection/packet.c
@@ -8,8 +8,7 @@
 uint64_t dy_flow_id_hash(const dy_flow_id_t *flow)
 {
 	const uint32_t words[] = { flow->caller_ip, flow->entry_ip,
-				   flow->caller_port << 16 |
-					   flow->entry_port };
+				   flow->caller_port << 16 | flow->entry_port };
 
 	return XXH3_64bits(words, sizeof(words));
 }
--- a/src/process/cmd_flow_agent.c
+++ b/src/process/cmd_flow_agent.c
@@ -188,6 +188,8 @@
 		++*agent->malformed;
 		return;
 	}
+	if (packet.data_bytes)
+		platform_packet_find_request((uint8_t *)packet_room, &packet);
 	dy_flow_holder_take(agent->holder, &forward, &packet, now_ms(agent));
 }
 
@@ -225,11 +227,11 @@
 		dy_http_answer_status(exchange, 400);
 		return;
 	}
-	dy_http_answer_status(exchange,
-			      dy_flow_holder_notice(agent->holder, &notice,
-						    now_ms(agent))
-				      ? 200
-				      : 400);
+	dy_http_answer_status(
+		exchange,
+		dy_flow_holder_notice(agent->holder, &notice, now_ms(agent))
+			? 200
+			: 400);
 }
 
 static void on_request(void *context, dy_http_exchange_t *exchange,
@@ -326,8 +328,7 @@
 {
 	flow_agent_t *agent = context;
 
-	if (!agent->stopping_ms ||
-	    now_ms(agent) - agent->stopping_ms < STOP_MS)
+	if (!agent->stopping_ms || now_ms(agent) - agent->stopping_ms < STOP_MS)
 		return;
 	dy_log_event(DY_LOG_INFO, "stop_ended", "");
 	dy_loop_end(agent->member.loop);
@@ -378,8 +379,8 @@
 	config.context = agent;
 	agent->holder = dy_flow_holder_create(&config);
 	agent->refused_limit = limit;
-	agent->malformed = dy_metrics_counter(agent->member.metrics,
-					      "packets_malformed");
+	agent->malformed =
+		dy_metrics_counter(agent->member.metrics, "packets_malformed");
 }
 
 static gboolean run(flow_agent_t *agent, GError **error)
--- a/src/process/cmd_flow_balancer.c
+++ b/src/process/cmd_flow_balancer.c
@@ -341,9 +341,8 @@
 				   on_packet, balancer, error);
 	if (!balancer->packets)
 		return FALSE;
-	balancer->http =
-		dy_http_server_create(balancer->member.loop,
-				      balancer->member.metrics, &http, error);
+	balancer->http = dy_http_server_create(
+		balancer->member.loop, balancer->member.metrics, &http, error);
 	return balancer->http != NULL;
 }
 
@@ -393,10 +392,9 @@
 {
 	static flow_balancer_t balancer;
 	GError *error = NULL;
-	int code = flow_member_load(&balancer.member, argc, argv,
-				    "flow-balancer",
-				    "Forward packets of flows to agents.",
-				    DY_FLOW_BALANCER);
+	int code = flow_member_load(
+		&balancer.member, argc, argv, "flow-balancer",
+		"Forward packets of flows to agents.", DY_FLOW_BALANCER);
 
 	if (code == DY_EXIT_OK && !run(&balancer, &error))
 		code = dy_command_fail_usage("flow-balancer", error);
--- a/src/process/cmd_flow_control.c
+++ b/src/process/cmd_flow_control.c
@@ -10,6 +10,7 @@
 #include "damaskyard/log.h"
 #include "damaskyard/store.h"
 #include "flow_member.h"
+#include "metrics_page.h"
 #include "operator_door.h"
 #include "place.h"
 
@@ -17,9 +18,9 @@
 #define GROUP 1
 
 /*
- * A snapshot is written beyond this much log, in bytes: some twenty packed documents
- * of today's size, which a control with a twentieth of a core applies in a few
- * tenths of a second after a restart.
+ * A snapshot is written beyond this much log, in bytes: some twenty packed
+ * documents of today's size, which a control with a twentieth of a core applies
+ * in a few tenths of a second after a restart.
  */
 #define SNAPSHOT_BYTES (256 * 1024)
 
@@ -75,11 +76,15 @@
 	dy_loop_t *loop = dy_loop_create(metrics);
 	host_t host = { &member->settings, member->path };
 	dy_control_t *control = NULL;
+	metrics_page_t *page = NULL;
 	operator_door_t *door;
 
 	door = operator_door_create(loop, metrics, &member->settings.control,
 				    error);
-	if (door)
+	if (door && member->settings.metrics.port)
+		page = metrics_page_create(loop, metrics,
+					   &member->settings.metrics, error);
+	if (door && (page || !member->settings.metrics.port))
 		control = dy_control_create(loop, metrics, options, error);
 	if (control) {
 		operator_door_set_control(door, control);
@@ -91,6 +96,7 @@
 	}
 	dy_control_destroy(control);
 	operator_door_destroy(door);
+	metrics_page_destroy(page);
 	dy_loop_destroy(loop);
 	dy_metrics_destroy(metrics);
 	return control != NULL;
@@ -163,8 +169,7 @@
 
 	if (code == DY_EXIT_OK) {
 		dy_log_event(DY_LOG_INFO, "started", "name=%s first_start=%d",
-			     member.settings.name,
-			     member.settings.first_start);
+			     member.settings.name, member.settings.first_start);
 		code = live(&member);
 	}
 	flow_member_clear(&member);
--- a/src/process/control_raise.c
+++ b/src/process/control_raise.c
@@ -279,8 +279,8 @@
 		if (!held->number || !bytes)
 			status = DY_STATUS_NOT_FOUND;
 	}
-	load->done(load->context, status,
-		   status == DY_STATUS_OK ? bytes : NULL, size);
+	load->done(load->context, status, status == DY_STATUS_OK ? bytes : NULL,
+		   size);
 	g_free(load);
 }
 
--- a/src/process/flow_member.c
+++ b/src/process/flow_member.c
@@ -1,5 +1,7 @@
 #include "flow_member.h"
 
+#include <unistd.h>
+
 #include "command.h"
 #include "damaskyard/log.h"
 
@@ -31,6 +33,7 @@
 		return dy_command_fail_usage(command, error);
 	}
 	member->path = path;
+	dy_log_to(STDOUT_FILENO);
 	dy_command_start_log(member->settings.log_level, command);
 	return DY_EXIT_OK;
 }
@@ -64,6 +67,13 @@
 				   on_datagram, member, error);
 	if (!member->inner)
 		return FALSE;
+	if (member->settings.metrics.port) {
+		member->page = metrics_page_create(
+			member->loop, member->metrics,
+			&member->settings.metrics, error);
+		if (!member->page)
+			return FALSE;
+	}
 	dy_loop_every(member->loop, FLOW_SETTINGS_MS, on_settings, member);
 	dy_loop_on_reload(member->loop, on_settings, member);
 	return TRUE;
@@ -107,6 +117,7 @@
 
 void flow_member_close(flow_member_t *member)
 {
+	metrics_page_destroy(member->page);
 	dy_subscriber_destroy(member->subscriber);
 	dy_endpoint_destroy(member->inner);
 	dy_loop_destroy(member->loop);
--- a/src/process/flow_member.h
+++ b/src/process/flow_member.h
@@ -10,6 +10,7 @@
 #include "damaskyard/loop.h"
 #include "damaskyard/seal.h"
 #include "damaskyard/subscriber.h"
+#include "metrics_page.h"
 
 /* The environment that packet flows are served in; see docs/PLATFORM.md. */
 #define FLOW_ENVIRONMENT "trial"
@@ -25,6 +26,7 @@
 	dy_seal_t *seal;
 	dy_endpoint_t *inner;
 	dy_subscriber_t *subscriber;
+	metrics_page_t *page; /* NULL: no counters over HTTP */
 	dy_member_info_t info;
 	dy_endpoint_cb_t *receive; /* of the inner endpoint */
 	void *context;
--- a/src/process/flow_settings.c
+++ b/src/process/flow_settings.c
@@ -40,6 +40,7 @@
 	{ "listen", "control", AGENT | CONTROL },
 	{ "listen", "outbound", AGENT },
 	{ "listen", "inner-port", ALL },
+	{ "listen", "metrics-port", 0 },
 	{ "target", "address", AGENT },
 	{ "target", "service", AGENT },
 	{ "group", "seeds", ALL },
@@ -88,6 +89,8 @@
 } range_t;
 
 static const range_t port_range = { 0, 1, UINT16_MAX - 3 };
+/* 0: no counters over HTTP. */
+static const range_t metrics_range = { 0, 0, UINT16_MAX };
 static const range_t stop_range = { DEFAULT_STOP_S, 1, 3600 };
 /* 0, as a platform may say that bears none, is the default too. */
 static const range_t losses_range = { 0, 0, LOSSES_MAX };
@@ -203,6 +206,7 @@
 {
 	static const uint16_t offsets[] = { PORT_OF_BALANCER, PORT_OF_AGENT,
 					    PORT_OF_CONTROL };
+	uint64_t metrics_port;
 	uint64_t port;
 
 	if (!load_address(file, "listen", "packets", &settings->packets,
@@ -213,12 +217,16 @@
 	    !load_address(file, "listen", "outbound", &settings->outbound,
 			  error) ||
 	    !load_number(file, "listen", "inner-port", &port_range, &port,
-			 error))
+			 error) ||
+	    !load_number(file, "listen", "metrics-port", &metrics_range,
+			 &metrics_port, error))
 		return FALSE;
 	settings->control_port = (uint16_t)port;
-	settings->inner = role == DY_FLOW_CONTROL ? settings->control
-						  : settings->packets;
+	settings->inner =
+		role == DY_FLOW_CONTROL ? settings->control : settings->packets;
 	settings->inner.port = (u_int)port + offsets[role];
+	settings->metrics = settings->inner;
+	settings->metrics.port = (u_int)metrics_port;
 	return TRUE;
 }
 
@@ -246,8 +254,8 @@
 	settings->domain = load_text(file, "process", "failure-domain");
 	settings->data = load_text(file, "process", "data");
 	settings->service = load_text(file, "target", "service");
-	settings->first_start = g_key_file_get_boolean(file, "process",
-						       "first-start", NULL);
+	settings->first_start =
+		g_key_file_get_boolean(file, "process", "first-start", NULL);
 	settings->log_level = load_text(file, "process", "log-level");
 	if (!settings->log_level)
 		settings->log_level = g_strdup("info");
--- a/src/process/founding.c
+++ b/src/process/founding.c
@@ -26,8 +26,8 @@
 		return;
 	peer->wants_in = hello->id.identity;
 	peer->asked_ms = now_ms;
-	peer->in_place = dy_address_equal(
-		from, &founding->peers->slots[hello->id.slot]);
+	peer->in_place =
+		dy_address_equal(from, &founding->peers->slots[hello->id.slot]);
 }
 
 int founding_is_due(const founding_t *founding)
@@ -110,8 +110,7 @@
 	*identity = wish;
 	if (!wish || wish == voter->identity)
 		return JOIN_NOTHING;
-	if (voter->identity &&
-	    !is_over(voter, &founding->heard[slot], wish))
+	if (voter->identity && !is_over(voter, &founding->heard[slot], wish))
 		return JOIN_REFUSE;
 	return JOIN_ADD;
 }
--- a/src/process/log.c
+++ b/src/process/log.c
@@ -1,9 +1,11 @@
 #include "damaskyard/log.h"
 
 #include <ctype.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -14,6 +16,9 @@
 
 static dy_log_level_t least_level = DY_LOG_INFO;
 static const char *process_role;
+static int descriptor = STDERR_FILENO;
+static int may_block;
+static uint64_t dropped_lines;
 
 static const char *const level_names[] = { "debug", "info", "warn", "error" };
 
@@ -23,6 +28,14 @@
 	process_role = role;
 }
 
+void dy_log_to(int to)
+{
+	struct stat status;
+
+	descriptor = to;
+	may_block = fstat(to, &status) || !S_ISREG(status.st_mode);
+}
+
 int dy_log_parse_level(const char *name, dy_log_level_t *level)
 {
 	int i;
@@ -54,6 +67,41 @@
 	return used;
 }
 
+/*
+ * Guards against a reader of the log that stops reading: a full pipe would
+ * block the loop, and the process would serve nobody. A line that finds no
+ * room is dropped and counted; a pipe that can be written takes a line whole.
+ */
+static int has_room(void)
+{
+	struct pollfd ready = { .fd = descriptor, .events = POLLOUT };
+
+	return !may_block ||
+	       (poll(&ready, 1, 0) == 1 && ready.revents & POLLOUT);
+}
+
+static void write_line(const char *line, size_t len)
+{
+	char note[LINE_BYTES];
+	size_t used;
+
+	if (!has_room()) {
+		dropped_lines++;
+		return;
+	}
+	if (dropped_lines) {
+		used = write_prefix(note, DY_LOG_WARN, "log_dropped");
+		used += (size_t)snprintf(note + used, sizeof(note) - used,
+					 " lines=%lu\n",
+					 (unsigned long)dropped_lines);
+		dropped_lines = 0;
+		if (write(descriptor, note, used) < 0 || !has_room())
+			return;
+	}
+	if (write(descriptor, line, len) < 0)
+		dropped_lines++;
+}
+
 void dy_log_event(dy_log_level_t level, const char *event, const char *pairs,
 		  ...)
 {
@@ -76,8 +124,7 @@
 	if (used > LINE_BYTES - 1)
 		used = LINE_BYTES - 1;
 	line[used++] = '\n';
-	if (write(STDERR_FILENO, line, used) < 0)
-		return;
+	write_line(line, used);
 }
 
 static int needs_quotes(const char *value)
--- a/src/process/place.c
+++ b/src/process/place.c
@@ -116,8 +116,8 @@
 	    !dy_sealed_load(&message, (xdrproc_t)xdr_dy_place_t, &place,
 			    sizeof(place)))
 		return;
-	if (place.group == asker->options->group &&
-	    place.echo == asker->echo && !asker->given)
+	if (place.group == asker->options->group && place.echo == asker->echo &&
+	    !asker->given)
 		take_place(asker, &place);
 	xdr_free((xdrproc_t)xdr_dy_place_t, (char *)&place);
 }
--- a/src/process/subscriber.c
+++ b/src/process/subscriber.c
@@ -63,8 +63,8 @@
 {
 	const dy_address_list_t *told = subscriber->config.controls;
 	const dy_address_list_t *learned = &subscriber->learned;
-	int next = (subscriber->next_control + 1) %
-		   (told->count + learned->count);
+	int next =
+		(subscriber->next_control + 1) % (told->count + learned->count);
 
 	subscriber->next_control = next;
 	subscriber->control = next < learned->count
--- a/src/version/flow_targets.c
+++ b/src/version/flow_targets.c
@@ -27,7 +27,7 @@
 	const char *domain;
 	GHashTable *by_id;
 	GHashTable *by_address; /* the newest member at each */
-	GHashTable *services; /* name to GPtrArray of targets */
+	GHashTable *services;	/* name to GPtrArray of targets */
 };
 
 /* A target as it stands in a flow's order. */
@@ -69,8 +69,7 @@
 	targets->domain = domain;
 	targets->by_id = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       NULL, free_target);
-	targets->by_address =
-		g_hash_table_new(hash_address, same_address);
+	targets->by_address = g_hash_table_new(hash_address, same_address);
 	targets->services = g_hash_table_new_full(g_str_hash, g_str_equal,
 						  g_free, free_service);
 	return targets;
--- a/src/version/registry_members.c
+++ b/src/version/registry_members.c
@@ -259,7 +259,8 @@
 int registry_is_successor(const dy_registry_member_t *member,
 			  const dy_member_info_t *info, uint64_t boot)
 {
-	return boot > member->boot && info->address.port && member->port == info->address.port &&
+	return boot > member->boot && info->address.port &&
+	       member->port == info->address.port &&
 	       !memcmp(member->ip, info->address.ip, DY_IP_BYTES);
 }
 
--- a/tests/test_document_pack.c
+++ b/tests/test_document_pack.c
@@ -63,8 +63,7 @@
 		ck_assert_ptr_null(plain);
 		packed->data[i] ^= 0x55;
 	}
-	ck_assert_ptr_null(
-		dy_document_unpack(packed->data, packed->len, 499));
+	ck_assert_ptr_null(dy_document_unpack(packed->data, packed->len, 499));
 	g_byte_array_unref(packed);
 }
 END_TEST
--- a/tests/test_flow_router.c
+++ b/tests/test_flow_router.c
@@ -158,8 +158,8 @@
 
 	nowhere.flow = made.flow;
 	nowhere.agent = world.tries[world.forward.tries.tries_len - 1];
-	nowhere.reason = marks & DY_PACKET_SYN ? DY_FLOW_REFUSED
-					       : DY_FLOW_NOT_HELD;
+	nowhere.reason =
+		marks & DY_PACKET_SYN ? DY_FLOW_REFUSED : DY_FLOW_NOT_HELD;
 	nowhere.window = world.forward.window;
 	nowhere.complete = world.forward.complete;
 	nowhere.certain = certain;
@@ -552,8 +552,8 @@
 	take(1, DY_PACKET_ACK, 5);
 	ck_assert_uint_eq(world.resets, 0);
 	ck_assert_uint_eq(world.forwards, 0);
-	ck_assert_uint_eq(
-		dy_metrics_value(world.metrics, "packets_no_entry"), 1);
+	ck_assert_uint_eq(dy_metrics_value(world.metrics, "packets_no_entry"),
+			  1);
 	end();
 }
 END_TEST
--- a/tests/test_flow_settings.c
+++ b/tests/test_flow_settings.c
@@ -15,11 +15,11 @@
 	ck_assert(g_file_set_contents(path, text, -1, NULL));
 }
 
-#define PROCESS                                                         \
-	"[process]\nname=n1\nfailure-domain=d1\ndata=/data\n"           \
+#define PROCESS                                               \
+	"[process]\nname=n1\nfailure-domain=d1\ndata=/data\n" \
 	"first-start=true\nstop-s=6\n"
-#define LISTEN                                                          \
-	"[listen]\npackets=10.0.0.1:80\nready=10.0.0.1:81\n"            \
+#define LISTEN                                               \
+	"[listen]\npackets=10.0.0.1:80\nready=10.0.0.1:81\n" \
 	"control=10.0.0.1:82\noutbound=10.0.0.1:83\ninner-port=7000\n"
 #define TARGET "[target]\naddress=10.0.0.1:84\nservice=a\n"
 #define GROUP "[group]\nseeds=10.0.0.2:82,10.0.0.3:82\n"
@@ -56,8 +56,8 @@
 		       "first-start=\nnew=1\n[listen]\npackets=10.0.0.1:80\n"
 		       "ready=10.0.0.1:81\ncontrol=\ninner-port=7000\n"
 		       "[target]\naddress=\nservice=\n" GROUP "[more]\na=b\n");
-	ck_assert(dy_flow_settings_load(&settings, path, DY_FLOW_BALANCER,
-					NULL));
+	ck_assert(
+		dy_flow_settings_load(&settings, path, DY_FLOW_BALANCER, NULL));
 	ck_assert_ptr_null(settings.data);
 	ck_assert_uint_eq(settings.control.port, 0);
 	ck_assert(!settings.first_start);
--- a/tests/test_flow_targets.c
+++ b/tests/test_flow_targets.c
@@ -79,8 +79,8 @@
 	return number_of(&list[0]);
 }
 
-static int search(dy_flow_targets_t *targets, unsigned number,
-		  unsigned *count, dy_address_t list[DY_FLOW_SEARCH_MAX])
+static int search(dy_flow_targets_t *targets, unsigned number, unsigned *count,
+		  dy_address_t list[DY_FLOW_SEARCH_MAX])
 {
 	const char *services[] = { SERVICE };
 	dy_flow_id_t id = flow(number);
@@ -288,8 +288,8 @@
 	dy_flow_targets_t *targets = create(3);
 	dy_address_t second = agent(2);
 
-	ck_assert(
-		!dy_flow_targets_is_lost(targets, &second, DY_FLOW_LOST_MS + 1));
+	ck_assert(!dy_flow_targets_is_lost(targets, &second,
+					   DY_FLOW_LOST_MS + 1));
 	set(targets, 2, 12, DY_MEMBER_SUSPECT, "d1");
 	ck_assert(!dy_flow_targets_is_lost(targets, &second, DY_FLOW_LOST_MS));
 	ck_assert(
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -3,6 +3,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "fake_suite.h"
 
@@ -51,12 +52,43 @@
 }
 END_TEST
 
+/*
+ * Whoever reads the log stops reading. The process would block in a write and
+ * serve nobody; or lines would be lost without a word.
+ */
+START_TEST(reader_that_stops_does_not_block)
+{
+	static char text[1 << 17];
+	int ends[2];
+	ssize_t len;
+	int i;
+
+	ck_assert(!pipe(ends));
+	dy_log_configure(DY_LOG_INFO, "test");
+	dy_log_to(ends[1]);
+	for (i = 0; i < 5000; i++)
+		dy_log_event(DY_LOG_INFO, "filler", "number=%d", i);
+	len = read(ends[0], text, sizeof(text) - 1);
+	ck_assert_int_gt(len, 10000);
+	dy_log_event(DY_LOG_INFO, "after", "");
+	len = read(ends[0], text, sizeof(text) - 1);
+	ck_assert_int_gt(len, 0);
+	text[len] = '\0';
+	ck_assert_ptr_nonnull(strstr(text, "event=log_dropped lines="));
+	ck_assert_ptr_nonnull(strstr(text, "event=after"));
+	dy_log_to(STDERR_FILENO);
+	close(ends[0]);
+	close(ends[1]);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		quote_keeps_plain_words,
 		quote_escapes_forged_event,
 		limit_holds_back_and_reopens,
+		reader_that_stops_does_not_block,
 		counter_is_found_again,
 		NULL,
 	};
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -100,11 +100,10 @@
 		dy_address_t any;
 
 		dy_address_parse("127.0.0.1:0", &any);
-		world.askers[i].seal = dy_seal_create(&world.options.secrets,
-						      world.metrics);
-		world.askers[i].endpoint =
-			dy_endpoint_create(world.loop, &any, on_answer,
-					   &world.askers[i], NULL);
+		world.askers[i].seal =
+			dy_seal_create(&world.options.secrets, world.metrics);
+		world.askers[i].endpoint = dy_endpoint_create(
+			world.loop, &any, on_answer, &world.askers[i], NULL);
 	}
 }
 
@@ -159,8 +158,7 @@
 		ask(asker, GROUP, identity);
 		settle(10);
 		ck_assert_uint_lt(++tries, WAIT_TICKS / 10);
-	} while (!asker->answered ||
-		 asker->place.status == DY_PLACE_UNKNOWN ||
+	} while (!asker->answered || asker->place.status == DY_PLACE_UNKNOWN ||
 		 asker->place.status == DY_PLACE_ASK);
 	ck_assert_uint_eq(asker->place.echo, 77);
 	return &asker->place;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -15,17 +15,17 @@
 static void make_packet(uint8_t bytes[PACKET_BYTES], uint8_t flags)
 {
 	static const uint8_t made[PACKET_BYTES] = {
-		9,    9, 9, 9, /* sum */
-		1,    2, 0, 0, /* echo */
-		0, /* flags */
-		0,    0, 0, /* pad */
-		0xe8, 3, /* source port */
-		80,   0, /* destination port */
-		8,    7, 6, 5, /* destination */
-		4,    3, 2, 1, /* source */
-		3,    0, /* data bytes */
-		4,    0, 0, 1, /* seq */
-		5,    0, 0, 2, /* ack */
+		9,    9,   9,	9, /* sum */
+		1,    2,   0,	0, /* echo */
+		0,		   /* flags */
+		0,    0,   0,	   /* pad */
+		0xe8, 3,	   /* source port */
+		80,   0,	   /* destination port */
+		8,    7,   6,	5, /* destination */
+		4,    3,   2,	1, /* source */
+		3,    0,	   /* data bytes */
+		4,    0,   0,	1, /* seq */
+		5,    0,   0,	2, /* ack */
 		'a',  'b', 'c',
 	};
 
@@ -55,8 +55,8 @@
 					PLATFORM_FROM_TARGET, &packet));
 	ck_assert_uint_eq(packet.flow.entry_ip, 0x01020304);
 	ck_assert_uint_eq(packet.flow.caller_port, 80);
-	ck_assert_uint_eq(packet.marks, DY_PACKET_FIN | DY_PACKET_RST |
-						DY_PACKET_BOUNCED);
+	ck_assert_uint_eq(packet.marks,
+			  DY_PACKET_FIN | DY_PACKET_RST | DY_PACKET_BOUNCED);
 }
 END_TEST
 
@@ -99,6 +99,36 @@
 }
 END_TEST
 
+/* A request's id is for logs alone; data that has none, or half, is no fault. */
+START_TEST(request_id_is_found_in_data)
+{
+	static const char *const texts[] = {
+		"GET / HTTP/1.1\r\nX-Damaskyard-Request-Id: ab12\r\n\r\n",
+		"GET / HTTP/1.1\r\nX-Damaskyard-Request-Id: ab12",
+		"GET / HTTP/1.1\r\nX-Damaskyard-Request-Id: ",
+		"GET / HTTP/1.1\r\nX-Damask",
+		"",
+	};
+	static const unsigned lens[] = { 4, 4, 0, 0, 0 };
+	uint8_t bytes[PLATFORM_HEAD_BYTES + 200];
+	dy_packet_t packet;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
+		memset(bytes, 0, sizeof(bytes));
+		memcpy(bytes + PLATFORM_HEAD_BYTES, texts[i], strlen(texts[i]));
+		bytes[24] = (uint8_t)strlen(texts[i]);
+		ck_assert(!platform_packet_load(
+			bytes, PLATFORM_HEAD_BYTES + strlen(texts[i]),
+			PLATFORM_FROM_CALLER, &packet));
+		platform_packet_find_request(bytes, &packet);
+		ck_assert_uint_eq(packet.request_len, lens[i]);
+		if (lens[i])
+			ck_assert_mem_eq(packet.request, "ab12", 4);
+	}
+}
+END_TEST
+
 START_TEST(reset_goes_from_the_entry_to_the_caller)
 {
 	uint8_t bytes[PACKET_BYTES];
@@ -166,7 +196,8 @@
 		ROUTE("10.0.0.1", "/443/", "\"x\":\"a\""),
 		ROUTE("10.0.0.1", "/443/", "\"backends\":[]"),
 		ROUTE("10.0.0.1", "/443/", "\"backends\":7"),
-		ROUTE("10.0.0.1", "/443/", "\"backends\":[{\"service\":\"a\"}]"),
+		ROUTE("10.0.0.1", "/443/",
+		      "\"backends\":[{\"service\":\"a\"}]"),
 		ROUTE("10.0.0.1", "/443/",
 		      "\"backends\":[{\"service\":\"a\",\"weight\":0}]"),
 		ROUTE("10.0.0.1", "/443/",
@@ -205,13 +236,17 @@
 START_TEST(unreadable_configuration_is_refused)
 {
 	static const char *const texts[] = {
-		"", "[]", "7", "{}", "{\"version\":\"7\",\"routes\":[]," SERVICES "}",
+		"",
+		"[]",
+		"7",
+		"{}",
+		"{\"version\":\"7\",\"routes\":[]," SERVICES "}",
 		"{\"version\":7,\"routes\":{}," SERVICES "}",
 		"{\"version\":7,\"routes\":[],\"services\":7}",
 		"{\"version\":7,\"version\":8,\"routes\":[]," SERVICES "}",
 	};
-	char *text = configuration(
-		ROUTE("10.0.0.1", "/443/", "\"service\":\"a\""));
+	char *text =
+		configuration(ROUTE("10.0.0.1", "/443/", "\"service\":\"a\""));
 	GError *error = NULL;
 	size_t i;
 
@@ -230,8 +265,8 @@
 }
 END_TEST
 
-#define BEAT                                                         \
-	"{\"service\":\"a\",\"address\":\"10.0.0.1:80\",\"zone\":"   \
+#define BEAT                                                        \
+	"{\"service\":\"a\",\"address\":\"10.0.0.1:80\",\"zone\":"  \
 	"\"z\",\"version\":\"v1\",\"slots\":4,\"state\":\"ready\"," \
 	"\"warmupLeftMs\":30,\"seq\":2,\"born\":99}"
 
@@ -347,6 +382,7 @@
 		packet_is_decoded_for_both_senders,
 		packet_of_a_wrong_length_is_refused,
 		mark_changes_only_what_the_sum_leaves_out,
+		request_id_is_found_in_data,
 		reset_goes_from_the_entry_to_the_caller,
 		configuration_becomes_rules,
 		invalid_configuration_is_refused,
