--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 #   make standins   the stand-in targets, callers and fabric, build/standin/*
 #   make test       every test program, one a module
 #   make fuzz       the fuzzers, each run for a fixed count over its corpus
+#   make soak       the fault soak; soak/run plays it
 #   make measure    the policy under load, printed as a table
 #   make bench      the data path and the control path, measured
 #   make lint       formatter and linter, both must be clean
@@ -59,17 +60,19 @@
 BENCH_COMMON_OBJ := $(patsubst %.c,$(BUILD)/obj/%.o, \
 	$(sort $(wildcard bench/common_*.c)))
 BENCH_BIN := $(patsubst bench/%.c,$(BUILD)/bench/%,$(BENCH_SRC))
+SOAK_SRC := $(sort $(wildcard soak/*.c))
+SOAK_BIN = $(BUILD)/soak/soak
 FUZZ_SRC := $(sort $(wildcard fuzz/fuzz_*.c))
 FUZZ_BIN := $(patsubst fuzz/%.c,build/fuzz/%,$(FUZZ_SRC))
 FUZZ_RUNS = 2000
 
 OWN_SRC := $(LIB_SRC) $(sort $(wildcard standin/*.c tests/*.c bench/*.c \
-	fuzz/*.c))
+	fuzz/*.c soak/*.c))
 OWN_HDR := $(sort $(wildcard include/damaskyard/*.h src/request/*.h \
 	src/connection/*.h src/version/*.h src/process/*.h platform/*.h standin/*.h \
-	tests/*.h bench/*.h fuzz/*.h))
+	tests/*.h bench/*.h fuzz/*.h soak/*.h))
 
-.PHONY: all standins test-programs benches fuzzers test fuzz measure bench lint format \
+.PHONY: all standins test-programs benches fuzzers test fuzz soak measure bench lint format \
 	tidy gen install clean
 .SECONDARY:
 
@@ -109,6 +112,10 @@
 	@mkdir -p $(@D)
 	$(CC) $(SAN) -o $@ $^ $(DEPS_LIBS)
 
+$(SOAK_BIN): $(SOAK_SRC:%.c=$(BUILD)/obj/%.o) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(SAN) -o $@ $^ $(DEPS_LIBS)
+
 # The fuzzers' own objects: clang instruments the library's code too. Fakes
 # that assert by the check library belong to the tests alone.
 FUZZ_FLAGS = -std=gnu11 -O1 -g -w -fsanitize=address,undefined
@@ -129,6 +136,8 @@
 
 fuzzers: $(FUZZ_BIN)
 
+soak: $(BIN) $(SOAK_BIN) $(STANDIN_BIN) $(BUILD)/tests/test_end_to_end
+
 test: $(BIN) $(STANDIN_BIN) $(TEST_BIN)
 	@./tests/run $(BUILD)
 
--- /dev/null
+++ b/soak/targets.c
@@ -0,0 +1,290 @@
+#include "soak.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A notice each second; nothing else is known to the system. */
+#define NOTICE_MS 1000
+
+/* What a drain is given after its acknowledgement, and what the pages allow. */
+#define DRAIN_MS 3000
+
+typedef struct flow {
+	dy_flow_id_t id; /* the key */
+	uint32_t own_seq;
+	int open;
+	unsigned answered; /* the last request that ran here */
+	char answer[64];
+} flow_t;
+
+typedef struct target {
+	int number;
+	int service;
+	uv_udp_t udp;
+	int alive;
+	int draining;
+	uint64_t back_at_ms;
+	uint64_t drain_acked_ms;
+	uint64_t leave_at_ms;
+	uint64_t noticed_ms;
+	uint64_t held_until_ms;
+	uint64_t disturbed_ms;
+	uint64_t born_ms;
+	unsigned starts;
+	unsigned sequence;
+	unsigned acked_sequence;
+	int calling;
+	GHashTable *flows;
+} target_t;
+
+static target_t targets[TARGETS + 1];
+
+static void send_packet(target_t *target, const uint8_t *bytes, size_t len)
+{
+	struct sockaddr_in to;
+
+	soak_address(NET_AGENT, target->number, PORT_OUTBOUND, &to);
+	udp_send(&target->udp, bytes, len, &to);
+}
+
+static void reply(target_t *target, const flow_t *flow, unsigned marks,
+		  const dy_packet_t *to, const char *data)
+{
+	uint8_t bytes[PACKET_MAX];
+	size_t len = packet_make(bytes, &flow->id, 0, marks, flow->own_seq,
+				 to->seq + 1, data);
+
+	send_packet(target, bytes, len);
+}
+
+/* Bytes that this target does not hold go back, echo unchanged. */
+static void give_back(target_t *target, uint8_t *bytes, size_t len)
+{
+	bytes[8] |= 2;
+	memset(bytes + 9, 0, 3);
+	send_packet(target, bytes, len);
+}
+
+static void take_opening(target_t *target, const dy_packet_t *packet)
+{
+	flow_t *flow = g_hash_table_lookup(target->flows, &packet->flow);
+
+	if (target->drain_acked_ms &&
+	    soak_now_ms() - target->drain_acked_ms > DRAIN_MS)
+		soak_break("an opening reached a drained target", "target=%d",
+			   target->number);
+	if (!flow) {
+		soak.openings++;
+		flow = g_new0(flow_t, 1);
+		flow->id = packet->flow;
+		flow->own_seq = g_rand_int(soak.rand) & 0x7fffffff;
+		g_hash_table_insert(target->flows, &flow->id, flow);
+	}
+	reply(target, flow, DY_PACKET_SYN | DY_PACKET_ACK, packet, "");
+}
+
+static void take_request(target_t *target, flow_t *flow,
+			 const dy_packet_t *packet, const char *data)
+{
+	unsigned id = (unsigned)strtoul(data, NULL, 10);
+
+	if (flow->answered != id) {
+		callers_ran(id, target->service);
+		flow->answered = id;
+		g_snprintf(flow->answer, sizeof(flow->answer), "%u %d", id,
+			   target->service);
+	}
+	reply(target, flow, DY_PACKET_ACK, packet, flow->answer);
+}
+
+static void on_packet(uv_udp_t *udp, ssize_t len, const uv_buf_t *buf,
+		      const struct sockaddr *from, unsigned flags)
+{
+	target_t *target = udp->data;
+	char data[64] = "";
+	dy_packet_t packet;
+	flow_t *flow;
+
+	(void)flags;
+	if (!from || !target->alive ||
+	    platform_packet_load((uint8_t *)buf->base, (size_t)len,
+				 PLATFORM_FROM_CALLER, &packet))
+		return;
+	if (packet.marks & DY_PACKET_SYN) {
+		take_opening(target, &packet);
+		return;
+	}
+	flow = g_hash_table_lookup(target->flows, &packet.flow);
+	if (!flow) {
+		give_back(target, (uint8_t *)buf->base, (size_t)len);
+		return;
+	}
+	if (!flow->open && packet.ack != flow->own_seq + 1)
+		return;
+	flow->open = 1;
+	memcpy(data, buf->base + PLATFORM_HEAD_BYTES,
+	       MIN(packet.data_bytes, sizeof(data) - 1));
+	if (packet.marks & DY_PACKET_FIN) {
+		reply(target, flow, DY_PACKET_ACK | DY_PACKET_FIN, &packet, "");
+		g_hash_table_remove(target->flows, &packet.flow);
+	} else if (packet.data_bytes) {
+		take_request(target, flow, &packet, data);
+	}
+}
+
+static void on_noticed(void *context, int status, const char *body,
+		       const char *location)
+{
+	target_t *target = context;
+
+	(void)body;
+	(void)location;
+	target->calling = 0;
+	if (status == 200 && target->draining && !target->drain_acked_ms &&
+	    target->acked_sequence == target->sequence) {
+		target->drain_acked_ms = soak_now_ms();
+		target->leave_at_ms = soak_now_ms() + DRAIN_MS + 1000;
+	}
+}
+
+static void give_notice(target_t *target)
+{
+	struct sockaddr_in to;
+	char path[64];
+	char *body;
+
+	soak_address(NET_AGENT, target->number, PORT_CONTROL, &to);
+	g_snprintf(path, sizeof(path), "/-/instances/i-%d-%u", target->number,
+		   target->starts);
+	body = g_strdup_printf(
+		"{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"d\","
+		"\"version\":\"v1\",\"slots\":4,\"state\":\"%s\","
+		"\"warmupLeftMs\":0,\"seq\":%u,\"born\":%lu}",
+		service_names[target->service],
+		soak_ip(NET_AGENT, target->number), soak.base_port + PORT_APP,
+		target->draining ? "draining" : "ready", ++target->sequence,
+		(unsigned long)target->born_ms);
+	target->acked_sequence = target->sequence;
+	target->calling = 1;
+	target->noticed_ms = soak_now_ms();
+	http_call(&to, "PUT", path, body, on_noticed, target);
+	g_free(body);
+}
+
+static void on_left(void *context, int status, const char *body,
+		    const char *location)
+{
+	(void)context;
+	(void)status;
+	(void)body;
+	(void)location;
+}
+
+static void start(target_t *target)
+{
+	g_hash_table_remove_all(target->flows);
+	target->alive = 1;
+	target->draining = 0;
+	target->drain_acked_ms = 0;
+	target->leave_at_ms = 0;
+	target->back_at_ms = 0;
+	target->sequence = 0;
+	target->starts++;
+	target->born_ms = (uint64_t)(g_get_real_time() / 1000);
+	target->noticed_ms = 0;
+	target->disturbed_ms = soak_now_ms();
+}
+
+void target_crash(int number, uint64_t back_ms)
+{
+	target_t *target = &targets[number];
+
+	target->alive = 0;
+	target->disturbed_ms = soak_now_ms();
+	target->back_at_ms = soak_now_ms() + back_ms;
+}
+
+void target_replace(int number)
+{
+	target_t *target = &targets[number];
+
+	if (!target->alive || target->draining)
+		return;
+	target->draining = 1;
+	target->noticed_ms = 0;
+}
+
+void target_hold_up(int number, uint64_t for_ms)
+{
+	targets[number].held_until_ms = soak_now_ms() + for_ms;
+}
+
+static void leave(target_t *target)
+{
+	struct sockaddr_in to;
+	char path[64];
+
+	soak_address(NET_AGENT, target->number, PORT_CONTROL, &to);
+	g_snprintf(path, sizeof(path), "/-/instances/i-%d-%u", target->number,
+		   target->starts);
+	http_call(&to, "DELETE", path, NULL, on_left, NULL);
+	target_crash(target->number, 500);
+}
+
+void targets_tick(void)
+{
+	uint64_t now = soak_now_ms();
+	target_t *target;
+	int i;
+
+	for (i = 1; i <= TARGETS; i++) {
+		target = &targets[i];
+		if (!target->alive) {
+			if (target->back_at_ms && now >= target->back_at_ms)
+				start(target);
+			continue;
+		}
+		if (target->leave_at_ms && now >= target->leave_at_ms)
+			leave(target);
+		else if (!target->calling && now >= target->held_until_ms &&
+			 now - target->noticed_ms >= NOTICE_MS)
+			give_notice(target);
+	}
+}
+
+int target_of_flow(const dy_flow_id_t *flow)
+{
+	const flow_t *held;
+	int i;
+
+	for (i = 1; i <= TARGETS; i++) {
+		held = g_hash_table_lookup(targets[i].flows, flow);
+		if (targets[i].alive && held && held->open)
+			return i;
+	}
+	return -1;
+}
+
+uint64_t target_disturbed_ms(int number)
+{
+	return targets[number].disturbed_ms;
+}
+
+void targets_create(void)
+{
+	target_t *target;
+	int i;
+
+	for (i = 1; i <= TARGETS; i++) {
+		target = &targets[i];
+		target->number = i;
+		target->service = i == TARGETS;
+		target->flows = g_hash_table_new_full(dy_flow_id_table_hash,
+						      dy_flow_id_table_equal,
+						      NULL, g_free);
+		udp_open(&target->udp, NET_AGENT, i, PORT_APP, on_packet,
+			 target);
+		start(target);
+	}
+}
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -12,10 +12,23 @@
 	return dy_loop_now_ms(control->loop);
 }
 
+/*
+ * Guards against a group that acknowledges while it is being founded: with
+ * two of three voters the loss of one disk leaves nobody who could be elected,
+ * or take another in. Once it has served, a majority of the listed controls is
+ * enough: a voter that lost its disk is out for a moment until it is replaced.
+ */
+static unsigned least_voters(const dy_control_t *control)
+{
+	if (control->options.open && !dy_registry_index(control->registry))
+		return control->options.peers.count;
+	return control->options.peers.count / 2 + 1;
+}
+
 int control_serves(const dy_control_t *control)
 {
 	return dy_raft_role(control->raft) == DY_RAFT_LEADER &&
-	       control_count_voters(control) > control->options.peers.count / 2;
+	       control_count_voters(control) >= least_voters(control);
 }
 
 void control_show_leader(const dy_control_t *control, dy_address_t *leader)
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -63,24 +63,36 @@
 	asker->answered = 1;
 }
 
-static void begin(void)
+static dy_address_t find_port(void)
 {
+	dy_address_t address;
 	dy_endpoint_t *probe;
-	GError *error = NULL;
-	int i;
 
+	dy_address_parse("127.0.0.1:0", &address);
+	probe = dy_endpoint_create(world.loop, &address, NULL, NULL, NULL);
+	address = *dy_endpoint_address(probe);
+	dy_endpoint_destroy(probe);
+	settle(2);
+	return address;
+}
+
+static void create_loop(void)
+{
 	memset(&world, 0, sizeof(world));
 	dy_log_configure(DY_LOG_ERROR, NULL);
 	world.folder = g_dir_make_tmp("dy-place-XXXXXX", NULL);
 	world.metrics = dy_metrics_create();
 	world.loop = dy_loop_create(world.metrics);
 	dy_loop_every(world.loop, 5, on_tick, NULL);
-	dy_address_parse("127.0.0.1:0", &world.options.listen);
-	probe = dy_endpoint_create(world.loop, &world.options.listen, NULL,
-				   NULL, NULL);
-	world.options.listen = *dy_endpoint_address(probe);
-	dy_endpoint_destroy(probe);
-	settle(2);
+	world.options.listen = find_port();
+}
+
+static void begin(void)
+{
+	GError *error = NULL;
+	int i;
+
+	create_loop();
 	world.options.group = GROUP;
 	world.options.slot = 1;
 	world.options.folder = world.folder;
@@ -107,11 +119,24 @@
 	}
 }
 
-static void end(void)
+static void remove_folder(char *folder)
 {
+	GDir *dir = g_dir_open(folder, 0, NULL);
 	const char *name;
 	char *path;
-	GDir *dir;
+
+	while ((name = g_dir_read_name(dir))) {
+		path = g_build_filename(folder, name, NULL);
+		g_unlink(path);
+		g_free(path);
+	}
+	g_dir_close(dir);
+	g_rmdir(folder);
+	g_free(folder);
+}
+
+static void end(void)
+{
 	int i;
 
 	dy_control_destroy(world.control);
@@ -121,15 +146,7 @@
 	}
 	dy_loop_destroy(world.loop);
 	dy_metrics_destroy(world.metrics);
-	dir = g_dir_open(world.folder, 0, NULL);
-	while ((name = g_dir_read_name(dir))) {
-		path = g_build_filename(world.folder, name, NULL);
-		g_unlink(path);
-		g_free(path);
-	}
-	g_dir_close(dir);
-	g_rmdir(world.folder);
-	g_free(world.folder);
+	remove_folder(world.folder);
 }
 
 static void ask(asker_t *asker, uint64_t group, uint64_t identity)
@@ -217,12 +234,111 @@
 }
 END_TEST
 
+/* A control that says that it is empty, and never takes part. */
+static void on_group_message(void *context, uint8_t *bytes, size_t len,
+			     const struct sockaddr *from, int truncated)
+{
+	dy_seal_head_t head = { 0, DY_GROUP_PROGRAM, DY_GROUP_HELLO };
+	asker_t *third = context;
+	dy_hello_t hello = { 0 };
+	dy_sealed_t message;
+	uint8_t out[1024];
+
+	(void)truncated;
+	if (dy_seal_open(third->seal, bytes, len, &message) != DY_SEAL_OK ||
+	    message.procedure != DY_GROUP_HELLO)
+		return;
+	hello.group = GROUP;
+	hello.id.slot = 3;
+	hello.id.identity = 33;
+	hello.empty = 1;
+	hello.echo = message.sender;
+	len = dy_seal_write_call(third->seal, &head, (xdrproc_t)xdr_dy_hello_t,
+				 &hello, out, sizeof(out));
+	dy_endpoint_send(third->endpoint, out, len, from);
+}
+
+static int take_any(void *context, const uint8_t *bytes, size_t size,
+		    char *message, size_t message_size)
+{
+	(void)context;
+	(void)bytes;
+	(void)size;
+	(void)message;
+	(void)message_size;
+	return 1;
+}
+
+static void on_raised(void *context, dy_status_t status, const char *message)
+{
+	(void)message;
+	*(int *)context = (int)status;
+}
+
+/*
+ * The group was just founded, two of its three controls vote, and a document
+ * is acknowledged. Then one of the two loses its disk: nobody can be elected,
+ * and nobody can be taken in, though one loss is to be borne.
+ */
+START_TEST(group_serves_only_once_it_bears_a_loss)
+{
+	dy_control_options_t options;
+	dy_control_t *second;
+	asker_t third = { 0 };
+	int status = -1;
+	int i;
+
+	create_loop();
+	world.options.group = GROUP;
+	world.options.open = 1;
+	world.options.check = take_any;
+	world.options.secrets.count = 1;
+	world.options.leases.lease_ms = 60000;
+	world.options.peers.count = 3;
+	world.options.peers.slots[1] = world.options.listen;
+	world.options.peers.slots[2] = find_port();
+	third.seal = dy_seal_create(&world.options.secrets, world.metrics);
+	dy_address_parse("127.0.0.1:0", &world.options.peers.slots[3]);
+	third.endpoint = dy_endpoint_create(world.loop,
+					    &world.options.peers.slots[3],
+					    on_group_message, &third, NULL);
+	world.options.peers.slots[3] = *dy_endpoint_address(third.endpoint);
+	options = world.options;
+	options.slot = 2;
+	options.listen = options.peers.slots[2];
+	options.folder = g_dir_make_tmp("dy-place-XXXXXX", NULL);
+	world.options.slot = 1;
+	world.options.folder = world.folder;
+	world.control = dy_control_create(world.loop, world.metrics,
+					  &world.options, NULL);
+	second = dy_control_create(world.loop, world.metrics, &options, NULL);
+	for (i = 0; i < 15; i++) {
+		settle(20);
+		dy_control_raise(world.control, (const uint8_t *)"x", 1, 1,
+				 on_raised, &status);
+		ck_assert_int_ne(status, DY_STATUS_OK);
+	}
+	/* Both are in the group by now. */
+	ck_assert_uint_ge(dy_metrics_value(world.metrics, "control_promoted"),
+			  1);
+	dy_control_destroy(second);
+	dy_control_destroy(world.control);
+	dy_endpoint_destroy(third.endpoint);
+	dy_loop_destroy(world.loop);
+	dy_seal_destroy(third.seal);
+	dy_metrics_destroy(world.metrics);
+	remove_folder((char *)options.folder);
+	remove_folder(world.folder);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		those_that_ask_at_once_get_places_of_their_own,
 		one_that_is_no_member_any_more_is_told,
 		other_groups_are_not_answered,
+		group_serves_only_once_it_bears_a_loss,
 		NULL,
 	};
 
