--- a/src/process/control_raise.c
+++ b/src/process/control_raise.c
@@ -21,8 +21,15 @@
  */
 #define ORDERS_MAX 32
 
+typedef enum order_state {
+	ORDER_NONE,
+	ORDER_WAITING,
+	ORDER_UNDER_WAY
+} order_state_t;
+
 typedef struct order {
-	dy_list_t link;
+	order_state_t state;
+	uint64_t arrived; /* of two with one number the first counts */
 	uint64_t number;
 	uint8_t *bytes;
 	uint32_t size;
@@ -32,11 +39,12 @@
 
 struct control_raises {
 	dy_control_t *control;
-	dy_list_t waiting;
-	dy_list_t batch; /* under way; the highest stands first */
-	unsigned count;
+	order_t orders[ORDERS_MAX];
+	order_t *best; /* of those under way; NULL: none is */
+	uint64_t arrivals;
+	int ending; /* callbacks are being made; nothing is begun */
 	int closed;
-	char request[16]; /* of the batch */
+	char request[16]; /* of those under way */
 };
 
 control_raises_t *control_raises_create(dy_control_t *control)
@@ -44,27 +52,27 @@
 	control_raises_t *raises = g_new0(control_raises_t, 1);
 
 	raises->control = control;
-	dy_list_init(&raises->waiting);
-	dy_list_init(&raises->batch);
 	return raises;
 }
 
-static void end_order(control_raises_t *raises, order_t *order,
-		      dy_status_t status, const char *message)
+/* The place is free before done() is called, which may raise another. */
+static void end_order(order_t *order, dy_status_t status, const char *message)
 {
-	dy_list_remove(&order->link);
-	raises->count--;
-	order->done(order->context, status, message);
-	g_free(order->bytes);
-	g_free(order);
+	order_t ended = *order;
+
+	memset(order, 0, sizeof(*order));
+	ended.done(ended.context, status, message);
+	g_free(ended.bytes);
 }
 
-static void end_orders(control_raises_t *raises, dy_list_t *list,
+static void end_orders(control_raises_t *raises, order_state_t state,
 		       dy_status_t status, const char *message)
 {
-	while (!dy_list_empty(list))
-		end_order(raises, DY_LIST_ITEM(list->next, order_t, link),
-			  status, message);
+	int i;
+
+	for (i = 0; i < ORDERS_MAX; i++)
+		if (raises->orders[i].state == state)
+			end_order(&raises->orders[i], status, message);
 }
 
 void control_raises_close(control_raises_t *raises)
@@ -72,46 +80,37 @@
 	if (!raises)
 		return;
 	raises->closed = 1;
-	end_orders(raises, &raises->waiting, DY_STATUS_UNAVAILABLE, "");
+	end_orders(raises, ORDER_WAITING, DY_STATUS_UNAVAILABLE, "");
 }
 
 void control_raises_destroy(control_raises_t *raises)
 {
 	if (!raises)
 		return;
-	end_orders(raises, &raises->batch, DY_STATUS_UNAVAILABLE, "");
+	end_orders(raises, ORDER_UNDER_WAY, DY_STATUS_UNAVAILABLE, "");
 	g_free(raises);
 }
 
-static order_t *highest(control_raises_t *raises)
+static int is_before(const order_t *a, const order_t *b)
 {
-	order_t *best = DY_LIST_ITEM(raises->waiting.next, order_t, link);
-	order_t *order;
-	dy_list_t *pos;
-
-	DY_LIST_EACH(pos, &raises->waiting)
-	{
-		order = DY_LIST_ITEM(pos, order_t, link);
-		if (order->number > best->number)
-			best = order;
-	}
-	return best;
+	return a->number > b->number ||
+	       (a->number == b->number && a->arrived < b->arrived);
 }
 
-/* Move all that wait into the batch, the highest first. */
-static order_t *take_batch(control_raises_t *raises)
+/* Put all that wait under way; the highest of them is best. */
+static void take_waiting(control_raises_t *raises)
 {
-	order_t *best = highest(raises);
-	dy_list_t *link;
-
-	dy_list_remove(&best->link);
-	dy_list_append(&raises->batch, &best->link);
-	while (!dy_list_empty(&raises->waiting)) {
-		link = raises->waiting.next;
-		dy_list_remove(link);
-		dy_list_append(&raises->batch, link);
+	order_t *order;
+	int i;
+
+	for (i = 0; i < ORDERS_MAX; i++) {
+		order = &raises->orders[i];
+		if (order->state != ORDER_WAITING)
+			continue;
+		order->state = ORDER_UNDER_WAY;
+		if (!raises->best || is_before(order, raises->best))
+			raises->best = order;
 	}
-	return best;
 }
 
 static void begin(control_raises_t *raises);
@@ -119,25 +118,27 @@
 static void end_batch(control_raises_t *raises, dy_status_t status,
 		      const char *message)
 {
-	end_orders(raises, &raises->batch, status, message);
+	raises->best = NULL;
+	raises->ending = 1;
+	end_orders(raises, ORDER_UNDER_WAY, status, message);
+	raises->ending = 0;
 	begin(raises);
 }
 
 /*
- * The highest alone can be malformed: the others were never looked at, and go
- * back to wait for the next batch.
+ * The highest alone can be malformed: the others were never looked at, and
+ * wait for the next time.
  */
 static void refuse_highest(control_raises_t *raises, const char *message)
 {
-	order_t *best = DY_LIST_ITEM(raises->batch.next, order_t, link);
-	dy_list_t *link;
-
-	end_order(raises, best, DY_STATUS_MALFORMED, message);
-	while (!dy_list_empty(&raises->batch)) {
-		link = raises->batch.next;
-		dy_list_remove(link);
-		dy_list_append(&raises->waiting, link);
-	}
+	order_t *best = raises->best;
+	int i;
+
+	raises->best = NULL;
+	end_order(best, DY_STATUS_MALFORMED, message);
+	for (i = 0; i < ORDERS_MAX; i++)
+		if (raises->orders[i].state == ORDER_UNDER_WAY)
+			raises->orders[i].state = ORDER_WAITING;
 	begin(raises);
 }
 
@@ -207,18 +208,19 @@
 	const dy_registry_document_t *held =
 		dy_registry_document(control->registry, DY_TRIAL);
 	dy_raft_result_t result;
-	order_t *best;
 
 	if (raises->closed) {
-		end_orders(raises, &raises->waiting, DY_STATUS_UNAVAILABLE, "");
+		end_orders(raises, ORDER_WAITING, DY_STATUS_UNAVAILABLE, "");
 		return;
 	}
-	if (dy_list_empty(&raises->waiting) || !dy_list_empty(&raises->batch))
+	if (raises->best || raises->ending)
+		return;
+	take_waiting(raises);
+	if (!raises->best)
 		return;
-	best = take_batch(raises);
 	result = control_admit(control);
-	if (result == DY_RAFT_DONE && best->number > held->number)
-		result = propose(raises, best);
+	if (result == DY_RAFT_DONE && raises->best->number > held->number)
+		result = propose(raises, raises->best);
 	else if (result == DY_RAFT_DONE)
 		result = dy_raft_read(control->raft, on_confirmed, raises);
 	if (result != DY_RAFT_DONE)
@@ -226,30 +228,38 @@
 			  "this control does not serve just now");
 }
 
+static order_t *find_free(control_raises_t *raises)
+{
+	int i;
+
+	for (i = 0; i < ORDERS_MAX; i++)
+		if (raises->orders[i].state == ORDER_NONE)
+			return &raises->orders[i];
+	return NULL;
+}
+
 void dy_control_raise(dy_control_t *control, const uint8_t *bytes, size_t size,
 		      uint64_t number, dy_control_raised_cb_t *done,
 		      void *context)
 {
 	control_raises_t *raises = control->raises;
-	order_t *order;
+	order_t *order = find_free(raises);
 
 	if (size > DY_DOCUMENT_BYTES) {
 		done(context, DY_STATUS_MALFORMED, "it is too large");
 		return;
 	}
-	if (raises->closed || raises->count >= ORDERS_MAX ||
-	    control->stop_at_ms) {
+	if (!order || raises->closed || control->stop_at_ms) {
 		done(context, DY_STATUS_UNAVAILABLE, "too many are waiting");
 		return;
 	}
-	order = g_new0(order_t, 1);
+	order->state = ORDER_WAITING;
+	order->arrived = ++raises->arrivals;
 	order->number = number;
 	order->bytes = g_memdup2(bytes, size);
 	order->size = (uint32_t)size;
 	order->done = done;
 	order->context = context;
-	dy_list_append(&raises->waiting, &order->link);
-	raises->count++;
 	begin(raises);
 }
 
