--- a/src/process/cmd_flow_balancer.c
+++ b/src/process/cmd_flow_balancer.c
@@ -9,7 +9,6 @@
 #include "damaskyard/flow_router.h"
 #include "damaskyard/http.h"
 #include "damaskyard/log.h"
-#include "damaskyard/packet_wait.h"
 #include "flow_member.h"
 #include "platform/calls.h"
 #include "platform/configuration.h"
@@ -44,7 +43,6 @@
 	dy_flow_router_t *router;
 	dy_endpoint_t *packets;
 	dy_http_server_t *http;
-	dy_packet_wait_t *waiting; /* until there is a document */
 	int confirmed;
 	int caught_up;
 	int has_document;
@@ -52,7 +50,7 @@
 	uint64_t stopping_ms; /* since when; 0: not stopping */
 	uint64_t packet_ms;   /* the last packet of a caller */
 	uint64_t *malformed;
-	uint64_t *waited;
+	uint64_t *unready_packets;
 } flow_balancer_t;
 
 static uint64_t now_ms(const flow_balancer_t *balancer)
@@ -95,11 +93,6 @@
 	confirm_members,
 };
 
-static int knows_all(const flow_balancer_t *balancer)
-{
-	return balancer->has_document && balancer->caught_up;
-}
-
 static void on_packet(void *context, uint8_t *bytes, size_t len,
 		      const struct sockaddr *from, int truncated)
 {
@@ -115,41 +108,16 @@
 	balancer->packet_ms = now_ms(balancer);
 	/*
 	 * Guards against a start that knows no targets yet: it would refuse
-	 * what others serve.
+	 * what others serve. The caller's copy finds it ready, or another.
 	 */
-	if (!knows_all(balancer)) {
-		dy_packet_wait_add(balancer->waiting, &packet.flow, bytes, len,
-				   balancer->packet_ms);
+	if (!balancer->has_document || !balancer->caught_up) {
+		++*balancer->unready_packets;
 		return;
 	}
 	dy_flow_router_take(balancer->router, &packet, bytes, len,
 			    balancer->packet_ms);
 }
 
-static void take_waiting(void *context, uint8_t *bytes, size_t len)
-{
-	flow_balancer_t *balancer = context;
-	dy_packet_t packet;
-
-	if (platform_packet_load(bytes, len, PLATFORM_FROM_CALLER, &packet))
-		return;
-	++*balancer->waited;
-	dy_flow_router_take(balancer->router, &packet, bytes, len,
-			    now_ms(balancer));
-}
-
-/* Handle what came before the document and the members did. */
-static void end_waiting(flow_balancer_t *balancer)
-{
-	unsigned count;
-
-	if (!knows_all(balancer) || !dy_packet_wait_count(balancer->waiting))
-		return;
-	count = dy_packet_wait_take(balancer->waiting, now_ms(balancer),
-				    take_waiting, balancer);
-	dy_log_event(DY_LOG_INFO, "waiting_packets_handled", "count=%u", count);
-}
-
 static void receive_held(flow_balancer_t *balancer, const dy_sealed_t *message)
 {
 	dy_flow_held_t held = { 0 };
@@ -265,7 +233,6 @@
 	balancer->has_document = 1;
 	dy_subscriber_set_document(balancer->member.subscriber, info->number);
 	update_ready(balancer);
-	end_waiting(balancer);
 }
 
 static void on_member(void *context, const dy_member_t *member)
@@ -296,7 +263,6 @@
 		balancer->router,
 		now_ms(balancer) -
 			dy_subscriber_age_ms(balancer->member.subscriber));
-	end_waiting(balancer);
 }
 
 static void begin_stop(void *context)
@@ -392,8 +358,8 @@
 	config.context = balancer;
 	balancer->router = dy_flow_router_create(&config);
 	balancer->malformed = dy_metrics_counter(metrics, "packets_malformed");
-	balancer->waited = dy_metrics_counter(metrics, "packets_waited");
-	balancer->waiting = dy_packet_wait_create();
+	balancer->unready_packets =
+		dy_metrics_counter(metrics, "packets_unready");
 }
 
 static gboolean run(flow_balancer_t *balancer, GError **error)
@@ -419,7 +385,6 @@
 	dy_endpoint_destroy(balancer->packets);
 	flow_member_close(&balancer->member);
 	dy_flow_router_destroy(balancer->router);
-	dy_packet_wait_destroy(balancer->waiting);
 	return ok;
 }
 
