--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -39,6 +39,7 @@
 	uint64_t generation; /* of members and rules: of every search order */
 	dy_log_limit_t assigned_limit;
 	dy_log_limit_t reset_limit;
+	dy_log_limit_t searched_limit;
 	uint64_t *packets;
 	uint64_t *opened;
 	uint64_t *searched;
@@ -63,6 +64,7 @@
 	dy_list_init(&router->missing);
 	router->assigned_limit = limit;
 	router->reset_limit = limit;
+	router->searched_limit = limit;
 	router->packets = dy_metrics_counter(metrics, "packets");
 	router->opened = dy_metrics_counter(metrics, "flows_opened");
 	router->searched = dy_metrics_counter(metrics, "flows_searched");
@@ -325,6 +327,24 @@
 				  : copy[(i + searches / 2) % count];
 }
 
+/* The request's id, if one begins here, is what on-call starts from. */
+static void log_searched(dy_flow_router_t *router, const dy_packet_t *packet,
+			 unsigned agents, unsigned before, uint64_t now_ms)
+{
+	char text[DY_FLOW_TEXT_BYTES];
+	char request[40] = "";
+
+	if (!dy_log_allow(&router->searched_limit, "flow_searched", now_ms))
+		return;
+	if (packet->request)
+		g_snprintf(request, sizeof(request), "%.*s",
+			   (int)packet->request_len, packet->request);
+	dy_log_event(DY_LOG_INFO, "flow_searched",
+		     "flow=%s request=%s agents=%u searches_before=%u",
+		     dy_flow_id_format(&packet->flow, text),
+		     dy_log_quote(request), agents, before);
+}
+
 /*
  * Move the agents of a window, counted from 1, to the front of the list, the
  * lost ones left out: a search that is sent to one ends there. Goes on to the
@@ -388,6 +408,7 @@
 	flow = keep_flow(router, &packet->flow, now_ms);
 	if (at->window == 1) {
 		flow->searched_among = router->generation;
+		log_searched(router, packet, total, flow->searches, now_ms);
 		turn_list(list, count, flow->searches++);
 	}
 	forward.tell = 1;
@@ -458,6 +479,7 @@
 {
 	flow->missing_ms = now_ms;
 	flow->missing = *packet;
+	flow->missing.request = NULL; /* bytes that do not last */
 	dy_list_remove(&flow->missing_link);
 	dy_list_append(&router->missing, &flow->missing_link);
 	router->config.callbacks->confirm(router->config.context);
--- a/src/process/cmd_flow_balancer.c
+++ b/src/process/cmd_flow_balancer.c
@@ -105,6 +105,8 @@
 		++*balancer->malformed;
 		return;
 	}
+	if (packet.data_bytes)
+		platform_packet_find_request(bytes, &packet);
 	balancer->packet_ms = now_ms(balancer);
 	/*
 	 * Guards against a start that knows no targets yet: it would refuse
