--- /dev/null
+++ b/bench/bench_flow.c
@@ -0,0 +1,181 @@
+/*
+ * Slopes of the packet path's decisions: memory a flow and a target, time a
+ * packet, a choice and a search. Prints key=value rows.
+ */
+
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <glib.h>
+
+#include "damaskyard/address.h"
+#include "damaskyard/flow_router.h"
+#include "damaskyard/log.h"
+
+#define FLOWS 150000
+#define ROUNDS 200000
+
+static uint64_t forwards;
+
+static void on_forward(void *context, dy_flow_forward_t *forward)
+{
+	(void)context;
+	(void)forward;
+	forwards++;
+}
+
+static void on_reset(void *context, const dy_flow_id_t *flow, uint32_t seq)
+{
+	(void)context;
+	(void)flow;
+	(void)seq;
+}
+
+static void on_confirm(void *context)
+{
+	(void)context;
+}
+
+static const dy_flow_router_callbacks_t callbacks = { on_forward, on_reset,
+						      on_confirm };
+
+static size_t heap_bytes(void)
+{
+	struct mallinfo2 info = mallinfo2();
+
+	return info.uordblks + info.hblkhd;
+}
+
+static double now_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return (double)now.tv_sec * 1e6 + (double)now.tv_nsec / 1e3;
+}
+
+static dy_address_t agent(unsigned number)
+{
+	dy_address_t address;
+
+	dy_address_set_ipv4(&address, 0x0a000000u + number, 7000);
+	return address;
+}
+
+static dy_flow_router_t *create(dy_metrics_t *metrics, unsigned targets,
+				unsigned services)
+{
+	dy_flow_rules_t *rules = dy_flow_rules_create(1);
+	dy_flow_router_config_t config = { 0 };
+	dy_flow_entry_t entry = { .port = 443 };
+	dy_member_t member = { 0 };
+	dy_flow_router_t *router;
+	char name[32];
+	unsigned i;
+
+	config.domain = "d1";
+	config.metrics = metrics;
+	config.callbacks = &callbacks;
+	router = dy_flow_router_create(&config);
+	entry.share_count = 1;
+	entry.shares[0].service = name;
+	entry.shares[0].weight = 1;
+	for (i = 0; i < services; i++) {
+		g_snprintf(name, sizeof(name), "s%u", i);
+		entry.ip = 0xc6120000u + i;
+		dy_flow_rules_add(rules, &entry);
+	}
+	dy_flow_router_set_rules(router, rules);
+	member.state = DY_MEMBER_SERVING;
+	member.info.kind = DY_MEMBER_AGENT;
+	member.info.domain = "d1";
+	member.info.service = name;
+	member.info.slots = 4;
+	for (i = 0; i < targets; i++) {
+		g_snprintf(name, sizeof(name), "s%u", i % services);
+		member.id = i + 1;
+		member.incarnation = i + 1;
+		member.info.address = agent(i);
+		dy_flow_router_set_member(router, &member);
+	}
+	return router;
+}
+
+static dy_packet_t packet(unsigned flow, unsigned services, unsigned marks)
+{
+	dy_packet_t made = { 0 };
+
+	made.flow.caller_ip = 0x64400000u + flow / 60000;
+	made.flow.caller_port = 1024 + flow % 60000;
+	made.flow.entry_ip = 0xc6120000u + flow % services;
+	made.flow.entry_port = 443;
+	made.marks = marks;
+	return made;
+}
+
+static double run(dy_flow_router_t *router, unsigned count, unsigned first,
+		  unsigned services, unsigned marks)
+{
+	uint8_t bytes[34] = { 0 };
+	double from = now_us();
+	dy_packet_t made;
+	unsigned i;
+
+	for (i = 0; i < count; i++) {
+		made = packet(first + i % FLOWS, services, marks);
+		dy_flow_router_take(router, &made, bytes, sizeof(bytes), 1000);
+	}
+	return (now_us() - from) / count;
+}
+
+static void hold(dy_flow_router_t *router, unsigned flows, unsigned services)
+{
+	dy_flow_held_t held = { 0 };
+	unsigned i;
+
+	held.open = 1;
+	held.load.slots = 4;
+	for (i = 0; i < flows; i++) {
+		held.flow = packet(i, services, 0).flow;
+		held.agent = agent(i % services);
+		dy_flow_router_held(router, &held, 1000);
+	}
+}
+
+static void measure(unsigned targets, unsigned services)
+{
+	dy_metrics_t *metrics = dy_metrics_create();
+	size_t before = heap_bytes();
+	dy_flow_router_t *router = create(metrics, targets, services);
+	size_t table = heap_bytes() - before;
+	size_t flows;
+	double open_us;
+	double search_us;
+	double known_us;
+
+	open_us = run(router, ROUNDS / 10, 0, services, DY_PACKET_SYN);
+	search_us = run(router, ROUNDS / 10, FLOWS, services, DY_PACKET_ACK);
+	before = heap_bytes();
+	hold(router, FLOWS, services);
+	flows = heap_bytes() - before;
+	known_us = run(router, ROUNDS, 0, services, DY_PACKET_ACK);
+	printf("flow_table targets=%u services=%u bytes_a_target=%.0f "
+	       "bytes_a_flow=%.0f opening_us=%.2f search_us=%.2f known_us=%.2f\n",
+	       targets, services, (double)table / targets,
+	       (double)flows / (FLOWS - ROUNDS / 10), open_us, search_us,
+	       known_us);
+	dy_flow_router_destroy(router);
+	dy_metrics_destroy(metrics);
+}
+
+int main(void)
+{
+	dy_log_configure(DY_LOG_ERROR, NULL);
+	measure(10, 2);
+	measure(52, 2);
+	measure(18334, 5667);
+	return forwards ? EXIT_SUCCESS : EXIT_FAILURE;
+}
