--- a/src/version/flow_targets.c
+++ b/src/version/flow_targets.c
@@ -28,6 +28,7 @@
 	GHashTable *by_id;
 	GHashTable *by_address; /* the newest member at each */
 	GHashTable *services;	/* name to GPtrArray of targets */
+	unsigned placed;	/* targets that are in a service */
 };
 
 /* A target as it stands in a flow's order. */
@@ -93,6 +94,7 @@
 		return;
 	list = g_hash_table_lookup(targets->services, target->service);
 	g_ptr_array_remove_fast(list, target);
+	targets->placed--;
 	if (!list->len)
 		g_hash_table_remove(targets->services, target->service);
 	g_clear_pointer(&target->service, g_free);
@@ -112,6 +114,7 @@
 		g_hash_table_insert(targets->services, g_strdup(service), list);
 	}
 	g_ptr_array_add(list, target);
+	targets->placed++;
 }
 
 static target_t *find_by_address(const dy_flow_targets_t *targets,
@@ -366,19 +369,6 @@
 	return found;
 }
 
-/* Agents that are not searched, since they serve nothing. */
-static unsigned count_homeless(const dy_flow_targets_t *targets)
-{
-	GHashTableIter iter;
-	unsigned count = 0;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, targets->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		count += !((const target_t *)value)->service;
-	return count;
-}
-
 unsigned dy_flow_targets_search(const dy_flow_targets_t *targets,
 				const char *const *services,
 				unsigned service_count,
@@ -386,7 +376,6 @@
 				dy_address_t list[DY_FLOW_SEARCH_MAX])
 {
 	place_t places[DY_FLOW_SEARCH_MAX];
-	unsigned total = g_hash_table_size(targets->by_id);
 	unsigned count = 0;
 	const GPtrArray *all;
 	unsigned i;
@@ -402,7 +391,7 @@
 			      DY_FLOW_SEARCH_MAX - count, &places[count]);
 	for (i = 0; i < count; i++)
 		list[i] = places[i].target->address;
-	*complete = count + count_homeless(targets) == total;
+	*complete = count == targets->placed;
 	return count;
 }
 
