--- a/src/process/cmd_check.c
+++ b/src/process/cmd_check.c
@@ -1,7 +1,9 @@
 #include <stdio.h>
+#include <string.h>
 
 #include "command.h"
 #include "damaskyard/document.h"
+#include "damaskyard/flow_settings.h"
 #include "damaskyard/settings.h"
 
 static void print_document(const dy_document_t *document, const char *path,
@@ -52,24 +54,66 @@
 	return DY_EXIT_OK;
 }
 
+static int check_settings(const char *path, const char *role)
+{
+	dy_flow_settings_t settings;
+	GError *error = NULL;
+	dy_flow_role_t as = DY_FLOW_BALANCER;
+
+	if (!strcmp(role, "agent"))
+		as = DY_FLOW_AGENT;
+	else if (!strcmp(role, "control"))
+		as = DY_FLOW_CONTROL;
+	if (!dy_flow_settings_load(&settings, path, as, &error)) {
+		fprintf(stderr, "damaskyard check: %s: %s\n", path,
+			error->message);
+		g_error_free(error);
+		return DY_EXIT_FAILED;
+	}
+	printf("settings=%s result=valid role=%s name=%s seeds=%d losses=%u\n",
+	       path, role, settings.name, settings.seeds.count,
+	       settings.losses);
+	dy_flow_settings_clear(&settings);
+	return DY_EXIT_OK;
+}
+
 int dy_command_check(int argc, char **argv)
 {
-	static const dy_setting_t settings[] = { { 0 } };
+	char *settings_path = NULL;
+	char *role = NULL;
+	const dy_setting_t settings[] = {
+		{ .flag = "settings",
+		  .kind = DY_SETTING_TEXT,
+		  .value = &settings_path,
+		  .argument = "FILE",
+		  .help = "check settings of packet flows instead" },
+		{ .flag = "role",
+		  .kind = DY_SETTING_CHOICE,
+		  .value = &role,
+		  .fallback = "balancer",
+		  .argument = "balancer|agent|control",
+		  .help = "of --settings; balancer if not given" },
+		{ 0 },
+	};
 	GError *error = NULL;
 	char **operands = NULL;
 	int code;
 
 	if (!dy_settings_load(argc, argv,
 			      "Check a document, DOCUMENT, without submitting "
-			      "it.",
+			      "it, or a file of settings.",
 			      settings, &operands, &error))
 		return dy_command_fail_usage("check", error);
-	if (g_strv_length(operands) != 1) {
-		fputs("damaskyard check: expected one DOCUMENT\n", stderr);
-		code = DY_EXIT_USAGE;
-	} else {
+	if (settings_path && !g_strv_length(operands)) {
+		code = check_settings(settings_path, role);
+	} else if (!settings_path && g_strv_length(operands) == 1) {
 		code = check_document(operands[0]);
+	} else {
+		fputs("damaskyard check: expected one DOCUMENT, or --settings\n",
+		      stderr);
+		code = DY_EXIT_USAGE;
 	}
+	dy_settings_clear(settings);
 	g_strfreev(operands);
 	return code;
 }
--- a/tests/test_commands.c
+++ b/tests/test_commands.c
@@ -245,6 +245,38 @@
 END_TEST
 
 /* A command that cannot be done says so in one line and never hangs. */
+/* A rendered settings file is checked before any process is started on it. */
+START_TEST(settings_of_flows_are_checked)
+{
+	group_t *group = open_group();
+	char *path = g_build_filename(group->folder, "flow.ini", NULL);
+	char *words = g_strdup_printf("check --settings %s --role agent", path);
+	char *out = NULL;
+	char *err = NULL;
+
+	ck_assert(g_file_set_contents(
+		path,
+		"[process]\nname=n\nfailure-domain=d\n[listen]\n"
+		"packets=10.0.0.1:1\ncontrol=10.0.0.1:2\n"
+		"outbound=10.0.0.1:3\ninner-port=7000\n"
+		"[target]\naddress=10.0.0.1:4\nservice=a\n"
+		"[group]\nseeds=10.0.0.2:2\n",
+		-1, NULL));
+	ck_assert_int_eq(run(group, words, &out, &err), 0);
+	ck_assert_ptr_nonnull(strstr(out, "result=valid role=agent name=n"));
+	g_free(out);
+	g_free(err);
+	ck_assert(g_file_set_contents(path, "[process]\nname=n\n", -1, NULL));
+	ck_assert_int_eq(run(group, words, &out, &err), 1);
+	ck_assert_ptr_nonnull(strstr(err, "failure-domain: \"\""));
+	g_free(out);
+	g_free(err);
+	g_free(words);
+	g_free(path);
+	close_group(group);
+}
+END_TEST
+
 START_TEST(wrong_use_and_silence_are_told)
 {
 	group_t *group = open_group();
@@ -276,6 +308,7 @@
 	const TTest *const tests[] = {
 		document_goes_from_trial_to_production,
 		members_and_keys_are_changed_by_name,
+		settings_of_flows_are_checked,
 		wrong_use_and_silence_are_told,
 		NULL,
 	};
