--- a/bench/bench_flow.c
+++ b/bench/bench_flow.c
@@ -17,6 +17,7 @@
 
 #define FLOWS 150000
 #define ROUNDS 200000
+#define OPENED (ROUNDS / 10)
 
 static uint64_t forwards;
 
@@ -156,8 +157,8 @@
 	double search_us;
 	double known_us;
 
-	open_us = run(router, ROUNDS / 10, 0, services, DY_PACKET_SYN);
-	search_us = run(router, ROUNDS / 10, FLOWS, services, DY_PACKET_ACK);
+	open_us = run(router, OPENED, 0, services, DY_PACKET_SYN);
+	search_us = run(router, OPENED, FLOWS, services, DY_PACKET_ACK);
 	before = heap_bytes();
 	hold(router, FLOWS, services);
 	flows = heap_bytes() - before;
@@ -165,7 +166,7 @@
 	printf("flow_table targets=%u services=%u bytes_a_target=%.0f "
 	       "bytes_a_flow=%.0f opening_us=%.2f search_us=%.2f known_us=%.2f\n",
 	       targets, services, (double)table / targets,
-	       (double)flows / (FLOWS - ROUNDS / 10), open_us, search_us,
+	       (double)flows / (double)(FLOWS - OPENED), open_us, search_us,
 	       known_us);
 	dy_flow_router_destroy(router);
 	dy_metrics_destroy(metrics);
