--- a/bench/bench_flow.c
+++ b/bench/bench_flow.c
@@ -17,7 +17,7 @@
 
 #define FLOWS 150000
 #define ROUNDS 200000
-#define OPENED (ROUNDS / 10)
+#define OPENED 20000
 
 static uint64_t forwards;
 
--- a/include/damaskyard/agent.h
+++ b/include/damaskyard/agent.h
@@ -6,8 +6,8 @@
  *
  * It owns the sessions of its target, their duplicate request caches, the
  * queue and the slots, and gives each call exactly one outcome. The process
- * around it (src/process/cmd_agent.c) brings datagrams, connections and the
- * clock; tests and the fuzzer bring fakes.
+ * around it (src/process/command/cmd_agent.c) brings datagrams, connections
+ * and the clock; tests and the fuzzer bring fakes.
  *
  * What holds whatever happens, asserted inside:
  * - a (session, xid) that is not idempotent is handed to the target once;
--- a/tests/test_document_fetch.c
+++ b/tests/test_document_fetch.c
@@ -1,8 +1,8 @@
-#include "../src/process/document_fetch.h"
+#include "document_fetch.h"
 
 #include <string.h>
 
-#include "../src/process/recent_documents.h"
+#include "recent_documents.h"
 #include "damaskyard/document.h"
 #include "fake_suite.h"
 
--- a/tests/test_founding.c
+++ b/tests/test_founding.c
@@ -1,4 +1,4 @@
-#include "../src/process/founding.h"
+#include "founding.h"
 
 #include <string.h>
 
--- a/tests/test_report.c
+++ b/tests/test_report.c
@@ -1,4 +1,4 @@
-#include "../src/process/report.h"
+#include "report.h"
 
 #include <string.h>
 
--- a/tests/test_uploads.c
+++ b/tests/test_uploads.c
@@ -1,4 +1,4 @@
-#include "../src/process/uploads.h"
+#include "uploads.h"
 
 #include <string.h>
 
