--- a/include/damaskyard/subscriber.h
+++ b/include/damaskyard/subscriber.h
@@ -41,7 +41,8 @@
 typedef struct dy_subscriber dy_subscriber_t;
 
 /*
- * Each takes what it is given by reference, for the length of the call.
+ * Each takes what it is given by reference, for the length of the call. Those
+ * of which a member has no use may be NULL, all but refused.
  */
 typedef struct dy_subscriber_callbacks {
 	/*
--- a/src/process/flow/cmd_flow_agent.c
+++ b/src/process/flow/cmd_flow_agent.c
@@ -259,29 +259,6 @@
 	}
 }
 
-static void on_member(void *context, const dy_member_t *member)
-{
-	(void)context;
-	(void)member;
-}
-
-static void on_key(void *context, const dy_key_info_t *key)
-{
-	(void)context;
-	(void)key;
-}
-
-static void on_granted(void *context, uint64_t incarnation)
-{
-	(void)context;
-	(void)incarnation;
-}
-
-static void on_caught_up(void *context)
-{
-	(void)context;
-}
-
 static void begin_stop(void *context)
 {
 	flow_agent_t *agent = context;
@@ -313,8 +290,8 @@
 }
 
 static const dy_subscriber_callbacks_t subscriber_callbacks = {
-	NULL,	      on_member,  on_key,     on_granted,
-	on_caught_up, begin_stop, on_refused,
+	.drain = begin_stop,
+	.refused = on_refused,
 };
 
 static void on_report(void *context)
--- a/src/process/flow/cmd_flow_balancer.c
+++ b/src/process/flow/cmd_flow_balancer.c
@@ -244,18 +244,6 @@
 	dy_flow_router_set_member(balancer->router, member);
 }
 
-static void on_key(void *context, const dy_key_info_t *key)
-{
-	(void)context;
-	(void)key;
-}
-
-static void on_granted(void *context, uint64_t incarnation)
-{
-	(void)context;
-	(void)incarnation;
-}
-
 static void on_caught_up(void *context)
 {
 	flow_balancer_t *balancer = context;
@@ -297,8 +285,11 @@
 }
 
 static const dy_subscriber_callbacks_t subscriber_callbacks = {
-	on_document,  on_member,  on_key,     on_granted,
-	on_caught_up, begin_stop, on_refused,
+	.document = on_document,
+	.member = on_member,
+	.caught_up = on_caught_up,
+	.drain = begin_stop,
+	.refused = on_refused,
 };
 
 static void check_stop(flow_balancer_t *balancer)
--- a/src/process/subscriber.c
+++ b/src/process/subscriber.c
@@ -186,10 +186,12 @@
 				     now_ms(subscriber));
 		break;
 	case DY_DELTA_MEMBER:
-		calls->member(context, &delta->dy_delta_t_u.member);
+		if (calls->member)
+			calls->member(context, &delta->dy_delta_t_u.member);
 		break;
 	case DY_DELTA_KEY:
-		calls->key(context, &delta->dy_delta_t_u.key);
+		if (calls->key)
+			calls->key(context, &delta->dy_delta_t_u.key);
 		break;
 	}
 }
@@ -201,8 +203,9 @@
 	subscriber->incarnation = incarnation;
 	dy_log_event(DY_LOG_INFO, "incarnation_granted", "incarnation=%lu",
 		     (unsigned long)incarnation);
-	subscriber->config.callbacks->granted(subscriber->config.context,
-					      incarnation);
+	if (subscriber->config.callbacks->granted)
+		subscriber->config.callbacks->granted(
+			subscriber->config.context, incarnation);
 }
 
 static void tell_drain(dy_subscriber_t *subscriber)
@@ -210,7 +213,8 @@
 	if (subscriber->drain_told)
 		return;
 	subscriber->drain_told = 1;
-	subscriber->config.callbacks->drain(subscriber->config.context);
+	if (subscriber->config.callbacks->drain)
+		subscriber->config.callbacks->drain(subscriber->config.context);
 }
 
 /*
@@ -249,7 +253,7 @@
 	subscriber->poll_ms = CLAMP(result->poll_ms, DY_POLL_MS, POLL_MOST_MS);
 	if (result->more)
 		subscriber->next_poll_ms = now_ms(subscriber);
-	else
+	else if (subscriber->config.callbacks->caught_up)
 		subscriber->config.callbacks->caught_up(
 			subscriber->config.context);
 	if (result->drain)
--- a/tests/test_control_raise.c
+++ b/tests/test_control_raise.c
@@ -1,12 +1,8 @@
 /* Documents that are raised and read through a control's own process. */
 
-#include "damaskyard/control.h"
-
 #include <string.h>
 
-#include <glib/gstdio.h>
-
-#include "damaskyard/log.h"
+#include "fake_control.h"
 #include "fake_suite.h"
 
 #define WAIT_TICKS 2000 /* of 5 ms: far longer than founding takes */
@@ -17,30 +13,12 @@
 	char bytes[64];
 } outcome_t;
 
-static struct {
-	char *folder;
-	dy_metrics_t *metrics;
-	dy_loop_t *loop;
-	dy_control_t *control;
-	dy_control_options_t options;
-	const int *until;
-	unsigned ticks;
-} world;
-
-static void on_tick(void *context)
-{
-	(void)context;
-	if (++world.ticks >= WAIT_TICKS || !world.until || *world.until)
-		dy_loop_end(world.loop);
-}
+static fake_control_t world;
 
 static void wait_for(const int *known)
 {
-	world.until = known;
-	world.ticks = 0;
-	dy_loop_run(world.loop);
-	if (known)
-		ck_assert(*known);
+	fake_control_run(&world, WAIT_TICKS, known);
+	ck_assert(*known);
 }
 
 static void on_raised(void *context, dy_status_t status, const char *message)
@@ -73,73 +51,17 @@
 	return size != 3 || memcmp(bytes, "bad", 3) != 0;
 }
 
-static void start(void)
-{
-	GError *error = NULL;
-
-	dy_log_configure(DY_LOG_ERROR, NULL);
-	world.metrics = dy_metrics_create();
-	world.loop = dy_loop_create(world.metrics);
-	dy_loop_every(world.loop, 5, on_tick, NULL);
-	world.control = dy_control_create(world.loop, world.metrics,
-					  &world.options, &error);
-	ck_assert_ptr_nonnull(world.control);
-}
-
-static void stop(void)
-{
-	dy_control_destroy(world.control);
-	dy_loop_destroy(world.loop);
-	dy_metrics_destroy(world.metrics);
-}
-
 static void begin(void)
 {
-	dy_endpoint_t *probe;
-
-	memset(&world, 0, sizeof(world));
-	world.folder = g_dir_make_tmp("dy-raise-XXXXXX", NULL);
-	world.metrics = dy_metrics_create();
-	world.loop = dy_loop_create(world.metrics);
-	dy_address_parse("127.0.0.1:0", &world.options.listen);
-	probe = dy_endpoint_create(world.loop, &world.options.listen, NULL,
-				   NULL, NULL);
-	world.options.listen = *dy_endpoint_address(probe);
-	dy_endpoint_destroy(probe);
-	dy_loop_destroy(world.loop);
-	dy_metrics_destroy(world.metrics);
-	world.options.group = 1;
-	world.options.slot = 1;
-	world.options.folder = world.folder;
-	world.options.peers.count = 1;
-	world.options.peers.slots[1] = world.options.listen;
-	world.options.open = 1;
+	fake_control_init(&world);
 	world.options.check = check;
-	world.options.secrets.count = 1;
-	world.options.leases.lease_ms = 60000;
-	world.options.leases.keep_ms = 60000;
-	world.options.keys.rotate_ms = 60000;
-	world.options.keys.distribute_ms = 60000;
-	world.options.keys.renew_ms = 60000;
-	start();
+	fake_control_start(&world);
 }
 
 static void end(void)
 {
-	const char *name;
-	char *path;
-	GDir *dir;
-
-	stop();
-	dir = g_dir_open(world.folder, 0, NULL);
-	while ((name = g_dir_read_name(dir))) {
-		path = g_build_filename(world.folder, name, NULL);
-		g_unlink(path);
-		g_free(path);
-	}
-	g_dir_close(dir);
-	g_rmdir(world.folder);
-	g_free(world.folder);
+	fake_control_stop(&world);
+	fake_control_clear(&world);
 }
 
 static void raise_one(outcome_t *outcome, uint64_t number, const char *text)
@@ -159,7 +81,7 @@
 		wait_for(&outcome.known);
 		if (outcome.status == DY_STATUS_NOT_LEADER ||
 		    outcome.status == DY_STATUS_UNAVAILABLE)
-			wait_for(NULL);
+			fake_control_run(&world, 10, NULL);
 	} while (outcome.status == DY_STATUS_NOT_LEADER ||
 		 outcome.status == DY_STATUS_UNAVAILABLE);
 	return outcome;
@@ -237,8 +159,8 @@
 	wait_for(&raised.known);
 	ck_assert_int_eq(raised.status, DY_STATUS_OK);
 	ck_assert_str_eq(load().bytes, "fifty");
-	stop();
-	start();
+	fake_control_stop(&world);
+	fake_control_start(&world);
 	ck_assert_str_eq(load().bytes, "fifty");
 	raise_one(&raised, 7, "seven");
 	wait_for(&raised.known);
@@ -257,12 +179,12 @@
 	load();
 	for (i = 0; i < 3; i++)
 		raise_one(&raised[i], 5 + i, "x");
-	stop();
+	fake_control_stop(&world);
 	for (i = 0; i < 3; i++) {
 		ck_assert(raised[i].known);
 		ck_assert_int_eq(raised[i].status, DY_STATUS_UNAVAILABLE);
 	}
-	start();
+	fake_control_start(&world);
 	end();
 }
 END_TEST
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -1,14 +1,10 @@
 /* Controls that find their place in an open group that runs already. */
 
-#include "damaskyard/control.h"
-
 #include <string.h>
 
-#include <glib/gstdio.h>
-
-#include "damaskyard/log.h"
 #include "damaskyard/seal.h"
 #include "dy_group.h"
+#include "fake_control.h"
 #include "fake_suite.h"
 
 #define GROUP 1
@@ -22,30 +18,8 @@
 	int answered;
 } asker_t;
 
-static struct {
-	char *folder;
-	dy_metrics_t *metrics;
-	dy_loop_t *loop;
-	dy_control_t *control;
-	dy_control_options_t options;
-	asker_t askers[ASKERS];
-	unsigned ticks;
-	unsigned wait_ticks;
-} world;
-
-static void on_tick(void *context)
-{
-	(void)context;
-	if (++world.ticks >= world.wait_ticks)
-		dy_loop_end(world.loop);
-}
-
-static void settle(unsigned ticks)
-{
-	world.ticks = 0;
-	world.wait_ticks = ticks;
-	dy_loop_run(world.loop);
-}
+static fake_control_t world;
+static asker_t askers[ASKERS];
 
 static void on_answer(void *context, uint8_t *bytes, size_t len,
 		      const struct sockaddr *from, int truncated)
@@ -63,90 +37,32 @@
 	asker->answered = 1;
 }
 
-static dy_address_t find_port(void)
-{
-	dy_address_t address;
-	dy_endpoint_t *probe;
-
-	dy_address_parse("127.0.0.1:0", &address);
-	probe = dy_endpoint_create(world.loop, &address, NULL, NULL, NULL);
-	address = *dy_endpoint_address(probe);
-	dy_endpoint_destroy(probe);
-	settle(2);
-	return address;
-}
-
-static void create_loop(void)
-{
-	memset(&world, 0, sizeof(world));
-	dy_log_configure(DY_LOG_ERROR, NULL);
-	world.folder = g_dir_make_tmp("dy-place-XXXXXX", NULL);
-	world.metrics = dy_metrics_create();
-	world.loop = dy_loop_create(world.metrics);
-	dy_loop_every(world.loop, 5, on_tick, NULL);
-	world.options.listen = find_port();
-}
-
 static void begin(void)
 {
-	GError *error = NULL;
+	dy_address_t any;
 	int i;
 
-	create_loop();
-	world.options.group = GROUP;
-	world.options.slot = 1;
-	world.options.folder = world.folder;
-	world.options.peers.count = 1;
-	world.options.peers.slots[1] = world.options.listen;
-	world.options.open = 1;
-	world.options.secrets.count = 1;
-	world.options.leases.lease_ms = 60000;
-	world.options.leases.keep_ms = 60000;
-	world.options.keys.rotate_ms = 60000;
-	world.options.keys.distribute_ms = 60000;
-	world.options.keys.renew_ms = 60000;
-	world.control = dy_control_create(world.loop, world.metrics,
-					  &world.options, &error);
-	ck_assert_ptr_nonnull(world.control);
+	fake_control_init(&world);
+	fake_control_start(&world);
+	dy_address_parse("127.0.0.1:0", &any);
 	for (i = 0; i < ASKERS; i++) {
-		dy_address_t any;
-
-		dy_address_parse("127.0.0.1:0", &any);
-		world.askers[i].seal =
+		askers[i].seal =
 			dy_seal_create(&world.options.secrets, world.metrics);
-		world.askers[i].endpoint = dy_endpoint_create(
-			world.loop, &any, on_answer, &world.askers[i], NULL);
-	}
-}
-
-static void remove_folder(char *folder)
-{
-	GDir *dir = g_dir_open(folder, 0, NULL);
-	const char *name;
-	char *path;
-
-	while ((name = g_dir_read_name(dir))) {
-		path = g_build_filename(folder, name, NULL);
-		g_unlink(path);
-		g_free(path);
+		askers[i].endpoint = dy_endpoint_create(
+			world.loop, &any, on_answer, &askers[i], NULL);
 	}
-	g_dir_close(dir);
-	g_rmdir(folder);
-	g_free(folder);
 }
 
 static void end(void)
 {
 	int i;
 
-	dy_control_destroy(world.control);
 	for (i = 0; i < ASKERS; i++) {
-		dy_endpoint_destroy(world.askers[i].endpoint);
-		dy_seal_destroy(world.askers[i].seal);
+		dy_endpoint_destroy(askers[i].endpoint);
+		dy_seal_destroy(askers[i].seal);
 	}
-	dy_loop_destroy(world.loop);
-	dy_metrics_destroy(world.metrics);
-	remove_folder(world.folder);
+	fake_control_stop(&world);
+	fake_control_clear(&world);
 }
 
 static void ask(asker_t *asker, uint64_t group, uint64_t identity)
@@ -173,7 +89,7 @@
 
 	do {
 		ask(asker, GROUP, identity);
-		settle(10);
+		fake_control_run(&world, 10, NULL);
 		ck_assert_uint_lt(++tries, WAIT_TICKS / 10);
 	} while (!asker->answered || asker->place.status == DY_PLACE_UNKNOWN ||
 		 asker->place.status == DY_PLACE_ASK);
@@ -193,18 +109,18 @@
 
 	begin();
 	for (i = 0; i < ASKERS; i++)
-		ask_until(&world.askers[i], 0);
+		ask_until(&askers[i], 0);
 	for (i = 0; i < ASKERS; i++)
-		ask(&world.askers[i], GROUP, 0);
-	settle(20);
+		ask(&askers[i], GROUP, 0);
+	fake_control_run(&world, 20, NULL);
 	for (i = 0; i < ASKERS; i++) {
-		ck_assert_int_eq(world.askers[i].place.status, DY_PLACE_GIVEN);
-		ck_assert_uint_gt(world.askers[i].place.slot, 1);
-		slots |= 1u << world.askers[i].place.slot;
+		ck_assert_int_eq(askers[i].place.status, DY_PLACE_GIVEN);
+		ck_assert_uint_gt(askers[i].place.slot, 1);
+		slots |= 1u << askers[i].place.slot;
 	}
 	ck_assert_uint_eq(slots, 1u << 2 | 1u << 3 | 1u << 4);
 	/* Asked again, each is given the same one. */
-	ck_assert_uint_eq(ask_until(&world.askers[1], 0)->slot, 3);
+	ck_assert_uint_eq(ask_until(&askers[1], 0)->slot, 3);
 	end();
 }
 END_TEST
@@ -216,8 +132,7 @@
 START_TEST(one_that_is_no_member_any_more_is_told)
 {
 	begin();
-	ck_assert_int_eq(ask_until(&world.askers[0], 12345)->status,
-			 DY_PLACE_LOST);
+	ck_assert_int_eq(ask_until(&askers[0], 12345)->status, DY_PLACE_LOST);
 	end();
 }
 END_TEST
@@ -226,10 +141,10 @@
 START_TEST(other_groups_are_not_answered)
 {
 	begin();
-	ask_until(&world.askers[0], 0);
-	ask(&world.askers[1], GROUP + 1, 0);
-	settle(20);
-	ck_assert(!world.askers[1].answered);
+	ask_until(&askers[0], 0);
+	ask(&askers[1], GROUP + 1, 0);
+	fake_control_run(&world, 20, NULL);
+	ck_assert(!askers[1].answered);
 	end();
 }
 END_TEST
@@ -288,15 +203,10 @@
 	int status = -1;
 	int i;
 
-	create_loop();
-	world.options.group = GROUP;
-	world.options.open = 1;
+	fake_control_init(&world);
 	world.options.check = take_any;
-	world.options.secrets.count = 1;
-	world.options.leases.lease_ms = 60000;
 	world.options.peers.count = 3;
-	world.options.peers.slots[1] = world.options.listen;
-	world.options.peers.slots[2] = find_port();
+	world.options.peers.slots[2] = fake_control_port(&world);
 	third.seal = dy_seal_create(&world.options.secrets, world.metrics);
 	dy_address_parse("127.0.0.1:0", &world.options.peers.slots[3]);
 	third.endpoint =
@@ -307,13 +217,10 @@
 	options.slot = 2;
 	options.listen = options.peers.slots[2];
 	options.folder = g_dir_make_tmp("dy-place-XXXXXX", NULL);
-	world.options.slot = 1;
-	world.options.folder = world.folder;
-	world.control = dy_control_create(world.loop, world.metrics,
-					  &world.options, NULL);
+	fake_control_start(&world);
 	second = dy_control_create(world.loop, world.metrics, &options, NULL);
 	for (i = 0; i < 15; i++) {
-		settle(20);
+		fake_control_run(&world, 20, NULL);
 		dy_control_raise(world.control, (const uint8_t *)"x", 1, 1,
 				 on_raised, &status);
 		ck_assert_int_ne(status, DY_STATUS_OK);
@@ -322,13 +229,11 @@
 	ck_assert_uint_ge(dy_metrics_value(world.metrics, "control_promoted"),
 			  1);
 	dy_control_destroy(second);
-	dy_control_destroy(world.control);
 	dy_endpoint_destroy(third.endpoint);
-	dy_loop_destroy(world.loop);
+	fake_control_stop(&world);
 	dy_seal_destroy(third.seal);
-	dy_metrics_destroy(world.metrics);
-	remove_folder((char *)options.folder);
-	remove_folder(world.folder);
+	fake_control_remove_folder((char *)options.folder);
+	fake_control_clear(&world);
 }
 END_TEST
 
