--- /dev/null
+++ b/src/connection/flow_holder_flows.c
@@ -0,0 +1,121 @@
+/*
+ * The records of the flows that a target holds, and the requests in them.
+ */
+
+#include "flow_holder_private.h"
+
+#include <stdio.h>
+
+static void log_request(dy_flow_holder_t *holder, const char *event,
+			const held_flow_t *flow, const char *outcome,
+			uint64_t now_ms)
+{
+	char text[DY_FLOW_TEXT_BYTES];
+
+	if (!*flow->request ||
+	    !dy_log_allow(&holder->request_limit, event, now_ms))
+		return;
+	dy_log_event(DY_LOG_INFO, event,
+		     "request=%s flow=%s outcome=%s ms=%lu target=%s busy=%u "
+		     "slots=%u",
+		     dy_log_quote(flow->request),
+		     dy_flow_id_format(&flow->id, text), outcome,
+		     (unsigned long)(now_ms - flow->busy_ms),
+		     dy_log_quote(holder->notice.id), holder->busy,
+		     holder->notice.slots);
+}
+
+void holder_begin_request(dy_flow_holder_t *holder, held_flow_t *flow,
+			  const dy_packet_t *packet, uint64_t now_ms)
+{
+	if (flow->busy)
+		return;
+	flow->busy = 1;
+	flow->busy_ms = now_ms;
+	holder->busy++;
+	g_snprintf(flow->request, sizeof(flow->request), "%.*s",
+		   packet->request ? (int)packet->request_len : 0,
+		   packet->request ? packet->request : "");
+	log_request(holder, "request_begun", flow, "given_to_target", now_ms);
+}
+
+void holder_end_request(dy_flow_holder_t *holder, held_flow_t *flow,
+			const char *outcome, uint64_t now_ms)
+{
+	if (!flow->busy)
+		return;
+	flow->busy = 0;
+	holder->busy--;
+	log_request(holder, "request_ended", flow, outcome, now_ms);
+}
+
+void holder_enter_stage(dy_flow_holder_t *holder, held_flow_t *flow,
+			held_stage_t stage, uint64_t now_ms)
+{
+	holder->counts[flow->stage]--;
+	holder->counts[stage]++;
+	flow->stage = stage;
+	flow->used_ms = now_ms;
+	dy_list_remove(&flow->link);
+	dy_list_append(&holder->stages[stage], &flow->link);
+	if (stage == STAGE_ENDED)
+		holder_end_request(holder, flow, "flow_ended", now_ms);
+}
+
+void holder_touch(dy_flow_holder_t *holder, held_flow_t *flow, uint64_t now_ms)
+{
+	holder_enter_stage(holder, flow, flow->stage, now_ms);
+}
+
+held_flow_t *holder_add_flow(dy_flow_holder_t *holder, const dy_flow_id_t *id,
+			     held_stage_t stage, uint64_t now_ms)
+{
+	held_flow_t *flow = g_new0(held_flow_t, 1);
+
+	flow->id = *id;
+	flow->stage = stage;
+	flow->used_ms = now_ms;
+	dy_list_init(&flow->link);
+	dy_list_append(&holder->stages[stage], &flow->link);
+	holder->counts[stage]++;
+	g_hash_table_insert(holder->flows, &flow->id, flow);
+	return flow;
+}
+
+void holder_drop_flow(dy_flow_holder_t *holder, held_flow_t *flow,
+		      const char *reason, uint64_t now_ms)
+{
+	holder_end_request(holder, flow, reason, now_ms);
+	holder->counts[flow->stage]--;
+	dy_list_remove(&flow->link);
+	g_hash_table_remove(holder->flows, &flow->id);
+}
+
+void holder_drop_all(dy_flow_holder_t *holder, uint64_t now_ms)
+{
+	dy_list_t *list;
+	int i;
+
+	for (i = 0; i < STAGES; i++) {
+		list = &holder->stages[i];
+		while (!dy_list_empty(list))
+			holder_drop_flow(
+				holder,
+				DY_LIST_ITEM(list->next, held_flow_t, link),
+				"target_started_anew", now_ms);
+	}
+}
+
+void holder_expire(dy_flow_holder_t *holder, held_stage_t stage,
+		   uint64_t after_ms, uint64_t now_ms)
+{
+	held_flow_t *flow;
+
+	while (!dy_list_empty(&holder->stages[stage])) {
+		flow = DY_LIST_ITEM(holder->stages[stage].next, held_flow_t,
+				    link);
+		if (now_ms - flow->used_ms < after_ms)
+			return;
+		holder_drop_flow(holder, flow, "idle", now_ms);
+	}
+}
--- /dev/null
+++ b/src/connection/flow_holder_private.h
@@ -0,0 +1,111 @@
+#ifndef DAMASKYARD_FLOW_HOLDER_PRIVATE_H
+#define DAMASKYARD_FLOW_HOLDER_PRIVATE_H
+
+/*
+ * What the files of the flow holder share: flow_holder.c decides about packets,
+ * flow_holder_notice.c about the target, flow_holder_flows.c keeps the records.
+ */
+
+#include <glib.h>
+
+#include "damaskyard/flow_holder.h"
+#include "damaskyard/histogram.h"
+#include "damaskyard/list.h"
+#include "damaskyard/log.h"
+
+/* Bytes of a request's id in a log line, with its terminating NUL. */
+#define REQUEST_BYTES 40
+
+typedef enum held_stage {
+	STAGE_HALF, /* the target answered an opening packet, or is to */
+	STAGE_OPEN,
+	STAGE_ENDED,
+	STAGES
+} held_stage_t;
+
+typedef struct held_flow {
+	dy_list_t link; /* of its stage, ordered by used_ms */
+	dy_flow_id_t id;
+	held_stage_t stage;
+	dy_address_t opener; /* the balancer that sent the opening packet */
+	int answered;	     /* the target's opening packet was seen */
+	uint32_t target_seq;
+	int busy;		     /* a request was begun and not answered */
+	uint64_t busy_ms;	     /* since when */
+	char request[REQUEST_BYTES]; /* its id, for logs */
+	int caller_ended;
+	int target_ended;
+	uint64_t used_ms;
+} held_flow_t;
+
+/* A forward whose packet was given to the target, without the packet. */
+typedef struct kept_forward {
+	uint32_t note;
+	dy_flow_forward_t forward;
+	char service[DY_NAME_BYTES + 1];
+	dy_address_t tries[DY_FLOW_TRIES];
+} kept_forward_t;
+
+typedef struct balancer {
+	dy_address_t address;
+	uint64_t heard_ms;
+} balancer_t;
+
+struct dy_flow_holder {
+	dy_flow_holder_config_t config;
+	int has_target;
+	int ready;
+	int left; /* the target said that it has ended */
+	int stopping;
+	int saw_start; /* no flow of the target is older than this agent */
+	dy_target_notice_t notice;
+	uint64_t noticed_ms;
+	uint64_t cold_until_ms;
+	GHashTable *flows;
+	dy_list_t stages[STAGES];
+	unsigned counts[STAGES];
+	unsigned busy;
+	kept_forward_t *kept;
+	uint32_t last_note;
+	balancer_t balancers[DY_REPORTED_MAX];
+	unsigned balancer_count;
+	dy_log_limit_t flow_limit;
+	dy_log_limit_t refused_limit;
+	dy_log_limit_t request_limit;
+	dy_histogram_t opening_ms; /* until the target answered an opening */
+	dy_histogram_t answer_ms;  /* until it began to answer a request */
+	uint64_t *opened;
+	uint64_t *passed_on;
+	uint64_t *refused;
+	uint64_t *not_held;
+	uint64_t *bounced;
+	uint64_t *stale_notes;
+	uint64_t *to_callers;
+	uint64_t *notices;
+	uint64_t *notices_refused;
+};
+
+/* Records, and what is logged of requests; flow_holder_flows.c. */
+held_flow_t *holder_add_flow(dy_flow_holder_t *holder, const dy_flow_id_t *id,
+			     held_stage_t stage, uint64_t now_ms);
+void holder_enter_stage(dy_flow_holder_t *holder, held_flow_t *flow,
+			held_stage_t stage, uint64_t now_ms);
+/* Note that a packet of the flow passed. */
+void holder_touch(dy_flow_holder_t *holder, held_flow_t *flow, uint64_t now_ms);
+/* reason is logged for a request that was not answered. */
+void holder_drop_flow(dy_flow_holder_t *holder, held_flow_t *flow,
+		      const char *reason, uint64_t now_ms);
+void holder_drop_all(dy_flow_holder_t *holder, uint64_t now_ms);
+/* Drop the flows of a stage that had no packet for after_ms. */
+void holder_expire(dy_flow_holder_t *holder, held_stage_t stage,
+		   uint64_t after_ms, uint64_t now_ms);
+/* A caller's data where none was waiting begins a request. */
+void holder_begin_request(dy_flow_holder_t *holder, held_flow_t *flow,
+			  const dy_packet_t *packet, uint64_t now_ms);
+void holder_end_request(dy_flow_holder_t *holder, held_flow_t *flow,
+			const char *outcome, uint64_t now_ms);
+
+/* flow_holder_notice.c */
+void holder_set_ready(dy_flow_holder_t *holder, int ready, const char *reason);
+
+#endif
