--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -7,6 +7,7 @@
 #include "damaskyard/address.h"
 #include "damaskyard/list.h"
 #include "damaskyard/log.h"
+#include "damaskyard/search_limit.h"
 
 /* What a balancer remembers of a flow. */
 typedef struct flow {
@@ -16,6 +17,7 @@
 	int told;	    /* the agent said that it holds the flow */
 	int open;	    /* and that its target has the whole handshake */
 	uint64_t used_ms;
+	dy_search_slot_t search;
 	dy_list_t missing_link;	 /* found nowhere, to be confirmed */
 	uint64_t missing_ms;	 /* since when */
 	unsigned searches;	 /* since it was last found */
@@ -36,6 +38,7 @@
 	GHashTable *flows;
 	dy_list_t by_use;
 	dy_list_t missing;
+	dy_search_limit_t searches;
 	uint64_t generation; /* of members and rules: of every search order */
 	dy_log_limit_t assigned_limit;
 	dy_log_limit_t reset_limit;
@@ -43,6 +46,7 @@
 	uint64_t *packets;
 	uint64_t *opened;
 	uint64_t *searched;
+	uint64_t *put_off;
 	uint64_t *resets;
 	uint64_t *refused;
 	uint64_t *no_entry;
@@ -62,12 +66,14 @@
 		dy_flow_id_table_hash, dy_flow_id_table_equal, NULL, g_free);
 	dy_list_init(&router->by_use);
 	dy_list_init(&router->missing);
+	dy_search_limit_init(&router->searches);
 	router->assigned_limit = limit;
 	router->reset_limit = limit;
 	router->searched_limit = limit;
 	router->packets = dy_metrics_counter(metrics, "packets");
 	router->opened = dy_metrics_counter(metrics, "flows_opened");
 	router->searched = dy_metrics_counter(metrics, "flows_searched");
+	router->put_off = dy_metrics_counter(metrics, "searches_put_off");
 	router->resets = dy_metrics_counter(metrics, "flows_reset");
 	router->refused = dy_metrics_counter(metrics, "openings_refused");
 	router->no_entry = dy_metrics_counter(metrics, "packets_no_entry");
@@ -118,6 +124,7 @@
 {
 	dy_list_remove(&flow->link);
 	dy_list_remove(&flow->missing_link);
+	dy_search_limit_end(&router->searches, &flow->search);
 	g_hash_table_remove(router->flows, &flow->id);
 }
 
@@ -134,6 +141,7 @@
 		flow->id = *id;
 		dy_list_init(&flow->link);
 		dy_list_init(&flow->missing_link);
+		dy_search_slot_init(&flow->search);
 		g_hash_table_insert(router->flows, &flow->id, flow);
 	}
 	touch(router, flow, now_ms);
@@ -404,8 +412,14 @@
 		++*router->lost;
 		return;
 	}
-	++*router->searched;
 	flow = keep_flow(router, &packet->flow, now_ms);
+	/* One that has begun goes on, so that slow ones come to their end. */
+	if (at->window == 1 &&
+	    !dy_search_limit_begin(&router->searches, &flow->search, now_ms)) {
+		++*router->put_off;
+		return;
+	}
+	++*router->searched;
 	if (at->window == 1) {
 		flow->searched_among = router->generation;
 		log_searched(router, packet, total, flow->searches, now_ms);
@@ -462,6 +476,7 @@
 	flow->open = held->open;
 	flow->searches = 0;
 	dy_list_remove(&flow->missing_link);
+	dy_search_limit_end(&router->searches, &flow->search);
 }
 
 /*
@@ -523,6 +538,7 @@
 		flow->open = 0;
 	}
 	if (nowhere->complete) {
+		dy_search_limit_end(&router->searches, &flow->search);
 		++*router->lost;
 		if (nowhere->certain)
 			note_missing(router, flow, packet, now_ms);
--- a/tests/test_flow_router.c
+++ b/tests/test_flow_router.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "damaskyard/address.h"
+#include "damaskyard/search_limit.h"
 #include "fake_suite.h"
 
 #define ENTRY_IP 0xc6120001u
@@ -358,6 +359,54 @@
 	memcpy(world.tries, tries, sizeof(tries));
 }
 
+/*
+ * All balancers start anew while thousands of flows are open. Each flow's next
+ * packet was searched for at once: the searches filled the thin links, none
+ * came to its end for seconds, and new flows' packets were lost among them.
+ */
+START_TEST(searches_that_have_begun_put_others_off)
+{
+	unsigned flow;
+
+	begin(2);
+	for (flow = 1; flow <= DY_SEARCHES_AT_ONCE + 5; flow++)
+		take(flow, DY_PACKET_ACK, 5);
+	ck_assert_uint_eq(world.forwards, DY_SEARCHES_AT_ONCE);
+	ck_assert_uint_eq(dy_metrics_value(world.metrics, "searches_put_off"),
+			  5);
+	take(100, DY_PACKET_SYN, 0);
+	ck_assert_uint_eq(world.forwards, DY_SEARCHES_AT_ONCE + 1);
+	tell_held(1, &world.tries[0], 1);
+	take(DY_SEARCHES_AT_ONCE + 1, DY_PACKET_ACK, 5);
+	ck_assert_uint_eq(world.forwards, DY_SEARCHES_AT_ONCE + 2);
+	tell_nowhere(2, DY_PACKET_ACK, 1);
+	take(DY_SEARCHES_AT_ONCE + 2, DY_PACKET_ACK, 5);
+	ck_assert_uint_eq(world.forwards, DY_SEARCHES_AT_ONCE + 3);
+	end();
+}
+END_TEST
+
+/* A search of several windows ends though others took the places meanwhile. */
+START_TEST(search_that_has_begun_goes_on)
+{
+	unsigned flow;
+
+	begin(20);
+	take(1, DY_PACKET_ACK, 5);
+	world.now_ms += DY_SEARCH_ANSWER_MS;
+	for (flow = 2; flow <= DY_SEARCHES_AT_ONCE + 5; flow++)
+		take(flow, DY_PACKET_ACK, 5);
+	take(1, DY_PACKET_ACK, 5);
+	ck_assert_uint_eq(world.forwards, 1 + DY_SEARCHES_AT_ONCE);
+	world.forward.window = 1;
+	world.forward.complete = 0;
+	tell_nowhere(1, DY_PACKET_ACK, 1);
+	ck_assert_uint_eq(world.forwards, 2 + DY_SEARCHES_AT_ONCE);
+	ck_assert_uint_eq(world.forward.window, 2);
+	end();
+}
+END_TEST
+
 /*
  * Between two windows of a search an agent falls silent, or speaks again. If
  * that moves others in the order, one is never asked, and its live flow is
@@ -612,6 +661,8 @@
 		search_goes_on_in_windows,
 		search_asks_each_agent_though_others_fall_silent,
 		search_begins_anew_when_the_order_changes,
+		searches_that_have_begun_put_others_off,
+		search_that_has_begun_goes_on,
 		flow_found_nowhere_is_reset_once_members_are_confirmed,
 		flow_found_nowhere_is_kept_if_an_agent_joined,
 		uncertain_search_resets_nothing,
