--- a/include/damaskyard/flow_settings.h
+++ b/include/damaskyard/flow_settings.h
@@ -3,7 +3,7 @@
 
 /*
  * Settings of the processes for packet flows: a GLib key file, whose path
- * stands in DAMASKYARD_CONFIG or --settings.
+ * is given by --settings, or by the variable that platform/calls.h names.
  *
  *	[process]  name, failure-domain, data, first-start, log-level, stop-s
  *	[listen]   packets, ready, control, outbound, inner-port, metrics-port
--- a/src/process/flow/flow_member.c
+++ b/src/process/flow/flow_member.c
@@ -4,6 +4,7 @@
 
 #include "command.h"
 #include "damaskyard/log.h"
+#include "platform/calls.h"
 
 int flow_member_load(flow_member_t *member, int argc, char **argv,
 		     const char *command, const char *summary,
@@ -15,7 +16,8 @@
 		  .kind = DY_SETTING_TEXT,
 		  .value = &path,
 		  .argument = "FILE",
-		  .help = "key file; DAMASKYARD_CONFIG if not given" },
+		  .help = "key file; else what " PLATFORM_SETTINGS_VARIABLE
+			  " names" },
 		{ 0 },
 	};
 	GError *error = NULL;
@@ -23,10 +25,11 @@
 	if (!dy_settings_load(argc, argv, summary, flags, NULL, &error))
 		return dy_command_fail_usage(command, error);
 	if (!path)
-		path = g_strdup(g_getenv("DAMASKYARD_CONFIG"));
+		path = g_strdup(g_getenv(PLATFORM_SETTINGS_VARIABLE));
 	if (!path)
-		g_set_error(&error, DY_SETTINGS_ERROR, DY_SETTINGS_ERROR_USAGE,
-			    "expected --settings FILE or DAMASKYARD_CONFIG");
+		g_set_error(
+			&error, DY_SETTINGS_ERROR, DY_SETTINGS_ERROR_USAGE,
+			"expected --settings FILE or " PLATFORM_SETTINGS_VARIABLE);
 	if (!path ||
 	    !dy_flow_settings_load(&member->settings, path, role, &error)) {
 		g_free(path);
