--- a/include/damaskyard/flow_holder.h
+++ b/include/damaskyard/flow_holder.h
@@ -16,12 +16,24 @@
  * and begins here in one step, so no opening packet follows it, whatever
  * balancers believe. What cannot be taken goes to the next of the balancer's
  * choices, and after the last is refused at once.
+ *
+ * Whether the target is there at all.
+ *	Load pattern: a target crashes with thousands of open flows; a VM comes
+ *	back without its target, as after a loss of power.
+ *	What happens without it: the target's flows get no answer until their
+ *	callers' deadlines, and new ones none until its notices are missed;
+ *	balancers search an agent for flows that it cannot have, and where its
+ *	VM goes again, their searches end there.
+ *	What is done: a target that owes an answer is asked for by a check of
+ *	its port. A port that nobody listens at twice in a row, with nothing
+ *	from the target in between, says that it is gone with all its flows.
  */
 
 #include <stdint.h>
 
 #include "damaskyard/metrics.h"
 #include "damaskyard/packet.h"
+#include "damaskyard/port_check.h"
 #include "damaskyard/target_notice.h"
 
 /*
@@ -30,6 +42,13 @@
  */
 #define DY_TARGET_SILENT_MS 4000
 
+/*
+ * A target that owed an answer to a packet for so long is checked, in ms. It
+ * answers openings within one, and half of the requests within 60; a slow one
+ * is checked in vain, which costs it one connection.
+ */
+#define DY_TARGET_OWING_MS 150
+
 /* A flow without packets for so long is forgotten, in ms; see above. */
 #define DY_HELD_IDLE_MS 60000
 
@@ -75,6 +94,8 @@
 		       dy_flow_report_t *report);
 	/* The target's service, slots or state changed. */
 	void (*changed)(void *context);
+	/* Check the target's port; see dy_flow_holder_checked(). */
+	void (*check)(void *context);
 } dy_flow_holder_callbacks_t;
 
 typedef struct dy_flow_holder_config {
@@ -101,6 +122,13 @@
 /* The target with that id has ended. */
 void dy_flow_holder_leave(dy_flow_holder_t *holder, const char *id);
 
+/*
+ * Take the result of a check of the target's port that was begun after this
+ * agent's start.
+ */
+void dy_flow_holder_checked(dy_flow_holder_t *holder, dy_port_state_t state,
+			    uint64_t now_ms);
+
 /* Take no opening packet any more: the agent itself is stopping. */
 void dy_flow_holder_stop(dy_flow_holder_t *holder);
 
@@ -121,6 +149,8 @@
 uint32_t dy_flow_holder_slots(const dy_flow_holder_t *holder);
 /* Whether no target is there: it left, fell silent, or was never heard. */
 int dy_flow_holder_is_over(const dy_flow_holder_t *holder, uint64_t now_ms);
+/* Whether it is certain that no target is there, so no flow either. */
+int dy_flow_holder_is_empty(const dy_flow_holder_t *holder);
 /* Open or opening flows. */
 unsigned dy_flow_holder_count(const dy_flow_holder_t *holder);
 
--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -134,10 +134,15 @@
  * Give a packet to the target, and keep the forward in case that it comes
  * back.
  */
-static void give(dy_flow_holder_t *holder, const dy_flow_forward_t *forward)
+static void give(dy_flow_holder_t *holder, const dy_flow_forward_t *forward,
+		 const dy_packet_t *packet, uint64_t now_ms)
 {
 	kept_forward_t *kept;
 
+	/* What only acknowledges is not answered. */
+	if (packet->data_bytes || packet->marks & DY_PACKET_SYN)
+		holder_note_owing(holder, now_ms);
+
 	if (!++holder->last_note)
 		++holder->last_note;
 	kept = &holder->kept[holder->last_note % DY_FORWARDS_KEPT];
@@ -173,7 +178,7 @@
 	if (flow && flow->stage != STAGE_ENDED) {
 		holder_touch(holder, flow, now_ms);
 		flow->opener = forward->balancer;
-		give(holder, forward);
+		give(holder, forward, packet, now_ms);
 		return;
 	}
 	if (!dy_flow_holder_accepts(holder) ||
@@ -197,7 +202,7 @@
 	flow = holder_add_flow(holder, &packet->flow, STAGE_HALF, now_ms);
 	flow->opener = forward->balancer;
 	log_flow(holder, "flow_taken", &packet->flow, "opening", now_ms);
-	give(holder, forward);
+	give(holder, forward, packet, now_ms);
 }
 
 /*
@@ -248,7 +253,7 @@
 		return;
 	}
 	note_caller(holder, flow, packet, now_ms);
-	give(holder, forward);
+	give(holder, forward, packet, now_ms);
 	if (forward->tell)
 		tell_held(holder, &forward->balancer, flow, now_ms);
 }
@@ -289,7 +294,7 @@
 	else if (is_silent(holder, now_ms))
 		pass_on(holder, forward, packet, 0);
 	else
-		give(holder, forward);
+		give(holder, forward, packet, now_ms);
 }
 
 /* Packets of the target. */
@@ -346,6 +351,7 @@
 {
 	held_flow_t *flow;
 
+	holder_note_alive(holder);
 	if (packet->marks & DY_PACKET_BOUNCED) {
 		take_back(holder, packet, bytes, len, now_ms);
 		return;
@@ -393,5 +399,6 @@
 	holder_expire(holder, STAGE_ENDED, DY_ENDED_MS, now_ms);
 	if (holder->ready && now_ms - holder->noticed_ms > DY_TARGET_SILENT_MS)
 		holder_set_ready(holder, 0, "silent");
+	holder_check_presence(holder, now_ms);
 	report(holder, now_ms);
 }
--- a/src/connection/flow_holder_flows.c
+++ b/src/connection/flow_holder_flows.c
@@ -91,7 +91,8 @@
 	g_hash_table_remove(holder->flows, &flow->id);
 }
 
-void holder_drop_all(dy_flow_holder_t *holder, uint64_t now_ms)
+void holder_drop_all(dy_flow_holder_t *holder, const char *reason,
+		     uint64_t now_ms)
 {
 	dy_list_t *list;
 	int i;
@@ -102,7 +103,7 @@
 			holder_drop_flow(
 				holder,
 				DY_LIST_ITEM(list->next, held_flow_t, link),
-				"target_started_anew", now_ms);
+				reason, now_ms);
 	}
 }
 
--- a/src/connection/flow_holder_notice.c
+++ b/src/connection/flow_holder_notice.c
@@ -38,9 +38,9 @@
 		     "id=%s born_ms=%lu slots=%u flows_dropped=%u",
 		     dy_log_quote(notice->id), (unsigned long)notice->born_ms,
 		     notice->slots, g_hash_table_size(holder->flows));
-	holder->saw_start =
-		holder->has_target || notice->sequence <= FIRST_SEQUENCE;
-	holder_drop_all(holder, now_ms);
+	if (holder->has_target || notice->sequence <= FIRST_SEQUENCE)
+		holder->saw_start = 1;
+	holder_drop_all(holder, "target_started_anew", now_ms);
 	holder->has_target = 1;
 	holder->left = 0;
 	holder->ready = 0;
@@ -94,6 +94,7 @@
 	age = tell_age(holder, notice, now_ms);
 	if (age == NOTICE_OLD)
 		return 1;
+	holder_note_alive(holder);
 	if (age == NOTICE_OTHER_START)
 		begin_target(holder, notice, now_ms);
 	holder->notice = *notice;
--- a/src/connection/flow_holder_private.h
+++ b/src/connection/flow_holder_private.h
@@ -3,7 +3,8 @@
 
 /*
  * What the files of the flow holder share: flow_holder.c decides about packets,
- * flow_holder_notice.c about the target, flow_holder_flows.c keeps the records.
+ * flow_holder_notice.c about the target's notices, flow_holder_presence.c about
+ * whether it is there, flow_holder_flows.c keeps the records.
  */
 
 #include <glib.h>
@@ -57,7 +58,10 @@
 	int ready;
 	int left; /* the target said that it has ended */
 	int stopping;
-	int saw_start; /* no flow of the target is older than this agent */
+	int saw_start;	   /* no flow of the target is older than this agent */
+	int absent;	   /* nobody listens at its port */
+	unsigned refusals; /* checks in a row that found nobody there */
+	uint64_t owing_ms; /* since when it owes an answer; 0: it does not */
 	dy_target_notice_t notice;
 	uint64_t noticed_ms;
 	uint64_t cold_until_ms;
@@ -95,7 +99,8 @@
 /* reason is logged for a request that was not answered. */
 void holder_drop_flow(dy_flow_holder_t *holder, held_flow_t *flow,
 		      const char *reason, uint64_t now_ms);
-void holder_drop_all(dy_flow_holder_t *holder, uint64_t now_ms);
+void holder_drop_all(dy_flow_holder_t *holder, const char *reason,
+		     uint64_t now_ms);
 /* Drop the flows of a stage that had no packet for after_ms. */
 void holder_expire(dy_flow_holder_t *holder, held_stage_t stage,
 		   uint64_t after_ms, uint64_t now_ms);
@@ -105,6 +110,14 @@
 void holder_end_request(dy_flow_holder_t *holder, held_flow_t *flow,
 			const char *outcome, uint64_t now_ms);
 
+/* What is known of the target's presence; flow_holder_presence.c. */
+/* It was given a packet that it must answer. */
+void holder_note_owing(dy_flow_holder_t *holder, uint64_t now_ms);
+/* It sent a packet or a notice. */
+void holder_note_alive(dy_flow_holder_t *holder);
+/* Have it checked if it owes an answer for too long. */
+void holder_check_presence(dy_flow_holder_t *holder, uint64_t now_ms);
+
 /* flow_holder_notice.c */
 void holder_set_ready(dy_flow_holder_t *holder, int ready, const char *reason);
 
--- a/src/process/flow/cmd_flow_agent.c
+++ b/src/process/flow/cmd_flow_agent.c
@@ -9,6 +9,7 @@
 #include "damaskyard/flow_holder.h"
 #include "damaskyard/http.h"
 #include "damaskyard/log.h"
+#include "damaskyard/port_check.h"
 #include "flow_member.h"
 #include "platform/calls.h"
 #include "platform/heartbeat.h"
@@ -40,6 +41,7 @@
 	dy_endpoint_t *outbound;
 	dy_http_server_t *http;
 	dy_http_server_t *ready_http;
+	dy_port_check_t *port_check;
 	uint64_t stopping_ms;
 	dy_log_limit_t refused_limit;
 	uint64_t *malformed;
@@ -124,15 +126,25 @@
 	flow_agent_t *agent = context;
 	flow_member_t *member = &agent->member;
 
+	if (!member->subscriber)
+		return;
+	member->info.service = agent->member.settings.service;
 	member->info.slots = dy_flow_holder_slots(agent->holder);
 	dy_subscriber_set_info(member->subscriber, &member->info);
 	dy_subscriber_set_state(member->subscriber, member_state(agent), NULL,
 				0);
 }
 
+static void check_target(void *context)
+{
+	flow_agent_t *agent = context;
+
+	dy_port_check_begin(agent->port_check);
+}
+
 static const dy_flow_holder_callbacks_t holder_callbacks = {
 	send_to_target, send_to_caller, pass_on,    send_held,
-	send_nowhere,	send_report,	on_changed,
+	send_nowhere,	send_report,	on_changed, check_target,
 };
 
 static void on_outbound(void *context, uint8_t *bytes, size_t len,
@@ -203,7 +215,7 @@
 	if (truncated || dy_seal_open(agent->member.seal, bytes, len,
 				      &message) != DY_SEAL_OK)
 		return;
-	if (message.is_reply)
+	if (message.is_reply && agent->member.subscriber)
 		dy_subscriber_receive(agent->member.subscriber, &message);
 	else if (message.program == DY_FLOW_AGENT_PROGRAM &&
 		 message.procedure == DY_FLOW_FORWARD)
@@ -269,6 +281,8 @@
 	dy_log_event(DY_LOG_INFO, "stop_begun", "flows=%u",
 		     dy_flow_holder_count(agent->holder));
 	dy_flow_holder_stop(agent->holder);
+	if (!agent->member.subscriber)
+		return;
 	/* With its target gone it holds no flow, and nobody need search it. */
 	dy_subscriber_set_state(
 		agent->member.subscriber,
@@ -294,6 +308,35 @@
 	.refused = on_refused,
 };
 
+/*
+ * Its service is told before its target is heard of: after a restart of the
+ * agent the target may hold flows, and balancers search them among the
+ * service's agents. Where nobody listens at the target's port there are none,
+ * and nobody need search here: a search that is sent to a VM which goes again
+ * ends there.
+ */
+static void subscribe(flow_agent_t *agent)
+{
+	flow_member_t *member = &agent->member;
+	int empty = dy_flow_holder_is_empty(agent->holder);
+
+	if (!empty)
+		member->info.service = member->settings.service;
+	dy_log_event(DY_LOG_INFO, "joining", "target_there=%d", !empty);
+	flow_member_subscribe(member, DY_MEMBER_AGENT, &subscriber_callbacks);
+	dy_subscriber_set_state(member->subscriber, member_state(agent), NULL,
+				0);
+}
+
+static void on_port_checked(void *context, dy_port_state_t state)
+{
+	flow_agent_t *agent = context;
+
+	dy_flow_holder_checked(agent->holder, state, now_ms(agent));
+	if (!agent->member.subscriber && !agent->stopping_ms)
+		subscribe(agent);
+}
+
 static void on_report(void *context)
 {
 	flow_agent_t *agent = context;
@@ -355,6 +398,8 @@
 	config.callbacks = &holder_callbacks;
 	config.context = agent;
 	agent->holder = dy_flow_holder_create(&config);
+	agent->port_check = dy_port_check_create(
+		agent->member.loop, &config.target, on_port_checked, agent);
 	agent->refused_limit = limit;
 	agent->malformed =
 		dy_metrics_counter(agent->member.metrics, "packets_malformed");
@@ -370,16 +415,7 @@
 		ok = open_sockets(agent, error);
 	}
 	if (ok) {
-		/*
-		 * Its service is told before its target is heard of: after a
-		 * restart of the agent the target may hold flows, and balancers
-		 * search them among the service's agents.
-		 */
-		agent->member.info.service = agent->member.settings.service;
-		flow_member_subscribe(&agent->member, DY_MEMBER_AGENT,
-				      &subscriber_callbacks);
-		dy_subscriber_set_state(agent->member.subscriber,
-					DY_MEMBER_DRAINING, NULL, 0);
+		dy_port_check_begin(agent->port_check);
 		dy_loop_on_stop(agent->member.loop, begin_stop, agent);
 		dy_loop_every(agent->member.loop, REPORT_MS, on_report, agent);
 		dy_loop_every(agent->member.loop, CHECK_MS, on_check, agent);
@@ -392,6 +428,7 @@
 	dy_http_server_destroy(agent->ready_http);
 	dy_endpoint_destroy(agent->packets);
 	dy_endpoint_destroy(agent->outbound);
+	dy_port_check_destroy(agent->port_check);
 	flow_member_close(&agent->member);
 	dy_flow_holder_destroy(agent->holder);
 	return ok;
--- a/tests/test_flow_holder.c
+++ b/tests/test_flow_holder.c
@@ -25,6 +25,7 @@
 	unsigned reports;
 	dy_flow_report_t report;
 	unsigned changes;
+	unsigned checks; /* of the target's port */
 	uint64_t now_ms;
 	uint8_t bytes[34];
 } world;
@@ -88,8 +89,15 @@
 	world.changes++;
 }
 
+static void check_target(void *context)
+{
+	(void)context;
+	world.checks++;
+}
+
 static const dy_flow_holder_callbacks_t callbacks = {
-	to_target, to_caller, pass_on, held, nowhere, report, changed,
+	to_target, to_caller, pass_on, held,
+	nowhere,   report,    changed, check_target,
 };
 
 static dy_address_t address(unsigned number, uint16_t port)
@@ -479,6 +487,113 @@
 }
 END_TEST
 
+/* A tick after the target has owed an answer for too long. */
+static void owe(void)
+{
+	world.now_ms += DY_TARGET_OWING_MS;
+	dy_flow_holder_tick(world.holder, world.now_ms);
+}
+
+static void check_says(dy_port_state_t state)
+{
+	dy_flow_holder_checked(world.holder, state, world.now_ms);
+}
+
+/*
+ * A target crashes with open flows. Callers of idempotent requests would wait
+ * for their deadlines, and new flows be opened into the void until its notices
+ * are missed. Its port is checked once it owes an answer, and then again.
+ */
+START_TEST(crashed_target_loses_its_flows_at_once)
+{
+	begin();
+	open_flow(1);
+	from_caller(1, DY_PACKET_ACK, 502, 90);
+	owe();
+	ck_assert_uint_eq(world.checks, 1);
+	check_says(DY_PORT_REFUSED);
+	ck_assert(dy_flow_holder_accepts(world.holder));
+	owe();
+	ck_assert_uint_eq(world.checks, 2);
+	check_says(DY_PORT_REFUSED);
+	ck_assert(!dy_flow_holder_accepts(world.holder));
+	ck_assert(dy_flow_holder_is_empty(world.holder));
+	ck_assert_uint_eq(dy_flow_holder_count(world.holder), 0);
+	from_caller(1, DY_PACKET_ACK, 502, 90);
+	ck_assert_uint_eq(world.passed, 1);
+	ck_assert(world.forward.certain);
+	end();
+}
+END_TEST
+
+/*
+ * A busy target takes a second to answer. It listens, so its flows stay and it
+ * is asked again only when it has owed an answer for as long once more.
+ */
+START_TEST(slow_target_keeps_its_flows)
+{
+	begin();
+	open_flow(1);
+	from_caller(1, DY_PACKET_ACK, 502, 90);
+	owe();
+	check_says(DY_PORT_LISTENING);
+	dy_flow_holder_tick(world.holder, world.now_ms + 1);
+	ck_assert_uint_eq(world.checks, 1);
+	owe();
+	ck_assert_uint_eq(world.checks, 2);
+	check_says(DY_PORT_UNKNOWN);
+	ck_assert(dy_flow_holder_accepts(world.holder));
+	ck_assert_uint_eq(dy_flow_holder_count(world.holder), 1);
+	end();
+}
+END_TEST
+
+/*
+ * A target's last answer arrives between two checks, or another start of it
+ * does: one refusal before it counts for nothing.
+ */
+START_TEST(sign_of_life_between_checks_counts)
+{
+	begin();
+	open_flow(1);
+	from_caller(1, DY_PACKET_ACK, 502, 90);
+	owe();
+	check_says(DY_PORT_REFUSED);
+	from_target(1, DY_PACKET_ACK, 502, 300);
+	from_caller(1, DY_PACKET_ACK, 503, 90);
+	check_says(DY_PORT_REFUSED);
+	ck_assert(dy_flow_holder_accepts(world.holder));
+	ck_assert_uint_eq(dy_flow_holder_count(world.holder), 1);
+	ck_assert(announce(2, DY_TARGET_READY));
+	check_says(DY_PORT_REFUSED);
+	ck_assert(dy_flow_holder_accepts(world.holder));
+	end();
+}
+END_TEST
+
+/*
+ * A VM whose target left is started again with all others after a loss of
+ * power, and taken away for good seconds later. While it was there, balancers
+ * searched it for each flow, and afterwards their searches ended at it.
+ */
+START_TEST(agent_without_a_target_is_empty)
+{
+	create();
+	ck_assert(!dy_flow_holder_is_empty(world.holder));
+	check_says(DY_PORT_REFUSED);
+	ck_assert(dy_flow_holder_is_empty(world.holder));
+	from_caller(1, DY_PACKET_ACK, 501, 0);
+	ck_assert_uint_eq(world.given, 0);
+	ck_assert(world.forward.certain);
+	ck_assert(announce(40, DY_TARGET_READY));
+	ck_assert(!dy_flow_holder_is_empty(world.holder));
+	ck_assert(dy_flow_holder_accepts(world.holder));
+	from_caller(2, DY_PACKET_ACK, 501, 0);
+	ck_assert_uint_eq(world.given, 0);
+	end();
+}
+END_TEST
+
 /* What comes back after its forward was forgotten is counted, not guessed. */
 START_TEST(bounce_that_is_not_known_is_dropped)
 {
@@ -598,6 +713,10 @@
 		restarted_agent_asks_its_target,
 		flows_end_with_their_targets_start,
 		search_goes_past_a_silent_target,
+		crashed_target_loses_its_flows_at_once,
+		slow_target_keeps_its_flows,
+		sign_of_life_between_checks_counts,
+		agent_without_a_target_is_empty,
 		bounce_that_is_not_known_is_dropped,
 		load_is_learned_from_what_passes,
 		flow_that_both_ended_counts_no_more,
