--- a/include/damaskyard/flow_holder.h
+++ b/include/damaskyard/flow_holder.h
@@ -15,7 +15,7 @@
  * target announced, while it is ready. Draining is acknowledged to the target
  * and begins here in one step, so no opening packet follows it, whatever
  * balancers believe. What cannot be taken goes to the next of the balancer's
- * choices, and after the last is refused at once.
+ * choices; at the last it waits for room (opening_queue.h).
  *
  * Whether the target is there at all.
  *	Load pattern: a target crashes with thousands of open flows; a VM comes
@@ -65,11 +65,28 @@
 #define DY_FORWARDS_KEPT 2048
 
 /*
- * Requests and openings for each slot beyond which an opening is passed on to
- * a balancer's next choice. Two wait behind each that runs: some 100 to 150 ms
- * of today's work, half of what callers want to wait at all.
+ * Requests, begun or about to be, for each hundred slots, beyond which an
+ * opening is passed on to a balancer's next choice, and at the last waits. Half
+ * a request waits behind each that runs, so that a new one is answered within
+ * twice its own time, and no slot is idle while the next one's packets travel.
+ * Measured on the users' days with a loss of power: at 100 slots are idle, at
+ * 200 and more late answers crowd out those in time.
  */
-#define DY_OVERLOAD_SLOTS 3
+#define DY_OVERLOAD_PERCENT 150
+
+/*
+ * A request without an answer for so long counts no more, in ms: its caller
+ * has most likely given up, or the target has. Longer than the longest work of
+ * today, 430 ms, at a target that is eight times slower than usual.
+ */
+#define DY_REQUEST_FORGOTTEN_MS 4000
+
+/*
+ * A flow that was opened so long ago, in ms, and had no request, is not about
+ * to have its first: callers send it a round trip later, some 10 ms, or have
+ * given the opening up.
+ */
+#define DY_FIRST_REQUEST_MS 100
 
 /* Balancers that are told of the load; ones not heard for 2 s are not. */
 #define DY_REPORTED_MAX 256
--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -16,7 +16,9 @@
 		dy_flow_id_table_hash, dy_flow_id_table_equal, NULL, g_free);
 	for (i = 0; i < STAGES; i++)
 		dy_list_init(&holder->stages[i]);
+	dy_list_init(&holder->requests);
 	holder->kept = g_new0(kept_forward_t, DY_FORWARDS_KEPT);
+	holder->waiting = dy_opening_queue_create();
 	holder->flow_limit = limit;
 	holder->refused_limit = limit;
 	holder->request_limit = limit;
@@ -25,6 +27,7 @@
 	holder->opened = dy_metrics_counter(metrics, "flows_opened");
 	holder->passed_on = dy_metrics_counter(metrics, "packets_passed_on");
 	holder->refused = dy_metrics_counter(metrics, "openings_refused");
+	holder->put_off = dy_metrics_counter(metrics, "openings_put_off");
 	holder->not_held = dy_metrics_counter(metrics, "packets_not_held");
 	holder->bounced = dy_metrics_counter(metrics, "packets_bounced");
 	holder->stale_notes = dy_metrics_counter(metrics, "bounces_unknown");
@@ -40,6 +43,7 @@
 	if (!holder)
 		return;
 	g_hash_table_destroy(holder->flows);
+	dy_opening_queue_destroy(holder->waiting);
 	g_free(holder->kept);
 	g_free(holder);
 }
@@ -49,7 +53,7 @@
 {
 	load->slots = holder->notice.slots;
 	load->flows = dy_flow_holder_count(holder);
-	load->busy = holder->busy;
+	load->busy = holder->busy + dy_opening_queue_count(holder->waiting);
 	load->accepts = dy_flow_holder_accepts(holder);
 	load->cold = now_ms < holder->cold_until_ms;
 }
@@ -77,13 +81,13 @@
 }
 
 static void tell_held(dy_flow_holder_t *holder, const dy_address_t *balancer,
-		      const held_flow_t *flow, uint64_t now_ms)
+		      const dy_flow_id_t *flow, int open, uint64_t now_ms)
 {
 	dy_flow_held_t held = { 0 };
 
-	held.flow = flow->id;
+	held.flow = *flow;
 	held.agent = holder->config.self;
-	held.open = flow->stage != STAGE_HALF;
+	held.open = open;
 	fill_load(holder, &held.load, now_ms);
 	holder->config.callbacks->held(holder->config.context, balancer, &held);
 }
@@ -162,13 +166,75 @@
  * Load pattern: many callers open flows within one moment, by several
  * balancers that each know only what they opened themselves. Without this the
  * first choice of several of them queues while another target is idle. What is
- * known here is exact: with more requests than DY_OVERLOAD_SLOTS for each slot
- * the next choice is asked; the last of them takes what comes.
+ * known here is exact: with more requests than DY_OVERLOAD_PERCENT of the
+ * slots, begun or about to be, the next choice is asked; at the last of them it
+ * waits.
  */
-static int is_overloaded(const dy_flow_holder_t *holder)
+static int is_overloaded(const dy_flow_holder_t *holder, uint64_t now_ms)
 {
-	return holder->busy + holder->counts[STAGE_HALF] >=
-	       DY_OVERLOAD_SLOTS * holder->notice.slots;
+	unsigned limit =
+		(DY_OVERLOAD_PERCENT * holder->notice.slots + 99) / 100;
+	const dy_list_t *halves = &holder->stages[STAGE_HALF];
+	unsigned expected = holder->busy;
+	const dy_list_t *pos;
+
+	for (pos = halves->prev; pos != halves && expected < limit;
+	     pos = pos->prev) {
+		if (now_ms - DY_LIST_ITEM(pos, held_flow_t, link)->used_ms >
+		    DY_FIRST_REQUEST_MS)
+			break;
+		expected++;
+	}
+	return expected >= limit;
+}
+
+/* Let an opening wait; its balancer is told, so that copies come here too. */
+static int put_off(dy_flow_holder_t *holder, const dy_flow_forward_t *forward,
+		   const dy_packet_t *packet, uint64_t now_ms)
+{
+	if (!dy_opening_queue_add(holder->waiting, forward, packet, now_ms))
+		return 0;
+	++*holder->put_off;
+	log_flow(holder, "opening_put_off", &packet->flow, "overload", now_ms);
+	tell_held(holder, &forward->balancer, &packet->flow, 0, now_ms);
+	return 1;
+}
+
+static void admit(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
+		  const dy_packet_t *packet, uint64_t now_ms)
+{
+	held_flow_t *flow = g_hash_table_lookup(holder->flows, &packet->flow);
+
+	if (flow)
+		holder_drop_flow(holder, flow, "opened_anew", now_ms);
+	++*holder->opened;
+	flow = holder_add_flow(holder, &packet->flow, STAGE_HALF, now_ms);
+	flow->opener = forward->balancer;
+	log_flow(holder, "flow_taken", &packet->flow, "opening", now_ms);
+	give(holder, forward, packet, now_ms);
+}
+
+/*
+ * Openings that wait have their turn once there is room; those that waited for
+ * too long, or whose target takes no more, are refused or go elsewhere.
+ */
+static void serve_waiting(dy_flow_holder_t *holder, uint64_t now_ms)
+{
+	int accepts = dy_flow_holder_accepts(holder);
+	dy_opening_t opening;
+
+	if (!dy_opening_queue_count(holder->waiting))
+		return;
+	while (dy_opening_queue_expire(holder->waiting, now_ms, &opening))
+		pass_on(holder, &opening.forward, &opening.packet, 1);
+	while ((!accepts || !is_overloaded(holder, now_ms)) &&
+	       dy_opening_queue_take(holder->waiting, &opening)) {
+		if (accepts)
+			admit(holder, &opening.forward, &opening.packet,
+			      now_ms);
+		else
+			pass_on(holder, &opening.forward, &opening.packet, 1);
+	}
 }
 
 static void take_opening(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
@@ -181,6 +247,10 @@
 		give(holder, forward, packet, now_ms);
 		return;
 	}
+	if (dy_opening_queue_has(holder->waiting, &packet->flow)) {
+		dy_opening_queue_add(holder->waiting, forward, packet, now_ms);
+		return;
+	}
 	if (!dy_flow_holder_accepts(holder) ||
 	    strcmp(forward->service, holder->config.service) != 0) {
 		++*holder->refused;
@@ -189,20 +259,17 @@
 		pass_on(holder, forward, packet, 1);
 		return;
 	}
-	if (is_overloaded(holder) &&
+	if (is_overloaded(holder, now_ms) &&
 	    forward->step + 1 < forward->tries.tries_len) {
 		log_flow(holder, "opening_passed_on", &packet->flow, "overload",
 			 now_ms);
 		pass_on(holder, forward, packet, 1);
 		return;
 	}
-	if (flow)
-		holder_drop_flow(holder, flow, "opened_anew", now_ms);
-	++*holder->opened;
-	flow = holder_add_flow(holder, &packet->flow, STAGE_HALF, now_ms);
-	flow->opener = forward->balancer;
-	log_flow(holder, "flow_taken", &packet->flow, "opening", now_ms);
-	give(holder, forward, packet, now_ms);
+	if (is_overloaded(holder, now_ms) &&
+	    put_off(holder, forward, packet, now_ms))
+		return;
+	admit(holder, forward, packet, now_ms);
 }
 
 /*
@@ -255,7 +322,8 @@
 	note_caller(holder, flow, packet, now_ms);
 	give(holder, forward, packet, now_ms);
 	if (forward->tell)
-		tell_held(holder, &forward->balancer, flow, now_ms);
+		tell_held(holder, &forward->balancer, &flow->id,
+			  flow->stage != STAGE_HALF, now_ms);
 }
 
 static void pass_on_known(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
@@ -364,10 +432,12 @@
 			now_ms);
 	note_target(holder, flow, packet, now_ms);
 	if (packet->marks & DY_PACKET_SYN && flow->opener.port)
-		tell_held(holder, &flow->opener, flow, now_ms);
+		tell_held(holder, &flow->opener, &flow->id,
+			  flow->stage != STAGE_HALF, now_ms);
 	++*holder->to_callers;
 	holder->config.callbacks->to_caller(holder->config.context,
 					    &packet->flow, bytes, len);
+	serve_waiting(holder, now_ms);
 }
 
 /* What is done by time. */
@@ -399,6 +469,8 @@
 	holder_expire(holder, STAGE_ENDED, DY_ENDED_MS, now_ms);
 	if (holder->ready && now_ms - holder->noticed_ms > DY_TARGET_SILENT_MS)
 		holder_set_ready(holder, 0, "silent");
+	holder_forget_requests(holder, now_ms);
 	holder_check_presence(holder, now_ms);
+	serve_waiting(holder, now_ms);
 	report(holder, now_ms);
 }
--- a/src/connection/flow_holder_flows.c
+++ b/src/connection/flow_holder_flows.c
@@ -33,6 +33,7 @@
 	flow->busy = 1;
 	flow->busy_ms = now_ms;
 	holder->busy++;
+	dy_list_append(&holder->requests, &flow->request_link);
 	g_snprintf(flow->request, sizeof(flow->request), "%.*s",
 		   packet->request ? (int)packet->request_len : 0,
 		   packet->request ? packet->request : "");
@@ -46,9 +47,23 @@
 		return;
 	flow->busy = 0;
 	holder->busy--;
+	dy_list_remove(&flow->request_link);
 	log_request(holder, "request_ended", flow, outcome, now_ms);
 }
 
+void holder_forget_requests(dy_flow_holder_t *holder, uint64_t now_ms)
+{
+	held_flow_t *flow;
+
+	while (!dy_list_empty(&holder->requests)) {
+		flow = DY_LIST_ITEM(holder->requests.next, held_flow_t,
+				    request_link);
+		if (now_ms - flow->busy_ms < DY_REQUEST_FORGOTTEN_MS)
+			return;
+		holder_end_request(holder, flow, "unanswered", now_ms);
+	}
+}
+
 void holder_enter_stage(dy_flow_holder_t *holder, held_flow_t *flow,
 			held_stage_t stage, uint64_t now_ms)
 {
@@ -76,6 +91,7 @@
 	flow->stage = stage;
 	flow->used_ms = now_ms;
 	dy_list_init(&flow->link);
+	dy_list_init(&flow->request_link);
 	dy_list_append(&holder->stages[stage], &flow->link);
 	holder->counts[stage]++;
 	g_hash_table_insert(holder->flows, &flow->id, flow);
--- a/src/connection/flow_holder_private.h
+++ b/src/connection/flow_holder_private.h
@@ -13,6 +13,7 @@
 #include "damaskyard/histogram.h"
 #include "damaskyard/list.h"
 #include "damaskyard/log.h"
+#include "damaskyard/opening_queue.h"
 
 /* Bytes of a request's id in a log line, with its terminating NUL. */
 #define REQUEST_BYTES 40
@@ -32,6 +33,7 @@
 	int answered;	     /* the target's opening packet was seen */
 	uint32_t target_seq;
 	int busy;		     /* a request was begun and not answered */
+	dy_list_t request_link;	     /* while it is */
 	uint64_t busy_ms;	     /* since when */
 	char request[REQUEST_BYTES]; /* its id, for logs */
 	int caller_ended;
@@ -68,7 +70,9 @@
 	GHashTable *flows;
 	dy_list_t stages[STAGES];
 	unsigned counts[STAGES];
-	unsigned busy;
+	dy_list_t requests;	     /* begun and not answered, oldest first */
+	unsigned busy;		     /* how many these are */
+	dy_opening_queue_t *waiting; /* openings, for room at the target */
 	kept_forward_t *kept;
 	uint32_t last_note;
 	balancer_t balancers[DY_REPORTED_MAX];
@@ -81,6 +85,7 @@
 	uint64_t *opened;
 	uint64_t *passed_on;
 	uint64_t *refused;
+	uint64_t *put_off; /* openings that had to wait */
 	uint64_t *not_held;
 	uint64_t *bounced;
 	uint64_t *stale_notes;
@@ -109,6 +114,8 @@
 			  const dy_packet_t *packet, uint64_t now_ms);
 void holder_end_request(dy_flow_holder_t *holder, held_flow_t *flow,
 			const char *outcome, uint64_t now_ms);
+/* End requests that had no answer for DY_REQUEST_FORGOTTEN_MS. */
+void holder_forget_requests(dy_flow_holder_t *holder, uint64_t now_ms);
 
 /* What is known of the target's presence; flow_holder_presence.c. */
 /* It was given a packet that it must answer. */
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -501,10 +501,12 @@
 }
 
 static void take_refusal(dy_flow_router_t *router, flow_t *flow,
+			 const dy_flow_nowhere_t *nowhere,
 			 const dy_packet_t *packet, uint64_t now_ms)
 {
 	/* Another copy of the opening packet may have found a place. */
-	if (flow && flow->told)
+	if (flow && flow->told &&
+	    !dy_address_equal(&flow->agent, &nowhere->agent))
 		return;
 	++*router->refused;
 	reset(router, packet, "refused", now_ms);
@@ -520,7 +522,7 @@
 	search_t next;
 
 	if (nowhere->reason == DY_FLOW_REFUSED) {
-		take_refusal(router, flow, packet, now_ms);
+		take_refusal(router, flow, nowhere, packet, now_ms);
 		return;
 	}
 	if (!flow)
--- /dev/null
+++ b/src/connection/opening_queue.c
@@ -0,0 +1,114 @@
+#include "damaskyard/opening_queue.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "damaskyard/list.h"
+
+typedef struct waiting {
+	dy_list_t link; /* oldest first */
+	uint64_t since_ms;
+	dy_opening_t opening;
+} waiting_t;
+
+struct dy_opening_queue {
+	GHashTable *by_flow;
+	dy_list_t by_age;
+};
+
+dy_opening_queue_t *dy_opening_queue_create(void)
+{
+	dy_opening_queue_t *queue = g_new0(dy_opening_queue_t, 1);
+
+	queue->by_flow = g_hash_table_new_full(
+		dy_flow_id_table_hash, dy_flow_id_table_equal, NULL, g_free);
+	dy_list_init(&queue->by_age);
+	return queue;
+}
+
+void dy_opening_queue_destroy(dy_opening_queue_t *queue)
+{
+	if (!queue)
+		return;
+	g_hash_table_destroy(queue->by_flow);
+	g_free(queue);
+}
+
+/* Copy a forward, and what it points to, into an opening's own room. */
+static void fill(dy_opening_t *opening, const dy_flow_forward_t *forward,
+		 const dy_packet_t *packet)
+{
+	opening->forward = *forward;
+	opening->packet = *packet;
+	opening->packet.request = NULL; /* an opening has no data */
+	g_strlcpy(opening->service, forward->service, sizeof(opening->service));
+	memcpy(opening->tries, forward->tries.tries_val,
+	       forward->tries.tries_len * sizeof(opening->tries[0]));
+	memcpy(opening->bytes, forward->packet.packet_val,
+	       forward->packet.packet_len);
+	opening->forward.service = opening->service;
+	opening->forward.tries.tries_val = opening->tries;
+	opening->forward.packet.packet_val = (char *)opening->bytes;
+}
+
+int dy_opening_queue_add(dy_opening_queue_t *queue,
+			 const dy_flow_forward_t *forward,
+			 const dy_packet_t *packet, uint64_t now_ms)
+{
+	waiting_t *waiting = g_hash_table_lookup(queue->by_flow, &packet->flow);
+
+	if (!waiting) {
+		if (g_hash_table_size(queue->by_flow) >= DY_OPENINGS_MAX)
+			return 0;
+		waiting = g_new0(waiting_t, 1);
+		waiting->since_ms = now_ms;
+		waiting->opening.packet.flow = packet->flow;
+		g_hash_table_insert(queue->by_flow,
+				    &waiting->opening.packet.flow, waiting);
+		dy_list_append(&queue->by_age, &waiting->link);
+	}
+	fill(&waiting->opening, forward, packet);
+	return 1;
+}
+
+int dy_opening_queue_has(const dy_opening_queue_t *queue,
+			 const dy_flow_id_t *flow)
+{
+	return g_hash_table_contains(queue->by_flow, flow);
+}
+
+static void take(dy_opening_queue_t *queue, waiting_t *waiting,
+		 dy_opening_t *opening)
+{
+	fill(opening, &waiting->opening.forward, &waiting->opening.packet);
+	dy_list_remove(&waiting->link);
+	g_hash_table_remove(queue->by_flow, &waiting->opening.packet.flow);
+}
+
+int dy_opening_queue_take(dy_opening_queue_t *queue, dy_opening_t *opening)
+{
+	if (dy_list_empty(&queue->by_age))
+		return 0;
+	take(queue, DY_LIST_ITEM(queue->by_age.prev, waiting_t, link), opening);
+	return 1;
+}
+
+int dy_opening_queue_expire(dy_opening_queue_t *queue, uint64_t now_ms,
+			    dy_opening_t *opening)
+{
+	waiting_t *oldest;
+
+	if (dy_list_empty(&queue->by_age))
+		return 0;
+	oldest = DY_LIST_ITEM(queue->by_age.next, waiting_t, link);
+	if (now_ms - oldest->since_ms < DY_OPENING_WAIT_MS)
+		return 0;
+	take(queue, oldest, opening);
+	return 1;
+}
+
+unsigned dy_opening_queue_count(const dy_opening_queue_t *queue)
+{
+	return g_hash_table_size(queue->by_flow);
+}
--- a/tests/test_flow_router.c
+++ b/tests/test_flow_router.c
@@ -250,6 +250,29 @@
 }
 END_TEST
 
+/*
+ * An opening waited at an agent, which had told so, and found no room in time.
+ * Another agent's refusal says nothing about it; the agent's own does.
+ */
+START_TEST(opening_is_refused_by_the_agent_where_it_waits)
+{
+	dy_address_t waits;
+
+	begin(2);
+	take(1, DY_PACKET_SYN, 0);
+	waits = world.tries[0];
+	tell_held(1, &waits, 0);
+	world.tries[world.forward.tries.tries_len - 1] = agent(9);
+	tell_nowhere(1, DY_PACKET_SYN, 1);
+	ck_assert_uint_eq(world.resets, 0);
+	world.tries[world.forward.tries.tries_len - 1] = waits;
+	tell_nowhere(1, DY_PACKET_SYN, 1);
+	ck_assert_uint_eq(world.resets, 1);
+	ck_assert_uint_eq(dy_flow_router_count(world.router), 0);
+	end();
+}
+END_TEST
+
 /*
  * Two copies of an opening packet were answered by two targets. The one that
  * the caller did not choose tells late that it holds the flow, half open; the
@@ -655,6 +678,7 @@
 		opening_that_nobody_can_take_is_refused_at_once,
 		older_rules_are_dropped,
 		copy_of_an_unanswered_opening_goes_elsewhere,
+		opening_is_refused_by_the_agent_where_it_waits,
 		half_open_holder_does_not_displace_an_open_one,
 		unknown_flow_is_searched_and_then_known,
 		repeated_search_takes_another_way,
--- /dev/null
+++ b/tests/test_opening_queue.c
@@ -0,0 +1,103 @@
+#include "damaskyard/opening_queue.h"
+
+#include <string.h>
+
+#include "fake_suite.h"
+
+static dy_opening_queue_t *queue;
+
+static int add(unsigned flow, uint32_t copy, uint64_t now_ms)
+{
+	dy_packet_t packet = { .flow = { 1, 2, flow, 443 } };
+	dy_address_t tries[1] = { { .port = 7002 } };
+	dy_flow_forward_t forward = { 0 };
+	char service[] = "readings";
+	char bytes[] = { (char)flow, (char)copy };
+
+	packet.ack = copy;
+	forward.service = service;
+	forward.tries.tries_val = tries;
+	forward.tries.tries_len = 1;
+	forward.packet.packet_val = bytes;
+	forward.packet.packet_len = sizeof(bytes);
+	return dy_opening_queue_add(queue, &forward, &packet, now_ms);
+}
+
+/* What was taken owns what it points to. */
+static void check_opening(const dy_opening_t *opening, unsigned flow,
+			  uint32_t copy)
+{
+	ck_assert_uint_eq(opening->packet.flow.caller_port, flow);
+	ck_assert_uint_eq(opening->packet.ack, copy);
+	ck_assert_str_eq(opening->forward.service, "readings");
+	ck_assert_uint_eq(opening->forward.tries.tries_val[0].port, 7002);
+	ck_assert_uint_eq(opening->forward.packet.packet_len, 2);
+	ck_assert_int_eq(opening->forward.packet.packet_val[1], (char)copy);
+}
+
+/*
+ * All callers open flows at once. The oldest were opened before power was
+ * back and cannot be answered in time any more; the youngest can.
+ */
+START_TEST(youngest_is_taken_first)
+{
+	dy_opening_t opening;
+
+	queue = dy_opening_queue_create();
+	ck_assert(add(1, 0, 100));
+	ck_assert(add(2, 0, 150));
+	ck_assert(dy_opening_queue_take(queue, &opening));
+	check_opening(&opening, 2, 0);
+	ck_assert(dy_opening_queue_take(queue, &opening));
+	check_opening(&opening, 1, 0);
+	ck_assert(!dy_opening_queue_take(queue, &opening));
+	dy_opening_queue_destroy(queue);
+}
+END_TEST
+
+/* A caller sends copies. They neither wait beside it nor make it younger. */
+START_TEST(copy_takes_the_place_of_what_waits)
+{
+	dy_opening_t opening;
+
+	queue = dy_opening_queue_create();
+	ck_assert(add(1, 0, 100));
+	ck_assert(add(2, 0, 150));
+	ck_assert(add(1, 1, 300));
+	ck_assert_uint_eq(dy_opening_queue_count(queue), 2);
+	ck_assert(!dy_opening_queue_expire(queue, 99 + DY_OPENING_WAIT_MS,
+					   &opening));
+	ck_assert(dy_opening_queue_expire(queue, 100 + DY_OPENING_WAIT_MS,
+					  &opening));
+	check_opening(&opening, 1, 1);
+	ck_assert(!dy_opening_queue_has(queue, &opening.packet.flow));
+	dy_opening_queue_destroy(queue);
+}
+END_TEST
+
+/* More openings than there is room for: the newest is not taken in. */
+START_TEST(openings_that_wait_are_bounded)
+{
+	unsigned flow;
+
+	queue = dy_opening_queue_create();
+	for (flow = 0; flow < DY_OPENINGS_MAX; flow++)
+		ck_assert(add(flow, 0, 100));
+	ck_assert(!add(flow, 0, 100));
+	ck_assert(add(0, 1, 100));
+	ck_assert_uint_eq(dy_opening_queue_count(queue), DY_OPENINGS_MAX);
+	dy_opening_queue_destroy(queue);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		youngest_is_taken_first,
+		copy_takes_the_place_of_what_waits,
+		openings_that_wait_are_bounded,
+		NULL,
+	};
+
+	return fake_suite_run("opening_queue", tests);
+}
