--- a/include/damaskyard/metrics.h
+++ b/include/damaskyard/metrics.h
@@ -23,6 +23,16 @@
  */
 uint64_t *dy_metrics_counter(dy_metrics_t *metrics, const char *name);
 
+/* A counter by its name, and where its pointer is to be kept. */
+typedef struct dy_metrics_entry {
+	const char *name;
+	uint64_t **counter;
+} dy_metrics_entry_t;
+
+/* Register all counters of a module, as dy_metrics_counter() does each. */
+void dy_metrics_counters(dy_metrics_t *metrics,
+			 const dy_metrics_entry_t *entries, size_t count);
+
 /* Returns the value of a counter, or 0 if there is none of that name. */
 uint64_t dy_metrics_value(const dy_metrics_t *metrics, const char *name);
 
--- a/include/damaskyard/raft.h
+++ b/include/damaskyard/raft.h
@@ -123,10 +123,11 @@
 	 */
 	uint32_t election_ms;
 	/*
-	 * The same for the first of a member that has just started; default
-	 * election_ms. Shorter where all members may start at once, as after a
-	 * loss of power, and every request waits for a leader. If there is
-	 * one, its followers refuse the pre-vote.
+	 * The same for a member that has seen no leader since its start, until
+	 * others would vote for it; default election_ms. Shorter where all
+	 * members may start at once, as after a loss of power, and every
+	 * request waits for a leader. If there is one, its followers refuse the
+	 * pre-vote.
 	 */
 	uint32_t first_election_ms;
 	/* Time between heartbeats of a leader. Default 30. */
--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -4,6 +4,25 @@
 
 #include "damaskyard/address.h"
 
+static void register_counters(dy_flow_holder_t *holder)
+{
+	const dy_metrics_entry_t entries[] = {
+		{ "flows_opened", &holder->opened },
+		{ "packets_passed_on", &holder->passed_on },
+		{ "openings_refused", &holder->refused },
+		{ "openings_put_off", &holder->put_off },
+		{ "packets_not_held", &holder->not_held },
+		{ "packets_bounced", &holder->bounced },
+		{ "bounces_unknown", &holder->stale_notes },
+		{ "packets_to_callers", &holder->to_callers },
+		{ "notices", &holder->notices },
+		{ "notices_refused", &holder->notices_refused },
+	};
+
+	dy_metrics_counters(holder->config.metrics, entries,
+			    G_N_ELEMENTS(entries));
+}
+
 dy_flow_holder_t *dy_flow_holder_create(const dy_flow_holder_config_t *config)
 {
 	static const dy_log_limit_t limit = DY_LOG_LIMIT_INIT(100, 1000);
@@ -24,17 +43,7 @@
 	holder->request_limit = limit;
 	dy_histogram_init(&holder->opening_ms, metrics, "opening_ms");
 	dy_histogram_init(&holder->answer_ms, metrics, "answer_ms");
-	holder->opened = dy_metrics_counter(metrics, "flows_opened");
-	holder->passed_on = dy_metrics_counter(metrics, "packets_passed_on");
-	holder->refused = dy_metrics_counter(metrics, "openings_refused");
-	holder->put_off = dy_metrics_counter(metrics, "openings_put_off");
-	holder->not_held = dy_metrics_counter(metrics, "packets_not_held");
-	holder->bounced = dy_metrics_counter(metrics, "packets_bounced");
-	holder->stale_notes = dy_metrics_counter(metrics, "bounces_unknown");
-	holder->to_callers = dy_metrics_counter(metrics, "packets_to_callers");
-	holder->notices = dy_metrics_counter(metrics, "notices");
-	holder->notices_refused =
-		dy_metrics_counter(metrics, "notices_refused");
+	register_counters(holder);
 	return holder;
 }
 
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -54,11 +54,28 @@
 	uint64_t *second_chances;
 };
 
+static void register_counters(dy_flow_router_t *router)
+{
+	const dy_metrics_entry_t entries[] = {
+		{ "packets", &router->packets },
+		{ "flows_opened", &router->opened },
+		{ "flows_searched", &router->searched },
+		{ "searches_put_off", &router->put_off },
+		{ "flows_reset", &router->resets },
+		{ "openings_refused", &router->refused },
+		{ "packets_no_entry", &router->no_entry },
+		{ "packets_unplaced", &router->lost },
+		{ "openings_second_chance", &router->second_chances },
+	};
+
+	dy_metrics_counters(router->config.metrics, entries,
+			    G_N_ELEMENTS(entries));
+}
+
 dy_flow_router_t *dy_flow_router_create(const dy_flow_router_config_t *config)
 {
 	static const dy_log_limit_t limit = DY_LOG_LIMIT_INIT(100, 1000);
 	dy_flow_router_t *router = g_new0(dy_flow_router_t, 1);
-	dy_metrics_t *metrics = config->metrics;
 
 	router->config = *config;
 	router->targets = dy_flow_targets_create(config->domain);
@@ -70,16 +87,7 @@
 	router->assigned_limit = limit;
 	router->reset_limit = limit;
 	router->searched_limit = limit;
-	router->packets = dy_metrics_counter(metrics, "packets");
-	router->opened = dy_metrics_counter(metrics, "flows_opened");
-	router->searched = dy_metrics_counter(metrics, "flows_searched");
-	router->put_off = dy_metrics_counter(metrics, "searches_put_off");
-	router->resets = dy_metrics_counter(metrics, "flows_reset");
-	router->refused = dy_metrics_counter(metrics, "openings_refused");
-	router->no_entry = dy_metrics_counter(metrics, "packets_no_entry");
-	router->lost = dy_metrics_counter(metrics, "packets_unplaced");
-	router->second_chances =
-		dy_metrics_counter(metrics, "openings_second_chance");
+	register_counters(router);
 	return router;
 }
 
--- a/src/process/control/control_counters.c
+++ b/src/process/control/control_counters.c
@@ -4,10 +4,7 @@
 
 void control_register_counters(dy_control_t *control)
 {
-	const struct {
-		const char *name;
-		uint64_t **counter;
-	} names[] = {
+	const dy_metrics_entry_t entries[] = {
 		{ "control_polls", &control->counters.polls },
 		{ "control_fetches", &control->counters.fetches },
 		{ "control_puts", &control->counters.puts },
@@ -38,9 +35,7 @@
 	static const dy_log_limit_t one = DY_LOG_LIMIT_INIT(1, WAITING_MS);
 	size_t i;
 
-	for (i = 0; i < G_N_ELEMENTS(names); i++)
-		*names[i].counter =
-			dy_metrics_counter(control->metrics, names[i].name);
+	dy_metrics_counters(control->metrics, entries, G_N_ELEMENTS(entries));
 	for (i = 0; i < DY_EVENTS; i++) {
 		control->counters.events[i] = dy_metrics_counter(
 			control->metrics, dy_registry_event_name(i));
--- a/src/process/flow/cmd_flow_agent.c
+++ b/src/process/flow/cmd_flow_agent.c
@@ -120,6 +120,19 @@
 						     : DY_MEMBER_DRAINING;
 }
 
+/*
+ * Its service is told before its target is heard of: after a restart of the
+ * agent the target may hold flows, and balancers search them among the
+ * service's agents. Where nobody listens at the target's port there are none,
+ * and nobody need search here: a search that is sent to a VM which goes again
+ * ends there.
+ */
+static void name_service(flow_agent_t *agent)
+{
+	if (!dy_flow_holder_is_empty(agent->holder))
+		agent->member.info.service = agent->member.settings.service;
+}
+
 /* Tell control what the target is and whether it takes flows. */
 static void on_changed(void *context)
 {
@@ -128,7 +141,7 @@
 
 	if (!member->subscriber)
 		return;
-	member->info.service = agent->member.settings.service;
+	name_service(agent);
 	member->info.slots = dy_flow_holder_slots(agent->holder);
 	dy_subscriber_set_info(member->subscriber, &member->info);
 	dy_subscriber_set_state(member->subscriber, member_state(agent), NULL,
@@ -251,8 +264,9 @@
 {
 	flow_agent_t *agent = context;
 	const char *id;
+	platform_call_t call = platform_call_find(request, &id);
 
-	switch (platform_call_find(request, &id)) {
+	switch (call) {
 	case PLATFORM_CALL_HEARTBEAT:
 		take_notice(agent, exchange, request, id);
 		return;
@@ -260,14 +274,8 @@
 		dy_flow_holder_leave(agent->holder, id);
 		dy_http_answer_status(exchange, 200);
 		return;
-	case PLATFORM_CALL_READY:
-		dy_http_answer_status(exchange, agent->stopping_ms ? 503 : 200);
-		return;
-	case PLATFORM_CALL_METHOD:
-		dy_http_answer_status(exchange, 405);
-		return;
 	default:
-		dy_http_answer_status(exchange, 404);
+		flow_member_answer(exchange, call, !agent->stopping_ms);
 	}
 }
 
@@ -292,14 +300,13 @@
 		NULL, 0);
 }
 
-/* As in the balancer: its lease ran out while it was stopped. */
 static void on_refused(void *context, dy_status_t status)
 {
 	flow_agent_t *agent = context;
 
-	if (status != DY_STATUS_SUPERSEDED || agent->stopping_ms)
+	if (agent->stopping_ms || !flow_member_rejoin(&agent->member, status))
 		return;
-	dy_subscriber_rejoin(agent->member.subscriber);
+	agent->member.info.service = "";
 	on_changed(agent);
 }
 
@@ -308,21 +315,13 @@
 	.refused = on_refused,
 };
 
-/*
- * Its service is told before its target is heard of: after a restart of the
- * agent the target may hold flows, and balancers search them among the
- * service's agents. Where nobody listens at the target's port there are none,
- * and nobody need search here: a search that is sent to a VM which goes again
- * ends there.
- */
 static void subscribe(flow_agent_t *agent)
 {
 	flow_member_t *member = &agent->member;
-	int empty = dy_flow_holder_is_empty(agent->holder);
 
-	if (!empty)
-		member->info.service = member->settings.service;
-	dy_log_event(DY_LOG_INFO, "joining", "target_there=%d", !empty);
+	name_service(agent);
+	dy_log_event(DY_LOG_INFO, "joining", "target_there=%d",
+		     !dy_flow_holder_is_empty(agent->holder));
 	flow_member_subscribe(member, DY_MEMBER_AGENT, &subscriber_callbacks);
 	dy_subscriber_set_state(member->subscriber, member_state(agent), NULL,
 				0);
--- a/src/process/flow/cmd_flow_balancer.c
+++ b/src/process/flow/cmd_flow_balancer.c
@@ -183,16 +183,8 @@
 	flow_balancer_t *balancer = context;
 	const char *id;
 
-	switch (platform_call_find(request, &id)) {
-	case PLATFORM_CALL_READY:
-		dy_http_answer_status(exchange, balancer->ready ? 200 : 503);
-		return;
-	case PLATFORM_CALL_METHOD:
-		dy_http_answer_status(exchange, 405);
-		return;
-	default:
-		dy_http_answer_status(exchange, 404);
-	}
+	flow_member_answer(exchange, platform_call_find(request, &id),
+			   balancer->ready);
 }
 
 static void update_ready(flow_balancer_t *balancer)
@@ -269,19 +261,12 @@
 	update_ready(balancer);
 }
 
-/*
- * Another incarnation has this member's name, as when its lease ran out while
- * it was stopped: it joins as a new one and learns all state again.
- */
 static void on_refused(void *context, dy_status_t status)
 {
 	flow_balancer_t *balancer = context;
 
-	if (status != DY_STATUS_SUPERSEDED || balancer->stopping_ms)
-		return;
-	dy_subscriber_rejoin(balancer->member.subscriber);
-	dy_subscriber_set_info(balancer->member.subscriber,
-			       &balancer->member.info);
+	if (!balancer->stopping_ms)
+		flow_member_rejoin(&balancer->member, status);
 }
 
 static const dy_subscriber_callbacks_t subscriber_callbacks = {
--- a/src/process/flow/flow_member.c
+++ b/src/process/flow/flow_member.c
@@ -4,7 +4,6 @@
 
 #include "command.h"
 #include "damaskyard/log.h"
-#include "platform/calls.h"
 
 int flow_member_load(flow_member_t *member, int argc, char **argv,
 		     const char *command, const char *summary,
@@ -106,6 +105,30 @@
 	dy_subscriber_set_info(member->subscriber, &member->info);
 }
 
+int flow_member_rejoin(flow_member_t *member, dy_status_t status)
+{
+	if (status != DY_STATUS_SUPERSEDED)
+		return 0;
+	dy_subscriber_rejoin(member->subscriber);
+	dy_subscriber_set_info(member->subscriber, &member->info);
+	return 1;
+}
+
+void flow_member_answer(dy_http_exchange_t *exchange, platform_call_t call,
+			int ready)
+{
+	switch (call) {
+	case PLATFORM_CALL_READY:
+		dy_http_answer_status(exchange, ready ? 200 : 503);
+		return;
+	case PLATFORM_CALL_METHOD:
+		dy_http_answer_status(exchange, 405);
+		return;
+	default:
+		dy_http_answer_status(exchange, 404);
+	}
+}
+
 void flow_member_send(flow_member_t *member, const dy_address_t *to,
 		      uint32_t program, uint32_t procedure, xdrproc_t proc,
 		      void *args)
--- a/src/process/flow/flow_member.h
+++ b/src/process/flow/flow_member.h
@@ -11,6 +11,7 @@
 #include "damaskyard/seal.h"
 #include "damaskyard/subscriber.h"
 #include "metrics_page.h"
+#include "platform/calls.h"
 
 /* The environment that packet flows are served in; see docs/PLATFORM.md. */
 #define FLOW_ENVIRONMENT "trial"
@@ -52,6 +53,17 @@
 void flow_member_subscribe(flow_member_t *member, dy_member_kind_t kind,
 			   const dy_subscriber_callbacks_t *callbacks);
 
+/*
+ * Join as a new incarnation and learn all state again, if status says that
+ * another one has this member's name: its lease ran out while it was stopped.
+ * Returns whether it did.
+ */
+int flow_member_rejoin(flow_member_t *member, dy_status_t status);
+
+/* Answer the readiness call, or one that the role does not serve. */
+void flow_member_answer(dy_http_exchange_t *exchange, platform_call_t call,
+			int ready);
+
 /* Send a sealed call from the inner endpoint. */
 void flow_member_send(flow_member_t *member, const dy_address_t *to,
 		      uint32_t program, uint32_t procedure, xdrproc_t proc,
--- a/src/process/group/raft_election.c
+++ b/src/process/group/raft_election.c
@@ -142,7 +142,14 @@
 		raft->vote = raft->id;
 		raft->vote_changed = 1;
 	}
-	raft_reset_election(raft);
+	/*
+	 * After a loss of power the others may be starting too: ask again as
+	 * soon as one that has just started would, until a leader was seen.
+	 */
+	if (pre && !raft->seen_leader_term)
+		raft_expect_leader(raft);
+	else
+		raft_reset_election(raft);
 	for (i = 0; i < raft->peers->len; i++) {
 		peer = raft_peer_at(raft, i);
 		peer->granted = 0;
--- a/src/process/metrics.c
+++ b/src/process/metrics.c
@@ -54,6 +54,16 @@
 	return &metric->value;
 }
 
+void dy_metrics_counters(dy_metrics_t *metrics,
+			 const dy_metrics_entry_t *entries, size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		*entries[i].counter =
+			dy_metrics_counter(metrics, entries[i].name);
+}
+
 uint64_t dy_metrics_value(const dy_metrics_t *metrics, const char *name)
 {
 	metric_t *metric = find_metric(metrics, name);
--- a/src/process/subscriber.c
+++ b/src/process/subscriber.c
@@ -369,6 +369,22 @@
 	return (uint64_t)(g_get_real_time() / 1000) << 16 | random;
 }
 
+static void register_counters(dy_subscriber_t *subscriber)
+{
+	const dy_metrics_entry_t entries[] = {
+		{ "polls", &subscriber->polls },
+		{ "poll_timeouts", &subscriber->poll_timeouts },
+		{ "stale_state_refused", &subscriber->stale_answers },
+		{ "document_digest_wrong", &subscriber->bad_documents },
+		{ "poll_answers_unreadable", &subscriber->unreadable },
+		{ "control_bytes_sent", &subscriber->bytes_sent },
+		{ "control_bytes_received", &subscriber->bytes_received },
+	};
+
+	dy_metrics_counters(subscriber->config.metrics, entries,
+			    G_N_ELEMENTS(entries));
+}
+
 dy_subscriber_t *dy_subscriber_create(const dy_subscriber_config_t *config)
 {
 	dy_subscriber_t *subscriber = g_new0(dy_subscriber_t, 1);
@@ -384,19 +400,7 @@
 	dy_random_fill(&start, sizeof(start));
 	subscriber->next_control = (int)(start % config->controls->count);
 	choose_next_control(subscriber);
-	subscriber->polls = dy_metrics_counter(config->metrics, "polls");
-	subscriber->poll_timeouts =
-		dy_metrics_counter(config->metrics, "poll_timeouts");
-	subscriber->stale_answers =
-		dy_metrics_counter(config->metrics, "stale_state_refused");
-	subscriber->bad_documents =
-		dy_metrics_counter(config->metrics, "document_digest_wrong");
-	subscriber->unreadable =
-		dy_metrics_counter(config->metrics, "poll_answers_unreadable");
-	subscriber->bytes_sent =
-		dy_metrics_counter(config->metrics, "control_bytes_sent");
-	subscriber->bytes_received =
-		dy_metrics_counter(config->metrics, "control_bytes_received");
+	register_counters(subscriber);
 	dy_loop_every(config->loop, TICK_MS, on_tick, subscriber);
 	return subscriber;
 }
--- a/src/request/router.c
+++ b/src/request/router.c
@@ -12,26 +12,27 @@
 
 static void register_counters(counters_t *counters, dy_metrics_t *metrics)
 {
-	counters->received = dy_metrics_counter(metrics, "calls_received");
-	counters->malformed = dy_metrics_counter(metrics, "calls_malformed");
-	counters->oversized = dy_metrics_counter(metrics, "calls_oversized");
-	counters->forged = dy_metrics_counter(metrics, "tokens_forged");
-	counters->expired = dy_metrics_counter(metrics, "tokens_expired");
-	counters->other_service =
-		dy_metrics_counter(metrics, "tokens_other_service");
-	counters->forwarded = dy_metrics_counter(metrics, "calls_forwarded");
-	counters->opened = dy_metrics_counter(metrics, "flows_opened");
-	counters->answered = dy_metrics_counter(metrics, "answers_sent");
-	counters->bounced = dy_metrics_counter(metrics, "calls_bounced");
-	counters->not_ready = dy_metrics_counter(metrics, "refused_not_ready");
-	counters->no_target = dy_metrics_counter(metrics, "refused_no_target");
-	counters->target_lost =
-		dy_metrics_counter(metrics, "refused_target_lost");
-	counters->too_weak = dy_metrics_counter(metrics, "refused_too_weak");
-	counters->unknown_program =
-		dy_metrics_counter(metrics, "refused_unknown_program");
-	counters->chained = dy_metrics_counter(metrics, "calls_to_successor");
-	counters->too_early = dy_metrics_counter(metrics, "calls_before_state");
+	const dy_metrics_entry_t entries[] = {
+		{ "calls_received", &counters->received },
+		{ "calls_malformed", &counters->malformed },
+		{ "calls_oversized", &counters->oversized },
+		{ "tokens_forged", &counters->forged },
+		{ "tokens_expired", &counters->expired },
+		{ "tokens_other_service", &counters->other_service },
+		{ "calls_forwarded", &counters->forwarded },
+		{ "flows_opened", &counters->opened },
+		{ "answers_sent", &counters->answered },
+		{ "calls_bounced", &counters->bounced },
+		{ "refused_not_ready", &counters->not_ready },
+		{ "refused_no_target", &counters->no_target },
+		{ "refused_target_lost", &counters->target_lost },
+		{ "refused_too_weak", &counters->too_weak },
+		{ "refused_unknown_program", &counters->unknown_program },
+		{ "calls_to_successor", &counters->chained },
+		{ "calls_before_state", &counters->too_early },
+	};
+
+	dy_metrics_counters(metrics, entries, G_N_ELEMENTS(entries));
 }
 
 static void destroy_burn(gpointer data)
--- a/tests/fake_group.c
+++ b/tests/fake_group.c
@@ -206,6 +206,7 @@
 	GError *error = NULL;
 
 	options.seed = g_rand_int(member->group->rand);
+	options.first_election_ms = member->group->first_election_ms;
 	options.metrics = member->group->metrics;
 	member->applied_index = 0;
 	member->chain = 0;
--- a/tests/fake_group.h
+++ b/tests/fake_group.h
@@ -60,6 +60,8 @@
 	int duplication;
 	/* Longest way of a datagram. */
 	uint32_t delay_ms;
+	/* For members that are started from now on; 0: the default. */
+	uint32_t first_election_ms;
 	uint64_t next_command;
 	uint64_t next_identity;
 	uint64_t messages;
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -278,6 +278,47 @@
 }
 END_TEST
 
+/* From the start of the member that makes a majority, in ms. */
+static uint64_t wait_for_leader(uint32_t seed)
+{
+	fake_group_t *group = fake_group_create_formed(seed, 3);
+	uint64_t since_ms;
+	uint64_t took_ms;
+	int i;
+
+	for (i = 0; i < 3; i++)
+		fake_group_crash(&group->members[i], 1);
+	group->first_election_ms = 75;
+	fake_group_start(&group->members[0]);
+	fake_group_run(group, 200);
+	ck_assert_ptr_null(fake_group_leader(group));
+	fake_group_start(&group->members[1]);
+	since_ms = group->now_ms;
+	while (!fake_group_leader(group) && group->now_ms - since_ms < 2000)
+		fake_group_step(group, 1);
+	took_ms = group->now_ms - since_ms;
+	fake_group_start(&group->members[2]);
+	fake_group_settle(group);
+	fake_group_destroy(group);
+	return took_ms;
+}
+
+/*
+ * Power is back, and controls start one after the other. Until the majority is
+ * there the first asks for votes in vain, and then it slept for an election's
+ * full time while every balancer waited for a leader.
+ */
+START_TEST(early_starter_asks_again_soon)
+{
+	uint64_t sum_ms = 0;
+	uint32_t seed;
+
+	for (seed = 0; seed < 20; seed++)
+		sum_ms += wait_for_leader(seed);
+	ck_assert_uint_lt(sum_ms, 20 * 75);
+}
+END_TEST
+
 START_TEST(large_entries_fit_a_message)
 {
 	fake_group_t *group = fake_group_create_formed(2, 3);
@@ -323,6 +364,7 @@
 	tcase_add_loop_test(tcase, failing_disk_ends_the_lead, 0, 4);
 	tcase_add_loop_test(tcase, transfer_before_a_planned_stop, 0, 5);
 	tcase_add_test(tcase, older_term_is_not_committed_by_counting);
+	tcase_add_test(tcase, early_starter_asks_again_soon);
 	tcase_add_test(tcase, large_entries_fit_a_message);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
