--- a/include/damaskyard/flow_targets.h
+++ b/include/damaskyard/flow_targets.h
@@ -103,12 +103,21 @@
 /*
  * Agents that are searched for one flow at most. Each is a message, and an
  * agent passes it on within 1.5 ms: four tenths of a second for all of these,
- * which is as long as a caller's copy takes to come. More than deployments of
- * 300 VMs have; an entry that was turned to another service finds the agents
- * of the first only where all are few enough to be asked.
+ * which is as long as a caller's copy takes to come.
  */
 #define DY_FLOW_SEARCH_MAX 256
 
+/*
+ * Where there are more agents, the first DY_FLOW_TRIES of each service that
+ * the entry does not name are searched too: it may have been turned from that
+ * service since the flow was opened. So many services at most; with more, only
+ * those that the entry names are searched.
+ */
+#define DY_FLOW_SEARCH_SERVICES 8
+
+/* Of DY_FLOW_SEARCH_MAX, what is kept for them. */
+#define DY_FLOW_SEARCH_OTHERS (DY_FLOW_SEARCH_SERVICES * DY_FLOW_TRIES)
+
 /*
  * List the agents that may hold an open flow, likeliest first: those of the
  * given services, then the others, since an entry may have named another
--- a/src/version/flow_targets.c
+++ b/src/version/flow_targets.c
@@ -332,40 +332,49 @@
 	return count;
 }
 
-static int is_named(const target_t *target, const char *const *services,
-		    unsigned count)
+static int is_listed(const char *service, const char *const *services,
+		     unsigned count)
 {
 	unsigned i;
 
 	for (i = 0; i < count; i++)
-		if (!strcmp(target->service, services[i]))
+		if (!strcmp(service, services[i]))
 			return 1;
 	return 0;
 }
 
-/* Agents of all other services, where they are few enough to be asked. */
+/*
+ * How many agents of each other service are searched. Of few agents all are.
+ * Of more those that stand first in the flow's order: the holder was among
+ * the first DY_FLOW_CHOICES of its service when the flow was opened.
+ */
+static unsigned share_of_others(const dy_flow_targets_t *targets)
+{
+	unsigned services = g_hash_table_size(targets->services);
+
+	if (targets->placed <= DY_FLOW_SEARCH_MAX)
+		return DY_FLOW_SEARCH_MAX;
+	return services <= DY_FLOW_SEARCH_SERVICES ? DY_FLOW_TRIES : 0;
+}
+
+/* The first agents of each service that is not listed. */
 static unsigned order_others(const dy_flow_targets_t *targets,
 			     const char *const *services, unsigned count,
 			     const dy_flow_id_t *flow, unsigned max,
 			     place_t *places)
 {
-	uint64_t hash = dy_flow_id_hash(flow);
-	place_t place = { 0 };
+	unsigned share = share_of_others(targets);
 	GHashTableIter iter;
 	unsigned found = 0;
-	gpointer value;
-
-	if (g_hash_table_size(targets->by_id) > DY_FLOW_SEARCH_MAX)
-		return 0;
-	g_hash_table_iter_init(&iter, targets->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		place.target = value;
-		if (!place.target->service ||
-		    is_named(place.target, services, count))
-			continue;
-		place.rank = rank_of(place.target, hash);
-		found = insert_by_rank(places, found, max, &place);
-	}
+	gpointer name;
+	gpointer list;
+
+	g_hash_table_iter_init(&iter, targets->services);
+	while (share && g_hash_table_iter_next(&iter, &name, &list))
+		if (!is_listed(name, services, count))
+			found += order_targets(list, flow, 0,
+					       MIN(share, max - found),
+					       &places[found]);
 	return found;
 }
 
@@ -376,15 +385,17 @@
 				dy_address_t list[DY_FLOW_SEARCH_MAX])
 {
 	place_t places[DY_FLOW_SEARCH_MAX];
+	unsigned room = DY_FLOW_SEARCH_MAX;
 	unsigned count = 0;
 	const GPtrArray *all;
 	unsigned i;
 
+	if (targets->placed > DY_FLOW_SEARCH_MAX)
+		room -= DY_FLOW_SEARCH_OTHERS;
 	for (i = 0; i < service_count; i++) {
 		all = g_hash_table_lookup(targets->services, services[i]);
 		if (all)
-			count += order_targets(all, flow, 0,
-					       DY_FLOW_SEARCH_MAX - count,
+			count += order_targets(all, flow, 0, room - count,
 					       &places[count]);
 	}
 	count += order_others(targets, services, service_count, flow,
