--- a/include/damaskyard/opening_queue.h
+++ b/include/damaskyard/opening_queue.h
@@ -25,7 +25,7 @@
 
 /*
  * Openings that wait at one agent: at 2,000 flows a target and a caller each,
- * an eighth of them at once. 800 bytes each.
+ * an eighth of them at once. 2 KB each.
  */
 #define DY_OPENINGS_MAX 256
 
--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -89,7 +89,7 @@
 	balancer->heard_ms = now_ms;
 }
 
-static void tell_held(dy_flow_holder_t *holder, const dy_address_t *balancer,
+void holder_tell_held(dy_flow_holder_t *holder, const dy_address_t *balancer,
 		      const dy_flow_id_t *flow, int open, uint64_t now_ms)
 {
 	dy_flow_held_t held = { 0 };
@@ -101,7 +101,7 @@
 	holder->config.callbacks->held(holder->config.context, balancer, &held);
 }
 
-static void log_flow(dy_flow_holder_t *holder, const char *event,
+void holder_log_flow(dy_flow_holder_t *holder, const char *event,
 		     const dy_flow_id_t *flow, const char *reason,
 		     uint64_t now_ms)
 {
@@ -115,8 +115,7 @@
 			     dy_flow_holder_count(holder), holder->busy);
 }
 
-/* Not this agent's: the next one's, or nobody's. */
-static void pass_on(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
+void holder_pass_on(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
 		    const dy_packet_t *packet, int certain)
 {
 	dy_flow_nowhere_t nowhere = { 0 };
@@ -143,11 +142,7 @@
 					  &forward->balancer, &nowhere);
 }
 
-/*
- * Give a packet to the target, and keep the forward in case that it comes
- * back.
- */
-static void give(dy_flow_holder_t *holder, const dy_flow_forward_t *forward,
+void holder_give(dy_flow_holder_t *holder, const dy_flow_forward_t *forward,
 		 const dy_packet_t *packet, uint64_t now_ms)
 {
 	kept_forward_t *kept;
@@ -171,116 +166,6 @@
 		forward->packet.packet_len, holder->last_note);
 }
 
-/*
- * Load pattern: many callers open flows within one moment, by several
- * balancers that each know only what they opened themselves. Without this the
- * first choice of several of them queues while another target is idle. What is
- * known here is exact: with more requests than DY_OVERLOAD_PERCENT of the
- * slots, begun or about to be, the next choice is asked; at the last of them it
- * waits.
- */
-static int is_overloaded(const dy_flow_holder_t *holder, uint64_t now_ms)
-{
-	unsigned limit =
-		(DY_OVERLOAD_PERCENT * holder->notice.slots + 99) / 100;
-	const dy_list_t *halves = &holder->stages[STAGE_HALF];
-	unsigned expected = holder->busy;
-	const dy_list_t *pos;
-
-	for (pos = halves->prev; pos != halves && expected < limit;
-	     pos = pos->prev) {
-		if (now_ms - DY_LIST_ITEM(pos, held_flow_t, link)->used_ms >
-		    DY_FIRST_REQUEST_MS)
-			break;
-		expected++;
-	}
-	return expected >= limit;
-}
-
-/* Let an opening wait; its balancer is told, so that copies come here too. */
-static int put_off(dy_flow_holder_t *holder, const dy_flow_forward_t *forward,
-		   const dy_packet_t *packet, uint64_t now_ms)
-{
-	if (!dy_opening_queue_add(holder->waiting, forward, packet, now_ms))
-		return 0;
-	++*holder->put_off;
-	log_flow(holder, "opening_put_off", &packet->flow, "overload", now_ms);
-	tell_held(holder, &forward->balancer, &packet->flow, 0, now_ms);
-	return 1;
-}
-
-static void admit(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
-		  const dy_packet_t *packet, uint64_t now_ms)
-{
-	held_flow_t *flow = g_hash_table_lookup(holder->flows, &packet->flow);
-
-	if (flow)
-		holder_drop_flow(holder, flow, "opened_anew", now_ms);
-	++*holder->opened;
-	flow = holder_add_flow(holder, &packet->flow, STAGE_HALF, now_ms);
-	flow->opener = forward->balancer;
-	log_flow(holder, "flow_taken", &packet->flow, "opening", now_ms);
-	give(holder, forward, packet, now_ms);
-}
-
-/*
- * Openings that wait have their turn once there is room; those that waited for
- * too long, or whose target takes no more, are refused or go elsewhere.
- */
-static void serve_waiting(dy_flow_holder_t *holder, uint64_t now_ms)
-{
-	int accepts = dy_flow_holder_accepts(holder);
-	dy_opening_t opening;
-
-	if (!dy_opening_queue_count(holder->waiting))
-		return;
-	while (dy_opening_queue_expire(holder->waiting, now_ms, &opening))
-		pass_on(holder, &opening.forward, &opening.packet, 1);
-	while ((!accepts || !is_overloaded(holder, now_ms)) &&
-	       dy_opening_queue_take(holder->waiting, &opening)) {
-		if (accepts)
-			admit(holder, &opening.forward, &opening.packet,
-			      now_ms);
-		else
-			pass_on(holder, &opening.forward, &opening.packet, 1);
-	}
-}
-
-static void take_opening(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
-			 const dy_packet_t *packet, held_flow_t *flow,
-			 uint64_t now_ms)
-{
-	if (flow && flow->stage != STAGE_ENDED) {
-		holder_touch(holder, flow, now_ms);
-		flow->opener = forward->balancer;
-		give(holder, forward, packet, now_ms);
-		return;
-	}
-	if (dy_opening_queue_has(holder->waiting, &packet->flow)) {
-		dy_opening_queue_add(holder->waiting, forward, packet, now_ms);
-		return;
-	}
-	if (!dy_flow_holder_accepts(holder) ||
-	    strcmp(forward->service, holder->config.service) != 0) {
-		++*holder->refused;
-		log_flow(holder, "opening_passed_on", &packet->flow,
-			 holder->ready ? "service" : "not_ready", now_ms);
-		pass_on(holder, forward, packet, 1);
-		return;
-	}
-	if (is_overloaded(holder, now_ms) &&
-	    forward->step + 1 < forward->tries.tries_len) {
-		log_flow(holder, "opening_passed_on", &packet->flow, "overload",
-			 now_ms);
-		pass_on(holder, forward, packet, 1);
-		return;
-	}
-	if (is_overloaded(holder, now_ms) &&
-	    put_off(holder, forward, packet, now_ms))
-		return;
-	admit(holder, forward, packet, now_ms);
-}
-
 /*
  * Whether a packet is of the opening that this target answered. Guards
  * against two copies of an opening packet that were answered by two targets:
@@ -323,24 +208,25 @@
 		       uint64_t now_ms)
 {
 	if (flow->stage == STAGE_HALF && !acknowledges(flow, packet)) {
-		log_flow(holder, "packet_passed_on", &packet->flow,
-			 "other_opening", now_ms);
-		pass_on(holder, forward, packet, flow->answered);
+		holder_log_flow(holder, "packet_passed_on", &packet->flow,
+				"other_opening", now_ms);
+		holder_pass_on(holder, forward, packet, flow->answered);
 		return;
 	}
 	note_caller(holder, flow, packet, now_ms);
-	give(holder, forward, packet, now_ms);
+	holder_give(holder, forward, packet, now_ms);
 	if (forward->tell)
-		tell_held(holder, &forward->balancer, &flow->id,
-			  flow->stage != STAGE_HALF, now_ms);
+		holder_tell_held(holder, &forward->balancer, &flow->id,
+				 flow->stage != STAGE_HALF, now_ms);
 }
 
 static void pass_on_known(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
 			  const dy_packet_t *packet, const char *reason,
 			  uint64_t now_ms)
 {
-	log_flow(holder, "packet_passed_on", &packet->flow, reason, now_ms);
-	pass_on(holder, forward, packet, 1);
+	holder_log_flow(holder, "packet_passed_on", &packet->flow, reason,
+			now_ms);
+	holder_pass_on(holder, forward, packet, 1);
 }
 
 /*
@@ -363,15 +249,15 @@
 		return;
 	note_balancer(holder, &forward->balancer, now_ms);
 	if (packet->marks & DY_PACKET_SYN)
-		take_opening(holder, forward, packet, flow, now_ms);
+		holder_take_opening(holder, forward, packet, flow, now_ms);
 	else if (flow)
 		take_known(holder, forward, packet, flow, now_ms);
 	else if (knows_all(holder))
 		pass_on_known(holder, forward, packet, "not_held", now_ms);
 	else if (is_silent(holder, now_ms))
-		pass_on(holder, forward, packet, 0);
+		holder_pass_on(holder, forward, packet, 0);
 	else
-		give(holder, forward, packet, now_ms);
+		holder_give(holder, forward, packet, now_ms);
 }
 
 /* Packets of the target. */
@@ -395,9 +281,10 @@
 	forward = kept->forward;
 	forward.packet.packet_val = (char *)bytes;
 	forward.packet.packet_len = (u_int)len;
-	log_flow(holder, opening ? "opening_passed_on" : "packet_passed_on",
-		 &packet->flow, "target_gave_back", now_ms);
-	pass_on(holder, &forward, packet, 1);
+	holder_log_flow(holder,
+			opening ? "opening_passed_on" : "packet_passed_on",
+			&packet->flow, "target_gave_back", now_ms);
+	holder_pass_on(holder, &forward, packet, 1);
 }
 
 static void note_target(dy_flow_holder_t *holder, held_flow_t *flow,
@@ -441,12 +328,12 @@
 			now_ms);
 	note_target(holder, flow, packet, now_ms);
 	if (packet->marks & DY_PACKET_SYN && flow->opener.port)
-		tell_held(holder, &flow->opener, &flow->id,
-			  flow->stage != STAGE_HALF, now_ms);
+		holder_tell_held(holder, &flow->opener, &flow->id,
+				 flow->stage != STAGE_HALF, now_ms);
 	++*holder->to_callers;
 	holder->config.callbacks->to_caller(holder->config.context,
 					    &packet->flow, bytes, len);
-	serve_waiting(holder, now_ms);
+	holder_serve_waiting(holder, now_ms);
 }
 
 /* What is done by time. */
@@ -480,6 +367,6 @@
 		holder_set_ready(holder, 0, "silent");
 	holder_forget_requests(holder, now_ms);
 	holder_check_presence(holder, now_ms);
-	serve_waiting(holder, now_ms);
+	holder_serve_waiting(holder, now_ms);
 	report(holder, now_ms);
 }
--- /dev/null
+++ b/src/connection/flow_holder_openings.c
@@ -0,0 +1,116 @@
+/*
+ * Opening packets: which the target gets, which wait, which go elsewhere.
+ */
+
+#include "flow_holder_private.h"
+
+#include <string.h>
+
+/*
+ * Load pattern: many callers open flows within one moment, by several
+ * balancers that each know only what they opened themselves. Without this the
+ * first choice of several of them queues while another target is idle. What is
+ * known here is exact: with more requests than DY_OVERLOAD_PERCENT of the
+ * slots, begun or about to be, the next choice is asked; at the last of them it
+ * waits.
+ */
+static int is_overloaded(const dy_flow_holder_t *holder, uint64_t now_ms)
+{
+	unsigned limit =
+		(DY_OVERLOAD_PERCENT * holder->notice.slots + 99) / 100;
+	const dy_list_t *halves = &holder->stages[STAGE_HALF];
+	unsigned expected = holder->busy;
+	const dy_list_t *pos;
+
+	for (pos = halves->prev; pos != halves && expected < limit;
+	     pos = pos->prev) {
+		if (now_ms - DY_LIST_ITEM(pos, held_flow_t, link)->used_ms >
+		    DY_FIRST_REQUEST_MS)
+			break;
+		expected++;
+	}
+	return expected >= limit;
+}
+
+/* Let an opening wait; its balancer is told, so that copies come here too. */
+static int put_off(dy_flow_holder_t *holder, const dy_flow_forward_t *forward,
+		   const dy_packet_t *packet, uint64_t now_ms)
+{
+	if (!dy_opening_queue_add(holder->waiting, forward, packet, now_ms))
+		return 0;
+	++*holder->put_off;
+	holder_log_flow(holder, "opening_put_off", &packet->flow, "overload",
+			now_ms);
+	holder_tell_held(holder, &forward->balancer, &packet->flow, 0, now_ms);
+	return 1;
+}
+
+static void admit(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
+		  const dy_packet_t *packet, uint64_t now_ms)
+{
+	held_flow_t *flow = g_hash_table_lookup(holder->flows, &packet->flow);
+
+	if (flow)
+		holder_drop_flow(holder, flow, "opened_anew", now_ms);
+	++*holder->opened;
+	flow = holder_add_flow(holder, &packet->flow, STAGE_HALF, now_ms);
+	flow->opener = forward->balancer;
+	holder_log_flow(holder, "flow_taken", &packet->flow, "opening", now_ms);
+	holder_give(holder, forward, packet, now_ms);
+}
+
+void holder_serve_waiting(dy_flow_holder_t *holder, uint64_t now_ms)
+{
+	int accepts = dy_flow_holder_accepts(holder);
+	dy_opening_t opening;
+
+	if (!dy_opening_queue_count(holder->waiting))
+		return;
+	while (dy_opening_queue_expire(holder->waiting, now_ms, &opening))
+		holder_pass_on(holder, &opening.forward, &opening.packet, 1);
+	while ((!accepts || !is_overloaded(holder, now_ms)) &&
+	       dy_opening_queue_take(holder->waiting, &opening)) {
+		if (accepts)
+			admit(holder, &opening.forward, &opening.packet,
+			      now_ms);
+		else
+			holder_pass_on(holder, &opening.forward,
+				       &opening.packet, 1);
+	}
+}
+
+void holder_take_opening(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
+			 const dy_packet_t *packet, held_flow_t *flow,
+			 uint64_t now_ms)
+{
+	if (flow && flow->stage != STAGE_ENDED) {
+		holder_touch(holder, flow, now_ms);
+		flow->opener = forward->balancer;
+		holder_give(holder, forward, packet, now_ms);
+		return;
+	}
+	if (dy_opening_queue_has(holder->waiting, &packet->flow)) {
+		dy_opening_queue_add(holder->waiting, forward, packet, now_ms);
+		return;
+	}
+	if (!dy_flow_holder_accepts(holder) ||
+	    strcmp(forward->service, holder->config.service) != 0) {
+		++*holder->refused;
+		holder_log_flow(holder, "opening_passed_on", &packet->flow,
+				holder->ready ? "service" : "not_ready",
+				now_ms);
+		holder_pass_on(holder, forward, packet, 1);
+		return;
+	}
+	if (is_overloaded(holder, now_ms) &&
+	    forward->step + 1 < forward->tries.tries_len) {
+		holder_log_flow(holder, "opening_passed_on", &packet->flow,
+				"overload", now_ms);
+		holder_pass_on(holder, forward, packet, 1);
+		return;
+	}
+	if (is_overloaded(holder, now_ms) &&
+	    put_off(holder, forward, packet, now_ms))
+		return;
+	admit(holder, forward, packet, now_ms);
+}
--- a/src/connection/flow_holder_private.h
+++ b/src/connection/flow_holder_private.h
@@ -3,8 +3,9 @@
 
 /*
  * What the files of the flow holder share: flow_holder.c decides about packets,
- * flow_holder_notice.c about the target's notices, flow_holder_presence.c about
- * whether it is there, flow_holder_flows.c keeps the records.
+ * flow_holder_openings.c about those that open flows, flow_holder_notice.c
+ * about the target's notices, flow_holder_presence.c about whether it is there;
+ * flow_holder_flows.c keeps the records.
  */
 
 #include <glib.h>
@@ -94,6 +95,37 @@
 	uint64_t *notices_refused;
 };
 
+/* What is done with a packet; flow_holder.c. */
+/*
+ * Give a forward's packet to the target, and keep the forward in case that it
+ * comes back.
+ */
+void holder_give(dy_flow_holder_t *holder, const dy_flow_forward_t *forward,
+		 const dy_packet_t *packet, uint64_t now_ms);
+/*
+ * It is not this agent's: the next one's, or nobody's. certain: so much is
+ * sure.
+ */
+void holder_pass_on(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
+		    const dy_packet_t *packet, int certain);
+/* Tell a balancer that the flow's packets belong here. */
+void holder_tell_held(dy_flow_holder_t *holder, const dy_address_t *balancer,
+		      const dy_flow_id_t *flow, int open, uint64_t now_ms);
+void holder_log_flow(dy_flow_holder_t *holder, const char *event,
+		     const dy_flow_id_t *flow, const char *reason,
+		     uint64_t now_ms);
+
+/* flow_holder_openings.c */
+/* flow is the record that there is of the flow, or NULL. */
+void holder_take_opening(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
+			 const dy_packet_t *packet, held_flow_t *flow,
+			 uint64_t now_ms);
+/*
+ * Openings that wait have their turn once there is room; those that waited for
+ * too long, or whose target takes no more, are refused or go elsewhere.
+ */
+void holder_serve_waiting(dy_flow_holder_t *holder, uint64_t now_ms);
+
 /* Records, and what is logged of requests; flow_holder_flows.c. */
 held_flow_t *holder_add_flow(dy_flow_holder_t *holder, const dy_flow_id_t *id,
 			     held_stage_t stage, uint64_t now_ms);
