--- a/include/damaskyard/flow_holder.h
+++ b/include/damaskyard/flow_holder.h
@@ -168,6 +168,43 @@
 int dy_flow_holder_is_over(const dy_flow_holder_t *holder, uint64_t now_ms);
 /* Whether it is certain that no target is there, so no flow either. */
 int dy_flow_holder_is_empty(const dy_flow_holder_t *holder);
+/*
+ * Whether a start of the target, by its id and time, is over: another one has
+ * taken its place, or nobody is there.
+ */
+typedef enum dy_target_past {
+	DY_TARGET_NOT_KNOWN, /* no target was heard of yet */
+	DY_TARGET_CURRENT,
+	DY_TARGET_OVER
+} dy_target_past_t;
+
+dy_target_past_t dy_flow_holder_tell_past(const dy_flow_holder_t *holder,
+					  const char *id, uint64_t born_ms);
+
+/* What the target said last, or NULL if none is known to be there. */
+const dy_target_notice_t *dy_flow_holder_target(const dy_flow_holder_t *holder);
+
+/*
+ * A steady flow is one whose caller acknowledges little: it is open for so
+ * long, in ms, and has had so many bytes, and so many more for each second. A
+ * reset that is made from a list has to name a byte within 76,800 of the
+ * caller's last; what is listed is at most 12 s old then, and a download's
+ * would be off. Today's long flows have 2,000 bytes a second.
+ */
+#define DY_STEADY_MS 1000
+#define DY_STEADY_BYTES 12000
+#define DY_STEADY_BYTES_A_SECOND 4000
+
+/* Call each() for every steady flow; ack is its caller's last. */
+typedef void dy_flow_holder_cb_t(void *context, const dy_flow_id_t *flow,
+				 uint32_t ack);
+void dy_flow_holder_each_steady(const dy_flow_holder_t *holder, uint64_t now_ms,
+				dy_flow_holder_cb_t *each, void *context);
+
+/* Whether there is a record of the flow. */
+int dy_flow_holder_has(const dy_flow_holder_t *holder,
+		       const dy_flow_id_t *flow);
+
 /* Open or opening flows. */
 unsigned dy_flow_holder_count(const dy_flow_holder_t *holder);
 
--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -188,6 +188,11 @@
 static void note_caller(dy_flow_holder_t *holder, held_flow_t *flow,
 			const dy_packet_t *packet, uint64_t now_ms)
 {
+	if (!flow->open_ms) {
+		flow->open_ms = now_ms;
+		flow->open_ack = packet->ack;
+	}
+	flow->caller_ack = packet->ack;
 	if (flow->stage == STAGE_HALF)
 		holder_enter_stage(holder, flow, STAGE_OPEN, now_ms);
 	else
--- a/src/connection/flow_holder_flows.c
+++ b/src/connection/flow_holder_flows.c
@@ -136,3 +136,32 @@
 		holder_drop_flow(holder, flow, "idle", now_ms);
 	}
 }
+
+static int is_steady(const held_flow_t *flow, uint64_t now_ms)
+{
+	uint64_t age_ms = now_ms - flow->open_ms;
+
+	return flow->open_ms && age_ms >= DY_STEADY_MS &&
+	       flow->caller_ack - flow->open_ack <=
+		       DY_STEADY_BYTES +
+			       age_ms * DY_STEADY_BYTES_A_SECOND / 1000;
+}
+
+void dy_flow_holder_each_steady(const dy_flow_holder_t *holder, uint64_t now_ms,
+				dy_flow_holder_cb_t *each, void *context)
+{
+	const held_flow_t *flow;
+	const dy_list_t *pos;
+
+	DY_LIST_EACH(pos, &holder->stages[STAGE_OPEN])
+	{
+		flow = DY_LIST_ITEM(pos, held_flow_t, link);
+		if (is_steady(flow, now_ms))
+			each(context, &flow->id, flow->caller_ack);
+	}
+}
+
+int dy_flow_holder_has(const dy_flow_holder_t *holder, const dy_flow_id_t *flow)
+{
+	return g_hash_table_contains(holder->flows, flow);
+}
--- a/src/connection/flow_holder_presence.c
+++ b/src/connection/flow_holder_presence.c
@@ -4,6 +4,8 @@
 
 #include "flow_holder_private.h"
 
+#include <string.h>
+
 /*
  * Checks in a row that must find nobody, for a target that was heard of: an
  * answer of its last moment may have been under way during the first.
@@ -62,6 +64,25 @@
 		note_gone(holder, now_ms);
 }
 
+dy_target_past_t dy_flow_holder_tell_past(const dy_flow_holder_t *holder,
+					  const char *id, uint64_t born_ms)
+{
+	const dy_target_notice_t *notice = &holder->notice;
+
+	if (holder->absent)
+		return DY_TARGET_OVER;
+	if (!holder->has_target)
+		return DY_TARGET_NOT_KNOWN;
+	return born_ms == notice->born_ms && !strcmp(id, notice->id)
+		       ? DY_TARGET_CURRENT
+		       : DY_TARGET_OVER;
+}
+
+const dy_target_notice_t *dy_flow_holder_target(const dy_flow_holder_t *holder)
+{
+	return holder->has_target && !holder->absent ? &holder->notice : NULL;
+}
+
 int dy_flow_holder_is_empty(const dy_flow_holder_t *holder)
 {
 	return holder->absent;
--- a/src/connection/flow_holder_private.h
+++ b/src/connection/flow_holder_private.h
@@ -33,6 +33,9 @@
 	dy_address_t opener; /* the balancer that sent the opening packet */
 	int answered;	     /* the target's opening packet was seen */
 	uint32_t target_seq;
+	uint32_t caller_ack;	     /* the last that passed */
+	uint64_t open_ms;	     /* since when; 0: it is not */
+	uint32_t open_ack;	     /* the caller's, then */
 	int busy;		     /* a request was begun and not answered */
 	dy_list_t request_link;	     /* while it is */
 	uint64_t busy_ms;	     /* since when */
--- a/src/process/control/control.c
+++ b/src/process/control/control.c
@@ -1,4 +1,5 @@
 #include "control_private.h"
+#include "dy_ledger.h"
 
 #include <string.h>
 
@@ -229,6 +230,9 @@
 	case DY_GROUP_PROGRAM:
 		control_receive_group(control, &message, from);
 		return;
+	case DY_LEDGER_PROGRAM:
+		control_ledger_receive(control->ledger, &message, from);
+		return;
 	default:
 		control_count_malformed(control, message.procedure);
 	}
@@ -360,6 +364,7 @@
 	dy_registry_set_clock(control->registry, now);
 	control_refresh_peers(control);
 	dy_raft_tick(control->raft, now);
+	control_ledger_tick(control->ledger);
 	if (now - control->reviewed_ms < REVIEW_MS)
 		return;
 	control_review(control);
@@ -468,6 +473,7 @@
 		dy_control_destroy(control);
 		return NULL;
 	}
+	control->ledger = control_ledger_create(control);
 	start_flushing(control);
 	dy_loop_every(loop, TICK_MS, on_tick, control);
 	dy_log_event(DY_LOG_INFO, "control_started",
@@ -492,6 +498,7 @@
 	DY_LIST_EACH_SAFE(pos, tmp, &control->requests)
 	control_drop_request(DY_LIST_ITEM(pos, request_t, link));
 	dy_endpoint_destroy(control->endpoint);
+	control_ledger_destroy(control->ledger);
 	dy_store_destroy(control->store);
 	dy_disk_destroy(control->disk);
 	dy_registry_destroy(control->registry);
--- a/src/process/control/control_counters.c
+++ b/src/process/control/control_counters.c
@@ -28,6 +28,7 @@
 		{ "control_join_refused", &control->counters.joins_refused },
 		{ "disk_failed", &control->counters.disk_failures },
 		{ "snapshots_written", &control->counters.snapshots },
+		{ "ledger_not_written", &control->counters.ledger_failures },
 		{ "promoted_untried", &control->counters.untried },
 	};
 	static const dy_log_limit_t limit = DY_LOG_LIMIT_INIT(100, 1000);
--- a/src/process/control/control_private.h
+++ b/src/process/control/control_private.h
@@ -66,11 +66,13 @@
 	uint64_t *disk_failures;
 	uint64_t *snapshots;
 	uint64_t *untried;
+	uint64_t *ledger_failures;
 	uint64_t *events[DY_EVENTS];
 } control_counters_t;
 
 typedef struct control_services control_services_t;
 typedef struct control_raises control_raises_t;
+typedef struct control_ledger control_ledger_t;
 
 /* A slot that was given to an address, and when. */
 typedef struct seat {
@@ -107,6 +109,7 @@
 	uint64_t asked_ms; /* about the own membership */
 	seat_t seats[DY_RAFT_MEMBERS_MAX + 1]; /* given to newcomers */
 	control_raises_t *raises;
+	control_ledger_t *ledger;
 	int served; /* was a majority of the peers ever voting? */
 	int key_proposed;
 	int tried_proposed;
@@ -192,6 +195,15 @@
 /* After the log has ended what is under way. */
 void control_raises_destroy(control_raises_t *raises);
 
+/* control_ledger.c */
+control_ledger_t *control_ledger_create(dy_control_t *control);
+void control_ledger_destroy(control_ledger_t *ledger);
+void control_ledger_receive(control_ledger_t *ledger,
+			    const dy_sealed_t *message,
+			    const struct sockaddr *from);
+/* Write the lists if they have changed; call it at each tick. */
+void control_ledger_tick(control_ledger_t *ledger);
+
 /* control_services.c: a line for each service in force. */
 control_services_t *control_services_create(void);
 void control_services_destroy(control_services_t *services);
--- /dev/null
+++ b/src/process/flow/agent_ledger.c
@@ -0,0 +1,234 @@
+#include "agent_ledger.h"
+
+#include <string.h>
+
+#include "damaskyard/flow_ledger.h"
+#include "damaskyard/former_flows.h"
+#include "damaskyard/log.h"
+
+/*
+ * Between two lists, in ms, for each part of them: 1.1 KB in a second at the
+ * most, to each of two controls. Flows that last for a minute and more stand in
+ * a list that is some seconds old.
+ */
+#define LIST_MS 4000
+#define LIST_PART_MS 1000
+
+/*
+ * For how many times the time between two a list is believed: it is that old,
+ * and as long in the writing, and power was out for a while.
+ */
+#define BELIEVED_LISTS 3
+
+/* Controls that get each list: the disk of one may be lost. */
+#define COPIES 2
+
+/*
+ * Controls are asked so often, in ms, until each has answered or for so long
+ * after this agent knows whether a target is there. They may be starting too.
+ */
+#define ASK_MS 200
+#define ASK_FOR_MS 5000
+
+/*
+ * Resets in a turn: callers whose request waits on such a flow come back at
+ * once, and the target has just started.
+ */
+#define RESETS 32
+
+struct agent_ledger {
+	flow_member_t *member;
+	const dy_flow_holder_t *holder;
+	agent_ledger_reset_cb_t *reset;
+	void *context;
+	uint32_t list; /* number of the last one */
+	uint64_t next_list_ms;
+	unsigned listed;      /* flows in it */
+	uint64_t ask_from_ms; /* 0: not begun */
+	uint64_t asked_ms;
+	unsigned answered; /* a bit for each control of the settings */
+	dy_former_flows_t *former;
+	uint64_t *resets;
+};
+
+static uint64_t now_ms(const agent_ledger_t *ledger)
+{
+	return dy_loop_now_ms(ledger->member->loop);
+}
+
+static uint64_t time_of_day_ms(void)
+{
+	return (uint64_t)(g_get_real_time() / 1000);
+}
+
+agent_ledger_t *agent_ledger_create(flow_member_t *member,
+				    const dy_flow_holder_t *holder,
+				    agent_ledger_reset_cb_t *reset,
+				    void *context)
+{
+	agent_ledger_t *ledger = g_new0(agent_ledger_t, 1);
+
+	ledger->member = member;
+	ledger->holder = holder;
+	ledger->reset = reset;
+	ledger->context = context;
+	ledger->list = (uint32_t)g_get_real_time();
+	ledger->next_list_ms = now_ms(ledger) + LIST_MS;
+	ledger->former = dy_former_flows_create(holder);
+	ledger->resets =
+		dy_metrics_counter(member->metrics, "former_flows_reset");
+	return ledger;
+}
+
+void agent_ledger_destroy(agent_ledger_t *ledger)
+{
+	if (!ledger)
+		return;
+	dy_former_flows_destroy(ledger->former);
+	g_free(ledger);
+}
+
+/* Lists. */
+
+static void send_part(agent_ledger_t *ledger, dy_ledger_part_t *part)
+{
+	const dy_address_list_t *controls = &ledger->member->settings.seeds;
+	unsigned first = g_str_hash(part->agent);
+	int i;
+
+	for (i = 0; i < MIN(COPIES, controls->count); i++)
+		flow_member_send(ledger->member,
+				 &controls->items[(first + (unsigned)i) %
+						  (unsigned)controls->count],
+				 DY_LEDGER_PROGRAM, DY_LEDGER_KEEP,
+				 (xdrproc_t)xdr_dy_ledger_part_t, part);
+}
+
+static void add_flow(void *context, const dy_flow_id_t *flow, uint32_t ack)
+{
+	const dy_ledger_flow_t item = { *flow, ack };
+
+	g_array_append_val((GArray *)context, item);
+}
+
+static void send_list(agent_ledger_t *ledger, const dy_target_notice_t *target)
+{
+	GArray *flows = g_array_new(FALSE, FALSE, sizeof(dy_ledger_flow_t));
+	dy_ledger_part_t part = { 0 };
+	uint32_t pause_ms;
+
+	dy_flow_holder_each_steady(ledger->holder, now_ms(ledger), add_flow,
+				   flows);
+	part.agent = ledger->member->settings.name;
+	part.target = (char *)target->id;
+	part.born_ms = target->born_ms;
+	part.list = ++ledger->list;
+	part.parts = CLAMP((flows->len + DY_LEDGER_FLOWS - 1) / DY_LEDGER_FLOWS,
+			   1, DY_LEDGER_PARTS_MAX);
+	pause_ms = MAX(LIST_MS, part.parts * LIST_PART_MS);
+	part.made_ms = time_of_day_ms();
+	part.good_ms = BELIEVED_LISTS * pause_ms;
+	for (; part.part < part.parts; part.part++) {
+		part.flows.flows_val = &g_array_index(
+			flows, dy_ledger_flow_t, part.part * DY_LEDGER_FLOWS);
+		part.flows.flows_len =
+			MIN(flows->len - part.part * DY_LEDGER_FLOWS,
+			    DY_LEDGER_FLOWS);
+		send_part(ledger, &part);
+	}
+	ledger->listed = flows->len;
+	ledger->next_list_ms = now_ms(ledger) + pause_ms;
+	g_array_free(flows, TRUE);
+}
+
+static void list_flows(agent_ledger_t *ledger)
+{
+	const dy_target_notice_t *target =
+		dy_flow_holder_target(ledger->holder);
+
+	if (!target || now_ms(ledger) < ledger->next_list_ms ||
+	    (!ledger->listed && !dy_flow_holder_count(ledger->holder)))
+		return;
+	send_list(ledger, target);
+}
+
+/* What was open before. */
+
+static void ask(agent_ledger_t *ledger)
+{
+	const dy_address_list_t *controls = &ledger->member->settings.seeds;
+	dy_ledger_ask_t message = { ledger->member->settings.name };
+	int i;
+
+	ledger->asked_ms = now_ms(ledger);
+	for (i = 0; i < controls->count; i++)
+		if (!(ledger->answered & 1u << i))
+			flow_member_send(ledger->member, &controls->items[i],
+					 DY_LEDGER_PROGRAM, DY_LEDGER_ASK,
+					 (xdrproc_t)xdr_dy_ledger_ask_t,
+					 &message);
+}
+
+static void ask_in_time(agent_ledger_t *ledger)
+{
+	uint64_t now = now_ms(ledger);
+
+	if (ledger->member->settings.first_start ||
+	    dy_flow_holder_tell_past(ledger->holder, "", 0) ==
+		    DY_TARGET_NOT_KNOWN)
+		return;
+	if (!ledger->ask_from_ms)
+		ledger->ask_from_ms = now;
+	if (now - ledger->ask_from_ms < ASK_FOR_MS &&
+	    now - ledger->asked_ms >= ASK_MS)
+		ask(ledger);
+}
+
+static void note_answered(agent_ledger_t *ledger, const struct sockaddr *from)
+{
+	const dy_address_list_t *controls = &ledger->member->settings.seeds;
+	dy_address_t sender;
+	int i;
+
+	dy_address_load(&sender, from);
+	for (i = 0; i < controls->count; i++)
+		if (dy_address_equal(&sender, &controls->items[i]))
+			ledger->answered |= 1u << i;
+}
+
+void agent_ledger_receive(agent_ledger_t *ledger, const dy_sealed_t *message,
+			  const struct sockaddr *from)
+{
+	dy_ledger_part_t part;
+
+	if (message->procedure != DY_LEDGER_GIVE ||
+	    !dy_sealed_load(message, (xdrproc_t)xdr_dy_ledger_part_t, &part,
+			    sizeof(part)))
+		return;
+	note_answered(ledger, from);
+	dy_former_flows_take(ledger->former, &part, time_of_day_ms());
+	xdr_free((xdrproc_t)xdr_dy_ledger_part_t, (char *)&part);
+}
+
+static void reset_former(agent_ledger_t *ledger)
+{
+	dy_ledger_flow_t flow;
+	unsigned count = 0;
+
+	while (count < RESETS && dy_former_flows_next(ledger->former, &flow)) {
+		ledger->reset(ledger->context, &flow.flow, flow.ack);
+		count++;
+	}
+	if (!count)
+		return;
+	*ledger->resets += count;
+	dy_log_event(DY_LOG_INFO, "former_flows_reset", "count=%u left=%u",
+		     count, dy_former_flows_count(ledger->former));
+}
+
+void agent_ledger_tick(agent_ledger_t *ledger)
+{
+	list_flows(ledger);
+	ask_in_time(ledger);
+	reset_former(ledger);
+}
--- a/src/process/flow/cmd_flow_agent.c
+++ b/src/process/flow/cmd_flow_agent.c
@@ -5,11 +5,13 @@
 
 #include <string.h>
 
+#include "agent_ledger.h"
 #include "command.h"
 #include "damaskyard/flow_holder.h"
 #include "damaskyard/http.h"
 #include "damaskyard/log.h"
 #include "damaskyard/port_check.h"
+#include "dy_ledger.h"
 #include "flow_member.h"
 #include "platform/calls.h"
 #include "platform/heartbeat.h"
@@ -42,6 +44,7 @@
 	dy_http_server_t *http;
 	dy_http_server_t *ready_http;
 	dy_port_check_t *port_check;
+	agent_ledger_t *ledger;
 	uint64_t stopping_ms;
 	dy_log_limit_t refused_limit;
 	uint64_t *malformed;
@@ -73,6 +76,14 @@
 	dy_endpoint_send_to(agent->packets, bytes, len, &caller);
 }
 
+static void send_reset(void *context, const dy_flow_id_t *flow, uint32_t seq)
+{
+	uint8_t bytes[PLATFORM_HEAD_BYTES];
+
+	platform_packet_write_reset(bytes, flow, seq);
+	send_to_caller(context, flow, bytes, sizeof(bytes));
+}
+
 static void pass_on(void *context, dy_flow_forward_t *forward)
 {
 	flow_agent_t *agent = context;
@@ -224,7 +235,6 @@
 	flow_agent_t *agent = context;
 	dy_sealed_t message;
 
-	(void)from;
 	if (truncated || dy_seal_open(agent->member.seal, bytes, len,
 				      &message) != DY_SEAL_OK)
 		return;
@@ -233,6 +243,8 @@
 	else if (message.program == DY_FLOW_AGENT_PROGRAM &&
 		 message.procedure == DY_FLOW_FORWARD)
 		receive_forward(agent, &message);
+	else if (message.program == DY_LEDGER_AGENT_PROGRAM)
+		agent_ledger_receive(agent->ledger, &message, from);
 }
 
 static void take_notice(flow_agent_t *agent, dy_http_exchange_t *exchange,
@@ -347,6 +359,7 @@
 {
 	flow_agent_t *agent = context;
 
+	agent_ledger_tick(agent->ledger);
 	if (!agent->stopping_ms || now_ms(agent) - agent->stopping_ms < STOP_MS)
 		return;
 	dy_log_event(DY_LOG_INFO, "stop_ended", "");
@@ -399,6 +412,8 @@
 	agent->holder = dy_flow_holder_create(&config);
 	agent->port_check = dy_port_check_create(
 		agent->member.loop, &config.target, on_port_checked, agent);
+	agent->ledger = agent_ledger_create(&agent->member, agent->holder,
+					    send_reset, agent);
 	agent->refused_limit = limit;
 	agent->malformed =
 		dy_metrics_counter(agent->member.metrics, "packets_malformed");
@@ -428,6 +443,7 @@
 	dy_endpoint_destroy(agent->packets);
 	dy_endpoint_destroy(agent->outbound);
 	dy_port_check_destroy(agent->port_check);
+	agent_ledger_destroy(agent->ledger);
 	flow_member_close(&agent->member);
 	dy_flow_holder_destroy(agent->holder);
 	return ok;
--- a/tests/test_flow_holder.c
+++ b/tests/test_flow_holder.c
@@ -725,6 +725,47 @@
 }
 END_TEST
 
+static unsigned steady_port;
+
+static void on_steady(void *context, const dy_flow_id_t *flow, uint32_t ack)
+{
+	unsigned *count = context;
+
+	++*count;
+	steady_port = flow->caller_port;
+	ck_assert_uint_gt(ack, 501);
+}
+
+static unsigned count_steady(void)
+{
+	unsigned count = 0;
+
+	dy_flow_holder_each_steady(world.holder, world.now_ms, on_steady,
+				   &count);
+	return count;
+}
+
+/*
+ * A reset that is made from a list names the byte that the caller acknowledged
+ * when it was listed. For a download that is too far from the last one.
+ */
+START_TEST(downloads_are_not_steady)
+{
+	begin();
+	open_flow(1);
+	open_flow(2);
+	from_caller(1, DY_PACKET_ACK, 502, 90);
+	ck_assert_uint_eq(count_steady(), 0);
+	world.now_ms += DY_STEADY_MS;
+	from_caller(1, DY_PACKET_ACK, 501 + DY_STEADY_BYTES, 90);
+	from_caller(2, DY_PACKET_ACK,
+		    502 + DY_STEADY_BYTES + DY_STEADY_BYTES_A_SECOND, 90);
+	ck_assert_uint_eq(count_steady(), 1);
+	ck_assert_uint_eq(steady_port, 1025);
+	end();
+}
+END_TEST
+
 /* What comes back after its forward was forgotten is counted, not guessed. */
 START_TEST(bounce_that_is_not_known_is_dropped)
 {
@@ -853,6 +894,7 @@
 		slow_target_keeps_its_flows,
 		sign_of_life_between_checks_counts,
 		agent_without_a_target_is_empty,
+		downloads_are_not_steady,
 		bounce_that_is_not_known_is_dropped,
 		load_is_learned_from_what_passes,
 		flow_that_both_ended_counts_no_more,
