--- a/include/damaskyard/flow_holder.h
+++ b/include/damaskyard/flow_holder.h
@@ -25,8 +25,9 @@
  *	balancers search an agent for flows that it cannot have, and where its
  *	VM goes again, their searches end there.
  *	What is done: a target that owes an answer is asked for by a check of
- *	its port. A port that nobody listens at twice in a row, with nothing
- *	from the target in between, says that it is gone with all its flows.
+ *	its port. A port that was open, and that nobody listens at twice in a
+ *	row, with nothing from the target in between, says that it is gone
+ *	with all its flows.
  */
 
 #include <stdint.h>
--- a/soak/targets.c
+++ b/soak/targets.c
@@ -22,6 +22,7 @@
 	int number;
 	int service;
 	uv_udp_t udp;
+	uv_tcp_t *health; /* where its health is asked for; nobody answers */
 	int alive;
 	int draining;
 	uint64_t back_at_ms;
@@ -184,9 +185,37 @@
 	(void)location;
 }
 
+static void on_closed(uv_handle_t *handle)
+{
+	g_free(handle);
+}
+
+static void on_connection(uv_stream_t *health, int status)
+{
+	uv_tcp_t *connection = g_new0(uv_tcp_t, 1);
+
+	uv_tcp_init(soak.loop, connection);
+	if (!status)
+		uv_accept(health, (uv_stream_t *)connection);
+	uv_close((uv_handle_t *)connection, on_closed);
+}
+
+static void listen_for_health(target_t *target)
+{
+	struct sockaddr_in at;
+
+	soak_address(NET_AGENT, target->number, PORT_APP, &at);
+	target->health = g_new0(uv_tcp_t, 1);
+	uv_tcp_init(soak.loop, target->health);
+	if (uv_tcp_bind(target->health, (struct sockaddr *)&at, 0) ||
+	    uv_listen((uv_stream_t *)target->health, 16, on_connection))
+		g_error("soak: an address is in use; try again");
+}
+
 static void start(target_t *target)
 {
 	g_hash_table_remove_all(target->flows);
+	listen_for_health(target);
 	target->alive = 1;
 	target->draining = 0;
 	target->drain_acked_ms = 0;
@@ -203,9 +232,12 @@
 {
 	target_t *target = &targets[number];
 
-	target->alive = 0;
 	target->disturbed_ms = soak_now_ms();
 	target->back_at_ms = soak_now_ms() + back_ms;
+	if (!target->alive)
+		return;
+	target->alive = 0;
+	uv_close((uv_handle_t *)target->health, on_closed);
 }
 
 void target_replace(int number)
--- a/src/connection/flow_holder_notice.c
+++ b/src/connection/flow_holder_notice.c
@@ -44,6 +44,8 @@
 	holder->has_target = 1;
 	holder->left = 0;
 	holder->ready = 0;
+	holder->listened = 0;
+	holder->config.callbacks->check(holder->config.context);
 }
 
 typedef enum notice_age {
--- a/src/connection/flow_holder_presence.c
+++ b/src/connection/flow_holder_presence.c
@@ -53,12 +53,19 @@
 void dy_flow_holder_checked(dy_flow_holder_t *holder, dy_port_state_t state,
 			    uint64_t now_ms)
 {
+	if (state == DY_PORT_LISTENING)
+		holder->listened = 1;
 	if (state != DY_PORT_REFUSED) {
 		holder->refusals = 0;
 		/* It is there: what it owes is due anew. */
 		holder->owing_ms = holder->owing_ms ? now_ms : 0;
 		return;
 	}
+	/* Nobody was ever seen to listen there: its silence may be slowness. */
+	if (holder->has_target && !holder->listened) {
+		holder->owing_ms = holder->owing_ms ? now_ms : 0;
+		return;
+	}
 	holder->refusals++;
 	if (!holder->has_target || holder->refusals >= REFUSALS)
 		note_gone(holder, now_ms);
--- a/src/connection/flow_holder_private.h
+++ b/src/connection/flow_holder_private.h
@@ -66,6 +66,7 @@
 	int stopping;
 	int saw_start;	   /* no flow of the target is older than this agent */
 	int absent;	   /* nobody listens at its port */
+	int listened;	   /* its port was seen open since its start */
 	unsigned refusals; /* checks in a row that found nobody there */
 	uint64_t owing_ms; /* since when it owes an answer; 0: it does not */
 	dy_target_notice_t notice;
--- a/tests/test_flow_holder.c
+++ b/tests/test_flow_holder.c
@@ -638,14 +638,16 @@
 START_TEST(crashed_target_loses_its_flows_at_once)
 {
 	begin();
+	ck_assert_uint_eq(world.checks, 1);
+	check_says(DY_PORT_LISTENING);
 	open_flow(1);
 	from_caller(1, DY_PACKET_ACK, 502, 90);
 	owe();
-	ck_assert_uint_eq(world.checks, 1);
+	ck_assert_uint_eq(world.checks, 2);
 	check_says(DY_PORT_REFUSED);
 	ck_assert(dy_flow_holder_accepts(world.holder));
 	owe();
-	ck_assert_uint_eq(world.checks, 2);
+	ck_assert_uint_eq(world.checks, 3);
 	check_says(DY_PORT_REFUSED);
 	ck_assert(!dy_flow_holder_accepts(world.holder));
 	ck_assert(dy_flow_holder_is_empty(world.holder));
@@ -657,6 +659,27 @@
 }
 END_TEST
 
+/*
+ * A target that never listened at its port was stopped for seconds, with all
+ * callers: the refusals say nothing, and its open flows must not be reset.
+ */
+START_TEST(target_that_never_listened_is_not_taken_for_gone)
+{
+	unsigned i;
+
+	begin();
+	open_flow(1);
+	from_caller(1, DY_PACKET_ACK, 502, 90);
+	for (i = 0; i < 5; i++) {
+		owe();
+		check_says(DY_PORT_REFUSED);
+	}
+	ck_assert(dy_flow_holder_accepts(world.holder));
+	ck_assert_uint_eq(dy_flow_holder_count(world.holder), 1);
+	end();
+}
+END_TEST
+
 /*
  * A busy target takes a second to answer. It listens, so its flows stay and it
  * is asked again only when it has owed an answer for as long once more.
@@ -669,9 +692,9 @@
 	owe();
 	check_says(DY_PORT_LISTENING);
 	dy_flow_holder_tick(world.holder, world.now_ms + 1);
-	ck_assert_uint_eq(world.checks, 1);
-	owe();
 	ck_assert_uint_eq(world.checks, 2);
+	owe();
+	ck_assert_uint_eq(world.checks, 3);
 	check_says(DY_PORT_UNKNOWN);
 	ck_assert(dy_flow_holder_accepts(world.holder));
 	ck_assert_uint_eq(dy_flow_holder_count(world.holder), 1);
@@ -686,6 +709,7 @@
 START_TEST(sign_of_life_between_checks_counts)
 {
 	begin();
+	check_says(DY_PORT_LISTENING);
 	open_flow(1);
 	from_caller(1, DY_PACKET_ACK, 502, 90);
 	owe();
@@ -891,6 +915,7 @@
 		flows_end_with_their_targets_start,
 		search_goes_past_a_silent_target,
 		crashed_target_loses_its_flows_at_once,
+		target_that_never_listened_is_not_taken_for_gone,
 		slow_target_keeps_its_flows,
 		sign_of_life_between_checks_counts,
 		agent_without_a_target_is_empty,
