--- a/include/damaskyard/flow_targets.h
+++ b/include/damaskyard/flow_targets.h
@@ -80,10 +80,11 @@
 
 /*
  * Whether the agent at that address is lost: its lease ran out, and it has
- * said nothing to this balancer either for DY_FLOW_LOST_MS. An agent that is
- * cut off from control alone is not lost.
+ * said nothing to this balancer either for DY_FLOW_LOST_MS, nor since this was
+ * first asked about it. An agent that is cut off from control alone is not
+ * lost: what is sent to it meanwhile makes it speak.
  */
-int dy_flow_targets_is_lost(const dy_flow_targets_t *targets,
+int dy_flow_targets_is_lost(dy_flow_targets_t *targets,
 			    const dy_address_t *agent, uint64_t now_ms);
 
 /* Note that a flow was sent to the agent, or that it did not answer one. */
--- a/src/version/flow_targets.c
+++ b/src/version/flow_targets.c
@@ -20,7 +20,8 @@
 	dy_flow_load_t load;
 	uint32_t opened; /* flows sent there since its last report */
 	uint64_t silent_until_ms;
-	uint64_t heard_ms; /* when it last said anything to this balancer */
+	uint64_t heard_ms;   /* when it last said anything to this balancer */
+	uint64_t doubted_ms; /* first wanted since it is suspect; 0: never */
 } target_t;
 
 struct dy_flow_targets {
@@ -186,6 +187,8 @@
 	target->same_domain = !strcmp(member->info.domain, targets->domain);
 	target->serving = member->state == DY_MEMBER_SERVING;
 	target->suspect = member->state == DY_MEMBER_SUSPECT;
+	if (!target->suspect)
+		target->doubted_ms = 0;
 	if (!target->load.slots)
 		target->load.slots = member->info.slots;
 }
@@ -204,17 +207,22 @@
 	target->heard_ms = now_ms;
 }
 
-static int is_lost(const target_t *target, uint64_t now_ms)
-{
-	return target->suspect && now_ms - target->heard_ms > DY_FLOW_LOST_MS;
-}
-
-int dy_flow_targets_is_lost(const dy_flow_targets_t *targets,
+int dy_flow_targets_is_lost(dy_flow_targets_t *targets,
 			    const dy_address_t *agent, uint64_t now_ms)
 {
-	const target_t *target = find_by_address(targets, agent);
+	target_t *target = find_by_address(targets, agent);
 
-	return target && is_lost(target, now_ms);
+	if (!target || !target->suspect)
+		return 0;
+	/*
+	 * Guards against a balancer that had nothing to say to a living agent,
+	 * as after its own start: nobody reports to it then, and its first
+	 * search would leave the agent out and find its flows nowhere.
+	 */
+	if (!target->doubted_ms)
+		target->doubted_ms = now_ms;
+	return now_ms - MAX(target->heard_ms, target->doubted_ms) >
+	       DY_FLOW_LOST_MS;
 }
 
 void dy_flow_targets_note_opened(dy_flow_targets_t *targets,
