--- a/src/process/flow/cmd_flow_balancer.c
+++ b/src/process/flow/cmd_flow_balancer.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "command.h"
+#include "damaskyard/contact.h"
 #include "damaskyard/document_pack.h"
 #include "damaskyard/flow_router.h"
 #include "damaskyard/http.h"
@@ -21,8 +22,8 @@
  */
 #define CONFIRMED_MS 2500
 
-/* How often that, and idle flows, are looked at, in ms. */
-#define CHECK_MS 100
+/* How often that, silence and idle flows are looked at, in ms. */
+#define CHECK_MS DY_CONTACT_TICK_MS
 
 /*
  * A planned stop: not ready from its start. The fabric asks twice a second and
@@ -43,6 +44,7 @@
 	dy_flow_router_t *router;
 	dy_endpoint_t *packets;
 	dy_http_server_t *http;
+	dy_contact_t contact;
 	int confirmed;
 	int caught_up;
 	int has_document;
@@ -62,6 +64,7 @@
 {
 	flow_balancer_t *balancer = context;
 
+	dy_contact_note_asked(&balancer->contact);
 	flow_member_send(&balancer->member,
 			 &forward->tries.tries_val[forward->step],
 			 DY_FLOW_AGENT_PROGRAM, DY_FLOW_FORWARD,
@@ -165,6 +168,7 @@
 	if (truncated || dy_seal_open(balancer->member.seal, bytes, len,
 				      &message) != DY_SEAL_OK)
 		return;
+	dy_contact_note_heard(&balancer->contact);
 	if (message.is_reply)
 		dy_subscriber_receive(balancer->member.subscriber, &message);
 	else if (message.program != DY_FLOW_BALANCER_PROGRAM)
@@ -189,16 +193,19 @@
 
 static void update_ready(flow_balancer_t *balancer)
 {
+	int cut_off = dy_contact_is_cut_off(&balancer->contact);
 	int ready = balancer->confirmed && balancer->caught_up &&
-		    balancer->has_document && !balancer->stopping_ms;
+		    balancer->has_document && !cut_off &&
+		    !balancer->stopping_ms;
 
 	if (ready == balancer->ready)
 		return;
 	balancer->ready = ready;
 	dy_log_event(DY_LOG_INFO, ready ? "ready" : "not_ready",
-		     "confirmed=%d caught_up=%d document=%d stopping=%d",
+		     "confirmed=%d caught_up=%d document=%d cut_off=%d "
+		     "stopping=%d",
 		     balancer->confirmed, balancer->caught_up,
-		     balancer->has_document, !!balancer->stopping_ms);
+		     balancer->has_document, cut_off, !!balancer->stopping_ms);
 }
 
 static void on_document(void *context, const dy_document_info_t *info,
@@ -300,6 +307,7 @@
 	balancer->confirmed =
 		dy_subscriber_age_ms(balancer->member.subscriber) <
 		CONFIRMED_MS;
+	dy_contact_tick(&balancer->contact);
 	update_ready(balancer);
 	dy_flow_router_expire(balancer->router, now_ms(balancer));
 	check_stop(balancer);
@@ -344,6 +352,7 @@
 {
 	gboolean ok;
 
+	dy_contact_init(&balancer->contact);
 	ok = flow_member_open(&balancer->member, on_message, balancer, error);
 	if (ok) {
 		create_router(balancer);
