--- a/bench/bench_flow.c
+++ b/bench/bench_flow.c
@@ -40,8 +40,14 @@
 	(void)context;
 }
 
+static void on_ask(void *context, const dy_address_t *agent)
+{
+	(void)context;
+	(void)agent;
+}
+
 static const dy_flow_router_callbacks_t callbacks = { on_forward, on_reset,
-						      on_confirm };
+						      on_confirm, on_ask };
 
 static size_t heap_bytes(void)
 {
--- a/include/damaskyard/flow_holder.h
+++ b/include/damaskyard/flow_holder.h
@@ -154,6 +154,10 @@
 void dy_flow_holder_take(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
 			 const dy_packet_t *packet, uint64_t now_ms);
 
+/* Take a balancer's wish to be told of the load, for DY_REPORTED_MS. */
+void dy_flow_holder_asked(dy_flow_holder_t *holder, const dy_address_t *address,
+			  uint64_t now_ms);
+
 /* Take a packet that the target sent, or gave back. */
 void dy_flow_holder_from_target(dy_flow_holder_t *holder,
 				const dy_packet_t *packet, uint8_t *bytes,
--- a/include/damaskyard/flow_router.h
+++ b/include/damaskyard/flow_router.h
@@ -11,7 +11,8 @@
  * the one that does tells. Nothing is shared between balancers.
  *
  * A flow whose agent is lost is reset at its next packet: the caller waits in
- * vain, and can open another now.
+ * vain, and can open another now. If its requests may be repeated, that an
+ * agent falls silent is enough.
  */
 
 #include <stdint.h>
@@ -44,6 +45,8 @@
 	void (*reset)(void *context, const dy_flow_id_t *flow, uint32_t seq);
 	/* Have the members confirmed soon; see set_confirmed(). */
 	void (*confirm)(void *context);
+	/* Ask the agent for a report. */
+	void (*ask)(void *context, const dy_address_t *agent);
 } dy_flow_router_callbacks_t;
 
 typedef struct dy_flow_router_config {
--- a/include/damaskyard/flow_rules.h
+++ b/include/damaskyard/flow_rules.h
@@ -23,6 +23,7 @@
 typedef struct dy_flow_entry {
 	uint32_t ip; /* IPv4, host order */
 	uint16_t port;
+	uint8_t repeatable; /* its requests may run more than once */
 	uint8_t share_count;
 	dy_flow_share_t shares[DY_FLOW_SHARES_MAX];
 } dy_flow_entry_t;
--- a/proto/dy_flow.x
+++ b/proto/dy_flow.x
@@ -78,10 +78,16 @@
 	dy_flow_load_t load;
 };
 
+/* An agent that says nothing is to report, if it can. */
+struct dy_flow_ask_t {
+	dy_address_t balancer;
+};
+
 program DY_FLOW_AGENT_PROGRAM {
 	version DY_FLOW_AGENT_V1 {
 		void DY_FLOW_AGENT_NULL(void) = 0;
 		void DY_FLOW_FORWARD(dy_flow_forward_t) = 1;
+		void DY_FLOW_ASK(dy_flow_ask_t) = 2;
 	} = 1;
 } = 0x2A00D009;
 
--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -69,7 +69,7 @@
 
 /* Forwards of balancers. */
 
-static void note_balancer(dy_flow_holder_t *holder, const dy_address_t *address,
+void dy_flow_holder_asked(dy_flow_holder_t *holder, const dy_address_t *address,
 			  uint64_t now_ms)
 {
 	balancer_t *balancer;
@@ -252,7 +252,7 @@
 
 	if (forward->step >= forward->tries.tries_len)
 		return;
-	note_balancer(holder, &forward->balancer, now_ms);
+	dy_flow_holder_asked(holder, &forward->balancer, now_ms);
 	if (packet->marks & DY_PACKET_SYN)
 		holder_take_opening(holder, forward, packet, flow, now_ms);
 	else if (flow)
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -180,6 +180,7 @@
 	dy_list_t *tmp;
 	flow_t *flow;
 
+	dy_flow_targets_set_confirmed(router->targets, polled_ms);
 	DY_LIST_EACH_SAFE(pos, tmp, &router->missing)
 	{
 		flow = DY_LIST_ITEM(pos, flow_t, missing_link);
@@ -194,8 +195,10 @@
 }
 
 static void emit(dy_flow_router_t *router, dy_flow_forward_t *forward,
-		 uint8_t *bytes, size_t len)
+		 uint8_t *bytes, size_t len, uint64_t now_ms)
 {
+	dy_flow_targets_note_sent(router->targets, &forward->tries.tries_val[0],
+				  now_ms);
 	forward->balancer = router->config.self;
 	forward->packet.packet_val = (char *)bytes;
 	forward->packet.packet_len = (u_int)len;
@@ -205,7 +208,8 @@
 }
 
 static void send_to_holder(dy_flow_router_t *router, flow_t *flow,
-			   const char *service, uint8_t *bytes, size_t len)
+			   const char *service, uint8_t *bytes, size_t len,
+			   uint64_t now_ms)
 {
 	dy_flow_forward_t forward = { 0 };
 
@@ -214,7 +218,7 @@
 	forward.tell = !flow->open;
 	forward.tries.tries_val = &flow->agent;
 	forward.tries.tries_len = 1;
-	emit(router, &forward, bytes, len);
+	emit(router, &forward, bytes, len, now_ms);
 }
 
 static const dy_flow_entry_t *find_entry(const dy_flow_router_t *router,
@@ -301,7 +305,7 @@
 	}
 	if (flow && flow->told) {
 		touch(router, flow, now_ms);
-		send_to_holder(router, flow, "", bytes, len);
+		send_to_holder(router, flow, "", bytes, len, now_ms);
 		return;
 	}
 	note_unanswered(router, flow, now_ms);
@@ -322,7 +326,7 @@
 	forward.complete = 1;
 	forward.tries.tries_val = list;
 	forward.tries.tries_len = count;
-	emit(router, &forward, bytes, len);
+	emit(router, &forward, bytes, len, now_ms);
 }
 
 /*
@@ -439,11 +443,45 @@
 	forward.certain = at->certain;
 	forward.tries.tries_val = list;
 	forward.tries.tries_len = count;
-	emit(router, &forward, bytes, len);
+	emit(router, &forward, bytes, len, now_ms);
 }
 
 static const search_t from_the_first = { 1, 1 };
 
+/*
+ * Whether a flow's holder is mute, and callers are better off elsewhere.
+ *
+ * Load pattern: the VMs of some agents stand still, or lose their power, under
+ * long flows with a request each second.
+ * What happens without it: each request on such a flow waits for its whole
+ * deadline, until the agent's lease has run out.
+ * What is done: callers of requests that may be repeated are told at once that
+ * the flow is over, and repeat them elsewhere. A reset would lose a request
+ * that may run once only; it waits for the holder's return until that is lost
+ * too. The agent is asked for a sign of life instead.
+ */
+static int is_given_up(dy_flow_router_t *router, const flow_t *flow,
+		       uint64_t now_ms)
+{
+	const dy_flow_entry_t *entry = find_entry(router, &flow->id);
+
+	if (!entry || !entry->repeatable ||
+	    !dy_flow_targets_is_mute(router->targets, &flow->agent, now_ms))
+		return 0;
+	if (dy_flow_targets_begin_ask(router->targets, &flow->agent, now_ms))
+		router->config.callbacks->ask(router->config.context,
+					      &flow->agent);
+	return 1;
+}
+
+static void end_flow(dy_flow_router_t *router, flow_t *flow,
+		     const dy_packet_t *packet, const char *reason,
+		     uint64_t now_ms)
+{
+	reset(router, packet, reason, now_ms);
+	drop_flow(router, flow);
+}
+
 void dy_flow_router_take(dy_flow_router_t *router, const dy_packet_t *packet,
 			 uint8_t *bytes, size_t len, uint64_t now_ms)
 {
@@ -460,12 +498,12 @@
 		return;
 	}
 	touch(router, flow, now_ms);
-	if (dy_flow_targets_is_lost(router->targets, &flow->agent, now_ms)) {
-		reset(router, packet, "agent_lost", now_ms);
-		drop_flow(router, flow);
-		return;
-	}
-	send_to_holder(router, flow, "", bytes, len);
+	if (dy_flow_targets_is_lost(router->targets, &flow->agent, now_ms))
+		end_flow(router, flow, packet, "agent_lost", now_ms);
+	else if (is_given_up(router, flow, now_ms))
+		end_flow(router, flow, packet, "agent_mute", now_ms);
+	else
+		send_to_holder(router, flow, "", bytes, len, now_ms);
 }
 
 void dy_flow_router_held(dy_flow_router_t *router, const dy_flow_held_t *held,
@@ -536,8 +574,7 @@
 	if (!flow)
 		flow = keep_flow(router, &nowhere->flow, now_ms);
 	if (is_over(flow, nowhere)) {
-		reset(router, packet, "lost_by_holder", now_ms);
-		drop_flow(router, flow);
+		end_flow(router, flow, packet, "lost_by_holder", now_ms);
 		return;
 	}
 	/* The one that was thought to hold it does not: ask the others. */
--- a/src/gen/dy_flow.h
+++ b/src/gen/dy_flow.h
@@ -87,6 +87,11 @@
 };
 typedef struct dy_flow_report_t dy_flow_report_t;
 
+struct dy_flow_ask_t {
+	dy_address_t balancer;
+};
+typedef struct dy_flow_ask_t dy_flow_ask_t;
+
 #define DY_FLOW_AGENT_PROGRAM 0x2A00D009
 #define DY_FLOW_AGENT_V1 1
 
@@ -97,6 +102,9 @@
 #define DY_FLOW_FORWARD 1
 extern  void * dy_flow_forward_1(dy_flow_forward_t *, CLIENT *);
 extern  void * dy_flow_forward_1_svc(dy_flow_forward_t *, struct svc_req *);
+#define DY_FLOW_ASK 2
+extern  void * dy_flow_ask_1(dy_flow_ask_t *, CLIENT *);
+extern  void * dy_flow_ask_1_svc(dy_flow_ask_t *, struct svc_req *);
 extern int dy_flow_agent_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -106,6 +114,9 @@
 #define DY_FLOW_FORWARD 1
 extern  void * dy_flow_forward_1();
 extern  void * dy_flow_forward_1_svc();
+#define DY_FLOW_ASK 2
+extern  void * dy_flow_ask_1();
+extern  void * dy_flow_ask_1_svc();
 extern int dy_flow_agent_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -153,6 +164,7 @@
 extern  bool_t xdr_dy_flow_reason_t (XDR *, dy_flow_reason_t*);
 extern  bool_t xdr_dy_flow_nowhere_t (XDR *, dy_flow_nowhere_t*);
 extern  bool_t xdr_dy_flow_report_t (XDR *, dy_flow_report_t*);
+extern  bool_t xdr_dy_flow_ask_t (XDR *, dy_flow_ask_t*);
 
 #else /* K&R C */
 extern bool_t xdr_dy_flow_id_t ();
@@ -162,6 +174,7 @@
 extern bool_t xdr_dy_flow_reason_t ();
 extern bool_t xdr_dy_flow_nowhere_t ();
 extern bool_t xdr_dy_flow_report_t ();
+extern bool_t xdr_dy_flow_ask_t ();
 
 #endif /* K&R C */
 
--- a/src/gen/dy_flow_xdr.c
+++ b/src/gen/dy_flow_xdr.c
@@ -326,3 +326,13 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_dy_flow_ask_t (XDR *xdrs, dy_flow_ask_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_dy_address_t (xdrs, &objp->balancer))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/process/flow/cmd_flow_agent.c
+++ b/src/process/flow/cmd_flow_agent.c
@@ -8,6 +8,7 @@
 #include "agent_ledger.h"
 #include "command.h"
 #include "damaskyard/flow_holder.h"
+#include "damaskyard/flow_targets.h"
 #include "damaskyard/http.h"
 #include "damaskyard/log.h"
 #include "damaskyard/port_check.h"
@@ -17,12 +18,6 @@
 #include "platform/heartbeat.h"
 #include "platform/packet.h"
 
-/*
- * Between two reports of the load, in ms: a fifth of a second's openings are
- * chosen by an older one, and counted in by the balancer itself.
- */
-#define REPORT_MS 200
-
 /* How often the stop is looked at, in ms. */
 #define CHECK_MS 50
 
@@ -229,6 +224,17 @@
 	dy_flow_holder_take(agent->holder, &forward, &packet, now_ms(agent));
 }
 
+static void receive_ask(flow_agent_t *agent, const dy_sealed_t *message)
+{
+	dy_flow_ask_t ask = { 0 };
+
+	if (dy_sealed_fill(message, (xdrproc_t)xdr_dy_flow_ask_t, &ask))
+		dy_flow_holder_asked(agent->holder, &ask.balancer,
+				     now_ms(agent));
+	else
+		++*agent->malformed;
+}
+
 static void on_message(void *context, uint8_t *bytes, size_t len,
 		       const struct sockaddr *from, int truncated)
 {
@@ -243,6 +249,9 @@
 	else if (message.program == DY_FLOW_AGENT_PROGRAM &&
 		 message.procedure == DY_FLOW_FORWARD)
 		receive_forward(agent, &message);
+	else if (message.program == DY_FLOW_AGENT_PROGRAM &&
+		 message.procedure == DY_FLOW_ASK)
+		receive_ask(agent, &message);
 	else if (message.program == DY_LEDGER_AGENT_PROGRAM)
 		agent_ledger_receive(agent->ledger, &message, from);
 }
@@ -431,7 +440,8 @@
 	if (ok) {
 		dy_port_check_begin(agent->port_check);
 		dy_loop_on_stop(agent->member.loop, begin_stop, agent);
-		dy_loop_every(agent->member.loop, REPORT_MS, on_report, agent);
+		dy_loop_every(agent->member.loop, DY_FLOW_REPORT_MS, on_report,
+			      agent);
 		dy_loop_every(agent->member.loop, CHECK_MS, on_check, agent);
 		dy_log_event(DY_LOG_INFO, "started", "name=%s service=%s",
 			     agent->member.settings.name,
--- a/src/process/flow/cmd_flow_balancer.c
+++ b/src/process/flow/cmd_flow_balancer.c
@@ -90,10 +90,21 @@
 	dy_subscriber_press(balancer->member.subscriber);
 }
 
+static void ask_agent(void *context, const dy_address_t *agent)
+{
+	flow_balancer_t *balancer = context;
+	dy_flow_ask_t ask = { 0 };
+
+	ask.balancer = balancer->member.settings.inner;
+	flow_member_send(&balancer->member, agent, DY_FLOW_AGENT_PROGRAM,
+			 DY_FLOW_ASK, (xdrproc_t)xdr_dy_flow_ask_t, &ask);
+}
+
 static const dy_flow_router_callbacks_t router_callbacks = {
 	send_forward,
 	send_reset,
 	confirm_members,
+	ask_agent,
 };
 
 static void on_packet(void *context, uint8_t *bytes, size_t len,
--- a/src/version/flow_targets.c
+++ b/src/version/flow_targets.c
@@ -22,6 +22,8 @@
 	uint64_t silent_until_ms;
 	uint64_t heard_ms;   /* when it last said anything to this balancer */
 	uint64_t doubted_ms; /* first wanted since it is suspect; 0: never */
+	uint64_t asked_ms;   /* first sent something since then; 0: not yet */
+	uint64_t sent_ms;    /* last sent something */
 } target_t;
 
 struct dy_flow_targets {
@@ -30,6 +32,8 @@
 	GHashTable *by_address; /* the newest member at each */
 	GHashTable *services;	/* name to GPtrArray of targets */
 	unsigned placed;	/* targets that are in a service */
+	uint64_t heard_ms;	/* when any of them last said anything */
+	uint64_t confirmed_ms; /* when the newest poll that was answered left */
 };
 
 /* A target as it stands in a flow's order. */
@@ -175,6 +179,7 @@
 		memset(&target->load, 0, sizeof(target->load));
 		target->opened = 0;
 		target->silent_until_ms = 0;
+		target->asked_ms = 0;
 	}
 	leave_service(targets, target);
 	join_service(targets, target, member->info.service);
@@ -205,6 +210,71 @@
 	target->opened = 0;
 	target->silent_until_ms = 0;
 	target->heard_ms = now_ms;
+	target->asked_ms = 0;
+	targets->heard_ms = now_ms;
+}
+
+void dy_flow_targets_set_confirmed(dy_flow_targets_t *targets,
+				   uint64_t polled_ms)
+{
+	targets->confirmed_ms = polled_ms;
+}
+
+static void note_asked(target_t *target, uint64_t now_ms)
+{
+	/* Nobody answers what was not sent: the silence begins anew. */
+	if (now_ms - target->sent_ms > DY_FLOW_MUTE_MS)
+		target->asked_ms = 0;
+	if (!target->asked_ms)
+		target->asked_ms = now_ms;
+	target->sent_ms = now_ms;
+}
+
+void dy_flow_targets_note_sent(dy_flow_targets_t *targets,
+			       const dy_address_t *agent, uint64_t now_ms)
+{
+	target_t *target = find_by_address(targets, agent);
+
+	if (target)
+		note_asked(target, now_ms);
+}
+
+int dy_flow_targets_begin_ask(dy_flow_targets_t *targets,
+			      const dy_address_t *agent, uint64_t now_ms)
+{
+	target_t *target = find_by_address(targets, agent);
+
+	if (!target || now_ms - target->sent_ms < DY_FLOW_REPORT_MS)
+		return 0;
+	note_asked(target, now_ms);
+	return 1;
+}
+
+static int is_mute(const dy_flow_targets_t *targets, const target_t *target,
+		   uint64_t now_ms)
+{
+	if (!target->serving || !target->asked_ms)
+		return 0;
+	/* It is this balancer that hears nobody. */
+	if (now_ms - targets->heard_ms > DY_FLOW_REPORT_MS)
+		return 0;
+	/*
+	 * Guards against an agent that is stopped as planned, and started
+	 * again: its target's flows go on. It tells control before it falls
+	 * silent, so a poll that left after that would have told of it.
+	 */
+	if (targets->confirmed_ms <= target->asked_ms)
+		return 0;
+	return now_ms - target->sent_ms <= DY_FLOW_MUTE_MS &&
+	       now_ms - target->asked_ms >= DY_FLOW_MUTE_MS;
+}
+
+int dy_flow_targets_is_mute(const dy_flow_targets_t *targets,
+			    const dy_address_t *agent, uint64_t now_ms)
+{
+	const target_t *target = find_by_address(targets, agent);
+
+	return target && is_mute(targets, target, now_ms);
 }
 
 int dy_flow_targets_is_lost(dy_flow_targets_t *targets,
--- a/tests/test_flow_router.c
+++ b/tests/test_flow_router.c
@@ -22,6 +22,7 @@
 	unsigned resets;
 	uint32_t reset_seq;
 	unsigned confirms;
+	unsigned asks;
 	uint64_t now_ms;
 	uint8_t bytes[34];
 } world;
@@ -50,8 +51,15 @@
 	world.confirms++;
 }
 
+static void on_ask(void *context, const dy_address_t *address)
+{
+	(void)context;
+	(void)address;
+	world.asks++;
+}
+
 static const dy_flow_router_callbacks_t callbacks = { on_forward, on_reset,
-						      on_confirm };
+						      on_confirm, on_ask };
 
 static dy_address_t agent(unsigned number)
 {
@@ -77,11 +85,13 @@
 	dy_flow_router_set_member(world.router, &member);
 }
 
-static void set_rules(uint64_t version, const char *first, const char *second)
+static void set_rules_of(uint64_t version, const char *first,
+			 const char *second, int repeatable)
 {
 	dy_flow_rules_t *rules = dy_flow_rules_create(version);
 	dy_flow_entry_t entry = { .ip = ENTRY_IP, .port = ENTRY_PORT };
 
+	entry.repeatable = (uint8_t)repeatable;
 	if (first) {
 		entry.shares[entry.share_count].service = (char *)first;
 		entry.shares[entry.share_count++].weight = 1;
@@ -95,6 +105,11 @@
 	dy_flow_router_set_rules(world.router, rules);
 }
 
+static void set_rules(uint64_t version, const char *first, const char *second)
+{
+	set_rules_of(version, first, second, 0);
+}
+
 static void begin(unsigned agents)
 {
 	dy_flow_router_config_t config = { 0 };
@@ -630,6 +645,133 @@
 }
 END_TEST
 
+/* The agent of that number says that it lives. */
+static void report(unsigned number)
+{
+	dy_flow_report_t message = { 0 };
+
+	message.agent = agent(number);
+	message.load.slots = 4;
+	message.load.accepts = 1;
+	dy_flow_router_report(world.router, &message, world.now_ms);
+}
+
+/* Requests on flow 1 each 100 ms, while agent 2 alone speaks and control. */
+static void use_beside_a_silent_agent(uint64_t for_ms)
+{
+	uint64_t end_ms = world.now_ms + for_ms;
+
+	while (world.now_ms < end_ms) {
+		report(2);
+		dy_flow_router_set_confirmed(world.router, world.now_ms);
+		take(1, DY_PACKET_ACK, 5);
+		world.now_ms += 100;
+	}
+}
+
+/*
+ * The VM of a flow's target stands still. Its lease has not run out yet, but
+ * five of its reports are missing: a caller that may repeat its request is told
+ * so, once, and does. The agent is asked for a sign of life.
+ */
+START_TEST(repeatable_flow_of_a_mute_agent_is_reset)
+{
+	dy_address_t holder = agent(1);
+
+	begin(2);
+	set_rules_of(6, "readings", NULL, 1);
+	tell_held(1, &holder, 1);
+	use_beside_a_silent_agent(DY_FLOW_MUTE_MS);
+	ck_assert_uint_eq(world.resets, 0);
+	world.now_ms += 200;
+	report(2);
+	take(1, DY_PACKET_ACK, 5);
+	ck_assert_uint_eq(world.resets, 1);
+	ck_assert_uint_eq(world.asks, 1);
+	end();
+}
+END_TEST
+
+/*
+ * A reading that may be stored once only was sent to the agent that stands
+ * still. A reset would lose it for sure; it waits for the agent's return.
+ */
+START_TEST(other_flow_of_a_mute_agent_waits)
+{
+	dy_address_t holder = agent(1);
+
+	begin(2);
+	tell_held(1, &holder, 1);
+	use_beside_a_silent_agent(5 * DY_FLOW_MUTE_MS);
+	ck_assert_uint_eq(world.resets, 0);
+	end();
+}
+END_TEST
+
+/*
+ * An agent was mute, and its callers went elsewhere, so that nothing was sent
+ * to it any more. It is back for long, and has had no reason to say so: the
+ * next packet must not find it mute.
+ */
+START_TEST(agent_that_was_not_asked_is_not_mute)
+{
+	dy_address_t holder = agent(1);
+
+	begin(2);
+	set_rules_of(6, "readings", NULL, 1);
+	tell_held(1, &holder, 1);
+	use_beside_a_silent_agent(DY_FLOW_MUTE_MS);
+	world.now_ms += DY_FLOW_MUTE_MS;
+	report(2);
+	dy_flow_router_set_confirmed(world.router, world.now_ms);
+	take(1, DY_PACKET_ACK, 5);
+	ck_assert_uint_eq(world.resets, 0);
+	end();
+}
+END_TEST
+
+/*
+ * An agent is stopped as planned and started again: its target's flows go on.
+ * It told control, but this balancer's polls have no answer at the moment.
+ */
+START_TEST(silence_without_a_confirmation_resets_nothing)
+{
+	dy_address_t holder = agent(1);
+	unsigned i;
+
+	begin(2);
+	set_rules_of(6, "readings", NULL, 1);
+	tell_held(1, &holder, 1);
+	dy_flow_router_set_confirmed(world.router, world.now_ms);
+	for (i = 0; i < 30; i++) {
+		report(2);
+		take(1, DY_PACKET_ACK, 5);
+		world.now_ms += 100;
+	}
+	ck_assert_uint_eq(world.resets, 0);
+	end();
+}
+END_TEST
+
+/* This balancer itself is cut off: it hears no agent, and resets no flow. */
+START_TEST(balancer_that_hears_nobody_resets_nothing)
+{
+	dy_address_t holder = agent(1);
+	unsigned i;
+
+	begin(2);
+	set_rules_of(6, "readings", NULL, 1);
+	tell_held(1, &holder, 1);
+	for (i = 0; i < 30; i++) {
+		take(1, DY_PACKET_ACK, 5);
+		world.now_ms += 100;
+		dy_flow_router_set_confirmed(world.router, world.now_ms);
+	}
+	ck_assert_uint_eq(world.resets, 0);
+	end();
+}
+END_TEST
+
 /* A caller that gave its flow up itself is not told so. */
 START_TEST(reset_of_a_caller_is_not_answered)
 {
@@ -721,6 +863,11 @@
 		starting_balancer_asks_a_suspect_agent,
 		lost_agents_are_left_out_of_a_search,
 		flow_of_a_lost_agent_is_reset,
+		repeatable_flow_of_a_mute_agent_is_reset,
+		other_flow_of_a_mute_agent_waits,
+		agent_that_was_not_asked_is_not_mute,
+		silence_without_a_confirmation_resets_nothing,
+		balancer_that_hears_nobody_resets_nothing,
 		reset_of_a_caller_is_not_answered,
 		packet_without_an_entry_is_dropped_not_reset,
 		idle_flows_are_forgotten,
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -189,6 +189,45 @@
 END_TEST
 
 /* What is refused may not be half in force, and says what is wrong. */
+/*
+ * A filing that may run once only, taken for one that may be repeated, would be
+ * broken off where its target is slow to answer.
+ */
+START_TEST(requests_may_be_repeated_only_if_the_route_says_so)
+{
+	static const struct {
+		const char *kind;
+		int repeatable;
+	} cases[] = {
+		{ "\"routeType\":\"safe\",", 1 },
+		{ "\"routeType\":\"download\",", 1 },
+		{ "\"routeType\":\"unsafe\",", 0 },
+		{ "\"routeType\":\"of_another_time\",", 0 },
+		{ "\"routeType\":1,", 0 },
+		{ "", 0 },
+	};
+	const dy_flow_entry_t *entry;
+	dy_flow_rules_t *rules;
+	unsigned i;
+	char *route;
+	char *text;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		route = g_strdup_printf(
+			ROUTE("10.0.0.1", "/443/", "%s\"service\":\"a\""),
+			cases[i].kind);
+		text = configuration(route);
+		rules = platform_configuration_parse(text, strlen(text), NULL);
+		ck_assert_ptr_nonnull(rules);
+		entry = dy_flow_rules_find(rules, 0x0a000001, 443);
+		ck_assert_int_eq(entry->repeatable, cases[i].repeatable);
+		dy_flow_rules_destroy(rules);
+		g_free(text);
+		g_free(route);
+	}
+}
+END_TEST
+
 START_TEST(invalid_configuration_is_refused)
 {
 	static const char *const routes[] = {
@@ -386,6 +425,7 @@
 		request_id_is_found_in_data,
 		reset_goes_from_the_entry_to_the_caller,
 		configuration_becomes_rules,
+		requests_may_be_repeated_only_if_the_route_says_so,
 		invalid_configuration_is_refused,
 		unreadable_configuration_is_refused,
 		heartbeat_becomes_a_notice,
