--- /dev/null
+++ b/tests/fake_router.c
@@ -0,0 +1,178 @@
+#include "fake_router.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+fake_router_t fake_router;
+
+static void on_forward(void *context, dy_flow_forward_t *forward)
+{
+	(void)context;
+	fake_router.forwards++;
+	fake_router.forward = *forward;
+	memcpy(fake_router.tries, forward->tries.tries_val,
+	       forward->tries.tries_len * sizeof(fake_router.tries[0]));
+	g_strlcpy(fake_router.service, forward->service,
+		  sizeof(fake_router.service));
+}
+
+static void on_reset(void *context, const dy_flow_id_t *flow, uint32_t seq)
+{
+	(void)context;
+	(void)flow;
+	fake_router.resets++;
+	fake_router.reset_seq = seq;
+}
+
+static void on_confirm(void *context)
+{
+	(void)context;
+	fake_router.confirms++;
+}
+
+static void on_ask(void *context, const dy_address_t *address)
+{
+	(void)context;
+	(void)address;
+	fake_router.asks++;
+}
+
+static const dy_flow_router_callbacks_t callbacks = { on_forward, on_reset,
+						      on_confirm, on_ask };
+
+dy_address_t fake_router_agent(unsigned number)
+{
+	dy_address_t address;
+
+	dy_address_set_ipv4(&address, 0x0a000000u + number, 7000);
+	return address;
+}
+
+void fake_router_set_member(unsigned number, dy_member_state_t state,
+			    const char *service)
+{
+	dy_member_t member = { 0 };
+
+	member.id = number;
+	member.incarnation = number;
+	member.state = state;
+	member.info.kind = DY_MEMBER_AGENT;
+	member.info.domain = "d1";
+	member.info.service = (char *)service;
+	member.info.address = fake_router_agent(number);
+	member.info.slots = 4;
+	dy_flow_router_set_member(fake_router.router, &member);
+}
+
+void fake_router_set_rules_of(uint64_t version, const char *first,
+			      const char *second, int repeatable)
+{
+	dy_flow_rules_t *rules = dy_flow_rules_create(version);
+	dy_flow_entry_t entry = { .ip = FAKE_ENTRY_IP,
+				  .port = FAKE_ENTRY_PORT };
+
+	entry.repeatable = (uint8_t)repeatable;
+	if (first) {
+		entry.shares[entry.share_count].service = (char *)first;
+		entry.shares[entry.share_count++].weight = 1;
+	}
+	if (second) {
+		entry.shares[entry.share_count].service = (char *)second;
+		entry.shares[entry.share_count++].weight = 1;
+	}
+	if (entry.share_count)
+		ck_assert_ptr_null(dy_flow_rules_add(rules, &entry));
+	dy_flow_router_set_rules(fake_router.router, rules);
+}
+
+void fake_router_set_rules(uint64_t version, const char *first,
+			   const char *second)
+{
+	fake_router_set_rules_of(version, first, second, 0);
+}
+
+void fake_router_begin(unsigned agents)
+{
+	dy_flow_router_config_t config = { 0 };
+	unsigned i;
+
+	memset(&fake_router, 0, sizeof(fake_router));
+	fake_router.now_ms = 1000;
+	fake_router.metrics = dy_metrics_create();
+	config.self = fake_router_agent(200);
+	config.domain = "d1";
+	config.metrics = fake_router.metrics;
+	config.callbacks = &callbacks;
+	fake_router.router = dy_flow_router_create(&config);
+	fake_router_set_rules(5, "readings", NULL);
+	for (i = 1; i <= agents; i++)
+		fake_router_set_member(i, DY_MEMBER_SERVING, "readings");
+}
+
+void fake_router_end(void)
+{
+	dy_flow_router_destroy(fake_router.router);
+	dy_metrics_destroy(fake_router.metrics);
+}
+
+dy_packet_t fake_router_packet(unsigned flow, unsigned marks, uint32_t ack)
+{
+	dy_packet_t made = { 0 };
+
+	made.flow.caller_ip = 0x64400001u;
+	made.flow.caller_port = 1024 + flow;
+	made.flow.entry_ip = FAKE_ENTRY_IP;
+	made.flow.entry_port = FAKE_ENTRY_PORT;
+	made.marks = marks;
+	made.ack = ack;
+	return made;
+}
+
+void fake_router_take(unsigned flow, unsigned marks, uint32_t ack)
+{
+	dy_packet_t made = fake_router_packet(flow, marks, ack);
+
+	dy_flow_router_take(fake_router.router, &made, fake_router.bytes,
+			    sizeof(fake_router.bytes), fake_router.now_ms);
+}
+
+void fake_router_tell_held(unsigned flow, const dy_address_t *by, int open)
+{
+	dy_flow_held_t held = { 0 };
+
+	held.flow = fake_router_packet(flow, 0, 0).flow;
+	held.agent = *by;
+	held.open = open;
+	held.load.slots = 4;
+	dy_flow_router_held(fake_router.router, &held, fake_router.now_ms);
+}
+
+void fake_router_tell_nowhere(unsigned flow, unsigned marks, int certain)
+{
+	dy_packet_t made = fake_router_packet(flow, marks, 77);
+	dy_flow_nowhere_t nowhere = { 0 };
+
+	nowhere.flow = made.flow;
+	nowhere.agent =
+		fake_router.tries[fake_router.forward.tries.tries_len - 1];
+	nowhere.reason =
+		marks & DY_PACKET_SYN ? DY_FLOW_REFUSED : DY_FLOW_NOT_HELD;
+	nowhere.window = fake_router.forward.window;
+	nowhere.complete = fake_router.forward.complete;
+	nowhere.certain = certain;
+	nowhere.packet.packet_val = (char *)fake_router.bytes;
+	nowhere.packet.packet_len = sizeof(fake_router.bytes);
+	dy_flow_router_nowhere(fake_router.router, &nowhere, &made,
+			       fake_router.now_ms);
+}
+
+void fake_router_report(unsigned number)
+{
+	dy_flow_report_t message = { 0 };
+
+	message.agent = fake_router_agent(number);
+	message.load.slots = 4;
+	message.load.accepts = 1;
+	dy_flow_router_report(fake_router.router, &message, fake_router.now_ms);
+}
