--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -135,6 +135,7 @@
 	nowhere.complete = forward->complete;
 	nowhere.certain = forward->certain;
 	nowhere.window = forward->window;
+	nowhere.order = forward->order;
 	nowhere.packet.packet_val = forward->packet.packet_val;
 	nowhere.packet.packet_len = forward->packet.packet_len;
 	++*holder->not_held;
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -18,11 +18,11 @@
 	int open;	    /* and that its target has the whole handshake */
 	uint64_t used_ms;
 	dy_search_slot_t search;
-	dy_list_t missing_link;	 /* found nowhere, to be confirmed */
-	uint64_t missing_ms;	 /* since when */
-	unsigned searches;	 /* since it was last found */
-	uint64_t searched_among; /* generation when the search began */
-	dy_packet_t missing;	 /* the packet that was searched for */
+	dy_list_t missing_link; /* found nowhere, to be confirmed */
+	uint64_t missing_ms;	/* since when */
+	uint32_t missing_order; /* of the search that found it nowhere */
+	unsigned searches;	/* since it was last found */
+	dy_packet_t missing;	/* the packet that was searched for */
 } flow_t;
 
 /* How far a search for a flow's holder is. */
@@ -39,7 +39,8 @@
 	dy_list_t by_use;
 	dy_list_t missing;
 	dy_search_limit_t searches;
-	uint64_t generation; /* of members and rules: of every search order */
+	/* Of members and rules, so of the order of every search. */
+	uint32_t order;
 	dy_log_limit_t assigned_limit;
 	dy_log_limit_t reset_limit;
 	dy_log_limit_t searched_limit;
@@ -110,14 +111,14 @@
 	}
 	dy_flow_rules_destroy(router->rules);
 	router->rules = rules;
-	router->generation++;
+	router->order++;
 }
 
 void dy_flow_router_set_member(dy_flow_router_t *router,
 			       const dy_member_t *member)
 {
 	if (member->info.kind == DY_MEMBER_AGENT)
-		router->generation++;
+		router->order++;
 	dy_flow_targets_set_member(router->targets, member);
 }
 
@@ -187,7 +188,7 @@
 		if (polled_ms <= flow->missing_ms)
 			continue;
 		dy_list_remove(&flow->missing_link);
-		if (flow->searched_among != router->generation)
+		if (flow->missing_order != router->order)
 			continue;
 		reset(router, &flow->missing, "nowhere", polled_ms);
 		drop_flow(router, flow);
@@ -433,12 +434,12 @@
 	}
 	++*router->searched;
 	if (at->window == 1) {
-		flow->searched_among = router->generation;
 		log_searched(router, packet, total, flow->searches, now_ms);
 		turn_list(list, count, flow->searches++);
 	}
 	forward.tell = 1;
 	forward.window = window;
+	forward.order = router->order;
 	forward.complete = complete && window * DY_FLOW_TRIES >= total;
 	forward.certain = at->certain;
 	forward.tries.tries_val = list;
@@ -536,9 +537,11 @@
 
 /* No agent that is known here holds the flow: have that confirmed. */
 static void note_missing(dy_flow_router_t *router, flow_t *flow,
+			 const dy_flow_nowhere_t *nowhere,
 			 const dy_packet_t *packet, uint64_t now_ms)
 {
 	flow->missing_ms = now_ms;
+	flow->missing_order = nowhere->order;
 	flow->missing = *packet;
 	flow->missing.request = NULL; /* bytes that do not last */
 	dy_list_remove(&flow->missing_link);
@@ -584,17 +587,24 @@
 		flow->told = 0;
 		flow->open = 0;
 	}
+	/* Another search of it has found who does. */
+	if (flow->told) {
+		send_to_holder(router, flow, "",
+			       (uint8_t *)nowhere->packet.packet_val,
+			       nowhere->packet.packet_len, now_ms);
+		return;
+	}
 	if (nowhere->complete) {
 		dy_search_limit_end(&router->searches, &flow->search);
 		++*router->lost;
 		if (nowhere->certain)
-			note_missing(router, flow, packet, now_ms);
+			note_missing(router, flow, nowhere, packet, now_ms);
 		return;
 	}
 	next.window = nowhere->window + 1;
 	next.certain = nowhere->certain;
 	/* Another order now: those of the windows asked would be missed. */
-	if (flow->searched_among != router->generation)
+	if (nowhere->order != router->order)
 		next = from_the_first;
 	search(router, packet, (uint8_t *)nowhere->packet.packet_val,
 	       nowhere->packet.packet_len, &next, now_ms);
--- a/src/gen/dy_flow.h
+++ b/src/gen/dy_flow.h
@@ -39,6 +39,7 @@
 	dy_address_t balancer;
 	u_int step;
 	u_int window;
+	u_int order;
 	bool_t complete;
 	bool_t tell;
 	bool_t certain;
@@ -72,6 +73,7 @@
 	dy_address_t agent;
 	dy_flow_reason_t reason;
 	u_int window;
+	u_int order;
 	bool_t complete;
 	bool_t certain;
 	struct {
--- a/src/gen/dy_flow_xdr.c
+++ b/src/gen/dy_flow_xdr.c
@@ -135,12 +135,14 @@
 			 return FALSE;
 		 if (!xdr_dy_address_t (xdrs, &objp->balancer))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->step))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->window))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->order))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->complete))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->tell))
@@ -151,6 +153,7 @@
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->step);
 		IXDR_PUT_U_LONG(buf, objp->window);
+		IXDR_PUT_U_LONG(buf, objp->order);
 		IXDR_PUT_BOOL(buf, objp->complete);
 		IXDR_PUT_BOOL(buf, objp->tell);
 		IXDR_PUT_BOOL(buf, objp->certain);
@@ -166,12 +169,14 @@
 			 return FALSE;
 		 if (!xdr_dy_address_t (xdrs, &objp->balancer))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->step))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->window))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->order))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->complete))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->tell))
@@ -182,6 +187,7 @@
 		} else {
 		objp->step = IXDR_GET_U_LONG(buf);
 		objp->window = IXDR_GET_U_LONG(buf);
+		objp->order = IXDR_GET_U_LONG(buf);
 		objp->complete = IXDR_GET_BOOL(buf);
 		objp->tell = IXDR_GET_BOOL(buf);
 		objp->certain = IXDR_GET_BOOL(buf);
@@ -202,6 +208,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->window))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->order))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->complete))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->tell))
@@ -255,10 +263,12 @@
 			 return FALSE;
 		 if (!xdr_dy_flow_reason_t (xdrs, &objp->reason))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->window))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->order))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->complete))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->certain))
@@ -266,6 +276,7 @@
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->window);
+		IXDR_PUT_U_LONG(buf, objp->order);
 		IXDR_PUT_BOOL(buf, objp->complete);
 		IXDR_PUT_BOOL(buf, objp->certain);
 		}
@@ -279,10 +290,12 @@
 			 return FALSE;
 		 if (!xdr_dy_flow_reason_t (xdrs, &objp->reason))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->window))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->order))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->complete))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->certain))
@@ -290,6 +303,7 @@
 
 		} else {
 		objp->window = IXDR_GET_U_LONG(buf);
+		objp->order = IXDR_GET_U_LONG(buf);
 		objp->complete = IXDR_GET_BOOL(buf);
 		objp->certain = IXDR_GET_BOOL(buf);
 		}
@@ -306,6 +320,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->window))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->order))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->complete))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->certain))
--- a/tests/fake_router.c
+++ b/tests/fake_router.c
@@ -159,6 +159,7 @@
 	nowhere.reason =
 		marks & DY_PACKET_SYN ? DY_FLOW_REFUSED : DY_FLOW_NOT_HELD;
 	nowhere.window = fake_router.forward.window;
+	nowhere.order = fake_router.forward.order;
 	nowhere.complete = fake_router.forward.complete;
 	nowhere.certain = certain;
 	nowhere.packet.packet_val = (char *)fake_router.bytes;
--- a/tests/test_flow_search.c
+++ b/tests/test_flow_search.c
@@ -198,6 +198,60 @@
 }
 END_TEST
 
+/*
+ * A request's first two packets, an acknowledgement and its data, come at once
+ * to a balancer that does not know the flow, and begin a search each. A newer
+ * document names another service for the entry: the first search begins anew.
+ * The second must too, and not go on as if it had asked the first agents of
+ * the new order: the holder is among them, and its live flow was reset.
+ */
+START_TEST(two_searches_of_one_flow_are_told_apart)
+{
+	dy_flow_forward_t second;
+	unsigned i;
+
+	fake_router_begin(16);
+	for (i = 17; i <= 40; i++)
+		fake_router_set_member(i, DY_MEMBER_SERVING, "maps");
+	fake_router_take(1, DY_PACKET_ACK, 5);
+	fake_router_take(1, DY_PACKET_ACK, 5);
+	second = fake_router.forward;
+	fake_router_set_rules(6, "maps", NULL);
+	fake_router_tell_nowhere(1, DY_PACKET_ACK, 1);
+	ck_assert_uint_eq(fake_router.forward.window, 1);
+	fake_router.forward = second;
+	fake_router_tell_nowhere(1, DY_PACKET_ACK, 1);
+	ck_assert_uint_eq(fake_router.forward.window, 1);
+	fake_router_end();
+}
+END_TEST
+
+/*
+ * One of two searches of a flow has found its holder. The other one, which
+ * passed the holder by in an order of before, ends after that: what was told
+ * by the holder stands, the live flow is not reset, and the packet goes there.
+ */
+START_TEST(search_that_ends_after_the_holder_was_found_resets_nothing)
+{
+	dy_address_t holder = fake_router_agent(1);
+
+	fake_router_begin(3);
+	fake_router_take(1, DY_PACKET_ACK, 5);
+	fake_router_take(1, DY_PACKET_ACK, 5);
+	fake_router_tell_held(1, &holder, 1);
+	memcpy(fake_router.tries, (dy_address_t[]){ fake_router_agent(2) },
+	       sizeof(fake_router.tries[0]));
+	fake_router.forward.tries.tries_len = 1;
+	fake_router_tell_nowhere(1, DY_PACKET_ACK, 1);
+	dy_flow_router_set_confirmed(fake_router.router,
+				     fake_router.now_ms + 1);
+	ck_assert_uint_eq(fake_router.resets, 0);
+	ck_assert_uint_eq(fake_router.forwards, 3);
+	ck_assert(dy_address_equal(&fake_router.tries[0], &holder));
+	fake_router_end();
+}
+END_TEST
+
 /*
  * A flow's target is gone and started anew. Without a reset the caller waits
  * until its deadline. But an agent may have joined since the last poll and got
@@ -332,6 +386,8 @@
 		search_that_has_begun_goes_on,
 		search_asks_each_agent_though_others_fall_silent,
 		search_begins_anew_when_the_order_changes,
+		two_searches_of_one_flow_are_told_apart,
+		search_that_ends_after_the_holder_was_found_resets_nothing,
 		flow_found_nowhere_is_reset_once_members_are_confirmed,
 		flow_found_nowhere_is_kept_if_an_agent_joined,
 		uncertain_search_resets_nothing,
