--- a/include/damaskyard/flow_holder.h
+++ b/include/damaskyard/flow_holder.h
@@ -67,14 +67,20 @@
 
 /*
  * Requests, begun or about to be, for each hundred slots, beyond which an
- * opening is passed on to a balancer's next choice, and at the last waits. Half
- * a request waits behind each that runs, so that a new one is answered within
- * twice its own time, and no slot is idle while the next one's packets travel.
- * Measured on the users' days with a loss of power: at 100 slots are idle, at
- * 200 and more late answers crowd out those in time.
+ * opening that has just come is passed on to a balancer's next choice, and at
+ * the last waits. Half a request waits behind each that runs, so that a new
+ * one is answered within twice its own time, and no slot is idle while the next
+ * one's packets travel.
  */
 #define DY_OVERLOAD_PERCENT 150
 
+/*
+ * What an opening that has waited may find beside a request for each slot: one
+ * request more, whose packets travel while the others run. Room above it is
+ * left to those who come.
+ */
+#define DY_WAITED_AHEAD 1
+
 /*
  * A request without an answer for so long counts no more, in ms: its caller
  * has most likely given up, or the target has. Longer than the longest work of
--- a/include/damaskyard/packet.h
+++ b/include/damaskyard/packet.h
@@ -26,6 +26,7 @@
 	 */
 	uint32_t note;
 	uint16_t data_bytes;
+	unsigned copy; /* of an opening: how often it was sent before */
 	/*
 	 * The id of the request that begins in the data, for logs alone: bytes
 	 * of the packet, not ended by a NUL. NULL: none was looked for, or
--- a/src/connection/flow_holder_openings.c
+++ b/src/connection/flow_holder_openings.c
@@ -8,16 +8,22 @@
 
 /*
  * Load pattern: many callers open flows within one moment, by several
- * balancers that each know only what they opened themselves. Without this the
- * first choice of several of them queues while another target is idle. What is
- * known here is exact: with more requests than DY_OVERLOAD_PERCENT of the
- * slots, begun or about to be, the next choice is asked; at the last of them it
- * waits.
+ * balancers that each know only what they opened themselves; some of them have
+ * waited already, as all do whose flows were lost with the power.
+ * What happens without it: the first choice of several balancers queues while
+ * another target is idle; and those who come last, and alone could still be
+ * answered in time, stand behind all that cannot.
+ * What is done: what is known here is exact: requests that were begun, or are
+ * about to be. An opening that has just come is taken while these are fewer
+ * than DY_OVERLOAD_PERCENT of the slots. One that has waited, here or at its
+ * caller, is taken only by a slot that would be idle soon, so that the next
+ * fresh one finds room.
  */
-static int is_overloaded(const dy_flow_holder_t *holder, uint64_t now_ms)
+static int has_room(const dy_flow_holder_t *holder, int fresh, uint64_t now_ms)
 {
-	unsigned limit =
-		(DY_OVERLOAD_PERCENT * holder->notice.slots + 99) / 100;
+	unsigned slots = holder->notice.slots;
+	unsigned most = (DY_OVERLOAD_PERCENT * slots + 99) / 100;
+	unsigned limit = fresh ? most : MIN(most, slots + DY_WAITED_AHEAD);
 	const dy_list_t *halves = &holder->stages[STAGE_HALF];
 	unsigned expected = holder->busy;
 	const dy_list_t *pos;
@@ -29,7 +35,7 @@
 			break;
 		expected++;
 	}
-	return expected >= limit;
+	return expected < limit;
 }
 
 /* Let an opening wait; its balancer is told, so that copies come here too. */
@@ -68,7 +74,7 @@
 		return;
 	while (dy_opening_queue_expire(holder->waiting, now_ms, &opening))
 		holder_pass_on(holder, &opening.forward, &opening.packet, 1);
-	while ((!accepts || !is_overloaded(holder, now_ms)) &&
+	while ((!accepts || has_room(holder, 0, now_ms)) &&
 	       dy_opening_queue_take(holder->waiting, &opening)) {
 		if (accepts)
 			admit(holder, &opening.forward, &opening.packet,
@@ -79,6 +85,16 @@
 	}
 }
 
+static void pass_on_opening(dy_flow_holder_t *holder,
+			    dy_flow_forward_t *forward,
+			    const dy_packet_t *packet, const char *reason,
+			    uint64_t now_ms)
+{
+	holder_log_flow(holder, "opening_passed_on", &packet->flow, reason,
+			now_ms);
+	holder_pass_on(holder, forward, packet, 1);
+}
+
 void holder_take_opening(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
 			 const dy_packet_t *packet, held_flow_t *flow,
 			 uint64_t now_ms)
@@ -96,21 +112,15 @@
 	if (!dy_flow_holder_accepts(holder) ||
 	    strcmp(forward->service, holder->config.service) != 0) {
 		++*holder->refused;
-		holder_log_flow(holder, "opening_passed_on", &packet->flow,
+		pass_on_opening(holder, forward, packet,
 				holder->ready ? "service" : "not_ready",
 				now_ms);
-		holder_pass_on(holder, forward, packet, 1);
 		return;
 	}
-	if (is_overloaded(holder, now_ms) &&
-	    forward->step + 1 < forward->tries.tries_len) {
-		holder_log_flow(holder, "opening_passed_on", &packet->flow,
-				"overload", now_ms);
-		holder_pass_on(holder, forward, packet, 1);
-		return;
-	}
-	if (is_overloaded(holder, now_ms) &&
-	    put_off(holder, forward, packet, now_ms))
-		return;
-	admit(holder, forward, packet, now_ms);
+	if (has_room(holder, !packet->copy, now_ms))
+		admit(holder, forward, packet, now_ms);
+	else if (forward->step + 1 < forward->tries.tries_len)
+		pass_on_opening(holder, forward, packet, "overload", now_ms);
+	else if (!put_off(holder, forward, packet, now_ms))
+		admit(holder, forward, packet, now_ms);
 }
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -258,7 +258,7 @@
 }
 
 static void log_assigned(dy_flow_router_t *router, const flow_t *flow,
-			 const char *service, unsigned choices, uint32_t copy,
+			 const char *service, unsigned choices, unsigned copy,
 			 uint64_t now_ms)
 {
 	char text[DY_FLOW_TEXT_BYTES];
@@ -289,6 +289,23 @@
 	dy_flow_targets_note_silent(router->targets, &flow->agent, now_ms);
 }
 
+/*
+ * Load pattern: all targets have all that they can do, and hundreds of openings
+ * come within a moment.
+ * What happens without it: they wait at the last choice, which is the fullest
+ * target and the same for all flows, until they are refused, while the slots
+ * of others become free.
+ * What is done: the best choice stands in the list once more, at its end, and
+ * they wait there: balancers count what they opened, so each choice is another.
+ */
+static unsigned add_place_to_wait(dy_address_t list[DY_FLOW_TRIES],
+				  unsigned count)
+{
+	if (count > 1 && count < DY_FLOW_TRIES)
+		list[count++] = list[0];
+	return count;
+}
+
 static void take_opening(dy_flow_router_t *router, const dy_packet_t *packet,
 			 uint8_t *bytes, size_t len, uint64_t now_ms)
 {
@@ -320,13 +337,13 @@
 	flow = keep_flow(router, &packet->flow, now_ms);
 	flow->agent = list[0];
 	dy_flow_targets_note_opened(router->targets, &list[0]);
-	log_assigned(router, flow, service, count, packet->ack, now_ms);
+	log_assigned(router, flow, service, count, packet->copy, now_ms);
 	forward.service = (char *)service;
 	forward.tell = 1;
 	forward.certain = 1;
 	forward.complete = 1;
 	forward.tries.tries_val = list;
-	forward.tries.tries_len = count;
+	forward.tries.tries_len = add_place_to_wait(list, count);
 	emit(router, &forward, bytes, len, now_ms);
 }
 
--- a/tests/test_flow_holder.c
+++ b/tests/test_flow_holder.c
@@ -173,6 +173,7 @@
 	made.marks = marks;
 	made.seq = seq;
 	made.ack = ack;
+	made.copy = marks & DY_PACKET_SYN ? ack : 0;
 	made.data_bytes = data;
 	return made;
 }
@@ -422,10 +423,12 @@
 	ck_assert_uint_eq(world.given, 0);
 	ck_assert_uint_eq(dy_flow_holder_count(world.holder), ROOM);
 	answer(0);
+	ck_assert_uint_eq(world.given, 0);
+	answer(1);
 	ck_assert_uint_eq(world.given, 1);
 	from_target(51, DY_PACKET_SYN | DY_PACKET_ACK, 500, 0);
 	ck_assert_uint_eq(world.held.flow.caller_port, 1024 + 51);
-	answer(1);
+	answer(2);
 	ck_assert_uint_eq(world.given, 2);
 	from_target(50, DY_PACKET_SYN | DY_PACKET_ACK, 500, 0);
 	ck_assert_uint_eq(world.held.flow.caller_port, 1024 + 50);
@@ -433,6 +436,28 @@
 }
 END_TEST
 
+/*
+ * Power is back: hundreds of openings have waited, here or at their callers,
+ * and cannot be answered in time any more. Taken as soon as there is room for
+ * one they would leave none to a caller that comes now and still can be.
+ */
+START_TEST(room_is_left_to_an_opening_that_has_just_come)
+{
+	begin();
+	fill_target();
+	last_choice(50, 0);
+	answer(0);
+	from_caller(60, DY_PACKET_SYN, 2, 0);
+	ck_assert_uint_eq(world.given, 0);
+	ck_assert_uint_eq(world.passed, 1);
+	from_caller(61, DY_PACKET_SYN, 0, 0);
+	ck_assert_uint_eq(world.given, 1);
+	from_target(61, DY_PACKET_SYN | DY_PACKET_ACK, 500, 0);
+	ck_assert_uint_eq(world.held.flow.caller_port, 1024 + 61);
+	end();
+}
+END_TEST
+
 /* There is no room in time: the caller is told while it has time to retry. */
 START_TEST(opening_that_waits_too_long_is_refused)
 {
@@ -904,6 +929,7 @@
 		opening_for_another_service_is_passed_on,
 		overloaded_target_passes_openings_on,
 		openings_wait_for_room_the_youngest_goes_first,
+		room_is_left_to_an_opening_that_has_just_come,
 		opening_that_waits_too_long_is_refused,
 		openings_that_wait_do_not_reach_a_draining_target,
 		openings_given_up_leave_room,
--- a/tests/test_flow_router.c
+++ b/tests/test_flow_router.c
@@ -13,9 +13,11 @@
 	fake_router_take(1, DY_PACKET_SYN, 0);
 	ck_assert_uint_eq(fake_router.forwards, 1);
 	ck_assert_str_eq(fake_router.service, "readings");
-	ck_assert_uint_eq(fake_router.forward.tries.tries_len, 3);
+	/* Three to try, and the best once more, to wait there. */
+	ck_assert_uint_eq(fake_router.forward.tries.tries_len, 4);
 	ck_assert(fake_router.forward.tell);
 	chosen = fake_router.tries[0];
+	ck_assert(dy_address_equal(&fake_router.tries[3], &chosen));
 	fake_router_tell_held(1, &chosen, 0);
 	fake_router_take(1, DY_PACKET_ACK, 9);
 	ck_assert(dy_address_equal(&fake_router.tries[0], &chosen));
@@ -53,6 +55,29 @@
 }
 END_TEST
 
+/*
+ * Power is back, and all targets have all that they can do. Openings that wait
+ * at the last choice of all flows alike, the fullest, are refused there while
+ * the others' slots become free.
+ */
+START_TEST(openings_wait_at_all_targets_alike)
+{
+	unsigned waiting[9] = { 0 };
+	unsigned flow;
+	unsigned i;
+
+	fake_router_begin(8);
+	for (flow = 1; flow <= 160; flow++) {
+		fake_router_take(flow, DY_PACKET_SYN, 0);
+		i = fake_router.forward.tries.tries_len - 1;
+		waiting[(uint8_t)fake_router.tries[i].ip[DY_IP_BYTES - 1]]++;
+	}
+	for (i = 1; i <= 8; i++)
+		ck_assert_uint_eq(waiting[i], 20);
+	fake_router_end();
+}
+END_TEST
+
 /* An older document arrives after a newer one and removes its entries. */
 START_TEST(older_rules_are_dropped)
 {
@@ -347,6 +372,7 @@
 	const TTest *const tests[] = {
 		opening_goes_to_a_target_and_the_flow_stays_there,
 		opening_that_nobody_can_take_is_refused_at_once,
+		openings_wait_at_all_targets_alike,
 		older_rules_are_dropped,
 		copy_of_an_unanswered_opening_goes_elsewhere,
 		opening_is_refused_by_the_agent_where_it_waits,
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -50,6 +50,7 @@
 	ck_assert_uint_eq(packet.data_bytes, 3);
 	ck_assert_uint_eq(packet.seq, 0x01000004);
 	ck_assert_uint_eq(packet.ack, 0x02000005);
+	ck_assert_uint_eq(packet.copy, 0x02000005);
 	make_packet(bytes, 128 | 4 | 2);
 	ck_assert(!platform_packet_load(bytes, sizeof(bytes),
 					PLATFORM_FROM_TARGET, &packet));
@@ -57,6 +58,7 @@
 	ck_assert_uint_eq(packet.flow.caller_port, 80);
 	ck_assert_uint_eq(packet.marks,
 			  DY_PACKET_FIN | DY_PACKET_RST | DY_PACKET_BOUNCED);
+	ck_assert_uint_eq(packet.copy, 0);
 }
 END_TEST
 
