--- a/proto/dy_flow.x
+++ b/proto/dy_flow.x
@@ -42,12 +42,12 @@
 	dy_address_t balancer;	/* is told who holds the flow */
 	unsigned int step;
 	unsigned int window;	/* of a search; 0: to the one that holds it */
-	unsigned int order;	/* that the search goes by, for its balancer */
 	bool complete;		/* no agent is left to be tried after these */
 	bool tell;		/* the balancer does not know the holder */
 	bool certain;		/* each agent before this step knew for sure */
 	dy_address_t tries<DY_FLOW_TRIES>;
 	opaque packet<DY_PACKET_BYTES>;
+	unsigned int order;	/* that the search goes by, for its balancer */
 };
 
 /* The sender holds the flow. */
@@ -69,10 +69,10 @@
 	dy_address_t agent;	/* the last that was tried */
 	dy_flow_reason_t reason;
 	unsigned int window;	/* of the forward */
-	unsigned int order;	/* of the forward */
 	bool complete;		/* of the forward */
 	bool certain;		/* each that was tried knew for sure */
 	opaque packet<DY_PACKET_BYTES>;
+	unsigned int order;	/* of the forward; 0: of an older agent */
 };
 
 struct dy_flow_report_t {
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -39,7 +39,7 @@
 	dy_list_t by_use;
 	dy_list_t missing;
 	dy_search_limit_t searches;
-	/* Of members and rules, so of the order of every search. */
+	/* Of members and rules, so of the order of every search; never 0. */
 	uint32_t order;
 	dy_log_limit_t assigned_limit;
 	dy_log_limit_t reset_limit;
@@ -82,6 +82,7 @@
 	router->targets = dy_flow_targets_create(config->domain);
 	router->flows = g_hash_table_new_full(
 		dy_flow_id_table_hash, dy_flow_id_table_equal, NULL, g_free);
+	router->order = 1;
 	dy_list_init(&router->by_use);
 	dy_list_init(&router->missing);
 	dy_search_limit_init(&router->searches);
@@ -102,6 +103,12 @@
 	g_free(router);
 }
 
+static void change_order(dy_flow_router_t *router)
+{
+	if (!++router->order)
+		++router->order;
+}
+
 void dy_flow_router_set_rules(dy_flow_router_t *router, dy_flow_rules_t *rules)
 {
 	if (router->rules && dy_flow_rules_version(rules) <
@@ -111,14 +118,14 @@
 	}
 	dy_flow_rules_destroy(router->rules);
 	router->rules = rules;
-	router->order++;
+	change_order(router);
 }
 
 void dy_flow_router_set_member(dy_flow_router_t *router,
 			       const dy_member_t *member)
 {
 	if (member->info.kind == DY_MEMBER_AGENT)
-		router->order++;
+		change_order(router);
 	dy_flow_targets_set_member(router->targets, member);
 }
 
@@ -201,6 +208,7 @@
 	dy_flow_targets_note_sent(router->targets, &forward->tries.tries_val[0],
 				  now_ms);
 	forward->balancer = router->config.self;
+	forward->order = router->order;
 	forward->packet.packet_val = (char *)bytes;
 	forward->packet.packet_len = (u_int)len;
 	if (!forward->service)
@@ -456,7 +464,6 @@
 	}
 	forward.tell = 1;
 	forward.window = window;
-	forward.order = router->order;
 	forward.complete = complete && window * DY_FLOW_TRIES >= total;
 	forward.certain = at->certain;
 	forward.tries.tries_val = list;
@@ -614,14 +621,14 @@
 	if (nowhere->complete) {
 		dy_search_limit_end(&router->searches, &flow->search);
 		++*router->lost;
-		if (nowhere->certain)
+		if (nowhere->certain && nowhere->order)
 			note_missing(router, flow, nowhere, packet, now_ms);
 		return;
 	}
 	next.window = nowhere->window + 1;
-	next.certain = nowhere->certain;
+	next.certain = nowhere->certain && nowhere->order;
 	/* Another order now: those of the windows asked would be missed. */
-	if (nowhere->order != router->order)
+	if (nowhere->order && nowhere->order != router->order)
 		next = from_the_first;
 	search(router, packet, (uint8_t *)nowhere->packet.packet_val,
 	       nowhere->packet.packet_len, &next, now_ms);
--- a/src/gen/dy_flow.h
+++ b/src/gen/dy_flow.h
@@ -39,7 +39,6 @@
 	dy_address_t balancer;
 	u_int step;
 	u_int window;
-	u_int order;
 	bool_t complete;
 	bool_t tell;
 	bool_t certain;
@@ -51,6 +50,7 @@
 		u_int packet_len;
 		char *packet_val;
 	} packet;
+	u_int order;
 };
 typedef struct dy_flow_forward_t dy_flow_forward_t;
 
@@ -73,13 +73,13 @@
 	dy_address_t agent;
 	dy_flow_reason_t reason;
 	u_int window;
-	u_int order;
 	bool_t complete;
 	bool_t certain;
 	struct {
 		u_int packet_len;
 		char *packet_val;
 	} packet;
+	u_int order;
 };
 typedef struct dy_flow_nowhere_t dy_flow_nowhere_t;
 
--- a/src/gen/dy_flow_xdr.c
+++ b/src/gen/dy_flow_xdr.c
@@ -135,14 +135,12 @@
 			 return FALSE;
 		 if (!xdr_dy_address_t (xdrs, &objp->balancer))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->step))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->window))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->order))
-				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->complete))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->tell))
@@ -153,7 +151,6 @@
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->step);
 		IXDR_PUT_U_LONG(buf, objp->window);
-		IXDR_PUT_U_LONG(buf, objp->order);
 		IXDR_PUT_BOOL(buf, objp->complete);
 		IXDR_PUT_BOOL(buf, objp->tell);
 		IXDR_PUT_BOOL(buf, objp->certain);
@@ -163,20 +160,20 @@
 			 return FALSE;
 		 if (!xdr_bytes (xdrs, (char **)&objp->packet.packet_val, (u_int *) &objp->packet.packet_len, DY_PACKET_BYTES))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->order))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->service, DY_NAME_BYTES))
 			 return FALSE;
 		 if (!xdr_dy_address_t (xdrs, &objp->balancer))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->step))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->window))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->order))
-				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->complete))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->tell))
@@ -187,7 +184,6 @@
 		} else {
 		objp->step = IXDR_GET_U_LONG(buf);
 		objp->window = IXDR_GET_U_LONG(buf);
-		objp->order = IXDR_GET_U_LONG(buf);
 		objp->complete = IXDR_GET_BOOL(buf);
 		objp->tell = IXDR_GET_BOOL(buf);
 		objp->certain = IXDR_GET_BOOL(buf);
@@ -197,6 +193,8 @@
 			 return FALSE;
 		 if (!xdr_bytes (xdrs, (char **)&objp->packet.packet_val, (u_int *) &objp->packet.packet_len, DY_PACKET_BYTES))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->order))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -208,8 +206,6 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->window))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->order))
-		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->complete))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->tell))
@@ -221,6 +217,8 @@
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->packet.packet_val, (u_int *) &objp->packet.packet_len, DY_PACKET_BYTES))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->order))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -263,12 +261,10 @@
 			 return FALSE;
 		 if (!xdr_dy_flow_reason_t (xdrs, &objp->reason))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->window))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->order))
-				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->complete))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->certain))
@@ -276,12 +272,13 @@
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->window);
-		IXDR_PUT_U_LONG(buf, objp->order);
 		IXDR_PUT_BOOL(buf, objp->complete);
 		IXDR_PUT_BOOL(buf, objp->certain);
 		}
 		 if (!xdr_bytes (xdrs, (char **)&objp->packet.packet_val, (u_int *) &objp->packet.packet_len, DY_PACKET_BYTES))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->order))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_dy_flow_id_t (xdrs, &objp->flow))
@@ -290,12 +287,10 @@
 			 return FALSE;
 		 if (!xdr_dy_flow_reason_t (xdrs, &objp->reason))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->window))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->order))
-				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->complete))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->certain))
@@ -303,12 +298,13 @@
 
 		} else {
 		objp->window = IXDR_GET_U_LONG(buf);
-		objp->order = IXDR_GET_U_LONG(buf);
 		objp->complete = IXDR_GET_BOOL(buf);
 		objp->certain = IXDR_GET_BOOL(buf);
 		}
 		 if (!xdr_bytes (xdrs, (char **)&objp->packet.packet_val, (u_int *) &objp->packet.packet_len, DY_PACKET_BYTES))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->order))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -320,14 +316,14 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->window))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->order))
-		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->complete))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->certain))
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->packet.packet_val, (u_int *) &objp->packet.packet_len, DY_PACKET_BYTES))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->order))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/test_flow_search.c
+++ b/tests/test_flow_search.c
@@ -226,6 +226,52 @@
 }
 END_TEST
 
+/*
+ * While a build is rolled out, agents of the one before do not give the number
+ * of a search's order back. Its search neither begins anew for ever, nor does
+ * its end, of which nobody knows what was asked, reset a flow.
+ */
+START_TEST(search_by_older_agents_ends_and_resets_nothing)
+{
+	fake_router_begin(20);
+	fake_router_take(1, DY_PACKET_ACK, 5);
+	fake_router.forward.order = 0;
+	fake_router_tell_nowhere(1, DY_PACKET_ACK, 1);
+	ck_assert_uint_eq(fake_router.forward.window, 2);
+	ck_assert(fake_router.forward.complete);
+	ck_assert(!fake_router.forward.certain);
+	fake_router.forward.order = 0;
+	fake_router_tell_nowhere(1, DY_PACKET_ACK, 1);
+	ck_assert_uint_eq(fake_router.forwards, 2);
+	ck_assert_uint_eq(fake_router.confirms, 0);
+	fake_router_end();
+}
+END_TEST
+
+/*
+ * The agent that was thought to hold a flow half open does not. What it says
+ * for sure counts for the search that follows, and the flow, which is nowhere,
+ * is reset.
+ */
+START_TEST(holder_that_does_not_hold_it_begins_a_certain_search)
+{
+	dy_address_t holder = fake_router_agent(1);
+
+	fake_router_begin(2);
+	fake_router_tell_held(1, &holder, 0);
+	fake_router_take(1, DY_PACKET_ACK, 5);
+	ck_assert_uint_eq(fake_router.forward.window, 0);
+	fake_router_tell_nowhere(1, DY_PACKET_ACK, 1);
+	ck_assert_uint_eq(fake_router.forward.window, 1);
+	ck_assert(fake_router.forward.certain);
+	fake_router_tell_nowhere(1, DY_PACKET_ACK, 1);
+	dy_flow_router_set_confirmed(fake_router.router,
+				     fake_router.now_ms + 1);
+	ck_assert_uint_eq(fake_router.resets, 1);
+	fake_router_end();
+}
+END_TEST
+
 /*
  * One of two searches of a flow has found its holder. The other one, which
  * passed the holder by in an order of before, ends after that: what was told
@@ -387,6 +433,8 @@
 		search_asks_each_agent_though_others_fall_silent,
 		search_begins_anew_when_the_order_changes,
 		two_searches_of_one_flow_are_told_apart,
+		search_by_older_agents_ends_and_resets_nothing,
+		holder_that_does_not_hold_it_begins_a_certain_search,
 		search_that_ends_after_the_holder_was_found_resets_nothing,
 		flow_found_nowhere_is_reset_once_members_are_confirmed,
 		flow_found_nowhere_is_kept_if_an_agent_joined,
