--- a/src/process/flow/cmd_flow_balancer.c
+++ b/src/process/flow/cmd_flow_balancer.c
@@ -45,7 +45,6 @@
 	dy_endpoint_t *packets;
 	dy_http_server_t *http;
 	dy_contact_t contact;
-	int confirmed;
 	int caught_up;
 	int has_document;
 	int ready;
@@ -204,8 +203,10 @@
 
 static void update_ready(flow_balancer_t *balancer)
 {
+	uint64_t age_ms = dy_subscriber_age_ms(balancer->member.subscriber);
 	int cut_off = dy_contact_is_cut_off(&balancer->contact);
-	int ready = balancer->confirmed && balancer->caught_up &&
+	int confirmed = age_ms < CONFIRMED_MS;
+	int ready = confirmed && balancer->caught_up &&
 		    balancer->has_document && !cut_off &&
 		    !balancer->stopping_ms;
 
@@ -215,8 +216,8 @@
 	dy_log_event(DY_LOG_INFO, ready ? "ready" : "not_ready",
 		     "confirmed=%d caught_up=%d document=%d cut_off=%d "
 		     "stopping=%d",
-		     balancer->confirmed, balancer->caught_up,
-		     balancer->has_document, cut_off, !!balancer->stopping_ms);
+		     confirmed, balancer->caught_up, balancer->has_document,
+		     cut_off, !!balancer->stopping_ms);
 }
 
 static void on_document(void *context, const dy_document_info_t *info,
@@ -263,6 +264,7 @@
 		balancer->router,
 		now_ms(balancer) -
 			dy_subscriber_age_ms(balancer->member.subscriber));
+	update_ready(balancer);
 }
 
 static void begin_stop(void *context)
@@ -315,9 +317,6 @@
 {
 	flow_balancer_t *balancer = context;
 
-	balancer->confirmed =
-		dy_subscriber_age_ms(balancer->member.subscriber) <
-		CONFIRMED_MS;
 	dy_contact_tick(&balancer->contact);
 	update_ready(balancer);
 	dy_flow_router_expire(balancer->router, now_ms(balancer));
--- a/src/process/subscriber.c
+++ b/src/process/subscriber.c
@@ -31,6 +31,7 @@
 	unsigned successor_count;
 	dy_address_t control;
 	int next_control;
+	int followed; /* the control that is polled was named by another */
 	dy_address_list_t learned; /* the group, as its leader named it */
 	uint32_t poll_xid;
 	int polling;
@@ -242,6 +243,7 @@
 		choose_next_control(subscriber);
 		return;
 	}
+	subscriber->followed = 0;
 	subscriber->confirmed = 1;
 	subscriber->confirmed_ms = subscriber->poll_sent_ms;
 	subscriber->settled_generation = subscriber->polled_generation;
@@ -260,15 +262,46 @@
 		tell_drain(subscriber);
 }
 
+/* Poll another control, or the same, after a while. */
+static void poll_again(dy_subscriber_t *subscriber)
+{
+	subscriber->followed = 0;
+	subscriber->next_poll_ms = now_ms(subscriber) + TICK_MS;
+}
+
+/*
+ * The control that was polled does not lead. One that it names is polled at
+ * once, so that a member serves as soon as there is a leader; but not if it was
+ * itself named so: two controls could each name the other for a while.
+ */
 static void follow_leader(dy_subscriber_t *subscriber,
 			  const dy_address_t *leader)
 {
-	if (leader->port && !dy_address_equal(leader, &subscriber->control))
-		subscriber->control = *leader;
-	else
+	int followed = subscriber->followed;
+
+	if (!leader->port || dy_address_equal(leader, &subscriber->control)) {
 		choose_next_control(subscriber);
-	/* Not at once: two controls could each name the other for a while. */
-	subscriber->next_poll_ms = now_ms(subscriber) + TICK_MS;
+		poll_again(subscriber);
+		return;
+	}
+	subscriber->control = *leader;
+	poll_again(subscriber);
+	if (followed)
+		return;
+	subscriber->followed = 1;
+	subscriber->next_poll_ms = now_ms(subscriber);
+}
+
+/*
+ * The control that was polled cannot serve. If it has just been elected it will
+ * soon; another one could only name it again.
+ */
+static void wait_for_leader(dy_subscriber_t *subscriber,
+			    const dy_address_t *leader)
+{
+	if (!leader->port || !dy_address_equal(leader, &subscriber->control))
+		choose_next_control(subscriber);
+	poll_again(subscriber);
 }
 
 static void take_refusal(dy_subscriber_t *subscriber, dy_status_t status)
@@ -311,8 +344,7 @@
 		follow_leader(subscriber, &result.leader);
 		break;
 	case DY_STATUS_UNAVAILABLE:
-		choose_next_control(subscriber);
-		subscriber->next_poll_ms = now_ms(subscriber) + TICK_MS;
+		wait_for_leader(subscriber, &result.leader);
 		break;
 	default:
 		take_refusal(subscriber, result.status);
@@ -348,6 +380,7 @@
 	    now - subscriber->poll_sent_ms >= timeout_ms) {
 		++*subscriber->poll_timeouts;
 		subscriber->polling = 0;
+		subscriber->followed = 0;
 		subscriber->next_poll_ms = now;
 		choose_next_control(subscriber);
 	}
