--- a/src/connection/flow_holder_openings.c
+++ b/src/connection/flow_holder_openings.c
@@ -117,10 +117,14 @@
 				now_ms);
 		return;
 	}
-	if (has_room(holder, !packet->copy, now_ms))
-		admit(holder, forward, packet, now_ms);
-	else if (forward->step + 1 < forward->tries.tries_len)
-		pass_on_opening(holder, forward, packet, "overload", now_ms);
-	else if (!put_off(holder, forward, packet, now_ms))
-		admit(holder, forward, packet, now_ms);
+	if (!has_room(holder, !packet->copy, now_ms)) {
+		if (forward->step + 1 < forward->tries.tries_len) {
+			pass_on_opening(holder, forward, packet, "overload",
+					now_ms);
+			return;
+		}
+		if (put_off(holder, forward, packet, now_ms))
+			return;
+	}
+	admit(holder, forward, packet, now_ms);
 }
--- a/tests/test_former_flows.c
+++ b/tests/test_former_flows.c
@@ -5,82 +5,32 @@
 #include <glib.h>
 
 #include "damaskyard/address.h"
+#include "fake_holder.h"
 #include "fake_suite.h"
 
 #define TIME_MS 1000000
 
-static dy_flow_holder_t *holder;
-static dy_metrics_t *metrics;
 static dy_former_flows_t *former;
 
-static void to_target(void *context, uint8_t *bytes, size_t len, uint32_t note)
-{
-	(void)context;
-	(void)bytes;
-	(void)len;
-	(void)note;
-}
-
-static void to_caller(void *context, const dy_flow_id_t *flow,
-		      const uint8_t *bytes, size_t len)
-{
-	(void)context;
-	(void)flow;
-	(void)bytes;
-	(void)len;
-}
-
-static void on_held(void *context, const dy_address_t *balancer,
-		    dy_flow_held_t *held)
-{
-	(void)context;
-	(void)balancer;
-	(void)held;
-}
-
-static void on_event(void *context)
-{
-	(void)context;
-}
-
-static const dy_flow_holder_callbacks_t callbacks = {
-	.to_target = to_target,
-	.to_caller = to_caller,
-	.held = on_held,
-	.changed = on_event,
-	.check = on_event,
-};
-
 static void begin(void)
 {
-	dy_flow_holder_config_t config = { .service = "readings",
-					   .callbacks = &callbacks };
-
-	metrics = dy_metrics_create();
-	config.metrics = metrics;
-	dy_address_set_ipv4(&config.self, 1, 7002);
-	dy_address_set_ipv4(&config.target, 1, 8080);
-	holder = dy_flow_holder_create(&config);
-	former = dy_former_flows_create(holder);
+	fake_holder_create();
+	former = dy_former_flows_create(fake_holder.holder);
 }
 
 static void end(void)
 {
 	dy_former_flows_destroy(former);
-	dy_flow_holder_destroy(holder);
-	dy_metrics_destroy(metrics);
+	fake_holder_end();
 }
 
 static void announce(const char *id, uint64_t born_ms)
 {
-	dy_target_notice_t notice = { .slots = 4,
-				      .sequence = 1,
-				      .born_ms = born_ms };
+	dy_target_notice_t notice = fake_holder_notice(1, DY_TARGET_READY);
 
 	g_strlcpy(notice.id, id, sizeof(notice.id));
-	g_strlcpy(notice.service, "readings", sizeof(notice.service));
-	dy_address_set_ipv4(&notice.address, 1, 8080);
-	ck_assert(dy_flow_holder_notice(holder, &notice, 1));
+	notice.born_ms = born_ms;
+	ck_assert(dy_flow_holder_notice(fake_holder.holder, &notice, 1));
 }
 
 static dy_ledger_flow_t flow_of(unsigned port)
@@ -146,7 +96,7 @@
 	begin();
 	take_list(TIME_MS);
 	ck_assert_uint_eq(dy_former_flows_count(former), 0);
-	dy_flow_holder_checked(holder, DY_PORT_REFUSED, 1);
+	dy_flow_holder_checked(fake_holder.holder, DY_PORT_REFUSED, 1);
 	take_list(TIME_MS);
 	ck_assert_uint_eq(dy_former_flows_count(former), 2);
 	end();
@@ -184,7 +134,7 @@
 	forward.tries.tries_len = 1;
 	forward.packet.packet_val = bytes;
 	forward.packet.packet_len = sizeof(bytes);
-	dy_flow_holder_take(holder, &forward, &packet, 1);
+	dy_flow_holder_take(fake_holder.holder, &forward, &packet, 1);
 }
 
 /* A caller opened a flow by the same two ends again. */
