--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -474,7 +474,7 @@
 static const search_t from_the_first = { 1, 1 };
 
 /*
- * Whether a flow's holder is mute, and callers are better off elsewhere.
+ * Whether a flow's holder is mute, and its caller is better off elsewhere.
  *
  * Load pattern: the VMs of some agents stand still, or lose their power, under
  * long flows with a request each second.
@@ -485,8 +485,8 @@
  * that may run once only; it waits for the holder's return until that is lost
  * too. The agent is asked for a sign of life instead.
  */
-static int is_given_up(dy_flow_router_t *router, const flow_t *flow,
-		       uint64_t now_ms)
+static int holder_is_mute(dy_flow_router_t *router, const flow_t *flow,
+			  uint64_t now_ms)
 {
 	const dy_flow_entry_t *entry = find_entry(router, &flow->id);
 
@@ -507,6 +507,23 @@
 	drop_flow(router, flow);
 }
 
+/*
+ * The agent that a flow was sent to is lost. Guards against a flow that another
+ * balancer's copy of the opening took elsewhere: only of one that the agent had
+ * open is it known that it went with it.
+ */
+static void leave_lost_agent(dy_flow_router_t *router, flow_t *flow,
+			     const dy_packet_t *packet, uint8_t *bytes,
+			     size_t len, uint64_t now_ms)
+{
+	if (flow->open) {
+		end_flow(router, flow, packet, "agent_lost", now_ms);
+		return;
+	}
+	drop_flow(router, flow);
+	search(router, packet, bytes, len, &from_the_first, now_ms);
+}
+
 void dy_flow_router_take(dy_flow_router_t *router, const dy_packet_t *packet,
 			 uint8_t *bytes, size_t len, uint64_t now_ms)
 {
@@ -523,9 +540,11 @@
 		return;
 	}
 	touch(router, flow, now_ms);
-	if (dy_flow_targets_is_lost(router->targets, &flow->agent, now_ms))
-		end_flow(router, flow, packet, "agent_lost", now_ms);
-	else if (is_given_up(router, flow, now_ms))
+	if (dy_flow_targets_is_lost(router->targets, &flow->agent, now_ms)) {
+		leave_lost_agent(router, flow, packet, bytes, len, now_ms);
+		return;
+	}
+	if (flow->open && holder_is_mute(router, flow, now_ms))
 		end_flow(router, flow, packet, "agent_mute", now_ms);
 	else
 		send_to_holder(router, flow, "", bytes, len, now_ms);
--- a/tests/test_flow_router.c
+++ b/tests/test_flow_router.c
@@ -299,6 +299,31 @@
 }
 END_TEST
 
+/*
+ * An opening went to an agent that stood still; the caller's copy went to
+ * another balancer, which opened the flow elsewhere. This one knows only where
+ * it sent the opening itself, and must not reset a flow that lives: it asks for
+ * its holder once that agent is lost, and waits while it is mute.
+ */
+START_TEST(flow_that_was_opened_elsewhere_is_not_reset)
+{
+	dy_address_t holder = fake_router_agent(1);
+
+	fake_router_begin(2);
+	fake_router_set_rules_of(6, "readings", NULL, 1);
+	fake_router_tell_held(1, &holder, 0);
+	use_beside_a_silent_agent(2 * DY_FLOW_MUTE_MS);
+	ck_assert_uint_eq(fake_router.resets, 0);
+	fake_router_set_member(1, DY_MEMBER_SUSPECT, "readings");
+	fake_router_take(1, DY_PACKET_ACK, 5);
+	fake_router.now_ms += DY_FLOW_LOST_MS + 1;
+	fake_router_take(1, DY_PACKET_ACK, 5);
+	ck_assert_uint_eq(fake_router.resets, 0);
+	ck_assert_uint_eq(fake_router.forward.window, 1);
+	fake_router_end();
+}
+END_TEST
+
 /* A caller that gave its flow up itself is not told so. */
 START_TEST(reset_of_a_caller_is_not_answered)
 {
@@ -383,6 +408,7 @@
 		agent_that_was_not_asked_is_not_mute,
 		silence_without_a_confirmation_resets_nothing,
 		balancer_that_hears_nobody_resets_nothing,
+		flow_that_was_opened_elsewhere_is_not_reset,
 		reset_of_a_caller_is_not_answered,
 		packet_without_an_entry_is_dropped_not_reset,
 		idle_flows_are_forgotten,
