--- a/tests/test_flow_router.c
+++ b/tests/test_flow_router.c
@@ -181,6 +181,16 @@
 }
 END_TEST
 
+/* Flow 1 is open at agent 1 of two; may its requests run more than once? */
+static void begin_with_an_open_flow(int repeatable)
+{
+	dy_address_t holder = fake_router_agent(1);
+
+	fake_router_begin(2);
+	fake_router_set_rules_of(6, "readings", NULL, repeatable);
+	fake_router_tell_held(1, &holder, 1);
+}
+
 /* Requests on flow 1 each 100 ms, while agent 2 alone speaks and control. */
 static void use_beside_a_silent_agent(uint64_t for_ms)
 {
@@ -202,11 +212,7 @@
  */
 START_TEST(repeatable_flow_of_a_mute_agent_is_reset)
 {
-	dy_address_t holder = fake_router_agent(1);
-
-	fake_router_begin(2);
-	fake_router_set_rules_of(6, "readings", NULL, 1);
-	fake_router_tell_held(1, &holder, 1);
+	begin_with_an_open_flow(1);
 	use_beside_a_silent_agent(DY_FLOW_MUTE_MS);
 	ck_assert_uint_eq(fake_router.resets, 0);
 	fake_router.now_ms += 200;
@@ -224,10 +230,7 @@
  */
 START_TEST(other_flow_of_a_mute_agent_waits)
 {
-	dy_address_t holder = fake_router_agent(1);
-
-	fake_router_begin(2);
-	fake_router_tell_held(1, &holder, 1);
+	begin_with_an_open_flow(0);
 	use_beside_a_silent_agent(5 * DY_FLOW_MUTE_MS);
 	ck_assert_uint_eq(fake_router.resets, 0);
 	fake_router_end();
@@ -241,11 +244,7 @@
  */
 START_TEST(agent_that_was_not_asked_is_not_mute)
 {
-	dy_address_t holder = fake_router_agent(1);
-
-	fake_router_begin(2);
-	fake_router_set_rules_of(6, "readings", NULL, 1);
-	fake_router_tell_held(1, &holder, 1);
+	begin_with_an_open_flow(1);
 	use_beside_a_silent_agent(DY_FLOW_MUTE_MS);
 	fake_router.now_ms += DY_FLOW_MUTE_MS;
 	fake_router_report(2);
@@ -262,12 +261,9 @@
  */
 START_TEST(silence_without_a_confirmation_resets_nothing)
 {
-	dy_address_t holder = fake_router_agent(1);
 	unsigned i;
 
-	fake_router_begin(2);
-	fake_router_set_rules_of(6, "readings", NULL, 1);
-	fake_router_tell_held(1, &holder, 1);
+	begin_with_an_open_flow(1);
 	dy_flow_router_set_confirmed(fake_router.router, fake_router.now_ms);
 	for (i = 0; i < 30; i++) {
 		fake_router_report(2);
@@ -282,12 +278,9 @@
 /* This balancer itself is cut off: it hears no agent, and resets no flow. */
 START_TEST(balancer_that_hears_nobody_resets_nothing)
 {
-	dy_address_t holder = fake_router_agent(1);
 	unsigned i;
 
-	fake_router_begin(2);
-	fake_router_set_rules_of(6, "readings", NULL, 1);
-	fake_router_tell_held(1, &holder, 1);
+	begin_with_an_open_flow(1);
 	for (i = 0; i < 30; i++) {
 		fake_router_take(1, DY_PACKET_ACK, 5);
 		fake_router.now_ms += 100;
--- a/tests/test_port_check.c
+++ b/tests/test_port_check.c
@@ -75,17 +75,24 @@
 	uv_run(loop, UV_RUN_DEFAULT);
 }
 
+/* Checks of a port that a listener has open. */
+static void open_and_setup(fake_t *fake, uv_loop_t *loop, uv_tcp_t *listener)
+{
+	dy_address_t address;
+
+	uv_loop_init(loop);
+	address = open_port(loop, listener);
+	setup(fake, &address);
+}
+
 /* A target that listens is there, whether or not it takes the connection. */
 START_TEST(listener_is_there)
 {
-	dy_address_t address;
 	uv_loop_t loop;
 	uv_tcp_t listener;
 	fake_t fake;
 
-	uv_loop_init(&loop);
-	address = open_port(&loop, &listener);
-	setup(&fake, &address);
+	open_and_setup(&fake, &loop, &listener);
 	dy_port_check_begin(fake.check);
 	dy_port_check_begin(fake.check);
 	run_until(&fake, 1);
@@ -100,16 +107,13 @@
 /* The target's process is gone: its VM's kernel refuses the connection. */
 START_TEST(port_without_a_listener_is_refused)
 {
-	dy_address_t address;
 	uv_loop_t loop;
 	uv_tcp_t listener;
 	fake_t fake;
 
-	uv_loop_init(&loop);
-	address = open_port(&loop, &listener);
+	open_and_setup(&fake, &loop, &listener);
 	close_port(&loop, &listener);
 	uv_loop_close(&loop);
-	setup(&fake, &address);
 	dy_port_check_begin(fake.check);
 	run_until(&fake, 1);
 	ck_assert_int_eq(fake.state, DY_PORT_REFUSED);
