--- a/tests/test_flow_openings.c
+++ b/tests/test_flow_openings.c
@@ -1,10 +1,5 @@
 #include "damaskyard/flow_holder.h"
 
-#include <string.h>
-
-#include <glib.h>
-
-#include "damaskyard/address.h"
 #include "damaskyard/opening_queue.h"
 #include "fake_holder.h"
 #include "fake_suite.h"
--- a/tests/test_flow_presence.c
+++ b/tests/test_flow_presence.c
@@ -1,10 +1,7 @@
 #include "damaskyard/flow_holder.h"
 
-#include <string.h>
-
 #include <glib.h>
 
-#include "damaskyard/address.h"
 #include "fake_holder.h"
 #include "fake_suite.h"
 
--- a/tests/test_former_flows.c
+++ b/tests/test_former_flows.c
@@ -1,7 +1,5 @@
 #include "damaskyard/former_flows.h"
 
-#include <string.h>
-
 #include <glib.h>
 
 #include "damaskyard/address.h"
