--- a/standin/ports.c
+++ b/standin/ports.c
@@ -8,23 +8,47 @@
 
 #define PORTS_MAX 200
 
+/*
+ * Ports are taken from below those that Linux gives to whoever asks for any
+ * (32768 to 60999 unless it is told otherwise). Guards against a port that was
+ * free when it was printed, and is some caller's by the time that a process is
+ * to listen there: that process ends, and its service has no target.
+ */
+#define PORT_LEAST 16384
+#define PORT_MOST 32767
+
+/* Ports tried for one that is free. */
+#define TRIES_MAX 10000
+
+static int bind_to(int type, unsigned port)
+{
+	struct sockaddr_in address = standin_parse_address("127.0.0.1:0");
+	int fd = socket(AF_INET, type, 0);
+
+	address.sin_port = htons((uint16_t)port);
+	if (!bind(fd, (struct sockaddr *)&address, sizeof(address)))
+		return fd;
+	close(fd);
+	return -1;
+}
+
 /* A port that is free for datagrams and for connections alike. */
 static unsigned bind_port(int fds[2])
 {
-	struct sockaddr_in address = standin_parse_address("127.0.0.1:0");
-	socklen_t length = sizeof(address);
-
-	fds[0] = socket(AF_INET, SOCK_DGRAM, 0);
-	fds[1] = socket(AF_INET, SOCK_STREAM, 0);
-	if (bind(fds[0], (struct sockaddr *)&address, length) ||
-	    getsockname(fds[0], (struct sockaddr *)&address, &length))
-		standin_die("no port can be bound");
-	if (bind(fds[1], (struct sockaddr *)&address, length)) {
+	unsigned port;
+	int i;
+
+	for (i = 0; i < TRIES_MAX; i++) {
+		port = (unsigned)g_random_int_range(PORT_LEAST, PORT_MOST + 1);
+		fds[0] = bind_to(SOCK_DGRAM, port);
+		if (fds[0] < 0)
+			continue;
+		fds[1] = bind_to(SOCK_STREAM, port);
+		if (fds[1] >= 0)
+			return port;
 		close(fds[0]);
-		close(fds[1]);
-		return 0;
 	}
-	return ntohs(address.sin_port);
+	standin_die("no port can be bound");
 }
 
 int main(int argc, char **argv)
@@ -40,14 +64,8 @@
 			      entries);
 	if (wanted < 1 || wanted > PORTS_MAX)
 		standin_die("--count %d is not 1 to %d", wanted, PORTS_MAX);
-	for (i = 0; i < wanted;) {
-		unsigned port = bind_port(fds[i]);
-
-		if (!port)
-			continue;
-		printf("%u\n", port);
-		i++;
-	}
+	for (i = 0; i < wanted; i++)
+		printf("%u\n", bind_port(fds[i]));
 	for (i = 0; i < wanted; i++) {
 		close(fds[i][0]);
 		close(fds[i][1]);
