--- a/src/process/group/raft.c
+++ b/src/process/group/raft.c
@@ -351,11 +351,42 @@
 		dispatch(raft, message);
 }
 
+/*
+ * Guards against a member that was late itself, as one on a small part of a
+ * core that a crowd of questions keeps busy, or one that was stopped. It would
+ * take the time for the others' silence, though what they said waits in its
+ * socket: a leader would give up its majority, a follower call an election, and
+ * all start again in the same crowd. What it missed beyond a heartbeat counts
+ * for nobody's silence. No read rests on these times: a majority confirms each.
+ */
+static void forgive_own_delay(dy_raft_t *raft)
+{
+	uint64_t last_ms = raft->ticked_ms;
+	uint64_t missed_ms;
+	peer_t *peer;
+	guint i;
+
+	raft->ticked_ms = raft->now_ms;
+	if (!last_ms || raft->now_ms - last_ms <= raft->options.heartbeat_ms)
+		return;
+	missed_ms = raft->now_ms - last_ms - raft->options.heartbeat_ms;
+	raft->election_at_ms =
+		MIN(raft->election_at_ms + missed_ms,
+		    raft->now_ms + 2 * raft->options.election_ms);
+	for (i = 0; i < raft->peers->len; i++) {
+		peer = raft_peer_at(raft, i);
+		if (peer->heard_ms)
+			peer->heard_ms =
+				MIN(peer->heard_ms + missed_ms, raft->now_ms);
+	}
+}
+
 void dy_raft_tick(dy_raft_t *raft, uint64_t now_ms)
 {
 	raft->now_ms = MAX(raft->now_ms, now_ms);
 	if (raft->failed)
 		return;
+	forgive_own_delay(raft);
 	raft_tick_transfer(raft);
 	if (raft->role == DY_RAFT_LEADER) {
 		if (dy_raft_has_quorum(raft))
--- a/src/process/group/raft_private.h
+++ b/src/process/group/raft_private.h
@@ -75,6 +75,7 @@
 	GRand *rand;
 	dy_voter_id_t id;
 	uint64_t now_ms;
+	uint64_t ticked_ms; /* the last tick; 0: none yet */
 
 	/* Written to the store when vote_changed, before anything is sent. */
 	uint64_t term;
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -347,6 +347,92 @@
 }
 END_TEST
 
+/*
+ * All members ask a leader at once, and on its small part of a core it is busy
+ * with them for nearly an election's time. When it looks at its clock again its
+ * followers' answers wait in its socket. It takes its own delay for their
+ * silence, gives up the lead, and whoever is elected finds the same crowd.
+ */
+START_TEST(leader_that_was_late_itself_keeps_the_lead)
+{
+	fake_group_t *group = fake_group_create_formed((uint32_t)_i, 5);
+	fake_member_t *leader;
+	uint64_t lost;
+	int i;
+
+	fake_group_accept(group, 3);
+	leader = fake_group_leader(group);
+	lost = fake_group_counter(group, "raft_quorum_lost");
+	leader->frozen = 1;
+	for (i = 0; i < 28; i++)
+		fake_group_step(group, 10);
+	leader->frozen = 0;
+	/* Timers run before sockets are read. */
+	dy_raft_tick(leader->raft, group->now_ms + 30);
+	ck_assert_int_eq(dy_raft_role(leader->raft), DY_RAFT_LEADER);
+	fake_group_run(group, 1000);
+	ck_assert_uint_eq(fake_group_counter(group, "raft_quorum_lost"), lost);
+	ck_assert_ptr_eq(fake_group_leader(group), leader);
+	fake_group_settle(group);
+	fake_group_destroy(group);
+}
+END_TEST
+
+/*
+ * The same for a follower: the leader's heartbeats wait in its socket, and it
+ * asks the others for their votes as if there were none.
+ */
+START_TEST(follower_that_was_late_itself_calls_no_election)
+{
+	fake_group_t *group = fake_group_create_formed((uint32_t)_i, 5);
+	fake_member_t *leader;
+	fake_member_t *late;
+	uint64_t asked;
+	int i;
+
+	fake_group_accept(group, 3);
+	leader = fake_group_leader(group);
+	late = fake_group_other(group, leader);
+	asked = fake_group_counter(group, "raft_pre_votes");
+	late->frozen = 1;
+	for (i = 0; i < 100; i++)
+		fake_group_step(group, 10);
+	late->frozen = 0;
+	dy_raft_tick(late->raft, group->now_ms);
+	ck_assert_int_eq(dy_raft_role(late->raft), DY_RAFT_FOLLOWER);
+	fake_group_run(group, 1000);
+	ck_assert_uint_eq(fake_group_counter(group, "raft_pre_votes"), asked);
+	fake_group_settle(group);
+	fake_group_destroy(group);
+}
+END_TEST
+
+/*
+ * A leader's own delay excuses nobody for longer than it lasted: one that is
+ * cut off after it steps down as before.
+ */
+START_TEST(delay_excuses_no_later_silence)
+{
+	fake_group_t *group = fake_group_create_formed((uint32_t)_i, 3);
+	fake_member_t *leader;
+	int i;
+
+	fake_group_accept(group, 3);
+	leader = fake_group_leader(group);
+	leader->frozen = 1;
+	for (i = 0; i < 28; i++)
+		fake_group_step(group, 10);
+	leader->frozen = 0;
+	leader->side = 1;
+	for (i = 0; i < 60; i++)
+		fake_group_step(group, 10);
+	ck_assert_int_ne(dy_raft_role(leader->raft), DY_RAFT_LEADER);
+	leader->side = 0;
+	fake_group_settle(group);
+	fake_group_destroy(group);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("raft");
@@ -364,6 +450,11 @@
 	tcase_add_loop_test(tcase, failing_disk_ends_the_lead, 0, 4);
 	tcase_add_loop_test(tcase, transfer_before_a_planned_stop, 0, 5);
 	tcase_add_test(tcase, older_term_is_not_committed_by_counting);
+	tcase_add_loop_test(tcase, leader_that_was_late_itself_keeps_the_lead,
+			    0, 5);
+	tcase_add_loop_test(
+		tcase, follower_that_was_late_itself_calls_no_election, 0, 5);
+	tcase_add_loop_test(tcase, delay_excuses_no_later_silence, 0, 5);
 	tcase_add_test(tcase, early_starter_asks_again_soon);
 	tcase_add_test(tcase, large_entries_fit_a_message);
 	suite_add_tcase(suite, tcase);
