--- /dev/null
+++ b/bench/measure_control.c
@@ -0,0 +1,138 @@
+/*
+ * How long all members of a site take to be served after every process was
+ * killed, in simulated time: the real log, poll queue, invitations and pace of
+ * polls, with a processor for each control that takes a given time a message
+ * (tests/fake_herd.h). Rows of key=value, or CSV; one a size and a variant.
+ */
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <glib.h>
+
+#include "damaskyard/log.h"
+#include "fake_herd.h"
+
+#define DEFAULT_SEED 1
+#define DEFAULT_SECONDS 10
+
+static int seed = DEFAULT_SEED;
+static int seconds = DEFAULT_SECONDS;
+static int most = 1000;
+static int poll_us = 900;
+static int csv;
+
+static const GOptionEntry entries[] = {
+	{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "of all that is drawn", "N" },
+	{ "seconds", 0, 0, G_OPTION_ARG_INT, &seconds, "that a run lasts",
+	  "N" },
+	{ "members", 0, 0, G_OPTION_ARG_INT, &most, "at most, of 20 to 12000",
+	  "N" },
+	{ "poll-us", 0, 0, G_OPTION_ARG_INT, &poll_us,
+	  "of a control's time for an answered poll", "US" },
+	{ "csv", 0, 0, G_OPTION_ARG_NONE, &csv, "print CSV", NULL },
+	{ 0 },
+};
+
+typedef struct variant {
+	const char *name;
+	int fixed_retry;
+	int no_queue;
+	int no_invitations;
+	int leader_pages;
+} variant_t;
+
+static const variant_t variants[] = {
+	{ "full", 0, 0, 0, 0 },	    { "no-doubling", 1, 0, 0, 0 },
+	{ "no-queue", 0, 1, 0, 0 }, { "no-invitations", 0, 0, 1, 0 },
+	{ "no-image", 0, 0, 0, 1 }, { "none", 1, 1, 1, 1 },
+};
+
+static const unsigned sizes[] = { 20, 100, 300, 1000, 3000, 12000 };
+
+static fake_herd_result_t play(unsigned members, const variant_t *variant)
+{
+	fake_herd_options_t options = {
+		.seed = (uint32_t)seed,
+		.members = members,
+		.controls = 5,
+		.poll_us = (unsigned)poll_us,
+		.page_us = (unsigned)poll_us / 3,
+		.look_us = (unsigned)poll_us / 18,
+		.image_bytes = 40,
+		.fixed_retry = variant->fixed_retry,
+		.no_queue = variant->no_queue,
+		.no_invitations = variant->no_invitations,
+		.leader_pages = variant->leader_pages,
+	};
+	fake_herd_t *herd = fake_herd_create(&options);
+	fake_herd_result_t result;
+
+	fake_herd_run(herd, (uint32_t)seconds * 1000);
+	result = fake_herd_result(herd);
+	fake_herd_destroy(herd);
+	return result;
+}
+
+static void print_row(unsigned members, const char *variant,
+		      const fake_herd_result_t *result)
+{
+	const char *row =
+		csv ? "%u,%s,%u,%u,%u,%lu,%lu,%lu,%lu,%lu,%u\n"
+		    : "members=%u variant=%s balancers=%u served_balancers=%u "
+		      "served=%u half_ms=%lu most_ms=%lu all_ms=%lu "
+		      "elections=%lu quorum_lost=%lu asked_most=%u\n";
+
+	printf(row, members, variant, result->balancers,
+	       result->balancers_served, result->served,
+	       (unsigned long)result->half_ms, (unsigned long)result->most_ms,
+	       (unsigned long)result->all_ms, (unsigned long)result->elections,
+	       (unsigned long)result->quorum_lost, result->asked_most);
+	fflush(stdout);
+}
+
+static int parse(int argc, char **argv)
+{
+	GOptionContext *context = g_option_context_new("");
+	GError *error = NULL;
+	int ok;
+
+	g_option_context_add_main_entries(context, entries, NULL);
+	ok = g_option_context_parse(context, &argc, &argv, &error);
+	g_option_context_free(context);
+	if (!ok) {
+		fprintf(stderr, "measure_control: %s\n", error->message);
+		g_error_free(error);
+		return 0;
+	}
+	if (argc > 1 || seconds < 1 || most < (int)sizes[0] ||
+	    most > (int)sizes[G_N_ELEMENTS(sizes) - 1] || poll_us < 1) {
+		fprintf(stderr, "measure_control: a value is out of range; "
+				"see --help\n");
+		return 0;
+	}
+	return 1;
+}
+
+int main(int argc, char **argv)
+{
+	fake_herd_result_t result;
+	size_t i;
+	size_t v;
+
+	if (!parse(argc, argv))
+		return 2;
+	dy_log_configure(DY_LOG_ERROR, NULL);
+	if (csv)
+		puts("members,variant,balancers,served_balancers,served,"
+		     "half_ms,most_ms,all_ms,elections,quorum_lost,"
+		     "asked_most");
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++)
+		for (v = 0;
+		     v < G_N_ELEMENTS(variants) && sizes[i] <= (unsigned)most;
+		     v++) {
+			result = play(sizes[i], &variants[v]);
+			print_row(sizes[i], variants[v].name, &result);
+		}
+	return EXIT_SUCCESS;
+}
--- a/include/damaskyard/raft.h
+++ b/include/damaskyard/raft.h
@@ -239,6 +239,12 @@
 uint64_t dy_raft_term(const dy_raft_t *raft);
 uint64_t dy_raft_commit_index(const dy_raft_t *raft);
 uint64_t dy_raft_applied_index(const dy_raft_t *raft);
+/*
+ * Whether an entry of the present term is committed and all that is committed
+ * is applied here: then nothing is missing that was acknowledged before the
+ * present leader was elected.
+ */
+int dy_raft_is_current(const dy_raft_t *raft);
 int dy_raft_failed(const dy_raft_t *raft);
 /* The newest configuration in the log, committed or not. */
 const dy_raft_config_t *dy_raft_config(const dy_raft_t *raft);
--- a/src/process/group/raft_status.c
+++ b/src/process/group/raft_status.c
@@ -32,6 +32,14 @@
 	return raft->applied_index;
 }
 
+int dy_raft_is_current(const dy_raft_t *raft)
+{
+	return raft->commit_index &&
+	       raft->applied_index == raft->commit_index &&
+	       dy_store_entry_term(raft->store, raft->commit_index) ==
+		       raft->term;
+}
+
 int dy_raft_failed(const dy_raft_t *raft)
 {
 	return raft->failed;
