--- a/include/damaskyard/registry.h
+++ b/include/damaskyard/registry.h
@@ -21,6 +21,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include <glib.h>
+
 #include "damaskyard/list.h"
 #include "damaskyard/token.h"
 #include "dy_control.h"
@@ -215,6 +217,14 @@
 void dy_registry_fill_poll(const dy_registry_t *registry, const dy_poll_t *poll,
 			   dy_poll_result_t *result);
 
+/*
+ * Append to deltas (of dy_delta_t) what a member that knows nothing needs of an
+ * environment: its live agents, document and keys. What they point to holds
+ * until the next apply.
+ */
+void dy_registry_fill_image(const dy_registry_t *registry,
+			    dy_environment_t environment, GArray *deltas);
+
 /* The document in force in an environment. */
 typedef struct dy_registry_document {
 	uint64_t number; /* 0: none yet */
--- a/include/damaskyard/subscriber.h
+++ b/include/damaskyard/subscriber.h
@@ -7,37 +7,17 @@
  * The subscriber polls the control group, finds the leader again after each
  * change of it, and hands what changed to callbacks. Every answer that it
  * takes was confirmed by a majority after the poll arrived, and what it hands
- * on never goes back to an older version.
+ * on never goes back to an older version. When it polls is poll_pace.h's.
  */
 
 #include <stdint.h>
 
 #include "damaskyard/loop.h"
+#include "damaskyard/poll_pace.h"
 #include "damaskyard/seal.h"
 #include "damaskyard/settings.h"
 #include "dy_control.h"
 
-/*
- * Between two polls, in ms, at least: control sets a longer time where many
- * members poll. A change is in force within a poll and a half
- * where nothing fails; two polls a second of about 300 bytes, and as much
- * back, are 1.2 KB/s of the 3 KB/s that a node may spend.
- */
-#define DY_POLL_MS 500
-
-/* Polls that are pressed for are no nearer than this, in ms. */
-#define DY_POLL_PRESSED_MS 50
-
-/* A control that has not answered by then is passed over, in ms. */
-#define DY_POLL_TIMEOUT_MS 400
-
-/*
- * The same for a member that was never confirmed, in ms: it serves nobody yet,
- * and the controls may be starting as well, as after a loss of power. Thirty
- * round trips between failure domains.
- */
-#define DY_POLL_FIRST_TIMEOUT_MS 100
-
 typedef struct dy_subscriber dy_subscriber_t;
 
 /*
@@ -71,6 +51,8 @@
 	const dy_address_list_t *controls;
 	const dy_subscriber_callbacks_t *callbacks;
 	void *context;
+	/* Members that ended before this one heard of them are not told. */
+	int skip_ended;
 } dy_subscriber_config_t;
 
 /* config is copied; what it points to must outlive the subscriber. */
@@ -108,9 +90,12 @@
  */
 void dy_subscriber_rejoin(dy_subscriber_t *subscriber);
 
-/* Take a reply; one that answers no poll of this subscriber is ignored. */
-void dy_subscriber_receive(dy_subscriber_t *subscriber,
-			   const dy_sealed_t *message);
+/*
+ * Take a control's answer or invitation. Returns whether it was one; an answer
+ * to no poll of this subscriber is ignored.
+ */
+int dy_subscriber_receive(dy_subscriber_t *subscriber,
+			  const dy_sealed_t *message);
 
 /* Milliseconds since a majority last confirmed; UINT64_MAX if never. */
 uint64_t dy_subscriber_age_ms(const dy_subscriber_t *subscriber);
--- a/proto/dy_control.x
+++ b/proto/dy_control.x
@@ -17,6 +17,12 @@
 const DY_CONTROLS_MAX = 16;
 const DY_DOCUMENT_BYTES = 16777216;
 
+const DY_SKIP_MEMBERS = 1;
+const DY_SKIP_DOCUMENT = 2;
+const DY_SKIP_KEYS = 4;
+const DY_SKIP_ENDED = 8;	/* members that ended before it heard of them */
+const DY_SKIP_START = 16;	/* all, at version 0: it fetches an image */
+
 enum dy_member_kind_t {
 	DY_MEMBER_BALANCER = 1,
 	DY_MEMBER_AGENT = 2
@@ -52,6 +58,7 @@
 	unsigned hyper document;	/* number of the document in force here */
 	dy_member_state_t state;	/* JOINING, SERVING, DRAINING, LEFT */
 	unsigned hyper successors<DY_SUCCESSORS_MAX>;	/* with LEFT */
+	unsigned int skips;	/* what it has no use for, DY_SKIP_ bits */
 };
 
 enum dy_delta_kind_t {
@@ -145,6 +152,27 @@
 	opaque page<DY_PAGE_BYTES>;
 };
 
+/*
+ * What a member that knows nothing yet needs of an environment: its members
+ * that are live, its document and the keys, as they stood at `state_version`. Any
+ * control gives it, packed, by the pages of dy_fetch_t; the leader's answers to
+ * polls go on from there and confirm it.
+ */
+struct dy_image_t {
+	unsigned hyper state_version;
+	dy_delta_t deltas<>;
+};
+
+struct dy_image_ask_t {
+	string environment<DY_NAME_BYTES>;
+};
+
+/* UNAVAILABLE: this control does not know yet what was acknowledged. */
+struct dy_image_result_t {
+	dy_status_t status;
+	dy_document_info_t info;	/* number is the state version */
+};
+
 /*
  * A document is first put, page by page, into the leader's memory, then
  * submitted by its digest; number 0 asks for the next one.
@@ -204,6 +232,7 @@
 		dy_status_t DY_CONTROL_PUT(dy_put_t) = 3;
 		dy_change_result_t DY_CONTROL_CHANGE(dy_change_t) = 4;
 		dy_inspect_result_t DY_CONTROL_INSPECT(dy_inspect_t) = 5;
+		dy_image_result_t DY_CONTROL_IMAGE(dy_image_ask_t) = 6;
 	} = 1;
 } = 0x2A00D006;
 
@@ -214,3 +243,15 @@
 		dy_inspect_result_t DY_STATUS_COUNTERS(dy_inspect_t) = 1;
 	} = 1;
 } = 0x2A00D007;
+
+/* The control that sends it leads, and asks the member for a poll now. */
+struct dy_invite_t {
+	dy_address_t leader;
+};
+
+/* Served by every member; no reply. */
+program DY_MEMBER_PROGRAM {
+	version DY_MEMBER_V1 {
+		void DY_MEMBER_INVITE(dy_invite_t) = 1;
+	} = 1;
+} = 0x2A00D00D;
--- a/src/gen/dy_control.h
+++ b/src/gen/dy_control.h
@@ -21,6 +21,11 @@
 #define DY_PAGE_BYTES 4096
 #define DY_CONTROLS_MAX 16
 #define DY_DOCUMENT_BYTES 16777216
+#define DY_SKIP_MEMBERS 1
+#define DY_SKIP_DOCUMENT 2
+#define DY_SKIP_KEYS 4
+#define DY_SKIP_ENDED 8
+#define DY_SKIP_START 16
 
 enum dy_member_kind_t {
 	DY_MEMBER_BALANCER = 1,
@@ -62,6 +67,7 @@
 		u_int successors_len;
 		u_quad_t *successors_val;
 	} successors;
+	u_int skips;
 };
 typedef struct dy_poll_t dy_poll_t;
 
@@ -163,6 +169,26 @@
 };
 typedef struct dy_fetch_result_t dy_fetch_result_t;
 
+struct dy_image_t {
+	u_quad_t state_version;
+	struct {
+		u_int deltas_len;
+		dy_delta_t *deltas_val;
+	} deltas;
+};
+typedef struct dy_image_t dy_image_t;
+
+struct dy_image_ask_t {
+	char *environment;
+};
+typedef struct dy_image_ask_t dy_image_ask_t;
+
+struct dy_image_result_t {
+	dy_status_t status;
+	dy_document_info_t info;
+};
+typedef struct dy_image_result_t dy_image_result_t;
+
 struct dy_put_t {
 	char digest[DY_DIGEST_BYTES];
 	u_int size;
@@ -218,6 +244,11 @@
 };
 typedef struct dy_inspect_result_t dy_inspect_result_t;
 
+struct dy_invite_t {
+	dy_address_t leader;
+};
+typedef struct dy_invite_t dy_invite_t;
+
 #define DY_CONTROL_PROGRAM 0x2A00D006
 #define DY_CONTROL_V1 1
 
@@ -240,6 +271,9 @@
 #define DY_CONTROL_INSPECT 5
 extern  dy_inspect_result_t * dy_control_inspect_1(dy_inspect_t *, CLIENT *);
 extern  dy_inspect_result_t * dy_control_inspect_1_svc(dy_inspect_t *, struct svc_req *);
+#define DY_CONTROL_IMAGE 6
+extern  dy_image_result_t * dy_control_image_1(dy_image_ask_t *, CLIENT *);
+extern  dy_image_result_t * dy_control_image_1_svc(dy_image_ask_t *, struct svc_req *);
 extern int dy_control_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -261,6 +295,9 @@
 #define DY_CONTROL_INSPECT 5
 extern  dy_inspect_result_t * dy_control_inspect_1();
 extern  dy_inspect_result_t * dy_control_inspect_1_svc();
+#define DY_CONTROL_IMAGE 6
+extern  dy_image_result_t * dy_control_image_1();
+extern  dy_image_result_t * dy_control_image_1_svc();
 extern int dy_control_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -286,6 +323,22 @@
 extern int dy_status_program_1_freeresult ();
 #endif /* K&R C */
 
+#define DY_MEMBER_PROGRAM 0x2A00D00D
+#define DY_MEMBER_V1 1
+
+#if defined(__STDC__) || defined(__cplusplus)
+#define DY_MEMBER_INVITE 1
+extern  void * dy_member_invite_1(dy_invite_t *, CLIENT *);
+extern  void * dy_member_invite_1_svc(dy_invite_t *, struct svc_req *);
+extern int dy_member_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
+
+#else /* K&R C */
+#define DY_MEMBER_INVITE 1
+extern  void * dy_member_invite_1();
+extern  void * dy_member_invite_1_svc();
+extern int dy_member_program_1_freeresult ();
+#endif /* K&R C */
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -302,12 +355,16 @@
 extern  bool_t xdr_dy_poll_result_t (XDR *, dy_poll_result_t*);
 extern  bool_t xdr_dy_fetch_t (XDR *, dy_fetch_t*);
 extern  bool_t xdr_dy_fetch_result_t (XDR *, dy_fetch_result_t*);
+extern  bool_t xdr_dy_image_t (XDR *, dy_image_t*);
+extern  bool_t xdr_dy_image_ask_t (XDR *, dy_image_ask_t*);
+extern  bool_t xdr_dy_image_result_t (XDR *, dy_image_result_t*);
 extern  bool_t xdr_dy_put_t (XDR *, dy_put_t*);
 extern  bool_t xdr_dy_change_kind_t (XDR *, dy_change_kind_t*);
 extern  bool_t xdr_dy_change_t (XDR *, dy_change_t*);
 extern  bool_t xdr_dy_change_result_t (XDR *, dy_change_result_t*);
 extern  bool_t xdr_dy_inspect_t (XDR *, dy_inspect_t*);
 extern  bool_t xdr_dy_inspect_result_t (XDR *, dy_inspect_result_t*);
+extern  bool_t xdr_dy_invite_t (XDR *, dy_invite_t*);
 
 #else /* K&R C */
 extern bool_t xdr_dy_member_kind_t ();
@@ -323,12 +380,16 @@
 extern bool_t xdr_dy_poll_result_t ();
 extern bool_t xdr_dy_fetch_t ();
 extern bool_t xdr_dy_fetch_result_t ();
+extern bool_t xdr_dy_image_t ();
+extern bool_t xdr_dy_image_ask_t ();
+extern bool_t xdr_dy_image_result_t ();
 extern bool_t xdr_dy_put_t ();
 extern bool_t xdr_dy_change_kind_t ();
 extern bool_t xdr_dy_change_t ();
 extern bool_t xdr_dy_change_result_t ();
 extern bool_t xdr_dy_inspect_t ();
 extern bool_t xdr_dy_inspect_result_t ();
+extern bool_t xdr_dy_invite_t ();
 
 #endif /* K&R C */
 
--- a/src/gen/dy_control_xdr.c
+++ b/src/gen/dy_control_xdr.c
@@ -72,6 +72,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->successors.successors_val, (u_int *) &objp->successors.successors_len, DY_SUCCESSORS_MAX,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->skips))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -282,6 +284,41 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dy_image_t (XDR *xdrs, dy_image_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->state_version))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->deltas.deltas_val, (u_int *) &objp->deltas.deltas_len, ~0,
+		sizeof (dy_delta_t), (xdrproc_t) xdr_dy_delta_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dy_image_ask_t (XDR *xdrs, dy_image_ask_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->environment, DY_NAME_BYTES))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dy_image_result_t (XDR *xdrs, dy_image_result_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_dy_status_t (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_dy_document_info_t (xdrs, &objp->info))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dy_put_t (XDR *xdrs, dy_put_t *objp)
 {
@@ -378,3 +415,13 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_dy_invite_t (XDR *xdrs, dy_invite_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_dy_address_t (xdrs, &objp->leader))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/process/agent/agent_process.c
+++ b/src/process/agent/agent_process.c
@@ -362,9 +362,7 @@
 	if (dy_seal_open(process->seal, bytes, len, &message) != DY_SEAL_OK)
 		return;
 	dy_address_load(&address, from);
-	if (message.is_reply)
-		dy_subscriber_receive(process->subscriber, &message);
-	else
+	if (!dy_subscriber_receive(process->subscriber, &message))
 		receive_call(process, &message, &address);
 }
 
--- a/src/process/balancer/balancer.c
+++ b/src/process/balancer/balancer.c
@@ -127,9 +127,9 @@
 	if (truncated ||
 	    dy_seal_open(balancer->seal, bytes, len, &message) != DY_SEAL_OK)
 		return;
-	if (message.is_reply)
-		dy_subscriber_receive(balancer->subscriber, &message);
-	else if (message.program == DY_STATUS_PROGRAM)
+	if (dy_subscriber_receive(balancer->subscriber, &message))
+		return;
+	if (message.program == DY_STATUS_PROGRAM)
 		answer_status(balancer, &message, from);
 	else if (message.program != DY_BALANCER_PROGRAM)
 		return;
--- a/src/process/control/control.c
+++ b/src/process/control/control.c
@@ -4,7 +4,6 @@
 #include <string.h>
 
 #include "damaskyard/document.h"
-#include "damaskyard/rpc.h"
 #include "damaskyard/status_service.h"
 #include "dy_group.h"
 
@@ -125,6 +124,8 @@
 void control_drop_request(request_t *request)
 {
 	xdr_free(request->proc, (char *)&request->args);
+	control_intake_end(request->control->intake,
+			   (struct sockaddr *)&request->from, request->xid);
 	dy_list_remove(&request->link);
 	request->control->request_count--;
 	g_free(request);
@@ -152,12 +153,12 @@
 		control_answer(control, from, message->xid,
 			       (xdrproc_t)xdr_nothing, NULL);
 		return;
-	case DY_CONTROL_POLL:
-		control_poll(control, message, from);
-		return;
 	case DY_CONTROL_FETCH:
 		control_fetch(control, message, from);
 		return;
+	case DY_CONTROL_IMAGE:
+		control_images_ask(control->images, message, from);
+		return;
 	case DY_CONTROL_PUT:
 		control_put(control, message, from);
 		return;
@@ -185,26 +186,6 @@
 		control_count_malformed(control, message->procedure);
 }
 
-/*
- * Guards against a storm of polls, as when thousands of members start at
- * once, that unseats the leader: the group's own messages come by the same
- * socket, are lost where it overflows, and the leader loses its majority.
- * Polls beyond what may wait are dropped before their seal is even looked
- * at, so the socket is emptied faster than it fills. A member polls again.
- */
-static int is_shed(dy_control_t *control, const uint8_t *bytes, size_t len)
-{
-	dy_rpc_call_t call;
-
-	if (control->request_count < REQUESTS_MAX ||
-	    dy_rpc_parse_call(bytes, len, &call) ||
-	    call.program != DY_CONTROL_PROGRAM ||
-	    call.procedure != DY_CONTROL_POLL)
-		return 0;
-	++*control->counters.polls_shed;
-	return 1;
-}
-
 static void on_datagram(void *context, uint8_t *bytes, size_t len,
 			const struct sockaddr *from, int truncated)
 {
@@ -215,7 +196,7 @@
 		++*control->counters.truncated;
 		return;
 	}
-	if (is_shed(control, bytes, len))
+	if (control_intake_take(control->intake, bytes, len, from))
 		return;
 	if (dy_seal_open(control->seal, bytes, len, &message) != DY_SEAL_OK ||
 	    message.is_reply)
@@ -272,6 +253,7 @@
 
 	dy_log_event(DY_LOG_INFO, "role_changed", "role_now=%s leader=%u",
 		     names[role], leader.slot);
+	control_intake_lead(control->intake, role == DY_RAFT_LEADER);
 	if (role != DY_RAFT_LEADER)
 		return;
 	++*control->counters.led;
@@ -365,6 +347,7 @@
 	control_refresh_peers(control);
 	dy_raft_tick(control->raft, now);
 	control_ledger_tick(control->ledger);
+	control_intake_tick(control->intake);
 	if (now - control->reviewed_ms < REVIEW_MS)
 		return;
 	control_review(control);
@@ -464,6 +447,8 @@
 	control->recent = recent_documents_create();
 	control->services = control_services_create();
 	control->raises = control_raises_create(control);
+	control->intake = control_intake_create(control);
+	control->images = control_images_create(control);
 	control->registry = dy_registry_create(&callbacks);
 	dy_registry_set_clock(control->registry, control_now_ms(control));
 	if (!open_store(control, error) && !open_raft(control, error))
@@ -497,6 +482,8 @@
 	control_raises_destroy(control->raises);
 	DY_LIST_EACH_SAFE(pos, tmp, &control->requests)
 	control_drop_request(DY_LIST_ITEM(pos, request_t, link));
+	control_intake_destroy(control->intake);
+	control_images_destroy(control->images);
 	dy_endpoint_destroy(control->endpoint);
 	control_ledger_destroy(control->ledger);
 	dy_store_destroy(control->store);
--- a/src/process/control/control_change.c
+++ b/src/process/control/control_change.c
@@ -8,32 +8,49 @@
 #include "damaskyard/document_patch.h"
 #include "damaskyard/invariant.h"
 
+static void fill_page(const dy_fetch_t *args, const uint8_t *bytes,
+		      const dy_document_patch_t *patch,
+		      dy_fetch_result_t *result)
+{
+	result->prefix = patch->prefix;
+	result->suffix = patch->suffix;
+	result->size = patch->size;
+	if (args->offset >= patch->size)
+		return;
+	result->page.page_val = (char *)bytes + patch->prefix + args->offset;
+	result->page.page_len =
+		MIN(patch->size - args->offset, (uint32_t)DY_PAGE_BYTES);
+}
+
 /* Only what differs from the member's own document, if that is at hand. */
 static void fill_fetch(dy_control_t *control, const dy_fetch_t *args,
-		       const uint8_t *bytes, uint32_t len,
 		       dy_fetch_result_t *result)
 {
-	dy_document_patch_t patch;
+	dy_document_patch_t patch = { 0 };
+	const uint8_t *bytes;
 
-	recent_documents_add(control->recent, args->digest, bytes, len);
-	recent_documents_compare(control->recent, args->base, args->digest,
-				 bytes, len, &patch);
-	result->prefix = patch.prefix;
-	result->suffix = patch.suffix;
-	result->size = patch.size;
-	if (args->offset >= patch.size)
+	bytes = control_images_find(control->images, args->digest, &patch.size);
+	if (bytes) {
+		fill_page(args, bytes, &patch, result);
 		return;
-	result->page.page_val = (char *)bytes + patch.prefix + args->offset;
-	result->page.page_len =
-		MIN(patch.size - args->offset, (uint32_t)DY_PAGE_BYTES);
+	}
+	bytes = dy_registry_find_content(control->registry,
+					 (uint8_t *)args->digest, &patch.size);
+	if (!bytes) {
+		result->status = DY_STATUS_NOT_FOUND;
+		return;
+	}
+	recent_documents_add(control->recent, args->digest, bytes, patch.size);
+	recent_documents_compare(control->recent, args->base, args->digest,
+				 bytes, patch.size, &patch);
+	fill_page(args, bytes, &patch, result);
 }
 
+/* Content is named by its digest: any control's copy is the same. */
 void control_fetch(dy_control_t *control, const dy_sealed_t *message,
 		   const struct sockaddr *from)
 {
 	dy_fetch_result_t result = { 0 };
-	const uint8_t *bytes;
-	uint32_t len = 0;
 	dy_fetch_t args;
 
 	++*control->counters.fetches;
@@ -42,13 +59,7 @@
 		control_count_malformed(control, message->procedure);
 		return;
 	}
-	/* Content is named by its digest: any control's copy is the same. */
-	bytes = dy_registry_find_content(control->registry,
-					 (uint8_t *)args.digest, &len);
-	if (bytes)
-		fill_fetch(control, &args, bytes, len, &result);
-	else
-		result.status = DY_STATUS_NOT_FOUND;
+	fill_fetch(control, &args, &result);
 	control_answer(control, from, message->xid,
 		       (xdrproc_t)xdr_dy_fetch_result_t, &result);
 	xdr_free((xdrproc_t)xdr_dy_fetch_t, (char *)&args);
--- a/src/process/control/control_counters.c
+++ b/src/process/control/control_counters.c
@@ -7,6 +7,8 @@
 	const dy_metrics_entry_t entries[] = {
 		{ "control_polls", &control->counters.polls },
 		{ "control_fetches", &control->counters.fetches },
+		{ "control_image_asks", &control->counters.image_asks },
+		{ "control_images", &control->counters.images },
 		{ "control_puts", &control->counters.puts },
 		{ "control_changes", &control->counters.changes },
 		{ "control_inspects", &control->counters.inspects },
@@ -18,7 +20,9 @@
 		{ "control_unavailable", &control->counters.unavailable },
 		{ "control_name_taken", &control->counters.name_taken },
 		{ "control_superseded", &control->counters.superseded },
+		{ "control_poll_copies", &control->counters.poll_copies },
 		{ "control_polls_shed", &control->counters.polls_shed },
+		{ "control_invitations", &control->counters.invitations },
 		{ "uploads_dropped", &control->counters.uploads_dropped },
 		{ "leader_elected", &control->counters.led },
 		{ "group_founded", &control->counters.founded },
--- a/src/process/control/control_group.c
+++ b/src/process/control/control_group.c
@@ -270,7 +270,8 @@
 {
 	if (dy_raft_role(control->raft) == DY_RAFT_LEADER) {
 		control->led_ms = control_now_ms(control);
-		if (dy_raft_has_quorum(control->raft))
+		if (dy_raft_has_quorum(control->raft) &&
+		    control_intake_allows_joins(control->intake))
 			review_joins(control);
 		return;
 	}
--- a/src/process/control/control_poll.c
+++ b/src/process/control/control_poll.c
@@ -11,7 +11,8 @@
 /*
  * Polls that a leader answers in a second, at most: it answered 33,932 on one
  * core (bench_control), and shares the core with the log. Members of a larger
- * group poll less often: 20,000 of them each 1.4 s.
+ * group poll less often: 20,000 of them each 1.4 s. On a part of a core it is
+ * fewer; then the pace comes from what polls were seen to cost.
  */
 #define CONTROL_POLLS_A_SECOND 15000
 
@@ -21,9 +22,11 @@
 uint32_t control_poll_ms(const dy_control_t *control)
 {
 	uint32_t members = dy_registry_member_count(control->registry);
+	uint64_t bound_ms = (uint64_t)members * 1000 / CONTROL_POLLS_A_SECOND;
+	uint64_t seen_ms = control_intake_pace_ms(control->intake, members);
 
-	return MAX((uint32_t)DY_POLL_MS,
-		   members * 1000 / CONTROL_POLLS_A_SECOND);
+	return (uint32_t)CLAMP(MAX(bound_ms, seen_ms), DY_POLL_MS,
+			       DY_POLL_MOST_MS);
 }
 
 uint64_t control_lease_ms(const dy_control_t *control)
@@ -50,6 +53,13 @@
 	return count;
 }
 
+static uint64_t poller(const request_t *request)
+{
+	const dy_member_info_t *info = &request->args.poll.info;
+
+	return dy_member_id(info->environment, info->kind, info->name);
+}
+
 static void answer_poll(request_t *request, dy_status_t status)
 {
 	dy_control_t *control = request->control;
@@ -68,21 +78,19 @@
 		++*control->counters.name_taken;
 	if (status == DY_STATUS_SUPERSEDED)
 		++*control->counters.superseded;
-	if (status == DY_STATUS_OK)
+	if (status == DY_STATUS_OK) {
 		dy_registry_fill_poll(control->registry, &request->args.poll,
 				      &result);
+		control_intake_heard(control->intake, poller(request));
+	}
 	control_answer_request(request, (xdrproc_t)xdr_dy_poll_result_t,
 			       &result);
 }
 
 static void renew(request_t *request)
 {
-	const dy_member_info_t *info = &request->args.poll.info;
-
-	dy_registry_renew_lease(
-		request->control->registry,
-		dy_member_id(info->environment, info->kind, info->name),
-		request->args.poll.document);
+	dy_registry_renew_lease(request->control->registry, poller(request),
+				request->args.poll.document);
 }
 
 static void on_committed(void *context, dy_raft_result_t result, uint64_t index)
@@ -169,8 +177,8 @@
 		answer_poll(request, control_status_of(control, result));
 }
 
-void control_poll(dy_control_t *control, const dy_sealed_t *message,
-		  const struct sockaddr *from)
+int control_poll(dy_control_t *control, const dy_sealed_t *message,
+		 const struct sockaddr *from)
 {
 	dy_raft_result_t result;
 	request_t *request;
@@ -180,10 +188,11 @@
 				       (xdrproc_t)xdr_dy_poll_t,
 				       sizeof(dy_poll_t));
 	if (!request)
-		return;
+		return 0;
 	result = control_admit(control);
 	if (result == DY_RAFT_DONE)
 		begin(request);
 	else
 		answer_poll(request, control_status_of(control, result));
+	return 1;
 }
--- a/src/process/control/control_private.h
+++ b/src/process/control/control_private.h
@@ -32,18 +32,14 @@
 /* A control that is in no group says so after, and then each, 10 s. */
 #define WAITING_MS 10000
 
-/*
- * Polls waiting for the log; more are dropped. At some 70,000 answers a
- * second (bench_control) these are 15 ms of work, half a heartbeat.
- */
-#define REQUESTS_MAX 1024
-
 /* Marks proposed in one review: a failure domain is marked in seconds. */
 #define MARKS_MAX 256
 
 typedef struct control_counters {
 	uint64_t *polls;
 	uint64_t *fetches;
+	uint64_t *image_asks;
+	uint64_t *images;
 	uint64_t *puts;
 	uint64_t *changes;
 	uint64_t *inspects;
@@ -55,7 +51,9 @@
 	uint64_t *unavailable;
 	uint64_t *name_taken;
 	uint64_t *superseded;
+	uint64_t *poll_copies;
 	uint64_t *polls_shed;
+	uint64_t *invitations;
 	uint64_t *uploads_dropped;
 	uint64_t *led;
 	uint64_t *founded;
@@ -73,6 +71,8 @@
 typedef struct control_services control_services_t;
 typedef struct control_raises control_raises_t;
 typedef struct control_ledger control_ledger_t;
+typedef struct control_intake control_intake_t;
+typedef struct control_images control_images_t;
 
 /* A slot that was given to an address, and when. */
 typedef struct seat {
@@ -110,6 +110,8 @@
 	seat_t seats[DY_RAFT_MEMBERS_MAX + 1]; /* given to newcomers */
 	control_raises_t *raises;
 	control_ledger_t *ledger;
+	control_intake_t *intake;
+	control_images_t *images;
 	int served; /* was a majority of the peers ever voting? */
 	int key_proposed;
 	int tried_proposed;
@@ -172,8 +174,9 @@
 uint32_t control_poll_ms(const dy_control_t *control);
 uint64_t control_lease_ms(const dy_control_t *control);
 
-void control_poll(dy_control_t *control, const dy_sealed_t *message,
-		  const struct sockaddr *from);
+/* Begin a poll. Returns whether it will be ended as a request. */
+int control_poll(dy_control_t *control, const dy_sealed_t *message,
+		 const struct sockaddr *from);
 void control_change(dy_control_t *control, const dy_sealed_t *message,
 		    const struct sockaddr *from);
 void control_put(dy_control_t *control, const dy_sealed_t *message,
@@ -204,6 +207,35 @@
 /* Write the lists if they have changed; call it at each tick. */
 void control_ledger_tick(control_ledger_t *ledger);
 
+/* control_intake.c */
+control_intake_t *control_intake_create(dy_control_t *control);
+void control_intake_destroy(control_intake_t *intake);
+/* Put a poll aside. Returns whether the datagram was one. */
+int control_intake_take(control_intake_t *intake, const uint8_t *bytes,
+			size_t len, const struct sockaddr *from);
+/* A request ended; if it was a poll, its copies may come again. */
+void control_intake_end(control_intake_t *intake, const struct sockaddr *from,
+			uint32_t xid);
+/* A member's poll was answered by this leader. */
+void control_intake_heard(control_intake_t *intake, uint64_t member);
+/* This control begins to lead, or follows. */
+void control_intake_lead(control_intake_t *intake, int leads);
+/* Time between polls of that many members, in ms, by what polls cost here. */
+uint64_t control_intake_pace_ms(const control_intake_t *intake,
+				unsigned members);
+void control_intake_tick(control_intake_t *intake);
+/* Whether controls may be taken in now. */
+int control_intake_allows_joins(const control_intake_t *intake);
+
+/* control_images.c: the state that a member starts from. */
+control_images_t *control_images_create(dy_control_t *control);
+void control_images_destroy(control_images_t *images);
+void control_images_ask(control_images_t *images, const dy_sealed_t *message,
+			const struct sockaddr *from);
+/* The bytes of one by its digest, or NULL. */
+const uint8_t *control_images_find(const control_images_t *images,
+				   const void *digest, uint32_t *len);
+
 /* control_services.c: a line for each service in force. */
 control_services_t *control_services_create(void);
 void control_services_destroy(control_services_t *services);
--- a/src/process/document_fetch.c
+++ b/src/process/document_fetch.c
@@ -18,6 +18,7 @@
 	dy_document_patch_t patch;
 	int has_patch; /* a page has told it */
 	int whole;     /* ask for all of it, the held one did not fit */
+	int refused;   /* the last answer was not found */
 	uint8_t *run;
 	uint32_t received;
 	uint32_t xid;
@@ -40,6 +41,7 @@
 
 static void forget_pages(document_fetch_t *fetch)
 {
+	fetch->refused = 0;
 	g_clear_pointer(&fetch->run, g_free);
 	fetch->has_patch = 0;
 	fetch->received = 0;
@@ -185,18 +187,27 @@
 {
 	if (!document_fetch_waits(fetch, xid))
 		return 0;
-	if (result->status == DY_STATUS_OK)
+	if (result->status == DY_STATUS_OK) {
+		fetch->refused = 0;
 		take_page(fetch, result, now_ms);
-	else
-		fetch->callbacks->turn(fetch->context);
+		return 1;
+	}
+	fetch->callbacks->turn(fetch->context);
+	if (!fetch->refused)
+		send_request(fetch, now_ms);
+	fetch->refused = 1;
 	return 1;
 }
 
 void document_fetch_tick(document_fetch_t *fetch, uint64_t now_ms,
 			 uint64_t timeout_ms)
 {
-	if (fetch->active && now_ms - fetch->sent_ms >= timeout_ms)
-		send_request(fetch, now_ms);
+	if (!fetch->active || now_ms - fetch->sent_ms < timeout_ms)
+		return;
+	if (!fetch->refused)
+		fetch->callbacks->turn(fetch->context);
+	fetch->refused = 0;
+	send_request(fetch, now_ms);
 }
 
 uint64_t document_fetch_wrong(const document_fetch_t *fetch)
--- a/src/process/flow/agent_ledger.c
+++ b/src/process/flow/agent_ledger.c
@@ -24,8 +24,10 @@
 #define COPIES 2
 
 /*
- * Controls are asked so often, in ms, until each has answered or for so long
- * after this agent knows whether a target is there. They may be starting too.
+ * Controls are asked from when one of them first answered a poll of this agent,
+ * which spreads the agents of a site that all start at once by the pace that
+ * control keeps; then each again after this time, in ms, doubled each time,
+ * until all have answered or for so long.
  */
 #define ASK_MS 200
 #define ASK_FOR_MS 5000
@@ -45,7 +47,8 @@
 	uint64_t next_list_ms;
 	unsigned listed;      /* flows in it */
 	uint64_t ask_from_ms; /* 0: not begun */
-	uint64_t asked_ms;
+	uint64_t ask_at_ms;
+	uint64_t ask_again_ms;
 	unsigned answered; /* a bit for each control of the settings */
 	dy_former_flows_t *former;
 	uint64_t *resets;
@@ -160,7 +163,8 @@
 	dy_ledger_ask_t message = { ledger->member->settings.name };
 	int i;
 
-	ledger->asked_ms = now_ms(ledger);
+	ledger->ask_at_ms = now_ms(ledger) + ledger->ask_again_ms;
+	ledger->ask_again_ms *= 2;
 	for (i = 0; i < controls->count; i++)
 		if (!(ledger->answered & 1u << i))
 			flow_member_send(ledger->member, &controls->items[i],
@@ -174,13 +178,16 @@
 	uint64_t now = now_ms(ledger);
 
 	if (ledger->member->settings.first_start ||
+	    !ledger->member->subscriber ||
+	    !dy_subscriber_incarnation(ledger->member->subscriber) ||
 	    dy_flow_holder_tell_past(ledger->holder, "", 0) ==
 		    DY_TARGET_NOT_KNOWN)
 		return;
-	if (!ledger->ask_from_ms)
+	if (!ledger->ask_from_ms) {
 		ledger->ask_from_ms = now;
-	if (now - ledger->ask_from_ms < ASK_FOR_MS &&
-	    now - ledger->asked_ms >= ASK_MS)
+		ledger->ask_again_ms = ASK_MS;
+	}
+	if (now - ledger->ask_from_ms < ASK_FOR_MS && now >= ledger->ask_at_ms)
 		ask(ledger);
 }
 
--- a/src/process/flow/cmd_flow_agent.c
+++ b/src/process/flow/cmd_flow_agent.c
@@ -244,10 +244,11 @@
 	if (truncated || dy_seal_open(agent->member.seal, bytes, len,
 				      &message) != DY_SEAL_OK)
 		return;
-	if (message.is_reply && agent->member.subscriber)
-		dy_subscriber_receive(agent->member.subscriber, &message);
-	else if (message.program == DY_FLOW_AGENT_PROGRAM &&
-		 message.procedure == DY_FLOW_FORWARD)
+	if (agent->member.subscriber &&
+	    dy_subscriber_receive(agent->member.subscriber, &message))
+		return;
+	if (message.program == DY_FLOW_AGENT_PROGRAM &&
+	    message.procedure == DY_FLOW_FORWARD)
 		receive_forward(agent, &message);
 	else if (message.program == DY_FLOW_AGENT_PROGRAM &&
 		 message.procedure == DY_FLOW_ASK)
--- a/src/process/flow/cmd_flow_balancer.c
+++ b/src/process/flow/cmd_flow_balancer.c
@@ -179,11 +179,10 @@
 				      &message) != DY_SEAL_OK)
 		return;
 	dy_contact_note_heard(&balancer->contact);
-	if (message.is_reply)
-		dy_subscriber_receive(balancer->member.subscriber, &message);
-	else if (message.program != DY_FLOW_BALANCER_PROGRAM)
+	if (dy_subscriber_receive(balancer->member.subscriber, &message) ||
+	    message.program != DY_FLOW_BALANCER_PROGRAM)
 		return;
-	else if (message.procedure == DY_FLOW_HELD)
+	if (message.procedure == DY_FLOW_HELD)
 		receive_held(balancer, &message);
 	else if (message.procedure == DY_FLOW_NOWHERE)
 		receive_nowhere(balancer, &message);
--- a/src/process/flow/flow_member.c
+++ b/src/process/flow/flow_member.c
@@ -93,6 +93,7 @@
 	config.controls = &member->settings.seeds;
 	config.callbacks = callbacks;
 	config.context = member->context;
+	config.skip_ended = 1;
 	member->subscriber = dy_subscriber_create(&config);
 	member->info.kind = kind;
 	member->info.name = member->settings.name;
--- a/src/process/subscriber.c
+++ b/src/process/subscriber.c
@@ -2,15 +2,14 @@
 
 #include <string.h>
 
+#include "damaskyard/document_pack.h"
 #include "damaskyard/log.h"
 #include "document_fetch.h"
+#include "image_fetch.h"
 
 /* The loop looks this often whether a poll or a page is due, in ms. */
 #define TICK_MS 50
 
-/* Polls are never further apart, whatever control says, in ms. */
-#define POLL_MOST_MS 5000
-
 /* Bytes of IPv4 and UDP around a datagram, and of them and a seal. */
 #define DATAGRAM_HEAD_BYTES 28
 #define REPLY_HEAD_BYTES (DATAGRAM_HEAD_BYTES + 56)
@@ -22,6 +21,7 @@
 	dy_subscriber_config_t config;
 	dy_member_info_t info;
 	int has_info;
+	uint32_t skips;
 	uint64_t boot;
 	uint64_t incarnation;
 	uint64_t state_version;
@@ -31,13 +31,12 @@
 	unsigned successor_count;
 	dy_address_t control;
 	int next_control;
+	int named;    /* the control was named, and not polled since */
 	int followed; /* the control that is polled was named by another */
 	dy_address_list_t learned; /* the group, as its leader named it */
-	uint32_t poll_xid;
-	int polling;
-	uint64_t poll_sent_ms;
-	uint64_t next_poll_ms;
-	uint64_t poll_ms; /* between polls, as control told */
+	dy_poll_pace_t pace;
+	uint32_t poll_xid;	 /* of the poll under way and its copies */
+	uint64_t polled_version; /* the state that it names */
 	uint32_t state_generation;
 	uint32_t polled_generation;
 	uint32_t settled_generation;
@@ -45,8 +44,13 @@
 	int confirmed;
 	int drain_told;
 	document_fetch_t *fetch;
+	image_fetch_t *image;
+	int image_begun;	/* since the last joining */
+	uint32_t fetch_control; /* drawn; documents are asked for there */
+	int fetch_from_leader;	/* in its place */
 	uint64_t *polls;
-	uint64_t *poll_timeouts;
+	uint64_t *poll_copies;
+	uint64_t *invited;
 	uint64_t *stale_answers;
 	uint64_t *bad_documents;
 	uint64_t *unreadable;
@@ -90,8 +94,9 @@
 	       (size_t)learned->count * sizeof(learned->items[0]));
 }
 
-static void send_request(dy_subscriber_t *subscriber, uint32_t procedure,
-			 uint32_t xid, xdrproc_t proc, void *args)
+static void send_request(dy_subscriber_t *subscriber, const dy_address_t *to,
+			 uint32_t procedure, uint32_t xid, xdrproc_t proc,
+			 void *args)
 {
 	dy_seal_head_t head = { xid, DY_CONTROL_PROGRAM, procedure };
 	uint8_t out[REQUEST_BYTES];
@@ -102,8 +107,28 @@
 	if (!len)
 		return;
 	*subscriber->bytes_sent += len + DATAGRAM_HEAD_BYTES;
-	dy_endpoint_send_to(subscriber->config.endpoint, out, len,
-			    &subscriber->control);
+	dy_endpoint_send_to(subscriber->config.endpoint, out, len, to);
+}
+
+/*
+ * Whether the state that this member starts from is to come as an image. What
+ * a member wants that keeps those that ended is not in it.
+ */
+static int wants_image(const dy_subscriber_t *subscriber)
+{
+	return !subscriber->state_version && subscriber->config.skip_ended &&
+	       subscriber->config.callbacks->member &&
+	       (!subscriber->image_begun ||
+		image_fetch_is_under_way(subscriber->image));
+}
+
+/* A control is there. */
+static void begin_image(dy_subscriber_t *subscriber)
+{
+	if (!wants_image(subscriber) || subscriber->image_begun)
+		return;
+	subscriber->image_begun = 1;
+	image_fetch_begin(subscriber->image, now_ms(subscriber));
 }
 
 static void send_poll(dy_subscriber_t *subscriber)
@@ -115,18 +140,58 @@
 	poll.incarnation = subscriber->incarnation;
 	poll.state_version = subscriber->state_version;
 	poll.document = subscriber->document;
+	subscriber->polled_version = subscriber->state_version;
 	poll.state = subscriber->state;
+	poll.skips = subscriber->skips;
+	if (wants_image(subscriber))
+		poll.skips |= DY_SKIP_START;
 	poll.successors.successors_len = subscriber->successor_count;
 	poll.successors.successors_val = subscriber->successors;
-	subscriber->poll_xid = dy_seal_next_xid(subscriber->config.seal);
-	subscriber->polling = 1;
-	subscriber->poll_sent_ms = now_ms(subscriber);
-	subscriber->next_poll_ms =
-		subscriber->poll_sent_ms + subscriber->poll_ms;
-	subscriber->polled_generation = subscriber->state_generation;
+	send_request(subscriber, &subscriber->control, DY_CONTROL_POLL,
+		     subscriber->poll_xid, (xdrproc_t)xdr_dy_poll_t, &poll);
+}
+
+/* A copy asks another control, unless one was just named. */
+static void take_step(dy_subscriber_t *subscriber, dy_poll_step_t step)
+{
+	if (step == DY_POLL_WAIT)
+		return;
+	if (step == DY_POLL_SEND_NEW) {
+		subscriber->poll_xid =
+			dy_seal_next_xid(subscriber->config.seal);
+		subscriber->polled_generation = subscriber->state_generation;
+	} else {
+		++*subscriber->poll_copies;
+	}
 	++*subscriber->polls;
-	send_request(subscriber, DY_CONTROL_POLL, subscriber->poll_xid,
-		     (xdrproc_t)xdr_dy_poll_t, &poll);
+	if (subscriber->pace.under_way && !subscriber->named)
+		choose_next_control(subscriber);
+	subscriber->named = 0;
+	dy_poll_pace_sent(&subscriber->pace, step, now_ms(subscriber));
+	send_poll(subscriber);
+}
+
+static void poll_if_due(dy_subscriber_t *subscriber)
+{
+	if (subscriber->has_info)
+		take_step(subscriber, dy_poll_pace_next(&subscriber->pace,
+							now_ms(subscriber)));
+}
+
+/*
+ * Any control has a document that is in force, and each has a small part of a
+ * core: members ask the one that they drew, so that a leader does not send the
+ * same pages to all of them just when they all wait for it. One that lags does
+ * not have the newest yet; then the leader is asked.
+ */
+static const dy_address_t *fetch_from(const dy_subscriber_t *subscriber)
+{
+	const dy_address_list_t *known = &subscriber->learned;
+
+	if (!known->count)
+		known = subscriber->config.controls;
+	return &known->items[subscriber->fetch_control %
+			     (uint32_t)known->count];
 }
 
 static uint32_t send_fetch(void *context, dy_fetch_t *request)
@@ -134,14 +199,48 @@
 	dy_subscriber_t *subscriber = context;
 	uint32_t xid = dy_seal_next_xid(subscriber->config.seal);
 
-	send_request(subscriber, DY_CONTROL_FETCH, xid,
+	send_request(subscriber,
+		     subscriber->fetch_from_leader ? &subscriber->control
+						   : fetch_from(subscriber),
+		     DY_CONTROL_FETCH, xid, (xdrproc_t)xdr_dy_fetch_t, request);
+	return xid;
+}
+
+static uint32_t ask_image(void *context)
+{
+	dy_subscriber_t *subscriber = context;
+	uint32_t xid = dy_seal_next_xid(subscriber->config.seal);
+	dy_image_ask_t ask = { subscriber->info.environment };
+
+	send_request(subscriber, fetch_from(subscriber), DY_CONTROL_IMAGE, xid,
+		     (xdrproc_t)xdr_dy_image_ask_t, &ask);
+	return xid;
+}
+
+static uint32_t send_image_page(void *context, dy_fetch_t *request)
+{
+	dy_subscriber_t *subscriber = context;
+	uint32_t xid = dy_seal_next_xid(subscriber->config.seal);
+
+	send_request(subscriber, fetch_from(subscriber), DY_CONTROL_FETCH, xid,
 		     (xdrproc_t)xdr_dy_fetch_t, request);
 	return xid;
 }
 
+static void turn_image(void *context)
+{
+	dy_subscriber_t *subscriber = context;
+
+	subscriber->fetch_control++;
+}
+
 static void turn_from_control(void *context)
 {
-	choose_next_control(context);
+	dy_subscriber_t *subscriber = context;
+
+	subscriber->fetch_from_leader = !subscriber->fetch_from_leader;
+	if (!subscriber->fetch_from_leader)
+		subscriber->fetch_control++;
 }
 
 static void take_document(void *context, const dy_document_info_t *info,
@@ -180,6 +279,7 @@
 
 	switch (delta->kind) {
 	case DY_DELTA_DOCUMENT:
+		/* A control of an older build sends what is skipped. */
 		if (!calls->document)
 			break;
 		document_fetch_begin(subscriber->fetch,
@@ -197,6 +297,50 @@
 	}
 }
 
+static void apply_deltas(dy_subscriber_t *subscriber, const dy_delta_t *deltas,
+			 unsigned count)
+{
+	unsigned i;
+
+	for (i = 0; i < count; i++)
+		apply_delta(subscriber, &deltas[i]);
+}
+
+/*
+ * The image is of a state that a majority acknowledged, but may be old: the
+ * leader's answer that follows brings the rest and confirms it.
+ */
+static int take_image(void *context, const uint8_t *bytes, size_t len)
+{
+	dy_subscriber_t *subscriber = context;
+	GByteArray *plain = dy_document_unpack(bytes, len, DY_DOCUMENT_BYTES);
+	dy_image_t image = { 0 };
+	int ok = 0;
+	XDR xdrs;
+
+	if (plain) {
+		xdrmem_create(&xdrs, (char *)plain->data, plain->len,
+			      XDR_DECODE);
+		ok = xdr_dy_image_t(&xdrs, &image);
+		g_byte_array_unref(plain);
+	}
+	if (ok && image.state_version > subscriber->state_version) {
+		apply_deltas(subscriber, image.deltas.deltas_val,
+			     image.deltas.deltas_len);
+		subscriber->state_version = image.state_version;
+	}
+	xdr_free((xdrproc_t)xdr_dy_image_t, (char *)&image);
+	dy_poll_pace_renew(&subscriber->pace);
+	return ok;
+}
+
+static const image_fetch_callbacks_t image_callbacks = {
+	ask_image,
+	send_image_page,
+	turn_image,
+	take_image,
+};
+
 static void take_grant(dy_subscriber_t *subscriber, uint64_t incarnation)
 {
 	if (!incarnation || incarnation == subscriber->incarnation)
@@ -234,39 +378,66 @@
 	return 1;
 }
 
+/* A majority was there, and this member has its place. */
+static void take_confirmation(dy_subscriber_t *subscriber,
+			      const dy_poll_result_t *result)
+{
+	subscriber->followed = 0;
+	subscriber->named = 0;
+	subscriber->confirmed = 1;
+	subscriber->confirmed_ms = subscriber->pace.begun_ms;
+	subscriber->settled_generation = subscriber->polled_generation;
+	learn_controls(subscriber, result);
+	take_grant(subscriber, result->incarnation);
+	dy_poll_pace_answered(&subscriber->pace, result->poll_ms);
+	if (result->drain)
+		tell_drain(subscriber);
+}
+
+/* The leader left the state to the image, which may have come first. */
+static void await_image(dy_subscriber_t *subscriber)
+{
+	begin_image(subscriber);
+	if (!wants_image(subscriber))
+		dy_poll_pace_hasten(&subscriber->pace, now_ms(subscriber));
+}
+
 static void apply_result(dy_subscriber_t *subscriber,
 			 const dy_poll_result_t *result)
 {
-	unsigned i;
-
+	if (result->more && !result->state_version &&
+	    !subscriber->polled_version) {
+		take_confirmation(subscriber, result);
+		await_image(subscriber);
+		return;
+	}
 	if (is_older(subscriber, result->state_version)) {
 		choose_next_control(subscriber);
 		return;
 	}
-	subscriber->followed = 0;
-	subscriber->confirmed = 1;
-	subscriber->confirmed_ms = subscriber->poll_sent_ms;
-	subscriber->settled_generation = subscriber->polled_generation;
-	learn_controls(subscriber, result);
-	take_grant(subscriber, result->incarnation);
-	for (i = 0; i < result->deltas.deltas_len; i++)
-		apply_delta(subscriber, &result->deltas.deltas_val[i]);
+	take_confirmation(subscriber, result);
+	apply_deltas(subscriber, result->deltas.deltas_val,
+		     result->deltas.deltas_len);
 	subscriber->state_version = result->state_version;
-	subscriber->poll_ms = CLAMP(result->poll_ms, DY_POLL_MS, POLL_MOST_MS);
 	if (result->more)
-		subscriber->next_poll_ms = now_ms(subscriber);
+		dy_poll_pace_hasten(&subscriber->pace, now_ms(subscriber));
 	else if (subscriber->config.callbacks->caught_up)
 		subscriber->config.callbacks->caught_up(
 			subscriber->config.context);
-	if (result->drain)
-		tell_drain(subscriber);
 }
 
-/* Poll another control, or the same, after a while. */
-static void poll_again(dy_subscriber_t *subscriber)
+/* Poll that control next. */
+static void name_control(dy_subscriber_t *subscriber,
+			 const dy_address_t *control)
 {
-	subscriber->followed = 0;
-	subscriber->next_poll_ms = now_ms(subscriber) + TICK_MS;
+	subscriber->control = *control;
+	subscriber->named = 1;
+}
+
+static int is_polled(const dy_subscriber_t *subscriber,
+		     const dy_address_t *control)
+{
+	return control->port && dy_address_equal(control, &subscriber->control);
 }
 
 /*
@@ -277,19 +448,16 @@
 static void follow_leader(dy_subscriber_t *subscriber,
 			  const dy_address_t *leader)
 {
-	int followed = subscriber->followed;
-
-	if (!leader->port || dy_address_equal(leader, &subscriber->control)) {
-		choose_next_control(subscriber);
-		poll_again(subscriber);
+	dy_poll_pace_turned_away(&subscriber->pace, now_ms(subscriber));
+	if (!leader->port || is_polled(subscriber, leader)) {
+		subscriber->followed = 0;
 		return;
 	}
-	subscriber->control = *leader;
-	poll_again(subscriber);
-	if (followed)
-		return;
-	subscriber->followed = 1;
-	subscriber->next_poll_ms = now_ms(subscriber);
+	name_control(subscriber, leader);
+	begin_image(subscriber);
+	if (!subscriber->followed)
+		dy_poll_pace_hasten(&subscriber->pace, now_ms(subscriber));
+	subscriber->followed = !subscriber->followed;
 }
 
 /*
@@ -299,9 +467,10 @@
 static void wait_for_leader(dy_subscriber_t *subscriber,
 			    const dy_address_t *leader)
 {
-	if (!leader->port || !dy_address_equal(leader, &subscriber->control))
-		choose_next_control(subscriber);
-	poll_again(subscriber);
+	subscriber->followed = 0;
+	if (is_polled(subscriber, leader))
+		name_control(subscriber, leader);
+	dy_poll_pace_turned_away(&subscriber->pace, now_ms(subscriber));
 }
 
 static void take_refusal(dy_subscriber_t *subscriber, dy_status_t status)
@@ -335,7 +504,6 @@
 		note_unreadable(subscriber);
 		return;
 	}
-	subscriber->polling = 0;
 	switch (result.status) {
 	case DY_STATUS_OK:
 		apply_result(subscriber, &result);
@@ -347,45 +515,78 @@
 		wait_for_leader(subscriber, &result.leader);
 		break;
 	default:
+		dy_poll_pace_answered(&subscriber->pace, result.poll_ms);
 		take_refusal(subscriber, result.status);
 		break;
 	}
 	xdr_free((xdrproc_t)xdr_dy_poll_result_t, (char *)&result);
-	if (subscriber->next_poll_ms <= now_ms(subscriber))
-		send_poll(subscriber);
+	poll_if_due(subscriber);
 }
 
-void dy_subscriber_receive(dy_subscriber_t *subscriber,
-			   const dy_sealed_t *message)
+/*
+ * A leader calls its members: it is polled at once, whether this member was
+ * looking for one or believes that it has one.
+ */
+static void receive_invitation(dy_subscriber_t *subscriber,
+			       const dy_sealed_t *message)
 {
-	if (!message->is_reply)
+	dy_invite_t invite = { 0 };
+
+	if (!dy_sealed_fill(message, (xdrproc_t)xdr_dy_invite_t, &invite) ||
+	    !invite.leader.port)
 		return;
+	++*subscriber->invited;
+	subscriber->followed = 0;
+	name_control(subscriber, &invite.leader);
+	begin_image(subscriber);
+	dy_poll_pace_hasten(&subscriber->pace, now_ms(subscriber));
+	poll_if_due(subscriber);
+}
+
+static void receive_image(dy_subscriber_t *subscriber,
+			  const dy_sealed_t *message)
+{
+	image_fetch_receive(subscriber->image, message, now_ms(subscriber));
+	poll_if_due(subscriber);
+}
+
+int dy_subscriber_receive(dy_subscriber_t *subscriber,
+			  const dy_sealed_t *message)
+{
+	if (!message->is_reply) {
+		if (message->program != DY_MEMBER_PROGRAM)
+			return 0;
+		if (message->procedure == DY_MEMBER_INVITE)
+			receive_invitation(subscriber, message);
+		return 1;
+	}
 	*subscriber->bytes_received += message->body_len + REPLY_HEAD_BYTES;
-	if (subscriber->polling && message->xid == subscriber->poll_xid)
+	if (subscriber->pace.under_way && message->xid == subscriber->poll_xid)
 		receive_poll_result(subscriber, message);
 	else if (document_fetch_waits(subscriber->fetch, message->xid))
 		receive_page(subscriber, message);
+	else if (image_fetch_waits(subscriber->image, message->xid))
+		receive_image(subscriber, message);
+	return 1;
+}
+
+/* An image that does not come leaves it to the leader, with the next poll. */
+static void check_image(dy_subscriber_t *subscriber, uint64_t now)
+{
+	if (!image_fetch_is_under_way(subscriber->image))
+		return;
+	image_fetch_tick(subscriber->image, now);
+	if (!image_fetch_is_under_way(subscriber->image))
+		dy_poll_pace_renew(&subscriber->pace);
 }
 
 static void on_tick(void *context)
 {
 	dy_subscriber_t *subscriber = context;
 	uint64_t now = now_ms(subscriber);
-	uint64_t timeout_ms = subscriber->confirmed ? DY_POLL_TIMEOUT_MS
-						    : DY_POLL_FIRST_TIMEOUT_MS;
 
-	if (!subscriber->has_info)
-		return;
-	if (subscriber->polling &&
-	    now - subscriber->poll_sent_ms >= timeout_ms) {
-		++*subscriber->poll_timeouts;
-		subscriber->polling = 0;
-		subscriber->followed = 0;
-		subscriber->next_poll_ms = now;
-		choose_next_control(subscriber);
-	}
-	if (!subscriber->polling && now >= subscriber->next_poll_ms)
-		send_poll(subscriber);
+	check_image(subscriber, now);
+	poll_if_due(subscriber);
 	document_fetch_tick(subscriber->fetch, now, DY_POLL_TIMEOUT_MS);
 }
 
@@ -406,7 +607,8 @@
 {
 	const dy_metrics_entry_t entries[] = {
 		{ "polls", &subscriber->polls },
-		{ "poll_timeouts", &subscriber->poll_timeouts },
+		{ "poll_copies", &subscriber->poll_copies },
+		{ "polls_invited", &subscriber->invited },
 		{ "stale_state_refused", &subscriber->stale_answers },
 		{ "document_digest_wrong", &subscriber->bad_documents },
 		{ "poll_answers_unreadable", &subscriber->unreadable },
@@ -418,6 +620,26 @@
 			    G_N_ELEMENTS(entries));
 }
 
+/*
+ * What nobody here takes is not asked for: with it the bytes that control sends
+ * would grow with the square of the members.
+ */
+static uint32_t list_skips(const dy_subscriber_config_t *config)
+{
+	const dy_subscriber_callbacks_t *calls = config->callbacks;
+	uint32_t skips = 0;
+
+	if (!calls->member)
+		skips |= DY_SKIP_MEMBERS;
+	if (!calls->document)
+		skips |= DY_SKIP_DOCUMENT;
+	if (!calls->key)
+		skips |= DY_SKIP_KEYS;
+	if (config->skip_ended)
+		skips |= DY_SKIP_ENDED;
+	return skips;
+}
+
 dy_subscriber_t *dy_subscriber_create(const dy_subscriber_config_t *config)
 {
 	dy_subscriber_t *subscriber = g_new0(dy_subscriber_t, 1);
@@ -425,12 +647,15 @@
 	uint32_t start;
 
 	subscriber->config = *config;
+	subscriber->skips = list_skips(config);
 	subscriber->fetch = document_fetch_create(&fetch_callbacks, subscriber);
-	subscriber->poll_ms = DY_POLL_MS;
+	subscriber->image = image_fetch_create(&image_callbacks, subscriber);
 	subscriber->state = DY_MEMBER_SERVING;
 	subscriber->refused_limit = limit;
 	subscriber->boot = make_boot();
 	dy_random_fill(&start, sizeof(start));
+	dy_poll_pace_init(&subscriber->pace, start);
+	subscriber->fetch_control = start;
 	subscriber->next_control = (int)(start % config->controls->count);
 	choose_next_control(subscriber);
 	register_counters(subscriber);
@@ -443,13 +668,15 @@
 	if (!subscriber)
 		return;
 	document_fetch_destroy(subscriber->fetch);
+	image_fetch_destroy(subscriber->image);
+	dy_poll_pace_clear(&subscriber->pace);
 	g_free(subscriber);
 }
 
 static void poll_soon(dy_subscriber_t *subscriber)
 {
 	subscriber->state_generation++;
-	subscriber->next_poll_ms = 0;
+	dy_poll_pace_renew(&subscriber->pace);
 }
 
 void dy_subscriber_rejoin(dy_subscriber_t *subscriber)
@@ -461,8 +688,9 @@
 	subscriber->document = 0;
 	subscriber->state = DY_MEMBER_SERVING;
 	subscriber->successor_count = 0;
-	subscriber->polling = 0;
 	subscriber->drain_told = 0;
+	subscriber->image_begun = 0;
+	dy_poll_pace_reset(&subscriber->pace);
 	poll_soon(subscriber);
 }
 
@@ -489,11 +717,8 @@
 
 void dy_subscriber_press(dy_subscriber_t *subscriber)
 {
-	uint64_t earliest = subscriber->poll_sent_ms + DY_POLL_PRESSED_MS;
-
-	if (subscriber->has_info && !subscriber->polling &&
-	    subscriber->next_poll_ms > earliest)
-		subscriber->next_poll_ms = earliest;
+	if (subscriber->has_info)
+		dy_poll_pace_press(&subscriber->pace);
 	on_tick(subscriber);
 }
 
--- a/src/version/registry_poll.c
+++ b/src/version/registry_poll.c
@@ -145,6 +145,7 @@
 
 typedef struct gathering {
 	uint64_t version;
+	uint32_t skips;
 	/* Members beyond this change were not looked at. */
 	uint64_t upto;
 	unsigned count;
@@ -190,12 +191,27 @@
 	return back;
 }
 
+/*
+ * Of a start that knows nothing yet, and a group that has seen many restarts,
+ * most of the answer would be members that are gone. One that joined after the
+ * version that the poller holds, and ended, it never heard of.
+ */
+static int is_wanted(const gathering_t *gathering,
+		     const dy_registry_member_t *member)
+{
+	return member->kind == DY_MEMBER_AGENT &&
+	       (!(gathering->skips & DY_SKIP_ENDED) ||
+		dy_member_is_live(member) ||
+		member->incarnation <= gathering->version);
+}
+
 static void gather_members(gathering_t *gathering, const dy_list_t *head,
 			   int service)
 {
 	const dy_registry_member_t *member;
 	const dy_list_t *pos = find_first(head, service, gathering->version);
 
+	gathering->upto = gathering->version;
 	for (; pos != head; pos = pos->next) {
 		member = by_link(pos, service);
 		if (gathering->count >= DY_DELTAS_MAX &&
@@ -203,7 +219,7 @@
 			return;
 		}
 		gathering->upto = member->changed;
-		if (member->kind == DY_MEMBER_AGENT)
+		if (is_wanted(gathering, member))
 			gather_member(gathering, member);
 	}
 	gathering->upto = UINT64_MAX;
@@ -227,11 +243,22 @@
 	}
 }
 
+static void show_document(const dy_registry_document_t *document,
+			  const char *environment, dy_delta_t *delta)
+{
+	dy_document_info_t *info = &delta->dy_delta_t_u.document;
+
+	delta->kind = DY_DELTA_DOCUMENT;
+	info->environment = (char *)environment;
+	info->number = document->number;
+	memcpy(info->digest, document->digest, DY_DIGEST_BYTES);
+	info->size = document->size;
+}
+
 static void gather_document(gathering_t *gathering,
 			    const dy_registry_document_t *document,
 			    const char *environment)
 {
-	dy_document_info_t *info;
 	item_t *item;
 
 	if (!document->number || document->changed <= gathering->version ||
@@ -239,12 +266,7 @@
 		return;
 	item = &gathering->items[gathering->count++];
 	item->changed = document->changed;
-	item->delta.kind = DY_DELTA_DOCUMENT;
-	info = &item->delta.dy_delta_t_u.document;
-	info->environment = (char *)environment;
-	info->number = document->number;
-	memcpy(info->digest, document->digest, DY_DIGEST_BYTES);
-	info->size = document->size;
+	show_document(document, environment, &item->delta);
 }
 
 static int compare_items(const void *a, const void *b)
@@ -269,31 +291,53 @@
 	return n;
 }
 
+/* The members that the poller is told of. */
+static void gather_its_members(gathering_t *gathering,
+			       const environment_t *environment,
+			       const dy_poll_t *poll)
+{
+	const service_t *service;
+
+	gathering->upto = UINT64_MAX;
+	if (poll->skips & DY_SKIP_MEMBERS)
+		return;
+	if (poll->info.kind == DY_MEMBER_BALANCER) {
+		gather_members(gathering, &environment->members, 0);
+		return;
+	}
+	if (!*poll->info.service)
+		return;
+	service =
+		g_hash_table_lookup(environment->services, poll->info.service);
+	if (service)
+		gather_members(gathering, &service->members, 1);
+}
+
 static void gather(const dy_registry_t *registry, const dy_poll_t *poll,
 		   uint64_t version, gathering_t *gathering)
 {
 	int i = dy_environment_find(poll->info.environment);
 	const environment_t *environment = &registry->environments[i];
-	const service_t *service;
 
 	gathering->version = version;
-	gathering->upto = version;
+	gathering->skips = poll->skips;
 	gathering->count = 0;
-	service =
-		g_hash_table_lookup(environment->services, poll->info.service);
-	if (poll->info.kind == DY_MEMBER_BALANCER)
-		gather_members(gathering, &environment->members, 0);
-	else if (*poll->info.service && service)
-		gather_members(gathering, &service->members, 1);
-	else
-		gathering->upto = UINT64_MAX;
-	gather_keys(gathering, registry);
-	gather_document(gathering, &environment->document,
-			dy_environment_name(i));
+	gather_its_members(gathering, environment, poll);
+	if (!(poll->skips & DY_SKIP_KEYS))
+		gather_keys(gathering, registry);
+	if (!(poll->skips & DY_SKIP_DOCUMENT))
+		gather_document(gathering, &environment->document,
+				dy_environment_name(i));
 	qsort(gathering->items, gathering->count, sizeof(gathering->items[0]),
 	      compare_items);
 }
 
+/* Whether the poller has an image fetched in place of the first deltas. */
+static int starts_from_image(const dy_poll_t *poll)
+{
+	return !poll->state_version && (poll->skips & DY_SKIP_START);
+}
+
 void dy_registry_fill_poll(const dy_registry_t *registry, const dy_poll_t *poll,
 			   dy_poll_result_t *result)
 {
@@ -309,6 +353,10 @@
 		result->incarnation = member->incarnation;
 		result->drain = member->drain;
 	}
+	if (starts_from_image(poll)) {
+		result->more = 1;
+		return;
+	}
 	gather(registry, poll, version, &gathering);
 	n = cut(&gathering);
 	for (i = 0; i < n; i++)
@@ -324,3 +372,39 @@
 	else
 		result->state_version = registry->index;
 }
+
+static void show_keys(const dy_registry_t *registry, GArray *deltas)
+{
+	dy_delta_t delta = { .kind = DY_DELTA_KEY };
+	unsigned i;
+
+	for (i = 0; i < registry->key_count; i++) {
+		delta.dy_delta_t_u.key = registry->keys[i].info;
+		g_array_append_val(deltas, delta);
+	}
+}
+
+void dy_registry_fill_image(const dy_registry_t *registry,
+			    dy_environment_t environment, GArray *deltas)
+{
+	const environment_t *own = &registry->environments[environment];
+	const dy_registry_member_t *member;
+	dy_delta_t delta;
+	dy_list_t *pos;
+
+	DY_LIST_EACH(pos, &own->members)
+	{
+		member = by_link(pos, 0);
+		if (member->kind != DY_MEMBER_AGENT ||
+		    !dy_member_is_live(member))
+			continue;
+		delta.kind = DY_DELTA_MEMBER;
+		registry_show_member(member, &delta.dy_delta_t_u.member);
+		g_array_append_val(deltas, delta);
+	}
+	show_keys(registry, deltas);
+	if (!own->document.number)
+		return;
+	show_document(&own->document, dy_environment_name(environment), &delta);
+	g_array_append_val(deltas, delta);
+}
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -37,6 +37,9 @@
 	void *result;
 	size_t result_size;
 	int answered;
+	dy_address_t member; /* of the endpoint, the same after a restart */
+	int tells_address;
+	unsigned invited;
 } bench_t;
 
 static void receive(void *context, uint8_t *bytes, size_t len,
@@ -49,6 +52,12 @@
 	ck_assert(!truncated);
 	ck_assert_int_eq(dy_seal_open(bench->seal, bytes, len, &message),
 			 DY_SEAL_OK);
+	if (!message.is_reply) {
+		ck_assert_uint_eq(message.program, DY_MEMBER_PROGRAM);
+		bench->invited++;
+		dy_loop_end(bench->loop);
+		return;
+	}
 	if (message.xid != bench->xid || bench->answered)
 		return;
 	ck_assert(dy_sealed_load(&message, bench->proc, bench->result,
@@ -85,7 +94,6 @@
 
 static void start(bench_t *bench, unsigned peers)
 {
-	dy_address_t any;
 	GError *error = NULL;
 	unsigned i;
 
@@ -109,9 +117,11 @@
 	bench->control = dy_control_create(bench->loop, bench->metrics,
 					   &bench->options, &error);
 	ck_assert_ptr_nonnull(bench->control);
-	dy_address_parse("127.0.0.1:0", &any);
-	bench->endpoint =
-		dy_endpoint_create(bench->loop, &any, receive, bench, NULL);
+	if (!bench->member.port)
+		dy_address_parse("127.0.0.1:0", &bench->member);
+	bench->endpoint = dy_endpoint_create(bench->loop, &bench->member,
+					     receive, bench, NULL);
+	bench->member = *dy_endpoint_address(bench->endpoint);
 	bench->seal = dy_seal_create(&bench->options.secrets, bench->metrics);
 	dy_loop_every(bench->loop, 20, tick, bench);
 }
@@ -197,6 +207,8 @@
 	args.info.name = (char *)name;
 	args.info.environment = "trial";
 	args.info.domain = "d1";
+	if (bench->tells_address)
+		args.info.address = bench->member;
 	args.info.service = "";
 	args.info.labels = "";
 	args.boot = boot;
@@ -440,6 +452,66 @@
 }
 END_TEST
 
+/*
+ * Power is back everywhere. The log names the members, and a leader that waits
+ * until each has found it by asking around lets callers wait too.
+ */
+START_TEST(leader_invites_the_members_it_finds)
+{
+	bench_t *bench = open_bench(1);
+	dy_poll_result_t joined;
+
+	bench->tells_address = 1;
+	joined = poll_served(bench, "b1");
+	xdr_free((xdrproc_t)xdr_dy_poll_result_t, (char *)&joined);
+	ck_assert_uint_eq(bench->invited, 0);
+	stop(bench);
+	start(bench, 1);
+	while (!bench->invited)
+		dy_loop_run(bench->loop);
+	ck_assert_uint_eq(
+		dy_metrics_value(bench->metrics, "control_invitations"), 1);
+	close_bench(bench);
+}
+END_TEST
+
+static dy_image_result_t ask_image(bench_t *bench)
+{
+	dy_image_ask_t ask = { "trial" };
+	dy_image_result_t result;
+
+	call(bench, DY_CONTROL_PROGRAM, DY_CONTROL_IMAGE,
+	     (xdrproc_t)xdr_dy_image_ask_t, &ask,
+	     (xdrproc_t)xdr_dy_image_result_t, &result, sizeof(result));
+	return result;
+}
+
+/*
+ * A control that knows of no leader does not know what of its log was
+ * acknowledged: a member that started from its image would be sent an old state
+ * and all that came since.
+ */
+START_TEST(image_is_given_once_the_state_is_known)
+{
+	bench_t *bench = open_bench(3);
+	dy_image_result_t result = ask_image(bench);
+	dy_poll_result_t joined;
+
+	ck_assert_int_eq(result.status, DY_STATUS_UNAVAILABLE);
+	xdr_free((xdrproc_t)xdr_dy_image_result_t, (char *)&result);
+	close_bench(bench);
+	bench = open_bench(1);
+	joined = poll_served(bench, "b1");
+	xdr_free((xdrproc_t)xdr_dy_poll_result_t, (char *)&joined);
+	result = ask_image(bench);
+	ck_assert_int_eq(result.status, DY_STATUS_OK);
+	ck_assert_uint_ge(result.info.number, joined.incarnation);
+	ck_assert_uint_gt(result.info.size, 0);
+	xdr_free((xdrproc_t)xdr_dy_image_result_t, (char *)&result);
+	close_bench(bench);
+}
+END_TEST
+
 /* Every counter can be read from outside, page by page. */
 START_TEST(counters_are_paged)
 {
@@ -500,6 +572,8 @@
 		documents_are_fetched_in_pages,
 		bad_datagrams_are_counted_and_dropped,
 		one_of_three_alone_serves_nobody,
+		leader_invites_the_members_it_finds,
+		image_is_given_once_the_state_is_known,
 		counters_are_paged,
 		planned_stop_ends_the_loop,
 		pages_hold_whole_lines,
--- a/tests/test_registry_members.c
+++ b/tests/test_registry_members.c
@@ -367,6 +367,110 @@
 }
 END_TEST
 
+/* Polls until all is told; returns the members that were. */
+static unsigned count_told(dy_poll_t *poll)
+{
+	unsigned told = 0;
+
+	do {
+		ck_assert_int_eq(fake_user_poll(&user, poll), DY_STATUS_OK);
+		told += fake_user_count(&user, DY_DELTA_MEMBER);
+	} while (user.result.more);
+	return told;
+}
+
+static void join_agents(dy_poll_t *agents, unsigned count, uint64_t boot)
+{
+	static char names[10][16];
+	unsigned i;
+
+	for (i = 0; i < count; i++) {
+		snprintf(names[i], sizeof(names[i]), "a%u", i);
+		agents[i] = fake_user_member(DY_MEMBER_AGENT, names[i],
+					     "readings", boot);
+		agents[i].info.address.port = 7000 + i;
+		fake_user_poll(&user, &agents[i]);
+	}
+}
+
+/*
+ * All agents were restarted some times. A balancer that starts is told of each
+ * incarnation that ever was, over a link of two megabits, while callers wait;
+ * it never heard of any of them. One that knew some must be told of their end.
+ */
+START_TEST(ends_of_members_never_heard_of_are_skipped)
+{
+	dy_poll_t agents[10];
+	dy_poll_t fresh = fake_user_member(DY_MEMBER_BALANCER, "b1", "", 1);
+	dy_poll_t knowing = fake_user_member(DY_MEMBER_BALANCER, "b2", "", 1);
+	dy_poll_t keeping = fake_user_member(DY_MEMBER_BALANCER, "b3", "", 1);
+
+	fresh.skips = DY_SKIP_ENDED;
+	knowing.skips = DY_SKIP_ENDED;
+	join_agents(agents, 10, 1);
+	ck_assert_uint_eq(count_told(&knowing), 10);
+	join_agents(agents, 10, 2);
+	join_agents(agents, 10, 3);
+	ck_assert_uint_eq(count_told(&fresh), 10);
+	/* Ten ends that it must know, and ten new ones. */
+	ck_assert_uint_eq(count_told(&knowing), 20);
+	/* Tokens may name any incarnation. */
+	ck_assert_uint_eq(count_told(&keeping), 30);
+}
+END_TEST
+
+/*
+ * Hundreds of agents of one service start at once. Each is told of all others,
+ * of which it makes no use, and the leader's work grows with their square.
+ */
+START_TEST(what_a_member_does_not_use_is_not_told)
+{
+	dy_poll_t agents[10];
+
+	join_agents(agents, 10, 1);
+	agents[3].state_version = 0;
+	agents[3].skips = DY_SKIP_MEMBERS | DY_SKIP_DOCUMENT | DY_SKIP_KEYS;
+	ck_assert_int_eq(fake_user_poll(&user, &agents[3]), DY_STATUS_OK);
+	ck_assert_uint_eq(user.result.deltas.deltas_len, 0);
+	ck_assert(!user.result.more);
+	ck_assert_uint_eq(user.result.state_version,
+			  dy_registry_index(user.registry));
+	agents[3].state_version = 0;
+	agents[3].skips = 0;
+	ck_assert_uint_eq(count_told(&agents[3]), 10);
+}
+END_TEST
+
+/*
+ * A balancer starts from an image that any control gave, and the leader's next
+ * answer goes on from there: nothing is told twice, nothing is left out.
+ */
+START_TEST(image_and_what_follows_are_the_whole_state)
+{
+	GArray *image = g_array_new(FALSE, FALSE, sizeof(dy_delta_t));
+	dy_poll_t agents[10];
+	dy_poll_t starting = fake_user_member(DY_MEMBER_BALANCER, "b1", "", 1);
+	uint64_t version;
+
+	starting.skips = DY_SKIP_ENDED | DY_SKIP_START;
+	join_agents(agents, 10, 1);
+	join_agents(agents, 10, 2);
+	ck_assert_int_eq(fake_user_poll(&user, &starting), DY_STATUS_OK);
+	ck_assert_uint_gt(starting.incarnation, 0);
+	ck_assert_uint_eq(user.result.deltas.deltas_len, 0);
+	ck_assert_uint_eq(user.result.state_version, 0);
+	ck_assert(user.result.more);
+	dy_registry_fill_image(user.registry, DY_TRIAL, image);
+	ck_assert_uint_eq(image->len, 10);
+	version = dy_registry_index(user.registry);
+	join_agents(agents, 2, 3);
+	starting.state_version = version;
+	/* Two ends of what stands in the image, and two new ones. */
+	ck_assert_uint_eq(count_told(&starting), 4);
+	g_array_free(image, TRUE);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("registry_members");
@@ -388,6 +492,9 @@
 	tcase_add_test(tcase, one_that_missed_forgotten_ends_is_superseded);
 	tcase_add_test(tcase, records_of_those_gone_are_bounded);
 	tcase_add_test(tcase, operators_drain_and_remove_by_name);
+	tcase_add_test(tcase, ends_of_members_never_heard_of_are_skipped);
+	tcase_add_test(tcase, what_a_member_does_not_use_is_not_told);
+	tcase_add_test(tcase, image_and_what_follows_are_the_whole_state);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
--- a/tests/test_subscriber.c
+++ b/tests/test_subscriber.c
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 
+#include "damaskyard/document.h"
 #include "fake_suite.h"
 
 #define CONTROLS 2
@@ -20,8 +21,13 @@
 	dy_endpoint_t *controls[CONTROLS];
 	dy_address_list_t addresses;
 	dy_subscriber_t *subscriber;
-	uint32_t xid;	/* of the last poll */
-	unsigned asked; /* which control got it */
+	uint32_t xid;	      /* of the last poll */
+	unsigned asked;	      /* which control got it */
+	dy_sealed_t question; /* the last other call; its body is gone */
+	unsigned skips;	      /* of the last poll */
+	uint64_t polled_version;
+	unsigned members; /* told so far */
+	unsigned caught_up;
 } world;
 
 static void on_member(void *context, uint8_t *bytes, size_t len,
@@ -38,11 +44,21 @@
 		    const struct sockaddr *from, int truncated)
 {
 	dy_sealed_t message;
+	dy_poll_t poll;
 
 	(void)from;
 	ck_assert(!truncated);
 	ck_assert_int_eq(dy_seal_open(world.control_seal, bytes, len, &message),
 			 DY_SEAL_OK);
+	if (message.procedure != DY_CONTROL_POLL) {
+		world.question = message;
+		return;
+	}
+	ck_assert(dy_sealed_load(&message, (xdrproc_t)xdr_dy_poll_t, &poll,
+				 sizeof(poll)));
+	world.skips = poll.skips;
+	world.polled_version = poll.state_version;
+	xdr_free((xdrproc_t)xdr_dy_poll_t, (char *)&poll);
 	world.xid = message.xid;
 	world.asked = GPOINTER_TO_UINT(context);
 	dy_loop_end(world.loop);
@@ -54,9 +70,26 @@
 	(void)status;
 }
 
-static const dy_subscriber_callbacks_t callbacks = { .refused = on_refused };
+static void on_told(void *context, const dy_member_t *member)
+{
+	(void)context;
+	(void)member;
+	world.members++;
+}
 
-static void begin(void)
+static void on_caught_up(void *context)
+{
+	(void)context;
+	world.caught_up++;
+}
+
+static const dy_subscriber_callbacks_t callbacks = {
+	.member = on_told,
+	.caught_up = on_caught_up,
+	.refused = on_refused,
+};
+
+static void begin_as(int skip_ended)
 {
 	dy_subscriber_config_t config = { 0 };
 	dy_member_info_t info = { .kind = DY_MEMBER_BALANCER,
@@ -90,11 +123,17 @@
 	config.metrics = world.metrics;
 	config.controls = &world.addresses;
 	config.callbacks = &callbacks;
+	config.skip_ended = skip_ended;
 	world.subscriber = dy_subscriber_create(&config);
 	dy_subscriber_set_info(world.subscriber, &info);
 	dy_loop_run(world.loop);
 }
 
+static void begin(void)
+{
+	begin_as(0);
+}
+
 static void end(void)
 {
 	unsigned i;
@@ -127,6 +166,36 @@
 	dy_subscriber_receive(world.subscriber, &message);
 }
 
+/* Have the member take a message that one of the controls wrote. */
+static void deliver(uint8_t *bytes, size_t len)
+{
+	dy_sealed_t message;
+
+	ck_assert_uint_gt(len, 0);
+	ck_assert_int_eq(dy_seal_open(world.member_seal, bytes, len, &message),
+			 DY_SEAL_OK);
+	ck_assert(dy_subscriber_receive(world.subscriber, &message));
+}
+
+static void reply(uint32_t xid, xdrproc_t proc, void *result)
+{
+	uint8_t bytes[MESSAGE_BYTES];
+
+	deliver(bytes, dy_seal_write_reply(world.control_seal, xid, proc,
+					   result, bytes, sizeof(bytes)));
+}
+
+static void invite(unsigned leader)
+{
+	dy_seal_head_t head = { 0, DY_MEMBER_PROGRAM, DY_MEMBER_INVITE };
+	dy_invite_t args = { world.addresses.items[leader] };
+	uint8_t bytes[MESSAGE_BYTES];
+
+	deliver(bytes, dy_seal_write_call(world.control_seal, &head,
+					  (xdrproc_t)xdr_dy_invite_t, &args,
+					  bytes, sizeof(bytes)));
+}
+
 static uint64_t polls(void)
 {
 	return dy_metrics_value(world.metrics, "polls");
@@ -193,12 +262,178 @@
 }
 END_TEST
 
+/*
+ * All power is back. The leader answers a member's first poll late, after the
+ * member sent a copy to another control. Were only the newest copy's answer
+ * taken, the leader's work was for nothing, and a slow group never got anybody
+ * served.
+ */
+START_TEST(answer_to_any_copy_of_a_poll_counts)
+{
+	uint32_t first;
+	unsigned asked;
+
+	begin();
+	first = world.xid;
+	asked = world.asked;
+	dy_loop_run(world.loop);
+	ck_assert_uint_eq(world.asked, !asked);
+	ck_assert_uint_eq(world.xid, first);
+	answer(DY_STATUS_OK, asked);
+	ck_assert_uint_eq(world.caught_up, 1);
+	ck_assert_uint_lt(dy_subscriber_age_ms(world.subscriber), UINT64_MAX);
+	end();
+}
+END_TEST
+
+/*
+ * A leader was elected and calls its members. One that waits for a control that
+ * is gone polls it at once, whomever it asked before.
+ */
+START_TEST(leader_that_invites_is_polled_at_once)
+{
+	unsigned other;
+
+	begin();
+	other = !world.asked;
+	invite(other);
+	ck_assert_uint_eq(polls(), 2);
+	dy_loop_run(world.loop);
+	ck_assert_uint_eq(world.asked, other);
+	answer(DY_STATUS_OK, other);
+	invite(!other);
+	ck_assert_uint_eq(polls(), 3);
+	end();
+}
+END_TEST
+
+static void reply_image(uint64_t version, unsigned members)
+{
+	dy_delta_t deltas[4] = { { 0 } };
+	dy_image_t image = { .state_version = version };
+	dy_image_result_t info = { .status = DY_STATUS_OK };
+	dy_fetch_result_t page = { .status = DY_STATUS_OK };
+	static char bytes[MESSAGE_BYTES];
+	unsigned i;
+	XDR xdrs;
+
+	for (i = 0; i < members; i++) {
+		deltas[i].kind = DY_DELTA_MEMBER;
+		deltas[i].dy_delta_t_u.member.state = DY_MEMBER_SERVING;
+		deltas[i].dy_delta_t_u.member.info =
+			(dy_member_info_t){ .kind = DY_MEMBER_AGENT,
+					    .name = "",
+					    .environment = "",
+					    .domain = "",
+					    .service = "",
+					    .labels = "" };
+	}
+	image.deltas.deltas_len = members;
+	image.deltas.deltas_val = deltas;
+	xdrmem_create(&xdrs, bytes, sizeof(bytes), XDR_ENCODE);
+	ck_assert(xdr_dy_image_t(&xdrs, &image));
+	info.info.environment = "trial";
+	info.info.number = version;
+	info.info.size = xdr_getpos(&xdrs);
+	dy_document_digest(bytes, info.info.size, (uint8_t *)info.info.digest);
+	reply(world.question.xid, (xdrproc_t)xdr_dy_image_result_t, &info);
+	while (world.question.procedure != DY_CONTROL_FETCH)
+		uv_run(dy_loop_uv(world.loop), UV_RUN_ONCE);
+	page.size = info.info.size;
+	page.page.page_val = bytes;
+	page.page.page_len = info.info.size;
+	reply(world.question.xid, (xdrproc_t)xdr_dy_fetch_result_t, &page);
+}
+
+/* The leader grants the place and leaves the state to the image. */
+static void defer(void)
+{
+	dy_poll_result_t result = { .status = DY_STATUS_OK,
+				    .incarnation = 7,
+				    .more = 1 };
+
+	reply(world.xid, (xdrproc_t)xdr_dy_poll_result_t, &result);
+}
+
+/*
+ * All balancers start at once. Each gets the state as an image, from any
+ * control, and asks the leader only for its place and a confirmation: paged out
+ * by the leader to each of them the state takes a second and more.
+ */
+START_TEST(balancer_starts_from_an_image)
+{
+	dy_poll_result_t result = { .status = DY_STATUS_OK,
+				    .state_version = 50 };
+
+	begin_as(1);
+	ck_assert_uint_ne(world.skips & DY_SKIP_START, 0);
+	defer();
+	ck_assert_uint_eq(dy_subscriber_incarnation(world.subscriber), 7);
+	while (world.question.procedure != DY_CONTROL_IMAGE)
+		uv_run(dy_loop_uv(world.loop), UV_RUN_ONCE);
+	ck_assert_uint_eq(polls(), 1);
+	reply_image(48, 3);
+	ck_assert_uint_eq(world.members, 3);
+	ck_assert_uint_eq(world.caught_up, 0);
+	dy_loop_run(world.loop);
+	ck_assert_uint_eq(world.polled_version, 48);
+	ck_assert_uint_eq(world.skips & DY_SKIP_START, 0);
+	reply(world.xid, (xdrproc_t)xdr_dy_poll_result_t, &result);
+	ck_assert_uint_eq(world.caught_up, 1);
+	ck_assert_uint_eq(dy_subscriber_version(world.subscriber), 50);
+	end();
+}
+END_TEST
+
+/*
+ * The image comes while the leader is still at work on the first poll. Its
+ * answer, of the state before, is no older state that is to be refused.
+ */
+START_TEST(image_may_come_before_the_first_answer)
+{
+	begin_as(1);
+	invite(world.asked);
+	while (world.question.procedure != DY_CONTROL_IMAGE)
+		uv_run(dy_loop_uv(world.loop), UV_RUN_ONCE);
+	reply_image(48, 3);
+	ck_assert_uint_eq(world.members, 3);
+	defer();
+	ck_assert_uint_eq(
+		dy_metrics_value(world.metrics, "stale_state_refused"), 0);
+	ck_assert_uint_eq(dy_subscriber_incarnation(world.subscriber), 7);
+	dy_loop_run(world.loop);
+	while (world.polled_version != 48)
+		dy_loop_run(world.loop);
+	end();
+}
+END_TEST
+
+/*
+ * No control gives an image, as controls of an older build do not know of any.
+ * After some tries the leader is asked for the state itself.
+ */
+START_TEST(leader_gives_the_state_if_no_image_comes)
+{
+	begin_as(1);
+	defer();
+	while (world.skips & DY_SKIP_START)
+		dy_loop_run(world.loop);
+	ck_assert_uint_eq(world.polled_version, 0);
+	end();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		leader_that_is_named_is_polled_at_once,
 		controls_that_name_each_other_are_polled_in_time,
 		leader_that_cannot_serve_yet_is_polled_again,
+		answer_to_any_copy_of_a_poll_counts,
+		leader_that_invites_is_polled_at_once,
+		balancer_starts_from_an_image,
+		image_may_come_before_the_first_answer,
+		leader_gives_the_state_if_no_image_comes,
 		NULL,
 	};
 
