--- a/src/process/control/control_intake.c
+++ b/src/process/control/control_intake.c
@@ -1,11 +1,12 @@
 /*
- * What members want of a control: their polls, which wait for a turn, and the
- * invitations of a new leader.
+ * What members want of a control: their polls and the ledger's lists, which
+ * wait for a turn, and the invitations of a new leader.
  *
  * Guards against a crowd of members that unseats the leader: the group's own
- * messages come by the same socket. So the socket is emptied at once, polls are
- * put aside unopened, and each turn of the loop begins only as many of them as
- * its time allows.
+ * messages come by the same socket. So the socket is emptied at once, what
+ * members ask is put aside unopened, and each turn of the loop begins only as
+ * much of it as its time allows. Polls go first: a list of flows that are over
+ * helps callers only once balancers are ready.
  */
 
 #include <rpc/rpc.h>
@@ -15,6 +16,7 @@
 #include "damaskyard/invitations.h"
 #include "damaskyard/poll_queue.h"
 #include "damaskyard/rpc.h"
+#include "dy_ledger.h"
 
 /*
  * Polls are begun for so long in a turn of the loop, in ms: a third of a
@@ -34,8 +36,9 @@
 struct control_intake {
 	dy_control_t *control;
 	dy_poll_queue_t *queue;
+	dy_poll_queue_t *lists; /* questions for them */
 	dy_invitations_t *invitations;
-	uv_idle_t *idle; /* active while polls wait */
+	uv_idle_t *idle; /* active while anything waits */
 	uint64_t led_ms; /* lead confirmed; 0: not, or not leading */
 };
 
@@ -58,22 +61,49 @@
 	g_free(poll->bytes);
 }
 
+static void give_list(control_intake_t *intake, dy_queued_poll_t *ask)
+{
+	dy_control_t *control = intake->control;
+	struct sockaddr_storage from;
+	dy_sealed_t message;
+
+	dy_address_write(&ask->from, &from);
+	if (dy_seal_open(control->seal, ask->bytes, ask->len, &message) ==
+	    DY_SEAL_OK)
+		control_ledger_receive(control->ledger, &message,
+				       (struct sockaddr *)&from);
+	dy_poll_queue_end(intake->lists, &ask->from, ask->xid);
+	g_free(ask->bytes);
+}
+
+/* Begin what goes first. Returns 0 if there is nothing to begin now. */
+static int begin_next(control_intake_t *intake)
+{
+	uint64_t now = control_now_ms(intake->control);
+	dy_queued_poll_t next;
+
+	if (intake->control->request_count >= REQUESTS_MAX)
+		return 0;
+	if (dy_poll_queue_take(intake->queue, now, &next))
+		begin_poll(intake, &next);
+	else if (dy_poll_queue_take(intake->lists, now, &next))
+		give_list(intake, &next);
+	else
+		return 0;
+	return 1;
+}
+
 static void on_idle(uv_idle_t *idle)
 {
 	control_intake_t *intake = idle->data;
 	uint64_t end_ns = uv_hrtime() + TURN_MS * G_GUINT64_CONSTANT(1000000);
-	dy_queued_poll_t poll;
 	unsigned begun = 0;
 
 	do {
-		if (intake->control->request_count >= REQUESTS_MAX ||
-		    !dy_poll_queue_take(intake->queue,
-					control_now_ms(intake->control),
-					&poll)) {
+		if (!begin_next(intake)) {
 			uv_idle_stop(idle);
 			return;
 		}
-		begin_poll(intake, &poll);
 	} while (++begun % POLLS_A_LOOK || uv_hrtime() < end_ns);
 }
 
@@ -83,6 +113,7 @@
 
 	intake->control = control;
 	intake->queue = dy_poll_queue_create();
+	intake->lists = dy_poll_queue_create();
 	intake->invitations = dy_invitations_create();
 	intake->idle = g_new0(uv_idle_t, 1);
 	uv_idle_init(dy_loop_uv(control->loop), intake->idle);
@@ -96,6 +127,7 @@
 		return;
 	uv_close((uv_handle_t *)intake->idle, free_handle);
 	dy_poll_queue_destroy(intake->queue);
+	dy_poll_queue_destroy(intake->lists);
 	dy_invitations_destroy(intake->invitations);
 	g_free(intake);
 }
@@ -111,21 +143,35 @@
 	return ntohl(kind) == DY_MEMBER_BALANCER;
 }
 
+/* The queue of what the call asks for; NULL if it does not wait. */
+static dy_poll_queue_t *queue_of(const control_intake_t *intake,
+				 const dy_rpc_call_t *call)
+{
+	if (call->program == DY_CONTROL_PROGRAM &&
+	    call->procedure == DY_CONTROL_POLL)
+		return intake->queue;
+	if (call->program == DY_LEDGER_PROGRAM &&
+	    call->procedure == DY_LEDGER_ASK)
+		return intake->lists;
+	return NULL;
+}
+
 int control_intake_take(control_intake_t *intake, const uint8_t *bytes,
 			size_t len, const struct sockaddr *from)
 {
 	dy_control_t *control = intake->control;
+	dy_poll_queue_t *queue;
 	dy_address_t address;
 	dy_rpc_call_t call;
 
-	if (dy_rpc_parse_call(bytes, len, &call) ||
-	    call.program != DY_CONTROL_PROGRAM ||
-	    call.procedure != DY_CONTROL_POLL)
+	if (dy_rpc_parse_call(bytes, len, &call))
+		return 0;
+	queue = queue_of(intake, &call);
+	if (!queue)
 		return 0;
 	dy_address_load(&address, from);
-	switch (dy_poll_queue_put(intake->queue, &address, call.xid,
-				  is_balancer(&call), bytes, len,
-				  control_now_ms(control))) {
+	switch (dy_poll_queue_put(queue, &address, call.xid, is_balancer(&call),
+				  bytes, len, control_now_ms(control))) {
 	case DY_POLL_QUEUED:
 		uv_idle_start(intake->idle, on_idle);
 		break;
@@ -147,7 +193,8 @@
 
 	dy_address_load(&address, from);
 	dy_poll_queue_end(intake->queue, &address, xid);
-	if (dy_poll_queue_count(intake->queue))
+	if (dy_poll_queue_count(intake->queue) ||
+	    dy_poll_queue_count(intake->lists))
 		uv_idle_start(intake->idle, on_idle);
 }
 
--- a/src/process/control/control_private.h
+++ b/src/process/control/control_private.h
@@ -210,7 +210,7 @@
 /* control_intake.c */
 control_intake_t *control_intake_create(dy_control_t *control);
 void control_intake_destroy(control_intake_t *intake);
-/* Put a poll aside. Returns whether the datagram was one. */
+/* Put a poll, or a question for a list, aside. Returns whether it was one. */
 int control_intake_take(control_intake_t *intake, const uint8_t *bytes,
 			size_t len, const struct sockaddr *from);
 /* A request ended; if it was a poll, its copies may come again. */
