--- a/src/process/subscriber.c
+++ b/src/process/subscriber.c
@@ -690,6 +690,8 @@
 	subscriber->successor_count = 0;
 	subscriber->drain_told = 0;
 	subscriber->image_begun = 0;
+	/* The one that was asked may have given what is too old. */
+	subscriber->fetch_control++;
 	dy_poll_pace_reset(&subscriber->pace);
 	poll_soon(subscriber);
 }
--- a/src/version/registry_poll.c
+++ b/src/version/registry_poll.c
@@ -85,13 +85,6 @@
 	    holder->state != DY_MEMBER_SUSPECT &&
 	    !registry_is_successor(holder, &poll->info, poll->boot))
 		return refuse(status, DY_STATUS_NAME_TAKEN);
-	/*
-	 * Its state may hold members whose end is no longer told. Only one
-	 * that stayed away for longer than any record is kept is so far
-	 * behind; it must start anew.
-	 */
-	if (poll->state_version && poll->state_version < registry->forgotten)
-		return refuse(status, DY_STATUS_SUPERSEDED);
 	command->kind = DY_COMMAND_JOIN;
 	join->info = poll->info;
 	join->boot = poll->boot;
@@ -99,6 +92,17 @@
 	return DY_POLL_PROPOSE;
 }
 
+/*
+ * Guards against a member whose state holds others whose end is no longer told:
+ * it would route to them for good. So far behind is one that stayed away for
+ * longer than any record is kept, or that started from the image of a control
+ * that was cut off for as long; it must start anew.
+ */
+static int is_too_old(const dy_registry_t *registry, const dy_poll_t *poll)
+{
+	return poll->state_version && poll->state_version < registry->forgotten;
+}
+
 /*
  * Guards against a process that was taken for dead, replaced, and comes back
  * believing that it holds its name: an incarnation that is not the newest of
@@ -115,6 +119,8 @@
 	*status = DY_STATUS_OK;
 	if (!is_valid(poll))
 		return refuse(status, DY_STATUS_MALFORMED);
+	if (is_too_old(registry, poll))
+		return refuse(status, DY_STATUS_SUPERSEDED);
 	member = find_poller(registry, poll);
 	if (!poll->incarnation &&
 	    !(member && member->boot == poll->boot &&
--- a/tests/test_registry_members.c
+++ b/tests/test_registry_members.c
@@ -310,6 +310,32 @@
 }
 END_TEST
 
+/*
+ * A control was cut off for a day and gives a balancer that starts an image of
+ * the day before, after the leader granted it its place. An agent of that image
+ * ended and is forgotten, so nothing would tell the balancer that it is gone.
+ */
+START_TEST(image_that_misses_forgotten_ends_is_refused)
+{
+	dy_poll_t balancer = fake_user_member(DY_MEMBER_BALANCER, "b", "", 9);
+	dy_poll_t poll = fake_user_member(DY_MEMBER_AGENT, "a", "readings", 1);
+	uint64_t image;
+
+	fake_user_poll(&user, &poll);
+	image = dy_registry_index(user.registry);
+	poll.state = DY_MEMBER_LEFT;
+	fake_user_poll(&user, &poll);
+	fake_user_mark(&user, &poll, DY_MARK_FORGET);
+	balancer.skips = DY_SKIP_ENDED | DY_SKIP_START;
+	ck_assert_int_eq(fake_user_poll(&user, &balancer), DY_STATUS_OK);
+	balancer.state_version = image;
+	ck_assert_int_eq(fake_user_poll(&user, &balancer),
+			 DY_STATUS_SUPERSEDED);
+	balancer.state_version = dy_registry_index(user.registry);
+	ck_assert_int_eq(fake_user_poll(&user, &balancer), DY_STATUS_OK);
+}
+END_TEST
+
 /* A member that restarts without end must not fill the controls' memory. */
 START_TEST(records_of_those_gone_are_bounded)
 {
@@ -490,6 +516,7 @@
 	tcase_add_test(tcase, poll_that_changes_nothing_proposes_nothing);
 	tcase_add_test(tcase, whole_state_comes_in_pages_then_only_changes);
 	tcase_add_test(tcase, one_that_missed_forgotten_ends_is_superseded);
+	tcase_add_test(tcase, image_that_misses_forgotten_ends_is_refused);
 	tcase_add_test(tcase, records_of_those_gone_are_bounded);
 	tcase_add_test(tcase, operators_drain_and_remove_by_name);
 	tcase_add_test(tcase, ends_of_members_never_heard_of_are_skipped);
