--- a/src/process/subscriber.c
+++ b/src/process/subscriber.c
@@ -2,10 +2,8 @@
 
 #include <string.h>
 
-#include "damaskyard/document_pack.h"
 #include "damaskyard/log.h"
-#include "document_fetch.h"
-#include "image_fetch.h"
+#include "state_source.h"
 
 /* The loop looks this often whether a poll or a page is due, in ms. */
 #define TICK_MS 50
@@ -43,11 +41,7 @@
 	uint64_t confirmed_ms;
 	int confirmed;
 	int drain_told;
-	document_fetch_t *fetch;
-	image_fetch_t *image;
-	int image_begun;	/* since the last joining */
-	uint32_t fetch_control; /* drawn; documents are asked for there */
-	int fetch_from_leader;	/* in its place */
+	state_source_t *source;
 	uint64_t *polls;
 	uint64_t *poll_copies;
 	uint64_t *invited;
@@ -118,17 +112,16 @@
 {
 	return !subscriber->state_version && subscriber->config.skip_ended &&
 	       subscriber->config.callbacks->member &&
-	       (!subscriber->image_begun ||
-		image_fetch_is_under_way(subscriber->image));
+	       state_source_may_give_image(subscriber->source);
 }
 
 /* A control is there. */
 static void begin_image(dy_subscriber_t *subscriber)
 {
-	if (!wants_image(subscriber) || subscriber->image_begun)
-		return;
-	subscriber->image_begun = 1;
-	image_fetch_begin(subscriber->image, now_ms(subscriber));
+	if (wants_image(subscriber))
+		state_source_begin_image(subscriber->source,
+					 subscriber->info.environment,
+					 now_ms(subscriber));
 }
 
 static void send_poll(dy_subscriber_t *subscriber)
@@ -178,71 +171,16 @@
 							now_ms(subscriber)));
 }
 
-/*
- * Any control has a document that is in force, and each has a small part of a
- * core: members ask the one that they drew, so that a leader does not send the
- * same pages to all of them just when they all wait for it. One that lags does
- * not have the newest yet; then the leader is asked.
- */
-static const dy_address_t *fetch_from(const dy_subscriber_t *subscriber)
-{
-	const dy_address_list_t *known = &subscriber->learned;
-
-	if (!known->count)
-		known = subscriber->config.controls;
-	return &known->items[subscriber->fetch_control %
-			     (uint32_t)known->count];
-}
-
-static uint32_t send_fetch(void *context, dy_fetch_t *request)
-{
-	dy_subscriber_t *subscriber = context;
-	uint32_t xid = dy_seal_next_xid(subscriber->config.seal);
-
-	send_request(subscriber,
-		     subscriber->fetch_from_leader ? &subscriber->control
-						   : fetch_from(subscriber),
-		     DY_CONTROL_FETCH, xid, (xdrproc_t)xdr_dy_fetch_t, request);
-	return xid;
-}
-
-static uint32_t ask_image(void *context)
+static uint32_t send_for_source(void *context, const dy_address_t *to,
+				uint32_t procedure, xdrproc_t proc, void *args)
 {
 	dy_subscriber_t *subscriber = context;
 	uint32_t xid = dy_seal_next_xid(subscriber->config.seal);
-	dy_image_ask_t ask = { subscriber->info.environment };
 
-	send_request(subscriber, fetch_from(subscriber), DY_CONTROL_IMAGE, xid,
-		     (xdrproc_t)xdr_dy_image_ask_t, &ask);
+	send_request(subscriber, to, procedure, xid, proc, args);
 	return xid;
 }
 
-static uint32_t send_image_page(void *context, dy_fetch_t *request)
-{
-	dy_subscriber_t *subscriber = context;
-	uint32_t xid = dy_seal_next_xid(subscriber->config.seal);
-
-	send_request(subscriber, fetch_from(subscriber), DY_CONTROL_FETCH, xid,
-		     (xdrproc_t)xdr_dy_fetch_t, request);
-	return xid;
-}
-
-static void turn_image(void *context)
-{
-	dy_subscriber_t *subscriber = context;
-
-	subscriber->fetch_control++;
-}
-
-static void turn_from_control(void *context)
-{
-	dy_subscriber_t *subscriber = context;
-
-	subscriber->fetch_from_leader = !subscriber->fetch_from_leader;
-	if (!subscriber->fetch_from_leader)
-		subscriber->fetch_control++;
-}
-
 static void take_document(void *context, const dy_document_info_t *info,
 			  const uint8_t *bytes, size_t len)
 {
@@ -252,26 +190,6 @@
 					       bytes, len);
 }
 
-static const document_fetch_callbacks_t fetch_callbacks = {
-	send_fetch,
-	turn_from_control,
-	take_document,
-};
-
-static void receive_page(dy_subscriber_t *subscriber,
-			 const dy_sealed_t *message)
-{
-	dy_fetch_result_t result;
-
-	if (!dy_sealed_load(message, (xdrproc_t)xdr_dy_fetch_result_t, &result,
-			    sizeof(result)))
-		return;
-	document_fetch_receive(subscriber->fetch, message->xid, &result,
-			       now_ms(subscriber));
-	*subscriber->bad_documents = document_fetch_wrong(subscriber->fetch);
-	xdr_free((xdrproc_t)xdr_dy_fetch_result_t, (char *)&result);
-}
-
 static void apply_delta(dy_subscriber_t *subscriber, const dy_delta_t *delta)
 {
 	const dy_subscriber_callbacks_t *calls = subscriber->config.callbacks;
@@ -282,9 +200,9 @@
 		/* A control of an older build sends what is skipped. */
 		if (!calls->document)
 			break;
-		document_fetch_begin(subscriber->fetch,
-				     &delta->dy_delta_t_u.document,
-				     now_ms(subscriber));
+		state_source_begin_document(subscriber->source,
+					    &delta->dy_delta_t_u.document,
+					    now_ms(subscriber));
 		break;
 	case DY_DELTA_MEMBER:
 		if (calls->member)
@@ -310,34 +228,21 @@
  * The image is of a state that a majority acknowledged, but may be old: the
  * leader's answer that follows brings the rest and confirms it.
  */
-static int take_image(void *context, const uint8_t *bytes, size_t len)
+static void take_image(void *context, const dy_image_t *image)
 {
 	dy_subscriber_t *subscriber = context;
-	GByteArray *plain = dy_document_unpack(bytes, len, DY_DOCUMENT_BYTES);
-	dy_image_t image = { 0 };
-	int ok = 0;
-	XDR xdrs;
-
-	if (plain) {
-		xdrmem_create(&xdrs, (char *)plain->data, plain->len,
-			      XDR_DECODE);
-		ok = xdr_dy_image_t(&xdrs, &image);
-		g_byte_array_unref(plain);
-	}
-	if (ok && image.state_version > subscriber->state_version) {
-		apply_deltas(subscriber, image.deltas.deltas_val,
-			     image.deltas.deltas_len);
-		subscriber->state_version = image.state_version;
+
+	if (image->state_version > subscriber->state_version) {
+		apply_deltas(subscriber, image->deltas.deltas_val,
+			     image->deltas.deltas_len);
+		subscriber->state_version = image->state_version;
 	}
-	xdr_free((xdrproc_t)xdr_dy_image_t, (char *)&image);
 	dy_poll_pace_renew(&subscriber->pace);
-	return ok;
 }
 
-static const image_fetch_callbacks_t image_callbacks = {
-	ask_image,
-	send_image_page,
-	turn_image,
+static const state_source_callbacks_t source_callbacks = {
+	send_for_source,
+	take_document,
 	take_image,
 };
 
@@ -543,10 +448,13 @@
 	poll_if_due(subscriber);
 }
 
-static void receive_image(dy_subscriber_t *subscriber,
-			  const dy_sealed_t *message)
+static void receive_content(dy_subscriber_t *subscriber,
+			    const dy_sealed_t *message)
 {
-	image_fetch_receive(subscriber->image, message, now_ms(subscriber));
+	if (!state_source_receive(subscriber->source, message,
+				  now_ms(subscriber)))
+		return;
+	*subscriber->bad_documents = state_source_wrong(subscriber->source);
 	poll_if_due(subscriber);
 }
 
@@ -563,31 +471,19 @@
 	*subscriber->bytes_received += message->body_len + REPLY_HEAD_BYTES;
 	if (subscriber->pace.under_way && message->xid == subscriber->poll_xid)
 		receive_poll_result(subscriber, message);
-	else if (document_fetch_waits(subscriber->fetch, message->xid))
-		receive_page(subscriber, message);
-	else if (image_fetch_waits(subscriber->image, message->xid))
-		receive_image(subscriber, message);
+	else
+		receive_content(subscriber, message);
 	return 1;
 }
 
-/* An image that does not come leaves it to the leader, with the next poll. */
-static void check_image(dy_subscriber_t *subscriber, uint64_t now)
-{
-	if (!image_fetch_is_under_way(subscriber->image))
-		return;
-	image_fetch_tick(subscriber->image, now);
-	if (!image_fetch_is_under_way(subscriber->image))
-		dy_poll_pace_renew(&subscriber->pace);
-}
-
 static void on_tick(void *context)
 {
 	dy_subscriber_t *subscriber = context;
-	uint64_t now = now_ms(subscriber);
 
-	check_image(subscriber, now);
+	/* An image that does not come leaves it to the leader. */
+	if (state_source_tick(subscriber->source, now_ms(subscriber)))
+		dy_poll_pace_renew(&subscriber->pace);
 	poll_if_due(subscriber);
-	document_fetch_tick(subscriber->fetch, now, DY_POLL_TIMEOUT_MS);
 }
 
 /*
@@ -644,18 +540,21 @@
 {
 	dy_subscriber_t *subscriber = g_new0(dy_subscriber_t, 1);
 	static const dy_log_limit_t limit = DY_LOG_LIMIT_INIT(3, 10000);
+	state_source_controls_t controls;
 	uint32_t start;
 
 	subscriber->config = *config;
 	subscriber->skips = list_skips(config);
-	subscriber->fetch = document_fetch_create(&fetch_callbacks, subscriber);
-	subscriber->image = image_fetch_create(&image_callbacks, subscriber);
 	subscriber->state = DY_MEMBER_SERVING;
 	subscriber->refused_limit = limit;
 	subscriber->boot = make_boot();
 	dy_random_fill(&start, sizeof(start));
 	dy_poll_pace_init(&subscriber->pace, start);
-	subscriber->fetch_control = start;
+	controls.told = config->controls;
+	controls.learned = &subscriber->learned;
+	controls.leader = &subscriber->control;
+	subscriber->source = state_source_create(&source_callbacks, subscriber,
+						 &controls, start);
 	subscriber->next_control = (int)(start % config->controls->count);
 	choose_next_control(subscriber);
 	register_counters(subscriber);
@@ -667,8 +566,7 @@
 {
 	if (!subscriber)
 		return;
-	document_fetch_destroy(subscriber->fetch);
-	image_fetch_destroy(subscriber->image);
+	state_source_destroy(subscriber->source);
 	dy_poll_pace_clear(&subscriber->pace);
 	g_free(subscriber);
 }
@@ -681,7 +579,7 @@
 
 void dy_subscriber_rejoin(dy_subscriber_t *subscriber)
 {
-	document_fetch_reset(subscriber->fetch);
+	state_source_reset(subscriber->source);
 	subscriber->boot = make_boot();
 	subscriber->incarnation = 0;
 	subscriber->state_version = 0;
@@ -689,9 +587,6 @@
 	subscriber->state = DY_MEMBER_SERVING;
 	subscriber->successor_count = 0;
 	subscriber->drain_told = 0;
-	subscriber->image_begun = 0;
-	/* The one that was asked may have given what is too old. */
-	subscriber->fetch_control++;
 	dy_poll_pace_reset(&subscriber->pace);
 	poll_soon(subscriber);
 }
