--- a/soak/faults.c
+++ b/soak/faults.c
@@ -7,7 +7,17 @@
 /* After a control is back it may be the only one that lacks entries, in ms. */
 #define CATCH_UP_MS 6000
 
+/*
+ * The shape "herd": every process is killed at once, again after so long, and
+ * controls are slow for a while after it: one of them stands still at any time.
+ */
+#define HERD_MS 10000
+#define SLOW_FOR_MS 4000
+#define SLOW_PAUSE_MS 120
+
 static uint64_t next_ms;
+static uint64_t slow_until_ms;
+static uint64_t slow_next_ms;
 static uint64_t unplanned_ms;
 static uint64_t control_free_ms; /* no control may be lost before */
 static uint64_t fabric_calm_ms;
@@ -105,10 +115,37 @@
 	}
 }
 
+static void kill_all(uint64_t now)
+{
+	int i;
+
+	soak.faults++;
+	next_ms = now + HERD_MS;
+	slow_until_ms = now + SLOW_FOR_MS;
+	for (i = 0; i < PROCESSES; i++)
+		process_kill(&soak.processes[i], 0, draw_ms(50, 700));
+}
+
+static void herd_tick(uint64_t now)
+{
+	if (now < slow_until_ms && now >= slow_next_ms) {
+		slow_next_ms = now + SLOW_PAUSE_MS;
+		unplanned_ms = now + SLOW_PAUSE_MS;
+		process_pause(&soak.processes[draw(CONTROLS) - 1],
+			      SLOW_PAUSE_MS);
+	}
+	if (!soak.quiet && now >= next_ms)
+		kill_all(now);
+}
+
 void faults_tick(void)
 {
 	uint64_t now = soak_now_ms();
 
+	if (soak.herd) {
+		herd_tick(now);
+		return;
+	}
 	if (now >= fabric_calm_ms)
 		soak.lose = soak.copy = soak.delay_ms = 0;
 	if (soak.quiet || now < next_ms)
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -120,12 +120,13 @@
 		     NULL, NULL, NULL);
 }
 
-static int run(uint32_t seed)
+static int run(uint32_t seed, int herd)
 {
 	uv_timer_t tick;
 
 	memset(&soak, 0, sizeof(soak));
 	soak.seed = seed;
+	soak.herd = herd;
 	soak.rand = g_rand_new_with_seed(seed);
 	soak.loop = uv_default_loop();
 	/* Not from 0: many times mean never by it. */
@@ -142,10 +143,11 @@
 	uv_timer_start(&tick, on_tick, TICK_MS, TICK_MS);
 	uv_run(soak.loop, UV_RUN_DEFAULT);
 	processes_destroy();
-	printf("soak seed=%u seconds=%u faults=%u requests=%u answered=%u "
+	printf("soak seed=%u shape=%s seconds=%u faults=%u requests=%u answered=%u "
 	       "openings=%u resets=%u configurations=%u broken=%u result=%s\n",
-	       seed, seconds, soak.faults, soak.requests, soak.answered,
-	       soak.openings, soak.resets, soak.configurations, soak.broken,
+	       seed, herd ? "herd" : "mixed", seconds, soak.faults,
+	       soak.requests, soak.answered, soak.openings, soak.resets,
+	       soak.configurations, soak.broken,
 	       soak.broken ? "failed" : "passed");
 	if (soak.broken)
 		printf("soak seed=%u logs=%s\n", seed, soak.folder);
@@ -156,13 +158,15 @@
 
 int main(int argc, char **argv)
 {
-	if (argc != 3) {
-		fputs("usage: soak SEED SECONDS\n"
+	int herd = argc == 4 && !strcmp(argv[3], "herd");
+
+	if (argc != 3 && !herd) {
+		fputs("usage: soak SEED SECONDS [herd]\n"
 		      "One run of the packet path under faults; see docs/SOAK.md\n",
 		      stderr);
 		return 2;
 	}
 	signal(SIGPIPE, SIG_IGN);
 	seconds = (unsigned)strtoul(argv[2], NULL, 10);
-	return run((uint32_t)strtoul(argv[1], NULL, 10));
+	return run((uint32_t)strtoul(argv[1], NULL, 10), herd);
 }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -61,6 +61,7 @@
 	GRand *rand;
 	uint32_t seed;
 	uint64_t end_ms;
+	int herd;  /* all are killed at once, and nothing else happens */
 	int quiet; /* no faults any more: recovery is judged */
 	unsigned net;
 	unsigned base_port;
