--- a/src/process/subscriber.c
+++ b/src/process/subscriber.c
@@ -609,6 +609,13 @@
 	if (count)
 		memcpy(subscriber->successors, successors,
 		       count * sizeof(*successors));
+	/*
+	 * Guards against balancers that learn of a stop too late, while a poll
+	 * of before waits at a slow control: they would take the silence that
+	 * follows for a failure.
+	 */
+	if (state == DY_MEMBER_DRAINING || state == DY_MEMBER_LEFT)
+		dy_poll_pace_reset(&subscriber->pace);
 	poll_soon(subscriber);
 }
 
--- a/tests/test_subscriber.c
+++ b/tests/test_subscriber.c
@@ -423,6 +423,29 @@
 }
 END_TEST
 
+/*
+ * An agent is told to stop while its last poll waits at a slow control. Were
+ * that poll awaited, balancers would learn of the stop when the agent is silent
+ * already, and take it for lost with its flows.
+ */
+START_TEST(stop_is_told_at_once)
+{
+	uint32_t first;
+
+	begin();
+	first = world.xid;
+	dy_subscriber_set_state(world.subscriber, DY_MEMBER_SERVING, NULL, 0);
+	dy_subscriber_press(world.subscriber);
+	ck_assert_uint_eq(polls(), 1);
+	dy_subscriber_set_state(world.subscriber, DY_MEMBER_DRAINING, NULL, 0);
+	dy_subscriber_press(world.subscriber);
+	ck_assert_uint_eq(polls(), 2);
+	dy_loop_run(world.loop);
+	ck_assert_uint_ne(world.xid, first);
+	end();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -434,6 +457,7 @@
 		balancer_starts_from_an_image,
 		image_may_come_before_the_first_answer,
 		leader_gives_the_state_if_no_image_comes,
+		stop_is_told_at_once,
 		NULL,
 	};
 
