--- a/include/damaskyard/poll_queue.h
+++ b/include/damaskyard/poll_queue.h
@@ -29,8 +29,14 @@
 
 #include "damaskyard/address.h"
 
-/* Places; 20,000 members of a cell and room to spare. */
+/*
+ * Places, and bytes of one poll and of all that wait: 20,000 members of a cell
+ * with polls of some 300 bytes, and room to spare. Polls wait unopened, so a
+ * stranger can fill the queue, but not the memory.
+ */
 #define DY_POLL_QUEUE_MAX 32768
+#define DY_POLL_QUEUE_POLL_BYTES 4096
+#define DY_POLL_QUEUE_BYTES (16 * 1024 * 1024)
 
 /* A poll that waited for so long, in ms, is dropped; see poll_pace.h. */
 #define DY_POLL_QUEUE_KEPT_MS 1000
--- a/src/process/control/control_intake.c
+++ b/src/process/control/control_intake.c
@@ -296,7 +296,8 @@
 
 int control_intake_allows_joins(const control_intake_t *intake)
 {
-	return dy_invitations_over(intake->invitations) ||
-	       control_now_ms(intake->control) - intake->led_ms >=
-		       JOINS_WAIT_MS;
+	uint64_t now = control_now_ms(intake->control);
+
+	return intake->led_ms && (dy_invitations_over(intake->invitations) ||
+				  now - intake->led_ms >= JOINS_WAIT_MS);
 }
--- a/src/request/poll_queue.c
+++ b/src/request/poll_queue.c
@@ -24,6 +24,7 @@
 	dy_list_t balancers;
 	dy_list_t agents;
 	unsigned count;
+	size_t bytes;	/* of all that wait */
 	unsigned burst; /* balancers taken since an agent was */
 	uint64_t aged;
 	uint64_t busy_ms; /* since when polls wait */
@@ -87,7 +88,9 @@
 static void leave_line(dy_poll_queue_t *queue, place_t *place)
 {
 	dy_list_remove(&place->link);
+	queue->bytes -= place->len;
 	place->bytes = NULL;
+	place->len = 0;
 	queue->count--;
 }
 
@@ -97,12 +100,30 @@
 		g_hash_table_remove(queue->places, &place->from);
 }
 
+static int has_room(const dy_poll_queue_t *queue, size_t len)
+{
+	return len <= DY_POLL_QUEUE_POLL_BYTES &&
+	       queue->bytes + len <= DY_POLL_QUEUE_BYTES;
+}
+
+static void join_line(dy_poll_queue_t *queue, place_t *place, int is_balancer,
+		      uint64_t now_ms)
+{
+	if (!queue->count) {
+		queue->busy_ms = now_ms;
+		queue->taken = 0;
+	}
+	dy_list_append(is_balancer ? &queue->balancers : &queue->agents,
+		       &place->link);
+	queue->count++;
+}
+
 dy_poll_queue_result_t dy_poll_queue_put(dy_poll_queue_t *queue,
 					 const dy_address_t *from, uint32_t xid,
 					 int is_balancer, const uint8_t *bytes,
 					 size_t len, uint64_t now_ms)
 {
-	place_t *place = keep_place(queue, from);
+	place_t *place = has_room(queue, len) ? keep_place(queue, from) : NULL;
 	dy_poll_queue_result_t result = DY_POLL_REPLACED;
 
 	if (!place)
@@ -110,17 +131,12 @@
 	if (place->answering && place->answering_xid == xid)
 		return DY_POLL_COPY;
 	if (!place->bytes) {
-		if (!queue->count) {
-			queue->busy_ms = now_ms;
-			queue->taken = 0;
-		}
-		dy_list_append(is_balancer ? &queue->balancers : &queue->agents,
-			       &place->link);
-		queue->count++;
+		join_line(queue, place, is_balancer, now_ms);
 		result = DY_POLL_QUEUED;
 	}
 	g_free(place->bytes);
 	place->bytes = g_memdup2(bytes, len);
+	queue->bytes += len - place->len;
 	place->len = len;
 	place->xid = xid;
 	place->arrived_ms = now_ms;
@@ -177,6 +193,7 @@
 
 	while ((place = choose(queue))) {
 		poll->bytes = place->bytes;
+		poll->len = place->len;
 		leave_line(queue, place);
 		if (now_ms - place->arrived_ms < DY_POLL_QUEUE_KEPT_MS)
 			break;
@@ -188,7 +205,6 @@
 		return 0;
 	poll->from = place->from;
 	poll->xid = place->xid;
-	poll->len = place->len;
 	place->answering = 1;
 	place->answering_xid = place->xid;
 	if (!queue->count || queue->taken >= 16 * DY_POLL_QUEUE_MEASURED)
--- a/tests/test_poll_queue.c
+++ b/tests/test_poll_queue.c
@@ -153,6 +153,43 @@
 }
 END_TEST
 
+/*
+ * Polls wait unopened. Datagrams of a stranger, as large as they may be and
+ * each from an address of its own, would take all of a control's memory.
+ */
+START_TEST(bytes_are_bounded)
+{
+	static const uint8_t bytes[DY_POLL_QUEUE_POLL_BYTES + 1];
+	dy_poll_queue_t *queue = dy_poll_queue_create();
+	dy_queued_poll_t poll;
+	dy_address_t from;
+	unsigned queued = 0;
+	unsigned i;
+
+	from = sender(1);
+	ck_assert_int_eq(
+		dy_poll_queue_put(queue, &from, 1, 0, bytes, sizeof(bytes), 0),
+		DY_POLL_FULL);
+	for (i = 0; i < DY_POLL_QUEUE_MAX; i++) {
+		from = sender(i);
+		queued += dy_poll_queue_put(queue, &from, 1, 0, bytes,
+					    DY_POLL_QUEUE_POLL_BYTES,
+					    0) == DY_POLL_QUEUED;
+	}
+	ck_assert_uint_eq(queued,
+			  DY_POLL_QUEUE_BYTES / DY_POLL_QUEUE_POLL_BYTES);
+	/* What is taken makes room again. */
+	ck_assert(dy_poll_queue_take(queue, 0, &poll));
+	ck_assert_uint_eq(poll.len, DY_POLL_QUEUE_POLL_BYTES);
+	g_free(poll.bytes);
+	from = sender(DY_POLL_QUEUE_MAX + 1);
+	ck_assert_int_eq(dy_poll_queue_put(queue, &from, 1, 0, bytes,
+					   DY_POLL_QUEUE_POLL_BYTES, 0),
+			 DY_POLL_QUEUED);
+	dy_poll_queue_destroy(queue);
+}
+END_TEST
+
 /*
  * A thousand members poll a control on a small part of a core twice a second,
  * more than it can answer: they would wait for ever, and some never be heard.
@@ -199,6 +236,7 @@
 		balancers_go_first_and_agents_do_not_starve,
 		old_polls_are_dropped,
 		queue_is_bounded,
+		bytes_are_bounded,
 		pace_comes_from_what_polls_cost,
 		NULL,
 	};
