--- a/proto/dy_control.x
+++ b/proto/dy_control.x
@@ -22,6 +22,7 @@
 const DY_SKIP_KEYS = 4;
 const DY_SKIP_ENDED = 8;	/* members that ended before it heard of them */
 const DY_SKIP_START = 16;	/* all, at version 0: it fetches an image */
+const DY_FROM_IMAGE = 32;	/* skips nothing: state_version is an image's */
 
 enum dy_member_kind_t {
 	DY_MEMBER_BALANCER = 1,
--- a/src/gen/dy_control.h
+++ b/src/gen/dy_control.h
@@ -26,6 +26,7 @@
 #define DY_SKIP_KEYS 4
 #define DY_SKIP_ENDED 8
 #define DY_SKIP_START 16
+#define DY_FROM_IMAGE 32
 
 enum dy_member_kind_t {
 	DY_MEMBER_BALANCER = 1,
--- a/src/process/subscriber.c
+++ b/src/process/subscriber.c
@@ -35,6 +35,7 @@
 	dy_poll_pace_t pace;
 	uint32_t poll_xid;	 /* of the poll under way and its copies */
 	uint64_t polled_version; /* the state that it names */
+	int from_image;		 /* the leader has not gone on from it yet */
 	uint32_t state_generation;
 	uint32_t polled_generation;
 	uint32_t settled_generation;
@@ -138,6 +139,8 @@
 	poll.skips = subscriber->skips;
 	if (wants_image(subscriber))
 		poll.skips |= DY_SKIP_START;
+	if (subscriber->from_image)
+		poll.skips |= DY_FROM_IMAGE;
 	poll.successors.successors_len = subscriber->successor_count;
 	poll.successors.successors_val = subscriber->successors;
 	send_request(subscriber, &subscriber->control, DY_CONTROL_POLL,
@@ -236,6 +239,7 @@
 		apply_deltas(subscriber, image->deltas.deltas_val,
 			     image->deltas.deltas_len);
 		subscriber->state_version = image->state_version;
+		subscriber->from_image = 1;
 	}
 	dy_poll_pace_renew(&subscriber->pace);
 }
@@ -324,6 +328,7 @@
 	apply_deltas(subscriber, result->deltas.deltas_val,
 		     result->deltas.deltas_len);
 	subscriber->state_version = result->state_version;
+	subscriber->from_image = 0;
 	if (result->more)
 		dy_poll_pace_hasten(&subscriber->pace, now_ms(subscriber));
 	else if (subscriber->config.callbacks->caught_up)
@@ -587,6 +592,7 @@
 	subscriber->state = DY_MEMBER_SERVING;
 	subscriber->successor_count = 0;
 	subscriber->drain_told = 0;
+	subscriber->from_image = 0;
 	dy_poll_pace_reset(&subscriber->pace);
 	poll_soon(subscriber);
 }
--- a/src/version/registry_poll.c
+++ b/src/version/registry_poll.c
@@ -95,12 +95,15 @@
 /*
  * Guards against a member whose state holds others whose end is no longer told:
  * it would route to them for good. So far behind is one that stayed away for
- * longer than any record is kept, or that started from the image of a control
- * that was cut off for as long; it must start anew.
+ * longer than any record is kept and joins with what it held, or that started
+ * from the image of a control that was cut off for as long; it must start anew.
+ * One that the leader tells the state page by page is not: its version is that
+ * of the page, however old, and it holds none that ended before.
  */
 static int is_too_old(const dy_registry_t *registry, const dy_poll_t *poll)
 {
-	return poll->state_version && poll->state_version < registry->forgotten;
+	return (!poll->incarnation || (poll->skips & DY_FROM_IMAGE)) &&
+	       poll->state_version && poll->state_version < registry->forgotten;
 }
 
 /*
--- a/tests/test_registry_members.c
+++ b/tests/test_registry_members.c
@@ -328,6 +328,7 @@
 	fake_user_mark(&user, &poll, DY_MARK_FORGET);
 	balancer.skips = DY_SKIP_ENDED | DY_SKIP_START;
 	ck_assert_int_eq(fake_user_poll(&user, &balancer), DY_STATUS_OK);
+	balancer.skips = DY_SKIP_ENDED | DY_FROM_IMAGE;
 	balancer.state_version = image;
 	ck_assert_int_eq(fake_user_poll(&user, &balancer),
 			 DY_STATUS_SUPERSEDED);
@@ -336,6 +337,38 @@
 }
 END_TEST
 
+/*
+ * Most agents of a site joined long ago, and one that ended since is forgotten.
+ * A balancer that starts is told the state page by page, oldest first: the
+ * version of its first page is older than what is forgotten, and was it refused
+ * for that it would start anew for ever.
+ */
+START_TEST(pages_older_than_forgotten_ends_go_on)
+{
+	static char names[DY_DELTAS_MAX + 10][16];
+	dy_poll_t balancer = fake_user_member(DY_MEMBER_BALANCER, "b", "", 9);
+	dy_poll_t poll;
+	unsigned told = 0;
+	unsigned i;
+
+	for (i = 0; i < DY_DELTAS_MAX + 10; i++) {
+		snprintf(names[i], sizeof(names[i]), "a%u", i);
+		poll = fake_user_member(DY_MEMBER_AGENT, names[i], "readings",
+					1);
+		fake_user_poll(&user, &poll);
+	}
+	poll.state = DY_MEMBER_LEFT;
+	fake_user_poll(&user, &poll);
+	fake_user_mark(&user, &poll, DY_MARK_FORGET);
+	do {
+		ck_assert_int_eq(fake_user_poll(&user, &balancer),
+				 DY_STATUS_OK);
+		told += fake_user_count(&user, DY_DELTA_MEMBER);
+	} while (user.result.more);
+	ck_assert_uint_eq(told, DY_DELTAS_MAX + 9);
+}
+END_TEST
+
 /* A member that restarts without end must not fill the controls' memory. */
 START_TEST(records_of_those_gone_are_bounded)
 {
@@ -517,6 +550,7 @@
 	tcase_add_test(tcase, whole_state_comes_in_pages_then_only_changes);
 	tcase_add_test(tcase, one_that_missed_forgotten_ends_is_superseded);
 	tcase_add_test(tcase, image_that_misses_forgotten_ends_is_refused);
+	tcase_add_test(tcase, pages_older_than_forgotten_ends_go_on);
 	tcase_add_test(tcase, records_of_those_gone_are_bounded);
 	tcase_add_test(tcase, operators_drain_and_remove_by_name);
 	tcase_add_test(tcase, ends_of_members_never_heard_of_are_skipped);
--- a/tests/test_subscriber.c
+++ b/tests/test_subscriber.c
@@ -378,6 +378,7 @@
 	dy_loop_run(world.loop);
 	ck_assert_uint_eq(world.polled_version, 48);
 	ck_assert_uint_eq(world.skips & DY_SKIP_START, 0);
+	ck_assert_uint_ne(world.skips & DY_FROM_IMAGE, 0);
 	reply(world.xid, (xdrproc_t)xdr_dy_poll_result_t, &result);
 	ck_assert_uint_eq(world.caught_up, 1);
 	ck_assert_uint_eq(dy_subscriber_version(world.subscriber), 50);
