--- a/include/damaskyard/agent.h
+++ b/include/damaskyard/agent.h
@@ -138,6 +138,9 @@
 void dy_agent_member(dy_agent_t *agent, const dy_member_t *member);
 void dy_agent_caught_up(dy_agent_t *agent);
 
+/* Whether its failure domain is evacuated: no new session is opened. */
+void dy_agent_set_evacuated(dy_agent_t *agent, int evacuated);
+
 /* Whether a majority of control has confirmed this agent lately. */
 void dy_agent_set_lease(dy_agent_t *agent, int held);
 
--- a/include/damaskyard/control.h
+++ b/include/damaskyard/control.h
@@ -103,6 +103,11 @@
 	int (*check)(void *context, const uint8_t *bytes, size_t size,
 		     char *message, size_t message_size);
 	void *check_context;
+	/*
+	 * Failure domains that operators may evacuate beside those of members,
+	 * ended by NULL, kept by reference; NULL: none.
+	 */
+	char **domains;
 	/* As in dy_raft_options_t; 0: the default. */
 	uint32_t snapshot_bytes;
 	uint32_t first_election_ms;
@@ -157,6 +162,32 @@
 void dy_control_load(dy_control_t *control, dy_control_loaded_cb_t *done,
 		     void *context);
 
+/*
+ * An operator's order that the targets of a failure domain take no new flow,
+ * or take some again. Open flows stay where they are.
+ */
+typedef struct dy_domain_order {
+	const char *domain;
+	int evacuated;
+	/*
+	 * Whether the order's caller still waits. Asked after a majority has
+	 * confirmed the leader and before the order stands in the log; one that
+	 * nobody waits for is dropped. May be NULL.
+	 */
+	int (*wanted)(void *context);
+	/*
+	 * Called once, at once or later; must not destroy the control. OK: it
+	 * is committed, or stood already. NOT_FOUND, CONFLICT: refused for
+	 * good, with message. Others: not known to be in force.
+	 */
+	dy_control_raised_cb_t *done;
+	void *context;
+} dy_domain_order_t;
+
+/* Take an order, which is copied. */
+void dy_control_order_domain(dy_control_t *control,
+			     const dy_domain_order_t *order);
+
 /* Address of the leader; port 0 if none is known. */
 void dy_control_leader(const dy_control_t *control, dy_address_t *leader);
 
--- a/include/damaskyard/flow_holder.h
+++ b/include/damaskyard/flow_holder.h
@@ -156,6 +156,13 @@
 /* Take no opening packet any more: the agent itself is stopping. */
 void dy_flow_holder_stop(dy_flow_holder_t *holder);
 
+/*
+ * Say whether the agent's failure domain is evacuated: then no opening packet
+ * is taken either, and those that wait go elsewhere. Open flows stay.
+ */
+void dy_flow_holder_set_evacuated(dy_flow_holder_t *holder, int evacuated,
+				  uint64_t now_ms);
+
 /* Take a forward; packet is its packet, decoded. */
 void dy_flow_holder_take(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
 			 const dy_packet_t *packet, uint64_t now_ms);
@@ -172,6 +179,8 @@
 /* Report the load and forget what is over. Call it each 200 ms. */
 void dy_flow_holder_tick(dy_flow_holder_t *holder, uint64_t now_ms);
 
+/* Whether the target is ready and this agent goes on; control is told this. */
+int dy_flow_holder_is_serving(const dy_flow_holder_t *holder);
 /* Whether opening packets are taken, and the announced slots. */
 int dy_flow_holder_accepts(const dy_flow_holder_t *holder);
 uint32_t dy_flow_holder_slots(const dy_flow_holder_t *holder);
--- a/include/damaskyard/flow_router.h
+++ b/include/damaskyard/flow_router.h
@@ -67,6 +67,10 @@
 void dy_flow_router_set_member(dy_flow_router_t *router,
 			       const dy_member_t *member);
 
+/* Take that a failure domain was evacuated, or readmitted. */
+void dy_flow_router_set_domain(dy_flow_router_t *router,
+			       const dy_domain_info_t *domain);
+
 /*
  * Say that the members were confirmed by a majority, in answer to a poll that
  * was sent at polled_ms.
--- a/include/damaskyard/flow_settings.h
+++ b/include/damaskyard/flow_settings.h
@@ -8,7 +8,7 @@
  *	[process]  name, failure-domain, data, first-start, log-level, stop-s
  *	[listen]   packets, ready, control, outbound, inner-port, metrics-port
  *	[target]   address, service
- *	[group]    seeds, key-file, losses
+ *	[group]    seeds, key-file, losses, failure-domains
  *
  * A key that is not known is logged and passed over: a platform may tell more
  * than this build asks for. An empty value is none.
@@ -44,6 +44,7 @@
 	dy_address_list_t seeds; /* controls' inner addresses */
 	dy_secrets_t secrets;
 	unsigned losses; /* of controls at once, to be borne */
+	char **domains;	 /* all failure domains, ended by NULL; or NULL */
 } dy_flow_settings_t;
 
 /*
--- a/include/damaskyard/flow_targets.h
+++ b/include/damaskyard/flow_targets.h
@@ -87,6 +87,10 @@
 void dy_flow_targets_set_member(dy_flow_targets_t *targets,
 				const dy_member_t *member);
 
+/* Say that a failure domain's targets take no new flows, or take some again. */
+void dy_flow_targets_set_domain(dy_flow_targets_t *targets, const char *domain,
+				int evacuated);
+
 /* Take what the agent at that address said of its load. */
 void dy_flow_targets_set_load(dy_flow_targets_t *targets,
 			      const dy_address_t *agent,
--- a/include/damaskyard/http.h
+++ b/include/damaskyard/http.h
@@ -83,6 +83,12 @@
 void dy_http_answer(dy_http_exchange_t *exchange,
 		    const dy_http_answer_t *answer);
 
+/*
+ * Whether the caller of an exchange has closed its connection, as after its own
+ * time-out: it will not read the answer, and may have asked elsewhere since.
+ */
+int dy_http_is_abandoned(const dy_http_exchange_t *exchange);
+
 /* Answer with a status and an empty JSON object. */
 void dy_http_answer_status(dy_http_exchange_t *exchange, int status);
 
--- a/include/damaskyard/registry.h
+++ b/include/damaskyard/registry.h
@@ -61,6 +61,12 @@
 /* Digests remembered as tried; one a promotion is enough. */
 #define DY_REGISTRY_TRIED_MAX 64
 
+/*
+ * Failure domains that were ever evacuated; a record is kept after its domain
+ * was readmitted, for members that have not heard of it yet.
+ */
+#define DY_REGISTRY_DOMAINS_MAX 64
+
 /* Retired keys still announced, beside the DY_TOKEN_KEYS_MAX in use. */
 #define DY_REGISTRY_RETIRED_MAX 8
 
@@ -78,6 +84,8 @@
 	DY_EVENT_MEMBER_FORGOTTEN,
 	DY_EVENT_MEMBER_REFUSED, /* a join of a name that is taken */
 	DY_EVENT_DRAIN_WISHED,
+	DY_EVENT_DOMAIN_EVACUATED,
+	DY_EVENT_DOMAIN_READMITTED,
 	DY_EVENT_DOCUMENT_ACCEPTED,
 	DY_EVENT_DOCUMENT_TRIED,
 	DY_EVENT_CONTENT_DAMAGED, /* bytes do not have their digest */
@@ -266,6 +274,24 @@
 const dy_registry_key_t *dy_registry_keys(const dy_registry_t *registry,
 					  unsigned *count);
 
+/* A failure domain that is, or was, evacuated by an operator. */
+typedef struct dy_registry_domain {
+	char name[DY_NAME_BYTES + 1];
+	int evacuated;
+	uint64_t changed;
+	char operator_name[DY_NAME_BYTES + 1];
+} dy_registry_domain_t;
+
+/* Returns the records of domains, in the order of their first evacuation. */
+const dy_registry_domain_t *dy_registry_domains(const dy_registry_t *registry,
+						unsigned *count);
+
+/* Whether the targets of a domain are to take no new flow. */
+int dy_registry_is_evacuated(const dy_registry_t *registry, const char *domain);
+
+/* Whether a record of any member, or an evacuation, names the domain. */
+int dy_registry_knows_domain(const dy_registry_t *registry, const char *domain);
+
 /*
  * Times of key rotation, in ms. A new key is distributed `distribute_ms`
  * before it signs: every member polls many times in between, so no token is
--- a/include/damaskyard/router.h
+++ b/include/damaskyard/router.h
@@ -70,6 +70,10 @@
 void dy_router_set_member(dy_router_t *router, const dy_member_t *member,
 			  uint64_t now_ms);
 
+/* Take that a failure domain was evacuated, or readmitted. */
+void dy_router_set_domain(dy_router_t *router, const char *domain,
+			  int evacuated, uint64_t now_ms);
+
 /*
  * Whether a majority confirmed this balancer's state lately. While it did
  * not, new flows are refused as not run; open ones go on, since the agent
--- a/include/damaskyard/subscriber.h
+++ b/include/damaskyard/subscriber.h
@@ -33,6 +33,8 @@
 			 const uint8_t *bytes, size_t len);
 	void (*member)(void *context, const dy_member_t *member);
 	void (*key)(void *context, const dy_key_info_t *key);
+	/* A failure domain was evacuated, or readmitted. */
+	void (*domain)(void *context, const dy_domain_info_t *domain);
 	/* The incarnation that the group granted to this start. */
 	void (*granted)(void *context, uint64_t incarnation);
 	/* All that stood in the group's state at one poll has been given. */
--- a/proto/dy_control.x
+++ b/proto/dy_control.x
@@ -23,6 +23,7 @@
 const DY_SKIP_ENDED = 8;	/* members that ended before it heard of them */
 const DY_SKIP_START = 16;	/* all, at version 0: it fetches an image */
 const DY_FROM_IMAGE = 32;	/* skips nothing: state_version is an image's */
+const DY_TAKES_DOMAINS = 64;	/* skips nothing: is told of evacuated domains */
 
 enum dy_member_kind_t {
 	DY_MEMBER_BALANCER = 1,
@@ -65,7 +66,8 @@
 enum dy_delta_kind_t {
 	DY_DELTA_DOCUMENT = 1,
 	DY_DELTA_MEMBER = 2,
-	DY_DELTA_KEY = 3
+	DY_DELTA_KEY = 3,
+	DY_DELTA_DOMAIN = 4
 };
 
 struct dy_document_info_t {
@@ -94,6 +96,12 @@
 	bool retired;			/* no longer accepted */
 };
 
+/* A failure domain whose targets take new flows, or take none. */
+struct dy_domain_info_t {
+	string name<DY_NAME_BYTES>;
+	bool evacuated;
+};
+
 union dy_delta_t switch (dy_delta_kind_t kind) {
 case DY_DELTA_DOCUMENT:
 	dy_document_info_t document;
@@ -101,6 +109,8 @@
 	dy_member_t member;
 case DY_DELTA_KEY:
 	dy_key_info_t key;
+case DY_DELTA_DOMAIN:
+	dy_domain_info_t domain;
 };
 
 enum dy_status_t {
@@ -191,7 +201,9 @@
 	DY_CHANGE_DRAIN = 3,	/* the member `name` */
 	DY_CHANGE_ROTATE = 4,	/* token keys */
 	DY_CHANGE_REMOVE = 5,	/* the member `name`, lost for good */
-	DY_CHANGE_RAISE = 6	/* as SUBMIT, under any higher number */
+	DY_CHANGE_RAISE = 6,	/* as SUBMIT, under any higher number */
+	DY_CHANGE_EVACUATE = 7,	/* no new flow to targets of the domain `name` */
+	DY_CHANGE_READMIT = 8	/* the end of that */
 };
 
 struct dy_change_t {
--- a/proto/dy_registry.x
+++ b/proto/dy_registry.x
@@ -107,7 +107,8 @@
 	DY_SAVED_KEY = 5,
 	DY_SAVED_MEMBER = 6,
 	DY_SAVED_ANSWER = 7,
-	DY_SAVED_END = 8
+	DY_SAVED_END = 8,
+	DY_SAVED_DOMAIN = 9
 };
 
 struct dy_saved_head_t {
@@ -136,6 +137,12 @@
 	bool current;
 };
 
+struct dy_saved_domain_t {
+	dy_domain_info_t info;
+	unsigned hyper changed;
+	string operator_name<DY_NAME_BYTES>;
+};
+
 struct dy_saved_answer_t {
 	opaque request[16];
 	dy_change_result_t result;
@@ -158,4 +165,6 @@
 	dy_saved_answer_t answer;
 case DY_SAVED_END:
 	void;
+case DY_SAVED_DOMAIN:
+	dy_saved_domain_t domain;
 };
--- a/src/connection/flow_holder_notice.c
+++ b/src/connection/flow_holder_notice.c
@@ -121,11 +121,23 @@
 	holder->stopping = 1;
 }
 
-int dy_flow_holder_accepts(const dy_flow_holder_t *holder)
+void dy_flow_holder_set_evacuated(dy_flow_holder_t *holder, int evacuated,
+				  uint64_t now_ms)
+{
+	holder->evacuated = evacuated;
+	holder_serve_waiting(holder, now_ms);
+}
+
+int dy_flow_holder_is_serving(const dy_flow_holder_t *holder)
 {
 	return holder->ready && !holder->stopping;
 }
 
+int dy_flow_holder_accepts(const dy_flow_holder_t *holder)
+{
+	return dy_flow_holder_is_serving(holder) && !holder->evacuated;
+}
+
 uint32_t dy_flow_holder_slots(const dy_flow_holder_t *holder)
 {
 	return holder->notice.slots;
--- a/src/connection/flow_holder_openings.c
+++ b/src/connection/flow_holder_openings.c
@@ -95,6 +95,13 @@
 	holder_pass_on(holder, forward, packet, 1);
 }
 
+static const char *why_not_taken(const dy_flow_holder_t *holder)
+{
+	if (!dy_flow_holder_is_serving(holder))
+		return "not_ready";
+	return holder->evacuated ? "evacuated" : "service";
+}
+
 void holder_take_opening(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
 			 const dy_packet_t *packet, held_flow_t *flow,
 			 uint64_t now_ms)
@@ -112,8 +119,7 @@
 	if (!dy_flow_holder_accepts(holder) ||
 	    strcmp(forward->service, holder->config.service) != 0) {
 		++*holder->refused;
-		pass_on_opening(holder, forward, packet,
-				holder->ready ? "service" : "not_ready",
+		pass_on_opening(holder, forward, packet, why_not_taken(holder),
 				now_ms);
 		return;
 	}
--- a/src/connection/flow_holder_private.h
+++ b/src/connection/flow_holder_private.h
@@ -64,6 +64,7 @@
 	int ready;
 	int left; /* the target said that it has ended */
 	int stopping;
+	int evacuated;	   /* the failure domain takes no new flow */
 	int saw_start;	   /* no flow of the target is older than this agent */
 	int absent;	   /* nobody listens at its port */
 	int listened;	   /* its port was seen open since its start */
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -129,6 +129,13 @@
 	dy_flow_targets_set_member(router->targets, member);
 }
 
+void dy_flow_router_set_domain(dy_flow_router_t *router,
+			       const dy_domain_info_t *domain)
+{
+	dy_flow_targets_set_domain(router->targets, domain->name,
+				   domain->evacuated);
+}
+
 static void touch(dy_flow_router_t *router, flow_t *flow, uint64_t now_ms)
 {
 	flow->used_ms = now_ms;
--- a/src/gen/dy_control.h
+++ b/src/gen/dy_control.h
@@ -27,6 +27,7 @@
 #define DY_SKIP_ENDED 8
 #define DY_SKIP_START 16
 #define DY_FROM_IMAGE 32
+#define DY_TAKES_DOMAINS 64
 
 enum dy_member_kind_t {
 	DY_MEMBER_BALANCER = 1,
@@ -76,6 +77,7 @@
 	DY_DELTA_DOCUMENT = 1,
 	DY_DELTA_MEMBER = 2,
 	DY_DELTA_KEY = 3,
+	DY_DELTA_DOMAIN = 4,
 };
 typedef enum dy_delta_kind_t dy_delta_kind_t;
 
@@ -107,12 +109,19 @@
 };
 typedef struct dy_key_info_t dy_key_info_t;
 
+struct dy_domain_info_t {
+	char *name;
+	bool_t evacuated;
+};
+typedef struct dy_domain_info_t dy_domain_info_t;
+
 struct dy_delta_t {
 	dy_delta_kind_t kind;
 	union {
 		dy_document_info_t document;
 		dy_member_t member;
 		dy_key_info_t key;
+		dy_domain_info_t domain;
 	} dy_delta_t_u;
 };
 typedef struct dy_delta_t dy_delta_t;
@@ -208,6 +217,8 @@
 	DY_CHANGE_ROTATE = 4,
 	DY_CHANGE_REMOVE = 5,
 	DY_CHANGE_RAISE = 6,
+	DY_CHANGE_EVACUATE = 7,
+	DY_CHANGE_READMIT = 8,
 };
 typedef enum dy_change_kind_t dy_change_kind_t;
 
@@ -351,6 +362,7 @@
 extern  bool_t xdr_dy_document_info_t (XDR *, dy_document_info_t*);
 extern  bool_t xdr_dy_member_t (XDR *, dy_member_t*);
 extern  bool_t xdr_dy_key_info_t (XDR *, dy_key_info_t*);
+extern  bool_t xdr_dy_domain_info_t (XDR *, dy_domain_info_t*);
 extern  bool_t xdr_dy_delta_t (XDR *, dy_delta_t*);
 extern  bool_t xdr_dy_status_t (XDR *, dy_status_t*);
 extern  bool_t xdr_dy_poll_result_t (XDR *, dy_poll_result_t*);
@@ -376,6 +388,7 @@
 extern bool_t xdr_dy_document_info_t ();
 extern bool_t xdr_dy_member_t ();
 extern bool_t xdr_dy_key_info_t ();
+extern bool_t xdr_dy_domain_info_t ();
 extern bool_t xdr_dy_delta_t ();
 extern bool_t xdr_dy_status_t ();
 extern bool_t xdr_dy_poll_result_t ();
--- a/src/gen/dy_control_xdr.c
+++ b/src/gen/dy_control_xdr.c
@@ -140,6 +140,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dy_domain_info_t (XDR *xdrs, dy_domain_info_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, DY_NAME_BYTES))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->evacuated))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dy_delta_t (XDR *xdrs, dy_delta_t *objp)
 {
@@ -160,6 +172,10 @@
 		 if (!xdr_dy_key_info_t (xdrs, &objp->dy_delta_t_u.key))
 			 return FALSE;
 		break;
+	case DY_DELTA_DOMAIN:
+		 if (!xdr_dy_domain_info_t (xdrs, &objp->dy_delta_t_u.domain))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/gen/dy_registry.h
+++ b/src/gen/dy_registry.h
@@ -119,6 +119,7 @@
 	DY_SAVED_MEMBER = 6,
 	DY_SAVED_ANSWER = 7,
 	DY_SAVED_END = 8,
+	DY_SAVED_DOMAIN = 9,
 };
 typedef enum dy_saved_kind_t dy_saved_kind_t;
 
@@ -152,6 +153,13 @@
 };
 typedef struct dy_saved_member_t dy_saved_member_t;
 
+struct dy_saved_domain_t {
+	dy_domain_info_t info;
+	u_quad_t changed;
+	char *operator_name;
+};
+typedef struct dy_saved_domain_t dy_saved_domain_t;
+
 struct dy_saved_answer_t {
 	char request[16];
 	dy_change_result_t result;
@@ -168,6 +176,7 @@
 		dy_saved_key_t key;
 		dy_saved_member_t member;
 		dy_saved_answer_t answer;
+		dy_saved_domain_t domain;
 	} dy_saved_t_u;
 };
 typedef struct dy_saved_t dy_saved_t;
@@ -191,6 +200,7 @@
 extern  bool_t xdr_dy_saved_document_t (XDR *, dy_saved_document_t*);
 extern  bool_t xdr_dy_saved_key_t (XDR *, dy_saved_key_t*);
 extern  bool_t xdr_dy_saved_member_t (XDR *, dy_saved_member_t*);
+extern  bool_t xdr_dy_saved_domain_t (XDR *, dy_saved_domain_t*);
 extern  bool_t xdr_dy_saved_answer_t (XDR *, dy_saved_answer_t*);
 extern  bool_t xdr_dy_saved_t (XDR *, dy_saved_t*);
 
@@ -211,6 +221,7 @@
 extern bool_t xdr_dy_saved_document_t ();
 extern bool_t xdr_dy_saved_key_t ();
 extern bool_t xdr_dy_saved_member_t ();
+extern bool_t xdr_dy_saved_domain_t ();
 extern bool_t xdr_dy_saved_answer_t ();
 extern bool_t xdr_dy_saved_t ();
 
--- a/src/gen/dy_registry_xdr.c
+++ b/src/gen/dy_registry_xdr.c
@@ -249,6 +249,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dy_saved_domain_t (XDR *xdrs, dy_saved_domain_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_dy_domain_info_t (xdrs, &objp->info))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->changed))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->operator_name, DY_NAME_BYTES))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dy_saved_answer_t (XDR *xdrs, dy_saved_answer_t *objp)
 {
@@ -300,6 +314,10 @@
 		break;
 	case DY_SAVED_END:
 		break;
+	case DY_SAVED_DOMAIN:
+		 if (!xdr_dy_saved_domain_t (xdrs, &objp->dy_saved_t_u.domain))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/process/agent/agent.c
+++ b/src/process/agent/agent.c
@@ -96,6 +96,11 @@
 	agent_note(agent, EVENT_CONTROL_LEASE, "held=%d", held);
 }
 
+void dy_agent_set_evacuated(dy_agent_t *agent, int evacuated)
+{
+	agent->evacuated = evacuated;
+}
+
 void dy_agent_supersede(dy_agent_t *agent)
 {
 	if (agent->superseded)
--- a/src/process/agent/agent_forward.c
+++ b/src/process/agent/agent_forward.c
@@ -124,7 +124,7 @@
 	if (agent->state == DY_MEMBER_JOINING ||
 	    !dy_keyring_ready(agent->config.keyring) || !agent->lease_held)
 		return DY_REASON_NOT_READY;
-	if (agent->state != DY_MEMBER_SERVING)
+	if (agent->state != DY_MEMBER_SERVING || agent->evacuated)
 		return DY_REASON_DRAINING;
 	if (!agent_target_answers(agent))
 		return DY_REASON_TARGET_LOST;
--- a/src/process/agent/agent_private.h
+++ b/src/process/agent/agent_private.h
@@ -191,6 +191,7 @@
 	uint64_t incarnation;
 	dy_member_state_t state;
 	int lease_held;
+	int evacuated; /* its failure domain is */
 	int superseded;
 	agent_service_t service;
 	agent_target_t target;
--- a/src/process/agent/agent_process.c
+++ b/src/process/agent/agent_process.c
@@ -268,9 +268,23 @@
 	dy_agent_supersede(process->agent);
 }
 
+static void on_domain(void *context, const dy_domain_info_t *domain)
+{
+	agent_process_t *process = context;
+
+	if (!strcmp(domain->name, process->settings->member.domain))
+		dy_agent_set_evacuated(process->agent, domain->evacuated);
+}
+
 static const dy_subscriber_callbacks_t subscriber_callbacks = {
-	on_document,  on_member, on_key,     on_granted,
-	on_caught_up, on_drain,	 on_refused,
+	.document = on_document,
+	.member = on_member,
+	.key = on_key,
+	.domain = on_domain,
+	.granted = on_granted,
+	.caught_up = on_caught_up,
+	.drain = on_drain,
+	.refused = on_refused,
 };
 
 static void receive_forward(agent_process_t *process,
--- a/src/process/balancer/balancer.c
+++ b/src/process/balancer/balancer.c
@@ -236,9 +236,23 @@
 		begin_stop(balancer);
 }
 
+static void on_domain(void *context, const dy_domain_info_t *domain)
+{
+	balancer_t *balancer = context;
+
+	dy_router_set_domain(balancer->router, domain->name, domain->evacuated,
+			     dy_loop_now_ms(balancer->loop));
+}
+
 static const dy_subscriber_callbacks_t subscriber_callbacks = {
-	on_document,  on_member,  on_key,     on_granted,
-	on_caught_up, begin_stop, on_refused,
+	.document = on_document,
+	.member = on_member,
+	.key = on_key,
+	.domain = on_domain,
+	.granted = on_granted,
+	.caught_up = on_caught_up,
+	.drain = begin_stop,
+	.refused = on_refused,
 };
 
 static const dy_router_callbacks_t router_callbacks = {
--- a/src/process/command/operator.c
+++ b/src/process/command/operator.c
@@ -300,7 +300,11 @@
 		return DY_EXIT_FAILED;
 	}
 	printf("result=accepted");
-	if (*change->name)
+	if (change->kind == DY_CHANGE_EVACUATE ||
+	    change->kind == DY_CHANGE_READMIT)
+		printf(" domain=%s version=%lu", dy_log_quote(change->name),
+		       (unsigned long)result->number);
+	else if (*change->name)
 		printf(" name=%s incarnation=%lu", dy_log_quote(change->name),
 		       (unsigned long)result->number);
 	else if (change->kind == DY_CHANGE_ROTATE)
@@ -420,3 +424,27 @@
 	g_free(name);
 	return code;
 }
+
+static const dy_setting_t domain_settings[] = {
+	OPERATOR_SETTINGS(TRUE),
+	OPERATOR_REQUEST_SETTING,
+	{ 0 },
+};
+
+int operator_change_domain(int argc, char **argv, const char *summary,
+			   dy_change_kind_t kind)
+{
+	char *domain = NULL;
+	dy_change_t change;
+	operator_t *op;
+	int code;
+
+	op = operator_load(argc, argv, summary, domain_settings, &domain);
+	if (!op)
+		return DY_EXIT_USAGE;
+	operator_begin_change(&change, kind);
+	change.name = domain;
+	code = operator_run_change(op, domain_settings, &change);
+	g_free(domain);
+	return code;
+}
--- a/src/process/command/operator.h
+++ b/src/process/command/operator.h
@@ -128,6 +128,10 @@
 int operator_change_member(int argc, char **argv, const char *summary,
 			   dy_change_kind_t kind);
 
+/* The whole of a command that makes one change to the failure domain DOMAIN. */
+int operator_change_domain(int argc, char **argv, const char *summary,
+			   dy_change_kind_t kind);
+
 /* The whole of a command that makes one change and has no other flags. */
 int operator_run_change(operator_t *op, const dy_setting_t *settings,
 			dy_change_t *change);
--- a/src/process/control/control_change.c
+++ b/src/process/control/control_change.c
@@ -130,6 +130,9 @@
 		     request->args.change.kind, answer->status,
 		     (unsigned long)answer->number,
 		     dy_log_quote(request->args.change.operator_name));
+	if (request->args.change.kind == DY_CHANGE_EVACUATE &&
+	    answer->status == DY_STATUS_OK)
+		control_log_evacuation(control, request->args.change.name);
 	answer_change(request, answer);
 }
 
@@ -195,6 +198,12 @@
 	return 1;
 }
 
+static int orders_domain(const request_t *request)
+{
+	return request->args.change.kind == DY_CHANGE_EVACUATE ||
+	       request->args.change.kind == DY_CHANGE_READMIT;
+}
+
 static void commit(request_t *request)
 {
 	dy_control_t *control = request->control;
@@ -206,6 +215,12 @@
 	     request->args.change.kind == DY_CHANGE_RAISE) &&
 	    bring_content(request))
 		return;
+	if (orders_domain(request) &&
+	    !control_knows_domain(control, request->args.change.name)) {
+		refuse_change(request, DY_STATUS_NOT_FOUND,
+			      "there is no such failure domain");
+		return;
+	}
 	if (request->args.change.kind == DY_CHANGE_PROMOTE)
 		control_try_document(control, 1);
 	args->change = request->args.change;
--- a/src/process/control/control_inspect.c
+++ b/src/process/control/control_inspect.c
@@ -7,6 +7,7 @@
  *		operator=NAME
  *	service environment=trial name=readings address=IP:PORT targets=7
  *	key id=2 active=1 retired=0
+ *	domain name=d1 evacuated=1 operator=NAME
  *	member name=a1 kind=agent environment=trial service=readings
  *		state=serving incarnation=70 address=IP:PORT domain=d1
  *		document=3 drain=0 heard_ms=140
@@ -100,6 +101,21 @@
 				!!keys[i].info.retired);
 }
 
+static void add_domains(const dy_control_t *control, dy_status_page_t *page)
+{
+	const dy_registry_domain_t *domains;
+	unsigned count;
+	unsigned i;
+
+	domains = dy_registry_domains(control->registry, &count);
+	for (i = 0; i < count; i++)
+		if (domains[i].evacuated && dy_status_page_wants(page))
+			dy_status_page_add(
+				page, "domain name=%s evacuated=1 operator=%s",
+				dy_log_quote(domains[i].name),
+				dy_log_quote(domains[i].operator_name));
+}
+
 typedef struct member_lines {
 	dy_status_page_t *page;
 	uint64_t now_ms;
@@ -147,6 +163,7 @@
 			add_document(control, &page, i);
 		control_services_add(control, &page);
 		add_keys(control, &page);
+		add_domains(control, &page);
 		dy_registry_each_member(control->registry, add_member, &lines);
 	}
 	result.status = status;
--- a/src/process/control/control_private.h
+++ b/src/process/control/control_private.h
@@ -198,6 +198,12 @@
 /* After the log has ended what is under way. */
 void control_raises_destroy(control_raises_t *raises);
 
+/* control_domain.c */
+/* Whether settings, a member or an earlier order name the failure domain. */
+int control_knows_domain(const dy_control_t *control, const char *domain);
+/* Log what an evacuation that was just committed leaves of each service. */
+void control_log_evacuation(dy_control_t *control, const char *domain);
+
 /* control_ledger.c */
 control_ledger_t *control_ledger_create(dy_control_t *control);
 void control_ledger_destroy(control_ledger_t *ledger);
--- a/src/process/control/control_services.c
+++ b/src/process/control/control_services.c
@@ -57,6 +57,7 @@
 
 /* Targets of each service, counted in one walk over the members. */
 typedef struct tally {
+	const dy_registry_t *registry;
 	dy_environment_t environment;
 	GHashTable *by_targets; /* announced name: GPtrArray of services */
 	GHashTable *counts;	/* service: number of targets */
@@ -73,7 +74,8 @@
 
 	if (member->environment != tally->environment ||
 	    member->kind != DY_MEMBER_AGENT ||
-	    member->state != DY_MEMBER_SERVING)
+	    member->state != DY_MEMBER_SERVING ||
+	    dy_registry_is_evacuated(tally->registry, member->domain))
 		return;
 	services = g_hash_table_lookup(tally->by_targets, member->service);
 	info.kind = DY_MEMBER_AGENT;
@@ -141,6 +143,7 @@
 		document = find_document(control, (dy_environment_t)i);
 		if (!document)
 			continue;
+		tally.registry = control->registry;
 		tally.environment = (dy_environment_t)i;
 		tally.by_targets = g_hash_table_new_full(
 			g_str_hash, g_str_equal, NULL,
--- a/src/process/control/operator_door.c
+++ b/src/process/control/operator_door.c
@@ -25,16 +25,37 @@
 	uint64_t *unavailable;
 	uint64_t *redirected;
 	uint64_t *reads;
+	uint64_t *domain_orders;
+	uint64_t *domain_refused;
 };
 
 /* An order that waits for the log. */
 typedef struct order {
 	operator_door_t *door;
 	dy_http_exchange_t *exchange;
+	char *path; /* of the call, for a redirect */
 	uint64_t version;
 	uint64_t began_ms;
 } order_t;
 
+static order_t *begin_order(operator_door_t *door, dy_http_exchange_t *exchange,
+			    const char *path)
+{
+	order_t *order = g_new0(order_t, 1);
+
+	order->door = door;
+	order->exchange = exchange;
+	order->path = g_strdup(path);
+	order->began_ms = dy_loop_now_ms(door->loop);
+	return order;
+}
+
+static void free_order(order_t *order)
+{
+	g_free(order->path);
+	g_free(order);
+}
+
 static void answer_unavailable(operator_door_t *door,
 			       dy_http_exchange_t *exchange)
 {
@@ -57,12 +78,13 @@
  * Name the leader, whose door has this one's port. Returns 0 if none is known,
  * or it is this control, which cannot serve then.
  */
-static int redirect(operator_door_t *door, dy_http_exchange_t *exchange)
+static int redirect(const order_t *order)
 {
+	operator_door_t *door = order->door;
 	char text[DY_ADDRESS_TEXT_BYTES];
-	char location[128];
-	dy_http_answer_t answer = { .status = 307, .location = location };
+	dy_http_answer_t answer = { .status = 307 };
 	dy_address_t leader;
+	char *location;
 
 	dy_control_leader(door->control, &leader);
 	if (!leader.port)
@@ -70,11 +92,12 @@
 	leader.port = door->listen.port;
 	if (dy_address_equal(&leader, &door->listen))
 		return 0;
-	g_snprintf(location, sizeof(location), "http://%s%s",
-		   dy_address_format(&leader, text),
-		   PLATFORM_CONFIGURATION_PATH);
+	location = g_strdup_printf(
+		"http://%s%s", dy_address_format(&leader, text), order->path);
+	answer.location = location;
 	++*door->redirected;
-	dy_http_answer(exchange, &answer);
+	dy_http_answer(order->exchange, &answer);
+	g_free(location);
 	return 1;
 }
 
@@ -94,11 +117,10 @@
 		dy_http_answer_status(order->exchange, 200);
 	} else if (status == DY_STATUS_MALFORMED) {
 		answer_invalid(door, order->exchange, message);
-	} else if (status != DY_STATUS_NOT_LEADER ||
-		   !redirect(door, order->exchange)) {
+	} else if (status != DY_STATUS_NOT_LEADER || !redirect(order)) {
 		answer_unavailable(door, order->exchange);
 	}
-	g_free(order);
+	free_order(order);
 }
 
 /*
@@ -121,11 +143,8 @@
 		g_error_free(error);
 		return;
 	}
-	order = g_new0(order_t, 1);
-	order->door = door;
-	order->exchange = exchange;
+	order = begin_order(door, exchange, request->path);
 	order->version = dy_flow_rules_version(rules);
-	order->began_ms = dy_loop_now_ms(door->loop);
 	dy_flow_rules_destroy(rules);
 	packed = dy_document_pack(request->body, request->body_len);
 	dy_control_raise(door->control, packed->data, packed->len,
@@ -147,22 +166,74 @@
 		answer.body_len = plain->len;
 		dy_http_answer(order->exchange, &answer);
 		g_byte_array_unref(plain);
-	} else if (status != DY_STATUS_NOT_LEADER ||
-		   !redirect(order->door, order->exchange)) {
+	} else if (status != DY_STATUS_NOT_LEADER || !redirect(order)) {
 		answer_unavailable(order->door, order->exchange);
 	}
-	g_free(order);
+	free_order(order);
 }
 
 static void read_configuration(operator_door_t *door,
-			       dy_http_exchange_t *exchange)
+			       dy_http_exchange_t *exchange,
+			       const dy_http_request_t *request)
 {
-	order_t *order = g_new0(order_t, 1);
-
 	++*door->reads;
-	order->door = door;
-	order->exchange = exchange;
-	dy_control_load(door->control, on_loaded, order);
+	dy_control_load(door->control, on_loaded,
+			begin_order(door, exchange, request->path));
+}
+
+static int is_wanted(void *context)
+{
+	const order_t *order = context;
+
+	return !dy_http_is_abandoned(order->exchange);
+}
+
+static void on_domain_ordered(void *context, dy_status_t status,
+			      const char *message)
+{
+	order_t *order = context;
+	operator_door_t *door = order->door;
+	uint64_t now = dy_loop_now_ms(door->loop);
+
+	if (dy_log_allow(&door->limit, "domain_order_decided", now))
+		dy_log_event(DY_LOG_INFO, "domain_order_decided",
+			     "path=%s status=%d ms=%lu message=%s",
+			     dy_log_quote(order->path), status,
+			     (unsigned long)(now - order->began_ms),
+			     dy_log_quote(message));
+	if (status == DY_STATUS_NOT_FOUND || status == DY_STATUS_CONFLICT)
+		++*door->domain_refused;
+	if (status == DY_STATUS_OK)
+		dy_http_answer_status(order->exchange, 200);
+	else if (status == DY_STATUS_NOT_FOUND)
+		dy_http_answer_status(order->exchange, 404);
+	else if (status == DY_STATUS_CONFLICT)
+		dy_http_answer_status(order->exchange, 409);
+	else if (status != DY_STATUS_NOT_LEADER || !redirect(order))
+		answer_unavailable(door, order->exchange);
+	free_order(order);
+}
+
+static void order_domain(operator_door_t *door, dy_http_exchange_t *exchange,
+			 const dy_http_request_t *request, const char *domain,
+			 int evacuated)
+{
+	dy_domain_order_t order = { 0 };
+
+	++*door->domain_orders;
+	order.domain = domain;
+	order.evacuated = evacuated;
+	order.wanted = is_wanted;
+	order.done = on_domain_ordered;
+	order.context = begin_order(door, exchange, request->path);
+	dy_control_order_domain(door->control, &order);
+}
+
+static int is_served(platform_call_t call)
+{
+	return call == PLATFORM_CALL_SUBMIT ||
+	       call == PLATFORM_CALL_CONFIGURATION ||
+	       call == PLATFORM_CALL_EVACUATE || call == PLATFORM_CALL_READMIT;
 }
 
 static void on_request(void *context, dy_http_exchange_t *exchange,
@@ -173,17 +244,25 @@
 	const char *id;
 
 	call = platform_call_find(request, &id);
-	if (call == PLATFORM_CALL_METHOD)
+	if (call == PLATFORM_CALL_METHOD) {
 		dy_http_answer_status(exchange, 405);
-	else if (call != PLATFORM_CALL_SUBMIT &&
-		 call != PLATFORM_CALL_CONFIGURATION)
+		return;
+	}
+	if (!is_served(call)) {
 		dy_http_answer_status(exchange, 404);
-	else if (!door->control)
+		return;
+	}
+	if (!door->control) {
 		answer_unavailable(door, exchange);
-	else if (call == PLATFORM_CALL_SUBMIT)
+		return;
+	}
+	if (call == PLATFORM_CALL_SUBMIT)
 		submit(door, exchange, request);
+	else if (call == PLATFORM_CALL_CONFIGURATION)
+		read_configuration(door, exchange, request);
 	else
-		read_configuration(door, exchange);
+		order_domain(door, exchange, request, id,
+			     call == PLATFORM_CALL_EVACUATE);
 }
 
 operator_door_t *operator_door_create(dy_loop_t *loop, dy_metrics_t *metrics,
@@ -206,6 +285,9 @@
 	door->redirected =
 		dy_metrics_counter(metrics, "configurations_redirected");
 	door->reads = dy_metrics_counter(metrics, "configuration_reads");
+	door->domain_orders = dy_metrics_counter(metrics, "domain_orders");
+	door->domain_refused =
+		dy_metrics_counter(metrics, "domain_orders_refused");
 	config.listen = *listen;
 	config.body_max = BODY_MAX_BYTES;
 	config.handle = on_request;
--- a/src/process/flow/cmd_flow_agent.c
+++ b/src/process/flow/cmd_flow_agent.c
@@ -122,8 +122,8 @@
 
 static dy_member_state_t member_state(const flow_agent_t *agent)
 {
-	return dy_flow_holder_accepts(agent->holder) ? DY_MEMBER_SERVING
-						     : DY_MEMBER_DRAINING;
+	return dy_flow_holder_is_serving(agent->holder) ? DY_MEMBER_SERVING
+							: DY_MEMBER_DRAINING;
 }
 
 /*
@@ -332,7 +332,20 @@
 	on_changed(agent);
 }
 
+static void on_domain(void *context, const dy_domain_info_t *domain)
+{
+	flow_agent_t *agent = context;
+
+	if (strcmp(domain->name, agent->member.settings.domain) != 0)
+		return;
+	dy_log_event(DY_LOG_INFO, "domain_changed", "domain=%s evacuated=%d",
+		     dy_log_quote(domain->name), !!domain->evacuated);
+	dy_flow_holder_set_evacuated(agent->holder, domain->evacuated,
+				     now_ms(agent));
+}
+
 static const dy_subscriber_callbacks_t subscriber_callbacks = {
+	.domain = on_domain,
 	.drain = begin_stop,
 	.refused = on_refused,
 };
--- a/src/process/flow/cmd_flow_balancer.c
+++ b/src/process/flow/cmd_flow_balancer.c
@@ -254,6 +254,15 @@
 	dy_flow_router_set_member(balancer->router, member);
 }
 
+static void on_domain(void *context, const dy_domain_info_t *domain)
+{
+	flow_balancer_t *balancer = context;
+
+	dy_log_event(DY_LOG_INFO, "domain_changed", "domain=%s evacuated=%d",
+		     dy_log_quote(domain->name), !!domain->evacuated);
+	dy_flow_router_set_domain(balancer->router, domain);
+}
+
 static void on_caught_up(void *context)
 {
 	flow_balancer_t *balancer = context;
@@ -291,6 +300,7 @@
 static const dy_subscriber_callbacks_t subscriber_callbacks = {
 	.document = on_document,
 	.member = on_member,
+	.domain = on_domain,
 	.caught_up = on_caught_up,
 	.drain = begin_stop,
 	.refused = on_refused,
--- a/src/process/flow/cmd_flow_control.c
+++ b/src/process/flow/cmd_flow_control.c
@@ -45,6 +45,7 @@
 	options->listen = settings->inner;
 	options->open = 1;
 	options->losses = settings->losses;
+	options->domains = settings->domains;
 	options->check = operator_door_check;
 	options->snapshot_bytes = SNAPSHOT_BYTES;
 	options->first_election_ms = FIRST_ELECTION_MS;
--- a/src/process/flow/flow_settings.c
+++ b/src/process/flow/flow_settings.c
@@ -46,6 +46,7 @@
 	{ "group", "seeds", ALL },
 	{ "group", "key-file", 0 },
 	{ "group", "losses", 0 },
+	{ "group", "failure-domains", 0 },
 };
 
 static gboolean refuse(GError **error, const char *name, const char *value,
@@ -152,6 +153,19 @@
 	return TRUE;
 }
 
+/* The failure domains that the file names; NULL: none. */
+static char **load_domains(GKeyFile *file)
+{
+	char *text = load_text(file, "group", "failure-domains");
+	char **domains;
+
+	if (!text)
+		return NULL;
+	domains = g_strsplit(text, ",", -1);
+	g_free(text);
+	return domains;
+}
+
 static gboolean check_needed(GKeyFile *file, dy_flow_role_t role,
 			     GError **error)
 {
@@ -254,6 +268,7 @@
 	settings->domain = load_text(file, "process", "failure-domain");
 	settings->data = load_text(file, "process", "data");
 	settings->service = load_text(file, "target", "service");
+	settings->domains = load_domains(file);
 	settings->first_start =
 		g_key_file_get_boolean(file, "process", "first-start", NULL);
 	settings->log_level = load_text(file, "process", "log-level");
@@ -282,6 +297,7 @@
 	g_free(settings->domain);
 	g_free(settings->data);
 	g_free(settings->service);
+	g_strfreev(settings->domains);
 	g_free(settings->log_level);
 	memset(settings, 0, sizeof(*settings));
 }
--- a/src/process/http.c
+++ b/src/process/http.c
@@ -12,6 +12,9 @@
 /* Connections that wait to be accepted; more are tried again by the kernel. */
 #define BACKLOG 128
 
+/* Bytes that are read behind a request while it is handled. */
+#define WAITING_MAX_BYTES 65536
+
 /* Silent connections are looked for this often, in ms. */
 #define REVIEW_MS 1000
 
@@ -28,6 +31,7 @@
 	int complete;
 	int too_large;
 	int keep;
+	int ended; /* its caller sends no more */
 	int closing;
 } connection_t;
 
@@ -99,6 +103,8 @@
 		return "Not Found";
 	case 405:
 		return "Method Not Allowed";
+	case 409:
+		return "Conflict";
 	case 413:
 		return "Payload Too Large";
 	default:
@@ -214,7 +220,6 @@
 
 	if (connection->complete && code == HPE_PAUSED) {
 		http_parser_pause(&connection->parser, 0);
-		uv_read_stop((uv_stream_t *)&connection->tcp);
 		g_byte_array_append(connection->waiting,
 				    (const guint8 *)bytes + taken,
 				    (guint)(len - taken));
@@ -234,10 +239,27 @@
 	buf->len = sizeof(room);
 }
 
+/* Reading goes on while a request is handled, to see whether its caller left.
+ */
+static void read_behind(connection_t *connection, const char *bytes,
+			ssize_t len)
+{
+	if (len > 0)
+		g_byte_array_append(connection->waiting, (const guint8 *)bytes,
+				    (guint)len);
+	connection->ended |= len < 0;
+	if (len < 0 || connection->waiting->len > WAITING_MAX_BYTES)
+		uv_read_stop((uv_stream_t *)&connection->tcp);
+}
+
 static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
 {
 	connection_t *connection = stream->data;
 
+	if (connection->exchange) {
+		read_behind(connection, buf->base, len);
+		return;
+	}
 	if (len < 0) {
 		close_connection(connection);
 		return;
@@ -271,11 +293,18 @@
 		return;
 	connection->exchange = NULL;
 	connection->active_ms = dy_loop_now_ms(connection->server->loop);
+	if (connection->ended && !connection->waiting->len)
+		connection->keep = 0;
 	send_answer(connection, answer);
 	if (connection->keep && !connection->closing)
 		read_next(connection);
 }
 
+int dy_http_is_abandoned(const dy_http_exchange_t *exchange)
+{
+	return !exchange->connection || exchange->connection->ended;
+}
+
 void dy_http_answer_status(dy_http_exchange_t *exchange, int status)
 {
 	const dy_http_answer_t answer = { .status = status,
--- a/src/process/subscriber.c
+++ b/src/process/subscriber.c
@@ -215,6 +215,10 @@
 		if (calls->key)
 			calls->key(context, &delta->dy_delta_t_u.key);
 		break;
+	case DY_DELTA_DOMAIN:
+		if (calls->domain)
+			calls->domain(context, &delta->dy_delta_t_u.domain);
+		break;
 	}
 }
 
@@ -536,6 +540,8 @@
 		skips |= DY_SKIP_DOCUMENT;
 	if (!calls->key)
 		skips |= DY_SKIP_KEYS;
+	if (calls->domain)
+		skips |= DY_TAKES_DOMAINS;
 	if (config->skip_ended)
 		skips |= DY_SKIP_ENDED;
 	return skips;
--- a/src/request/router.c
+++ b/src/request/router.c
@@ -106,6 +106,12 @@
 		configure_pick(router);
 }
 
+void dy_router_set_domain(dy_router_t *router, const char *domain,
+			  int evacuated, uint64_t now_ms)
+{
+	route_table_set_domain(router->table, domain, evacuated, now_ms);
+}
+
 void dy_router_set_confirmed(dy_router_t *router, int confirmed)
 {
 	router->confirmed = confirmed;
--- a/src/version/flow_targets.c
+++ b/src/version/flow_targets.c
@@ -14,7 +14,9 @@
 	uint64_t hash; /* of the address */
 	dy_address_t address;
 	char *service;
+	char *domain; /* shared string */
 	int same_domain;
+	int evacuated; /* its domain is */
 	int serving;
 	int suspect;
 	dy_flow_load_t load;
@@ -31,6 +33,7 @@
 	GHashTable *by_id;
 	GHashTable *by_address; /* the newest member at each */
 	GHashTable *services;	/* name to GPtrArray of targets */
+	GHashTable *evacuated;	/* names of domains, a set */
 	unsigned placed;	/* targets that are in a service */
 	uint64_t heard_ms;	/* when any of them last said anything */
 	uint64_t confirmed_ms; /* when the newest poll that was answered left */
@@ -48,6 +51,8 @@
 	target_t *target = data;
 
 	g_free(target->service);
+	if (target->domain)
+		g_ref_string_release(target->domain);
 	g_free(target);
 }
 
@@ -78,6 +83,8 @@
 	targets->by_address = g_hash_table_new(hash_address, same_address);
 	targets->services = g_hash_table_new_full(g_str_hash, g_str_equal,
 						  g_free, free_service);
+	targets->evacuated =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return targets;
 }
 
@@ -88,6 +95,7 @@
 	g_hash_table_destroy(targets->services);
 	g_hash_table_destroy(targets->by_address);
 	g_hash_table_destroy(targets->by_id);
+	g_hash_table_destroy(targets->evacuated);
 	g_free(targets);
 }
 
@@ -160,6 +168,35 @@
 	g_hash_table_remove(targets->by_id, &member->id);
 }
 
+static void set_domain(const dy_flow_targets_t *targets, target_t *target,
+		       const char *domain)
+{
+	if (target->domain)
+		g_ref_string_release(target->domain);
+	target->domain = g_ref_string_new_intern(domain);
+	target->same_domain = !strcmp(domain, targets->domain);
+	target->evacuated = g_hash_table_contains(targets->evacuated, domain);
+}
+
+void dy_flow_targets_set_domain(dy_flow_targets_t *targets, const char *domain,
+				int evacuated)
+{
+	target_t *target;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (evacuated)
+		g_hash_table_add(targets->evacuated, g_strdup(domain));
+	else
+		g_hash_table_remove(targets->evacuated, domain);
+	g_hash_table_iter_init(&iter, targets->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		target = value;
+		if (!strcmp(target->domain, domain))
+			target->evacuated = evacuated;
+	}
+}
+
 void dy_flow_targets_set_member(dy_flow_targets_t *targets,
 				const dy_member_t *member)
 {
@@ -189,7 +226,7 @@
 	g_hash_table_replace(targets->by_address, &target->address, target);
 	target->hash = XXH3_64bits(target->address.ip, DY_IP_BYTES) ^
 		       (uint64_t)target->address.port * XXH_PRIME64_1;
-	target->same_domain = !strcmp(member->info.domain, targets->domain);
+	set_domain(targets, target, member->info.domain);
 	target->serving = member->state == DY_MEMBER_SERVING;
 	target->suspect = member->state == DY_MEMBER_SUSPECT;
 	if (!target->suspect)
@@ -356,9 +393,14 @@
 	return XXH3_64bits(pair, sizeof(pair));
 }
 
-/* The first max targets in the flow's order, all or those that serve. */
+static int takes_new_flows(const target_t *target)
+{
+	return target->serving && !target->evacuated;
+}
+
+/* The first max targets in the flow's order, all or those for new flows. */
 static unsigned order_targets(const GPtrArray *list, const dy_flow_id_t *flow,
-			      int serving, unsigned max, place_t *places)
+			      int for_new, unsigned max, place_t *places)
 {
 	uint64_t hash = dy_flow_id_hash(flow);
 	unsigned count = 0;
@@ -367,7 +409,7 @@
 
 	for (i = 0; i < list->len; i++) {
 		place.target = g_ptr_array_index(list, i);
-		if (serving && !place.target->serving)
+		if (for_new && !takes_new_flows(place.target))
 			continue;
 		place.rank = rank_of(place.target, hash);
 		count = insert_by_rank(places, count, max, &place);
@@ -492,6 +534,6 @@
 	guint i;
 
 	for (i = 0; all && i < all->len; i++)
-		count += ((target_t *)g_ptr_array_index(all, i))->serving;
+		count += takes_new_flows(g_ptr_array_index(all, i));
 	return count;
 }
--- a/src/version/registry.c
+++ b/src/version/registry.c
@@ -28,13 +28,13 @@
 const char *dy_registry_event_name(dy_registry_event_t event)
 {
 	static const char *const names[DY_EVENTS] = {
-		"member_joined",     "member_changed",	  "member_draining",
-		"member_left",	     "member_suspect",	  "member_back",
-		"member_dead",	     "member_forgotten",  "member_refused",
-		"drain_wished",	     "document_accepted", "document_tried",
-		"content_damaged",   "change_refused",	  "change_resent",
-		"key_added",	     "key_active",	  "key_retired",
-		"command_malformed",
+		"member_joined",     "member_changed",	 "member_draining",
+		"member_left",	     "member_suspect",	 "member_back",
+		"member_dead",	     "member_forgotten", "member_refused",
+		"drain_wished",	     "domain_evacuated", "domain_readmitted",
+		"document_accepted", "document_tried",	 "content_damaged",
+		"change_refused",    "change_resent",	 "key_added",
+		"key_active",	     "key_retired",	 "command_malformed",
 	};
 
 	return names[event];
--- a/src/version/registry_changes.c
+++ b/src/version/registry_changes.c
@@ -265,6 +265,16 @@
 	result->number = registry->last_key;
 }
 
+/* The caller has judged whether there is such a domain: settings may say. */
+static void change_domain(dy_registry_t *registry, const dy_change_t *change,
+			  dy_change_result_t *result)
+{
+	if (!registry_change_domain(registry, change))
+		refuse(result, DY_STATUS_CONFLICT,
+		       "too many failure domains were evacuated");
+	result->number = registry->index;
+}
+
 static void decide(dy_registry_t *registry, const dy_operator_change_t *args,
 		   dy_change_result_t *result)
 {
@@ -285,6 +295,10 @@
 	case DY_CHANGE_ROTATE:
 		rotate(registry, args->salt, result);
 		return;
+	case DY_CHANGE_EVACUATE:
+	case DY_CHANGE_READMIT:
+		change_domain(registry, &args->change, result);
+		return;
 	}
 	refuse(result, DY_STATUS_MALFORMED, "there is no such change");
 }
--- a/src/version/registry_poll.c
+++ b/src/version/registry_poll.c
@@ -150,7 +150,7 @@
  * An entry of the log changes at most two objects of one kind and an answer
  * ends only between entries, so a few more than DY_DELTAS_MAX are gathered.
  */
-#define ITEMS_MAX (DY_DELTAS_MAX + KEYS_MAX + 4)
+#define ITEMS_MAX (DY_DELTAS_MAX + KEYS_MAX + DY_REGISTRY_DOMAINS_MAX + 4)
 
 typedef struct gathering {
 	uint64_t version;
@@ -252,6 +252,24 @@
 	}
 }
 
+static void gather_domains(gathering_t *gathering,
+			   const dy_registry_t *registry)
+{
+	const dy_registry_domain_t *domain;
+	item_t *item;
+	unsigned i;
+
+	for (i = 0; i < registry->domain_count; i++) {
+		domain = &registry->domains[i];
+		if (domain->changed <= gathering->version ||
+		    domain->changed > gathering->upto)
+			continue;
+		item = &gathering->items[gathering->count++];
+		item->changed = domain->changed;
+		registry_show_domain(domain, &item->delta);
+	}
+}
+
 static void show_document(const dy_registry_document_t *document,
 			  const char *environment, dy_delta_t *delta)
 {
@@ -334,6 +352,8 @@
 	gather_its_members(gathering, environment, poll);
 	if (!(poll->skips & DY_SKIP_KEYS))
 		gather_keys(gathering, registry);
+	if (poll->skips & DY_TAKES_DOMAINS)
+		gather_domains(gathering, registry);
 	if (!(poll->skips & DY_SKIP_DOCUMENT))
 		gather_document(gathering, &environment->document,
 				dy_environment_name(i));
@@ -393,6 +413,18 @@
 	}
 }
 
+/* Those that were readmitted too: a member that joins anew held them. */
+static void show_domains(const dy_registry_t *registry, GArray *deltas)
+{
+	dy_delta_t delta = { 0 };
+	unsigned i;
+
+	for (i = 0; i < registry->domain_count; i++) {
+		registry_show_domain(&registry->domains[i], &delta);
+		g_array_append_val(deltas, delta);
+	}
+}
+
 void dy_registry_fill_image(const dy_registry_t *registry,
 			    dy_environment_t environment, GArray *deltas)
 {
@@ -412,6 +444,7 @@
 		g_array_append_val(deltas, delta);
 	}
 	show_keys(registry, deltas);
+	show_domains(registry, deltas);
 	if (!own->document.number)
 		return;
 	show_document(&own->document, dy_environment_name(environment), &delta);
--- a/src/version/registry_private.h
+++ b/src/version/registry_private.h
@@ -52,6 +52,8 @@
 	dy_list_t contents;
 	uint8_t tried[DY_REGISTRY_TRIED_MAX][DY_DIGEST_BYTES];
 	unsigned tried_count;
+	dy_registry_domain_t domains[DY_REGISTRY_DOMAINS_MAX];
+	unsigned domain_count;
 	dy_registry_key_t keys[KEYS_MAX];
 	unsigned key_count;
 	uint32_t last_key;
@@ -106,6 +108,16 @@
 			  const dy_change_result_t *result);
 void registry_drop_answers(dy_registry_t *registry);
 
+/* registry_domains.c */
+/* Evacuate or readmit. Returns 0 if there is no room for another record. */
+int registry_change_domain(dy_registry_t *registry, const dy_change_t *change);
+/* The message form of a record; points into it. */
+void registry_show_domain(const dy_registry_domain_t *domain,
+			  dy_delta_t *delta);
+/* Put a record that a snapshot held; -1 if there is no room. */
+int registry_append_domain(dy_registry_t *registry,
+			   const dy_saved_domain_t *saved);
+
 /* registry_keys.c */
 /* Whether the newest key does not sign yet. */
 int registry_key_waits(const dy_registry_t *registry);
--- a/src/version/registry_snapshot.c
+++ b/src/version/registry_snapshot.c
@@ -114,6 +114,23 @@
 	}
 }
 
+static void write_domains(writer_t *writer, const dy_registry_t *registry)
+{
+	dy_saved_t saved = { .kind = DY_SAVED_DOMAIN };
+	dy_saved_domain_t *out = &saved.dy_saved_t_u.domain;
+	const dy_registry_domain_t *domain;
+	unsigned i;
+
+	for (i = 0; i < registry->domain_count; i++) {
+		domain = &registry->domains[i];
+		out->info.name = (char *)domain->name;
+		out->info.evacuated = domain->evacuated;
+		out->changed = domain->changed;
+		out->operator_name = (char *)domain->operator_name;
+		write_record(writer, &saved);
+	}
+}
+
 static void write_member(void *context, const dy_registry_member_t *member)
 {
 	dy_saved_t saved = { .kind = DY_SAVED_MEMBER };
@@ -153,6 +170,7 @@
 	write_content(&writer, DY_LIST_ITEM(pos, content_t, link));
 	write_tried(&writer, registry);
 	write_keys(&writer, registry);
+	write_domains(&writer, registry);
 	dy_registry_each_member(registry, write_member, &writer);
 	g_queue_foreach(registry->answers, write_answer, &writer);
 	write_record(&writer, &end);
@@ -173,6 +191,7 @@
 	registry->index = 0;
 	registry->forgotten = 0;
 	registry->tried_count = 0;
+	registry->domain_count = 0;
 	registry->key_count = 0;
 	registry->last_key = 0;
 }
@@ -259,6 +278,9 @@
 				     saved->dy_saved_t_u.answer.request,
 				     &saved->dy_saved_t_u.answer.result);
 		return 0;
+	case DY_SAVED_DOMAIN:
+		return registry_append_domain(registry,
+					      &saved->dy_saved_t_u.domain);
 	case DY_SAVED_END:
 		return 1;
 	}
--- a/src/version/route_table.c
+++ b/src/version/route_table.c
@@ -12,6 +12,7 @@
 	GHashTable *current;	/* id: newest route_member_t */
 	GHashTable *balancers;	/* ids of those that serve */
 	GPtrArray *domains;	/* names; the index is the domain's */
+	GHashTable *evacuated;	/* names of domains, a set */
 	uint64_t expired_ms;	/* when members were last looked through */
 };
 
@@ -40,6 +41,8 @@
 	table->balancers = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						 g_free, NULL);
 	table->domains = g_ptr_array_new_with_free_func(g_free);
+	table->evacuated =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return table;
 }
 
@@ -64,6 +67,7 @@
 	g_hash_table_destroy(table->members);
 	g_hash_table_destroy(table->balancers);
 	g_ptr_array_free(table->domains, TRUE);
+	g_hash_table_destroy(table->evacuated);
 	clear_services(table->services, table->service_count);
 	dy_document_destroy(table->document);
 	g_free(table);
@@ -154,7 +158,8 @@
 	pick->session_cap =
 		MIN(member->connections, service->service->connections);
 	pick->domain = member->domain;
-	pick->draining = member->state != DY_MEMBER_SERVING;
+	pick->draining =
+		member->state != DY_MEMBER_SERVING || member->evacuated;
 	if (!pick->slots)
 		pick->slots = slots_of(service, member);
 }
@@ -306,6 +311,8 @@
 	set_text(&member->service, from->info.service);
 	set_text(&member->labels, from->info.labels);
 	set_text(&member->domain_name, from->info.domain);
+	member->evacuated =
+		g_hash_table_contains(table->evacuated, from->info.domain);
 	g_free(member->successors);
 	member->successor_count = (uint8_t)from->successors.successors_len;
 	member->successors =
@@ -352,6 +359,27 @@
 	place_everywhere(table, member, now_ms);
 }
 
+void route_table_set_domain(route_table_t *table, const char *name,
+			    int evacuated, uint64_t now_ms)
+{
+	route_member_t *member;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (evacuated)
+		g_hash_table_add(table->evacuated, g_strdup(name));
+	else
+		g_hash_table_remove(table->evacuated, name);
+	g_hash_table_iter_init(&iter, table->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		member = value;
+		if (strcmp(member->domain_name, name) != 0)
+			continue;
+		member->evacuated = (uint8_t) !!evacuated;
+		place_everywhere(table, member, now_ms);
+	}
+}
+
 route_service_t *route_table_service(route_table_t *table, uint64_t service)
 {
 	return g_hash_table_lookup(table->by_service, &service);
--- a/src/version/route_table.h
+++ b/src/version/route_table.h
@@ -25,6 +25,7 @@
 	dy_address_t address;
 	uint8_t state; /* a dy_member_state_t */
 	uint8_t successor_count;
+	uint8_t evacuated; /* its domain is */
 	uint16_t domain;
 	uint32_t slots;
 	uint32_t connections;
@@ -71,6 +72,10 @@
 dy_pick_target_t *route_service_find(route_service_t *service,
 				     const route_member_t *member);
 
+/* Whether targets of a failure domain are to take no new sessions. */
+void route_table_set_domain(route_table_t *table, const char *name,
+			    int evacuated, uint64_t now_ms);
+
 /* Index of a failure domain by its name; the same name, the same index. */
 uint16_t route_table_domain(route_table_t *table, const char *name);
 
--- a/tests/test_commands.c
+++ b/tests/test_commands.c
@@ -267,6 +267,8 @@
 	expect(group, "drain nobody", 1, "status=not_found");
 	expect(group, "remove nobody --environment trial", 1,
 	       "status=not_found");
+	expect(group, "evacuate nowhere", 1, "status=not_found");
+	expect(group, "readmit nowhere", 1, "status=not_found");
 	words = g_strdup_printf("status --process %s",
 				strrchr(group->addresses, ',') + 1);
 	ck_assert_int_eq(run(group, words, &out, NULL), 0);
--- a/tests/test_flow_openings.c
+++ b/tests/test_flow_openings.c
@@ -156,6 +156,40 @@
 }
 END_TEST
 
+/* A balancer that has not heard of an evacuation opens a flow here. */
+START_TEST(evacuated_target_takes_no_opening_and_keeps_its_flows)
+{
+	fake_holder_begin();
+	fake_holder_open_flow(1);
+	dy_flow_holder_set_evacuated(fake_holder.holder, 1, fake_holder.now_ms);
+	ck_assert(dy_flow_holder_is_serving(fake_holder.holder));
+	fake_holder.given = 0;
+	fake_holder_from_caller(2, DY_PACKET_SYN, 0, 0);
+	ck_assert_uint_eq(fake_holder.given, 0);
+	ck_assert_uint_eq(fake_holder.passed, 1);
+	fake_holder_from_caller(1, DY_PACKET_ACK, 501, 90);
+	ck_assert_uint_eq(fake_holder.given, 1);
+	dy_flow_holder_set_evacuated(fake_holder.holder, 0, fake_holder.now_ms);
+	fake_holder_from_caller(3, DY_PACKET_SYN, 0, 0);
+	ck_assert_uint_eq(fake_holder.given, 2);
+	fake_holder_end();
+}
+END_TEST
+
+/* An opening that waited before an evacuation is let in after it. */
+START_TEST(openings_that_wait_leave_an_evacuated_target)
+{
+	fake_holder_begin();
+	fill_target();
+	last_choice(50, 0);
+	dy_flow_holder_set_evacuated(fake_holder.holder, 1, fake_holder.now_ms);
+	ck_assert_uint_eq(fake_holder.nowheres, 1);
+	answer(0);
+	ck_assert_uint_eq(fake_holder.given, 0);
+	fake_holder_end();
+}
+END_TEST
+
 /*
  * Callers gave their openings up while all power was gone. The target answers
  * them, nobody takes the answer up, and for seconds they seem to fill it.
@@ -233,6 +267,8 @@
 		room_is_left_to_an_opening_that_has_just_come,
 		opening_that_waits_too_long_is_refused,
 		openings_that_wait_do_not_reach_a_draining_target,
+		evacuated_target_takes_no_opening_and_keeps_its_flows,
+		openings_that_wait_leave_an_evacuated_target,
 		openings_given_up_leave_room,
 		requests_without_an_answer_are_forgotten,
 		opening_that_nobody_takes_is_told,
--- a/tests/test_flow_settings.c
+++ b/tests/test_flow_settings.c
@@ -127,6 +127,21 @@
 }
 END_TEST
 
+/* A domain that no member names yet could not be evacuated. */
+START_TEST(failure_domains_are_told)
+{
+	dy_flow_settings_t settings;
+
+	write_settings(PROCESS LISTEN TARGET GROUP
+		       "failure-domains=d1,d2,d3\n");
+	ck_assert(
+		dy_flow_settings_load(&settings, path, DY_FLOW_CONTROL, NULL));
+	ck_assert_uint_eq(g_strv_length(settings.domains), 3);
+	ck_assert_str_eq(settings.domains[2], "d3");
+	dy_flow_settings_clear(&settings);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -134,6 +149,7 @@
 		empty_values_are_none_and_unknown_keys_pass,
 		wrong_values_are_refused,
 		changed_seeds_are_taken_and_broken_files_are_not,
+		failure_domains_are_told,
 		NULL,
 	};
 
--- a/tests/test_flow_targets.c
+++ b/tests/test_flow_targets.c
@@ -406,6 +406,32 @@
 }
 END_TEST
 
+/* A new flow is opened in a domain that its operator has emptied. */
+START_TEST(evacuated_domain_gets_no_new_flow_and_keeps_its_own)
+{
+	dy_flow_targets_t *targets = create(2);
+	dy_address_t list[DY_FLOW_SEARCH_MAX];
+	unsigned count;
+	unsigned i;
+
+	set(targets, 3, 13, DY_MEMBER_SERVING, "d2");
+	dy_flow_targets_set_domain(targets, "d1", 1);
+	for (i = 0; i < 50; i++)
+		ck_assert_uint_eq(open_flow(targets, i), 3);
+	ck_assert_uint_eq(dy_flow_targets_count(targets, SERVICE), 1);
+	ck_assert(search(targets, 1, &count, list));
+	ck_assert_uint_eq(count, 3);
+	/* One that joins later is in the same domain. */
+	set(targets, 4, 14, DY_MEMBER_SERVING, "d1");
+	ck_assert_uint_eq(dy_flow_targets_count(targets, SERVICE), 1);
+	dy_flow_targets_set_domain(targets, "d2", 1);
+	ck_assert_uint_eq(open_flow(targets, 1), 0);
+	dy_flow_targets_set_domain(targets, "d1", 0);
+	ck_assert_uint_eq(dy_flow_targets_count(targets, SERVICE), 3);
+	dy_flow_targets_destroy(targets);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -424,6 +450,7 @@
 		other_services_are_searched_among_a_hundred,
 		flow_of_a_turned_entry_is_found_among_hundreds,
 		search_of_too_many_is_not_complete,
+		evacuated_domain_gets_no_new_flow_and_keeps_its_own,
 		NULL,
 	};
 
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -186,6 +186,25 @@
 }
 END_TEST
 
+/* An order whose sender gave it up, and sent it elsewhere, is made late. */
+START_TEST(exchange_tells_that_its_caller_left)
+{
+	int handle;
+
+	begin();
+	world.hold = 1;
+	handle = dial();
+	say(handle, "POST /a HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+	ck_assert(!dy_http_is_abandoned(world.held));
+	close(handle);
+	settle();
+	ck_assert(dy_http_is_abandoned(world.held));
+	dy_http_answer_status(world.held, 503);
+	settle();
+	end();
+}
+END_TEST
+
 /* The process stops while a call waits. */
 START_TEST(answer_after_the_server_closed_is_dropped)
 {
@@ -345,6 +364,7 @@
 		requests_of_one_connection_are_answered_in_turn,
 		request_in_pieces_is_put_together,
 		answer_after_the_caller_left_is_dropped,
+		exchange_tells_that_its_caller_left,
 		answer_after_the_server_closed_is_dropped,
 		redirect_names_its_location,
 		malformed_requests_are_refused,
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -400,6 +400,11 @@
 		{ "GET", "/-/instances/i-1", PLATFORM_CALL_METHOD, NULL },
 		{ "PUT", "/-/instances/", PLATFORM_CALL_UNKNOWN, NULL },
 		{ "PUT", "/-/instances/a/b", PLATFORM_CALL_UNKNOWN, NULL },
+		{ "POST", "/-/evacuate/d1", PLATFORM_CALL_EVACUATE, "d1" },
+		{ "DELETE", "/-/evacuate/d1", PLATFORM_CALL_READMIT, "d1" },
+		{ "PUT", "/-/evacuate/d1", PLATFORM_CALL_METHOD, "d1" },
+		{ "POST", "/-/evacuate/", PLATFORM_CALL_UNKNOWN, NULL },
+		{ "POST", "/-/evacuate/d1/d2", PLATFORM_CALL_UNKNOWN, NULL },
 		{ "GET", "/", PLATFORM_CALL_UNKNOWN, NULL },
 		{ "GET", "/-/config2", PLATFORM_CALL_UNKNOWN, NULL },
 	};
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -261,6 +261,105 @@
 }
 END_TEST
 
+/* What the last answer to a poll says of a domain; -1: nothing. */
+static int told_of(const char *domain)
+{
+	const dy_domain_info_t *info;
+	unsigned i;
+
+	for (i = 0; i < user.result.deltas.deltas_len; i++) {
+		if (user.deltas[i].kind != DY_DELTA_DOMAIN)
+			continue;
+		info = &user.deltas[i].dy_delta_t_u.domain;
+		if (!strcmp(info->name, domain))
+			return info->evacuated;
+	}
+	return -1;
+}
+
+/* An evacuation is gone with its leader, or a member never hears of it. */
+START_TEST(evacuation_is_told_and_kept)
+{
+	dy_poll_t poll = fake_user_member(DY_MEMBER_BALANCER, "b1", "", 1);
+	const dy_change_result_t *answer;
+
+	poll.skips = DY_TAKES_DOMAINS;
+	fake_user_poll(&user, &poll);
+	answer = fake_user_name(&user, DY_CHANGE_EVACUATE, 1, "d1");
+	ck_assert_int_eq(answer->status, DY_STATUS_OK);
+	fake_user_poll(&user, &poll);
+	ck_assert_int_eq(told_of("d1"), 1);
+	fake_user_poll(&user, &poll);
+	ck_assert_int_eq(told_of("d1"), -1);
+	fake_user_change_leader(&user);
+	ck_assert(dy_registry_is_evacuated(user.registry, "d1"));
+	poll.state_version = 0;
+	fake_user_poll(&user, &poll);
+	ck_assert_int_eq(told_of("d1"), 1);
+	fake_user_name(&user, DY_CHANGE_READMIT, 2, "d1");
+	fake_user_poll(&user, &poll);
+	ck_assert_int_eq(told_of("d1"), 0);
+	ck_assert(!dy_registry_is_evacuated(user.registry, "d1"));
+	ck_assert(dy_registry_knows_domain(user.registry, "d1"));
+	ck_assert(!dy_registry_knows_domain(user.registry, "d9"));
+}
+END_TEST
+
+/* A build that does not know of evacuations cannot read its polls' answers. */
+START_TEST(evacuation_is_told_only_to_those_who_take_it)
+{
+	dy_poll_t poll = fake_user_member(DY_MEMBER_BALANCER, "b1", "", 1);
+
+	fake_user_name(&user, DY_CHANGE_EVACUATE, 1, "d1");
+	fake_user_poll(&user, &poll);
+	ck_assert_uint_eq(fake_user_count(&user, DY_DELTA_DOMAIN), 0);
+}
+END_TEST
+
+/* An order that is sent again moves the state, and is told to all once more. */
+START_TEST(evacuation_that_stands_changes_nothing)
+{
+	const dy_registry_domain_t *domains;
+	uint64_t changed;
+	unsigned count;
+
+	fake_user_name(&user, DY_CHANGE_EVACUATE, 1, "d1");
+	changed = dy_registry_domains(user.registry, &count)->changed;
+	fake_user_name(&user, DY_CHANGE_EVACUATE, 2, "d1");
+	domains = dy_registry_domains(user.registry, &count);
+	ck_assert_uint_eq(count, 1);
+	ck_assert_uint_eq(domains->changed, changed);
+	ck_assert_int_eq(
+		fake_user_name(&user, DY_CHANGE_READMIT, 3, "d2")->status,
+		DY_STATUS_OK);
+	dy_registry_domains(user.registry, &count);
+	ck_assert_uint_eq(count, 1);
+}
+END_TEST
+
+/* Records of domains grow without end. */
+START_TEST(evacuated_domains_are_bounded)
+{
+	char name[16];
+	unsigned count;
+	unsigned i;
+
+	for (i = 0; i < DY_REGISTRY_DOMAINS_MAX; i++) {
+		g_snprintf(name, sizeof(name), "d%u", i);
+		ck_assert_int_eq(fake_user_name(&user, DY_CHANGE_EVACUATE,
+						(uint8_t)(i + 1), name)
+					 ->status,
+				 DY_STATUS_OK);
+	}
+	ck_assert_int_eq(
+		fake_user_name(&user, DY_CHANGE_EVACUATE, 200, "one more")
+			->status,
+		DY_STATUS_CONFLICT);
+	dy_registry_domains(user.registry, &count);
+	ck_assert_uint_eq(count, DY_REGISTRY_DOMAINS_MAX);
+}
+END_TEST
+
 static void apply_key_step(dy_key_step_kind_t step, uint32_t id)
 {
 	dy_command_t command = { .kind = DY_COMMAND_KEY };
@@ -406,6 +505,10 @@
 	tcase_add_test(tcase, key_steps_that_come_late_change_nothing);
 	tcase_add_test(tcase, rotations_beyond_what_members_hold_are_refused);
 	tcase_add_test(tcase, keys_are_bounded);
+	tcase_add_test(tcase, evacuation_is_told_and_kept);
+	tcase_add_test(tcase, evacuation_is_told_only_to_those_who_take_it);
+	tcase_add_test(tcase, evacuation_that_stands_changes_nothing);
+	tcase_add_test(tcase, evacuated_domains_are_bounded);
 	tcase_add_test(tcase, malformed_input_changes_nothing);
 	tcase_add_loop_test(tcase, random_run_agrees_with_the_oracle, 0, 20);
 	suite_add_tcase(suite, tcase);
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -419,6 +419,22 @@
 }
 END_TEST
 
+/* A session is opened in a domain that its operator has emptied. */
+START_TEST(evacuated_domain_gets_no_new_session)
+{
+	fake_t fake;
+
+	setup(&fake);
+	dy_router_set_domain(fake.router, "d1", 1, NOW);
+	send_call(&fake, 1, 0, NULL);
+	expect_refused(&fake, DY_NOT_RUN, DY_REASON_NO_TARGET);
+	dy_router_set_domain(fake.router, "d1", 0, NOW);
+	send_call(&fake, 2, 0, NULL);
+	ck_assert_uint_eq(fake.forwards, 1);
+	teardown(&fake);
+}
+END_TEST
+
 /*
  * A target has begun to drain and this balancer does not know yet. The agent
  * gives the opening back; it must go to the other target, and its caller
@@ -659,6 +675,7 @@
 		suspect_target_keeps_its_flows_while_it_answers,
 		unconfirmed_balancer_opens_no_flow,
 		draining_target_gets_no_new_flow,
+		evacuated_domain_gets_no_new_session,
 		bounced_opening_goes_elsewhere,
 		bounces_are_tried_again_under_a_budget,
 		members_that_are_over_are_forgotten,
