--- a/include/damaskyard/flow_ledger.h
+++ b/include/damaskyard/flow_ledger.h
@@ -9,7 +9,7 @@
  * keep theirs open, and nobody who knew them is left.
  * What happens without it: each flow is found to be over only when its caller
  * uses it, and a request that may not be repeated is lost with it.
- * What is done: agents write down at two controls which flows are open, and
+ * What is done: agents write down at some controls which flows are open, and
  * read it back at their start. Flows of an earlier start of the target are
  * reset before their callers use them.
  *
@@ -36,6 +36,12 @@
  */
 #define DY_LEDGER_PARTS_MAX 64
 
+/*
+ * How many controls an agent writes each list to: one more than the disks that
+ * may be lost at once, 0 losses being taken for one, of so many controls.
+ */
+unsigned dy_flow_ledger_copies(unsigned losses, unsigned controls);
+
 typedef struct dy_flow_ledger dy_flow_ledger_t;
 
 dy_flow_ledger_t *dy_flow_ledger_create(void);
--- a/src/connection/flow_ledger.c
+++ b/src/connection/flow_ledger.c
@@ -47,6 +47,11 @@
 	g_free(account);
 }
 
+unsigned dy_flow_ledger_copies(unsigned losses, unsigned controls)
+{
+	return MIN(MAX(losses, 1u) + 1, controls);
+}
+
 dy_flow_ledger_t *dy_flow_ledger_create(void)
 {
 	dy_flow_ledger_t *ledger = g_new0(dy_flow_ledger_t, 1);
--- a/src/process/flow/agent_ledger.c
+++ b/src/process/flow/agent_ledger.c
@@ -7,12 +7,12 @@
 #include "damaskyard/log.h"
 
 /*
- * Between two lists, in ms, for each part of them: 1.1 KB in a second at the
- * most, to each of two controls. Flows that last for a minute and more stand in
- * a list that is some seconds old.
+ * Between two lists, in ms, and for each copy of a part of them: 2.2 KB in a
+ * second at the most. Flows that last for a minute and more stand in a list
+ * that is some seconds old.
  */
 #define LIST_MS 4000
-#define LIST_PART_MS 1000
+#define LIST_COPY_MS 500
 
 /*
  * For how many times the time between two a list is believed: it is that old,
@@ -20,9 +20,6 @@
  */
 #define BELIEVED_LISTS 3
 
-/* Controls that get each list: the disk of one may be lost. */
-#define COPIES 2
-
 /*
  * Controls are asked from when one of them first answered a poll of this agent,
  * which spreads the agents of a site that all start at once by the pace that
@@ -93,15 +90,25 @@
 
 /* Lists. */
 
+/* Controls that get each list. */
+static unsigned count_copies(const agent_ledger_t *ledger)
+{
+	const dy_flow_settings_t *settings = &ledger->member->settings;
+
+	return dy_flow_ledger_copies(settings->losses,
+				     (unsigned)settings->seeds.count);
+}
+
 static void send_part(agent_ledger_t *ledger, dy_ledger_part_t *part)
 {
 	const dy_address_list_t *controls = &ledger->member->settings.seeds;
+	unsigned copies = count_copies(ledger);
 	unsigned first = g_str_hash(part->agent);
-	int i;
+	unsigned i;
 
-	for (i = 0; i < MIN(COPIES, controls->count); i++)
+	for (i = 0; i < copies; i++)
 		flow_member_send(ledger->member,
-				 &controls->items[(first + (unsigned)i) %
+				 &controls->items[(first + i) %
 						  (unsigned)controls->count],
 				 DY_LEDGER_PROGRAM, DY_LEDGER_KEEP,
 				 (xdrproc_t)xdr_dy_ledger_part_t, part);
@@ -128,7 +135,8 @@
 	part.list = ++ledger->list;
 	part.parts = CLAMP((flows->len + DY_LEDGER_FLOWS - 1) / DY_LEDGER_FLOWS,
 			   1, DY_LEDGER_PARTS_MAX);
-	pause_ms = MAX(LIST_MS, part.parts * LIST_PART_MS);
+	pause_ms =
+		MAX(LIST_MS, part.parts * count_copies(ledger) * LIST_COPY_MS);
 	part.made_ms = time_of_day_ms();
 	part.good_ms = BELIEVED_LISTS * pause_ms;
 	for (; part.part < part.parts; part.part++) {
--- a/tests/test_flow_ledger.c
+++ b/tests/test_flow_ledger.c
@@ -161,6 +161,18 @@
 }
 END_TEST
 
+/* All disks that may be lost at once held the only copies of a list. */
+START_TEST(a_copy_is_left_when_disks_are_lost)
+{
+	unsigned losses;
+
+	for (losses = 0; losses <= 3; losses++)
+		ck_assert_uint_gt(dy_flow_ledger_copies(losses, 9), losses);
+	ck_assert_uint_eq(dy_flow_ledger_copies(0, 9), 2);
+	ck_assert_uint_eq(dy_flow_ledger_copies(2, 1), 1);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -169,6 +181,7 @@
 		lists_outlive_the_process,
 		bytes_that_end_early_are_read_as_far_as_they_go,
 		lists_are_bounded,
+		a_copy_is_left_when_disks_are_lost,
 		NULL,
 	};
 
