--- a/include/damaskyard/raft.h
+++ b/include/damaskyard/raft.h
@@ -123,8 +123,9 @@
 	 */
 	uint32_t election_ms;
 	/*
-	 * The same for a member that has seen no leader since its start, until
-	 * others would vote for it; default election_ms. Shorter where all
+	 * The same for a member that has seen no leader since its start,
+	 * doubled with each election that it called in vain, up to
+	 * election_ms; default election_ms. Shorter where all
 	 * members may start at once, as after a loss of power, and every
 	 * request waits for a leader. If there is one, its followers refuse the
 	 * pre-vote.
--- a/src/process/group/raft_election.c
+++ b/src/process/group/raft_election.c
@@ -2,6 +2,9 @@
 
 #include "damaskyard/invariant.h"
 
+/* Beyond these in a row the first elections are as far apart as all others. */
+#define LOST_ELECTIONS_MOST 8u
+
 static const dy_voter_id_t nobody;
 
 void raft_reset_election(dy_raft_t *raft)
@@ -12,9 +15,15 @@
 			       g_rand_int_range(raft->rand, 0, (gint32)least);
 }
 
+/*
+ * Sooner than raft_reset_election(), and later with each election that was
+ * lost: where votes take long to be synced, waiting too short elects nobody.
+ */
 void raft_expect_leader(dy_raft_t *raft)
 {
-	uint32_t least = raft->options.first_election_ms;
+	uint32_t least = MIN(raft->options.first_election_ms << MIN(
+				     raft->lost_elections, LOST_ELECTIONS_MOST),
+			     raft->options.election_ms);
 
 	raft->election_at_ms = raft->now_ms + least +
 			       g_rand_int_range(raft->rand, 0, (gint32)least);
@@ -134,6 +143,8 @@
 	peer_t *peer;
 	guint i;
 
+	if (raft->role == DY_RAFT_CANDIDATE)
+		raft->lost_elections++;
 	raft->role = pre ? DY_RAFT_PRE_CANDIDATE : DY_RAFT_CANDIDATE;
 	raft->leader = nobody;
 	(*(pre ? raft->counters.pre_votes : raft->counters.elections))++;
@@ -145,8 +156,9 @@
 	/*
 	 * After a loss of power the others may be starting too: ask again as
 	 * soon as one that has just started would, until a leader was seen.
+	 * So too where two called at once and neither won.
 	 */
-	if (pre && !raft->seen_leader_term)
+	if (!raft->seen_leader_term)
 		raft_expect_leader(raft);
 	else
 		raft_reset_election(raft);
--- a/src/process/group/raft_private.h
+++ b/src/process/group/raft_private.h
@@ -91,6 +91,7 @@
 	/* The leader last seen and its term: there is one in each. */
 	dy_voter_id_t seen_leader;
 	uint64_t seen_leader_term;
+	uint32_t lost_elections; /* that this member called, in this life */
 
 	uint64_t commit_index;
 	uint64_t applied_index;
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -319,6 +319,43 @@
 }
 END_TEST
 
+/* From the start of all five members at one moment to a leader, in ms. */
+static uint64_t wait_after_power_loss(uint32_t seed)
+{
+	fake_group_t *group = fake_group_create_formed(seed, 5);
+	uint64_t since_ms;
+	uint64_t took_ms;
+	int i;
+
+	for (i = 0; i < 5; i++)
+		fake_group_crash(&group->members[i], 1);
+	group->first_election_ms = 75;
+	/* What was under way between them is gone by then. */
+	fake_group_run(group, 200);
+	for (i = 0; i < 5; i++)
+		fake_group_start(&group->members[i]);
+	since_ms = group->now_ms;
+	while (!fake_group_leader(group) && group->now_ms - since_ms < 5000)
+		fake_group_step(group, 1);
+	took_ms = group->now_ms - since_ms;
+	fake_group_settle(group);
+	fake_group_destroy(group);
+	return took_ms;
+}
+
+/* Two call an election at once, split the votes, and everybody waits long. */
+START_TEST(split_first_election_is_called_again_soon)
+{
+	uint64_t took_ms;
+	uint32_t seed;
+
+	for (seed = 0; seed < 200; seed++) {
+		took_ms = wait_after_power_loss(seed);
+		ck_assert_uint_lt(took_ms, 300);
+	}
+}
+END_TEST
+
 START_TEST(large_entries_fit_a_message)
 {
 	fake_group_t *group = fake_group_create_formed(2, 3);
@@ -456,6 +493,7 @@
 		tcase, follower_that_was_late_itself_calls_no_election, 0, 5);
 	tcase_add_loop_test(tcase, delay_excuses_no_later_silence, 0, 5);
 	tcase_add_test(tcase, early_starter_asks_again_soon);
+	tcase_add_test(tcase, split_first_election_is_called_again_soon);
 	tcase_add_test(tcase, large_entries_fit_a_message);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
