--- a/src/process/document_fetch.c
+++ b/src/process/document_fetch.c
@@ -8,6 +8,13 @@
 #include "damaskyard/document_patch.h"
 #include "damaskyard/log.h"
 
+/*
+ * A page that has not come after this, in ms, is asked for elsewhere; doubled
+ * with each that was lost in a row. Some times what a control needs to answer
+ * all who start at once.
+ */
+#define AGAIN_MS 100
+
 struct document_fetch {
 	const document_fetch_callbacks_t *callbacks;
 	void *context;
@@ -19,6 +26,7 @@
 	int has_patch; /* a page has told it */
 	int whole;     /* ask for all of it, the held one did not fit */
 	int refused;   /* the last answer was not found */
+	unsigned lost; /* requests in a row without an answer */
 	uint8_t *run;
 	uint32_t received;
 	uint32_t xid;
@@ -53,6 +61,7 @@
 	g_clear_pointer(&fetch->environment, g_free);
 	fetch->active = 0;
 	fetch->whole = 0;
+	fetch->lost = 0;
 }
 
 void document_fetch_destroy(document_fetch_t *fetch)
@@ -187,6 +196,7 @@
 {
 	if (!document_fetch_waits(fetch, xid))
 		return 0;
+	fetch->lost = 0;
 	if (result->status == DY_STATUS_OK) {
 		fetch->refused = 0;
 		take_page(fetch, result, now_ms);
@@ -202,8 +212,13 @@
 void document_fetch_tick(document_fetch_t *fetch, uint64_t now_ms,
 			 uint64_t timeout_ms)
 {
-	if (!fetch->active || now_ms - fetch->sent_ms < timeout_ms)
+	uint64_t again_ms = (uint64_t)AGAIN_MS << fetch->lost;
+
+	if (!fetch->active ||
+	    now_ms - fetch->sent_ms < MIN(again_ms, timeout_ms))
 		return;
+	if (again_ms < timeout_ms)
+		fetch->lost++;
 	if (!fetch->refused)
 		fetch->callbacks->turn(fetch->context);
 	fetch->refused = 0;
--- a/src/process/document_fetch.h
+++ b/src/process/document_fetch.h
@@ -44,7 +44,10 @@
 /* Whether a reply of that xid is waited for. */
 int document_fetch_waits(const document_fetch_t *fetch, uint32_t xid);
 
-/* Ask another control if the last request had no answer for timeout_ms. */
+/*
+ * Ask another control if the last request had no answer: sooner the first
+ * times, at the latest after timeout_ms.
+ */
 void document_fetch_tick(document_fetch_t *fetch, uint64_t now_ms,
 			 uint64_t timeout_ms);
 
--- a/src/process/image_fetch.c
+++ b/src/process/image_fetch.c
@@ -12,6 +12,7 @@
 	int under_way;
 	int has_info; /* pages are being fetched */
 	unsigned failures;
+	int refused;  /* the last answer said that there is none */
 	uint32_t xid; /* of the question */
 	uint64_t again_ms;
 };
@@ -98,6 +99,18 @@
 				: fetch->xid == xid);
 }
 
+/*
+ * A control that has just started has no image yet; another one may. The second
+ * that refuses in a row is waited for, or all would be asked at once.
+ */
+static void ask_elsewhere(image_fetch_t *fetch, uint64_t now_ms)
+{
+	fetch->callbacks->turn(fetch->context);
+	if (!fetch->refused)
+		ask(fetch, now_ms);
+	fetch->refused = !fetch->refused;
+}
+
 static void take_info(image_fetch_t *fetch, const dy_sealed_t *message,
 		      uint64_t now_ms)
 {
@@ -106,7 +119,10 @@
 	if (!dy_sealed_load(message, (xdrproc_t)xdr_dy_image_result_t, &result,
 			    sizeof(result)))
 		return;
-	if (result.status == DY_STATUS_OK) {
+	if (result.status != DY_STATUS_OK) {
+		ask_elsewhere(fetch, now_ms);
+	} else {
+		fetch->refused = 0;
 		fetch->has_info = 1;
 		/* An image is kept by the control that made it alone. */
 		document_fetch_destroy(fetch->pages);
--- a/tests/test_document_fetch.c
+++ b/tests/test_document_fetch.c
@@ -204,6 +204,30 @@
 }
 END_TEST
 
+/* A balancer waits long for the page of a control that is not there. */
+START_TEST(lost_page_is_asked_for_elsewhere_later_each_time)
+{
+	static const uint64_t sent_ms[] = { 100, 300, 700, 1100, 1500 };
+	uint8_t text[100];
+	uint64_t now_ms;
+	unsigned i = 0;
+	fake_t fake;
+
+	setup(&fake);
+	fill_text(text, sizeof(text), 1);
+	begin(&fake, 1, text, sizeof(text));
+	for (now_ms = 50; now_ms <= 1500; now_ms += 50) {
+		document_fetch_tick(fake.fetch, now_ms, 400);
+		if (i < G_N_ELEMENTS(sent_ms) && now_ms == sent_ms[i])
+			i++;
+		ck_assert_uint_eq(fake.sent, i + 1);
+		ck_assert_uint_eq(fake.turned, i);
+	}
+	run_until_done(&fake, text, sizeof(text));
+	teardown(&fake);
+}
+END_TEST
+
 /*
  * A control gives bytes that do not have the digest that a majority agreed
  * on. They must not come into force; another control is asked.
@@ -262,6 +286,7 @@
 		small_change_costs_little,
 		every_pair_is_put_together_again,
 		change_of_control_halfway_starts_anew,
+		lost_page_is_asked_for_elsewhere_later_each_time,
 		wrong_bytes_are_not_taken,
 		older_document_is_never_fetched,
 		NULL,
--- a/tests/test_subscriber.c
+++ b/tests/test_subscriber.c
@@ -409,6 +409,31 @@
 }
 END_TEST
 
+/* A control without an image is waited for while another one has it. */
+START_TEST(image_that_is_refused_is_asked_for_elsewhere_at_once)
+{
+	dy_image_result_t none = { .status = DY_STATUS_UNAVAILABLE };
+	uint64_t sent;
+	uint32_t xid;
+
+	begin_as(1);
+	none.info.environment = "trial";
+	defer();
+	while (world.question.procedure != DY_CONTROL_IMAGE)
+		uv_run(dy_loop_uv(world.loop), UV_RUN_ONCE);
+	xid = world.question.xid;
+	sent = dy_metrics_value(world.metrics, "control_bytes_sent");
+	reply(xid, (xdrproc_t)xdr_dy_image_result_t, &none);
+	ck_assert_uint_gt(dy_metrics_value(world.metrics, "control_bytes_sent"),
+			  sent);
+	while (world.question.xid == xid)
+		uv_run(dy_loop_uv(world.loop), UV_RUN_ONCE);
+	reply_image(48, 3);
+	ck_assert_uint_eq(world.members, 3);
+	end();
+}
+END_TEST
+
 /*
  * No control gives an image, as controls of an older build do not know of any.
  * After some tries the leader is asked for the state itself.
@@ -457,6 +482,7 @@
 		leader_that_invites_is_polled_at_once,
 		balancer_starts_from_an_image,
 		image_may_come_before_the_first_answer,
+		image_that_is_refused_is_asked_for_elsewhere_at_once,
 		leader_gives_the_state_if_no_image_comes,
 		stop_is_told_at_once,
 		NULL,
