--- a/include/damaskyard/flow_holder.h
+++ b/include/damaskyard/flow_holder.h
@@ -126,6 +126,9 @@
 	dy_address_t self;   /* as in the lists of balancers */
 	const char *service; /* the only one that the target may announce */
 	dy_address_t target;
+	/* Of what a cold target bears in a second: times this, and so many. */
+	double cold_overshoot;
+	double cold_slack;
 	dy_metrics_t *metrics;
 	const dy_flow_holder_callbacks_t *callbacks;
 	void *context;
--- a/include/damaskyard/flow_rules.h
+++ b/include/damaskyard/flow_rules.h
@@ -45,6 +45,15 @@
 const dy_flow_entry_t *dy_flow_rules_find(const dy_flow_rules_t *rules,
 					  uint32_t ip, uint16_t port);
 
+/*
+ * Say how many new flows in 1,000 s a target of a service bears while it is
+ * cold; 0, as for services of which nothing was said: any number.
+ */
+void dy_flow_rules_set_cold_openings(dy_flow_rules_t *rules,
+				     const char *service, uint32_t openings);
+uint32_t dy_flow_rules_cold_openings(const dy_flow_rules_t *rules,
+				     const char *service);
+
 uint64_t dy_flow_rules_version(const dy_flow_rules_t *rules);
 unsigned dy_flow_rules_count(const dy_flow_rules_t *rules);
 
--- a/include/damaskyard/flow_settings.h
+++ b/include/damaskyard/flow_settings.h
@@ -7,7 +7,7 @@
  *
  *	[process]  name, failure-domain, data, first-start, log-level, stop-s
  *	[listen]   packets, ready, control, outbound, inner-port, metrics-port
- *	[target]   address, service
+ *	[target]   address, service, cold-overshoot, cold-slack
  *	[group]    seeds, key-file, losses, failure-domains
  *
  * A key that is not known is logged and passed over: a platform may tell more
@@ -31,16 +31,19 @@
 	char *data;	      /* controls: the data folder */
 	gboolean first_start; /* controls: the group is being founded */
 	char *log_level;
-	uint64_t stop_ms;	 /* a planned stop is to end within this time */
-	dy_address_t packets;	 /* packets of callers, or answers to them */
-	dy_address_t ready;	 /* HTTP: may packets be sent here? */
-	dy_address_t control;	 /* HTTP: operators; targets' notices */
-	dy_address_t outbound;	 /* agents: packets of the target */
-	dy_address_t metrics;	 /* HTTP: counters, at /metrics */
-	dy_address_t inner;	 /* the system's own messages */
-	uint16_t control_port;	 /* of controls' own messages */
-	dy_address_t target;	 /* agents */
-	char *service;		 /* agents */
+	uint64_t stop_ms;      /* a planned stop is to end within this time */
+	dy_address_t packets;  /* packets of callers, or answers to them */
+	dy_address_t ready;    /* HTTP: may packets be sent here? */
+	dy_address_t control;  /* HTTP: operators; targets' notices */
+	dy_address_t outbound; /* agents: packets of the target */
+	dy_address_t metrics;  /* HTTP: counters, at /metrics */
+	dy_address_t inner;    /* the system's own messages */
+	uint16_t control_port; /* of controls' own messages */
+	dy_address_t target;   /* agents */
+	char *service;	       /* agents */
+	/* Of what a cold target bears in a second: times this, and so many. */
+	double cold_overshoot;
+	double cold_slack;
 	dy_address_list_t seeds; /* controls' inner addresses */
 	dy_secrets_t secrets;
 	unsigned losses; /* of controls at once, to be borne */
--- a/proto/dy_flow.x
+++ b/proto/dy_flow.x
@@ -48,6 +48,8 @@
 	dy_address_t tries<DY_FLOW_TRIES>;
 	opaque packet<DY_PACKET_BYTES>;
 	unsigned int order;	/* that the search goes by, for its balancer */
+	/* Openings in 1,000 s that a cold target of the service bears; 0: any. */
+	unsigned int cold_openings;
 };
 
 /* The sender holds the flow. */
--- /dev/null
+++ b/src/connection/cold_limit.c
@@ -0,0 +1,44 @@
+#include "damaskyard/cold_limit.h"
+
+void dy_cold_limit_init(dy_cold_limit_t *limit)
+{
+	limit->times = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	limit->next = 0;
+	limit->most = 0;
+}
+
+void dy_cold_limit_clear(dy_cold_limit_t *limit)
+{
+	g_array_free(limit->times, TRUE);
+}
+
+/* The time of the opening of so many before the newest, 0 being that one. */
+static uint64_t time_at(const dy_cold_limit_t *limit, unsigned before)
+{
+	unsigned len = limit->times->len;
+
+	return g_array_index(limit->times, uint64_t,
+			     (limit->next + len - 1 - before) % len);
+}
+
+void dy_cold_limit_set(dy_cold_limit_t *limit, unsigned most)
+{
+	limit->most = MIN(most, DY_COLD_OPENINGS_MOST);
+}
+
+int dy_cold_limit_allows(const dy_cold_limit_t *limit, uint64_t now_ms)
+{
+	if (!limit->most || limit->times->len < limit->most)
+		return 1;
+	return now_ms - time_at(limit, limit->most - 1) >= DY_COLD_SPAN_MS;
+}
+
+void dy_cold_limit_note(dy_cold_limit_t *limit, uint64_t now_ms)
+{
+	if (limit->times->len < DY_COLD_OPENINGS_MOST) {
+		g_array_append_val(limit->times, now_ms);
+		return;
+	}
+	g_array_index(limit->times, uint64_t, limit->next) = now_ms;
+	limit->next = (limit->next + 1) % DY_COLD_OPENINGS_MOST;
+}
--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -38,6 +38,7 @@
 	dy_list_init(&holder->requests);
 	holder->kept = g_new0(kept_forward_t, DY_FORWARDS_KEPT);
 	holder->waiting = dy_opening_queue_create();
+	dy_cold_limit_init(&holder->cold);
 	holder->flow_limit = limit;
 	holder->refused_limit = limit;
 	holder->request_limit = limit;
@@ -53,6 +54,7 @@
 		return;
 	g_hash_table_destroy(holder->flows);
 	dy_opening_queue_destroy(holder->waiting);
+	dy_cold_limit_clear(&holder->cold);
 	g_free(holder->kept);
 	g_free(holder);
 }
--- a/src/connection/flow_holder_notice.c
+++ b/src/connection/flow_holder_notice.c
@@ -40,6 +40,8 @@
 		     notice->slots, g_hash_table_size(holder->flows));
 	if (holder->has_target || notice->sequence <= FIRST_SEQUENCE)
 		holder->saw_start = 1;
+	if (!holder->saw_start)
+		holder->unseen_until_ms = now_ms + DY_COLD_SPAN_MS;
 	holder_drop_all(holder, "target_started_anew", now_ms);
 	holder->has_target = 1;
 	holder->left = 0;
--- a/src/connection/flow_holder_openings.c
+++ b/src/connection/flow_holder_openings.c
@@ -38,6 +38,40 @@
 	return expected < limit;
 }
 
+/*
+ * The rate comes with each opening: balancers have the configuration. It is
+ * given in 1,000 s, so that less than one a second can be said.
+ */
+static void set_cold_limit(dy_flow_holder_t *holder,
+			   const dy_flow_forward_t *forward)
+{
+	double most = forward->cold_openings / 1000.0 *
+			      holder->config.cold_overshoot +
+		      holder->config.cold_slack;
+
+	if (!forward->cold_openings)
+		dy_cold_limit_set(&holder->cold, 0);
+	else
+		dy_cold_limit_set(
+			&holder->cold,
+			MAX(1, (unsigned)MIN(most, DY_COLD_OPENINGS_MOST)));
+}
+
+/* A target that turned warm in this very window is cold in a part of it. */
+static int is_cold(const dy_flow_holder_t *holder, uint64_t now_ms)
+{
+	return now_ms < holder->cold_until_ms + DY_COLD_SPAN_MS;
+}
+
+/* Whether a target that is cold bears one more opening in this second. */
+static int bears_opening(const dy_flow_holder_t *holder, uint64_t now_ms)
+{
+	if (!holder->cold.most || !is_cold(holder, now_ms))
+		return 1;
+	return now_ms >= holder->unseen_until_ms &&
+	       dy_cold_limit_allows(&holder->cold, now_ms);
+}
+
 /* Let an opening wait; its balancer is told, so that copies come here too. */
 static int put_off(dy_flow_holder_t *holder, const dy_flow_forward_t *forward,
 		   const dy_packet_t *packet, uint64_t now_ms)
@@ -59,6 +93,7 @@
 	if (flow)
 		holder_drop_flow(holder, flow, "opened_anew", now_ms);
 	++*holder->opened;
+	dy_cold_limit_note(&holder->cold, now_ms);
 	flow = holder_add_flow(holder, &packet->flow, STAGE_HALF, now_ms);
 	flow->opener = forward->balancer;
 	holder_log_flow(holder, "flow_taken", &packet->flow, "opening", now_ms);
@@ -74,7 +109,8 @@
 		return;
 	while (dy_opening_queue_expire(holder->waiting, now_ms, &opening))
 		holder_pass_on(holder, &opening.forward, &opening.packet, 1);
-	while ((!accepts || has_room(holder, 0, now_ms)) &&
+	while ((!accepts || (has_room(holder, 0, now_ms) &&
+			     bears_opening(holder, now_ms))) &&
 	       dy_opening_queue_take(holder->waiting, &opening)) {
 		if (accepts)
 			admit(holder, &opening.forward, &opening.packet,
@@ -95,6 +131,15 @@
 	holder_pass_on(holder, forward, packet, 1);
 }
 
+/* Why an opening has to go elsewhere or to wait, or NULL. */
+static const char *why_not_now(const dy_flow_holder_t *holder,
+			       const dy_packet_t *packet, uint64_t now_ms)
+{
+	if (!bears_opening(holder, now_ms))
+		return "cold";
+	return has_room(holder, !packet->copy, now_ms) ? NULL : "overload";
+}
+
 static const char *why_not_taken(const dy_flow_holder_t *holder)
 {
 	if (!dy_flow_holder_is_serving(holder))
@@ -106,6 +151,8 @@
 			 const dy_packet_t *packet, held_flow_t *flow,
 			 uint64_t now_ms)
 {
+	const char *reason;
+
 	if (flow && flow->stage != STAGE_ENDED) {
 		holder_touch(holder, flow, now_ms);
 		flow->opener = forward->balancer;
@@ -123,14 +170,17 @@
 				now_ms);
 		return;
 	}
-	if (!has_room(holder, !packet->copy, now_ms)) {
-		if (forward->step + 1 < forward->tries.tries_len) {
-			pass_on_opening(holder, forward, packet, "overload",
-					now_ms);
-			return;
-		}
-		if (put_off(holder, forward, packet, now_ms))
-			return;
+	set_cold_limit(holder, forward);
+	reason = why_not_now(holder, packet, now_ms);
+	if (reason && forward->step + 1 < forward->tries.tries_len) {
+		pass_on_opening(holder, forward, packet, reason, now_ms);
+		return;
+	}
+	if (reason && put_off(holder, forward, packet, now_ms))
+		return;
+	if (!bears_opening(holder, now_ms)) {
+		pass_on_opening(holder, forward, packet, "cold", now_ms);
+		return;
 	}
 	admit(holder, forward, packet, now_ms);
 }
--- a/src/connection/flow_holder_private.h
+++ b/src/connection/flow_holder_private.h
@@ -10,6 +10,7 @@
 
 #include <glib.h>
 
+#include "damaskyard/cold_limit.h"
 #include "damaskyard/flow_holder.h"
 #include "damaskyard/histogram.h"
 #include "damaskyard/list.h"
@@ -73,6 +74,8 @@
 	dy_target_notice_t notice;
 	uint64_t noticed_ms;
 	uint64_t cold_until_ms;
+	dy_cold_limit_t cold;
+	uint64_t unseen_until_ms; /* openings of another agent may count */
 	GHashTable *flows;
 	dy_list_t stages[STAGES];
 	unsigned counts[STAGES];
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -354,6 +354,8 @@
 	dy_flow_targets_note_opened(router->targets, &list[0]);
 	log_assigned(router, flow, service, count, packet->copy, now_ms);
 	forward.service = (char *)service;
+	forward.cold_openings =
+		dy_flow_rules_cold_openings(router->rules, service);
 	forward.tell = 1;
 	forward.certain = 1;
 	forward.complete = 1;
--- a/src/gen/dy_flow.h
+++ b/src/gen/dy_flow.h
@@ -51,6 +51,7 @@
 		char *packet_val;
 	} packet;
 	u_int order;
+	u_int cold_openings;
 };
 typedef struct dy_flow_forward_t dy_flow_forward_t;
 
--- a/src/gen/dy_flow_xdr.c
+++ b/src/gen/dy_flow_xdr.c
@@ -162,6 +162,8 @@
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->order))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->cold_openings))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->service, DY_NAME_BYTES))
@@ -195,6 +197,8 @@
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->order))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->cold_openings))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -219,6 +223,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->order))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cold_openings))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/process/flow/cmd_flow_agent.c
+++ b/src/process/flow/cmd_flow_agent.c
@@ -429,6 +429,8 @@
 	config.self = agent->member.settings.inner;
 	config.service = agent->member.settings.service;
 	config.target = agent->member.settings.target;
+	config.cold_overshoot = agent->member.settings.cold_overshoot;
+	config.cold_slack = agent->member.settings.cold_slack;
 	config.metrics = agent->member.metrics;
 	config.callbacks = &holder_callbacks;
 	config.context = agent;
--- a/src/process/flow/flow_settings.c
+++ b/src/process/flow/flow_settings.c
@@ -11,6 +11,9 @@
  */
 enum { PORT_OF_CONTROL = 0, PORT_OF_BALANCER = 1, PORT_OF_AGENT = 2 };
 
+/* Of a share or a count; far above any that makes sense. */
+#define REAL_MOST 1e6
+
 /* Of a planned stop, in seconds, if the settings do not say. */
 #define DEFAULT_STOP_S 30
 
@@ -43,6 +46,8 @@
 	{ "listen", "metrics-port", 0 },
 	{ "target", "address", AGENT },
 	{ "target", "service", AGENT },
+	{ "target", "cold-overshoot", 0 },
+	{ "target", "cold-slack", 0 },
 	{ "group", "seeds", ALL },
 	{ "group", "key-file", 0 },
 	{ "group", "losses", 0 },
@@ -111,6 +116,33 @@
 	return ok;
 }
 
+/* A share or count that is not below least; missing: the fallback. */
+static gboolean load_real(GKeyFile *file, const char *group, const char *name,
+			  double least, double *value, GError **error)
+{
+	char *text = load_text(file, group, name);
+	gboolean ok = TRUE;
+	char *end;
+
+	if (text) {
+		*value = g_ascii_strtod(text, &end);
+		if (*end || !(*value >= least && *value <= REAL_MOST))
+			ok = refuse(error, name, text, "a number in its range");
+	}
+	g_free(text);
+	return ok;
+}
+
+static gboolean load_cold_limit(GKeyFile *file, dy_flow_settings_t *settings,
+				GError **error)
+{
+	settings->cold_overshoot = 1;
+	return load_real(file, "target", "cold-overshoot", 1,
+			 &settings->cold_overshoot, error) &&
+	       load_real(file, "target", "cold-slack", 0, &settings->cold_slack,
+			 error);
+}
+
 static gboolean load_seeds(GKeyFile *file, uint16_t port,
 			   dy_address_list_t *seeds, GError **error)
 {
@@ -258,6 +290,7 @@
 			 error) ||
 	    !load_number(file, "group", "losses", &losses_range, &losses,
 			 error) ||
+	    !load_cold_limit(file, settings, error) ||
 	    !load_seeds(file, settings->control_port, &settings->seeds,
 			error) ||
 	    !load_secrets(file, &settings->secrets, error))
--- a/src/version/flow_rules.c
+++ b/src/version/flow_rules.c
@@ -12,6 +12,7 @@
 struct dy_flow_rules {
 	uint64_t version;
 	GHashTable *entries; /* by address, an int64 in the entry's record */
+	GHashTable *cold;    /* service name to openings in 1,000 s */
 };
 
 typedef struct record {
@@ -41,6 +42,8 @@
 	rules->version = version;
 	rules->entries = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       NULL, free_record);
+	rules->cold =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return rules;
 }
 
@@ -49,6 +52,7 @@
 	if (!rules)
 		return;
 	g_hash_table_destroy(rules->entries);
+	g_hash_table_destroy(rules->cold);
 	g_free(rules);
 }
 
@@ -94,6 +98,20 @@
 	return record ? &record->entry : NULL;
 }
 
+void dy_flow_rules_set_cold_openings(dy_flow_rules_t *rules,
+				     const char *service, uint32_t openings)
+{
+	if (openings)
+		g_hash_table_insert(rules->cold, g_strdup(service),
+				    GUINT_TO_POINTER(openings));
+}
+
+uint32_t dy_flow_rules_cold_openings(const dy_flow_rules_t *rules,
+				     const char *service)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(rules->cold, service));
+}
+
 uint64_t dy_flow_rules_version(const dy_flow_rules_t *rules)
 {
 	return rules->version;
--- a/tests/fake_holder.c
+++ b/tests/fake_holder.c
@@ -96,6 +96,7 @@
 	g_strlcpy(made.service, FAKE_HOLDER_SERVICE, sizeof(made.service));
 	made.address = fake_holder_address(FAKE_HOLDER_SELF, 8080);
 	made.slots = FAKE_HOLDER_SLOTS;
+	made.cold_ms = fake_holder.cold_ms;
 	made.sequence = sequence;
 	made.born_ms = 5000;
 	made.state = state;
@@ -120,6 +121,8 @@
 	config.self = fake_holder_address(FAKE_HOLDER_SELF, 7002);
 	config.service = FAKE_HOLDER_SERVICE;
 	config.target = fake_holder_address(FAKE_HOLDER_SELF, 8080);
+	config.cold_overshoot = FAKE_HOLDER_COLD_OVERSHOOT;
+	config.cold_slack = FAKE_HOLDER_COLD_SLACK;
 	config.metrics = fake_holder.metrics;
 	config.callbacks = &callbacks;
 	fake_holder.holder = dy_flow_holder_create(&config);
@@ -163,6 +166,7 @@
 	list[0] = fake_holder_address(FAKE_HOLDER_SELF, 7002);
 	list[1] = fake_holder_address(2, 7002);
 	forward.service = (char *)service;
+	forward.cold_openings = fake_holder.cold_openings;
 	forward.balancer = fake_holder_address(100, 7001);
 	forward.tell = 1;
 	forward.certain = 1;
--- a/tests/fake_holder.h
+++ b/tests/fake_holder.h
@@ -11,6 +11,9 @@
 #define FAKE_HOLDER_SERVICE "readings"
 #define FAKE_HOLDER_SELF 1
 #define FAKE_HOLDER_SLOTS 4
+/* How far above its rate a cold target may be given openings. */
+#define FAKE_HOLDER_COLD_OVERSHOOT 1.5
+#define FAKE_HOLDER_COLD_SLACK 5
 /* Requests that a target with so many slots is given at once. */
 #define FAKE_HOLDER_ROOM ((DY_OVERLOAD_PERCENT * FAKE_HOLDER_SLOTS + 99) / 100)
 
@@ -31,6 +34,8 @@
 	unsigned changes;
 	unsigned checks; /* of the target's port */
 	uint64_t now_ms;
+	uint32_t cold_openings; /* of forwards from now on */
+	uint32_t cold_ms;	/* of notices from now on */
 	uint8_t bytes[34];
 } fake_holder_t;
 
--- a/tests/test_flow_openings.c
+++ b/tests/test_flow_openings.c
@@ -156,6 +156,94 @@
 }
 END_TEST
 
+/* What a cold target with ten openings a second is given in any second. */
+#define COLD_MOST \
+	((unsigned)(10 * FAKE_HOLDER_COLD_OVERSHOOT + FAKE_HOLDER_COLD_SLACK))
+
+/* A cold target that bears ten openings a second, its agent there from start */
+static void begin_cold(void)
+{
+	fake_holder_create();
+	fake_holder.cold_openings = 10000;
+	fake_holder.cold_ms = 2000;
+	ck_assert(fake_holder_announce(1, DY_TARGET_READY));
+}
+
+/* Openings of many balancers, one each 5 ms, each answered and ended at once.
+ */
+static void burst(unsigned first, unsigned count)
+{
+	unsigned i;
+
+	for (i = first; i < first + count; i++) {
+		fake_holder_from_caller(i, DY_PACKET_SYN, 0, 0);
+		fake_holder_from_target(i, DY_PACKET_RST, 500, 0);
+		fake_holder.now_ms += 5;
+	}
+}
+
+/* A domain returns in a burst, and each balancer opens its share at one target
+ */
+START_TEST(cold_target_is_given_its_rate_and_the_rest_goes_on)
+{
+	begin_cold();
+	burst(0, 200);
+	ck_assert_uint_eq(fake_holder.given, COLD_MOST);
+	ck_assert_uint_eq(fake_holder.passed, 200 - COLD_MOST);
+	ck_assert_uint_eq(fake_holder.nowheres, 0);
+	/* Another second: the rate is filled, and not exceeded. */
+	burst(200, 200);
+	ck_assert_uint_le(fake_holder.given, 2 * COLD_MOST);
+	ck_assert_uint_ge(fake_holder.given, 2 * COLD_MOST * 9 / 10);
+	/* Warm, and a window later. */
+	fake_holder.now_ms += 1100;
+	fake_holder.given = 0;
+	burst(400, 200);
+	ck_assert_uint_eq(fake_holder.given, 200);
+	fake_holder_end();
+}
+END_TEST
+
+/* The last choice of a balancer exceeds the rate since it must take what comes
+ */
+START_TEST(cold_target_that_is_the_last_choice_lets_openings_wait)
+{
+	dy_packet_t made = fake_holder_packet(900, DY_PACKET_SYN, 1, 0, 0);
+
+	begin_cold();
+	burst(0, COLD_MOST);
+	fake_holder.given = 0;
+	fake_holder_forward_for(FAKE_HOLDER_SERVICE, &made, 1);
+	ck_assert_uint_eq(fake_holder.given, 0);
+	fake_holder.now_ms += DY_OPENING_WAIT_MS;
+	dy_flow_holder_tick(fake_holder.holder, fake_holder.now_ms);
+	ck_assert_uint_eq(fake_holder.given, 0);
+	ck_assert_uint_eq(fake_holder.nowheres, 1);
+	ck_assert_int_eq(fake_holder.nowhere.reason, DY_FLOW_REFUSED);
+	fake_holder_end();
+}
+END_TEST
+
+/* An agent that starts beside a cold target lets a second rate in at once. */
+START_TEST(agent_that_comes_later_counts_what_it_did_not_see)
+{
+	dy_target_notice_t notice;
+
+	fake_holder_create();
+	fake_holder.cold_openings = 10000;
+	notice = fake_holder_notice(9, DY_TARGET_READY);
+	notice.cold_ms = 5000;
+	ck_assert(dy_flow_holder_notice(fake_holder.holder, &notice,
+					fake_holder.now_ms));
+	burst(0, 10);
+	ck_assert_uint_eq(fake_holder.given, 0);
+	fake_holder.now_ms += 1100;
+	burst(10, 10);
+	ck_assert_uint_eq(fake_holder.given, 10);
+	fake_holder_end();
+}
+END_TEST
+
 /* A balancer that has not heard of an evacuation opens a flow here. */
 START_TEST(evacuated_target_takes_no_opening_and_keeps_its_flows)
 {
@@ -267,6 +355,9 @@
 		room_is_left_to_an_opening_that_has_just_come,
 		opening_that_waits_too_long_is_refused,
 		openings_that_wait_do_not_reach_a_draining_target,
+		cold_target_is_given_its_rate_and_the_rest_goes_on,
+		cold_target_that_is_the_last_choice_lets_openings_wait,
+		agent_that_comes_later_counts_what_it_did_not_see,
 		evacuated_target_takes_no_opening_and_keeps_its_flows,
 		openings_that_wait_leave_an_evacuated_target,
 		openings_given_up_leave_room,
--- a/tests/test_flow_router.c
+++ b/tests/test_flow_router.c
@@ -89,6 +89,26 @@
 }
 END_TEST
 
+/* Agents let any number in, as they are not told what a cold target bears. */
+START_TEST(opening_says_what_a_cold_target_bears)
+{
+	dy_flow_entry_t entry = { .ip = FAKE_ENTRY_IP,
+				  .port = FAKE_ENTRY_PORT,
+				  .share_count = 1 };
+	dy_flow_rules_t *rules = dy_flow_rules_create(9);
+
+	fake_router_begin(2);
+	entry.shares[0].service = "readings";
+	entry.shares[0].weight = 1;
+	ck_assert_ptr_null(dy_flow_rules_add(rules, &entry));
+	dy_flow_rules_set_cold_openings(rules, "readings", 2500);
+	dy_flow_router_set_rules(fake_router.router, rules);
+	fake_router_take(1, DY_PACKET_SYN, 0);
+	ck_assert_uint_eq(fake_router.forward.cold_openings, 2500);
+	fake_router_end();
+}
+END_TEST
+
 /*
  * The agent that an opening packet went to is gone, and its lease still runs.
  * The caller's copy, 200 ms later, would be swallowed there too.
@@ -392,6 +412,7 @@
 		opening_that_nobody_can_take_is_refused_at_once,
 		openings_wait_at_all_targets_alike,
 		older_rules_are_dropped,
+		opening_says_what_a_cold_target_bears,
 		copy_of_an_unanswered_opening_goes_elsewhere,
 		opening_is_refused_by_the_agent_where_it_waits,
 		half_open_holder_does_not_displace_an_open_one,
--- a/tests/test_flow_settings.c
+++ b/tests/test_flow_settings.c
@@ -84,6 +84,9 @@
 		{ "stop-s=6", "stop-s=-1", "stop-s" },
 		{ "seeds=10.0.0.2:82", "seeds=x", "seeds" },
 		{ "service=a\n", "", "service" },
+		{ "service=a\n", "service=a\ncold-overshoot=0.5\n",
+		  "cold-overshoot" },
+		{ "service=a\n", "service=a\ncold-slack=x\n", "cold-slack" },
 		{ "[group]", "[group", "" },
 	};
 	dy_flow_settings_t settings;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -190,6 +190,27 @@
 }
 END_TEST
 
+/* A cold target is given what it does not bear, or a warm one held back. */
+START_TEST(rate_of_cold_targets_is_taken)
+{
+	static const char text[] = "{\"version\":7,\"routes\":[],\"services\":["
+				   "{\"name\":\"a\",\"warmupPerS\":2.5},"
+				   "{\"name\":\"b\",\"warmupPerS\":0.0},"
+				   "{\"name\":\"c\",\"warmupPerS\":\"9\"},"
+				   "{\"name\":\"d\"}]}";
+	dy_flow_rules_t *rules =
+		platform_configuration_parse(text, strlen(text), NULL);
+
+	ck_assert_ptr_nonnull(rules);
+	ck_assert_uint_eq(dy_flow_rules_cold_openings(rules, "a"), 2500);
+	ck_assert_uint_eq(dy_flow_rules_cold_openings(rules, "b"), 0);
+	ck_assert_uint_eq(dy_flow_rules_cold_openings(rules, "c"), 0);
+	ck_assert_uint_eq(dy_flow_rules_cold_openings(rules, "d"), 0);
+	ck_assert_uint_eq(dy_flow_rules_cold_openings(rules, "e"), 0);
+	dy_flow_rules_destroy(rules);
+}
+END_TEST
+
 /* What is refused may not be half in force, and says what is wrong. */
 /*
  * A filing that may run once only, taken for one that may be repeated, would be
@@ -432,6 +453,7 @@
 		request_id_is_found_in_data,
 		reset_goes_from_the_entry_to_the_caller,
 		configuration_becomes_rules,
+		rate_of_cold_targets_is_taken,
 		requests_may_be_repeated_only_if_the_route_says_so,
 		invalid_configuration_is_refused,
 		unreadable_configuration_is_refused,
