--- a/src/connection/flow_holder_flows.c
+++ b/src/connection/flow_holder_flows.c
@@ -90,6 +90,7 @@
 	flow->id = *id;
 	flow->stage = stage;
 	flow->used_ms = now_ms;
+	flow->noted_ms = now_ms;
 	dy_list_init(&flow->link);
 	dy_list_init(&flow->request_link);
 	dy_list_append(&holder->stages[stage], &flow->link);
@@ -123,6 +124,27 @@
 	}
 }
 
+unsigned holder_drop_older(dy_flow_holder_t *holder, uint64_t since_ms,
+			   const char *reason, uint64_t now_ms)
+{
+	unsigned dropped = 0;
+	held_flow_t *flow;
+	dy_list_t *pos;
+	dy_list_t *tmp;
+	int i;
+
+	for (i = 0; i < STAGES; i++)
+		DY_LIST_EACH_SAFE(pos, tmp, &holder->stages[i])
+		{
+			flow = DY_LIST_ITEM(pos, held_flow_t, link);
+			if (flow->noted_ms >= since_ms)
+				continue;
+			holder_drop_flow(holder, flow, reason, now_ms);
+			dropped++;
+		}
+	return dropped;
+}
+
 void holder_expire(dy_flow_holder_t *holder, held_stage_t stage,
 		   uint64_t after_ms, uint64_t now_ms)
 {
--- a/src/connection/flow_holder_notice.c
+++ b/src/connection/flow_holder_notice.c
@@ -18,6 +18,12 @@
  */
 #define REPLACED_MS 3000
 
+/*
+ * A notice may be read so long after it was sent, in ms, as where the agent's
+ * VM stood still; and a copy of an opening may follow it by 600.
+ */
+#define NOTICE_LATE_MS 1000
+
 void holder_set_ready(dy_flow_holder_t *holder, int ready, const char *reason)
 {
 	if (holder->ready == ready)
@@ -30,19 +36,41 @@
 	holder->config.callbacks->changed(holder->config.context);
 }
 
+/*
+ * Drop the flows of earlier starts.
+ *
+ * Guards against a target that is replaced at its address within moments: flows
+ * that are opened before its first notice comes are its own already, and with
+ * their records gone this agent would swear that it does not hold them. Its
+ * predecessor was there when it sent its last notice, so what was opened before
+ * that is over; what was opened later stays, and the target gives back what is
+ * not its own.
+ */
+static unsigned drop_flows_of_before(dy_flow_holder_t *holder, uint64_t now_ms)
+{
+	uint64_t sent_ms = holder->noticed_ms;
+
+	if (!holder->has_target)
+		return 0;
+	sent_ms -= MIN(sent_ms, (uint64_t)NOTICE_LATE_MS);
+	return holder_drop_older(holder, sent_ms, "target_started_anew",
+				 now_ms);
+}
+
 /* A start of the target that was not heard of before. */
 static void begin_target(dy_flow_holder_t *holder,
 			 const dy_target_notice_t *notice, uint64_t now_ms)
 {
+	unsigned dropped = drop_flows_of_before(holder, now_ms);
+
 	dy_log_event(DY_LOG_INFO, "target_started",
-		     "id=%s born_ms=%lu slots=%u flows_dropped=%u",
+		     "id=%s born_ms=%lu slots=%u flows_dropped=%u flows=%u",
 		     dy_log_quote(notice->id), (unsigned long)notice->born_ms,
-		     notice->slots, g_hash_table_size(holder->flows));
+		     notice->slots, dropped, dy_flow_holder_count(holder));
 	if (holder->has_target || notice->sequence <= FIRST_SEQUENCE)
 		holder->saw_start = 1;
 	if (!holder->saw_start)
 		holder->unseen_until_ms = now_ms + DY_COLD_SPAN_MS;
-	holder_drop_all(holder, "target_started_anew", now_ms);
 	holder->has_target = 1;
 	holder->left = 0;
 	holder->ready = 0;
--- a/src/connection/flow_holder_openings.c
+++ b/src/connection/flow_holder_openings.c
@@ -155,6 +155,8 @@
 
 	if (flow && flow->stage != STAGE_ENDED) {
 		holder_touch(holder, flow, now_ms);
+		if (flow->stage == STAGE_HALF)
+			flow->noted_ms = now_ms;
 		flow->opener = forward->balancer;
 		holder_give(holder, forward, packet, now_ms);
 		return;
--- a/src/connection/flow_holder_private.h
+++ b/src/connection/flow_holder_private.h
@@ -31,6 +31,7 @@
 	dy_list_t link; /* of its stage, ordered by used_ms */
 	dy_flow_id_t id;
 	held_stage_t stage;
+	uint64_t noted_ms;   /* when this record was made */
 	dy_address_t opener; /* the balancer that sent the opening packet */
 	int answered;	     /* the target's opening packet was seen */
 	uint32_t target_seq;
@@ -146,6 +147,9 @@
 		      const char *reason, uint64_t now_ms);
 void holder_drop_all(dy_flow_holder_t *holder, const char *reason,
 		     uint64_t now_ms);
+/* Drop the flows whose records are older than since_ms. Returns how many. */
+unsigned holder_drop_older(dy_flow_holder_t *holder, uint64_t since_ms,
+			   const char *reason, uint64_t now_ms);
 /* Drop the flows of a stage that had no packet for after_ms. */
 void holder_expire(dy_flow_holder_t *holder, held_stage_t stage,
 		   uint64_t after_ms, uint64_t now_ms);
--- a/tests/test_flow_holder.c
+++ b/tests/test_flow_holder.c
@@ -74,6 +74,9 @@
 
 	fake_holder_begin();
 	fake_holder_open_flow(1);
+	/* Its target was there after that. */
+	fake_holder.now_ms += 1200;
+	ck_assert(fake_holder_announce(2, DY_TARGET_READY));
 	g_strlcpy(next.id, "t2", sizeof(next.id));
 	next.born_ms = 9000;
 	dy_flow_holder_notice(fake_holder.holder, &next, fake_holder.now_ms);
@@ -253,9 +256,62 @@
 }
 END_TEST
 
+/* A live flow is reset that was opened before its target's first notice. */
+START_TEST(flow_opened_before_the_first_notice_of_a_start_is_kept)
+{
+	dy_target_notice_t notice = fake_holder_notice(1, DY_TARGET_READY);
+
+	fake_holder_begin();
+	fake_holder_open_flow(1);
+	fake_holder.now_ms += 1200;
+	ck_assert(fake_holder_announce(2, DY_TARGET_READY));
+	/* The target is replaced here, and its successor has the flow. */
+	fake_holder.now_ms += 300;
+	fake_holder_open_flow(2);
+	fake_holder.now_ms += 20;
+	g_strlcpy(notice.id, "t2", sizeof(notice.id));
+	notice.born_ms += 1490;
+	ck_assert(dy_flow_holder_notice(fake_holder.holder, &notice,
+					fake_holder.now_ms));
+	fake_holder.given = 0;
+	fake_holder_from_caller(2, DY_PACKET_ACK, 501, 90);
+	ck_assert_uint_eq(fake_holder.given, 1);
+	ck_assert_uint_eq(fake_holder.passed, 0);
+	/* What was opened earlier is over, for sure. */
+	fake_holder_from_caller(1, DY_PACKET_ACK, 501, 90);
+	ck_assert_uint_eq(fake_holder.given, 1);
+	ck_assert_uint_eq(fake_holder.passed, 1);
+	ck_assert(fake_holder.forward.certain);
+	fake_holder_end();
+}
+END_TEST
+
+/* A flow of the predecessor that was kept is taken for the successor's. */
+START_TEST(flow_that_a_new_start_gives_back_is_over)
+{
+	dy_target_notice_t notice = fake_holder_notice(1, DY_TARGET_READY);
+
+	fake_holder_begin();
+	fake_holder_open_flow(1);
+	fake_holder.now_ms += 20;
+	g_strlcpy(notice.id, "t2", sizeof(notice.id));
+	notice.born_ms += 10;
+	ck_assert(dy_flow_holder_notice(fake_holder.holder, &notice,
+					fake_holder.now_ms));
+	fake_holder_from_caller(1, DY_PACKET_ACK, 501, 90);
+	fake_holder_give_back(1, DY_PACKET_ACK, fake_holder.note);
+	ck_assert_uint_eq(fake_holder.passed, 1);
+	ck_assert(fake_holder.forward.certain);
+	ck_assert_uint_eq(dy_flow_holder_count(fake_holder.holder), 0);
+	fake_holder_end();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
+		flow_opened_before_the_first_notice_of_a_start_is_kept,
+		flow_that_a_new_start_gives_back_is_over,
 		flow_is_opened_and_its_balancer_told,
 		packet_of_another_targets_opening_is_passed_on,
 		restarted_agent_asks_its_target,
