--- a/soak/faults.c
+++ b/soak/faults.c
@@ -20,6 +20,7 @@
 static uint64_t slow_next_ms;
 static uint64_t unplanned_ms;
 static uint64_t control_free_ms; /* no control may be lost before */
+static uint64_t control_ms;
 static uint64_t fabric_calm_ms;
 
 uint64_t faults_unplanned_ms(void)
@@ -27,6 +28,11 @@
 	return unplanned_ms;
 }
 
+uint64_t faults_control_ms(void)
+{
+	return control_ms;
+}
+
 static int draw(int most)
 {
 	return g_rand_int_range(soak.rand, 1, most + 1);
@@ -46,6 +52,7 @@
 		return;
 	control_free_ms = now + for_ms + CATCH_UP_MS;
 	unplanned_ms = now + for_ms;
+	control_ms = unplanned_ms;
 	switch (draw(5)) {
 	case 1:
 		process_kill(process, 0, for_ms);
@@ -73,6 +80,7 @@
 		return;
 	control_free_ms = now + CATCH_UP_MS;
 	unplanned_ms = now + 1000;
+	control_ms = unplanned_ms;
 	for (i = 0; i < CONTROLS; i++)
 		process_kill(&soak.processes[i], 0, draw_ms(50, 900));
 }
@@ -122,6 +130,7 @@
 	soak.faults++;
 	next_ms = now + HERD_MS;
 	slow_until_ms = now + SLOW_FOR_MS;
+	control_ms = slow_until_ms;
 	for (i = 0; i < PROCESSES; i++)
 		process_kill(&soak.processes[i], 0, draw_ms(50, 700));
 }
--- a/soak/processes.c
+++ b/soak/processes.c
@@ -53,7 +53,7 @@
 			soak_ip(class, number), base + PORT_OUTBOUND,
 			soak_ip(class, number), base + PORT_APP,
 			service_names[number == TARGETS]);
-	g_string_append(text, "[group]\nseeds=");
+	g_string_append(text, "[group]\nfailure-domains=d1,d2,d3,d4\nseeds=");
 	for (i = 1; i <= CONTROLS; i++)
 		g_string_append_printf(text, "%s%s:%d", i > 1 ? "," : "",
 				       soak_ip(NET_CONTROL, i),
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -107,6 +107,8 @@
 	targets_tick();
 	operator_tick();
 	callers_tick();
+	if (phase_ms)
+		evacuations_tick();
 	if (phase_ms)
 		faults_tick();
 	advance(now);
@@ -144,10 +146,11 @@
 	uv_run(soak.loop, UV_RUN_DEFAULT);
 	processes_destroy();
 	printf("soak seed=%u shape=%s seconds=%u faults=%u requests=%u answered=%u "
-	       "openings=%u resets=%u configurations=%u broken=%u result=%s\n",
+	       "openings=%u resets=%u configurations=%u evacuations=%u "
+	       "broken=%u result=%s\n",
 	       seed, herd ? "herd" : "mixed", seconds, soak.faults,
 	       soak.requests, soak.answered, soak.openings, soak.resets,
-	       soak.configurations, soak.broken,
+	       soak.configurations, soak.evacuations, soak.broken,
 	       soak.broken ? "failed" : "passed");
 	if (soak.broken)
 		printf("soak seed=%u logs=%s\n", seed, soak.folder);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -77,6 +77,7 @@
 	unsigned openings;
 	unsigned resets;
 	unsigned configurations;
+	unsigned evacuations;
 	unsigned faults;
 	unsigned broken;
 	unsigned served_since_quiet[2];
@@ -153,8 +154,15 @@
 /* Read back at the end: it must be what was acknowledged last. */
 int operator_settled(void);
 
+/* evacuations.c: the operator's orders on failure domains. */
+void evacuations_tick(void);
+/* A target took an opening; checks that its domain may have. */
+void evacuations_opened(int target);
+
 /* faults.c */
 void faults_tick(void);
+/* Until when anything was done to a control. */
+uint64_t faults_control_ms(void);
 /* When anything unplanned happened last. */
 uint64_t faults_unplanned_ms(void);
 
--- a/soak/targets.c
+++ b/soak/targets.c
@@ -76,6 +76,7 @@
 		soak_break("an opening reached a drained target", "target=%d",
 			   target->number);
 	if (!flow) {
+		evacuations_opened(target->number);
 		soak.openings++;
 		flow = g_new0(flow_t, 1);
 		flow->id = packet->flow;
