--- a/include/damaskyard/flow_targets.h
+++ b/include/damaskyard/flow_targets.h
@@ -23,6 +23,7 @@
 
 #include <stdint.h>
 
+#include "damaskyard/flow_path.h"
 #include "damaskyard/packet.h"
 #include "dy_control.h"
 
@@ -96,6 +97,35 @@
 			      const dy_address_t *agent,
 			      const dy_flow_load_t *load, uint64_t now_ms);
 
+/*
+ * Take how many messages the agent counts that came straight from here, as
+ * dy_flow_path_take_report(). Returns whether its path was found to be broken,
+ * or whole again.
+ */
+int dy_flow_targets_set_heard(dy_flow_targets_t *targets,
+			      const dy_address_t *agent, uint32_t heard,
+			      uint64_t now_ms);
+
+/* Whether what is sent straight to the agent does not arrive. */
+int dy_flow_targets_is_broken(const dy_flow_targets_t *targets,
+			      const dy_address_t *agent);
+
+/* An agent that was heard within this time, in ms, may be a relay. */
+#define DY_FLOW_RELAY_MS 500
+
+/* Agents that are looked at to find one. */
+#define DY_FLOW_RELAYS_TRIED 64u
+
+/*
+ * Find an agent of another domain than that one's that takes messages from
+ * here, one outside of this balancer's own domain if there is any. Returns 0
+ * if there is none, or with relay set.
+ */
+int dy_flow_targets_find_relay(const dy_flow_targets_t *targets,
+			       const dy_address_t *agent,
+			       const dy_flow_id_t *flow, uint64_t now_ms,
+			       dy_address_t *relay);
+
 /*
  * Whether the agent at that address is lost: its lease ran out, and it has
  * said nothing to this balancer either for DY_FLOW_LOST_MS, nor since this was
--- a/proto/dy_flow.x
+++ b/proto/dy_flow.x
@@ -80,6 +80,7 @@
 struct dy_flow_report_t {
 	dy_address_t agent;
 	dy_flow_load_t load;
+	unsigned int heard;	/* messages straight from the balancer; 0: not counted */
 };
 
 /* An agent that says nothing is to report, if it can. */
--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -71,24 +71,42 @@
 
 /* Forwards of balancers. */
 
-void dy_flow_holder_asked(dy_flow_holder_t *holder, const dy_address_t *address,
-			  uint64_t now_ms)
+/* Returns the record of a balancer that is told of the load, or NULL. */
+static balancer_t *keep_balancer(dy_flow_holder_t *holder,
+				 const dy_address_t *address)
 {
 	balancer_t *balancer;
 	unsigned i;
 
 	for (i = 0; i < holder->balancer_count; i++) {
 		balancer = &holder->balancers[i];
-		if (!dy_address_equal(&balancer->address, address))
-			continue;
-		balancer->heard_ms = now_ms;
-		return;
+		if (dy_address_equal(&balancer->address, address))
+			return balancer;
 	}
 	if (holder->balancer_count == DY_REPORTED_MAX)
-		return;
+		return NULL;
 	balancer = &holder->balancers[holder->balancer_count++];
 	balancer->address = *address;
+	balancer->heard = 1;
+	return balancer;
+}
+
+static void note_balancer(dy_flow_holder_t *holder, const dy_address_t *address,
+			  int straight, uint64_t now_ms)
+{
+	balancer_t *balancer = keep_balancer(holder, address);
+
+	if (!balancer)
+		return;
 	balancer->heard_ms = now_ms;
+	if (straight && !++balancer->heard)
+		balancer->heard = 1;
+}
+
+void dy_flow_holder_asked(dy_flow_holder_t *holder, const dy_address_t *address,
+			  uint64_t now_ms)
+{
+	note_balancer(holder, address, 1, now_ms);
 }
 
 void holder_tell_held(dy_flow_holder_t *holder, const dy_address_t *balancer,
@@ -255,7 +273,7 @@
 
 	if (forward->step >= forward->tries.tries_len)
 		return;
-	dy_flow_holder_asked(holder, &forward->balancer, now_ms);
+	note_balancer(holder, &forward->balancer, !forward->step, now_ms);
 	if (packet->marks & DY_PACKET_SYN)
 		holder_take_opening(holder, forward, packet, flow, now_ms);
 	else if (flow)
@@ -359,6 +377,7 @@
 				holder->balancers[--holder->balancer_count];
 			continue;
 		}
+		message.heard = holder->balancers[i].heard;
 		holder->config.callbacks->report(holder->config.context,
 						 &holder->balancers[i].address,
 						 &message);
--- a/src/connection/flow_holder_private.h
+++ b/src/connection/flow_holder_private.h
@@ -58,6 +58,7 @@
 typedef struct balancer {
 	dy_address_t address;
 	uint64_t heard_ms;
+	uint32_t heard; /* messages that came straight from it, and one */
 } balancer_t;
 
 struct dy_flow_holder {
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -53,6 +53,8 @@
 	uint64_t *no_entry;
 	uint64_t *lost;
 	uint64_t *second_chances;
+	uint64_t *relayed;
+	dy_log_limit_t path_limit;
 };
 
 static void register_counters(dy_flow_router_t *router)
@@ -67,6 +69,7 @@
 		{ "packets_no_entry", &router->no_entry },
 		{ "packets_unplaced", &router->lost },
 		{ "openings_second_chance", &router->second_chances },
+		{ "packets_relayed", &router->relayed },
 	};
 
 	dy_metrics_counters(router->config.metrics, entries,
@@ -89,6 +92,7 @@
 	router->assigned_limit = limit;
 	router->reset_limit = limit;
 	router->searched_limit = limit;
+	router->path_limit = limit;
 	register_counters(router);
 	return router;
 }
@@ -223,17 +227,45 @@
 	router->config.callbacks->forward(router->config.context, forward);
 }
 
+static void ask(dy_flow_router_t *router, const dy_address_t *agent,
+		uint64_t now_ms)
+{
+	if (dy_flow_targets_begin_ask(router->targets, agent, now_ms))
+		router->config.callbacks->ask(router->config.context, agent);
+}
+
+/*
+ * The agents that a packet goes along to its holder: that one alone, or a
+ * relay before it while the path to it is broken. It is asked straight
+ * meanwhile, so that its reports tell when the path is whole again.
+ */
+static unsigned find_way(dy_flow_router_t *router, const flow_t *flow,
+			 uint64_t now_ms, dy_address_t way[2])
+{
+	if (!dy_flow_targets_is_broken(router->targets, &flow->agent) ||
+	    !dy_flow_targets_find_relay(router->targets, &flow->agent,
+					&flow->id, now_ms, &way[0])) {
+		way[0] = flow->agent;
+		return 1;
+	}
+	ask(router, &flow->agent, now_ms);
+	++*router->relayed;
+	way[1] = flow->agent;
+	return 2;
+}
+
 static void send_to_holder(dy_flow_router_t *router, flow_t *flow,
 			   const char *service, uint8_t *bytes, size_t len,
 			   uint64_t now_ms)
 {
 	dy_flow_forward_t forward = { 0 };
+	dy_address_t way[2];
 
 	forward.service = (char *)service;
-	forward.certain = 1;
 	forward.tell = !flow->open;
-	forward.tries.tries_val = &flow->agent;
-	forward.tries.tries_len = 1;
+	forward.tries.tries_val = way;
+	forward.tries.tries_len = find_way(router, flow, now_ms, way);
+	forward.certain = forward.tries.tries_len == 1;
 	emit(router, &forward, bytes, len, now_ms);
 }
 
@@ -502,9 +534,7 @@
 	if (!entry || !entry->repeatable ||
 	    !dy_flow_targets_is_mute(router->targets, &flow->agent, now_ms))
 		return 0;
-	if (dy_flow_targets_begin_ask(router->targets, &flow->agent, now_ms))
-		router->config.callbacks->ask(router->config.context,
-					      &flow->agent);
+	ask(router, &flow->agent, now_ms);
 	return 1;
 }
 
@@ -662,11 +692,25 @@
 	       nowhere->packet.packet_len, &next, now_ms);
 }
 
+static void log_path(dy_flow_router_t *router, const dy_address_t *agent,
+		     uint64_t now_ms)
+{
+	char text[DY_ADDRESS_TEXT_BYTES];
+
+	if (dy_log_allow(&router->path_limit, "agent_path", now_ms))
+		dy_log_event(DY_LOG_WARN, "agent_path", "agent=%s broken=%d",
+			     dy_address_format(agent, text),
+			     dy_flow_targets_is_broken(router->targets, agent));
+}
+
 void dy_flow_router_report(dy_flow_router_t *router,
 			   const dy_flow_report_t *report, uint64_t now_ms)
 {
 	dy_flow_targets_set_load(router->targets, &report->agent, &report->load,
 				 now_ms);
+	if (dy_flow_targets_set_heard(router->targets, &report->agent,
+				      report->heard, now_ms))
+		log_path(router, &report->agent, now_ms);
 }
 
 void dy_flow_router_expire(dy_flow_router_t *router, uint64_t now_ms)
--- a/src/gen/dy_flow.h
+++ b/src/gen/dy_flow.h
@@ -87,6 +87,7 @@
 struct dy_flow_report_t {
 	dy_address_t agent;
 	dy_flow_load_t load;
+	u_int heard;
 };
 typedef struct dy_flow_report_t dy_flow_report_t;
 
--- a/src/gen/dy_flow_xdr.c
+++ b/src/gen/dy_flow_xdr.c
@@ -342,6 +342,8 @@
 		 return FALSE;
 	 if (!xdr_dy_flow_load_t (xdrs, &objp->load))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->heard))
+		 return FALSE;
 	return TRUE;
 }
 
--- /dev/null
+++ b/src/version/flow_path.c
@@ -0,0 +1,25 @@
+#include "damaskyard/flow_path.h"
+
+void dy_flow_path_note_sent(dy_flow_path_t *path, uint64_t now_ms)
+{
+	if (!path->sent)
+		path->sent_ms = now_ms;
+	path->sent++;
+}
+
+int dy_flow_path_take_report(dy_flow_path_t *path, uint32_t heard,
+			     uint64_t now_ms)
+{
+	int was_broken = path->broken;
+
+	if (heard != path->heard || !heard) {
+		path->heard = heard;
+		path->sent = 0;
+		path->broken = 0;
+		return was_broken;
+	}
+	if (path->sent >= DY_FLOW_PATH_LOST &&
+	    now_ms - path->sent_ms >= DY_FLOW_PATH_MS)
+		path->broken = 1;
+	return path->broken != was_broken;
+}
--- a/src/version/flow_targets.c
+++ b/src/version/flow_targets.c
@@ -26,6 +26,7 @@
 	uint64_t doubted_ms; /* first wanted since it is suspect; 0: never */
 	uint64_t asked_ms;   /* first sent something since then; 0: not yet */
 	uint64_t sent_ms;    /* last sent something */
+	dy_flow_path_t path;
 } target_t;
 
 struct dy_flow_targets {
@@ -217,6 +218,7 @@
 		target->opened = 0;
 		target->silent_until_ms = 0;
 		target->asked_ms = 0;
+		memset(&target->path, 0, sizeof(target->path));
 	}
 	leave_service(targets, target);
 	join_service(targets, target, member->info.service);
@@ -251,6 +253,60 @@
 	targets->heard_ms = now_ms;
 }
 
+int dy_flow_targets_set_heard(dy_flow_targets_t *targets,
+			      const dy_address_t *agent, uint32_t heard,
+			      uint64_t now_ms)
+{
+	target_t *target = find_by_address(targets, agent);
+
+	return target && dy_flow_path_take_report(&target->path, heard, now_ms);
+}
+
+int dy_flow_targets_is_broken(const dy_flow_targets_t *targets,
+			      const dy_address_t *agent)
+{
+	const target_t *target = find_by_address(targets, agent);
+
+	return target && target->path.broken;
+}
+
+/* Whether an agent takes messages from here, and may pass them on to another.
+ */
+static int is_relay(const target_t *target, const target_t *to, uint64_t now_ms)
+{
+	return target->serving && !target->path.broken &&
+	       now_ms - target->heard_ms <= DY_FLOW_RELAY_MS &&
+	       target->domain != to->domain;
+}
+
+int dy_flow_targets_find_relay(const dy_flow_targets_t *targets,
+			       const dy_address_t *agent,
+			       const dy_flow_id_t *flow, uint64_t now_ms,
+			       dy_address_t *relay)
+{
+	const target_t *to = find_by_address(targets, agent);
+	const target_t *target;
+	const GPtrArray *list;
+	int found = 0;
+	guint start;
+	guint i;
+
+	if (!to || !to->service)
+		return 0;
+	list = g_hash_table_lookup(targets->services, to->service);
+	start = (guint)(dy_flow_id_hash(flow) % list->len);
+	for (i = 0; i < MIN(list->len, DY_FLOW_RELAYS_TRIED); i++) {
+		target = g_ptr_array_index(list, (start + i) % list->len);
+		if (!is_relay(target, to, now_ms))
+			continue;
+		*relay = target->address;
+		found = 1;
+		if (!target->same_domain)
+			return 1;
+	}
+	return found;
+}
+
 void dy_flow_targets_set_confirmed(dy_flow_targets_t *targets,
 				   uint64_t polled_ms)
 {
@@ -272,8 +328,10 @@
 {
 	target_t *target = find_by_address(targets, agent);
 
-	if (target)
-		note_asked(target, now_ms);
+	if (!target)
+		return;
+	note_asked(target, now_ms);
+	dy_flow_path_note_sent(&target->path, now_ms);
 }
 
 int dy_flow_targets_begin_ask(dy_flow_targets_t *targets,
@@ -284,6 +342,7 @@
 	if (!target || now_ms - target->sent_ms < DY_FLOW_REPORT_MS)
 		return 0;
 	note_asked(target, now_ms);
+	dy_flow_path_note_sent(&target->path, now_ms);
 	return 1;
 }
 
@@ -363,7 +422,7 @@
 		score += DY_FLOW_COLD_WEIGHT;
 	if (!target->same_domain)
 		score += DY_FLOW_DOMAIN_WEIGHT;
-	if (target->silent_until_ms > now_ms)
+	if (target->silent_until_ms > now_ms || target->path.broken)
 		score += 1e6;
 	return score;
 }
--- a/tests/fake_router.c
+++ b/tests/fake_router.c
@@ -51,6 +51,12 @@
 
 void fake_router_set_member(unsigned number, dy_member_state_t state,
 			    const char *service)
+{
+	fake_router_set_member_of(number, state, service, "d1");
+}
+
+void fake_router_set_member_of(unsigned number, dy_member_state_t state,
+			       const char *service, const char *domain)
 {
 	dy_member_t member = { 0 };
 
@@ -58,7 +64,7 @@
 	member.incarnation = number;
 	member.state = state;
 	member.info.kind = DY_MEMBER_AGENT;
-	member.info.domain = "d1";
+	member.info.domain = (char *)domain;
 	member.info.service = (char *)service;
 	member.info.address = fake_router_agent(number);
 	member.info.slots = 4;
@@ -169,11 +175,17 @@
 }
 
 void fake_router_report(unsigned number)
+{
+	fake_router_report_heard(number, 0);
+}
+
+void fake_router_report_heard(unsigned number, uint32_t heard)
 {
 	dy_flow_report_t message = { 0 };
 
 	message.agent = fake_router_agent(number);
 	message.load.slots = 4;
 	message.load.accepts = 1;
+	message.heard = heard;
 	dy_flow_router_report(fake_router.router, &message, fake_router.now_ms);
 }
--- a/tests/fake_router.h
+++ b/tests/fake_router.h
@@ -62,5 +62,11 @@
 
 /* The agent of that number says that it lives. */
 void fake_router_report(unsigned number);
+/* And how many messages it counted that came straight from the router. */
+void fake_router_report_heard(unsigned number, uint32_t heard);
+
+/* As fake_router_set_member(), in a failure domain. */
+void fake_router_set_member_of(unsigned number, dy_member_state_t state,
+			       const char *service, const char *domain);
 
 #endif
--- a/tests/test_flow_holder.c
+++ b/tests/test_flow_holder.c
@@ -256,6 +256,38 @@
 }
 END_TEST
 
+/* A balancer that is not heard takes the relay's messages for its own. */
+START_TEST(report_counts_what_came_straight)
+{
+	dy_flow_forward_t forward = { 0 };
+	dy_address_t way[2] = { fake_holder_address(2, 7002),
+				fake_holder_address(FAKE_HOLDER_SELF, 7002) };
+	dy_packet_t made = fake_holder_packet(1, DY_PACKET_ACK, 1, 501, 0);
+	uint32_t heard;
+
+	fake_holder_begin();
+	fake_holder_open_flow(1);
+	dy_flow_holder_tick(fake_holder.holder, fake_holder.now_ms);
+	heard = fake_holder.report.heard;
+	ck_assert_uint_gt(heard, 0);
+	forward.service = FAKE_HOLDER_SERVICE;
+	forward.balancer = fake_holder_address(100, 7001);
+	forward.step = 1;
+	forward.tries.tries_val = way;
+	forward.tries.tries_len = 2;
+	forward.packet.packet_val = (char *)fake_holder.bytes;
+	forward.packet.packet_len = sizeof(fake_holder.bytes);
+	dy_flow_holder_take(fake_holder.holder, &forward, &made,
+			    fake_holder.now_ms);
+	dy_flow_holder_tick(fake_holder.holder, fake_holder.now_ms);
+	ck_assert_uint_eq(fake_holder.report.heard, heard);
+	fake_holder_from_caller(1, DY_PACKET_ACK, 501, 0);
+	dy_flow_holder_tick(fake_holder.holder, fake_holder.now_ms);
+	ck_assert_uint_eq(fake_holder.report.heard, heard + 1);
+	fake_holder_end();
+}
+END_TEST
+
 /* A live flow is reset that was opened before its target's first notice. */
 START_TEST(flow_opened_before_the_first_notice_of_a_start_is_kept)
 {
@@ -310,6 +342,7 @@
 int main(void)
 {
 	const TTest *const tests[] = {
+		report_counts_what_came_straight,
 		flow_opened_before_the_first_notice_of_a_start_is_kept,
 		flow_that_a_new_start_gives_back_is_over,
 		flow_is_opened_and_its_balancer_told,
--- a/tests/test_flow_router.c
+++ b/tests/test_flow_router.c
@@ -89,6 +89,66 @@
 }
 END_TEST
 
+/* Requests on an open flow go where nothing arrives, while a third domain does.
+ */
+START_TEST(open_flow_goes_around_a_path_that_is_broken)
+{
+	dy_address_t holder = fake_router_agent(3);
+	dy_address_t relay = fake_router_agent(2);
+	unsigned i;
+
+	fake_router_begin(1);
+	fake_router_set_member_of(2, DY_MEMBER_SERVING, "readings", "d2");
+	fake_router_set_member_of(3, DY_MEMBER_SERVING, "readings", "d3");
+	fake_router_tell_held(1, &holder, 1);
+	fake_router_report_heard(3, 5);
+	for (i = 0; i < 20; i++) {
+		fake_router.now_ms += 20;
+		fake_router_take(1, DY_PACKET_ACK, 5);
+		ck_assert_uint_eq(fake_router.forward.tries.tries_len, 1);
+	}
+	fake_router_report_heard(1, 5);
+	fake_router_report_heard(2, 5);
+	fake_router_report_heard(3, 5);
+	fake_router_take(1, DY_PACKET_ACK, 5);
+	ck_assert_uint_eq(fake_router.forward.tries.tries_len, 2);
+	ck_assert(dy_address_equal(&fake_router.tries[0], &relay));
+	ck_assert(dy_address_equal(&fake_router.tries[1], &holder));
+	ck_assert(!fake_router.forward.certain);
+	/* It is asked straight, so that it is known when that arrives again. */
+	fake_router.now_ms += 200;
+	fake_router_take(1, DY_PACKET_ACK, 5);
+	ck_assert_uint_ge(fake_router.asks, 1);
+	fake_router_report_heard(3, 6);
+	fake_router_take(1, DY_PACKET_ACK, 5);
+	ck_assert_uint_eq(fake_router.forward.tries.tries_len, 1);
+	ck_assert(dy_address_equal(&fake_router.tries[0], &holder));
+	fake_router_end();
+}
+END_TEST
+
+/* New flows are opened where nothing arrives. */
+START_TEST(new_flows_avoid_a_path_that_is_broken)
+{
+	dy_address_t deaf = fake_router_agent(2);
+	unsigned i;
+
+	fake_router_begin(2);
+	fake_router_tell_held(1, &deaf, 1);
+	fake_router_report_heard(2, 5);
+	for (i = 0; i < 20; i++) {
+		fake_router.now_ms += 20;
+		fake_router_take(1, DY_PACKET_ACK, 5);
+	}
+	fake_router_report_heard(2, 5);
+	for (i = 10; i < 40; i++) {
+		fake_router_take(i, DY_PACKET_SYN, 0);
+		ck_assert(!dy_address_equal(&fake_router.tries[0], &deaf));
+	}
+	fake_router_end();
+}
+END_TEST
+
 /* Agents let any number in, as they are not told what a cold target bears. */
 START_TEST(opening_says_what_a_cold_target_bears)
 {
@@ -412,6 +472,8 @@
 		opening_that_nobody_can_take_is_refused_at_once,
 		openings_wait_at_all_targets_alike,
 		older_rules_are_dropped,
+		open_flow_goes_around_a_path_that_is_broken,
+		new_flows_avoid_a_path_that_is_broken,
 		opening_says_what_a_cold_target_bears,
 		copy_of_an_unanswered_opening_goes_elsewhere,
 		opening_is_refused_by_the_agent_where_it_waits,
