--- a/include/damaskyard/admission.h
+++ b/include/damaskyard/admission.h
@@ -160,7 +160,7 @@
 	uint64_t expected_wait_us; /* of a new caller, in the fuller lane */
 } dy_admission_load_t;
 
-/* Set *config to the figures that were measured best, for `slots` slots. */
+/* Set *config to the defaults for a target with so many slots. */
 void dy_admission_config_init(dy_admission_config_t *config, uint32_t slots);
 
 /*
--- a/include/damaskyard/flow_holder.h
+++ b/include/damaskyard/flow_holder.h
@@ -83,8 +83,7 @@
 
 /*
  * A request without an answer for so long counts no more, in ms: its caller
- * has most likely given up, or the target has. Longer than the longest work of
- * today, 430 ms, at a target that is eight times slower than usual.
+ * has most likely given up, or the target has.
  */
 #define DY_REQUEST_FORGOTTEN_MS 4000
 
@@ -212,7 +211,7 @@
  * long, in ms, and has had so many bytes, and so many more for each second. A
  * reset that is made from a list has to name a byte within 76,800 of the
  * caller's last; what is listed is at most 12 s old then, and a download's
- * would be off. Today's long flows have 2,000 bytes a second.
+ * would be off.
  */
 #define DY_STEADY_MS 1000
 #define DY_STEADY_BYTES 12000
--- a/include/damaskyard/flow_ledger.h
+++ b/include/damaskyard/flow_ledger.h
@@ -32,8 +32,7 @@
  */
 #define DY_LEDGER_FLOWS_MAX 200000
 
-/* Parts of one list at most: 3,072 flows, half as many again as a target has.
- */
+/* Parts of one list at most: 3,072 flows. */
 #define DY_LEDGER_PARTS_MAX 64
 
 /*
--- a/include/damaskyard/pick.h
+++ b/include/damaskyard/pick.h
@@ -51,7 +51,7 @@
  */
 typedef struct dy_pick_target {
 	uint64_t cold_since_ms; /* joined or restarted then */
-	uint32_t session_cap;	/* connections; 2,000 today */
+	uint32_t session_cap;	/* connections at most */
 	uint16_t domain;	/* index of its failure domain */
 	uint8_t draining;	/* leaving: never picked */
 
@@ -117,7 +117,7 @@
 	uint32_t eject_ms;
 } dy_pick_config_t;
 
-/* Set *config to the figures that were measured best for `weigh`. */
+/* Set *config to the defaults for `weigh`. */
 void dy_pick_config_init(dy_pick_config_t *config, dy_pick_weigh_t weigh);
 
 /* Set *target to a target that joined at cold_since_ms, of which no report
--- a/include/damaskyard/session.h
+++ b/include/damaskyard/session.h
@@ -6,7 +6,7 @@
  * hours where it likes.
  *
  * A session takes 191 bytes with an AUTH_SYS credential of 40 bytes, its place
- * in the table included (measured at 100,000 sessions, tests/test_session.c),
+ * in the table included (tests/test_session.c),
  * and a duplicate request cache from its first non-idempotent call on: about
  * 200 bytes for an ordinary client.
  *
--- a/src/process/agent/agent_target.c
+++ b/src/process/agent/agent_target.c
@@ -22,7 +22,7 @@
  */
 #define AWAY_MS 1000
 
-/* Sessions of one target at most: 50 times the largest of today. */
+/* Sessions of one target at most. */
 #define CONNECTIONS_MAX 100000
 
 int agent_target_ready(const dy_agent_t *agent)
--- a/src/process/command/operator.c
+++ b/src/process/command/operator.c
@@ -405,26 +405,33 @@
 	{ 0 },
 };
 
-int operator_change_member(int argc, char **argv, const char *summary,
-			   dy_change_kind_t kind)
+/* The whole of a command that makes one change to what its operand names. */
+static int change_named(int argc, char **argv, const char *summary,
+			const dy_setting_t *settings, dy_change_kind_t kind)
 {
 	char *name = NULL;
 	dy_change_t change;
 	operator_t *op;
 	int code;
 
-	op = operator_load(argc, argv, summary, member_settings, &name);
+	op = operator_load(argc, argv, summary, settings, &name);
 	if (!op)
 		return DY_EXIT_USAGE;
 	operator_begin_change(&change, kind);
-	if (member_environment)
+	if (settings == member_settings && member_environment)
 		change.environment = member_environment;
 	change.name = name;
-	code = operator_run_change(op, member_settings, &change);
+	code = operator_run_change(op, settings, &change);
 	g_free(name);
 	return code;
 }
 
+int operator_change_member(int argc, char **argv, const char *summary,
+			   dy_change_kind_t kind)
+{
+	return change_named(argc, argv, summary, member_settings, kind);
+}
+
 static const dy_setting_t domain_settings[] = {
 	OPERATOR_SETTINGS(TRUE),
 	OPERATOR_REQUEST_SETTING,
@@ -434,17 +441,5 @@
 int operator_change_domain(int argc, char **argv, const char *summary,
 			   dy_change_kind_t kind)
 {
-	char *domain = NULL;
-	dy_change_t change;
-	operator_t *op;
-	int code;
-
-	op = operator_load(argc, argv, summary, domain_settings, &domain);
-	if (!op)
-		return DY_EXIT_USAGE;
-	operator_begin_change(&change, kind);
-	change.name = domain;
-	code = operator_run_change(op, domain_settings, &change);
-	g_free(domain);
-	return code;
+	return change_named(argc, argv, summary, domain_settings, kind);
 }
--- a/src/process/control/control_poll.c
+++ b/src/process/control/control_poll.c
@@ -9,10 +9,10 @@
 #include "damaskyard/subscriber.h"
 
 /*
- * Polls that a leader answers in a second, at most: it answered 33,932 on one
- * core (bench_control), and shares the core with the log. Members of a larger
- * group poll less often: 20,000 of them each 1.4 s. On a part of a core it is
- * fewer; then the pace comes from what polls were seen to cost.
+ * Polls that a leader answers in a second, at most: half of what one core can,
+ * as it shares the core with the log. Members of a larger group poll less
+ * often. On a part of a core it is fewer; then the pace comes from what polls
+ * were seen to cost.
  */
 #define CONTROL_POLLS_A_SECOND 15000
 
--- a/src/process/control/operator_door.c
+++ b/src/process/control/operator_door.c
@@ -8,8 +8,8 @@
 #include "platform/configuration.h"
 
 /*
- * Bytes of a configuration at most. Those of today are 140 KB with 560
- * entries; every control holds a few of them in 256 MB.
+ * Bytes of a configuration at most, some 16,000 entries. A control holds a few
+ * of them at once.
  */
 #define BODY_MAX_BYTES (4 * 1024 * 1024)
 
--- a/src/version/pick.c
+++ b/src/version/pick.c
@@ -24,20 +24,17 @@
 #define WORK_PART 4
 
 /*
- * A machine fails most often when it is young (the bathtub curve measured by
- * "SciSpot: Scientific Computing On Transient Cloud Servers", section 3), so
- * flows that last for hours go to those that have proved themselves. With a
- * target that joins and goes again after 3 s, 7 targets: 520 broken flows
- * without slow start, 94 with 10 s, 52 with 30 s. The price is imbalance while
- * it warms up: flows max/mean of 3 targets 1.28, 1.37 with 3 s, 1.48 with 10 s.
+ * A VM fails most often when it is young (the bathtub curve of "SciSpot:
+ * Scientific Computing On Transient Cloud Servers", section 3), so flows that
+ * last for hours go to those that have proved themselves, in ms. The price is
+ * imbalance while a target warms up.
  */
 #define SLOW_START_SAFE_MS 30000
 #define SLOW_START_EVEN_MS 3000
 
 /*
  * Only between equals. The fabric sprays a flow's packets over all balancers,
- * so where the one that opened it stands makes no packet's way shorter:
- * measured, a wider band brought nothing.
+ * so where the one that opened it stands makes no packet's way shorter.
  */
 #define LOCAL_PERMILLE 0
 
