--- a/include/damaskyard/flow_targets.h
+++ b/include/damaskyard/flow_targets.h
@@ -73,10 +73,10 @@
 
 /*
  * An agent that was sent packets and has said nothing for so long, in ms, is
- * mute: five reports in a row are missing, while others are heard. A link that
- * loses a third of all packets loses five in a row once in 243 times.
+ * unresponsive: five reports in a row are missing, while others are heard. A
+ * link that loses a third of all packets loses five in a row once in 243 times.
  */
-#define DY_FLOW_MUTE_MS 1000
+#define DY_FLOW_UNRESPONSIVE_MS 1000
 
 typedef struct dy_flow_targets dy_flow_targets_t;
 
@@ -136,13 +136,13 @@
 			    const dy_address_t *agent, uint64_t now_ms);
 
 /*
- * Whether the agent at that address is mute: its VM stands still, is without
- * power, or cut off from here, while control still takes it for serving. Its
- * flows' packets get no answer for seconds. It may come back, so what cannot be
- * repeated is better left to wait.
+ * Whether the agent at that address is unresponsive: its VM stands still, is
+ * without power, or cut off from here, while control still takes it for
+ * serving. Its flows' packets get no answer for seconds. It may come back, so
+ * what cannot be repeated is better left to wait.
  */
-int dy_flow_targets_is_mute(const dy_flow_targets_t *targets,
-			    const dy_address_t *agent, uint64_t now_ms);
+int dy_flow_targets_is_unresponsive(const dy_flow_targets_t *targets,
+				    const dy_address_t *agent, uint64_t now_ms);
 
 /* Say that the members were confirmed by the answer to a poll of polled_ms. */
 void dy_flow_targets_set_confirmed(dy_flow_targets_t *targets,
@@ -153,8 +153,9 @@
 			       const dy_address_t *agent, uint64_t now_ms);
 
 /*
- * Whether the agent, to which no packets go as it is mute, is to be asked for a
- * report now; if so it is taken for asked. Once in DY_FLOW_REPORT_MS.
+ * Whether the agent, to which no packets go as it is unresponsive, is to be
+ * asked for a report now; if so it is taken for asked. Once in
+ * DY_FLOW_REPORT_MS.
  */
 int dy_flow_targets_begin_ask(dy_flow_targets_t *targets,
 			      const dy_address_t *agent, uint64_t now_ms);
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -515,7 +515,8 @@
 static const search_t from_the_first = { 1, 1 };
 
 /*
- * Whether a flow's holder is mute, and its caller is better off elsewhere.
+ * Whether a flow's holder is unresponsive, and its caller is better off
+ * elsewhere.
  *
  * Load pattern: the VMs of some agents stand still, or lose their power, under
  * long flows with a request each second.
@@ -526,13 +527,14 @@
  * that may run once only; it waits for the holder's return until that is lost
  * too. The agent is asked for a sign of life instead.
  */
-static int holder_is_mute(dy_flow_router_t *router, const flow_t *flow,
-			  uint64_t now_ms)
+static int holder_is_unresponsive(dy_flow_router_t *router, const flow_t *flow,
+				  uint64_t now_ms)
 {
 	const dy_flow_entry_t *entry = find_entry(router, &flow->id);
 
 	if (!entry || !entry->repeatable ||
-	    !dy_flow_targets_is_mute(router->targets, &flow->agent, now_ms))
+	    !dy_flow_targets_is_unresponsive(router->targets, &flow->agent,
+					     now_ms))
 		return 0;
 	ask(router, &flow->agent, now_ms);
 	return 1;
@@ -583,8 +585,8 @@
 		leave_lost_agent(router, flow, packet, bytes, len, now_ms);
 		return;
 	}
-	if (flow->open && holder_is_mute(router, flow, now_ms))
-		end_flow(router, flow, packet, "agent_mute", now_ms);
+	if (flow->open && holder_is_unresponsive(router, flow, now_ms))
+		end_flow(router, flow, packet, "agent_unresponsive", now_ms);
 	else
 		send_to_holder(router, flow, "", bytes, len, now_ms);
 }
--- a/src/version/flow_targets.c
+++ b/src/version/flow_targets.c
@@ -316,7 +316,7 @@
 static void note_asked(target_t *target, uint64_t now_ms)
 {
 	/* Nobody answers what was not sent: the silence begins anew. */
-	if (now_ms - target->sent_ms > DY_FLOW_MUTE_MS)
+	if (now_ms - target->sent_ms > DY_FLOW_UNRESPONSIVE_MS)
 		target->asked_ms = 0;
 	if (!target->asked_ms)
 		target->asked_ms = now_ms;
@@ -346,8 +346,8 @@
 	return 1;
 }
 
-static int is_mute(const dy_flow_targets_t *targets, const target_t *target,
-		   uint64_t now_ms)
+static int is_unresponsive(const dy_flow_targets_t *targets,
+			   const target_t *target, uint64_t now_ms)
 {
 	if (!target->serving || !target->asked_ms)
 		return 0;
@@ -361,16 +361,16 @@
 	 */
 	if (targets->confirmed_ms <= target->asked_ms)
 		return 0;
-	return now_ms - target->sent_ms <= DY_FLOW_MUTE_MS &&
-	       now_ms - target->asked_ms >= DY_FLOW_MUTE_MS;
+	return now_ms - target->sent_ms <= DY_FLOW_UNRESPONSIVE_MS &&
+	       now_ms - target->asked_ms >= DY_FLOW_UNRESPONSIVE_MS;
 }
 
-int dy_flow_targets_is_mute(const dy_flow_targets_t *targets,
-			    const dy_address_t *agent, uint64_t now_ms)
+int dy_flow_targets_is_unresponsive(const dy_flow_targets_t *targets,
+				    const dy_address_t *agent, uint64_t now_ms)
 {
 	const target_t *target = find_by_address(targets, agent);
 
-	return target && is_mute(targets, target, now_ms);
+	return target && is_unresponsive(targets, target, now_ms);
 }
 
 int dy_flow_targets_is_lost(dy_flow_targets_t *targets,
--- a/tests/test_flow_router.c
+++ b/tests/test_flow_router.c
@@ -290,10 +290,10 @@
  * five of its reports are missing: a caller that may repeat its request is told
  * so, once, and does. The agent is asked for a sign of life.
  */
-START_TEST(repeatable_flow_of_a_mute_agent_is_reset)
+START_TEST(repeatable_flow_of_an_unresponsive_agent_is_reset)
 {
 	begin_with_an_open_flow(1);
-	use_beside_a_silent_agent(DY_FLOW_MUTE_MS);
+	use_beside_a_silent_agent(DY_FLOW_UNRESPONSIVE_MS);
 	ck_assert_uint_eq(fake_router.resets, 0);
 	fake_router.now_ms += 200;
 	fake_router_report(2);
@@ -308,25 +308,25 @@
  * A reading that may be stored once only was sent to the agent that stands
  * still. A reset would lose it for sure; it waits for the agent's return.
  */
-START_TEST(other_flow_of_a_mute_agent_waits)
+START_TEST(other_flow_of_an_unresponsive_agent_waits)
 {
 	begin_with_an_open_flow(0);
-	use_beside_a_silent_agent(5 * DY_FLOW_MUTE_MS);
+	use_beside_a_silent_agent(5 * DY_FLOW_UNRESPONSIVE_MS);
 	ck_assert_uint_eq(fake_router.resets, 0);
 	fake_router_end();
 }
 END_TEST
 
 /*
- * An agent was mute, and its callers went elsewhere, so that nothing was sent
- * to it any more. It is back for long, and has had no reason to say so: the
- * next packet must not find it mute.
+ * An agent was unresponsive, and its callers went elsewhere, so that nothing
+ * was sent to it any more. It is back for long, and has had no reason to say
+ * so: the next packet must not find it unresponsive.
  */
-START_TEST(agent_that_was_not_asked_is_not_mute)
+START_TEST(agent_that_was_not_asked_is_not_unresponsive)
 {
 	begin_with_an_open_flow(1);
-	use_beside_a_silent_agent(DY_FLOW_MUTE_MS);
-	fake_router.now_ms += DY_FLOW_MUTE_MS;
+	use_beside_a_silent_agent(DY_FLOW_UNRESPONSIVE_MS);
+	fake_router.now_ms += DY_FLOW_UNRESPONSIVE_MS;
 	fake_router_report(2);
 	dy_flow_router_set_confirmed(fake_router.router, fake_router.now_ms);
 	fake_router_take(1, DY_PACKET_ACK, 5);
@@ -376,7 +376,7 @@
  * An opening went to an agent that stood still; the caller's copy went to
  * another balancer, which opened the flow elsewhere. This one knows only where
  * it sent the opening itself, and must not reset a flow that lives: it asks for
- * its holder once that agent is lost, and waits while it is mute.
+ * its holder once that agent is lost, and waits while it is unresponsive.
  */
 START_TEST(flow_that_was_opened_elsewhere_is_not_reset)
 {
@@ -385,7 +385,7 @@
 	fake_router_begin(2);
 	fake_router_set_rules_of(6, "readings", NULL, 1);
 	fake_router_tell_held(1, &holder, 0);
-	use_beside_a_silent_agent(2 * DY_FLOW_MUTE_MS);
+	use_beside_a_silent_agent(2 * DY_FLOW_UNRESPONSIVE_MS);
 	ck_assert_uint_eq(fake_router.resets, 0);
 	fake_router_set_member(1, DY_MEMBER_SUSPECT, "readings");
 	fake_router_take(1, DY_PACKET_ACK, 5);
@@ -479,9 +479,9 @@
 		opening_is_refused_by_the_agent_where_it_waits,
 		half_open_holder_does_not_displace_an_open_one,
 		flow_of_a_lost_agent_is_reset,
-		repeatable_flow_of_a_mute_agent_is_reset,
-		other_flow_of_a_mute_agent_waits,
-		agent_that_was_not_asked_is_not_mute,
+		repeatable_flow_of_an_unresponsive_agent_is_reset,
+		other_flow_of_an_unresponsive_agent_waits,
+		agent_that_was_not_asked_is_not_unresponsive,
 		silence_without_a_confirmation_resets_nothing,
 		balancer_that_hears_nobody_resets_nothing,
 		flow_that_was_opened_elsewhere_is_not_reset,
