--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -10,7 +10,7 @@
 		{ "flows_opened", &holder->opened },
 		{ "packets_passed_on", &holder->passed_on },
 		{ "openings_refused", &holder->refused },
-		{ "openings_put_off", &holder->put_off },
+		{ "openings_deferred", &holder->deferred },
 		{ "packets_not_held", &holder->not_held },
 		{ "packets_bounced", &holder->bounced },
 		{ "bounces_unknown", &holder->stale_notes },
--- a/src/connection/flow_holder_openings.c
+++ b/src/connection/flow_holder_openings.c
@@ -73,13 +73,13 @@
 }
 
 /* Let an opening wait; its balancer is told, so that copies come here too. */
-static int put_off(dy_flow_holder_t *holder, const dy_flow_forward_t *forward,
-		   const dy_packet_t *packet, uint64_t now_ms)
+static int defer(dy_flow_holder_t *holder, const dy_flow_forward_t *forward,
+		 const dy_packet_t *packet, uint64_t now_ms)
 {
 	if (!dy_opening_queue_add(holder->waiting, forward, packet, now_ms))
 		return 0;
-	++*holder->put_off;
-	holder_log_flow(holder, "opening_put_off", &packet->flow, "overload",
+	++*holder->deferred;
+	holder_log_flow(holder, "opening_deferred", &packet->flow, "overload",
 			now_ms);
 	holder_tell_held(holder, &forward->balancer, &packet->flow, 0, now_ms);
 	return 1;
@@ -178,7 +178,7 @@
 		pass_on_opening(holder, forward, packet, reason, now_ms);
 		return;
 	}
-	if (reason && put_off(holder, forward, packet, now_ms))
+	if (reason && defer(holder, forward, packet, now_ms))
 		return;
 	if (!bears_opening(holder, now_ms)) {
 		pass_on_opening(holder, forward, packet, "cold", now_ms);
--- a/src/connection/flow_holder_private.h
+++ b/src/connection/flow_holder_private.h
@@ -96,7 +96,7 @@
 	uint64_t *opened;
 	uint64_t *passed_on;
 	uint64_t *refused;
-	uint64_t *put_off; /* openings that had to wait */
+	uint64_t *deferred; /* openings that had to wait */
 	uint64_t *not_held;
 	uint64_t *bounced;
 	uint64_t *stale_notes;
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -47,7 +47,7 @@
 	uint64_t *packets;
 	uint64_t *opened;
 	uint64_t *searched;
-	uint64_t *put_off;
+	uint64_t *deferred;
 	uint64_t *resets;
 	uint64_t *refused;
 	uint64_t *no_entry;
@@ -63,7 +63,7 @@
 		{ "packets", &router->packets },
 		{ "flows_opened", &router->opened },
 		{ "flows_searched", &router->searched },
-		{ "searches_put_off", &router->put_off },
+		{ "searches_deferred", &router->deferred },
 		{ "flows_reset", &router->resets },
 		{ "openings_refused", &router->refused },
 		{ "packets_no_entry", &router->no_entry },
@@ -495,7 +495,7 @@
 	/* One that has begun goes on, so that slow ones come to their end. */
 	if (at->window == 1 &&
 	    !dy_search_limit_begin(&router->searches, &flow->search, now_ms)) {
-		++*router->put_off;
+		++*router->deferred;
 		return;
 	}
 	++*router->searched;
--- a/tests/test_flow_search.c
+++ b/tests/test_flow_search.c
@@ -106,7 +106,7 @@
 		fake_router_take(flow, DY_PACKET_ACK, 5);
 	ck_assert_uint_eq(fake_router.forwards, DY_SEARCHES_AT_ONCE);
 	ck_assert_uint_eq(
-		dy_metrics_value(fake_router.metrics, "searches_put_off"), 5);
+		dy_metrics_value(fake_router.metrics, "searches_deferred"), 5);
 	fake_router_take(100, DY_PACKET_SYN, 0);
 	ck_assert_uint_eq(fake_router.forwards, DY_SEARCHES_AT_ONCE + 1);
 	fake_router_tell_held(1, &fake_router.tries[0], 1);
