--- a/include/damaskyard/flow_holder.h
+++ b/include/damaskyard/flow_holder.h
@@ -210,7 +210,7 @@
  * A steady flow is one whose caller acknowledges little: it is open for so
  * long, in ms, and has had so many bytes, and so many more for each second. A
  * reset that is made from a list has to name a byte within 76,800 of the
- * caller's last; what is listed is at most 12 s old then, and a download's
+ * caller's last; what is listed is at most 16 s old then, and a download's
  * would be off.
  */
 #define DY_STEADY_MS 1000
--- a/include/damaskyard/flow_ledger.h
+++ b/include/damaskyard/flow_ledger.h
@@ -41,6 +41,22 @@
  */
 unsigned dy_flow_ledger_copies(unsigned losses, unsigned controls);
 
+/*
+ * For how many times the time between two lists one is believed: it is that
+ * old, and as long in the writing, and power was out for a while.
+ */
+#define DY_LEDGER_BELIEVED_LISTS 3
+
+/*
+ * How far a reset may be from the byte that its caller acknowledged last, in
+ * bytes; a steady flow (flow_holder.h) moves on by less while its list is
+ * believed.
+ */
+#define DY_RESET_BYTES 76800
+
+/* How long a list is believed, in ms, where the next follows after pause_ms. */
+uint32_t dy_flow_ledger_believed_ms(uint32_t pause_ms);
+
 typedef struct dy_flow_ledger dy_flow_ledger_t;
 
 dy_flow_ledger_t *dy_flow_ledger_create(void);
--- a/src/connection/flow_ledger.c
+++ b/src/connection/flow_ledger.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "damaskyard/flow_holder.h"
+
 /* Bytes of a part with its names at most, encoded. */
 #define PART_BYTES 2048
 
@@ -52,6 +54,14 @@
 	return MIN(MAX(losses, 1u) + 1, controls);
 }
 
+uint32_t dy_flow_ledger_believed_ms(uint32_t pause_ms)
+{
+	uint32_t most_ms = (DY_RESET_BYTES - DY_STEADY_BYTES) /
+			   DY_STEADY_BYTES_A_SECOND * 1000;
+
+	return MIN(DY_LEDGER_BELIEVED_LISTS * pause_ms, most_ms);
+}
+
 dy_flow_ledger_t *dy_flow_ledger_create(void)
 {
 	dy_flow_ledger_t *ledger = g_new0(dy_flow_ledger_t, 1);
--- a/src/process/flow/agent_ledger.c
+++ b/src/process/flow/agent_ledger.c
@@ -14,12 +14,6 @@
 #define LIST_MS 4000
 #define LIST_COPY_MS 500
 
-/*
- * For how many times the time between two a list is believed: it is that old,
- * and as long in the writing, and power was out for a while.
- */
-#define BELIEVED_LISTS 3
-
 /*
  * Controls are asked from when one of them first answered a poll of this agent,
  * which spreads the agents of a site that all start at once by the pace that
@@ -138,7 +132,7 @@
 	pause_ms =
 		MAX(LIST_MS, part.parts * count_copies(ledger) * LIST_COPY_MS);
 	part.made_ms = time_of_day_ms();
-	part.good_ms = BELIEVED_LISTS * pause_ms;
+	part.good_ms = dy_flow_ledger_believed_ms(pause_ms);
 	for (; part.part < part.parts; part.part++) {
 		part.flows.flows_val = &g_array_index(
 			flows, dy_ledger_flow_t, part.part * DY_LEDGER_FLOWS);
--- a/tests/test_flow_ledger.c
+++ b/tests/test_flow_ledger.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "damaskyard/flow_holder.h"
 #include "fake_suite.h"
 
 /* What was given back last. */
@@ -173,6 +174,22 @@
 }
 END_TEST
 
+/* A reset by an old list names a byte that its caller has long passed. */
+START_TEST(list_is_believed_while_its_resets_fit)
+{
+	uint32_t pause_ms;
+	uint64_t bytes;
+
+	ck_assert_uint_eq(dy_flow_ledger_believed_ms(4000), 12000);
+	for (pause_ms = 1000; pause_ms <= 100000; pause_ms += 1000) {
+		bytes = DY_STEADY_BYTES +
+			(uint64_t)dy_flow_ledger_believed_ms(pause_ms) *
+				DY_STEADY_BYTES_A_SECOND / 1000;
+		ck_assert_uint_le(bytes, DY_RESET_BYTES);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -182,6 +199,7 @@
 		bytes_that_end_early_are_read_as_far_as_they_go,
 		lists_are_bounded,
 		a_copy_is_left_when_disks_are_lost,
+		list_is_believed_while_its_resets_fit,
 		NULL,
 	};
 
