--- a/bench/bench_flow.c
+++ b/bench/bench_flow.c
@@ -22,7 +22,8 @@
 
 static uint64_t forwards;
 
-static void on_forward(void *context, dy_flow_forward_t *forward)
+static void on_forward(void *context, dy_flow_forward_t *forward,
+		       const dy_packet_t *packet)
 {
 	(void)context;
 	(void)forward;
--- a/include/damaskyard/flow_router.h
+++ b/include/damaskyard/flow_router.h
@@ -40,8 +40,12 @@
 typedef struct dy_flow_router dy_flow_router_t;
 
 typedef struct dy_flow_router_callbacks {
-	/* Sends forward to the agent at forward->tries[0]. */
-	void (*forward)(void *context, dy_flow_forward_t *forward);
+	/*
+	 * Sends forward to the agent at forward->tries[0]. packet is the
+	 * decoded forward->packet.
+	 */
+	void (*forward)(void *context, dy_flow_forward_t *forward,
+			const dy_packet_t *packet);
 	/* Sends a reset with this sequence number to the flow's caller. */
 	void (*reset)(void *context, const dy_flow_id_t *flow, uint32_t seq);
 	/*
--- a/include/damaskyard/flow_settings.h
+++ b/include/damaskyard/flow_settings.h
@@ -6,7 +6,8 @@
  * given by --settings, or by the environment variable that platform/calls.h
  * names.
  *
- *	[process]  name, failure-domain, data, first-start, log-level, stop-s
+ *	[process]  name, failure-domain, data, first-start, log-level, stop-s,
+ *		   link-mbps
  *	[listen]   packets, ready, control, outbound, inner-port, metrics-port
  *	[target]   address, service, cold-overshoot, cold-slack
  *	[group]    seeds, key-file, losses, failure-domains
@@ -33,7 +34,8 @@
 	char *data;	      /* controls: the data folder */
 	gboolean first_start; /* the group starts for the first time */
 	char *log_level;
-	uint64_t stop_ms;      /* time limit of a planned stop */
+	uint64_t stop_ms;	   /* time limit of a planned stop */
+	uint64_t link_bytes_per_s; /* rate of the VM's link; 0: unlimited */
 	dy_address_t packets;  /* packets: from callers, or answers to them */
 	dy_address_t ready;    /* HTTP: the readiness call */
 	dy_address_t control;  /* HTTP: operators, or heartbeats of targets */
--- a/include/damaskyard/loop.h
+++ b/include/damaskyard/loop.h
@@ -79,6 +79,9 @@
 void dy_loop_every(dy_loop_t *loop, uint64_t period_ms,
 		   dy_loop_timer_cb_t *timer, void *context);
 
+/* Size of the IPv4 and UDP headers of a datagram on the link, in bytes. */
+#define DY_ENDPOINT_HEADER_BYTES 28
+
 /* A UDP socket. */
 typedef struct dy_endpoint dy_endpoint_t;
 
@@ -112,4 +115,7 @@
 int dy_endpoint_send_to(dy_endpoint_t *endpoint, const uint8_t *bytes,
 			size_t len, const dy_address_t *to);
 
+/* Returns how much was sent on the link, in bytes, headers included. */
+uint64_t dy_endpoint_sent_bytes(const dy_endpoint_t *endpoint);
+
 #endif
--- a/include/damaskyard/opening_queue.h
+++ b/include/damaskyard/opening_queue.h
@@ -21,7 +21,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "damaskyard/packet.h"
+#include "damaskyard/stored_forward.h"
 
 /*
  * Capacity of the queue. A target has 2,000 flows of one caller each; the queue
@@ -37,15 +37,10 @@
 
 typedef struct dy_opening_queue dy_opening_queue_t;
 
-/*
- * An opening: a balancer's forward with the storage that the forward points to.
- */
+/* An opening: a balancer's forward and its decoded packet. */
 typedef struct dy_opening {
-	dy_flow_forward_t forward;
+	dy_stored_forward_t stored;
 	dy_packet_t packet;
-	char service[DY_NAME_BYTES + 1];
-	dy_address_t tries[DY_FLOW_TRIES];
-	uint8_t bytes[DY_PACKET_BYTES];
 } dy_opening_t;
 
 /* Creates an empty queue. */
--- a/src/connection/flow_holder_openings.c
+++ b/src/connection/flow_holder_openings.c
@@ -125,15 +125,16 @@
 		return;
 	while (dy_opening_queue_pop_expired(holder->queued_openings, now_ms,
 					    &opening))
-		holder_pass_on(holder, &opening.forward, &opening.packet, 1);
+		holder_pass_on(holder, &opening.stored.forward, &opening.packet,
+			       1);
 	while ((!accepts || (has_capacity(holder, 0, now_ms) &&
 			     is_within_cold_limit(holder, now_ms))) &&
 	       dy_opening_queue_pop(holder->queued_openings, &opening)) {
 		if (accepts)
-			admit(holder, &opening.forward, &opening.packet,
+			admit(holder, &opening.stored.forward, &opening.packet,
 			      now_ms);
 		else
-			holder_pass_on(holder, &opening.forward,
+			holder_pass_on(holder, &opening.stored.forward,
 				       &opening.packet, 1);
 	}
 }
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -215,7 +215,8 @@
 }
 
 static void send_forward(dy_flow_router_t *router, dy_flow_forward_t *forward,
-			 uint8_t *bytes, size_t len, uint64_t now_ms)
+			 const dy_packet_t *packet, uint8_t *bytes, size_t len,
+			 uint64_t now_ms)
 {
 	dy_flow_targets_note_sent(router->targets, &forward->tries.tries_val[0],
 				  now_ms);
@@ -225,7 +226,8 @@
 	forward->packet.packet_len = (u_int)len;
 	if (!forward->service)
 		forward->service = "";
-	router->config.callbacks->forward(router->config.context, forward);
+	router->config.callbacks->forward(router->config.context, forward,
+					  packet);
 }
 
 static void request_report(dy_flow_router_t *router, const dy_address_t *agent,
@@ -258,18 +260,17 @@
 }
 
 static void send_to_holder(dy_flow_router_t *router, flow_t *flow,
-			   const char *service, uint8_t *bytes, size_t len,
-			   uint64_t now_ms)
+			   const dy_packet_t *packet, uint8_t *bytes,
+			   size_t len, uint64_t now_ms)
 {
 	dy_flow_forward_t forward = { 0 };
 	dy_address_t path[2];
 
-	forward.service = (char *)service;
 	forward.tell = !flow->open;
 	forward.tries.tries_val = path;
 	forward.tries.tries_len = find_path(router, flow, now_ms, path);
 	forward.certain = forward.tries.tries_len == 1;
-	send_forward(router, &forward, bytes, len, now_ms);
+	send_forward(router, &forward, packet, bytes, len, now_ms);
 }
 
 static const dy_flow_entry_t *find_entry(const dy_flow_router_t *router,
@@ -379,7 +380,7 @@
 	}
 	if (flow && flow->holder_reported) {
 		touch(router, flow, now_ms);
-		send_to_holder(router, flow, "", bytes, len, now_ms);
+		send_to_holder(router, flow, packet, bytes, len, now_ms);
 		return;
 	}
 	handle_unanswered_opening(router, flow, now_ms);
@@ -403,7 +404,7 @@
 	forward.complete = 1;
 	forward.tries.tries_val = list;
 	forward.tries.tries_len = append_best_candidate(list, count);
-	send_forward(router, &forward, bytes, len, now_ms);
+	send_forward(router, &forward, packet, bytes, len, now_ms);
 }
 
 /*
@@ -523,7 +524,7 @@
 	forward.certain = progress->certain;
 	forward.tries.tries_val = list;
 	forward.tries.tries_len = count;
-	send_forward(router, &forward, bytes, len, now_ms);
+	send_forward(router, &forward, packet, bytes, len, now_ms);
 }
 
 static const search_progress_t search_start = { 1, 1 };
@@ -603,7 +604,7 @@
 	if (flow->open && holder_is_unresponsive(router, flow, now_ms))
 		end_flow(router, flow, packet, "agent_unresponsive", now_ms);
 	else
-		send_to_holder(router, flow, "", bytes, len, now_ms);
+		send_to_holder(router, flow, packet, bytes, len, now_ms);
 }
 
 void dy_flow_router_receive_held(dy_flow_router_t *router,
@@ -689,7 +690,7 @@
 	}
 	/* Another search of the flow has found the holder. */
 	if (flow->holder_reported) {
-		send_to_holder(router, flow, "",
+		send_to_holder(router, flow, packet,
 			       (uint8_t *)nowhere->packet.packet_val,
 			       nowhere->packet.packet_len, now_ms);
 		return;
--- a/src/connection/opening_queue.c
+++ b/src/connection/opening_queue.c
@@ -1,7 +1,5 @@
 #include "damaskyard/opening_queue.h"
 
-#include <string.h>
-
 #include <glib.h>
 
 #include "damaskyard/list.h"
@@ -35,22 +33,13 @@
 	g_free(queue);
 }
 
-/* Copies a forward, and what it points to, into the storage of opening. */
 static void copy_opening(dy_opening_t *opening,
 			 const dy_flow_forward_t *forward,
 			 const dy_packet_t *packet)
 {
-	opening->forward = *forward;
+	dy_stored_forward_set(&opening->stored, forward);
 	opening->packet = *packet;
 	opening->packet.request_id = NULL; /* a SYN carries no data */
-	g_strlcpy(opening->service, forward->service, sizeof(opening->service));
-	memcpy(opening->tries, forward->tries.tries_val,
-	       forward->tries.tries_len * sizeof(opening->tries[0]));
-	memcpy(opening->bytes, forward->packet.packet_val,
-	       forward->packet.packet_len);
-	opening->forward.service = opening->service;
-	opening->forward.tries.tries_val = opening->tries;
-	opening->forward.packet.packet_val = (char *)opening->bytes;
 }
 
 int dy_opening_queue_add(dy_opening_queue_t *queue,
@@ -83,7 +72,7 @@
 static void dequeue(dy_opening_queue_t *queue, queued_opening_t *queued,
 		    dy_opening_t *opening)
 {
-	copy_opening(opening, &queued->opening.forward,
+	copy_opening(opening, &queued->opening.stored.forward,
 		     &queued->opening.packet);
 	dy_list_remove(&queued->link);
 	g_hash_table_remove(queue->by_flow, &queued->opening.packet.flow);
--- a/src/process/endpoint.c
+++ b/src/process/endpoint.c
@@ -19,6 +19,7 @@
 	void *context;
 	uint64_t stall_generation;
 	int dropping;
+	uint64_t sent_bytes;
 };
 
 static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
@@ -133,12 +134,19 @@
 	return &endpoint->address;
 }
 
+uint64_t dy_endpoint_sent_bytes(const dy_endpoint_t *endpoint)
+{
+	return endpoint->sent_bytes;
+}
+
 int dy_endpoint_send(dy_endpoint_t *endpoint, const uint8_t *bytes, size_t len,
 		     const struct sockaddr *to)
 {
 	uv_buf_t buf = uv_buf_init((char *)bytes, (unsigned)len);
 	int sent = uv_udp_try_send(&endpoint->udp, &buf, 1, to);
 
+	if (sent >= 0)
+		endpoint->sent_bytes += len + DY_ENDPOINT_HEADER_BYTES;
 	return sent < 0 ? sent : 0;
 }
 
--- a/src/process/flow/cmd_flow_balancer.c
+++ b/src/process/flow/cmd_flow_balancer.c
@@ -12,6 +12,7 @@
 #include "damaskyard/isolation.h"
 #include "damaskyard/log.h"
 #include "flow_member.h"
+#include "link_sender.h"
 #include "platform/calls.h"
 #include "platform/configuration.h"
 #include "platform/packet.h"
@@ -46,6 +47,7 @@
 	flow_member_t member;
 	dy_flow_router_t *router;
 	dy_endpoint_t *packets;
+	link_sender_t *sender;
 	dy_http_server_t *http;
 	dy_isolation_t isolation;
 	int caught_up;
@@ -62,15 +64,13 @@
 	return dy_loop_now_ms(balancer->member.loop);
 }
 
-static void send_forward(void *context, dy_flow_forward_t *forward)
+static void send_forward(void *context, dy_flow_forward_t *forward,
+			 const dy_packet_t *packet)
 {
 	flow_balancer_t *balancer = context;
 
 	dy_isolation_record_sent(&balancer->isolation);
-	flow_member_send(&balancer->member,
-			 &forward->tries.tries_val[forward->step],
-			 DY_FLOW_AGENT_PROGRAM, DY_FLOW_FORWARD,
-			 (xdrproc_t)xdr_dy_flow_forward_t, forward);
+	link_sender_send(balancer->sender, forward, packet);
 }
 
 static void send_reset(void *context, const dy_flow_id_t *flow, uint32_t seq)
@@ -357,6 +357,8 @@
 				   on_packet, balancer, error);
 	if (!balancer->packets)
 		return FALSE;
+	balancer->sender =
+		link_sender_create(&balancer->member, balancer->packets);
 	balancer->http = dy_http_server_create(
 		balancer->member.loop, balancer->member.metrics, &http, error);
 	return balancer->http != NULL;
@@ -399,6 +401,7 @@
 		dy_loop_run(balancer->member.loop);
 	}
 	dy_http_server_destroy(balancer->http);
+	link_sender_destroy(balancer->sender);
 	dy_endpoint_destroy(balancer->packets);
 	flow_member_close(&balancer->member);
 	dy_flow_router_destroy(balancer->router);
--- a/src/process/flow/flow_settings.c
+++ b/src/process/flow/flow_settings.c
@@ -21,6 +21,9 @@
 /* Default time limit of a planned stop, in seconds. */
 #define DEFAULT_STOP_S 30
 
+/* Bytes per second of a link of 1 Mbit/s. */
+#define MBPS_BYTES 125000
+
 /* Limit of losses: the group's slots must hold 2 * losses + 1 controls. */
 #define LOSSES_MAX 7
 
@@ -42,6 +45,7 @@
 	{ "process", "first-start", 0 },
 	{ "process", "log-level", 0 },
 	{ "process", "stop-s", 0 },
+	{ "process", "link-mbps", 0 },
 	{ "listen", "packets", BALANCER | AGENT },
 	{ "listen", "ready", BALANCER },
 	{ "listen", "control", AGENT | CONTROL },
@@ -149,6 +153,17 @@
 			 error);
 }
 
+static gboolean load_link(GKeyFile *file, dy_flow_settings_t *settings,
+			  GError **error)
+{
+	double mbps = 0;
+
+	if (!load_real(file, "process", "link-mbps", 0, &mbps, error))
+		return FALSE;
+	settings->link_bytes_per_s = (uint64_t)(mbps * MBPS_BYTES);
+	return TRUE;
+}
+
 static gboolean load_seeds(GKeyFile *file, uint16_t port,
 			   dy_address_list_t *seeds, GError **error)
 {
@@ -297,6 +312,7 @@
 			 error) ||
 	    !load_number(file, "group", "losses", &losses_range, &losses,
 			 error) ||
+	    !load_link(file, settings, error) ||
 	    !load_cold_limit(file, settings, error) ||
 	    !load_seeds(file, settings->control_port, &settings->seeds,
 			error) ||
--- /dev/null
+++ b/src/process/flow/link_sender.c
@@ -0,0 +1,97 @@
+#include "link_sender.h"
+
+#include "damaskyard/link_queue.h"
+
+struct link_sender {
+	flow_member_t *member;
+	const dy_endpoint_t *packets;
+	dy_link_queue_t *queue;
+	uv_timer_t *timer; /* runs while forwards wait */
+	uint64_t charged_bytes;
+};
+
+static void on_timer(uv_timer_t *timer);
+
+static size_t send_now(void *context, dy_flow_forward_t *forward)
+{
+	link_sender_t *sender = context;
+	size_t bytes = flow_member_send(
+		sender->member, &forward->tries.tries_val[forward->step],
+		DY_FLOW_AGENT_PROGRAM, DY_FLOW_FORWARD,
+		(xdrproc_t)xdr_dy_flow_forward_t, forward);
+
+	sender->charged_bytes += bytes;
+	return bytes;
+}
+
+/* Charges what was sent since the last call without the queue. */
+static void charge_other_messages(link_sender_t *sender, uint64_t now_ms)
+{
+	uint64_t bytes = dy_endpoint_sent_bytes(sender->member->inner) +
+			 dy_endpoint_sent_bytes(sender->packets);
+
+	dy_link_queue_charge(sender->queue, bytes - sender->charged_bytes,
+			     now_ms);
+	sender->charged_bytes = bytes;
+}
+
+static void start_timer(link_sender_t *sender)
+{
+	if (!uv_is_active((uv_handle_t *)sender->timer))
+		uv_timer_start(sender->timer, on_timer,
+			       DY_LINK_SERVE_INTERVAL_MS,
+			       DY_LINK_SERVE_INTERVAL_MS);
+}
+
+static void on_timer(uv_timer_t *timer)
+{
+	link_sender_t *sender = timer->data;
+	uint64_t now_ms = dy_loop_now_ms(sender->member->loop);
+
+	charge_other_messages(sender, now_ms);
+	if (!dy_link_queue_serve(sender->queue, now_ms))
+		uv_timer_stop(timer);
+}
+
+link_sender_t *link_sender_create(flow_member_t *member,
+				  const dy_endpoint_t *packets)
+{
+	link_sender_t *sender = g_new0(link_sender_t, 1);
+	dy_link_queue_config_t config = { 0 };
+
+	sender->member = member;
+	sender->packets = packets;
+	sender->timer = g_new0(uv_timer_t, 1);
+	uv_timer_init(dy_loop_uv(member->loop), sender->timer);
+	sender->timer->data = sender;
+	config.bytes_per_s = member->settings.link_bytes_per_s;
+	config.metrics = member->metrics;
+	config.send = send_now;
+	config.context = sender;
+	sender->queue = dy_link_queue_create(&config);
+	return sender;
+}
+
+static void on_closed(uv_handle_t *timer)
+{
+	g_free(timer);
+}
+
+void link_sender_destroy(link_sender_t *sender)
+{
+	if (!sender)
+		return;
+	uv_close((uv_handle_t *)sender->timer, on_closed);
+	dy_link_queue_destroy(sender->queue);
+	g_free(sender);
+}
+
+void link_sender_send(link_sender_t *sender, dy_flow_forward_t *forward,
+		      const dy_packet_t *packet)
+{
+	uint64_t now_ms = dy_loop_now_ms(sender->member->loop);
+
+	charge_other_messages(sender, now_ms);
+	if (dy_link_queue_push(sender->queue, forward, packet, now_ms))
+		start_timer(sender);
+}
--- a/tests/fake_router.c
+++ b/tests/fake_router.c
@@ -6,7 +6,8 @@
 
 fake_router_t fake_router;
 
-static void on_forward(void *context, dy_flow_forward_t *forward)
+static void on_forward(void *context, dy_flow_forward_t *forward,
+		       const dy_packet_t *packet)
 {
 	(void)context;
 	fake_router.forwards++;
--- a/tests/test_flow_settings.c
+++ b/tests/test_flow_settings.c
@@ -17,7 +17,7 @@
 
 #define PROCESS                                               \
 	"[process]\nname=n1\nfailure-domain=d1\ndata=/data\n" \
-	"first-start=true\nstop-s=6\n"
+	"first-start=true\nstop-s=6\nlink-mbps=4.3\n"
 #define LISTEN                                               \
 	"[listen]\npackets=10.0.0.1:80\nready=10.0.0.1:81\n" \
 	"control=10.0.0.1:82\noutbound=10.0.0.1:83\ninner-port=7000\n"
@@ -36,6 +36,7 @@
 		ck_assert(dy_flow_settings_load(&settings, path, role, &error));
 		ck_assert_str_eq(settings.name, "n1");
 		ck_assert_uint_eq(settings.stop_ms, 6000);
+		ck_assert_uint_eq(settings.link_bytes_per_s, 537500);
 		ck_assert(settings.first_start);
 		ck_assert_uint_eq(settings.inner.port, ports[role]);
 		ck_assert_int_eq(settings.seeds.count, 2);
@@ -64,6 +65,7 @@
 	ck_assert_ptr_null(settings.data);
 	ck_assert_uint_eq(settings.control.port, 0);
 	ck_assert(!settings.first_start);
+	ck_assert_uint_eq(settings.link_bytes_per_s, 0);
 	dy_flow_settings_clear(&settings);
 	ck_assert(!dy_flow_settings_load(&settings, path, DY_FLOW_AGENT, NULL));
 	dy_flow_settings_clear(&settings);
@@ -84,6 +86,8 @@
 		{ "inner-port=7000", "inner-port=65535", "inner-port" },
 		{ "inner-port=7000\n", "", "inner-port" },
 		{ "stop-s=6", "stop-s=-1", "stop-s" },
+		{ "link-mbps=4.3", "link-mbps=-1", "link-mbps" },
+		{ "link-mbps=4.3", "link-mbps=fast", "link-mbps" },
 		{ "seeds=10.0.0.2:82", "seeds=x", "seeds" },
 		{ "service=a\n", "", "service" },
 		{ "service=a\n", "service=a\ncold-overshoot=0.5\n",
--- a/tests/test_opening_queue.c
+++ b/tests/test_opening_queue.c
@@ -29,10 +29,12 @@
 {
 	ck_assert_uint_eq(opening->packet.flow.caller_port, flow);
 	ck_assert_uint_eq(opening->packet.ack, copy);
-	ck_assert_str_eq(opening->forward.service, "readings");
-	ck_assert_uint_eq(opening->forward.tries.tries_val[0].port, 7002);
-	ck_assert_uint_eq(opening->forward.packet.packet_len, 2);
-	ck_assert_int_eq(opening->forward.packet.packet_val[1], (char)copy);
+	ck_assert_str_eq(opening->stored.forward.service, "readings");
+	ck_assert_uint_eq(opening->stored.forward.tries.tries_val[0].port,
+			  7002);
+	ck_assert_uint_eq(opening->stored.forward.packet.packet_len, 2);
+	ck_assert_int_eq(opening->stored.forward.packet.packet_val[1],
+			 (char)copy);
 }
 
 /*
