--- a/bench/bench_flow.c
+++ b/bench/bench_flow.c
@@ -48,9 +48,17 @@
 	(void)agent;
 }
 
-static const dy_flow_router_callbacks_t callbacks = { on_forward, on_reset,
-						      on_confirm_members,
-						      on_request_report };
+static void on_inquire(void *context, const dy_address_t *witness,
+		       const dy_address_t *agent)
+{
+	(void)context;
+	(void)witness;
+	(void)agent;
+}
+
+static const dy_flow_router_callbacks_t callbacks = {
+	on_forward, on_reset, on_confirm_members, on_request_report, on_inquire
+};
 
 static size_t heap_bytes(void)
 {
--- /dev/null
+++ b/include/damaskyard/flow_prober.h
@@ -0,0 +1,57 @@
+#ifndef DAMASKYARD_FLOW_PROBER_H
+#define DAMASKYARD_FLOW_PROBER_H
+
+/*
+ * An agent's probes of other agents on behalf of balancers; flow_silence.h
+ * says what for. No I/O.
+ */
+
+#include <stdint.h>
+
+#include "dy_flow.h"
+
+/* Probes sent to an agent, and the interval between them in ms. */
+#define DY_FLOW_PROBES 3
+#define DY_FLOW_PROBE_INTERVAL_MS 100
+
+/*
+ * Maximum number of probed agents at one time; further inquiries are ignored.
+ * 300 balancers that lost the same agent ask two of hundreds of agents each.
+ */
+#define DY_FLOW_INQUIRIES_MAX 256
+
+typedef struct dy_flow_prober dy_flow_prober_t;
+
+typedef struct dy_flow_prober_callbacks {
+	/* Sends a probe to the agent. */
+	void (*probe)(void *context, const dy_address_t *agent);
+	/* Sends the result of an inquiry to the balancer. */
+	void (*finding)(void *context, const dy_address_t *balancer,
+			const dy_address_t *agent, int answered);
+} dy_flow_prober_callbacks_t;
+
+/*
+ * Create a prober, to free with dy_flow_prober_destroy(). callbacks and what
+ * context points to must outlive it.
+ */
+dy_flow_prober_t *dy_flow_prober_create(
+	const dy_flow_prober_callbacks_t *callbacks, void *context);
+void dy_flow_prober_destroy(dy_flow_prober_t *prober);
+
+/* Start to probe an agent for a balancer, unless that is in progress. */
+void dy_flow_prober_begin(dy_flow_prober_t *prober,
+			  const dy_address_t *balancer,
+			  const dy_address_t *agent, uint64_t now_ms);
+
+/* Handle the echo of a probed agent: all who asked are told. */
+void dy_flow_prober_receive_echo(dy_flow_prober_t *prober,
+				 const dy_address_t *agent);
+
+/*
+ * Send the probes that are due, and report the agents that answered none of
+ * theirs. Call it every 50 ms. An agent whose own process stood still probes
+ * once more before it reports.
+ */
+void dy_flow_prober_tick(dy_flow_prober_t *prober, uint64_t now_ms);
+
+#endif
--- a/include/damaskyard/flow_router.h
+++ b/include/damaskyard/flow_router.h
@@ -55,6 +55,9 @@
 	void (*confirm_members)(void *context);
 	/* Requests a load report from the agent. */
 	void (*request_report)(void *context, const dy_address_t *agent);
+	/* Requests a witness to probe the agent; see flow_silence.h. */
+	void (*inquire)(void *context, const dy_address_t *witness,
+			const dy_address_t *agent);
 } dy_flow_router_callbacks_t;
 
 typedef struct dy_flow_router_config {
@@ -115,6 +118,10 @@
 				   const dy_flow_report_t *report,
 				   uint64_t now_ms);
 
+void dy_flow_router_receive_finding(dy_flow_router_t *router,
+				    const dy_flow_finding_t *finding,
+				    uint64_t now_ms);
+
 /* Expires idle flows. Call it several times per second. */
 void dy_flow_router_expire(dy_flow_router_t *router, uint64_t now_ms);
 
--- a/include/damaskyard/flow_targets.h
+++ b/include/damaskyard/flow_targets.h
@@ -26,6 +26,7 @@
 #include <stdint.h>
 
 #include "damaskyard/flow_path.h"
+#include "damaskyard/flow_silence.h"
 #include "damaskyard/packet.h"
 #include "dy_control.h"
 
@@ -75,9 +76,8 @@
 
 /*
  * Time without a report after which an agent that was sent packets is
- * unresponsive: five reports in a row are missing while other agents' reports
- * arrive. A link with a third of all packets lost loses five in a row once in
- * 243 times.
+ * unresponsive, if its silence is certain: five reports in a row are missing
+ * while other agents' reports arrive.
  */
 #define DY_FLOW_UNRESPONSIVE_TIMEOUT_MS 1000
 
@@ -160,6 +160,22 @@
 int dy_flow_targets_is_unresponsive(const dy_flow_targets_t *targets,
 				    const dy_address_t *agent, uint64_t now_ms);
 
+/*
+ * List the agents to ask whether they hear an agent that owes a report; see
+ * flow_silence.h. Returns their number; 0 if none can be asked, or none has to
+ * be asked now.
+ */
+unsigned dy_flow_targets_begin_inquiry(
+	dy_flow_targets_t *targets, const dy_address_t *agent,
+	const dy_flow_id_t *flow, uint64_t now_ms,
+	dy_address_t witnesses[DY_FLOW_WITNESSES]);
+
+/* Record whether the agent answered a witness. */
+void dy_flow_targets_set_finding(dy_flow_targets_t *targets,
+				 const dy_address_t *agent,
+				 const dy_address_t *witness, int answered,
+				 uint64_t now_ms);
+
 /* Record that a poll sent at polled_ms was answered: members are current. */
 void dy_flow_targets_set_members_confirmed(dy_flow_targets_t *targets,
 					   uint64_t polled_ms);
--- a/proto/dy_flow.x
+++ b/proto/dy_flow.x
@@ -91,11 +91,37 @@
 	dy_address_t balancer;
 };
 
+/* Requests an agent to probe another one for a balancer. */
+struct dy_flow_inquiry_t {
+	dy_address_t balancer;
+	dy_address_t agent;	/* the one to probe */
+};
+
+/* A probe; requests an echo. */
+struct dy_flow_probe_t {
+	dy_address_t witness;	/* the agent that probes */
+};
+
+/* The answer to a probe. */
+struct dy_flow_echo_t {
+	dy_address_t agent;	/* the one that was probed */
+};
+
+/* The result of an inquiry. */
+struct dy_flow_finding_t {
+	dy_address_t witness;
+	dy_address_t agent;	/* the one that was probed */
+	bool answered;
+};
+
 program DY_FLOW_AGENT_PROGRAM {
 	version DY_FLOW_AGENT_V1 {
 		void DY_FLOW_AGENT_NULL(void) = 0;
 		void DY_FLOW_FORWARD(dy_flow_forward_t) = 1;
 		void DY_FLOW_ASK(dy_flow_ask_t) = 2;
+		void DY_FLOW_INQUIRY(dy_flow_inquiry_t) = 3;
+		void DY_FLOW_PROBE(dy_flow_probe_t) = 4;
+		void DY_FLOW_ECHO(dy_flow_echo_t) = 5;
 	} = 1;
 } = 0x2A00D009;
 
@@ -105,5 +131,6 @@
 		void DY_FLOW_HELD(dy_flow_held_t) = 1;
 		void DY_FLOW_NOWHERE(dy_flow_nowhere_t) = 2;
 		void DY_FLOW_REPORT(dy_flow_report_t) = 3;
+		void DY_FLOW_FINDING(dy_flow_finding_t) = 4;
 	} = 1;
 } = 0x2A00D00A;
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -555,6 +555,21 @@
 	return 1;
 }
 
+/* Asks other agents about a holder that owes a report. */
+static void inquire_about_holder(dy_flow_router_t *router, const flow_t *flow,
+				 uint64_t now_ms)
+{
+	dy_address_t witnesses[DY_FLOW_WITNESSES];
+	unsigned count;
+	unsigned i;
+
+	count = dy_flow_targets_begin_inquiry(router->targets, &flow->agent,
+					      &flow->id, now_ms, witnesses);
+	for (i = 0; i < count; i++)
+		router->config.callbacks->inquire(router->config.context,
+						  &witnesses[i], &flow->agent);
+}
+
 static void end_flow(dy_flow_router_t *router, flow_t *flow,
 		     const dy_packet_t *packet, const char *reason,
 		     uint64_t now_ms)
@@ -601,6 +616,7 @@
 		handle_lost_agent(router, flow, packet, bytes, len, now_ms);
 		return;
 	}
+	inquire_about_holder(router, flow, now_ms);
 	if (flow->open && holder_is_unresponsive(router, flow, now_ms))
 		end_flow(router, flow, packet, "agent_unresponsive", now_ms);
 	else
@@ -735,6 +751,15 @@
 		log_path(router, &report->agent, now_ms);
 }
 
+void dy_flow_router_receive_finding(dy_flow_router_t *router,
+				    const dy_flow_finding_t *finding,
+				    uint64_t now_ms)
+{
+	dy_flow_targets_set_finding(router->targets, &finding->agent,
+				    &finding->witness, finding->answered,
+				    now_ms);
+}
+
 void dy_flow_router_expire(dy_flow_router_t *router, uint64_t now_ms)
 {
 	flow_t *flow;
--- a/src/gen/dy_flow.h
+++ b/src/gen/dy_flow.h
@@ -96,6 +96,29 @@
 };
 typedef struct dy_flow_ask_t dy_flow_ask_t;
 
+struct dy_flow_inquiry_t {
+	dy_address_t balancer;
+	dy_address_t agent;
+};
+typedef struct dy_flow_inquiry_t dy_flow_inquiry_t;
+
+struct dy_flow_probe_t {
+	dy_address_t witness;
+};
+typedef struct dy_flow_probe_t dy_flow_probe_t;
+
+struct dy_flow_echo_t {
+	dy_address_t agent;
+};
+typedef struct dy_flow_echo_t dy_flow_echo_t;
+
+struct dy_flow_finding_t {
+	dy_address_t witness;
+	dy_address_t agent;
+	bool_t answered;
+};
+typedef struct dy_flow_finding_t dy_flow_finding_t;
+
 #define DY_FLOW_AGENT_PROGRAM 0x2A00D009
 #define DY_FLOW_AGENT_V1 1
 
@@ -109,6 +132,15 @@
 #define DY_FLOW_ASK 2
 extern  void * dy_flow_ask_1(dy_flow_ask_t *, CLIENT *);
 extern  void * dy_flow_ask_1_svc(dy_flow_ask_t *, struct svc_req *);
+#define DY_FLOW_INQUIRY 3
+extern  void * dy_flow_inquiry_1(dy_flow_inquiry_t *, CLIENT *);
+extern  void * dy_flow_inquiry_1_svc(dy_flow_inquiry_t *, struct svc_req *);
+#define DY_FLOW_PROBE 4
+extern  void * dy_flow_probe_1(dy_flow_probe_t *, CLIENT *);
+extern  void * dy_flow_probe_1_svc(dy_flow_probe_t *, struct svc_req *);
+#define DY_FLOW_ECHO 5
+extern  void * dy_flow_echo_1(dy_flow_echo_t *, CLIENT *);
+extern  void * dy_flow_echo_1_svc(dy_flow_echo_t *, struct svc_req *);
 extern int dy_flow_agent_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -121,6 +153,15 @@
 #define DY_FLOW_ASK 2
 extern  void * dy_flow_ask_1();
 extern  void * dy_flow_ask_1_svc();
+#define DY_FLOW_INQUIRY 3
+extern  void * dy_flow_inquiry_1();
+extern  void * dy_flow_inquiry_1_svc();
+#define DY_FLOW_PROBE 4
+extern  void * dy_flow_probe_1();
+extern  void * dy_flow_probe_1_svc();
+#define DY_FLOW_ECHO 5
+extern  void * dy_flow_echo_1();
+extern  void * dy_flow_echo_1_svc();
 extern int dy_flow_agent_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -140,6 +181,9 @@
 #define DY_FLOW_REPORT 3
 extern  void * dy_flow_report_1(dy_flow_report_t *, CLIENT *);
 extern  void * dy_flow_report_1_svc(dy_flow_report_t *, struct svc_req *);
+#define DY_FLOW_FINDING 4
+extern  void * dy_flow_finding_1(dy_flow_finding_t *, CLIENT *);
+extern  void * dy_flow_finding_1_svc(dy_flow_finding_t *, struct svc_req *);
 extern int dy_flow_balancer_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -155,6 +199,9 @@
 #define DY_FLOW_REPORT 3
 extern  void * dy_flow_report_1();
 extern  void * dy_flow_report_1_svc();
+#define DY_FLOW_FINDING 4
+extern  void * dy_flow_finding_1();
+extern  void * dy_flow_finding_1_svc();
 extern int dy_flow_balancer_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -169,6 +216,10 @@
 extern  bool_t xdr_dy_flow_nowhere_t (XDR *, dy_flow_nowhere_t*);
 extern  bool_t xdr_dy_flow_report_t (XDR *, dy_flow_report_t*);
 extern  bool_t xdr_dy_flow_ask_t (XDR *, dy_flow_ask_t*);
+extern  bool_t xdr_dy_flow_inquiry_t (XDR *, dy_flow_inquiry_t*);
+extern  bool_t xdr_dy_flow_probe_t (XDR *, dy_flow_probe_t*);
+extern  bool_t xdr_dy_flow_echo_t (XDR *, dy_flow_echo_t*);
+extern  bool_t xdr_dy_flow_finding_t (XDR *, dy_flow_finding_t*);
 
 #else /* K&R C */
 extern bool_t xdr_dy_flow_id_t ();
@@ -179,6 +230,10 @@
 extern bool_t xdr_dy_flow_nowhere_t ();
 extern bool_t xdr_dy_flow_report_t ();
 extern bool_t xdr_dy_flow_ask_t ();
+extern bool_t xdr_dy_flow_inquiry_t ();
+extern bool_t xdr_dy_flow_probe_t ();
+extern bool_t xdr_dy_flow_echo_t ();
+extern bool_t xdr_dy_flow_finding_t ();
 
 #endif /* K&R C */
 
--- a/src/gen/dy_flow_xdr.c
+++ b/src/gen/dy_flow_xdr.c
@@ -356,3 +356,49 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_dy_flow_inquiry_t (XDR *xdrs, dy_flow_inquiry_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_dy_address_t (xdrs, &objp->balancer))
+		 return FALSE;
+	 if (!xdr_dy_address_t (xdrs, &objp->agent))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dy_flow_probe_t (XDR *xdrs, dy_flow_probe_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_dy_address_t (xdrs, &objp->witness))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dy_flow_echo_t (XDR *xdrs, dy_flow_echo_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_dy_address_t (xdrs, &objp->agent))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dy_flow_finding_t (XDR *xdrs, dy_flow_finding_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_dy_address_t (xdrs, &objp->witness))
+		 return FALSE;
+	 if (!xdr_dy_address_t (xdrs, &objp->agent))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->answered))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/process/flow/cmd_flow_agent.c
+++ b/src/process/flow/cmd_flow_agent.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "agent_ledger.h"
+#include "agent_prober.h"
 #include "command.h"
 #include "damaskyard/flow_holder.h"
 #include "damaskyard/flow_targets.h"
@@ -40,6 +41,7 @@
 	dy_http_server_t *ready_http;
 	dy_port_check_t *port_check;
 	agent_ledger_t *ledger;
+	agent_prober_t *prober;
 	uint64_t stop_started_ms;
 	dy_log_limit_t refused_limit;
 	uint64_t *malformed;
@@ -250,6 +252,8 @@
 	if (agent->member.subscriber &&
 	    dy_subscriber_receive(agent->member.subscriber, &message))
 		return;
+	if (agent_prober_receive(agent->prober, &message))
+		return;
 	if (message.program == DY_FLOW_AGENT_PROGRAM &&
 	    message.procedure == DY_FLOW_FORWARD)
 		receive_forward(agent, &message);
@@ -387,6 +391,7 @@
 	flow_agent_t *agent = context;
 
 	agent_ledger_tick(agent->ledger);
+	agent_prober_tick(agent->prober);
 	if (!agent->stop_started_ms ||
 	    now_ms(agent) - agent->stop_started_ms < STOP_DELAY_MS)
 		return;
@@ -444,6 +449,7 @@
 		agent->member.loop, &config.target, on_port_checked, agent);
 	agent->ledger = agent_ledger_create(&agent->member, agent->holder,
 					    send_reset, agent);
+	agent->prober = agent_prober_create(&agent->member);
 	agent->refused_limit = limit;
 	agent->malformed =
 		dy_metrics_counter(agent->member.metrics, "packets_malformed");
@@ -476,6 +482,7 @@
 	dy_endpoint_destroy(agent->outbound);
 	dy_port_check_destroy(agent->port_check);
 	agent_ledger_destroy(agent->ledger);
+	agent_prober_destroy(agent->prober);
 	flow_member_close(&agent->member);
 	dy_flow_holder_destroy(agent->holder);
 	return ok;
--- a/src/process/flow/cmd_flow_balancer.c
+++ b/src/process/flow/cmd_flow_balancer.c
@@ -102,11 +102,19 @@
 			 DY_FLOW_ASK, (xdrproc_t)xdr_dy_flow_ask_t, &ask);
 }
 
+static void inquire(void *context, const dy_address_t *witness,
+		    const dy_address_t *agent)
+{
+	flow_balancer_t *balancer = context;
+	dy_flow_inquiry_t inquiry = { balancer->member.settings.inner, *agent };
+
+	flow_member_send(&balancer->member, witness, DY_FLOW_AGENT_PROGRAM,
+			 DY_FLOW_INQUIRY, (xdrproc_t)xdr_dy_flow_inquiry_t,
+			 &inquiry);
+}
+
 static const dy_flow_router_callbacks_t router_callbacks = {
-	send_forward,
-	send_reset,
-	confirm_members,
-	request_report,
+	send_forward, send_reset, confirm_members, request_report, inquire,
 };
 
 static void on_packet(void *context, uint8_t *bytes, size_t len,
@@ -176,6 +184,17 @@
 					      now_ms(balancer));
 }
 
+static void receive_finding(flow_balancer_t *balancer,
+			    const dy_sealed_t *message)
+{
+	dy_flow_finding_t finding = { 0 };
+
+	if (dy_sealed_load_in_place(message, (xdrproc_t)xdr_dy_flow_finding_t,
+				    &finding))
+		dy_flow_router_receive_finding(balancer->router, &finding,
+					       now_ms(balancer));
+}
+
 static void on_message(void *context, uint8_t *bytes, size_t len,
 		       const struct sockaddr *from, int truncated)
 {
@@ -196,6 +215,8 @@
 		receive_nowhere(balancer, &message);
 	else if (message.procedure == DY_FLOW_REPORT)
 		receive_report(balancer, &message);
+	else if (message.procedure == DY_FLOW_FINDING)
+		receive_finding(balancer, &message);
 }
 
 static void on_request(void *context, dy_http_exchange_t *exchange,
--- a/src/version/flow_targets.c
+++ b/src/version/flow_targets.c
@@ -25,9 +25,7 @@
 	uint64_t last_report_ms;
 	/* First call of dy_flow_targets_is_lost() since it is suspect, or 0. */
 	uint64_t lost_check_ms;
-	/* First message sent since its last report, or 0. */
-	uint64_t unanswered_since_ms;
-	uint64_t last_sent_ms;
+	dy_flow_silence_t silence;
 	dy_flow_path_t path;
 } target_t;
 
@@ -220,7 +218,7 @@
 		memset(&target->load, 0, sizeof(target->load));
 		target->opened = 0;
 		target->avoided_until_ms = 0;
-		target->unanswered_since_ms = 0;
+		memset(&target->silence, 0, sizeof(target->silence));
 		memset(&target->path, 0, sizeof(target->path));
 	}
 	remove_from_service(targets, target);
@@ -252,7 +250,7 @@
 	target->opened = 0;
 	target->avoided_until_ms = 0;
 	target->last_report_ms = now_ms;
-	target->unanswered_since_ms = 0;
+	dy_flow_silence_end(&target->silence);
 	targets->last_report_ms = now_ms;
 }
 
@@ -317,16 +315,6 @@
 	targets->confirmed_poll_ms = polled_ms;
 }
 
-static void note_message(target_t *target, uint64_t now_ms)
-{
-	/* An agent that was sent nothing has nothing to answer: start over. */
-	if (now_ms - target->last_sent_ms > DY_FLOW_UNRESPONSIVE_TIMEOUT_MS)
-		target->unanswered_since_ms = 0;
-	if (!target->unanswered_since_ms)
-		target->unanswered_since_ms = now_ms;
-	target->last_sent_ms = now_ms;
-}
-
 void dy_flow_targets_note_sent(dy_flow_targets_t *targets,
 			       const dy_address_t *agent, uint64_t now_ms)
 {
@@ -334,7 +322,7 @@
 
 	if (!target)
 		return;
-	note_message(target, now_ms);
+	dy_flow_silence_note_sent(&target->silence, now_ms);
 	dy_flow_path_note_sent(&target->path, now_ms);
 }
 
@@ -344,9 +332,9 @@
 	target_t *target = find_by_address(targets, agent);
 
 	if (!target ||
-	    now_ms - target->last_sent_ms < DY_FLOW_REPORT_INTERVAL_MS)
+	    now_ms - target->silence.last_sent_ms < DY_FLOW_REPORT_INTERVAL_MS)
 		return 0;
-	note_message(target, now_ms);
+	dy_flow_silence_note_sent(&target->silence, now_ms);
 	dy_flow_path_note_sent(&target->path, now_ms);
 	return 1;
 }
@@ -354,7 +342,8 @@
 static int is_unresponsive(const dy_flow_targets_t *targets,
 			   const target_t *target, uint64_t now_ms)
 {
-	if (!target->serving || !target->unanswered_since_ms)
+	if (!target->serving ||
+	    !dy_flow_silence_is_certain(&target->silence, now_ms))
 		return 0;
 	/* No agent reports: the fault is on this balancer's side. */
 	if (now_ms - targets->last_report_ms > DY_FLOW_REPORT_INTERVAL_MS)
@@ -364,12 +353,7 @@
 	 * continue. Such an agent tells control before it stops, so the answer
 	 * to a later poll would have reported it.
 	 */
-	if (targets->confirmed_poll_ms <= target->unanswered_since_ms)
-		return 0;
-	return now_ms - target->last_sent_ms <=
-		       DY_FLOW_UNRESPONSIVE_TIMEOUT_MS &&
-	       now_ms - target->unanswered_since_ms >=
-		       DY_FLOW_UNRESPONSIVE_TIMEOUT_MS;
+	return targets->confirmed_poll_ms > target->silence.unanswered_since_ms;
 }
 
 int dy_flow_targets_is_unresponsive(const dy_flow_targets_t *targets,
@@ -380,6 +364,80 @@
 	return target && is_unresponsive(targets, target, now_ms);
 }
 
+/* Returns whether the target can probe another agent for this balancer. */
+static int can_witness(const target_t *target, uint64_t now_ms)
+{
+	return target->serving && !target->path.broken &&
+	       now_ms - target->last_report_ms <= DY_FLOW_RELAY_AGE_MAX_MS;
+}
+
+/*
+ * Finds an agent of list that can probe subject, other than exclude: one of
+ * subject's domain or, with other_domain, of another one, if there is any. The
+ * flow's hash names the place to begin, so that witnesses differ between flows.
+ */
+static const target_t *find_witness(const GPtrArray *list,
+				    const target_t *subject,
+				    const target_t *exclude,
+				    const dy_flow_id_t *flow, int other_domain,
+				    uint64_t now_ms)
+{
+	guint start = (guint)(dy_flow_id_hash(flow) % list->len);
+	const target_t *found = NULL;
+	const target_t *target;
+	guint i;
+
+	for (i = 0; i < MIN(list->len, DY_FLOW_RELAY_CANDIDATES_MAX); i++) {
+		target = g_ptr_array_index(list, (start + i) % list->len);
+		if (target == subject || target == exclude ||
+		    !can_witness(target, now_ms))
+			continue;
+		found = target;
+		if ((target->domain != subject->domain) == other_domain)
+			break;
+	}
+	return found;
+}
+
+unsigned dy_flow_targets_begin_inquiry(
+	dy_flow_targets_t *targets, const dy_address_t *agent,
+	const dy_flow_id_t *flow, uint64_t now_ms,
+	dy_address_t witnesses[DY_FLOW_WITNESSES])
+{
+	target_t *subject = find_by_address(targets, agent);
+	const target_t *witness = NULL;
+	const GPtrArray *list;
+	unsigned count = 0;
+
+	if (!subject || !subject->service ||
+	    !dy_flow_silence_begin_inquiry(&subject->silence, now_ms))
+		return 0;
+	list = g_hash_table_lookup(targets->services, subject->service);
+	while (count < DY_FLOW_WITNESSES) {
+		witness = find_witness(list, subject, witness, flow, !count,
+				       now_ms);
+		if (!witness)
+			break;
+		witnesses[count++] = witness->address;
+	}
+	return count;
+}
+
+void dy_flow_targets_set_finding(dy_flow_targets_t *targets,
+				 const dy_address_t *agent,
+				 const dy_address_t *witness, int answered,
+				 uint64_t now_ms)
+{
+	target_t *target = find_by_address(targets, agent);
+
+	if (!target)
+		return;
+	if (answered)
+		dy_flow_silence_end(&target->silence);
+	else
+		dy_flow_silence_confirm(&target->silence, witness, now_ms);
+}
+
 int dy_flow_targets_is_lost(dy_flow_targets_t *targets,
 			    const dy_address_t *agent, uint64_t now_ms)
 {
--- a/tests/fake_router.c
+++ b/tests/fake_router.c
@@ -39,9 +39,23 @@
 	fake_router.report_requests++;
 }
 
-static const dy_flow_router_callbacks_t callbacks = { on_forward, on_reset,
-						      on_confirm_members,
-						      on_request_report };
+/* The witness reports at once. */
+static void on_inquire(void *context, const dy_address_t *witness,
+		       const dy_address_t *agent)
+{
+	dy_flow_finding_t finding = { *witness, *agent,
+				      !fake_router.silent_to_witnesses };
+
+	(void)context;
+	fake_router.inquiries++;
+	fake_router.witness = *witness;
+	dy_flow_router_receive_finding(fake_router.router, &finding,
+				       fake_router.now_ms);
+}
+
+static const dy_flow_router_callbacks_t callbacks = {
+	on_forward, on_reset, on_confirm_members, on_request_report, on_inquire
+};
 
 dy_address_t fake_router_agent(unsigned number)
 {
--- a/tests/fake_router.h
+++ b/tests/fake_router.h
@@ -26,6 +26,9 @@
 	uint32_t reset_seq;
 	unsigned confirm_requests;
 	unsigned report_requests;
+	unsigned inquiries;
+	dy_address_t witness;	 /* of the last inquiry */
+	int silent_to_witnesses; /* what findings report about a holder */
 	uint64_t now_ms;
 	uint8_t bytes[34];
 } fake_router_t;
--- a/tests/test_flow_router.c
+++ b/tests/test_flow_router.c
@@ -279,14 +279,15 @@
 {
 	dy_address_t holder = fake_router_agent(1);
 
-	fake_router_begin(2);
+	fake_router_begin(3);
+	fake_router.silent_to_witnesses = 1;
 	fake_router_set_rules_with(6, "readings", NULL, repeatable);
 	fake_router_receive_held(1, &holder, 1);
 }
 
 /*
- * Sends a request on flow 1 every 100 ms, while only agent 2 and control send
- * messages.
+ * Sends a request on flow 1 every 100 ms, while only agents 2 and 3 and control
+ * send messages.
  */
 static void send_requests_beside_silent_agent(uint64_t for_ms)
 {
@@ -294,6 +295,7 @@
 
 	while (fake_router.now_ms < end_ms) {
 		fake_router_receive_report(2);
+		fake_router_receive_report(3);
 		dy_flow_router_set_members_confirmed(fake_router.router,
 						     fake_router.now_ms);
 		fake_router_receive_packet(1, DY_PACKET_ACK, 5);
@@ -313,6 +315,7 @@
 	ck_assert_uint_eq(fake_router.resets, 0);
 	fake_router.now_ms += 200;
 	fake_router_receive_report(2);
+	fake_router_receive_report(3);
 	fake_router_receive_packet(1, DY_PACKET_ACK, 5);
 	ck_assert_uint_eq(fake_router.resets, 1);
 	ck_assert_uint_eq(fake_router.report_requests, 1);
@@ -320,6 +323,67 @@
 }
 END_TEST
 
+/*
+ * The link of this balancer is full and loses each of its messages to one agent
+ * for seconds. The agent serves its flows, and answers witnesses.
+ */
+START_TEST(keeps_flow_of_agent_that_answers_witnesses)
+{
+	begin_with_open_flow(1);
+	fake_router.silent_to_witnesses = 0;
+	send_requests_beside_silent_agent(5 * DY_FLOW_UNRESPONSIVE_TIMEOUT_MS);
+	ck_assert_uint_eq(fake_router.resets, 0);
+	ck_assert_uint_gt(fake_router.inquiries, 0);
+	fake_router_end();
+}
+END_TEST
+
+/* One witness may be cut off from the agent itself. */
+START_TEST(keeps_flow_of_agent_with_a_single_witness)
+{
+	unsigned i;
+
+	begin_with_open_flow(1);
+	for (i = 0; i < 30; i++) {
+		fake_router_receive_report(2);
+		dy_flow_router_set_members_confirmed(fake_router.router,
+						     fake_router.now_ms);
+		fake_router_receive_packet(1, DY_PACKET_ACK, 5);
+		fake_router.now_ms += 100;
+	}
+	ck_assert_uint_eq(fake_router.resets, 0);
+	ck_assert_uint_gt(fake_router.inquiries, 0);
+	fake_router_end();
+}
+END_TEST
+
+/*
+ * Guards against the loss of the path between two domains that convinces both
+ * witnesses: one is in the agent's own domain.
+ */
+START_TEST(asks_a_witness_in_the_domain_of_the_agent)
+{
+	unsigned i;
+
+	begin_with_open_flow(1);
+	for (i = 2; i <= 6; i++)
+		fake_router_set_member_in(i, DY_MEMBER_SERVING, "readings",
+					  i == 4 ? "d1" : "d2");
+	for (i = 0; i < 6; i++) {
+		fake_router_receive_report(2);
+		fake_router_receive_report(3);
+		fake_router_receive_report(4);
+		fake_router_receive_report(5);
+		fake_router_receive_packet(1, DY_PACKET_ACK, 5);
+		fake_router.now_ms += 100;
+	}
+	ck_assert_uint_eq(fake_router.inquiries, 2);
+	ck_assert_uint_eq(fake_router.witness.ip[15],
+			  fake_router_agent(4).ip[15]);
+	fake_router_end();
+}
+END_TEST
+
 /*
  * A reading that must be stored only once was sent to the paused agent. A reset
  * would lose it for certain, so the flow waits for the agent's return.
@@ -498,6 +562,9 @@
 		keeps_open_holder_over_half_open_one,
 		resets_flow_of_lost_agent,
 		resets_repeatable_flow_of_unresponsive_agent,
+		keeps_flow_of_agent_that_answers_witnesses,
+		keeps_flow_of_agent_with_a_single_witness,
+		asks_a_witness_in_the_domain_of_the_agent,
 		keeps_other_flow_of_unresponsive_agent,
 		does_not_reset_after_long_silence_without_traffic,
 		does_not_reset_without_member_confirmation,
