--- a/include/damaskyard/link_queue.h
+++ b/include/damaskyard/link_queue.h
@@ -32,6 +32,13 @@
  */
 #define DY_LINK_BURST_MS 20
 
+/*
+ * Part of the link's rate that is used, in percent. A link that is offered all
+ * of its rate has a full buffer, and drops packets for as long as the queue
+ * here has any. The rest also covers headers below IP.
+ */
+#define DY_LINK_SHARE_PERCENT 95
+
 /* Interval of dy_link_queue_serve() while forwards wait, in ms. */
 #define DY_LINK_SERVE_INTERVAL_MS 5
 
--- a/src/connection/link_queue.c
+++ b/src/connection/link_queue.c
@@ -63,7 +63,10 @@
 	};
 
 	queue->config = *config;
-	queue->credit_max = (int64_t)config->bytes_per_s * DY_LINK_BURST_MS;
+	queue->config.bytes_per_s =
+		config->bytes_per_s * DY_LINK_SHARE_PERCENT / 100;
+	queue->credit_max =
+		(int64_t)queue->config.bytes_per_s * DY_LINK_BURST_MS;
 	queue->credit = queue->credit_max;
 	queue->flows = g_hash_table_new_full(
 		dy_flow_id_table_hash, dy_flow_id_table_equal, NULL, g_free);
--- a/src/process/flow/link_sender.c
+++ b/src/process/flow/link_sender.c
@@ -1,6 +1,11 @@
 #include "link_sender.h"
 
 #include "damaskyard/link_queue.h"
+#include "damaskyard/log.h"
+
+/* A backlog of this many ms on the link is logged, once per second. */
+#define LOGGED_BACKLOG_MS 100
+#define LOG_INTERVAL_MS 1000
 
 struct link_sender {
 	flow_member_t *member;
@@ -8,6 +13,8 @@
 	dy_link_queue_t *queue;
 	uv_timer_t *timer; /* runs while forwards wait */
 	uint64_t charged_bytes;
+	unsigned backlog_max_ms; /* since the last line of the log */
+	uint64_t logged_ms;
 };
 
 static void on_timer(uv_timer_t *timer);
@@ -43,12 +50,36 @@
 			       DY_LINK_SERVE_INTERVAL_MS);
 }
 
+static void log_backlog(link_sender_t *sender, uint64_t now_ms)
+{
+	const dy_metrics_t *metrics = sender->member->metrics;
+	unsigned backlog_ms = dy_link_queue_backlog_ms(sender->queue);
+
+	sender->backlog_max_ms = MAX(sender->backlog_max_ms, backlog_ms);
+	if (sender->backlog_max_ms < LOGGED_BACKLOG_MS ||
+	    now_ms - sender->logged_ms < LOG_INTERVAL_MS)
+		return;
+	dy_log_event(
+		DY_LOG_INFO, "link_backlog",
+		"max_ms=%u queued=%lu replaced=%lu dropped=%lu bytes=%lu "
+		"control_bytes=%lu",
+		sender->backlog_max_ms,
+		(unsigned long)dy_metrics_value(metrics, "link_queued"),
+		(unsigned long)dy_metrics_value(metrics, "link_replaced"),
+		(unsigned long)dy_metrics_value(metrics, "link_dropped"),
+		(unsigned long)dy_metrics_value(metrics, "link_bytes_forwards"),
+		(unsigned long)dy_metrics_value(metrics, "link_bytes_control"));
+	sender->backlog_max_ms = 0;
+	sender->logged_ms = now_ms;
+}
+
 static void on_timer(uv_timer_t *timer)
 {
 	link_sender_t *sender = timer->data;
 	uint64_t now_ms = dy_loop_now_ms(sender->member->loop);
 
 	charge_other_messages(sender, now_ms);
+	log_backlog(sender, now_ms);
 	if (!dy_link_queue_serve(sender->queue, now_ms))
 		uv_timer_stop(timer);
 }
