--- a/include/damaskyard/packet.h
+++ b/include/damaskyard/packet.h
@@ -26,6 +26,7 @@
 	 */
 	uint32_t tag;
 	uint16_t data_bytes;
+	int full; /* the data fills the packet, so more may follow */
 	unsigned retransmits; /* of a SYN: number of earlier transmissions */
 	/*
 	 * Id of the request that starts in the data, for logging only. It
--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -65,8 +65,8 @@
 {
 	load->slots = holder->notice.slots;
 	load->flows = dy_flow_holder_count(holder);
-	load->busy =
-		holder->busy + dy_opening_queue_count(holder->queued_openings);
+	load->busy = dy_request_load_slots(&holder->load) +
+		     dy_opening_queue_count(holder->queued_openings);
 	load->accepts = dy_flow_holder_accepts(holder);
 	load->cold = now_ms < holder->cold_until_ms;
 }
@@ -137,7 +137,8 @@
 			     "flow=%s reason=%s target=%s flows=%u busy=%u",
 			     dy_flow_id_format(flow, text), reason,
 			     dy_log_quote(holder->notice.id),
-			     dy_flow_holder_count(holder), holder->busy);
+			     dy_flow_holder_count(holder),
+			     dy_request_load_slots(&holder->load));
 }
 
 void holder_pass_on(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
@@ -230,7 +231,7 @@
 	if (flow->stage == STAGE_ENDED)
 		return;
 	if (packet->data_bytes)
-		holder_begin_request(holder, flow, packet, now_ms);
+		holder_receive_data(holder, flow, packet, now_ms);
 	if (packet->flags & DY_PACKET_FIN)
 		flow->caller_finished = 1;
 	if (packet->flags & DY_PACKET_RST ||
@@ -327,6 +328,20 @@
 	holder_pass_on(holder, &forward, packet, 1);
 }
 
+/* Handles data of the target, the first of which ends a request. */
+static void handle_answer(dy_flow_holder_t *holder, held_flow_t *flow,
+			  uint64_t now_ms)
+{
+	if (!flow->busy)
+		return;
+	dy_histogram_add(&holder->answer_ms, now_ms - flow->busy_since_ms);
+	if (!flow->receiving)
+		dy_request_load_add_times(
+			&holder->load, flow->received_ms - flow->busy_since_ms,
+			now_ms - flow->received_ms);
+	holder_end_request(holder, flow, "answered", now_ms);
+}
+
 static void update_from_target(dy_flow_holder_t *holder, held_flow_t *flow,
 			       const dy_packet_t *packet, uint64_t now_ms)
 {
@@ -338,11 +353,8 @@
 		flow->target_seq = packet->seq;
 	}
 	holder_touch(holder, flow, now_ms);
-	if (packet->data_bytes && flow->busy)
-		dy_histogram_add(&holder->answer_ms,
-				 now_ms - flow->busy_since_ms);
 	if (packet->data_bytes)
-		holder_end_request(holder, flow, "answered", now_ms);
+		handle_answer(holder, flow, now_ms);
 	if (packet->flags & DY_PACKET_FIN)
 		flow->target_finished = 1;
 	if (packet->flags & DY_PACKET_RST ||
--- a/src/connection/flow_holder_flows.c
+++ b/src/connection/flow_holder_flows.c
@@ -19,18 +19,18 @@
 		     dy_log_quote(flow->request_id),
 		     dy_flow_id_format(&flow->id, text), outcome,
 		     (unsigned long)(now_ms - flow->busy_since_ms),
-		     dy_log_quote(holder->notice.id), holder->busy,
+		     dy_log_quote(holder->notice.id),
+		     dy_request_load_slots(&holder->load),
 		     holder->notice.slots);
 }
 
-void holder_begin_request(dy_flow_holder_t *holder, held_flow_t *flow,
+static void begin_request(dy_flow_holder_t *holder, held_flow_t *flow,
 			  const dy_packet_t *packet, uint64_t now_ms)
 {
-	if (flow->busy)
-		return;
 	flow->busy = 1;
+	flow->receiving = 1;
 	flow->busy_since_ms = now_ms;
-	holder->busy++;
+	dy_request_load_begin(&holder->load);
 	dy_list_append(&holder->requests, &flow->request_link);
 	g_snprintf(flow->request_id, sizeof(flow->request_id), "%.*s",
 		   packet->request_id ? (int)packet->request_id_len : 0,
@@ -38,13 +38,25 @@
 	log_request(holder, "request_begun", flow, "given_to_target", now_ms);
 }
 
+void holder_receive_data(dy_flow_holder_t *holder, held_flow_t *flow,
+			 const dy_packet_t *packet, uint64_t now_ms)
+{
+	if (!flow->busy)
+		begin_request(holder, flow, packet, now_ms);
+	if (packet->full || !flow->receiving)
+		return;
+	flow->receiving = 0;
+	flow->received_ms = now_ms;
+	dy_request_load_complete(&holder->load);
+}
+
 void holder_end_request(dy_flow_holder_t *holder, held_flow_t *flow,
 			const char *outcome, uint64_t now_ms)
 {
 	if (!flow->busy)
 		return;
 	flow->busy = 0;
-	holder->busy--;
+	dy_request_load_end(&holder->load, !flow->receiving);
 	dy_list_remove(&flow->request_link);
 	log_request(holder, "request_ended", flow, outcome, now_ms);
 }
--- a/src/connection/flow_holder_openings.c
+++ b/src/connection/flow_holder_openings.c
@@ -31,7 +31,7 @@
 		is_new ? max_requests
 		       : MIN(max_requests, slots + DY_QUEUED_EXTRA_REQUESTS);
 	const dy_list_t *half_open = &holder->stages[STAGE_HALF_OPEN];
-	unsigned expected = holder->busy;
+	unsigned expected = dy_request_load_slots(&holder->load);
 	const dy_list_t *pos;
 
 	for (pos = half_open->prev; pos != half_open && expected < limit;
--- a/src/connection/flow_holder_private.h
+++ b/src/connection/flow_holder_private.h
@@ -16,6 +16,7 @@
 #include "damaskyard/list.h"
 #include "damaskyard/log.h"
 #include "damaskyard/opening_queue.h"
+#include "damaskyard/request_load.h"
 
 /* Size of a request's id in a log line, with its terminating NUL. */
 #define REQUEST_ID_BYTES 40
@@ -39,8 +40,10 @@
 	uint64_t open_since_ms; /* caller's first non-SYN packet; 0: none */
 	uint32_t ack_at_open;	/* caller_ack at that time */
 	int busy;		/* a request has no answer yet */
+	int receiving;		/* and more of its data is to come */
 	dy_list_t request_link; /* in the list of requests while busy */
 	uint64_t busy_since_ms; /* start of the request */
+	uint64_t received_ms;	/* its last packet; 0 while receiving */
 	char request_id[REQUEST_ID_BYTES]; /* id of the request, for logs */
 	int caller_finished;
 	int target_finished;
@@ -82,7 +85,7 @@
 	dy_list_t stages[STAGE_COUNT];
 	unsigned counts[STAGE_COUNT];
 	dy_list_t requests; /* without an answer, oldest first */
-	unsigned busy;	    /* length of requests */
+	dy_request_load_t load;
 	dy_opening_queue_t *queued_openings; /* wait for capacity */
 	pending_forward_t *pending_forwards;
 	uint32_t last_tag;
@@ -158,9 +161,12 @@
 /* Drops the flows of a stage that were idle for timeout_ms. */
 void holder_expire_stage(dy_flow_holder_t *holder, held_stage_t stage,
 			 uint64_t timeout_ms, uint64_t now_ms);
-/* Starts a request with the caller's data, unless one has no answer yet. */
-void holder_begin_request(dy_flow_holder_t *holder, held_flow_t *flow,
-			  const dy_packet_t *packet, uint64_t now_ms);
+/*
+ * Records the caller's data: it starts a request, or goes on with the one that
+ * has no answer yet.
+ */
+void holder_receive_data(dy_flow_holder_t *holder, held_flow_t *flow,
+			 const dy_packet_t *packet, uint64_t now_ms);
 void holder_end_request(dy_flow_holder_t *holder, held_flow_t *flow,
 			const char *outcome, uint64_t now_ms);
 /* Ends the requests that have had no answer for DY_REQUEST_TIMEOUT_MS. */
--- a/tests/test_flow_openings.c
+++ b/tests/test_flow_openings.c
@@ -46,6 +46,56 @@
 }
 END_TEST
 
+/*
+ * Passes packets of an upload on flow number: `full` full ones in full_ms and,
+ * with last, the last one.
+ */
+static void upload(unsigned number, unsigned full, uint64_t full_ms, int last)
+{
+	dy_packet_t packet =
+		fake_holder_packet(number, DY_PACKET_ACK, 0, 501, 1200);
+	unsigned i;
+
+	packet.full = 1;
+	for (i = 0; i < full; i++) {
+		fake_holder_send_forward(FAKE_HOLDER_SERVICE, &packet, 1);
+		fake_holder.now_ms += full_ms / full;
+	}
+	if (!last)
+		return;
+	packet = fake_holder_packet(number, DY_PACKET_ACK, 0, 501, 300);
+	fake_holder_send_forward(FAKE_HOLDER_SERVICE, &packet, 1);
+}
+
+/*
+ * Uploads take 400 ms to arrive through thin links and 4 ms to run. Guards
+ * against a target that is idle and refuses openings for the uploads that
+ * arrive. Complete ones without an answer do fill it.
+ */
+START_TEST(admits_openings_while_uploads_arrive)
+{
+	unsigned i;
+
+	fake_holder_begin();
+	for (i = 0; i < 20; i++) {
+		fake_holder_open_flow(i);
+		upload(i, 4, 400, 1);
+		fake_holder.now_ms += 4;
+		fake_holder_from_target(i, DY_PACKET_ACK, 500, 300);
+	}
+	for (i = 20; i < 20 + 2 * FAKE_HOLDER_CAPACITY; i++) {
+		fake_holder_open_flow(i);
+		upload(i, 2, 0, 0);
+	}
+	ck_assert_uint_eq(fake_holder.passed_on, 0);
+	for (i = 20; i < 20 + 2 * FAKE_HOLDER_CAPACITY; i++)
+		upload(i, 1, 0, 1);
+	fake_holder_from_caller(90, DY_PACKET_SYN, 0, 0);
+	ck_assert_uint_eq(fake_holder.passed_on, 1);
+	fake_holder_end();
+}
+END_TEST
+
 /* Opens as many flows as the target has capacity for, each with a request. */
 static void fill_target(void)
 {
@@ -376,6 +426,7 @@
 	const TTest *const tests[] = {
 		passes_on_opening_for_other_service,
 		passes_on_openings_above_capacity,
+		admits_openings_while_uploads_arrive,
 		admits_newest_queued_opening_first,
 		reserves_capacity_for_new_opening,
 		refuses_opening_after_maximum_wait,
