--- a/include/damaskyard/flow_router.h
+++ b/include/damaskyard/flow_router.h
@@ -125,6 +125,13 @@
 /* Expires idle flows. Call it several times per second. */
 void dy_flow_router_expire(dy_flow_router_t *router, uint64_t now_ms);
 
+/*
+ * Returns whether the forward can be sent in its short form: it goes to the
+ * known holder of an open flow, and that agent accepts deliveries.
+ */
+int dy_flow_router_is_delivery(const dy_flow_router_t *router,
+			       const dy_flow_forward_t *forward);
+
 /* Returns the number of cached flows. */
 unsigned dy_flow_router_count(const dy_flow_router_t *router);
 
--- a/include/damaskyard/flow_targets.h
+++ b/include/damaskyard/flow_targets.h
@@ -111,6 +111,15 @@
 			      const dy_address_t *agent,
 			      const dy_flow_load_t *load, uint64_t now_ms);
 
+/*
+ * Set and get whether the agent accepts the short form of a forward; agents of
+ * older builds do not.
+ */
+void dy_flow_targets_set_deliveries(dy_flow_targets_t *targets,
+				    const dy_address_t *agent, int deliveries);
+int dy_flow_targets_accepts_deliveries(const dy_flow_targets_t *targets,
+				       const dy_address_t *agent);
+
 /*
  * Set how many messages the agent received directly from this balancer; see
  * dy_flow_path_receive_report(). Returns whether the path became broken or
--- a/proto/dy_flow.x
+++ b/proto/dy_flow.x
@@ -53,12 +53,22 @@
 	unsigned int cold_openings;
 };
 
+/*
+ * A packet of an open flow for the agent that holds it, a short form of a
+ * forward with that agent alone in tries. The balancer is the sender.
+ */
+struct dy_flow_delivery_t {
+	unsigned int order;	/* as in a forward */
+	opaque packet<DY_PACKET_BYTES>;
+};
+
 /* The agent holds the flow. */
 struct dy_flow_held_t {
 	dy_flow_id_t flow;
 	dy_address_t agent;
 	bool open;		/* the target received the final ACK */
 	dy_flow_load_t load;
+	bool deliveries;	/* the agent accepts DELIVERY */
 };
 
 enum dy_flow_reason_t {
@@ -122,6 +132,7 @@
 		void DY_FLOW_INQUIRY(dy_flow_inquiry_t) = 3;
 		void DY_FLOW_PROBE(dy_flow_probe_t) = 4;
 		void DY_FLOW_ECHO(dy_flow_echo_t) = 5;
+		void DY_FLOW_DELIVERY(dy_flow_delivery_t) = 6;
 	} = 1;
 } = 0x2A00D009;
 
--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -122,6 +122,7 @@
 	held.flow = *flow;
 	held.agent = holder->config.self;
 	held.open = open;
+	held.deliveries = 1;
 	fill_load(holder, &held.load, now_ms);
 	holder->config.callbacks->held(holder->config.context, balancer, &held);
 }
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -630,6 +630,8 @@
 
 	dy_flow_targets_set_load(router->targets, &held->agent, &held->load,
 				 now_ms);
+	dy_flow_targets_set_deliveries(router->targets, &held->agent,
+				       held->deliveries);
 	/* A half-open holder does not replace an open one. */
 	if (flow->open && !held->open &&
 	    !dy_address_equal(&flow->agent, &held->agent))
@@ -772,6 +774,15 @@
 	}
 }
 
+int dy_flow_router_is_delivery(const dy_flow_router_t *router,
+			       const dy_flow_forward_t *forward)
+{
+	return !forward->window && !forward->tell && !forward->complete &&
+	       forward->certain && forward->tries.tries_len == 1 &&
+	       dy_flow_targets_accepts_deliveries(router->targets,
+						  &forward->tries.tries_val[0]);
+}
+
 unsigned dy_flow_router_count(const dy_flow_router_t *router)
 {
 	return g_hash_table_size(router->flows);
--- a/src/gen/dy_flow.h
+++ b/src/gen/dy_flow.h
@@ -55,11 +55,21 @@
 };
 typedef struct dy_flow_forward_t dy_flow_forward_t;
 
+struct dy_flow_delivery_t {
+	u_int order;
+	struct {
+		u_int packet_len;
+		char *packet_val;
+	} packet;
+};
+typedef struct dy_flow_delivery_t dy_flow_delivery_t;
+
 struct dy_flow_held_t {
 	dy_flow_id_t flow;
 	dy_address_t agent;
 	bool_t open;
 	dy_flow_load_t load;
+	bool_t deliveries;
 };
 typedef struct dy_flow_held_t dy_flow_held_t;
 
@@ -141,6 +151,9 @@
 #define DY_FLOW_ECHO 5
 extern  void * dy_flow_echo_1(dy_flow_echo_t *, CLIENT *);
 extern  void * dy_flow_echo_1_svc(dy_flow_echo_t *, struct svc_req *);
+#define DY_FLOW_DELIVERY 6
+extern  void * dy_flow_delivery_1(dy_flow_delivery_t *, CLIENT *);
+extern  void * dy_flow_delivery_1_svc(dy_flow_delivery_t *, struct svc_req *);
 extern int dy_flow_agent_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -162,6 +175,9 @@
 #define DY_FLOW_ECHO 5
 extern  void * dy_flow_echo_1();
 extern  void * dy_flow_echo_1_svc();
+#define DY_FLOW_DELIVERY 6
+extern  void * dy_flow_delivery_1();
+extern  void * dy_flow_delivery_1_svc();
 extern int dy_flow_agent_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -211,6 +227,7 @@
 extern  bool_t xdr_dy_flow_id_t (XDR *, dy_flow_id_t*);
 extern  bool_t xdr_dy_flow_load_t (XDR *, dy_flow_load_t*);
 extern  bool_t xdr_dy_flow_forward_t (XDR *, dy_flow_forward_t*);
+extern  bool_t xdr_dy_flow_delivery_t (XDR *, dy_flow_delivery_t*);
 extern  bool_t xdr_dy_flow_held_t (XDR *, dy_flow_held_t*);
 extern  bool_t xdr_dy_flow_reason_t (XDR *, dy_flow_reason_t*);
 extern  bool_t xdr_dy_flow_nowhere_t (XDR *, dy_flow_nowhere_t*);
@@ -225,6 +242,7 @@
 extern bool_t xdr_dy_flow_id_t ();
 extern bool_t xdr_dy_flow_load_t ();
 extern bool_t xdr_dy_flow_forward_t ();
+extern bool_t xdr_dy_flow_delivery_t ();
 extern bool_t xdr_dy_flow_held_t ();
 extern bool_t xdr_dy_flow_reason_t ();
 extern bool_t xdr_dy_flow_nowhere_t ();
--- a/src/gen/dy_flow_xdr.c
+++ b/src/gen/dy_flow_xdr.c
@@ -228,6 +228,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dy_flow_delivery_t (XDR *xdrs, dy_flow_delivery_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->order))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->packet.packet_val, (u_int *) &objp->packet.packet_len, DY_PACKET_BYTES))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dy_flow_held_t (XDR *xdrs, dy_flow_held_t *objp)
 {
@@ -241,6 +253,8 @@
 		 return FALSE;
 	 if (!xdr_dy_flow_load_t (xdrs, &objp->load))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->deliveries))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/process/flow/cmd_flow_agent.c
+++ b/src/process/flow/cmd_flow_agent.c
@@ -202,29 +202,63 @@
 	++*agent->malformed;
 }
 
+static void handle_forward(flow_agent_t *agent, dy_flow_forward_t *forward)
+{
+	uint8_t *bytes = (uint8_t *)forward->packet.packet_val;
+	dy_packet_t packet;
+
+	if (platform_packet_load(bytes, forward->packet.packet_len,
+				 PLATFORM_FROM_CALLER, &packet)) {
+		++*agent->malformed;
+		return;
+	}
+	if (packet.data_bytes)
+		platform_packet_find_request_id(bytes, &packet);
+	dy_flow_holder_receive_forward(agent->holder, forward, &packet,
+				       now_ms(agent));
+}
+
 static void receive_forward(flow_agent_t *agent, const dy_sealed_t *message)
 {
 	static char packet_buf[DY_PACKET_BYTES];
 	static char service_buf[DY_NAME_BYTES + 1];
 	static dy_address_t tries_buf[DY_FLOW_TRIES];
 	dy_flow_forward_t forward = { 0 };
-	dy_packet_t packet;
 
 	forward.service = service_buf;
 	forward.packet.packet_val = packet_buf;
 	forward.tries.tries_val = tries_buf;
-	if (!dy_sealed_load_in_place(message, (xdrproc_t)xdr_dy_flow_forward_t,
-				     &forward) ||
-	    platform_packet_load((uint8_t *)packet_buf,
-				 forward.packet.packet_len,
-				 PLATFORM_FROM_CALLER, &packet)) {
+	if (dy_sealed_load_in_place(message, (xdrproc_t)xdr_dy_flow_forward_t,
+				    &forward))
+		handle_forward(agent, &forward);
+	else
+		++*agent->malformed;
+}
+
+/* Expands a delivery to the forward that it stands for. */
+static void receive_delivery(flow_agent_t *agent, const dy_sealed_t *message,
+			     const struct sockaddr *from)
+{
+	static char packet_buf[DY_PACKET_BYTES];
+	dy_flow_delivery_t delivery = { 0 };
+	dy_flow_forward_t forward = { 0 };
+	dy_address_t self = agent->member.settings.inner;
+
+	delivery.packet.packet_val = packet_buf;
+	if (!dy_sealed_load_in_place(message, (xdrproc_t)xdr_dy_flow_delivery_t,
+				     &delivery)) {
 		++*agent->malformed;
 		return;
 	}
-	if (packet.data_bytes)
-		platform_packet_find_request_id((uint8_t *)packet_buf, &packet);
-	dy_flow_holder_receive_forward(agent->holder, &forward, &packet,
-				       now_ms(agent));
+	forward.service = "";
+	dy_address_load(&forward.balancer, from);
+	forward.certain = 1;
+	forward.tries.tries_val = &self;
+	forward.tries.tries_len = 1;
+	forward.packet.packet_val = packet_buf;
+	forward.packet.packet_len = delivery.packet.packet_len;
+	forward.order = delivery.order;
+	handle_forward(agent, &forward);
 }
 
 static void receive_report_request(flow_agent_t *agent,
@@ -257,6 +291,9 @@
 	if (message.program == DY_FLOW_AGENT_PROGRAM &&
 	    message.procedure == DY_FLOW_FORWARD)
 		receive_forward(agent, &message);
+	else if (message.program == DY_FLOW_AGENT_PROGRAM &&
+		 message.procedure == DY_FLOW_DELIVERY)
+		receive_delivery(agent, &message, from);
 	else if (message.program == DY_FLOW_AGENT_PROGRAM &&
 		 message.procedure == DY_FLOW_ASK)
 		receive_report_request(agent, &message);
--- a/src/process/flow/cmd_flow_balancer.c
+++ b/src/process/flow/cmd_flow_balancer.c
@@ -378,8 +378,8 @@
 				   on_packet, balancer, error);
 	if (!balancer->packets)
 		return FALSE;
-	balancer->sender =
-		link_sender_create(&balancer->member, balancer->packets);
+	balancer->sender = link_sender_create(
+		&balancer->member, balancer->packets, balancer->router);
 	balancer->http = dy_http_server_create(
 		balancer->member.loop, balancer->member.metrics, &http, error);
 	return balancer->http != NULL;
--- a/src/process/flow/link_sender.c
+++ b/src/process/flow/link_sender.c
@@ -10,6 +10,7 @@
 struct link_sender {
 	flow_member_t *member;
 	const dy_endpoint_t *packets;
+	const dy_flow_router_t *router;
 	dy_link_queue_t *queue;
 	uv_timer_t *timer; /* runs while forwards wait */
 	uint64_t charged_bytes;
@@ -19,14 +20,32 @@
 
 static void on_timer(uv_timer_t *timer);
 
+static size_t send_delivery(link_sender_t *sender,
+			    const dy_flow_forward_t *forward)
+{
+	dy_flow_delivery_t delivery = { 0 };
+
+	delivery.order = forward->order;
+	delivery.packet.packet_val = forward->packet.packet_val;
+	delivery.packet.packet_len = forward->packet.packet_len;
+	return flow_member_send(sender->member, &forward->tries.tries_val[0],
+				DY_FLOW_AGENT_PROGRAM, DY_FLOW_DELIVERY,
+				(xdrproc_t)xdr_dy_flow_delivery_t, &delivery);
+}
+
 static size_t send_now(void *context, dy_flow_forward_t *forward)
 {
 	link_sender_t *sender = context;
-	size_t bytes = flow_member_send(
-		sender->member, &forward->tries.tries_val[forward->step],
-		DY_FLOW_AGENT_PROGRAM, DY_FLOW_FORWARD,
-		(xdrproc_t)xdr_dy_flow_forward_t, forward);
-
+	size_t bytes;
+
+	if (dy_flow_router_is_delivery(sender->router, forward))
+		bytes = send_delivery(sender, forward);
+	else
+		bytes = flow_member_send(
+			sender->member,
+			&forward->tries.tries_val[forward->step],
+			DY_FLOW_AGENT_PROGRAM, DY_FLOW_FORWARD,
+			(xdrproc_t)xdr_dy_flow_forward_t, forward);
 	sender->charged_bytes += bytes;
 	return bytes;
 }
@@ -85,13 +104,15 @@
 }
 
 link_sender_t *link_sender_create(flow_member_t *member,
-				  const dy_endpoint_t *packets)
+				  const dy_endpoint_t *packets,
+				  const dy_flow_router_t *router)
 {
 	link_sender_t *sender = g_new0(link_sender_t, 1);
 	dy_link_queue_config_t config = { 0 };
 
 	sender->member = member;
 	sender->packets = packets;
+	sender->router = router;
 	sender->timer = g_new0(uv_timer_t, 1);
 	uv_timer_init(dy_loop_uv(member->loop), sender->timer);
 	sender->timer->data = sender;
--- a/src/process/flow/link_sender.h
+++ b/src/process/flow/link_sender.h
@@ -7,17 +7,18 @@
  * messages and the endpoint for packets send is charged to the link.
  */
 
-#include "damaskyard/packet.h"
+#include "damaskyard/flow_router.h"
 #include "flow_member.h"
 
 typedef struct link_sender link_sender_t;
 
 /*
- * Create a sender. member and packets must outlive it. The rate is that of the
+ * Create a sender. All arguments must outlive it. The rate is that of the
  * member's settings.
  */
 link_sender_t *link_sender_create(flow_member_t *member,
-				  const dy_endpoint_t *packets);
+				  const dy_endpoint_t *packets,
+				  const dy_flow_router_t *router);
 
 /* Free the sender and drop what waits. NULL is allowed. */
 void link_sender_destroy(link_sender_t *sender);
--- a/src/version/flow_targets.c
+++ b/src/version/flow_targets.c
@@ -19,6 +19,7 @@
 	int evacuated; /* its domain is evacuated */
 	int serving;
 	int suspect;
+	int deliveries; /* the agent accepts DELIVERY */
 	dy_flow_load_t load;
 	uint32_t opened; /* flows opened since its last report */
 	uint64_t avoided_until_ms;
@@ -217,6 +218,7 @@
 	if (target->incarnation != member->incarnation) {
 		memset(&target->load, 0, sizeof(target->load));
 		target->opened = 0;
+		target->deliveries = 0;
 		target->avoided_until_ms = 0;
 		memset(&target->silence, 0, sizeof(target->silence));
 		memset(&target->path, 0, sizeof(target->path));
@@ -254,6 +256,23 @@
 	targets->last_report_ms = now_ms;
 }
 
+void dy_flow_targets_set_deliveries(dy_flow_targets_t *targets,
+				    const dy_address_t *agent, int deliveries)
+{
+	target_t *target = find_by_address(targets, agent);
+
+	if (target)
+		target->deliveries = deliveries;
+}
+
+int dy_flow_targets_accepts_deliveries(const dy_flow_targets_t *targets,
+				       const dy_address_t *agent)
+{
+	const target_t *target = find_by_address(targets, agent);
+
+	return target && target->deliveries;
+}
+
 int dy_flow_targets_set_received(dy_flow_targets_t *targets,
 				 const dy_address_t *agent, uint32_t received,
 				 uint64_t now_ms)
--- a/tests/test_flow_router.c
+++ b/tests/test_flow_router.c
@@ -479,6 +479,50 @@
 }
 END_TEST
 
+static void receive_held_of(unsigned agent, int open, int deliveries)
+{
+	dy_flow_held_t held = { 0 };
+
+	held.flow = fake_router_packet(1, 0, 0).flow;
+	held.agent = fake_router_agent(agent);
+	held.open = open;
+	held.deliveries = deliveries;
+	dy_flow_router_receive_held(fake_router.router, &held,
+				    fake_router.now_ms);
+}
+
+static int is_last_forward_a_delivery(void)
+{
+	dy_flow_forward_t forward = fake_router.forward;
+
+	forward.tries.tries_val = fake_router.tries;
+	return dy_flow_router_is_delivery(fake_router.router, &forward);
+}
+
+/*
+ * Guards against the short form where the agent needs the rest of the forward:
+ * openings, searches, flows that are not open, agents of an older build.
+ */
+START_TEST(uses_short_form_only_for_holder_of_open_flow)
+{
+	fake_router_begin(2);
+	fake_router_receive_packet(1, DY_PACKET_SYN, 0);
+	ck_assert(!is_last_forward_a_delivery());
+	fake_router_receive_packet(2, DY_PACKET_ACK, 5);
+	ck_assert(!is_last_forward_a_delivery());
+	receive_held_of(1, 0, 1);
+	fake_router_receive_packet(1, DY_PACKET_ACK, 5);
+	ck_assert(!is_last_forward_a_delivery());
+	receive_held_of(1, 1, 1);
+	fake_router_receive_packet(1, DY_PACKET_ACK, 5);
+	ck_assert(is_last_forward_a_delivery());
+	receive_held_of(1, 1, 0);
+	fake_router_receive_packet(1, DY_PACKET_ACK, 5);
+	ck_assert(!is_last_forward_a_delivery());
+	fake_router_end();
+}
+END_TEST
+
 /* A caller that resets its flow itself gets no reset. */
 START_TEST(does_not_answer_reset_of_caller)
 {
@@ -570,6 +614,7 @@
 		does_not_reset_without_member_confirmation,
 		does_not_reset_when_all_agents_are_silent,
 		does_not_reset_flow_opened_elsewhere,
+		uses_short_form_only_for_holder_of_open_flow,
 		does_not_answer_reset_of_caller,
 		drops_packet_without_entry,
 		expires_idle_flows,
