--- a/include/damaskyard/flow_router.h
+++ b/include/damaskyard/flow_router.h
@@ -41,8 +41,9 @@
 
 typedef struct dy_flow_router_callbacks {
 	/*
-	 * Sends forward to the agent at forward->tries[0]. packet is the
-	 * decoded forward->packet.
+	 * Sends forward to the agent at forward->tries[0], now or later, and
+	 * then calls dy_flow_router_note_sent(). packet is the decoded
+	 * forward->packet.
 	 */
 	void (*forward)(void *context, dy_flow_forward_t *forward,
 			const dy_packet_t *packet);
@@ -125,6 +126,11 @@
 /* Expires idle flows. Call it several times per second. */
 void dy_flow_router_expire(dy_flow_router_t *router, uint64_t now_ms);
 
+/* Record that a forward left; its agent owes a report from then on. */
+void dy_flow_router_note_sent(dy_flow_router_t *router,
+			      const dy_flow_forward_t *forward,
+			      uint64_t now_ms);
+
 /*
  * Returns whether the forward can be sent in its short form: it goes to the
  * known holder of an open flow, and that agent accepts deliveries.
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -215,11 +215,8 @@
 }
 
 static void send_forward(dy_flow_router_t *router, dy_flow_forward_t *forward,
-			 const dy_packet_t *packet, uint8_t *bytes, size_t len,
-			 uint64_t now_ms)
+			 const dy_packet_t *packet, uint8_t *bytes, size_t len)
 {
-	dy_flow_targets_note_sent(router->targets, &forward->tries.tries_val[0],
-				  now_ms);
 	forward->balancer = router->config.self;
 	forward->order = router->order;
 	forward->packet.packet_val = (char *)bytes;
@@ -270,7 +267,7 @@
 	forward.tries.tries_val = path;
 	forward.tries.tries_len = find_path(router, flow, now_ms, path);
 	forward.certain = forward.tries.tries_len == 1;
-	send_forward(router, &forward, packet, bytes, len, now_ms);
+	send_forward(router, &forward, packet, bytes, len);
 }
 
 static const dy_flow_entry_t *find_entry(const dy_flow_router_t *router,
@@ -404,7 +401,7 @@
 	forward.complete = 1;
 	forward.tries.tries_val = list;
 	forward.tries.tries_len = append_best_candidate(list, count);
-	send_forward(router, &forward, packet, bytes, len, now_ms);
+	send_forward(router, &forward, packet, bytes, len);
 }
 
 /*
@@ -524,7 +521,7 @@
 	forward.certain = progress->certain;
 	forward.tries.tries_val = list;
 	forward.tries.tries_len = count;
-	send_forward(router, &forward, packet, bytes, len, now_ms);
+	send_forward(router, &forward, packet, bytes, len);
 }
 
 static const search_progress_t search_start = { 1, 1 };
@@ -774,6 +771,13 @@
 	}
 }
 
+void dy_flow_router_note_sent(dy_flow_router_t *router,
+			      const dy_flow_forward_t *forward, uint64_t now_ms)
+{
+	dy_flow_targets_note_sent(router->targets, &forward->tries.tries_val[0],
+				  now_ms);
+}
+
 int dy_flow_router_is_delivery(const dy_flow_router_t *router,
 			       const dy_flow_forward_t *forward)
 {
--- a/src/process/flow/link_sender.c
+++ b/src/process/flow/link_sender.c
@@ -10,7 +10,7 @@
 struct link_sender {
 	flow_member_t *member;
 	const dy_endpoint_t *packets;
-	const dy_flow_router_t *router;
+	dy_flow_router_t *router;
 	dy_link_queue_t *queue;
 	uv_timer_t *timer; /* runs while forwards wait */
 	uint64_t charged_bytes;
@@ -46,6 +46,8 @@
 			&forward->tries.tries_val[forward->step],
 			DY_FLOW_AGENT_PROGRAM, DY_FLOW_FORWARD,
 			(xdrproc_t)xdr_dy_flow_forward_t, forward);
+	dy_flow_router_note_sent(sender->router, forward,
+				 dy_loop_now_ms(sender->member->loop));
 	sender->charged_bytes += bytes;
 	return bytes;
 }
@@ -105,7 +107,7 @@
 
 link_sender_t *link_sender_create(flow_member_t *member,
 				  const dy_endpoint_t *packets,
-				  const dy_flow_router_t *router)
+				  dy_flow_router_t *router)
 {
 	link_sender_t *sender = g_new0(link_sender_t, 1);
 	dy_link_queue_config_t config = { 0 };
--- a/src/process/flow/link_sender.h
+++ b/src/process/flow/link_sender.h
@@ -18,7 +18,7 @@
  */
 link_sender_t *link_sender_create(flow_member_t *member,
 				  const dy_endpoint_t *packets,
-				  const dy_flow_router_t *router);
+				  dy_flow_router_t *router);
 
 /* Free the sender and drop what waits. NULL is allowed. */
 void link_sender_destroy(link_sender_t *sender);
--- a/tests/fake_router.c
+++ b/tests/fake_router.c
@@ -16,6 +16,9 @@
 	       forward->tries.tries_len * sizeof(fake_router.tries[0]));
 	g_strlcpy(fake_router.service, forward->service,
 		  sizeof(fake_router.service));
+	if (!fake_router.keeps_forwards)
+		dy_flow_router_note_sent(fake_router.router, forward,
+					 fake_router.now_ms);
 }
 
 static void on_reset(void *context, const dy_flow_id_t *flow, uint32_t seq)
--- a/tests/fake_router.h
+++ b/tests/fake_router.h
@@ -22,6 +22,7 @@
 	dy_flow_forward_t forward;
 	dy_address_t tries[DY_FLOW_TRIES];
 	char service[64];
+	int keeps_forwards; /* none leaves, as with a full link */
 	unsigned resets;
 	uint32_t reset_seq;
 	unsigned confirm_requests;
--- a/tests/test_flow_router.c
+++ b/tests/test_flow_router.c
@@ -132,6 +132,31 @@
 }
 END_TEST
 
+/*
+ * Forwards wait for the link of this balancer. Guards against taking the path
+ * to their agent for broken, or the agent for silent, because nothing arrives.
+ */
+START_TEST(keeps_path_while_forwards_wait)
+{
+	dy_address_t holder = fake_router_agent(1);
+	unsigned i;
+
+	fake_router_begin(3);
+	fake_router.keeps_forwards = 1;
+	fake_router_receive_held(1, &holder, 1);
+	fake_router_receive_report_with(1, 5);
+	for (i = 0; i < 50; i++) {
+		fake_router.now_ms += 20;
+		fake_router_receive_packet(1, DY_PACKET_ACK, 5);
+	}
+	fake_router_receive_report_with(1, 5);
+	fake_router_receive_packet(1, DY_PACKET_ACK, 5);
+	ck_assert_uint_eq(fake_router.forward.tries.tries_len, 1);
+	ck_assert_uint_eq(fake_router.inquiries, 0);
+	fake_router_end();
+}
+END_TEST
+
 /* Guards against opening new flows on a broken path. */
 START_TEST(avoids_broken_path_for_new_flows)
 {
@@ -599,6 +624,7 @@
 		spreads_last_candidates_over_targets,
 		ignores_older_rules,
 		relays_open_flow_around_broken_path,
+		keeps_path_while_forwards_wait,
 		avoids_broken_path_for_new_flows,
 		sends_cold_rate_with_opening,
 		sends_retransmitted_syn_to_other_agent,
