--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -1,61 +1,8 @@
-#include "damaskyard/flow_router.h"
+#include "flow_router_private.h"
 
 #include <string.h>
 
-#include <glib.h>
-
 #include "damaskyard/address.h"
-#include "damaskyard/list.h"
-#include "damaskyard/log.h"
-#include "damaskyard/search_limit.h"
-
-/* A cached flow. */
-typedef struct flow {
-	dy_list_t link; /* in by_use, ordered by used_ms */
-	dy_flow_id_t id;
-	dy_address_t agent;  /* port 0: unknown */
-	int holder_reported; /* the agent reported that it holds the flow */
-	int open;	     /* the agent reported the complete handshake */
-	uint64_t used_ms;
-	dy_search_slot_t search;
-	dy_list_t not_found_link;     /* in the router's list of such flows */
-	uint64_t not_found_ms;	      /* when a search found no holder */
-	uint32_t not_found_order;     /* order of that search */
-	unsigned searches;	      /* since the holder was last found */
-	dy_packet_t not_found_packet; /* the packet of that search */
-} flow_t;
-
-/* Progress of a search for a flow's holder. */
-typedef struct search_progress {
-	unsigned window;
-	int certain; /* all agents asked so far were certain */
-} search_progress_t;
-
-struct dy_flow_router {
-	dy_flow_router_config_t config;
-	dy_flow_targets_t *targets;
-	dy_flow_rules_t *rules;
-	GHashTable *flows;
-	dy_list_t by_use;
-	dy_list_t not_found;
-	dy_search_limit_t searches;
-	/* Version of the search order (of members and rules); never 0. */
-	uint32_t order;
-	dy_log_limit_t assigned_limit;
-	dy_log_limit_t reset_limit;
-	dy_log_limit_t searched_limit;
-	uint64_t *packets;
-	uint64_t *opened;
-	uint64_t *searched;
-	uint64_t *deferred;
-	uint64_t *resets;
-	uint64_t *refused;
-	uint64_t *no_entry;
-	uint64_t *unplaced;
-	uint64_t *second_chances;
-	uint64_t *relayed;
-	dy_log_limit_t path_limit;
-};
 
 static void register_counters(dy_flow_router_t *router)
 {
@@ -140,14 +87,14 @@
 				   domain->evacuated);
 }
 
-static void touch(dy_flow_router_t *router, flow_t *flow, uint64_t now_ms)
+void router_touch(dy_flow_router_t *router, flow_t *flow, uint64_t now_ms)
 {
 	flow->used_ms = now_ms;
 	dy_list_remove(&flow->link);
 	dy_list_append(&router->by_use, &flow->link);
 }
 
-static void drop_flow(dy_flow_router_t *router, flow_t *flow)
+void router_drop_flow(dy_flow_router_t *router, flow_t *flow)
 {
 	dy_list_remove(&flow->link);
 	dy_list_remove(&flow->not_found_link);
@@ -155,15 +102,16 @@
 	g_hash_table_remove(router->flows, &flow->id);
 }
 
-static flow_t *get_flow(dy_flow_router_t *router, const dy_flow_id_t *id,
+flow_t *router_get_flow(dy_flow_router_t *router, const dy_flow_id_t *id,
 			uint64_t now_ms)
 {
 	flow_t *flow = g_hash_table_lookup(router->flows, id);
 
 	if (!flow) {
 		if (g_hash_table_size(router->flows) >= DY_FLOWS_MAX)
-			drop_flow(router, DY_LIST_ITEM(router->by_use.next,
-						       flow_t, link));
+			router_drop_flow(router,
+					 DY_LIST_ITEM(router->by_use.next,
+						      flow_t, link));
 		flow = g_new0(flow_t, 1);
 		flow->id = *id;
 		dy_list_init(&flow->link);
@@ -171,11 +119,11 @@
 		dy_search_slot_init(&flow->search);
 		g_hash_table_insert(router->flows, &flow->id, flow);
 	}
-	touch(router, flow, now_ms);
+	router_touch(router, flow, now_ms);
 	return flow;
 }
 
-static void reset(dy_flow_router_t *router, const dy_packet_t *packet,
+void router_reset(dy_flow_router_t *router, const dy_packet_t *packet,
 		  const char *reason, uint64_t now_ms)
 {
 	char text[DY_FLOW_TEXT_BYTES];
@@ -193,28 +141,7 @@
 					packet->ack);
 }
 
-void dy_flow_router_set_members_confirmed(dy_flow_router_t *router,
-					  uint64_t polled_ms)
-{
-	dy_list_t *pos;
-	dy_list_t *tmp;
-	flow_t *flow;
-
-	dy_flow_targets_set_members_confirmed(router->targets, polled_ms);
-	DY_LIST_EACH_SAFE(pos, tmp, &router->not_found)
-	{
-		flow = DY_LIST_ITEM(pos, flow_t, not_found_link);
-		if (polled_ms <= flow->not_found_ms)
-			continue;
-		dy_list_remove(&flow->not_found_link);
-		if (flow->not_found_order != router->order)
-			continue;
-		reset(router, &flow->not_found_packet, "nowhere", polled_ms);
-		drop_flow(router, flow);
-	}
-}
-
-static void send_forward(dy_flow_router_t *router, dy_flow_forward_t *forward,
+void router_send_forward(dy_flow_router_t *router, dy_flow_forward_t *forward,
 			 const dy_packet_t *packet, uint8_t *bytes, size_t len)
 {
 	forward->balancer = router->config.self;
@@ -256,7 +183,7 @@
 	return 2;
 }
 
-static void send_to_holder(dy_flow_router_t *router, flow_t *flow,
+void router_send_to_holder(dy_flow_router_t *router, flow_t *flow,
 			   const dy_packet_t *packet, uint8_t *bytes,
 			   size_t len, uint64_t now_ms)
 {
@@ -267,10 +194,10 @@
 	forward.tries.tries_val = path;
 	forward.tries.tries_len = find_path(router, flow, now_ms, path);
 	forward.certain = forward.tries.tries_len == 1;
-	send_forward(router, &forward, packet, bytes, len);
+	router_send_forward(router, &forward, packet, bytes, len);
 }
 
-static const dy_flow_entry_t *find_entry(const dy_flow_router_t *router,
+const dy_flow_entry_t *router_find_entry(const dy_flow_router_t *router,
 					 const dy_flow_id_t *flow)
 {
 	if (!router->rules)
@@ -363,7 +290,7 @@
 static void route_opening(dy_flow_router_t *router, const dy_packet_t *packet,
 			  uint8_t *bytes, size_t len, uint64_t now_ms)
 {
-	const dy_flow_entry_t *entry = find_entry(router, &packet->flow);
+	const dy_flow_entry_t *entry = router_find_entry(router, &packet->flow);
 	flow_t *flow = g_hash_table_lookup(router->flows, &packet->flow);
 	dy_address_t list[DY_FLOW_TRIES];
 	dy_flow_forward_t forward = { 0 };
@@ -372,12 +299,12 @@
 
 	if (!entry) {
 		++*router->no_entry;
-		reset(router, packet, "no_entry", now_ms);
+		router_reset(router, packet, "no_entry", now_ms);
 		return;
 	}
 	if (flow && flow->holder_reported) {
-		touch(router, flow, now_ms);
-		send_to_holder(router, flow, packet, bytes, len, now_ms);
+		router_touch(router, flow, now_ms);
+		router_send_to_holder(router, flow, packet, bytes, len, now_ms);
 		return;
 	}
 	handle_unanswered_opening(router, flow, now_ms);
@@ -385,11 +312,11 @@
 			      list);
 	if (!count) {
 		++*router->refused;
-		reset(router, packet, "no_target", now_ms);
+		router_reset(router, packet, "no_target", now_ms);
 		return;
 	}
 	++*router->opened;
-	flow = get_flow(router, &packet->flow, now_ms);
+	flow = router_get_flow(router, &packet->flow, now_ms);
 	flow->agent = list[0];
 	dy_flow_targets_note_opened(router->targets, &list[0]);
 	log_assigned(router, flow, service, count, packet->retransmits, now_ms);
@@ -401,131 +328,9 @@
 	forward.complete = 1;
 	forward.tries.tries_val = list;
 	forward.tries.tries_len = append_best_candidate(list, count);
-	send_forward(router, &forward, packet, bytes, len);
-}
-
-/*
- * Guards against an agent that is gone without being known as lost: a search
- * ends there, and so would the search of a retransmission. Further searches of
- * a flow start further down the list, and every second one runs backwards.
- */
-static void permute_list(dy_address_t *list, unsigned count, unsigned searches)
-{
-	dy_address_t copy[DY_FLOW_TRIES];
-	unsigned i;
-
-	memcpy(copy, list, count * sizeof(*list));
-	for (i = 0; i < count; i++)
-		list[i] = searches % 2
-				  ? copy[(2 * count - 1 - i - searches / 2) %
-					 count]
-				  : copy[(i + searches / 2) % count];
-}
-
-/*
- * Logs a search, with the id of the request that starts in the packet, if any:
- * operators look up a request by this id.
- */
-static void log_searched(dy_flow_router_t *router, const dy_packet_t *packet,
-			 unsigned agents, unsigned before, uint64_t now_ms)
-{
-	char text[DY_FLOW_TEXT_BYTES];
-	char request[40] = "";
-
-	if (!dy_log_allow(&router->searched_limit, "flow_searched", now_ms))
-		return;
-	if (packet->request_id)
-		g_snprintf(request, sizeof(request), "%.*s",
-			   (int)packet->request_id_len, packet->request_id);
-	dy_log_event(DY_LOG_INFO, "flow_searched",
-		     "flow=%s request=%s agents=%u searches_before=%u",
-		     dy_flow_id_format(&packet->flow, text),
-		     dy_log_quote(request), agents, before);
-}
-
-/*
- * Moves the agents of a window, counted from 1, to the front of the list and
- * skips lost agents, at which a search would end. Advances to the next window
- * if none is left. Returns the number of agents.
- */
-static unsigned select_window(const dy_flow_router_t *router,
-			      dy_address_t *list, unsigned total,
-			      unsigned *window, uint64_t now_ms)
-{
-	unsigned count = 0;
-	unsigned i;
-
-	for (;; ++*window) {
-		i = (*window - 1) * DY_FLOW_TRIES;
-		if (i >= total)
-			return 0;
-		for (; i < MIN(total, *window * DY_FLOW_TRIES); i++)
-			if (!dy_flow_targets_is_lost(router->targets, &list[i],
-						     now_ms))
-				list[count++] = list[i];
-		if (count)
-			return count;
-	}
-}
-
-/*
- * Sends a packet along the agents that may hold its flow: those of one window,
- * counted from 1, of the search order.
- */
-static void search(dy_flow_router_t *router, const dy_packet_t *packet,
-		   uint8_t *bytes, size_t len,
-		   const search_progress_t *progress, uint64_t now_ms)
-{
-	const dy_flow_entry_t *entry = find_entry(router, &packet->flow);
-	const char *services[DY_FLOW_SHARES_MAX];
-	dy_address_t list[DY_FLOW_SEARCH_MAX];
-	uint8_t order[DY_FLOW_SHARES_MAX];
-	dy_flow_forward_t forward = { 0 };
-	unsigned window = progress->window;
-	int complete = 0;
-	flow_t *flow;
-	unsigned total;
-	unsigned count;
-	unsigned i;
-
-	if (!entry) {
-		++*router->no_entry;
-		return;
-	}
-	dy_flow_entry_order_shares(entry, &packet->flow, order);
-	for (i = 0; i < entry->share_count; i++)
-		services[i] = entry->shares[order[i]].service;
-	total = dy_flow_targets_search(router->targets, services,
-				       entry->share_count, &packet->flow,
-				       &complete, list);
-	count = select_window(router, list, total, &window, now_ms);
-	if (!count) {
-		++*router->unplaced;
-		return;
-	}
-	flow = get_flow(router, &packet->flow, now_ms);
-	/* A search that has started continues, so that slow ones complete. */
-	if (progress->window == 1 &&
-	    !dy_search_limit_begin(&router->searches, &flow->search, now_ms)) {
-		++*router->deferred;
-		return;
-	}
-	++*router->searched;
-	if (progress->window == 1) {
-		log_searched(router, packet, total, flow->searches, now_ms);
-		permute_list(list, count, flow->searches++);
-	}
-	forward.tell = 1;
-	forward.window = window;
-	forward.complete = complete && window * DY_FLOW_TRIES >= total;
-	forward.certain = progress->certain;
-	forward.tries.tries_val = list;
-	forward.tries.tries_len = count;
-	send_forward(router, &forward, packet, bytes, len);
+	router_send_forward(router, &forward, packet, bytes, len);
 }
 
-static const search_progress_t search_start = { 1, 1 };
-
 /*
  * Returns whether a flow's holder is unresponsive and its caller should go
  * elsewhere.
@@ -542,7 +347,7 @@
 static int holder_is_unresponsive(dy_flow_router_t *router, const flow_t *flow,
 				  uint64_t now_ms)
 {
-	const dy_flow_entry_t *entry = find_entry(router, &flow->id);
+	const dy_flow_entry_t *entry = router_find_entry(router, &flow->id);
 
 	if (!entry || !entry->repeatable ||
 	    !dy_flow_targets_is_unresponsive(router->targets, &flow->agent,
@@ -567,12 +372,12 @@
 						  &witnesses[i], &flow->agent);
 }
 
-static void end_flow(dy_flow_router_t *router, flow_t *flow,
+void router_end_flow(dy_flow_router_t *router, flow_t *flow,
 		     const dy_packet_t *packet, const char *reason,
 		     uint64_t now_ms)
 {
-	reset(router, packet, reason, now_ms);
-	drop_flow(router, flow);
+	router_reset(router, packet, reason, now_ms);
+	router_drop_flow(router, flow);
 }
 
 /*
@@ -585,11 +390,11 @@
 			      size_t len, uint64_t now_ms)
 {
 	if (flow->open) {
-		end_flow(router, flow, packet, "agent_lost", now_ms);
+		router_end_flow(router, flow, packet, "agent_lost", now_ms);
 		return;
 	}
-	drop_flow(router, flow);
-	search(router, packet, bytes, len, &search_start, now_ms);
+	router_drop_flow(router, flow);
+	router_search(router, packet, bytes, len, now_ms);
 }
 
 void dy_flow_router_receive_packet(dy_flow_router_t *router,
@@ -605,25 +410,26 @@
 	}
 	flow = g_hash_table_lookup(router->flows, &packet->flow);
 	if (!flow || !flow->agent.port) {
-		search(router, packet, bytes, len, &search_start, now_ms);
+		router_search(router, packet, bytes, len, now_ms);
 		return;
 	}
-	touch(router, flow, now_ms);
+	router_touch(router, flow, now_ms);
 	if (dy_flow_targets_is_lost(router->targets, &flow->agent, now_ms)) {
 		handle_lost_agent(router, flow, packet, bytes, len, now_ms);
 		return;
 	}
 	inquire_about_holder(router, flow, now_ms);
 	if (flow->open && holder_is_unresponsive(router, flow, now_ms))
-		end_flow(router, flow, packet, "agent_unresponsive", now_ms);
+		router_end_flow(router, flow, packet, "agent_unresponsive",
+				now_ms);
 	else
-		send_to_holder(router, flow, packet, bytes, len, now_ms);
+		router_send_to_holder(router, flow, packet, bytes, len, now_ms);
 }
 
 void dy_flow_router_receive_held(dy_flow_router_t *router,
 				 const dy_flow_held_t *held, uint64_t now_ms)
 {
-	flow_t *flow = get_flow(router, &held->flow, now_ms);
+	flow_t *flow = router_get_flow(router, &held->flow, now_ms);
 
 	dy_flow_targets_set_load(router->targets, &held->agent, &held->load,
 				 now_ms);
@@ -641,92 +447,6 @@
 	dy_search_limit_end(&router->searches, &flow->search);
 }
 
-/*
- * Returns whether a flow is certainly over: the agent that had it open lost it.
- */
-static int is_flow_lost(const flow_t *flow, const dy_flow_nowhere_t *nowhere)
-{
-	return nowhere->certain && flow->open &&
-	       dy_address_equal(&flow->agent, &nowhere->agent);
-}
-
-/* Waits for a confirmation of the members: no known agent holds the flow. */
-static void await_confirmation(dy_flow_router_t *router, flow_t *flow,
-			       const dy_flow_nowhere_t *nowhere,
-			       const dy_packet_t *packet, uint64_t now_ms)
-{
-	flow->not_found_ms = now_ms;
-	flow->not_found_order = nowhere->order;
-	flow->not_found_packet = *packet;
-	/* The id points into a packet that is not kept. */
-	flow->not_found_packet.request_id = NULL;
-	dy_list_remove(&flow->not_found_link);
-	dy_list_append(&router->not_found, &flow->not_found_link);
-	router->config.callbacks->confirm_members(router->config.context);
-}
-
-static void handle_refusal(dy_flow_router_t *router, flow_t *flow,
-			   const dy_flow_nowhere_t *nowhere,
-			   const dy_packet_t *packet, uint64_t now_ms)
-{
-	/* Another transmission of the SYN may have been admitted elsewhere. */
-	if (flow && flow->holder_reported &&
-	    !dy_address_equal(&flow->agent, &nowhere->agent))
-		return;
-	++*router->refused;
-	reset(router, packet, "refused", now_ms);
-	if (flow)
-		drop_flow(router, flow);
-}
-
-void dy_flow_router_receive_nowhere(dy_flow_router_t *router,
-				    const dy_flow_nowhere_t *nowhere,
-				    const dy_packet_t *packet, uint64_t now_ms)
-{
-	flow_t *flow = g_hash_table_lookup(router->flows, &nowhere->flow);
-	search_progress_t next;
-
-	if (nowhere->reason == DY_FLOW_REFUSED) {
-		handle_refusal(router, flow, nowhere, packet, now_ms);
-		return;
-	}
-	if (!flow)
-		flow = get_flow(router, &nowhere->flow, now_ms);
-	if (is_flow_lost(flow, nowhere)) {
-		end_flow(router, flow, packet, "lost_by_holder", now_ms);
-		return;
-	}
-	/* The cached holder does not hold the flow: search among the others. */
-	if (flow->agent.port &&
-	    dy_address_equal(&flow->agent, &nowhere->agent)) {
-		memset(&flow->agent, 0, sizeof(flow->agent));
-		flow->holder_reported = 0;
-		flow->open = 0;
-	}
-	/* Another search of the flow has found the holder. */
-	if (flow->holder_reported) {
-		send_to_holder(router, flow, packet,
-			       (uint8_t *)nowhere->packet.packet_val,
-			       nowhere->packet.packet_len, now_ms);
-		return;
-	}
-	if (nowhere->complete) {
-		dy_search_limit_end(&router->searches, &flow->search);
-		++*router->unplaced;
-		if (nowhere->certain && nowhere->order)
-			await_confirmation(router, flow, nowhere, packet,
-					   now_ms);
-		return;
-	}
-	next.window = nowhere->window + 1;
-	next.certain = nowhere->certain && nowhere->order;
-	/* The order has changed; the next window would leave agents out. */
-	if (nowhere->order && nowhere->order != router->order)
-		next = search_start;
-	search(router, packet, (uint8_t *)nowhere->packet.packet_val,
-	       nowhere->packet.packet_len, &next, now_ms);
-}
-
 static void log_path(dy_flow_router_t *router, const dy_address_t *agent,
 		     uint64_t now_ms)
 {
@@ -767,7 +487,7 @@
 		flow = DY_LIST_ITEM(router->by_use.next, flow_t, link);
 		if (now_ms - flow->used_ms < DY_FLOW_IDLE_MS)
 			return;
-		drop_flow(router, flow);
+		router_drop_flow(router, flow);
 	}
 }
 
--- /dev/null
+++ b/src/connection/flow_router_private.h
@@ -0,0 +1,85 @@
+#ifndef DAMASKYARD_FLOW_ROUTER_PRIVATE_H
+#define DAMASKYARD_FLOW_ROUTER_PRIVATE_H
+
+/*
+ * Shared declarations of the flow router's files. flow_router.c handles packets
+ * and openings, flow_router_search.c the search for a flow's holder.
+ */
+
+#include <glib.h>
+
+#include "damaskyard/flow_router.h"
+#include "damaskyard/list.h"
+#include "damaskyard/log.h"
+#include "damaskyard/search_limit.h"
+
+/* A cached flow. */
+typedef struct flow {
+	dy_list_t link; /* in by_use, ordered by used_ms */
+	dy_flow_id_t id;
+	dy_address_t agent;  /* port 0: unknown */
+	int holder_reported; /* the agent reported that it holds the flow */
+	int open;	     /* the agent reported the complete handshake */
+	uint64_t used_ms;
+	dy_search_slot_t search;
+	dy_list_t not_found_link;     /* in the router's list of such flows */
+	uint64_t not_found_ms;	      /* when a search found no holder */
+	uint32_t not_found_order;     /* order of that search */
+	unsigned searches;	      /* since the holder was last found */
+	dy_packet_t not_found_packet; /* the packet of that search */
+} flow_t;
+
+struct dy_flow_router {
+	dy_flow_router_config_t config;
+	dy_flow_targets_t *targets;
+	dy_flow_rules_t *rules;
+	GHashTable *flows;
+	dy_list_t by_use;
+	dy_list_t not_found;
+	dy_search_limit_t searches;
+	/* Version of the search order (of members and rules); never 0. */
+	uint32_t order;
+	dy_log_limit_t assigned_limit;
+	dy_log_limit_t reset_limit;
+	dy_log_limit_t searched_limit;
+	uint64_t *packets;
+	uint64_t *opened;
+	uint64_t *searched;
+	uint64_t *deferred;
+	uint64_t *resets;
+	uint64_t *refused;
+	uint64_t *no_entry;
+	uint64_t *unplaced;
+	uint64_t *second_chances;
+	uint64_t *relayed;
+	dy_log_limit_t path_limit;
+};
+
+/* Packets and openings; flow_router.c. */
+void router_touch(dy_flow_router_t *router, flow_t *flow, uint64_t now_ms);
+void router_drop_flow(dy_flow_router_t *router, flow_t *flow);
+/* Returns the flow's record, added if needed. */
+flow_t *router_get_flow(dy_flow_router_t *router, const dy_flow_id_t *id,
+			uint64_t now_ms);
+/* Returns the entry that the flow was opened to, or NULL. */
+const dy_flow_entry_t *router_find_entry(const dy_flow_router_t *router,
+					 const dy_flow_id_t *flow);
+/* Sends a reset to the caller of packet; reason is logged. */
+void router_reset(dy_flow_router_t *router, const dy_packet_t *packet,
+		  const char *reason, uint64_t now_ms);
+/* Resets the caller and drops the flow's record. */
+void router_end_flow(dy_flow_router_t *router, flow_t *flow,
+		     const dy_packet_t *packet, const char *reason,
+		     uint64_t now_ms);
+void router_send_forward(dy_flow_router_t *router, dy_flow_forward_t *forward,
+			 const dy_packet_t *packet, uint8_t *bytes, size_t len);
+void router_send_to_holder(dy_flow_router_t *router, flow_t *flow,
+			   const dy_packet_t *packet, uint8_t *bytes,
+			   size_t len, uint64_t now_ms);
+
+/* The search for a flow's holder; flow_router_search.c. */
+/* Starts to send a packet along the agents that may hold its flow. */
+void router_search(dy_flow_router_t *router, const dy_packet_t *packet,
+		   uint8_t *bytes, size_t len, uint64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/connection/flow_router_search.c
@@ -0,0 +1,249 @@
+/* The search for the agent that holds a flow. */
+
+#include "flow_router_private.h"
+
+#include <string.h>
+
+#include "damaskyard/address.h"
+
+/* Progress of a search for a flow's holder. */
+typedef struct search_progress {
+	unsigned window;
+	int certain; /* all agents asked so far were certain */
+} search_progress_t;
+
+/*
+ * Guards against an agent that is gone without being known as lost: a search
+ * ends there, and so would the search of a retransmission. Further searches of
+ * a flow start further down the list, and every second one runs backwards.
+ */
+static void permute_list(dy_address_t *list, unsigned count, unsigned searches)
+{
+	dy_address_t copy[DY_FLOW_TRIES];
+	unsigned i;
+
+	memcpy(copy, list, count * sizeof(*list));
+	for (i = 0; i < count; i++)
+		list[i] = searches % 2
+				  ? copy[(2 * count - 1 - i - searches / 2) %
+					 count]
+				  : copy[(i + searches / 2) % count];
+}
+
+/*
+ * Logs a search, with the id of the request that starts in the packet, if any:
+ * operators look up a request by this id.
+ */
+static void log_searched(dy_flow_router_t *router, const dy_packet_t *packet,
+			 unsigned agents, unsigned before, uint64_t now_ms)
+{
+	char text[DY_FLOW_TEXT_BYTES];
+	char request[40] = "";
+
+	if (!dy_log_allow(&router->searched_limit, "flow_searched", now_ms))
+		return;
+	if (packet->request_id)
+		g_snprintf(request, sizeof(request), "%.*s",
+			   (int)packet->request_id_len, packet->request_id);
+	dy_log_event(DY_LOG_INFO, "flow_searched",
+		     "flow=%s request=%s agents=%u searches_before=%u",
+		     dy_flow_id_format(&packet->flow, text),
+		     dy_log_quote(request), agents, before);
+}
+
+/*
+ * Moves the agents of a window, counted from 1, to the front of the list and
+ * skips lost agents, at which a search would end. Advances to the next window
+ * if none is left. Returns the number of agents.
+ */
+static unsigned select_window(const dy_flow_router_t *router,
+			      dy_address_t *list, unsigned total,
+			      unsigned *window, uint64_t now_ms)
+{
+	unsigned count = 0;
+	unsigned i;
+
+	for (;; ++*window) {
+		i = (*window - 1) * DY_FLOW_TRIES;
+		if (i >= total)
+			return 0;
+		for (; i < MIN(total, *window * DY_FLOW_TRIES); i++)
+			if (!dy_flow_targets_is_lost(router->targets, &list[i],
+						     now_ms))
+				list[count++] = list[i];
+		if (count)
+			return count;
+	}
+}
+
+/*
+ * Sends a packet along the agents that may hold its flow: those of one window,
+ * counted from 1, of the search order.
+ */
+static void search(dy_flow_router_t *router, const dy_packet_t *packet,
+		   uint8_t *bytes, size_t len,
+		   const search_progress_t *progress, uint64_t now_ms)
+{
+	const dy_flow_entry_t *entry = router_find_entry(router, &packet->flow);
+	const char *services[DY_FLOW_SHARES_MAX];
+	dy_address_t list[DY_FLOW_SEARCH_MAX];
+	uint8_t order[DY_FLOW_SHARES_MAX];
+	dy_flow_forward_t forward = { 0 };
+	unsigned window = progress->window;
+	int complete = 0;
+	flow_t *flow;
+	unsigned total;
+	unsigned count;
+	unsigned i;
+
+	if (!entry) {
+		++*router->no_entry;
+		return;
+	}
+	dy_flow_entry_order_shares(entry, &packet->flow, order);
+	for (i = 0; i < entry->share_count; i++)
+		services[i] = entry->shares[order[i]].service;
+	total = dy_flow_targets_search(router->targets, services,
+				       entry->share_count, &packet->flow,
+				       &complete, list);
+	count = select_window(router, list, total, &window, now_ms);
+	if (!count) {
+		++*router->unplaced;
+		return;
+	}
+	flow = router_get_flow(router, &packet->flow, now_ms);
+	/* A search that has started continues, so that slow ones complete. */
+	if (progress->window == 1 &&
+	    !dy_search_limit_begin(&router->searches, &flow->search, now_ms)) {
+		++*router->deferred;
+		return;
+	}
+	++*router->searched;
+	if (progress->window == 1) {
+		log_searched(router, packet, total, flow->searches, now_ms);
+		permute_list(list, count, flow->searches++);
+	}
+	forward.tell = 1;
+	forward.window = window;
+	forward.complete = complete && window * DY_FLOW_TRIES >= total;
+	forward.certain = progress->certain;
+	forward.tries.tries_val = list;
+	forward.tries.tries_len = count;
+	router_send_forward(router, &forward, packet, bytes, len);
+}
+
+static const search_progress_t search_start = { 1, 1 };
+
+void router_search(dy_flow_router_t *router, const dy_packet_t *packet,
+		   uint8_t *bytes, size_t len, uint64_t now_ms)
+{
+	search(router, packet, bytes, len, &search_start, now_ms);
+}
+
+/*
+ * Returns whether a flow is certainly over: the agent that had it open lost it.
+ */
+static int is_flow_lost(const flow_t *flow, const dy_flow_nowhere_t *nowhere)
+{
+	return nowhere->certain && flow->open &&
+	       dy_address_equal(&flow->agent, &nowhere->agent);
+}
+
+/* Waits for a confirmation of the members: no known agent holds the flow. */
+static void await_confirmation(dy_flow_router_t *router, flow_t *flow,
+			       const dy_flow_nowhere_t *nowhere,
+			       const dy_packet_t *packet, uint64_t now_ms)
+{
+	flow->not_found_ms = now_ms;
+	flow->not_found_order = nowhere->order;
+	flow->not_found_packet = *packet;
+	/* The id points into a packet that is not kept. */
+	flow->not_found_packet.request_id = NULL;
+	dy_list_remove(&flow->not_found_link);
+	dy_list_append(&router->not_found, &flow->not_found_link);
+	router->config.callbacks->confirm_members(router->config.context);
+}
+
+static void handle_refusal(dy_flow_router_t *router, flow_t *flow,
+			   const dy_flow_nowhere_t *nowhere,
+			   const dy_packet_t *packet, uint64_t now_ms)
+{
+	/* Another transmission of the SYN may have been admitted elsewhere. */
+	if (flow && flow->holder_reported &&
+	    !dy_address_equal(&flow->agent, &nowhere->agent))
+		return;
+	++*router->refused;
+	router_reset(router, packet, "refused", now_ms);
+	if (flow)
+		router_drop_flow(router, flow);
+}
+
+void dy_flow_router_receive_nowhere(dy_flow_router_t *router,
+				    const dy_flow_nowhere_t *nowhere,
+				    const dy_packet_t *packet, uint64_t now_ms)
+{
+	flow_t *flow = g_hash_table_lookup(router->flows, &nowhere->flow);
+	search_progress_t next;
+
+	if (nowhere->reason == DY_FLOW_REFUSED) {
+		handle_refusal(router, flow, nowhere, packet, now_ms);
+		return;
+	}
+	if (!flow)
+		flow = router_get_flow(router, &nowhere->flow, now_ms);
+	if (is_flow_lost(flow, nowhere)) {
+		router_end_flow(router, flow, packet, "lost_by_holder", now_ms);
+		return;
+	}
+	/* The cached holder does not hold the flow: search among the others. */
+	if (flow->agent.port &&
+	    dy_address_equal(&flow->agent, &nowhere->agent)) {
+		memset(&flow->agent, 0, sizeof(flow->agent));
+		flow->holder_reported = 0;
+		flow->open = 0;
+	}
+	/* Another search of the flow has found the holder. */
+	if (flow->holder_reported) {
+		router_send_to_holder(router, flow, packet,
+				      (uint8_t *)nowhere->packet.packet_val,
+				      nowhere->packet.packet_len, now_ms);
+		return;
+	}
+	if (nowhere->complete) {
+		dy_search_limit_end(&router->searches, &flow->search);
+		++*router->unplaced;
+		if (nowhere->certain && nowhere->order)
+			await_confirmation(router, flow, nowhere, packet,
+					   now_ms);
+		return;
+	}
+	next.window = nowhere->window + 1;
+	next.certain = nowhere->certain && nowhere->order;
+	/* The order has changed; the next window would leave agents out. */
+	if (nowhere->order && nowhere->order != router->order)
+		next = search_start;
+	search(router, packet, (uint8_t *)nowhere->packet.packet_val,
+	       nowhere->packet.packet_len, &next, now_ms);
+}
+
+void dy_flow_router_set_members_confirmed(dy_flow_router_t *router,
+					  uint64_t polled_ms)
+{
+	dy_list_t *pos;
+	dy_list_t *tmp;
+	flow_t *flow;
+
+	dy_flow_targets_set_members_confirmed(router->targets, polled_ms);
+	DY_LIST_EACH_SAFE(pos, tmp, &router->not_found)
+	{
+		flow = DY_LIST_ITEM(pos, flow_t, not_found_link);
+		if (polled_ms <= flow->not_found_ms)
+			continue;
+		dy_list_remove(&flow->not_found_link);
+		if (flow->not_found_order != router->order)
+			continue;
+		router_reset(router, &flow->not_found_packet, "nowhere",
+			     polled_ms);
+		router_drop_flow(router, flow);
+	}
+}
