--- /dev/null
+++ b/include/damaskyard/bulk_limit.h
@@ -0,0 +1,45 @@
+#ifndef DAMASKYARD_BULK_LIMIT_H
+#define DAMASKYARD_BULK_LIMIT_H
+
+/*
+ * Limit on the uploads that a balancer carries at the same time. No I/O.
+ *
+ * Load pattern: after a loss of power, or at the crest of the day, callers
+ * start more uploads than a link of a few Mbit/s can carry.
+ * Without it: all of them share the link. Each takes several times its aim,
+ * copies of their packets are sent again, and requests that need little of the
+ * link find their targets' answers late.
+ * Mechanism: as many uploads run at once as finish within a part of their aim,
+ * by the mean size of the latest ones. The openings of others wait for up to
+ * half a second, newest first (opening_queue.h), and are then refused, so that
+ * their callers try another balancer.
+ */
+
+#include <stdint.h>
+
+/*
+ * Part of an upload's aim that its transfer may take, in percent. The rest is
+ * for its wait before and its work after.
+ */
+#define DY_BULK_AIM_PERCENT 50
+
+/* Uploads that may always run: one alone leaves the link idle at its end. */
+#define DY_BULK_RUNNING_MIN 2
+
+/* An upload without a packet for this time, in ms, has ended. */
+#define DY_BULK_IDLE_MS 1000
+
+typedef struct dy_bulk_limit {
+	uint64_t bytes_per_s; /* of the link; 0: unlimited */
+	unsigned running;
+	double mean_bytes; /* of the latest uploads; 0: unknown */
+} dy_bulk_limit_t;
+
+/* Returns whether one more upload with this aim may begin. aim_ms 0: always. */
+int dy_bulk_limit_allows(const dy_bulk_limit_t *limit, uint64_t aim_ms);
+
+/* Record the begin and the end of an upload, and how many bytes it had. */
+void dy_bulk_limit_begin(dy_bulk_limit_t *limit);
+void dy_bulk_limit_end(dy_bulk_limit_t *limit, uint64_t bytes);
+
+#endif
--- a/include/damaskyard/flow_router.h
+++ b/include/damaskyard/flow_router.h
@@ -64,6 +64,7 @@
 typedef struct dy_flow_router_config {
 	dy_address_t self; /* this balancer, where agents reply to */
 	const char *domain;
+	uint64_t link_bytes_per_s; /* see bulk_limit.h; 0: unlimited */
 	dy_metrics_t *metrics;
 	const dy_flow_router_callbacks_t *callbacks;
 	void *context;
--- a/include/damaskyard/opening_queue.h
+++ b/include/damaskyard/opening_queue.h
@@ -61,6 +61,9 @@
 int dy_opening_queue_has(const dy_opening_queue_t *queue,
 			 const dy_flow_id_t *flow);
 
+/* Returns the flow of the newest opening, or NULL if the queue is empty. */
+const dy_flow_id_t *dy_opening_queue_newest(const dy_opening_queue_t *queue);
+
 /* Dequeues the newest opening into opening. Returns 0 if the queue is empty. */
 int dy_opening_queue_pop(dy_opening_queue_t *queue, dy_opening_t *opening);
 
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -36,6 +36,9 @@
 	dy_list_init(&router->by_use);
 	dy_list_init(&router->not_found);
 	dy_search_limit_init(&router->searches);
+	router->bulk.bytes_per_s = config->link_bytes_per_s;
+	dy_list_init(&router->uploads);
+	router->waiting_uploads = dy_opening_queue_create();
 	router->assigned_limit = limit;
 	router->reset_limit = limit;
 	router->searched_limit = limit;
@@ -49,6 +52,7 @@
 	if (!router)
 		return;
 	g_hash_table_destroy(router->flows);
+	dy_opening_queue_destroy(router->waiting_uploads);
 	dy_flow_targets_destroy(router->targets);
 	dy_flow_rules_destroy(router->rules);
 	g_free(router);
@@ -87,44 +91,46 @@
 				   domain->evacuated);
 }
 
-void router_touch(dy_flow_router_t *router, flow_t *flow, uint64_t now_ms)
+void flow_router_touch(dy_flow_router_t *router, flow_t *flow, uint64_t now_ms)
 {
 	flow->used_ms = now_ms;
 	dy_list_remove(&flow->link);
 	dy_list_append(&router->by_use, &flow->link);
 }
 
-void router_drop_flow(dy_flow_router_t *router, flow_t *flow)
+void flow_router_drop_flow(dy_flow_router_t *router, flow_t *flow)
 {
 	dy_list_remove(&flow->link);
 	dy_list_remove(&flow->not_found_link);
+	flow_router_abort_upload(router, flow);
 	dy_search_limit_end(&router->searches, &flow->search);
 	g_hash_table_remove(router->flows, &flow->id);
 }
 
-flow_t *router_get_flow(dy_flow_router_t *router, const dy_flow_id_t *id,
-			uint64_t now_ms)
+flow_t *flow_router_get_flow(dy_flow_router_t *router, const dy_flow_id_t *id,
+			     uint64_t now_ms)
 {
 	flow_t *flow = g_hash_table_lookup(router->flows, id);
 
 	if (!flow) {
 		if (g_hash_table_size(router->flows) >= DY_FLOWS_MAX)
-			router_drop_flow(router,
-					 DY_LIST_ITEM(router->by_use.next,
-						      flow_t, link));
+			flow_router_drop_flow(router,
+					      DY_LIST_ITEM(router->by_use.next,
+							   flow_t, link));
 		flow = g_new0(flow_t, 1);
 		flow->id = *id;
 		dy_list_init(&flow->link);
 		dy_list_init(&flow->not_found_link);
+		dy_list_init(&flow->upload_link);
 		dy_search_slot_init(&flow->search);
 		g_hash_table_insert(router->flows, &flow->id, flow);
 	}
-	router_touch(router, flow, now_ms);
+	flow_router_touch(router, flow, now_ms);
 	return flow;
 }
 
-void router_reset(dy_flow_router_t *router, const dy_packet_t *packet,
-		  const char *reason, uint64_t now_ms)
+void flow_router_reset(dy_flow_router_t *router, const dy_packet_t *packet,
+		       const char *reason, uint64_t now_ms)
 {
 	char text[DY_FLOW_TEXT_BYTES];
 
@@ -141,8 +147,10 @@
 					packet->ack);
 }
 
-void router_send_forward(dy_flow_router_t *router, dy_flow_forward_t *forward,
-			 const dy_packet_t *packet, uint8_t *bytes, size_t len)
+void flow_router_send_forward(dy_flow_router_t *router,
+			      dy_flow_forward_t *forward,
+			      const dy_packet_t *packet, uint8_t *bytes,
+			      size_t len)
 {
 	forward->balancer = router->config.self;
 	forward->order = router->order;
@@ -183,9 +191,9 @@
 	return 2;
 }
 
-void router_send_to_holder(dy_flow_router_t *router, flow_t *flow,
-			   const dy_packet_t *packet, uint8_t *bytes,
-			   size_t len, uint64_t now_ms)
+void flow_router_send_to_holder(dy_flow_router_t *router, flow_t *flow,
+				const dy_packet_t *packet, uint8_t *bytes,
+				size_t len, uint64_t now_ms)
 {
 	dy_flow_forward_t forward = { 0 };
 	dy_address_t path[2];
@@ -194,11 +202,11 @@
 	forward.tries.tries_val = path;
 	forward.tries.tries_len = find_path(router, flow, now_ms, path);
 	forward.certain = forward.tries.tries_len == 1;
-	router_send_forward(router, &forward, packet, bytes, len);
+	flow_router_send_forward(router, &forward, packet, bytes, len);
 }
 
-const dy_flow_entry_t *router_find_entry(const dy_flow_router_t *router,
-					 const dy_flow_id_t *flow)
+const dy_flow_entry_t *flow_router_find_entry(const dy_flow_router_t *router,
+					      const dy_flow_id_t *flow)
 {
 	if (!router->rules)
 		return NULL;
@@ -287,37 +295,30 @@
 	return count;
 }
 
-static void route_opening(dy_flow_router_t *router, const dy_packet_t *packet,
-			  uint8_t *bytes, size_t len, uint64_t now_ms)
+void flow_router_open_flow(dy_flow_router_t *router, const dy_packet_t *packet,
+			   uint8_t *bytes, size_t len, uint64_t now_ms)
 {
-	const dy_flow_entry_t *entry = router_find_entry(router, &packet->flow);
-	flow_t *flow = g_hash_table_lookup(router->flows, &packet->flow);
+	const dy_flow_entry_t *entry =
+		flow_router_find_entry(router, &packet->flow);
 	dy_address_t list[DY_FLOW_TRIES];
 	dy_flow_forward_t forward = { 0 };
 	const char *service = NULL;
-	unsigned count;
+	unsigned count = 0;
+	flow_t *flow;
 
-	if (!entry) {
-		++*router->no_entry;
-		router_reset(router, packet, "no_entry", now_ms);
-		return;
-	}
-	if (flow && flow->holder_reported) {
-		router_touch(router, flow, now_ms);
-		router_send_to_holder(router, flow, packet, bytes, len, now_ms);
-		return;
-	}
-	handle_unanswered_opening(router, flow, now_ms);
-	count = choose_agents(router, entry, &packet->flow, now_ms, &service,
-			      list);
+	if (entry)
+		count = choose_agents(router, entry, &packet->flow, now_ms,
+				      &service, list);
 	if (!count) {
 		++*router->refused;
-		router_reset(router, packet, "no_target", now_ms);
+		flow_router_reset(router, packet, "no_target", now_ms);
 		return;
 	}
 	++*router->opened;
-	flow = router_get_flow(router, &packet->flow, now_ms);
+	flow = flow_router_get_flow(router, &packet->flow, now_ms);
 	flow->agent = list[0];
+	if (entry->upload)
+		flow_router_begin_upload(router, flow, now_ms);
 	dy_flow_targets_note_opened(router->targets, &list[0]);
 	log_assigned(router, flow, service, count, packet->retransmits, now_ms);
 	forward.service = (char *)service;
@@ -328,7 +329,32 @@
 	forward.complete = 1;
 	forward.tries.tries_val = list;
 	forward.tries.tries_len = append_best_candidate(list, count);
-	router_send_forward(router, &forward, packet, bytes, len);
+	flow_router_send_forward(router, &forward, packet, bytes, len);
+}
+
+static void route_opening(dy_flow_router_t *router, const dy_packet_t *packet,
+			  uint8_t *bytes, size_t len, uint64_t now_ms)
+{
+	const dy_flow_entry_t *entry =
+		flow_router_find_entry(router, &packet->flow);
+	flow_t *flow = g_hash_table_lookup(router->flows, &packet->flow);
+
+	if (!entry) {
+		++*router->no_entry;
+		flow_router_reset(router, packet, "no_entry", now_ms);
+		return;
+	}
+	if (flow && flow->holder_reported) {
+		flow_router_touch(router, flow, now_ms);
+		flow_router_send_to_holder(router, flow, packet, bytes, len,
+					   now_ms);
+		return;
+	}
+	if (!flow && entry->upload &&
+	    flow_router_defer_upload(router, entry, packet, bytes, len, now_ms))
+		return;
+	handle_unanswered_opening(router, flow, now_ms);
+	flow_router_open_flow(router, packet, bytes, len, now_ms);
 }
 
 /*
@@ -347,7 +373,8 @@
 static int holder_is_unresponsive(dy_flow_router_t *router, const flow_t *flow,
 				  uint64_t now_ms)
 {
-	const dy_flow_entry_t *entry = router_find_entry(router, &flow->id);
+	const dy_flow_entry_t *entry =
+		flow_router_find_entry(router, &flow->id);
 
 	if (!entry || !entry->repeatable ||
 	    !dy_flow_targets_is_unresponsive(router->targets, &flow->agent,
@@ -372,12 +399,12 @@
 						  &witnesses[i], &flow->agent);
 }
 
-void router_end_flow(dy_flow_router_t *router, flow_t *flow,
-		     const dy_packet_t *packet, const char *reason,
-		     uint64_t now_ms)
+void flow_router_end_flow(dy_flow_router_t *router, flow_t *flow,
+			  const dy_packet_t *packet, const char *reason,
+			  uint64_t now_ms)
 {
-	router_reset(router, packet, reason, now_ms);
-	router_drop_flow(router, flow);
+	flow_router_reset(router, packet, reason, now_ms);
+	flow_router_drop_flow(router, flow);
 }
 
 /*
@@ -390,11 +417,12 @@
 			      size_t len, uint64_t now_ms)
 {
 	if (flow->open) {
-		router_end_flow(router, flow, packet, "agent_lost", now_ms);
+		flow_router_end_flow(router, flow, packet, "agent_lost",
+				     now_ms);
 		return;
 	}
-	router_drop_flow(router, flow);
-	router_search(router, packet, bytes, len, now_ms);
+	flow_router_drop_flow(router, flow);
+	flow_router_search(router, packet, bytes, len, now_ms);
 }
 
 void dy_flow_router_receive_packet(dy_flow_router_t *router,
@@ -410,26 +438,28 @@
 	}
 	flow = g_hash_table_lookup(router->flows, &packet->flow);
 	if (!flow || !flow->agent.port) {
-		router_search(router, packet, bytes, len, now_ms);
+		flow_router_search(router, packet, bytes, len, now_ms);
 		return;
 	}
-	router_touch(router, flow, now_ms);
+	flow_router_touch(router, flow, now_ms);
+	flow_router_update_upload(router, flow, packet, now_ms);
 	if (dy_flow_targets_is_lost(router->targets, &flow->agent, now_ms)) {
 		handle_lost_agent(router, flow, packet, bytes, len, now_ms);
 		return;
 	}
 	inquire_about_holder(router, flow, now_ms);
 	if (flow->open && holder_is_unresponsive(router, flow, now_ms))
-		router_end_flow(router, flow, packet, "agent_unresponsive",
-				now_ms);
+		flow_router_end_flow(router, flow, packet, "agent_unresponsive",
+				     now_ms);
 	else
-		router_send_to_holder(router, flow, packet, bytes, len, now_ms);
+		flow_router_send_to_holder(router, flow, packet, bytes, len,
+					   now_ms);
 }
 
 void dy_flow_router_receive_held(dy_flow_router_t *router,
 				 const dy_flow_held_t *held, uint64_t now_ms)
 {
-	flow_t *flow = router_get_flow(router, &held->flow, now_ms);
+	flow_t *flow = flow_router_get_flow(router, &held->flow, now_ms);
 
 	dy_flow_targets_set_load(router->targets, &held->agent, &held->load,
 				 now_ms);
@@ -483,11 +513,12 @@
 {
 	flow_t *flow;
 
+	flow_router_serve_uploads(router, now_ms);
 	while (!dy_list_empty(&router->by_use)) {
 		flow = DY_LIST_ITEM(router->by_use.next, flow_t, link);
 		if (now_ms - flow->used_ms < DY_FLOW_IDLE_MS)
 			return;
-		router_drop_flow(router, flow);
+		flow_router_drop_flow(router, flow);
 	}
 }
 
--- a/src/connection/flow_router_private.h
+++ b/src/connection/flow_router_private.h
@@ -3,14 +3,17 @@
 
 /*
  * Shared declarations of the flow router's files. flow_router.c handles packets
- * and openings, flow_router_search.c the search for a flow's holder.
+ * and openings, flow_router_search.c the search for a flow's holder,
+ * flow_router_bulk.c the uploads.
  */
 
 #include <glib.h>
 
+#include "damaskyard/bulk_limit.h"
 #include "damaskyard/flow_router.h"
 #include "damaskyard/list.h"
 #include "damaskyard/log.h"
+#include "damaskyard/opening_queue.h"
 #include "damaskyard/search_limit.h"
 
 /* A cached flow. */
@@ -27,6 +30,9 @@
 	uint32_t not_found_order;     /* order of that search */
 	unsigned searches;	      /* since the holder was last found */
 	dy_packet_t not_found_packet; /* the packet of that search */
+	dy_list_t upload_link;	      /* in the router's list of uploads */
+	uint64_t upload_bytes;
+	uint64_t upload_ms; /* its last packet */
 } flow_t;
 
 struct dy_flow_router {
@@ -37,6 +43,9 @@
 	dy_list_t by_use;
 	dy_list_t not_found;
 	dy_search_limit_t searches;
+	dy_bulk_limit_t bulk;
+	dy_list_t uploads; /* that arrive, ordered by upload_ms */
+	dy_opening_queue_t *waiting_uploads;
 	/* Version of the search order (of members and rules); never 0. */
 	uint32_t order;
 	dy_log_limit_t assigned_limit;
@@ -56,30 +65,58 @@
 };
 
 /* Packets and openings; flow_router.c. */
-void router_touch(dy_flow_router_t *router, flow_t *flow, uint64_t now_ms);
-void router_drop_flow(dy_flow_router_t *router, flow_t *flow);
+void flow_router_touch(dy_flow_router_t *router, flow_t *flow, uint64_t now_ms);
+void flow_router_drop_flow(dy_flow_router_t *router, flow_t *flow);
 /* Returns the flow's record, added if needed. */
-flow_t *router_get_flow(dy_flow_router_t *router, const dy_flow_id_t *id,
-			uint64_t now_ms);
+flow_t *flow_router_get_flow(dy_flow_router_t *router, const dy_flow_id_t *id,
+			     uint64_t now_ms);
 /* Returns the entry that the flow was opened to, or NULL. */
-const dy_flow_entry_t *router_find_entry(const dy_flow_router_t *router,
-					 const dy_flow_id_t *flow);
+const dy_flow_entry_t *flow_router_find_entry(const dy_flow_router_t *router,
+					      const dy_flow_id_t *flow);
 /* Sends a reset to the caller of packet; reason is logged. */
-void router_reset(dy_flow_router_t *router, const dy_packet_t *packet,
-		  const char *reason, uint64_t now_ms);
+void flow_router_reset(dy_flow_router_t *router, const dy_packet_t *packet,
+		       const char *reason, uint64_t now_ms);
 /* Resets the caller and drops the flow's record. */
-void router_end_flow(dy_flow_router_t *router, flow_t *flow,
-		     const dy_packet_t *packet, const char *reason,
-		     uint64_t now_ms);
-void router_send_forward(dy_flow_router_t *router, dy_flow_forward_t *forward,
-			 const dy_packet_t *packet, uint8_t *bytes, size_t len);
-void router_send_to_holder(dy_flow_router_t *router, flow_t *flow,
-			   const dy_packet_t *packet, uint8_t *bytes,
-			   size_t len, uint64_t now_ms);
+void flow_router_end_flow(dy_flow_router_t *router, flow_t *flow,
+			  const dy_packet_t *packet, const char *reason,
+			  uint64_t now_ms);
+void flow_router_send_forward(dy_flow_router_t *router,
+			      dy_flow_forward_t *forward,
+			      const dy_packet_t *packet, uint8_t *bytes,
+			      size_t len);
+void flow_router_send_to_holder(dy_flow_router_t *router, flow_t *flow,
+				const dy_packet_t *packet, uint8_t *bytes,
+				size_t len, uint64_t now_ms);
+
+/* Chooses an agent for a new flow and sends it the opening. */
+void flow_router_open_flow(dy_flow_router_t *router, const dy_packet_t *packet,
+			   uint8_t *bytes, size_t len, uint64_t now_ms);
+
+/* Uploads; flow_router_bulk.c. */
+/*
+ * Returns 1 if an opening to an entry for uploads has to wait, or was refused,
+ * because the link has no room for it.
+ */
+int flow_router_defer_upload(dy_flow_router_t *router,
+			     const dy_flow_entry_t *entry,
+			     const dy_packet_t *packet, uint8_t *bytes,
+			     size_t len, uint64_t now_ms);
+/* Records the opening of an upload, and packets of any flow. */
+void flow_router_begin_upload(dy_flow_router_t *router, flow_t *flow,
+			      uint64_t now_ms);
+void flow_router_update_upload(dy_flow_router_t *router, flow_t *flow,
+			       const dy_packet_t *packet, uint64_t now_ms);
+/* Records that a flow is dropped. */
+void flow_router_abort_upload(dy_flow_router_t *router, flow_t *flow);
+/*
+ * Opens the uploads that have waited while there is room, and refuses those
+ * that have waited too long.
+ */
+void flow_router_serve_uploads(dy_flow_router_t *router, uint64_t now_ms);
 
 /* The search for a flow's holder; flow_router_search.c. */
 /* Starts to send a packet along the agents that may hold its flow. */
-void router_search(dy_flow_router_t *router, const dy_packet_t *packet,
-		   uint8_t *bytes, size_t len, uint64_t now_ms);
+void flow_router_search(dy_flow_router_t *router, const dy_packet_t *packet,
+			uint8_t *bytes, size_t len, uint64_t now_ms);
 
 #endif
--- a/src/connection/flow_router_search.c
+++ b/src/connection/flow_router_search.c
@@ -84,7 +84,8 @@
 		   uint8_t *bytes, size_t len,
 		   const search_progress_t *progress, uint64_t now_ms)
 {
-	const dy_flow_entry_t *entry = router_find_entry(router, &packet->flow);
+	const dy_flow_entry_t *entry =
+		flow_router_find_entry(router, &packet->flow);
 	const char *services[DY_FLOW_SHARES_MAX];
 	dy_address_t list[DY_FLOW_SEARCH_MAX];
 	uint8_t order[DY_FLOW_SHARES_MAX];
@@ -111,7 +112,7 @@
 		++*router->unplaced;
 		return;
 	}
-	flow = router_get_flow(router, &packet->flow, now_ms);
+	flow = flow_router_get_flow(router, &packet->flow, now_ms);
 	/* A search that has started continues, so that slow ones complete. */
 	if (progress->window == 1 &&
 	    !dy_search_limit_begin(&router->searches, &flow->search, now_ms)) {
@@ -129,13 +130,13 @@
 	forward.certain = progress->certain;
 	forward.tries.tries_val = list;
 	forward.tries.tries_len = count;
-	router_send_forward(router, &forward, packet, bytes, len);
+	flow_router_send_forward(router, &forward, packet, bytes, len);
 }
 
 static const search_progress_t search_start = { 1, 1 };
 
-void router_search(dy_flow_router_t *router, const dy_packet_t *packet,
-		   uint8_t *bytes, size_t len, uint64_t now_ms)
+void flow_router_search(dy_flow_router_t *router, const dy_packet_t *packet,
+			uint8_t *bytes, size_t len, uint64_t now_ms)
 {
 	search(router, packet, bytes, len, &search_start, now_ms);
 }
@@ -173,9 +174,9 @@
 	    !dy_address_equal(&flow->agent, &nowhere->agent))
 		return;
 	++*router->refused;
-	router_reset(router, packet, "refused", now_ms);
+	flow_router_reset(router, packet, "refused", now_ms);
 	if (flow)
-		router_drop_flow(router, flow);
+		flow_router_drop_flow(router, flow);
 }
 
 void dy_flow_router_receive_nowhere(dy_flow_router_t *router,
@@ -190,9 +191,10 @@
 		return;
 	}
 	if (!flow)
-		flow = router_get_flow(router, &nowhere->flow, now_ms);
+		flow = flow_router_get_flow(router, &nowhere->flow, now_ms);
 	if (is_flow_lost(flow, nowhere)) {
-		router_end_flow(router, flow, packet, "lost_by_holder", now_ms);
+		flow_router_end_flow(router, flow, packet, "lost_by_holder",
+				     now_ms);
 		return;
 	}
 	/* The cached holder does not hold the flow: search among the others. */
@@ -204,9 +206,10 @@
 	}
 	/* Another search of the flow has found the holder. */
 	if (flow->holder_reported) {
-		router_send_to_holder(router, flow, packet,
-				      (uint8_t *)nowhere->packet.packet_val,
-				      nowhere->packet.packet_len, now_ms);
+		flow_router_send_to_holder(
+			router, flow, packet,
+			(uint8_t *)nowhere->packet.packet_val,
+			nowhere->packet.packet_len, now_ms);
 		return;
 	}
 	if (nowhere->complete) {
@@ -242,8 +245,8 @@
 		dy_list_remove(&flow->not_found_link);
 		if (flow->not_found_order != router->order)
 			continue;
-		router_reset(router, &flow->not_found_packet, "nowhere",
-			     polled_ms);
-		router_drop_flow(router, flow);
+		flow_router_reset(router, &flow->not_found_packet, "nowhere",
+				  polled_ms);
+		flow_router_drop_flow(router, flow);
 	}
 }
--- a/src/connection/opening_queue.c
+++ b/src/connection/opening_queue.c
@@ -69,6 +69,14 @@
 	return g_hash_table_contains(queue->by_flow, flow);
 }
 
+const dy_flow_id_t *dy_opening_queue_newest(const dy_opening_queue_t *queue)
+{
+	if (dy_list_empty(&queue->by_age))
+		return NULL;
+	return &DY_LIST_ITEM(queue->by_age.prev, queued_opening_t, link)
+			->opening.packet.flow;
+}
+
 static void dequeue(dy_opening_queue_t *queue, queued_opening_t *queued,
 		    dy_opening_t *opening)
 {
--- a/src/process/flow/cmd_flow_balancer.c
+++ b/src/process/flow/cmd_flow_balancer.c
@@ -392,6 +392,7 @@
 
 	config.self = balancer->member.settings.inner;
 	config.domain = balancer->member.settings.domain;
+	config.link_bytes_per_s = balancer->member.settings.link_bytes_per_s;
 	config.metrics = metrics;
 	config.callbacks = &router_callbacks;
 	config.context = balancer;
--- a/tests/fake_router.c
+++ b/tests/fake_router.c
@@ -118,6 +118,11 @@
 }
 
 void fake_router_begin(unsigned agents)
+{
+	fake_router_begin_on_link(agents, 0);
+}
+
+void fake_router_begin_on_link(unsigned agents, uint64_t bytes_per_s)
 {
 	dy_flow_router_config_t config = { 0 };
 	unsigned i;
@@ -127,6 +132,7 @@
 	fake_router.metrics = dy_metrics_create();
 	config.self = fake_router_agent(200);
 	config.domain = "d1";
+	config.link_bytes_per_s = bytes_per_s;
 	config.metrics = fake_router.metrics;
 	config.callbacks = &callbacks;
 	fake_router.router = dy_flow_router_create(&config);
--- a/tests/fake_router.h
+++ b/tests/fake_router.h
@@ -41,6 +41,8 @@
  * service.
  */
 void fake_router_begin(unsigned agents);
+/* The same, on a link of this rate. */
+void fake_router_begin_on_link(unsigned agents, uint64_t bytes_per_s);
 void fake_router_end(void);
 
 /* Returns the address of the agent with this number. */
--- /dev/null
+++ b/tests/test_flow_uploads.c
@@ -0,0 +1,164 @@
+/* The router's uploads on a thin link; flow_router_bulk.c. */
+
+#include "damaskyard/bulk_limit.h"
+#include "damaskyard/opening_queue.h"
+#include "fake_router.h"
+#include "fake_suite.h"
+
+#define LINK_BYTES_PER_S 537500
+#define AIM_MS 800
+
+/* Packets of one upload, of which 10 fit the part of the aim at once. */
+#define FULL_BYTES 1200
+#define UPLOAD_PACKETS 17
+
+static void begin(void)
+{
+	dy_flow_rules_t *rules = dy_flow_rules_create(6);
+	dy_flow_entry_t entry = { .ip = FAKE_ENTRY_IP,
+				  .port = FAKE_ENTRY_PORT };
+
+	fake_router_begin_on_link(2, LINK_BYTES_PER_S);
+	entry.upload = 1;
+	entry.aim_ms = AIM_MS;
+	entry.shares[0].service = "readings";
+	entry.shares[0].weight = 1;
+	entry.share_count = 1;
+	ck_assert_ptr_null(dy_flow_rules_add(rules, &entry));
+	dy_flow_router_set_rules(fake_router.router, rules);
+}
+
+static void open_flow(unsigned flow)
+{
+	fake_router_receive_packet(flow, DY_PACKET_SYN, 0);
+}
+
+static void send_data(unsigned flow, unsigned packets, int last)
+{
+	dy_packet_t packet = fake_router_packet(flow, DY_PACKET_ACK, 5);
+	unsigned i;
+
+	for (i = 0; i < packets; i++) {
+		packet.data_bytes = FULL_BYTES;
+		packet.full = !last || i + 1 < packets;
+		dy_flow_router_receive_packet(
+			fake_router.router, &packet, fake_router.bytes,
+			sizeof(fake_router.bytes), fake_router.now_ms);
+	}
+}
+
+/* Opens uploads until one has to wait. Returns how many run. */
+static unsigned fill_link(void)
+{
+	unsigned forwards;
+	unsigned flow = 1;
+
+	open_flow(0);
+	send_data(0, UPLOAD_PACKETS, 1);
+	do {
+		forwards = fake_router.forwards;
+		open_flow(flow++);
+	} while (fake_router.forwards > forwards);
+	return flow - 2;
+}
+
+/*
+ * Power is back, and all callers start uploads. Guards against uploads that all
+ * share the link and are all late.
+ */
+START_TEST(defers_uploads_that_the_link_cannot_carry_in_time)
+{
+	unsigned running;
+
+	begin();
+	running = fill_link();
+	ck_assert_uint_ge(running, DY_BULK_RUNNING_MIN);
+	ck_assert_uint_le(running, AIM_MS * DY_BULK_AIM_PERCENT / 100 *
+					   (LINK_BYTES_PER_S / 1000) /
+					   (UPLOAD_PACKETS * FULL_BYTES));
+	ck_assert_uint_eq(fake_router.resets, 0);
+	fake_router_end();
+}
+END_TEST
+
+/* The last packet of an upload makes room for the newest that waits. */
+START_TEST(opens_waiting_upload_when_another_has_arrived)
+{
+	unsigned forwards;
+	unsigned running;
+
+	begin();
+	running = fill_link();
+	open_flow(90);
+	forwards = fake_router.forwards;
+	send_data(1, UPLOAD_PACKETS, 1);
+	ck_assert_uint_eq(fake_router.forwards, forwards + UPLOAD_PACKETS + 1);
+	open_flow(91);
+	ck_assert_uint_eq(fake_router.forwards, forwards + UPLOAD_PACKETS + 1);
+	ck_assert_uint_gt(running, 1);
+	fake_router_end();
+}
+END_TEST
+
+/*
+ * A caller that cannot be served in time is told at once, while another
+ * balancer can still serve it.
+ */
+START_TEST(refuses_upload_that_waited_too_long)
+{
+	begin();
+	fill_link();
+	fake_router.now_ms += DY_OPENING_WAIT_MAX_MS - 1;
+	dy_flow_router_expire(fake_router.router, fake_router.now_ms);
+	ck_assert_uint_eq(fake_router.resets, 0);
+	fake_router.now_ms += 1;
+	dy_flow_router_expire(fake_router.router, fake_router.now_ms);
+	ck_assert_uint_eq(fake_router.resets, 1);
+	fake_router_end();
+}
+END_TEST
+
+/* Copies of an opening that waits take no second place. */
+START_TEST(counts_copies_of_an_opening_once)
+{
+	unsigned waiting;
+
+	begin();
+	waiting = fill_link() + 1;
+	open_flow(waiting);
+	fake_router.now_ms += DY_OPENING_WAIT_MAX_MS;
+	dy_flow_router_expire(fake_router.router, fake_router.now_ms);
+	ck_assert_uint_eq(fake_router.resets, 1);
+	fake_router_end();
+}
+END_TEST
+
+/* Guards against callers that vanish and hold their part of the link. */
+START_TEST(forgets_uploads_without_packets)
+{
+	unsigned forwards;
+
+	begin();
+	fill_link();
+	fake_router.now_ms += DY_BULK_IDLE_MS;
+	dy_flow_router_expire(fake_router.router, fake_router.now_ms);
+	forwards = fake_router.forwards;
+	open_flow(90);
+	ck_assert_uint_eq(fake_router.forwards, forwards + 1);
+	fake_router_end();
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		defers_uploads_that_the_link_cannot_carry_in_time,
+		opens_waiting_upload_when_another_has_arrived,
+		refuses_upload_that_waited_too_long,
+		counts_copies_of_an_opening_once,
+		forgets_uploads_without_packets,
+		NULL,
+	};
+
+	return fake_suite_run("flow_uploads", tests);
+}
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -214,6 +214,32 @@
 }
 END_TEST
 
+/* An upload's opening waits by its route's type and aim; see bulk_limit.h. */
+START_TEST(reads_route_type_and_aim)
+{
+	static const char text[] =
+		"{\"version\":1,\"services\":[{\"name\":\"a\"}],\"routes\":["
+		"{\"host\":\"10.0.0.1\",\"pathPrefix\":\"/1/\",\"timeoutMs\":9,"
+		"\"service\":\"a\",\"routeType\":\"upload\","
+		"\"targetLatencyMs\":800},"
+		"{\"host\":\"10.0.0.1\",\"pathPrefix\":\"/2/\",\"timeoutMs\":9,"
+		"\"service\":\"a\",\"routeType\":\"safe\","
+		"\"targetLatencyMs\":\"soon\"}]}";
+	dy_flow_rules_t *rules =
+		platform_configuration_parse(text, sizeof(text) - 1, NULL);
+	const dy_flow_entry_t *entry;
+
+	ck_assert_ptr_nonnull(rules);
+	entry = dy_flow_rules_find(rules, 0x0a000001u, 1);
+	ck_assert_uint_eq(entry->upload, 1);
+	ck_assert_uint_eq(entry->aim_ms, 800);
+	entry = dy_flow_rules_find(rules, 0x0a000001u, 2);
+	ck_assert_uint_eq(entry->upload, 0);
+	ck_assert_uint_eq(entry->aim_ms, 0);
+	dy_flow_rules_destroy(rules);
+}
+END_TEST
+
 /*
  * A request that may run only once would be aborted when its target is slow to
  * answer, if it were treated as repeatable.
@@ -457,6 +483,7 @@
 		writes_reset_from_entry_to_caller,
 		parses_configuration_into_rules,
 		parses_rate_limit_of_cold_targets,
+		reads_route_type_and_aim,
 		marks_requests_repeatable_only_for_known_route_types,
 		refuses_invalid_configuration,
 		refuses_unreadable_configuration,
