--- a/include/damaskyard/flow_router.h
+++ b/include/damaskyard/flow_router.h
@@ -41,8 +41,9 @@
 
 typedef struct dy_flow_router_callbacks {
 	/*
-	 * Sends forward to the agent at forward->tries[0]. packet is the
-	 * decoded forward->packet.
+	 * Sends forward to the agent at forward->tries[0], now or later, and
+	 * then calls dy_flow_router_note_sent(). packet is the decoded
+	 * forward->packet.
 	 */
 	void (*forward)(void *context, dy_flow_forward_t *forward,
 			const dy_packet_t *packet);
@@ -55,11 +56,15 @@
 	void (*confirm_members)(void *context);
 	/* Requests a load report from the agent. */
 	void (*request_report)(void *context, const dy_address_t *agent);
+	/* Requests a witness to probe the agent; see flow_silence.h. */
+	void (*inquire)(void *context, const dy_address_t *witness,
+			const dy_address_t *agent);
 } dy_flow_router_callbacks_t;
 
 typedef struct dy_flow_router_config {
 	dy_address_t self; /* this balancer, where agents reply to */
 	const char *domain;
+	uint64_t link_bytes_per_s; /* see bulk_limit.h; 0: unlimited */
 	dy_metrics_t *metrics;
 	const dy_flow_router_callbacks_t *callbacks;
 	void *context;
@@ -115,9 +120,25 @@
 				   const dy_flow_report_t *report,
 				   uint64_t now_ms);
 
+void dy_flow_router_receive_finding(dy_flow_router_t *router,
+				    const dy_flow_finding_t *finding,
+				    uint64_t now_ms);
+
 /* Expires idle flows. Call it several times per second. */
 void dy_flow_router_expire(dy_flow_router_t *router, uint64_t now_ms);
 
+/* Record that a forward left; its agent owes a report from then on. */
+void dy_flow_router_note_sent(dy_flow_router_t *router,
+			      const dy_flow_forward_t *forward,
+			      uint64_t now_ms);
+
+/*
+ * Returns whether the forward can be sent in its short form: it goes to the
+ * known holder of an open flow, and that agent accepts deliveries.
+ */
+int dy_flow_router_is_delivery(const dy_flow_router_t *router,
+			       const dy_flow_forward_t *forward);
+
 /* Returns the number of cached flows. */
 unsigned dy_flow_router_count(const dy_flow_router_t *router);
 
--- a/tests/fake_router.h
+++ b/tests/fake_router.h
@@ -22,10 +22,14 @@
 	dy_flow_forward_t forward;
 	dy_address_t tries[DY_FLOW_TRIES];
 	char service[64];
+	int keeps_forwards; /* none leaves, as with a full link */
 	unsigned resets;
 	uint32_t reset_seq;
 	unsigned confirm_requests;
 	unsigned report_requests;
+	unsigned inquiries;
+	dy_address_t witness;	 /* of the last inquiry */
+	int silent_to_witnesses; /* what findings report about a holder */
 	uint64_t now_ms;
 	uint8_t bytes[34];
 } fake_router_t;
@@ -37,6 +41,8 @@
  * service.
  */
 void fake_router_begin(unsigned agents);
+/* The same, on a link of this rate. */
+void fake_router_begin_on_link(unsigned agents, uint64_t bytes_per_s);
 void fake_router_end(void);
 
 /* Returns the address of the agent with this number. */
--- a/tests/test_flow_router.c
+++ b/tests/test_flow_router.c
@@ -132,6 +132,31 @@
 }
 END_TEST
 
+/*
+ * Forwards wait for the link of this balancer. Guards against taking the path
+ * to their agent for broken, or the agent for silent, because nothing arrives.
+ */
+START_TEST(keeps_path_while_forwards_wait)
+{
+	dy_address_t holder = fake_router_agent(1);
+	unsigned i;
+
+	fake_router_begin(3);
+	fake_router.keeps_forwards = 1;
+	fake_router_receive_held(1, &holder, 1);
+	fake_router_receive_report_with(1, 5);
+	for (i = 0; i < 50; i++) {
+		fake_router.now_ms += 20;
+		fake_router_receive_packet(1, DY_PACKET_ACK, 5);
+	}
+	fake_router_receive_report_with(1, 5);
+	fake_router_receive_packet(1, DY_PACKET_ACK, 5);
+	ck_assert_uint_eq(fake_router.forward.tries.tries_len, 1);
+	ck_assert_uint_eq(fake_router.inquiries, 0);
+	fake_router_end();
+}
+END_TEST
+
 /* Guards against opening new flows on a broken path. */
 START_TEST(avoids_broken_path_for_new_flows)
 {
@@ -279,14 +304,15 @@
 {
 	dy_address_t holder = fake_router_agent(1);
 
-	fake_router_begin(2);
+	fake_router_begin(3);
+	fake_router.silent_to_witnesses = 1;
 	fake_router_set_rules_with(6, "readings", NULL, repeatable);
 	fake_router_receive_held(1, &holder, 1);
 }
 
 /*
- * Sends a request on flow 1 every 100 ms, while only agent 2 and control send
- * messages.
+ * Sends a request on flow 1 every 100 ms, while only agents 2 and 3 and control
+ * send messages.
  */
 static void send_requests_beside_silent_agent(uint64_t for_ms)
 {
@@ -294,6 +320,7 @@
 
 	while (fake_router.now_ms < end_ms) {
 		fake_router_receive_report(2);
+		fake_router_receive_report(3);
 		dy_flow_router_set_members_confirmed(fake_router.router,
 						     fake_router.now_ms);
 		fake_router_receive_packet(1, DY_PACKET_ACK, 5);
@@ -313,6 +340,7 @@
 	ck_assert_uint_eq(fake_router.resets, 0);
 	fake_router.now_ms += 200;
 	fake_router_receive_report(2);
+	fake_router_receive_report(3);
 	fake_router_receive_packet(1, DY_PACKET_ACK, 5);
 	ck_assert_uint_eq(fake_router.resets, 1);
 	ck_assert_uint_eq(fake_router.report_requests, 1);
@@ -320,6 +348,67 @@
 }
 END_TEST
 
+/*
+ * The link of this balancer is full and loses each of its messages to one agent
+ * for seconds. The agent serves its flows, and answers witnesses.
+ */
+START_TEST(keeps_flow_of_agent_that_answers_witnesses)
+{
+	begin_with_open_flow(1);
+	fake_router.silent_to_witnesses = 0;
+	send_requests_beside_silent_agent(5 * DY_FLOW_UNRESPONSIVE_TIMEOUT_MS);
+	ck_assert_uint_eq(fake_router.resets, 0);
+	ck_assert_uint_gt(fake_router.inquiries, 0);
+	fake_router_end();
+}
+END_TEST
+
+/* One witness may be cut off from the agent itself. */
+START_TEST(keeps_flow_of_agent_with_a_single_witness)
+{
+	unsigned i;
+
+	begin_with_open_flow(1);
+	for (i = 0; i < 30; i++) {
+		fake_router_receive_report(2);
+		dy_flow_router_set_members_confirmed(fake_router.router,
+						     fake_router.now_ms);
+		fake_router_receive_packet(1, DY_PACKET_ACK, 5);
+		fake_router.now_ms += 100;
+	}
+	ck_assert_uint_eq(fake_router.resets, 0);
+	ck_assert_uint_gt(fake_router.inquiries, 0);
+	fake_router_end();
+}
+END_TEST
+
+/*
+ * Guards against the loss of the path between two domains that convinces both
+ * witnesses: one is in the agent's own domain.
+ */
+START_TEST(asks_a_witness_in_the_domain_of_the_agent)
+{
+	unsigned i;
+
+	begin_with_open_flow(1);
+	for (i = 2; i <= 6; i++)
+		fake_router_set_member_in(i, DY_MEMBER_SERVING, "readings",
+					  i == 4 ? "d1" : "d2");
+	for (i = 0; i < 6; i++) {
+		fake_router_receive_report(2);
+		fake_router_receive_report(3);
+		fake_router_receive_report(4);
+		fake_router_receive_report(5);
+		fake_router_receive_packet(1, DY_PACKET_ACK, 5);
+		fake_router.now_ms += 100;
+	}
+	ck_assert_uint_eq(fake_router.inquiries, 2);
+	ck_assert_uint_eq(fake_router.witness.ip[15],
+			  fake_router_agent(4).ip[15]);
+	fake_router_end();
+}
+END_TEST
+
 /*
  * A reading that must be stored only once was sent to the paused agent. A reset
  * would lose it for certain, so the flow waits for the agent's return.
@@ -415,6 +504,50 @@
 }
 END_TEST
 
+static void receive_held_of(unsigned agent, int open, int deliveries)
+{
+	dy_flow_held_t held = { 0 };
+
+	held.flow = fake_router_packet(1, 0, 0).flow;
+	held.agent = fake_router_agent(agent);
+	held.open = open;
+	held.deliveries = deliveries;
+	dy_flow_router_receive_held(fake_router.router, &held,
+				    fake_router.now_ms);
+}
+
+static int is_last_forward_a_delivery(void)
+{
+	dy_flow_forward_t forward = fake_router.forward;
+
+	forward.tries.tries_val = fake_router.tries;
+	return dy_flow_router_is_delivery(fake_router.router, &forward);
+}
+
+/*
+ * Guards against the short form where the agent needs the rest of the forward:
+ * openings, searches, flows that are not open, agents of an older build.
+ */
+START_TEST(uses_short_form_only_for_holder_of_open_flow)
+{
+	fake_router_begin(2);
+	fake_router_receive_packet(1, DY_PACKET_SYN, 0);
+	ck_assert(!is_last_forward_a_delivery());
+	fake_router_receive_packet(2, DY_PACKET_ACK, 5);
+	ck_assert(!is_last_forward_a_delivery());
+	receive_held_of(1, 0, 1);
+	fake_router_receive_packet(1, DY_PACKET_ACK, 5);
+	ck_assert(!is_last_forward_a_delivery());
+	receive_held_of(1, 1, 1);
+	fake_router_receive_packet(1, DY_PACKET_ACK, 5);
+	ck_assert(is_last_forward_a_delivery());
+	receive_held_of(1, 1, 0);
+	fake_router_receive_packet(1, DY_PACKET_ACK, 5);
+	ck_assert(!is_last_forward_a_delivery());
+	fake_router_end();
+}
+END_TEST
+
 /* A caller that resets its flow itself gets no reset. */
 START_TEST(does_not_answer_reset_of_caller)
 {
@@ -491,6 +624,7 @@
 		spreads_last_candidates_over_targets,
 		ignores_older_rules,
 		relays_open_flow_around_broken_path,
+		keeps_path_while_forwards_wait,
 		avoids_broken_path_for_new_flows,
 		sends_cold_rate_with_opening,
 		sends_retransmitted_syn_to_other_agent,
@@ -498,11 +632,15 @@
 		keeps_open_holder_over_half_open_one,
 		resets_flow_of_lost_agent,
 		resets_repeatable_flow_of_unresponsive_agent,
+		keeps_flow_of_agent_that_answers_witnesses,
+		keeps_flow_of_agent_with_a_single_witness,
+		asks_a_witness_in_the_domain_of_the_agent,
 		keeps_other_flow_of_unresponsive_agent,
 		does_not_reset_after_long_silence_without_traffic,
 		does_not_reset_without_member_confirmation,
 		does_not_reset_when_all_agents_are_silent,
 		does_not_reset_flow_opened_elsewhere,
+		uses_short_form_only_for_holder_of_open_flow,
 		does_not_answer_reset_of_caller,
 		drops_packet_without_entry,
 		expires_idle_flows,
