--- a/src/connection/link_queue.c
+++ b/src/connection/link_queue.c
@@ -44,7 +44,9 @@
 	int owed;		 /* bytes that these are behind their share */
 	unsigned count;		 /* waiting forwards */
 	size_t bytes;		 /* and their size, an estimate */
-	uint64_t *sent_bytes;	 /* of forwards */
+	uint64_t *flow_bytes;	 /* of packets to known holders */
+	uint64_t *opening_bytes; /* of openings */
+	uint64_t *search_bytes;	 /* of packets with an unknown holder */
 	uint64_t *charged_bytes; /* of all other messages */
 	uint64_t *queued;
 	uint64_t *replaced;
@@ -55,7 +57,9 @@
 {
 	dy_link_queue_t *queue = g_new0(dy_link_queue_t, 1);
 	const dy_metrics_entry_t entries[] = {
-		{ "link_bytes_forwards", &queue->sent_bytes },
+		{ "link_bytes_flows", &queue->flow_bytes },
+		{ "link_bytes_openings", &queue->opening_bytes },
+		{ "link_bytes_searches", &queue->search_bytes },
 		{ "link_bytes_control", &queue->charged_bytes },
 		{ "link_queued", &queue->queued },
 		{ "link_replaced", &queue->replaced },
@@ -139,11 +143,23 @@
 	return queue->config.bytes_per_s != 0;
 }
 
-static void send_forward(dy_link_queue_t *queue, dy_flow_forward_t *forward)
+/* Returns the counter of what a forward takes of the link. */
+static uint64_t *select_counter(dy_link_queue_t *queue,
+				const dy_flow_forward_t *forward,
+				unsigned flags)
 {
+	if (flags & DY_PACKET_SYN)
+		return queue->opening_bytes;
+	return forward->window ? queue->search_bytes : queue->flow_bytes;
+}
+
+static void send_forward(dy_link_queue_t *queue, dy_flow_forward_t *forward,
+			 unsigned flags)
+{
+	uint64_t *counter = select_counter(queue, forward, flags);
 	size_t bytes = queue->config.send(queue->config.context, forward);
 
-	*queue->sent_bytes += bytes;
+	*counter += bytes;
 	queue->credit -= (int64_t)bytes * 1000;
 }
 
@@ -230,12 +246,12 @@
 	waiting_t *waiting;
 
 	if (!is_limited(queue)) {
-		send_forward(queue, forward);
+		send_forward(queue, forward, packet->flags);
 		return 0;
 	}
 	refill(queue, now_ms);
 	if (!queue->count && queue->credit > 0) {
-		send_forward(queue, forward);
+		send_forward(queue, forward, packet->flags);
 		return 0;
 	}
 	flow = get_flow(queue, &packet->flow);
@@ -311,7 +327,7 @@
 
 	flow->deficit -= bytes;
 	update_owed(queue, list, bytes);
-	send_forward(queue, &waiting->stored.forward);
+	send_forward(queue, &waiting->stored.forward, waiting->flags);
 	drop_oldest(queue, flow);
 	if (!flow->count && flow->deficit <= 0)
 		end_turn(queue, flow);
--- a/src/process/flow/link_sender.c
+++ b/src/process/flow/link_sender.c
@@ -71,25 +71,30 @@
 			       DY_LINK_SERVE_INTERVAL_MS);
 }
 
+static unsigned long value(const link_sender_t *sender, const char *counter)
+{
+	return (unsigned long)dy_metrics_value(sender->member->metrics,
+					       counter);
+}
+
 static void log_backlog(link_sender_t *sender, uint64_t now_ms)
 {
-	const dy_metrics_t *metrics = sender->member->metrics;
 	unsigned backlog_ms = dy_link_queue_backlog_ms(sender->queue);
 
 	sender->backlog_max_ms = MAX(sender->backlog_max_ms, backlog_ms);
 	if (sender->backlog_max_ms < LOGGED_BACKLOG_MS ||
 	    now_ms - sender->logged_ms < LOG_INTERVAL_MS)
 		return;
-	dy_log_event(
-		DY_LOG_INFO, "link_backlog",
-		"max_ms=%u queued=%lu replaced=%lu dropped=%lu bytes=%lu "
-		"control_bytes=%lu",
-		sender->backlog_max_ms,
-		(unsigned long)dy_metrics_value(metrics, "link_queued"),
-		(unsigned long)dy_metrics_value(metrics, "link_replaced"),
-		(unsigned long)dy_metrics_value(metrics, "link_dropped"),
-		(unsigned long)dy_metrics_value(metrics, "link_bytes_forwards"),
-		(unsigned long)dy_metrics_value(metrics, "link_bytes_control"));
+	dy_log_event(DY_LOG_INFO, "link_backlog",
+		     "max_ms=%u queued=%lu replaced=%lu dropped=%lu flows=%lu "
+		     "openings=%lu searches=%lu control=%lu",
+		     sender->backlog_max_ms, value(sender, "link_queued"),
+		     value(sender, "link_replaced"),
+		     value(sender, "link_dropped"),
+		     value(sender, "link_bytes_flows"),
+		     value(sender, "link_bytes_openings"),
+		     value(sender, "link_bytes_searches"),
+		     value(sender, "link_bytes_control"));
 	sender->backlog_max_ms = 0;
 	sender->logged_ms = now_ms;
 }
