--- a/include/damaskyard/flow_router.h
+++ b/include/damaskyard/flow_router.h
@@ -47,6 +47,8 @@
 	 */
 	void (*forward)(void *context, dy_flow_forward_t *forward,
 			const dy_packet_t *packet);
+	/* Returns whether a forward of the flow has not been sent yet. */
+	int (*is_waiting)(void *context, const dy_flow_id_t *flow);
 	/* Sends a reset with this sequence number to the flow's caller. */
 	void (*reset)(void *context, const dy_flow_id_t *flow, uint32_t seq);
 	/*
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -332,6 +332,18 @@
 	flow_router_send_forward(router, &forward, packet, bytes, len);
 }
 
+/*
+ * Guards against a healthy agent that is taken for gone because its opening
+ * still waits for this balancer's link.
+ */
+static int is_first_copy_waiting(const dy_flow_router_t *router,
+				 const flow_t *flow)
+{
+	return flow && flow->agent.port &&
+	       router->config.callbacks->is_waiting(router->config.context,
+						    &flow->id);
+}
+
 static void route_opening(dy_flow_router_t *router, const dy_packet_t *packet,
 			  uint8_t *bytes, size_t len, uint64_t now_ms)
 {
@@ -353,6 +365,8 @@
 	if (!flow && entry->upload &&
 	    flow_router_defer_upload(router, entry, packet, bytes, len, now_ms))
 		return;
+	if (is_first_copy_waiting(router, flow))
+		return;
 	handle_unanswered_opening(router, flow, now_ms);
 	flow_router_open_flow(router, packet, bytes, len, now_ms);
 }
--- a/src/connection/link_queue.c
+++ b/src/connection/link_queue.c
@@ -343,6 +343,13 @@
 	return queue->count;
 }
 
+int dy_link_queue_has(const dy_link_queue_t *queue, const dy_flow_id_t *flow)
+{
+	const flow_queue_t *found = g_hash_table_lookup(queue->flows, flow);
+
+	return found && found->count;
+}
+
 unsigned dy_link_queue_backlog_ms(const dy_link_queue_t *queue)
 {
 	if (!is_limited(queue))
--- a/src/process/flow/cmd_flow_balancer.c
+++ b/src/process/flow/cmd_flow_balancer.c
@@ -73,6 +73,13 @@
 	link_sender_send(balancer->sender, forward, packet);
 }
 
+static int is_waiting(void *context, const dy_flow_id_t *flow)
+{
+	flow_balancer_t *balancer = context;
+
+	return link_sender_has(balancer->sender, flow);
+}
+
 static void send_reset(void *context, const dy_flow_id_t *flow, uint32_t seq)
 {
 	flow_balancer_t *balancer = context;
@@ -114,7 +121,12 @@
 }
 
 static const dy_flow_router_callbacks_t router_callbacks = {
-	send_forward, send_reset, confirm_members, request_report, inquire,
+	.forward = send_forward,
+	.is_waiting = is_waiting,
+	.reset = send_reset,
+	.confirm_members = confirm_members,
+	.request_report = request_report,
+	.inquire = inquire,
 };
 
 static void on_packet(void *context, uint8_t *bytes, size_t len,
--- a/src/process/flow/link_sender.c
+++ b/src/process/flow/link_sender.c
@@ -154,3 +154,8 @@
 	if (dy_link_queue_push(sender->queue, forward, packet, now_ms))
 		start_timer(sender);
 }
+
+int link_sender_has(const link_sender_t *sender, const dy_flow_id_t *flow)
+{
+	return dy_link_queue_has(sender->queue, flow);
+}
--- a/src/process/flow/link_sender.h
+++ b/src/process/flow/link_sender.h
@@ -30,4 +30,7 @@
 void link_sender_send(link_sender_t *sender, dy_flow_forward_t *forward,
 		      const dy_packet_t *packet);
 
+/* Returns whether a forward of the flow waits for the link. */
+int link_sender_has(const link_sender_t *sender, const dy_flow_id_t *flow);
+
 #endif
--- a/tests/fake_router.c
+++ b/tests/fake_router.c
@@ -21,6 +21,13 @@
 					 fake_router.now_ms);
 }
 
+static int on_is_waiting(void *context, const dy_flow_id_t *flow)
+{
+	(void)context;
+	(void)flow;
+	return fake_router.keeps_forwards;
+}
+
 static void on_reset(void *context, const dy_flow_id_t *flow, uint32_t seq)
 {
 	(void)context;
@@ -57,7 +64,12 @@
 }
 
 static const dy_flow_router_callbacks_t callbacks = {
-	on_forward, on_reset, on_confirm_members, on_request_report, on_inquire
+	.forward = on_forward,
+	.is_waiting = on_is_waiting,
+	.reset = on_reset,
+	.confirm_members = on_confirm_members,
+	.request_report = on_request_report,
+	.inquire = on_inquire,
 };
 
 dy_address_t fake_router_agent(unsigned number)
--- a/tests/test_flow_router.c
+++ b/tests/test_flow_router.c
@@ -157,6 +157,30 @@
 }
 END_TEST
 
+/*
+ * The first copy of an opening waits for this balancer's link when the second
+ * one arrives. Guards against avoiding its agent, which was sent nothing, and
+ * against a second target that gets the same opening.
+ */
+START_TEST(ignores_copy_of_opening_that_still_waits)
+{
+	fake_router_begin(2);
+	fake_router.keeps_forwards = 1;
+	fake_router_receive_packet(1, DY_PACKET_SYN, 0);
+	fake_router.now_ms += 200;
+	fake_router_receive_packet(1, DY_PACKET_SYN, 1);
+	ck_assert_uint_eq(fake_router.forwards, 1);
+	ck_assert_uint_eq(
+		dy_metrics_value(fake_router.metrics, "openings_second_chance"),
+		0);
+	fake_router.keeps_forwards = 0;
+	fake_router.now_ms += 400;
+	fake_router_receive_packet(1, DY_PACKET_SYN, 2);
+	ck_assert_uint_eq(fake_router.forwards, 2);
+	fake_router_end();
+}
+END_TEST
+
 /* Guards against opening new flows on a broken path. */
 START_TEST(avoids_broken_path_for_new_flows)
 {
@@ -625,6 +649,7 @@
 		ignores_older_rules,
 		relays_open_flow_around_broken_path,
 		keeps_path_while_forwards_wait,
+		ignores_copy_of_opening_that_still_waits,
 		avoids_broken_path_for_new_flows,
 		sends_cold_rate_with_opening,
 		sends_retransmitted_syn_to_other_agent,
