--- a/include/damaskyard/flow_rules.h
+++ b/include/damaskyard/flow_rules.h
@@ -25,6 +25,7 @@
 	uint16_t port;
 	uint8_t repeatable; /* its requests may run more than once */
 	uint8_t upload;	    /* its requests have large bodies */
+	uint8_t bulk;	    /* its requests or answers have */
 	uint32_t aim_ms;    /* in which requests are to be answered; 0: none */
 	uint8_t share_count;
 	dy_flow_share_t shares[DY_FLOW_SHARES_MAX];
--- a/include/damaskyard/flow_targets.h
+++ b/include/damaskyard/flow_targets.h
@@ -52,6 +52,13 @@
  */
 #define DY_FLOW_REMOTE_PENALTY 0.3
 
+/*
+ * Factor of the load of a target outside the domain for a flow that carries one
+ * large body. Its bytes are most of those between domains, and it is over soon,
+ * so that targets in the domain may be half as full again as others.
+ */
+#define DY_FLOW_REMOTE_BULK_FACTOR 1.5
+
 /* Penalty of a target that started recently, in flows per slot. */
 #define DY_FLOW_COLD_PENALTY 1.0
 
@@ -211,12 +218,12 @@
 				     uint64_t now_ms);
 
 /*
- * List the agents to try for a new flow of a service, best first. Returns
- * their number; 0 if none accepts new flows.
+ * List the agents to try for a new flow of a service, best first; bulk: it
+ * carries one large body. Returns their number; 0 if none accepts new flows.
  */
 unsigned dy_flow_targets_choose(const dy_flow_targets_t *targets,
 				const char *service, const dy_flow_id_t *flow,
-				uint64_t now_ms,
+				int bulk, uint64_t now_ms,
 				dy_address_t list[DY_FLOW_TRIES]);
 
 /*
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -237,7 +237,7 @@
 			continue;
 		*service = share->service;
 		count = dy_flow_targets_choose(router->targets, share->service,
-					       flow, now_ms, list);
+					       flow, entry->bulk, now_ms, list);
 	}
 	return count;
 }
--- a/src/version/flow_targets.c
+++ b/src/version/flow_targets.c
@@ -493,7 +493,7 @@
 		target->avoided_until_ms = now_ms + DY_FLOW_UNANSWERED_AVOID_MS;
 }
 
-static double compute_score(const target_t *target, uint64_t now_ms)
+static double compute_score(const target_t *target, int bulk, uint64_t now_ms)
 {
 	const dy_flow_load_t *load = &target->load;
 	double slots = load->slots ? load->slots : 1;
@@ -504,6 +504,8 @@
 			 slots;
 	if (load->cold)
 		score += DY_FLOW_COLD_PENALTY;
+	if (!target->same_domain && bulk)
+		score *= DY_FLOW_REMOTE_BULK_FACTOR;
 	if (!target->same_domain)
 		score += DY_FLOW_REMOTE_PENALTY;
 	if (target->avoided_until_ms > now_ms || target->path.broken)
@@ -581,7 +583,7 @@
 
 unsigned dy_flow_targets_choose(const dy_flow_targets_t *targets,
 				const char *service, const dy_flow_id_t *flow,
-				uint64_t now_ms,
+				int bulk, uint64_t now_ms,
 				dy_address_t list[DY_FLOW_TRIES])
 {
 	GPtrArray *all = g_hash_table_lookup(targets->services, service);
@@ -594,7 +596,7 @@
 	count = rank_targets(all, flow, 1, DY_FLOW_CANDIDATES, candidates);
 	for (i = 0; i < count; i++)
 		candidates[i].score =
-			compute_score(candidates[i].target, now_ms);
+			compute_score(candidates[i].target, bulk, now_ms);
 	sort_by_score(candidates, count);
 	for (i = 0; i < count; i++)
 		list[i] = candidates[i].target->address;
--- a/tests/test_flow_targets.c
+++ b/tests/test_flow_targets.c
@@ -77,17 +77,23 @@
 }
 
 /* Open a flow as a balancer does. Returns the target's number, or 0. */
-static unsigned open_flow(dy_flow_targets_t *targets, unsigned number)
+static unsigned open_flow_of(dy_flow_targets_t *targets, unsigned number,
+			     int bulk)
 {
 	dy_address_t list[DY_FLOW_TRIES];
 	dy_flow_id_t id = flow(number);
 
-	if (!dy_flow_targets_choose(targets, SERVICE, &id, 0, list))
+	if (!dy_flow_targets_choose(targets, SERVICE, &id, bulk, 0, list))
 		return 0;
 	dy_flow_targets_note_opened(targets, &list[0]);
 	return number_of(&list[0]);
 }
 
+static unsigned open_flow(dy_flow_targets_t *targets, unsigned number)
+{
+	return open_flow_of(targets, number, 0);
+}
+
 static int search(dy_flow_targets_t *targets, unsigned number, unsigned *count,
 		  dy_address_t list[DY_FLOW_SEARCH_MAX])
 {
@@ -202,6 +208,30 @@
 }
 END_TEST
 
+/*
+ * Uploads are most of the bytes between domains. Guards against sending two of
+ * three to another domain, and against a domain that is kept busy while another
+ * is idle: a target there may be half as full again, and no more.
+ */
+START_TEST(bulk_stays_in_own_domain_until_that_is_fuller)
+{
+	dy_flow_targets_t *targets = create(0);
+	unsigned own = 0;
+	unsigned i;
+
+	set_member(targets, 1, 1, DY_MEMBER_SERVING, "d1");
+	set_member(targets, 2, 2, DY_MEMBER_SERVING, "d2");
+	for (i = 0; i < 1000; i++)
+		own += open_flow_of(targets, i, 1) == 1;
+	ck_assert_uint_ge(own, 590);
+	ck_assert_uint_le(own, 610);
+	report(targets, 1, 70, 20, 0);
+	report(targets, 2, 70, 0, 0);
+	ck_assert_uint_eq(open_flow_of(targets, 1, 1), 2);
+	dy_flow_targets_destroy(targets);
+}
+END_TEST
+
 /*
  * An agent has failed but its lease has not expired: a retransmitted opening
  * packet must not go there again.
@@ -213,16 +243,16 @@
 	dy_address_t first;
 	dy_flow_id_t id = flow(1);
 
-	dy_flow_targets_choose(targets, SERVICE, &id, 0, list);
+	dy_flow_targets_choose(targets, SERVICE, &id, 0, 0, list);
 	first = list[0];
 	dy_flow_targets_note_unanswered(targets, &first, 0);
 	ck_assert_uint_eq(
-		dy_flow_targets_choose(targets, SERVICE, &id, 1, list), 2);
+		dy_flow_targets_choose(targets, SERVICE, &id, 0, 1, list), 2);
 	ck_assert(!dy_address_equal(&list[0], &first));
 	ck_assert(dy_address_equal(&list[1], &first));
 	report(targets, number_of(&first), 0, 0, 0);
 	report(targets, 3 - number_of(&first), 5, 0, 0);
-	dy_flow_targets_choose(targets, SERVICE, &id, 2, list);
+	dy_flow_targets_choose(targets, SERVICE, &id, 0, 2, list);
 	ck_assert(dy_address_equal(&list[0], &first));
 	dy_flow_targets_destroy(targets);
 }
@@ -386,7 +416,7 @@
 				   DY_MEMBER_SERVING, "d1");
 	for (i = 0; i < 100; i++) {
 		id = flow(i);
-		dy_flow_targets_choose(targets, "maps", &id, 0, chosen);
+		dy_flow_targets_choose(targets, "maps", &id, 0, 0, chosen);
 		count = dy_flow_targets_search(targets, names, 1, &id,
 					       &complete, searched);
 		ck_assert(is_in_list(&chosen[0], searched, count));
@@ -444,6 +474,7 @@
 		busy_slots_without_queue_do_not_repel_flows,
 		cold_target_is_penalized,
 		own_domain_is_preferred_between_equals,
+		bulk_stays_in_own_domain_until_that_is_fuller,
 		unanswered_target_is_last_until_it_reports,
 		only_serving_targets_are_chosen,
 		ignores_late_end_of_older_incarnation,
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -232,9 +232,11 @@
 	ck_assert_ptr_nonnull(rules);
 	entry = dy_flow_rules_find(rules, 0x0a000001u, 1);
 	ck_assert_uint_eq(entry->upload, 1);
+	ck_assert_uint_eq(entry->bulk, 1);
 	ck_assert_uint_eq(entry->aim_ms, 800);
 	entry = dy_flow_rules_find(rules, 0x0a000001u, 2);
 	ck_assert_uint_eq(entry->upload, 0);
+	ck_assert_uint_eq(entry->bulk, 0);
 	ck_assert_uint_eq(entry->aim_ms, 0);
 	dy_flow_rules_destroy(rules);
 }
