--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -40,6 +40,7 @@
 		g_new0(pending_forward_t, DY_PENDING_FORWARDS_MAX);
 	holder->queued_openings = dy_opening_queue_create();
 	dy_cold_limit_init(&holder->cold);
+	dy_request_load_init(&holder->load);
 	holder->flow_limit = limit;
 	holder->refused_limit = limit;
 	holder->request_limit = limit;
@@ -65,7 +66,7 @@
 {
 	load->slots = holder->notice.slots;
 	load->flows = dy_flow_holder_count(holder);
-	load->busy = dy_request_load_slots(&holder->load) +
+	load->busy = dy_request_load_slots(&holder->load, 0) +
 		     dy_opening_queue_count(holder->queued_openings);
 	load->accepts = dy_flow_holder_accepts(holder);
 	load->cold = now_ms < holder->cold_until_ms;
@@ -139,7 +140,7 @@
 			     dy_flow_id_format(flow, text), reason,
 			     dy_log_quote(holder->notice.id),
 			     dy_flow_holder_count(holder),
-			     dy_request_load_slots(&holder->load));
+			     dy_request_load_slots(&holder->load, 0));
 }
 
 void holder_pass_on(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
@@ -225,9 +226,11 @@
 		flow->ack_at_open = packet->ack;
 	}
 	flow->caller_ack = packet->ack;
-	if (flow->stage == STAGE_HALF_OPEN)
+	if (flow->stage == STAGE_HALF_OPEN) {
+		dy_request_load_add_opening(&holder->load,
+					    now_ms - flow->recorded_ms);
 		holder_enter_stage(holder, flow, STAGE_OPEN, now_ms);
-	else
+	} else
 		holder_touch(holder, flow, now_ms);
 	if (flow->stage == STAGE_ENDED)
 		return;
--- a/src/connection/flow_holder_flows.c
+++ b/src/connection/flow_holder_flows.c
@@ -20,7 +20,7 @@
 		     dy_flow_id_format(&flow->id, text), outcome,
 		     (unsigned long)(now_ms - flow->busy_since_ms),
 		     dy_log_quote(holder->notice.id),
-		     dy_request_load_slots(&holder->load),
+		     dy_request_load_slots(&holder->load, 0),
 		     holder->notice.slots);
 }
 
--- a/src/connection/flow_holder_openings.c
+++ b/src/connection/flow_holder_openings.c
@@ -31,17 +31,16 @@
 		is_new ? max_requests
 		       : MIN(max_requests, slots + DY_QUEUED_EXTRA_REQUESTS);
 	const dy_list_t *half_open = &holder->stages[STAGE_HALF_OPEN];
-	unsigned expected = dy_request_load_slots(&holder->load);
+	unsigned openings = 0;
 	const dy_list_t *pos;
 
-	for (pos = half_open->prev; pos != half_open && expected < limit;
-	     pos = pos->prev) {
+	for (pos = half_open->prev; pos != half_open; pos = pos->prev) {
 		if (now_ms - DY_LIST_ITEM(pos, held_flow_t, link)->used_ms >
 		    DY_FIRST_REQUEST_TIMEOUT_MS)
 			break;
-		expected++;
+		openings++;
 	}
-	return expected < limit;
+	return dy_request_load_slots(&holder->load, openings) < limit;
 }
 
 /*
