--- a/include/damaskyard/bulk_limit.h
+++ b/include/damaskyard/bulk_limit.h
@@ -18,10 +18,11 @@
 #include <stdint.h>
 
 /*
- * Part of an upload's aim that its transfer may take, in percent. The rest is
- * for its wait before and its work after.
+ * Part of an upload's aim that its transfer may take, in percent. Few uploads
+ * at a time keep a link as busy as many, and each is over sooner. The rest of
+ * the aim is for its wait before and its work after.
  */
-#define DY_BULK_AIM_PERCENT 50
+#define DY_BULK_AIM_PERCENT 20
 
 /* Uploads that may always run: one alone leaves the link idle at its end. */
 #define DY_BULK_RUNNING_MIN 2
