--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -275,6 +275,14 @@
 	dy_flow_targets_note_unanswered(router->targets, &flow->agent, now_ms);
 }
 
+/*
+ * Candidates that an opening is sent with, the best again at the end. Each
+ * takes 20 bytes of the balancer's link, and after a loss of power openings are
+ * half of what a thin link carries. Four leave an opening that finds the best
+ * one at capacity three more to try.
+ */
+#define OPENING_CANDIDATES_MAX 4u
+
 /*
  * Appends the best candidate once more at the end of the list, where openings
  * wait.
@@ -328,7 +336,8 @@
 	forward.certain = 1;
 	forward.complete = 1;
 	forward.tries.tries_val = list;
-	forward.tries.tries_len = append_best_candidate(list, count);
+	forward.tries.tries_len =
+		append_best_candidate(list, MIN(count, OPENING_CANDIDATES_MAX));
 	flow_router_send_forward(router, &forward, packet, bytes, len);
 }
 
--- a/tests/test_flow_router.c
+++ b/tests/test_flow_router.c
@@ -78,6 +78,24 @@
 }
 END_TEST
 
+/*
+ * Power is back, and openings fill the links of small balancers. Guards against
+ * a list of all candidates in each of them.
+ */
+START_TEST(sends_openings_with_few_candidates)
+{
+	unsigned best;
+
+	fake_router_begin(8);
+	fake_router_receive_packet(1, DY_PACKET_SYN, 0);
+	ck_assert_uint_eq(fake_router.forward.tries.tries_len, 5);
+	best = (uint8_t)fake_router.tries[0].ip[DY_IP_BYTES - 1];
+	ck_assert_uint_eq((uint8_t)fake_router.tries[4].ip[DY_IP_BYTES - 1],
+			  best);
+	fake_router_end();
+}
+END_TEST
+
 /*
  * Guards against an older document that arrives after a newer one and removes
  * its entries.
@@ -646,6 +664,7 @@
 		keeps_flow_at_target_that_opened_it,
 		refuses_opening_without_entry_or_target_at_once,
 		spreads_last_candidates_over_targets,
+		sends_openings_with_few_candidates,
 		ignores_older_rules,
 		relays_open_flow_around_broken_path,
 		keeps_path_while_forwards_wait,
