--- a/soak/processes.c
+++ b/soak/processes.c
@@ -21,6 +21,12 @@
 	return &soak.processes[CONTROLS + BALANCERS + number - 1];
 }
 
+/*
+ * Links of the balancers, in Mbit/s: one that is often full, one that is so at
+ * times, one without a limit (0).
+ */
+static const char *const balancer_links[BALANCERS] = { "0.1", "0.5", "0" };
+
 static void write_settings(process_t *process, int class, int number,
 			   int first_start)
 {
@@ -34,6 +40,9 @@
 			process->name, number, first_start ? "true" : "false");
 	if (process->data)
 		g_string_append_printf(text, "data=%s\n", process->data);
+	if (class == NET_BALANCER)
+		g_string_append_printf(text, "link-mbps=%s\n",
+				       balancer_links[number - 1]);
 	g_string_append_printf(text, "[listen]\ninner-port=%d\n",
 			       base + PORT_INNER);
 	if (class != NET_CONTROL)
