--- a/include/damaskyard/pick.h
+++ b/include/damaskyard/pick.h
@@ -142,6 +142,12 @@
 /* Record that a new flow was sent to the target. */
 void dy_pick_note_opening(dy_pick_target_t *target, uint64_t now_ms);
 
+/*
+ * Record that an opening sent to the target is waited for no longer, without an
+ * answer or a failure.
+ */
+void dy_pick_note_dropped_opening(dy_pick_target_t *target);
+
 /*
  * Record that a call of an open flow was sent to the target, so that a stall
  * is detected without new flows as well.
--- a/src/request/openings.c
+++ b/src/request/openings.c
@@ -62,23 +62,30 @@
 	return entry;
 }
 
-void openings_add(openings_t *openings, const opening_t *opening)
+unsigned openings_add(openings_t *openings, const opening_t *opening,
+		      opening_t displaced[OPENINGS_DISPLACED_MAX])
 {
 	opening_t *entry;
+	unsigned count = 0;
 
 	entry = g_hash_table_lookup(openings->by_key, &opening->key);
-	if (entry)
+	if (entry) {
+		displaced[count++] = *entry;
 		remove_entry(openings, entry);
+	}
 	if (openings->count == OPENINGS_MAX) {
 		entry = pop_first(openings);
-		if (entry->key)
+		if (entry->key) {
+			displaced[count++] = *entry;
 			remove_entry(openings, entry);
+		}
 	}
 	entry = &openings->ring[(openings->first + openings->count) %
 				OPENINGS_MAX];
 	openings->count++;
 	*entry = *opening;
 	g_hash_table_insert(openings->by_key, &entry->key, entry);
+	return count;
 }
 
 int openings_remove(openings_t *openings, uint64_t key, opening_t *opening)
--- a/src/request/openings.h
+++ b/src/request/openings.h
@@ -15,11 +15,13 @@
 /*
  * Capacity of the table. With 64 balancers and 50,000 callers that reconnect
  * within a second, each balancer gets 800 openings per second; 4,096 entries
- * hold five seconds of them. A full table drops the oldest entry, which then
- * stays unanswered in the load state of its target.
+ * hold five seconds of them. A full table drops the oldest entry.
  */
 #define OPENINGS_MAX 4096
 
+/* Openings that a new one can displace: its own key's, and the oldest. */
+#define OPENINGS_DISPLACED_MAX 2
+
 /*
  * An opening fails after this time without an answer, in ms, and a
  * retransmission goes to another target. It is shorter than the retransmission
@@ -52,8 +54,13 @@
  */
 const opening_t *openings_find(const openings_t *openings, uint64_t key);
 
-/* Adds an opening, or replaces the one with the same key. It is copied. */
-void openings_add(openings_t *openings, const opening_t *opening);
+/*
+ * Adds an opening. It is copied. Writes the openings that had to go, which get
+ * no answer or expiry any more: the one with the same key, and the oldest of a
+ * full table. Returns their number.
+ */
+unsigned openings_add(openings_t *openings, const opening_t *opening,
+		      opening_t displaced[OPENINGS_DISPLACED_MAX]);
 
 /*
  * Removes an opening. Returns 1 and copies it to *opening if it was present,
--- a/src/request/router_answer.c
+++ b/src/request/router_answer.c
@@ -10,7 +10,7 @@
  */
 #define HOPS_MAX 3
 
-static dy_pick_target_t *find_pick(dy_router_t *router, uint64_t service_id,
+dy_pick_target_t *router_find_pick(dy_router_t *router, uint64_t service_id,
 				   uint64_t incarnation)
 {
 	route_service_t *service =
@@ -95,7 +95,7 @@
 	int opened;
 
 	opened = remove_opening(router, &answer->caller, bytes, len);
-	pick = find_pick(router, answer->service, answer->incarnation);
+	pick = router_find_pick(router, answer->service, answer->incarnation);
 	if (pick) {
 		record_answer(pick, &answer->load, opened, now_ms);
 		if (!opened && is_overload_refusal(bytes, len))
@@ -126,7 +126,7 @@
 	if (dy_rpc_parse_call(datagram.bytes, datagram.len, &packet.call))
 		return;
 	remove_opening(router, &datagram.caller, datagram.bytes, datagram.len);
-	pick = find_pick(router, forward->service, forward->incarnation);
+	pick = router_find_pick(router, forward->service, forward->incarnation);
 	if (pick)
 		record_bounce(pick, bounce, now_ms);
 	packet.service =
@@ -147,7 +147,8 @@
 	opening_t opening;
 
 	while (openings_expire(router->openings, now_ms, &opening)) {
-		pick = find_pick(router, opening.service, opening.incarnation);
+		pick = router_find_pick(router, opening.service,
+					opening.incarnation);
 		if (pick)
 			dy_pick_note_failure(pick, 1, now_ms);
 	}
--- a/src/request/router_flow.c
+++ b/src/request/router_flow.c
@@ -54,6 +54,23 @@
 	return service->members[at];
 }
 
+/* Records an opening that was sent to a target. */
+static void add_opening(dy_router_t *router, const opening_t *opening)
+{
+	opening_t displaced[OPENINGS_DISPLACED_MAX];
+	dy_pick_target_t *pick;
+	unsigned count;
+	unsigned i;
+
+	count = openings_add(router->openings, opening, displaced);
+	for (i = 0; i < count; i++) {
+		pick = router_find_pick(router, displaced[i].service,
+					displaced[i].incarnation);
+		if (pick)
+			dy_pick_note_dropped_opening(pick);
+	}
+}
+
 /*
  * Forwards a call that opens a flow, or an idempotent call whose target is
  * lost, to a selected target.
@@ -88,7 +105,7 @@
 	opening.service = packet->datagram->service;
 	opening.incarnation = member->incarnation;
 	opening.sent_ms = packet->now_ms;
-	openings_add(router->openings, &opening);
+	add_opening(router, &opening);
 	++*router->counters.opened;
 	forward_to(router, packet, member);
 }
--- a/src/request/router_private.h
+++ b/src/request/router_private.h
@@ -95,6 +95,10 @@
 /* Publishes the error budgets, at most once per BURN_PUBLISH_MS. */
 void router_publish_burns(dy_router_t *router, uint64_t now_ms);
 
+/* Returns the load state of a target, or NULL if it is not known. */
+dy_pick_target_t *router_find_pick(dy_router_t *router, uint64_t service_id,
+				   uint64_t incarnation);
+
 /* router_flow.c: selection of the agent. */
 void router_open_flow(dy_router_t *router, const packet_t *packet);
 void router_route_call(dy_router_t *router, packet_t *packet);
--- a/src/version/pick.c
+++ b/src/version/pick.c
@@ -304,6 +304,14 @@
 	dy_pick_note_call(target, now_ms);
 }
 
+void dy_pick_note_dropped_opening(dy_pick_target_t *target)
+{
+	if (target->pending)
+		target->pending--;
+	if (!target->pending)
+		target->first_unanswered_ms = 0;
+}
+
 void dy_pick_note_answer(dy_pick_target_t *target,
 			 const dy_pick_report_t *report, int opened,
 			 uint64_t now_ms)
