--- a/include/damaskyard/link_queue.h
+++ b/include/damaskyard/link_queue.h
@@ -85,6 +85,9 @@
  */
 unsigned dy_link_queue_serve(dy_link_queue_t *queue, uint64_t now_ms);
 
+/* Returns the number of waiting forwards. */
+unsigned dy_link_queue_count(const dy_link_queue_t *queue);
+
 /* Returns whether a forward of the flow waits. */
 int dy_link_queue_has(const dy_link_queue_t *queue, const dy_flow_id_t *flow);
 
--- a/src/connection/link_queue.c
+++ b/src/connection/link_queue.c
@@ -343,6 +343,11 @@
 	return queue->count;
 }
 
+unsigned dy_link_queue_count(const dy_link_queue_t *queue)
+{
+	return queue->count;
+}
+
 int dy_link_queue_has(const dy_link_queue_t *queue, const dy_flow_id_t *flow)
 {
 	const flow_queue_t *found = g_hash_table_lookup(queue->flows, flow);
--- a/src/process/flow/cmd_flow_balancer.c
+++ b/src/process/flow/cmd_flow_balancer.c
@@ -32,7 +32,7 @@
  * A planned stop, times in ms. The balancer is not ready from its start. The
  * fabric checks readiness twice a second and acts on the second refusal, so
  * packets stop within STOP_MIN_MS. The stop then ends once no packet has come
- * for STOP_IDLE_MS.
+ * for STOP_IDLE_MS and none waits for the link.
  */
 #define STOP_MIN_MS 1500
 #define STOP_IDLE_MS 400
@@ -359,7 +359,8 @@
 	limit_ms -= MIN(limit_ms, (uint64_t)STOP_MARGIN_MS);
 	if (elapsed_ms < limit_ms &&
 	    (elapsed_ms < STOP_MIN_MS ||
-	     now - balancer->last_packet_ms < STOP_IDLE_MS))
+	     now - balancer->last_packet_ms < STOP_IDLE_MS ||
+	     !link_sender_is_idle(balancer->sender)))
 		return;
 	dy_log_event(DY_LOG_INFO, "stop_ended", "ms=%lu",
 		     (unsigned long)elapsed_ms);
--- a/src/process/flow/flow_member.c
+++ b/src/process/flow/flow_member.c
@@ -131,19 +131,17 @@
 	}
 }
 
-size_t flow_member_send(flow_member_t *member, const dy_address_t *to,
-			uint32_t program, uint32_t procedure, xdrproc_t proc,
-			void *args)
+void flow_member_send(flow_member_t *member, const dy_address_t *to,
+		      uint32_t program, uint32_t procedure, xdrproc_t proc,
+		      void *args)
 {
 	dy_seal_header_t header = { 0, program, procedure };
 	size_t len =
 		dy_seal_write_call(member->seal, &header, proc, args,
 				   member->send_buf, sizeof(member->send_buf));
 
-	if (!len)
-		return 0;
-	dy_endpoint_send_to(member->inner, member->send_buf, len, to);
-	return len + DY_ENDPOINT_HEADER_BYTES;
+	if (len)
+		dy_endpoint_send_to(member->inner, member->send_buf, len, to);
 }
 
 void flow_member_close(flow_member_t *member)
--- a/src/process/flow/flow_member.h
+++ b/src/process/flow/flow_member.h
@@ -77,11 +77,11 @@
 
 /*
  * Send a sealed call from the inner endpoint. A message that does not fit
- * send_buf is dropped. Returns its size on the link, in bytes.
+ * send_buf is dropped.
  */
-size_t flow_member_send(flow_member_t *member, const dy_address_t *to,
-			uint32_t program, uint32_t procedure, xdrproc_t proc,
-			void *args);
+void flow_member_send(flow_member_t *member, const dy_address_t *to,
+		      uint32_t program, uint32_t procedure, xdrproc_t proc,
+		      void *args);
 
 /* Free everything that was created since flow_member_load(). */
 void flow_member_close(flow_member_t *member);
--- a/src/process/flow/link_sender.c
+++ b/src/process/flow/link_sender.c
@@ -20,32 +20,35 @@
 
 static void on_timer(uv_timer_t *timer);
 
-static size_t send_delivery(link_sender_t *sender,
-			    const dy_flow_forward_t *forward)
+static void send_delivery(link_sender_t *sender,
+			  const dy_flow_forward_t *forward)
 {
 	dy_flow_delivery_t delivery = { 0 };
 
 	delivery.order = forward->order;
 	delivery.packet.packet_val = forward->packet.packet_val;
 	delivery.packet.packet_len = forward->packet.packet_len;
-	return flow_member_send(sender->member, &forward->tries.tries_val[0],
-				DY_FLOW_AGENT_PROGRAM, DY_FLOW_DELIVERY,
-				(xdrproc_t)xdr_dy_flow_delivery_t, &delivery);
+	flow_member_send(sender->member, &forward->tries.tries_val[0],
+			 DY_FLOW_AGENT_PROGRAM, DY_FLOW_DELIVERY,
+			 (xdrproc_t)xdr_dy_flow_delivery_t, &delivery);
 }
 
+/* A send that fails takes nothing of the link, as the endpoint counts it. */
 static size_t send_now(void *context, dy_flow_forward_t *forward)
 {
 	link_sender_t *sender = context;
-	size_t bytes;
+	const dy_endpoint_t *inner = sender->member->inner;
+	uint64_t before = dy_endpoint_sent_bytes(inner);
+	uint64_t bytes;
 
 	if (dy_flow_router_is_delivery(sender->router, forward))
-		bytes = send_delivery(sender, forward);
+		send_delivery(sender, forward);
 	else
-		bytes = flow_member_send(
-			sender->member,
-			&forward->tries.tries_val[forward->step],
-			DY_FLOW_AGENT_PROGRAM, DY_FLOW_FORWARD,
-			(xdrproc_t)xdr_dy_flow_forward_t, forward);
+		flow_member_send(sender->member,
+				 &forward->tries.tries_val[forward->step],
+				 DY_FLOW_AGENT_PROGRAM, DY_FLOW_FORWARD,
+				 (xdrproc_t)xdr_dy_flow_forward_t, forward);
+	bytes = dy_endpoint_sent_bytes(inner) - before;
 	dy_flow_router_note_sent(sender->router, forward,
 				 dy_loop_now_ms(sender->member->loop));
 	sender->charged_bytes += bytes;
@@ -159,3 +162,8 @@
 {
 	return dy_link_queue_has(sender->queue, flow);
 }
+
+int link_sender_is_idle(const link_sender_t *sender)
+{
+	return !dy_link_queue_count(sender->queue);
+}
--- a/src/process/flow/link_sender.h
+++ b/src/process/flow/link_sender.h
@@ -33,4 +33,7 @@
 /* Returns whether a forward of the flow waits for the link. */
 int link_sender_has(const link_sender_t *sender, const dy_flow_id_t *flow);
 
+/* Returns whether no forward waits. */
+int link_sender_is_idle(const link_sender_t *sender);
+
 #endif
