--- /dev/null
+++ b/src/version/flow_targets_private.h
@@ -0,0 +1,51 @@
+#ifndef DAMASKYARD_FLOW_TARGETS_PRIVATE_H
+#define DAMASKYARD_FLOW_TARGETS_PRIVATE_H
+
+/*
+ * Shared declarations of the files of flow targets. flow_targets.c keeps the
+ * targets and what is known of each, flow_targets_select.c selects among them.
+ */
+
+#include <glib.h>
+
+#include "damaskyard/flow_targets.h"
+
+typedef struct target {
+	uint64_t id;
+	uint64_t incarnation;
+	uint64_t hash; /* of the address */
+	dy_address_t address;
+	char *service;
+	char *domain; /* interned */
+	int same_domain;
+	int evacuated; /* its domain is evacuated */
+	int serving;
+	int suspect;
+	int deliveries; /* the agent accepts DELIVERY */
+	dy_flow_load_t load;
+	uint32_t opened; /* flows opened since its last report */
+	uint64_t avoided_until_ms;
+	uint64_t last_report_ms;
+	/* First call of dy_flow_targets_is_lost() since it is suspect, or 0. */
+	uint64_t lost_check_ms;
+	dy_flow_silence_t silence;
+	dy_flow_path_t path;
+} target_t;
+
+struct dy_flow_targets {
+	const char *domain;
+	GHashTable *by_id;
+	GHashTable *by_address;	 /* the newest member at each address */
+	GHashTable *services;	 /* name to GPtrArray of targets */
+	GHashTable *evacuated;	 /* names of domains, a set */
+	unsigned agent_count;	 /* agents that have a service */
+	uint64_t last_report_ms; /* of any agent */
+	/* Send time of the newest poll that was answered. */
+	uint64_t confirmed_poll_ms;
+};
+
+/* Returns the newest target at an address, or NULL. */
+target_t *flow_targets_find(const dy_flow_targets_t *targets,
+			    const dy_address_t *agent);
+
+#endif
