--- a/src/connection/link_queue.c
+++ b/src/connection/link_queue.c
@@ -12,7 +12,7 @@
  * Backlogged flows get one part in this many of the link at least, so that
  * uploads go on while flows of one packet each overload it.
  */
-#define BACKLOGGED_SHARE 4
+#define OLD_FLOWS_SHARE 4
 
 /* Size of the headers that each packet gets on the link, an estimate. */
 #define HEADER_BYTES 128
@@ -26,7 +26,7 @@
 } waiting_t;
 
 typedef struct flow_queue {
-	dy_list_t link; /* in idle_before or backlogged */
+	dy_list_t link; /* in new_flows or old_flows */
 	dy_flow_id_t id;
 	dy_list_t waiting;
 	unsigned count;
@@ -39,8 +39,8 @@
 	int64_t credit_max;
 	uint64_t refilled_ms;
 	GHashTable *flows;	 /* with waiting forwards */
-	dy_list_t idle_before;	 /* flows in their first turn */
-	dy_list_t backlogged;	 /* flows that take turns */
+	dy_list_t new_flows;	 /* flows in their first turn */
+	dy_list_t old_flows;	 /* flows that take turns */
 	int owed;		 /* bytes that these are behind their share */
 	unsigned count;		 /* waiting forwards */
 	size_t bytes;		 /* and their size, an estimate */
@@ -74,8 +74,8 @@
 	queue->credit = queue->credit_max;
 	queue->flows = g_hash_table_new_full(
 		dy_flow_id_table_hash, dy_flow_id_table_equal, NULL, g_free);
-	dy_list_init(&queue->idle_before);
-	dy_list_init(&queue->backlogged);
+	dy_list_init(&queue->new_flows);
+	dy_list_init(&queue->old_flows);
 	dy_metrics_counters(config->metrics, entries, G_N_ELEMENTS(entries));
 	return queue;
 }
@@ -107,8 +107,8 @@
 
 static void drop_all(dy_link_queue_t *queue)
 {
-	drop_flows(queue, &queue->idle_before);
-	drop_flows(queue, &queue->backlogged);
+	drop_flows(queue, &queue->new_flows);
+	drop_flows(queue, &queue->old_flows);
 }
 
 void dy_link_queue_destroy(dy_link_queue_t *queue)
@@ -174,7 +174,7 @@
 	flow->deficit = QUANTUM_BYTES;
 	dy_list_init(&flow->link);
 	dy_list_init(&flow->waiting);
-	dy_list_append(&queue->idle_before, &flow->link);
+	dy_list_append(&queue->new_flows, &flow->link);
 	g_hash_table_insert(queue->flows, &flow->id, flow);
 	return flow;
 }
@@ -272,26 +272,26 @@
 {
 	flow->deficit += QUANTUM_BYTES;
 	dy_list_remove(&flow->link);
-	dy_list_append(&queue->backlogged, &flow->link);
+	dy_list_append(&queue->old_flows, &flow->link);
 }
 
 static dy_list_t *select_list(dy_link_queue_t *queue)
 {
-	if (dy_list_empty(&queue->backlogged))
-		return &queue->idle_before;
-	if (dy_list_empty(&queue->idle_before) || queue->owed > QUANTUM_BYTES)
-		return &queue->backlogged;
-	return &queue->idle_before;
+	if (dy_list_empty(&queue->old_flows))
+		return &queue->new_flows;
+	if (dy_list_empty(&queue->new_flows) || queue->owed > QUANTUM_BYTES)
+		return &queue->old_flows;
+	return &queue->new_flows;
 }
 
 /* Accounts a turn of bytes from one of the lists. */
 static void update_owed(dy_link_queue_t *queue, const dy_list_t *list,
 			int bytes)
 {
-	if (list == &queue->backlogged)
+	if (list == &queue->old_flows)
 		queue->owed = MAX(0, queue->owed - bytes);
-	else if (!dy_list_empty(&queue->backlogged))
-		queue->owed += bytes / (BACKLOGGED_SHARE - 1);
+	else if (!dy_list_empty(&queue->old_flows))
+		queue->owed += bytes / (OLD_FLOWS_SHARE - 1);
 }
 
 /*
@@ -315,7 +315,7 @@
 }
 
 /*
- * A flow that has nothing left takes a place among the backlogged ones, so that
+ * A flow that has nothing left takes a place among the old flows, so that
  * its next forward cannot overtake theirs again and starve them.
  */
 static void send_next(dy_link_queue_t *queue)
