--- a/soak/targets.c
+++ b/soak/targets.c
@@ -41,6 +41,7 @@
 	unsigned starts;
 	unsigned sequence;
 	unsigned sent_sequence;
+	int sent_draining; /* state in the heartbeat in flight */
 	int heartbeat_in_flight;
 	GHashTable *flows;
 } target_t;
@@ -153,7 +154,8 @@
 	(void)body;
 	(void)location;
 	target->heartbeat_in_flight = 0;
-	if (status == 200 && target->draining && !target->drain_acked_ms &&
+	if (status == 200 && target->sent_draining && target->draining &&
+	    !target->drain_acked_ms &&
 	    target->sent_sequence == target->sequence) {
 		target->drain_acked_ms = soak_now_ms();
 		target->leave_at_ms = soak_now_ms() + DRAIN_TIMEOUT_MS + 1000;
@@ -178,6 +180,7 @@
 		target->draining ? "draining" : "ready", ++target->sequence,
 		(unsigned long)target->started_ms);
 	target->sent_sequence = target->sequence;
+	target->sent_draining = target->draining;
 	target->heartbeat_in_flight = 1;
 	target->last_heartbeat_ms = soak_now_ms();
 	http_call(&to, "PUT", path, body, on_heartbeat_answer, target);
