--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -278,8 +278,8 @@
 /*
  * Candidates that an opening is sent with, the best again at the end. Each
  * takes 20 bytes of the balancer's link, and after a loss of power openings are
- * half of what a thin link carries. Four leave an opening that finds the best
- * one at capacity three more to try.
+ * up to half of what a thin link carries. Four leave an opening that finds the
+ * best one at capacity three more to try.
  */
 #define OPENING_CANDIDATES_MAX 4u
 
