--- a/proto/dy_flow.x
+++ b/proto/dy_flow.x
@@ -34,6 +34,13 @@
 	bool cold;		/* started recently, so it is slower */
 };
 
+/* Where an opening waits while all targets are at capacity. */
+enum dy_flow_wait_t {
+	DY_FLOW_WAIT_AT_AGENT = 0,	/* at its last candidate */
+	DY_FLOW_WAIT_AT_BALANCER = 1,	/* NOWHERE with DY_FLOW_FULL */
+	DY_FLOW_GRANTED = 2		/* a GRANT allows it; then as above */
+};
+
 /*
  * A packet of a caller. The agent at tries[step] delivers it if it holds the
  * flow; otherwise it relays the message to the next agent of tries.
@@ -51,6 +58,17 @@
 	unsigned int order;	/* version of the balancer's search order */
 	/* Openings per 1,000 s that a cold target can accept; 0: no limit. */
 	unsigned int cold_openings;
+	dy_flow_wait_t wait;	/* of an opening */
+	unsigned int standing;	/* of an opening; the lowest is served first */
+};
+
+/*
+ * An opening waits at the balancer, which wants a place for it. Places are
+ * granted to the lowest standing first.
+ */
+struct dy_flow_reserve_t {
+	dy_address_t balancer;
+	unsigned int standing;
 };
 
 /*
@@ -62,6 +80,14 @@
 	opaque packet<DY_PACKET_BYTES>;
 };
 
+/* How fast a target works; part of messages of its agent. */
+struct dy_flow_pace_t {
+	/* Mean time of a request in a slot, in microseconds; 0: unknown. */
+	unsigned int service_us;
+	/* Part of the latest requests that had no answer, in 1/1000. */
+	unsigned int unanswered_permille;
+};
+
 /* The agent holds the flow. */
 struct dy_flow_held_t {
 	dy_flow_id_t flow;
@@ -69,11 +95,14 @@
 	bool open;		/* the target received the final ACK */
 	dy_flow_load_t load;
 	bool deliveries;	/* the agent accepts DELIVERY */
+	dy_flow_pace_t pace;
 };
 
 enum dy_flow_reason_t {
 	DY_FLOW_NOT_HELD = 1,	/* a packet in the middle of a flow */
-	DY_FLOW_REFUSED = 2	/* an opening packet that no agent accepts */
+	DY_FLOW_REFUSED = 2,	/* an opening packet that no agent accepts */
+	/* An opening that waits at the balancer; its place is reserved. */
+	DY_FLOW_FULL = 3
 };
 
 /* None of the agents in tries holds the flow. */
@@ -94,6 +123,24 @@
 	dy_flow_load_t load;
 	/* Messages received directly from the balancer; 0: not counted. */
 	unsigned int heard;
+	dy_flow_pace_t pace;
+};
+
+/*
+ * The agent's target has a place for one opening that waits at the balancer,
+ * if the opening arrives soon.
+ */
+struct dy_flow_grant_t {
+	dy_address_t agent;
+	dy_flow_load_t load;
+};
+
+/* What a balancer's link has left for uploads; to balancers of its domain. */
+struct dy_flow_room_t {
+	dy_address_t balancer;
+	unsigned int uploads;		/* that arrive now */
+	unsigned int uploads_max;	/* that may arrive at once */
+	unsigned int waiting;		/* openings that wait for the link */
 };
 
 /* Requests a report from an agent that is silent. */
@@ -133,6 +180,7 @@
 		void DY_FLOW_PROBE(dy_flow_probe_t) = 4;
 		void DY_FLOW_ECHO(dy_flow_echo_t) = 5;
 		void DY_FLOW_DELIVERY(dy_flow_delivery_t) = 6;
+		void DY_FLOW_RESERVE(dy_flow_reserve_t) = 7;
 	} = 1;
 } = 0x2A00D009;
 
@@ -143,5 +191,7 @@
 		void DY_FLOW_NOWHERE(dy_flow_nowhere_t) = 2;
 		void DY_FLOW_REPORT(dy_flow_report_t) = 3;
 		void DY_FLOW_FINDING(dy_flow_finding_t) = 4;
+		void DY_FLOW_GRANT(dy_flow_grant_t) = 5;
+		void DY_FLOW_ROOM(dy_flow_room_t) = 6;
 	} = 1;
 } = 0x2A00D00A;
--- a/src/gen/dy_flow.h
+++ b/src/gen/dy_flow.h
@@ -34,6 +34,13 @@
 };
 typedef struct dy_flow_load_t dy_flow_load_t;
 
+enum dy_flow_wait_t {
+	DY_FLOW_WAIT_AT_AGENT = 0,
+	DY_FLOW_WAIT_AT_BALANCER = 1,
+	DY_FLOW_GRANTED = 2,
+};
+typedef enum dy_flow_wait_t dy_flow_wait_t;
+
 struct dy_flow_forward_t {
 	char *service;
 	dy_address_t balancer;
@@ -52,9 +59,17 @@
 	} packet;
 	u_int order;
 	u_int cold_openings;
+	dy_flow_wait_t wait;
+	u_int standing;
 };
 typedef struct dy_flow_forward_t dy_flow_forward_t;
 
+struct dy_flow_reserve_t {
+	dy_address_t balancer;
+	u_int standing;
+};
+typedef struct dy_flow_reserve_t dy_flow_reserve_t;
+
 struct dy_flow_delivery_t {
 	u_int order;
 	struct {
@@ -64,18 +79,26 @@
 };
 typedef struct dy_flow_delivery_t dy_flow_delivery_t;
 
+struct dy_flow_pace_t {
+	u_int service_us;
+	u_int unanswered_permille;
+};
+typedef struct dy_flow_pace_t dy_flow_pace_t;
+
 struct dy_flow_held_t {
 	dy_flow_id_t flow;
 	dy_address_t agent;
 	bool_t open;
 	dy_flow_load_t load;
 	bool_t deliveries;
+	dy_flow_pace_t pace;
 };
 typedef struct dy_flow_held_t dy_flow_held_t;
 
 enum dy_flow_reason_t {
 	DY_FLOW_NOT_HELD = 1,
 	DY_FLOW_REFUSED = 2,
+	DY_FLOW_FULL = 3,
 };
 typedef enum dy_flow_reason_t dy_flow_reason_t;
 
@@ -98,9 +121,24 @@
 	dy_address_t agent;
 	dy_flow_load_t load;
 	u_int heard;
+	dy_flow_pace_t pace;
 };
 typedef struct dy_flow_report_t dy_flow_report_t;
 
+struct dy_flow_grant_t {
+	dy_address_t agent;
+	dy_flow_load_t load;
+};
+typedef struct dy_flow_grant_t dy_flow_grant_t;
+
+struct dy_flow_room_t {
+	dy_address_t balancer;
+	u_int uploads;
+	u_int uploads_max;
+	u_int waiting;
+};
+typedef struct dy_flow_room_t dy_flow_room_t;
+
 struct dy_flow_ask_t {
 	dy_address_t balancer;
 };
@@ -154,6 +192,9 @@
 #define DY_FLOW_DELIVERY 6
 extern  void * dy_flow_delivery_1(dy_flow_delivery_t *, CLIENT *);
 extern  void * dy_flow_delivery_1_svc(dy_flow_delivery_t *, struct svc_req *);
+#define DY_FLOW_RESERVE 7
+extern  void * dy_flow_reserve_1(dy_flow_reserve_t *, CLIENT *);
+extern  void * dy_flow_reserve_1_svc(dy_flow_reserve_t *, struct svc_req *);
 extern int dy_flow_agent_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -178,6 +219,9 @@
 #define DY_FLOW_DELIVERY 6
 extern  void * dy_flow_delivery_1();
 extern  void * dy_flow_delivery_1_svc();
+#define DY_FLOW_RESERVE 7
+extern  void * dy_flow_reserve_1();
+extern  void * dy_flow_reserve_1_svc();
 extern int dy_flow_agent_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -200,6 +244,12 @@
 #define DY_FLOW_FINDING 4
 extern  void * dy_flow_finding_1(dy_flow_finding_t *, CLIENT *);
 extern  void * dy_flow_finding_1_svc(dy_flow_finding_t *, struct svc_req *);
+#define DY_FLOW_GRANT 5
+extern  void * dy_flow_grant_1(dy_flow_grant_t *, CLIENT *);
+extern  void * dy_flow_grant_1_svc(dy_flow_grant_t *, struct svc_req *);
+#define DY_FLOW_ROOM 6
+extern  void * dy_flow_room_1(dy_flow_room_t *, CLIENT *);
+extern  void * dy_flow_room_1_svc(dy_flow_room_t *, struct svc_req *);
 extern int dy_flow_balancer_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -218,6 +268,12 @@
 #define DY_FLOW_FINDING 4
 extern  void * dy_flow_finding_1();
 extern  void * dy_flow_finding_1_svc();
+#define DY_FLOW_GRANT 5
+extern  void * dy_flow_grant_1();
+extern  void * dy_flow_grant_1_svc();
+#define DY_FLOW_ROOM 6
+extern  void * dy_flow_room_1();
+extern  void * dy_flow_room_1_svc();
 extern int dy_flow_balancer_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -226,12 +282,17 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_dy_flow_id_t (XDR *, dy_flow_id_t*);
 extern  bool_t xdr_dy_flow_load_t (XDR *, dy_flow_load_t*);
+extern  bool_t xdr_dy_flow_wait_t (XDR *, dy_flow_wait_t*);
 extern  bool_t xdr_dy_flow_forward_t (XDR *, dy_flow_forward_t*);
+extern  bool_t xdr_dy_flow_reserve_t (XDR *, dy_flow_reserve_t*);
 extern  bool_t xdr_dy_flow_delivery_t (XDR *, dy_flow_delivery_t*);
+extern  bool_t xdr_dy_flow_pace_t (XDR *, dy_flow_pace_t*);
 extern  bool_t xdr_dy_flow_held_t (XDR *, dy_flow_held_t*);
 extern  bool_t xdr_dy_flow_reason_t (XDR *, dy_flow_reason_t*);
 extern  bool_t xdr_dy_flow_nowhere_t (XDR *, dy_flow_nowhere_t*);
 extern  bool_t xdr_dy_flow_report_t (XDR *, dy_flow_report_t*);
+extern  bool_t xdr_dy_flow_grant_t (XDR *, dy_flow_grant_t*);
+extern  bool_t xdr_dy_flow_room_t (XDR *, dy_flow_room_t*);
 extern  bool_t xdr_dy_flow_ask_t (XDR *, dy_flow_ask_t*);
 extern  bool_t xdr_dy_flow_inquiry_t (XDR *, dy_flow_inquiry_t*);
 extern  bool_t xdr_dy_flow_probe_t (XDR *, dy_flow_probe_t*);
@@ -241,12 +302,17 @@
 #else /* K&R C */
 extern bool_t xdr_dy_flow_id_t ();
 extern bool_t xdr_dy_flow_load_t ();
+extern bool_t xdr_dy_flow_wait_t ();
 extern bool_t xdr_dy_flow_forward_t ();
+extern bool_t xdr_dy_flow_reserve_t ();
 extern bool_t xdr_dy_flow_delivery_t ();
+extern bool_t xdr_dy_flow_pace_t ();
 extern bool_t xdr_dy_flow_held_t ();
 extern bool_t xdr_dy_flow_reason_t ();
 extern bool_t xdr_dy_flow_nowhere_t ();
 extern bool_t xdr_dy_flow_report_t ();
+extern bool_t xdr_dy_flow_grant_t ();
+extern bool_t xdr_dy_flow_room_t ();
 extern bool_t xdr_dy_flow_ask_t ();
 extern bool_t xdr_dy_flow_inquiry_t ();
 extern bool_t xdr_dy_flow_probe_t ();
--- a/src/gen/dy_flow_xdr.c
+++ b/src/gen/dy_flow_xdr.c
@@ -124,6 +124,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dy_flow_wait_t (XDR *xdrs, dy_flow_wait_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dy_flow_forward_t (XDR *xdrs, dy_flow_forward_t *objp)
 {
@@ -164,6 +174,10 @@
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->cold_openings))
 			 return FALSE;
+		 if (!xdr_dy_flow_wait_t (xdrs, &objp->wait))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->standing))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->service, DY_NAME_BYTES))
@@ -199,6 +213,10 @@
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->cold_openings))
 			 return FALSE;
+		 if (!xdr_dy_flow_wait_t (xdrs, &objp->wait))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->standing))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -225,6 +243,22 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->cold_openings))
 		 return FALSE;
+	 if (!xdr_dy_flow_wait_t (xdrs, &objp->wait))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->standing))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dy_flow_reserve_t (XDR *xdrs, dy_flow_reserve_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_dy_address_t (xdrs, &objp->balancer))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->standing))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -240,6 +274,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dy_flow_pace_t (XDR *xdrs, dy_flow_pace_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->service_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->unanswered_permille))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dy_flow_held_t (XDR *xdrs, dy_flow_held_t *objp)
 {
@@ -255,6 +301,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->deliveries))
 		 return FALSE;
+	 if (!xdr_dy_flow_pace_t (xdrs, &objp->pace))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -358,6 +406,36 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->heard))
 		 return FALSE;
+	 if (!xdr_dy_flow_pace_t (xdrs, &objp->pace))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dy_flow_grant_t (XDR *xdrs, dy_flow_grant_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_dy_address_t (xdrs, &objp->agent))
+		 return FALSE;
+	 if (!xdr_dy_flow_load_t (xdrs, &objp->load))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dy_flow_room_t (XDR *xdrs, dy_flow_room_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_dy_address_t (xdrs, &objp->balancer))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->uploads))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->uploads_max))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waiting))
+		 return FALSE;
 	return TRUE;
 }
 
