--- a/include/damaskyard/flow_holder.h
+++ b/include/damaskyard/flow_holder.h
@@ -18,8 +18,9 @@
  * ready. It acknowledges a draining notice and stops admitting openings in the
  * same step, so that no opening follows the acknowledgement, even from a
  * balancer that has not learned of the drain. An opening that is not admitted
- * goes to the next candidate of the balancer's list. At the last candidate it
- * waits in a queue (opening_queue.h).
+ * goes to the next candidate of the balancer's list. The last candidate queues
+ * it (opening_queue.h) or, if the balancer says that it may wait there, returns
+ * it and grants a place later (slot_grants.h).
  *
  * The agent also detects that the target is gone:
  * Load pattern: a target crashes with thousands of open flows, or a VM comes
@@ -88,6 +89,26 @@
  */
 #define DY_QUEUED_EXTRA_REQUESTS 1
 
+/*
+ * Requests above one per slot up to which places are granted. A granted opening
+ * and the request after it travel for half of a short request's time, so one
+ * more has to be on its way for each two slots that may end at once.
+ */
+#define DY_GRANTED_EXTRA_REQUESTS 2
+
+/*
+ * Time for the target's answer to an opening, in ms, after which no more places
+ * are granted until it sends something. Targets answer openings within 1 ms.
+ */
+#define DY_OPENING_RESPONSE_TIMEOUT_MS 30
+
+/*
+ * How long a target that returned an opening, although it has capacity, is
+ * granted no places: doubled with each further one, up to the maximum.
+ */
+#define DY_HELD_BACK_MIN_MS 50
+#define DY_HELD_BACK_MAX_MS 1600
+
 /*
  * Timeout for the answer to a request. After it the request does not count as
  * load: its caller or the target has most likely given up.
@@ -125,6 +146,12 @@
 	/* Tells a balancer that no agent in forward->tries took a packet. */
 	void (*nowhere)(void *context, const dy_address_t *balancer,
 			dy_flow_nowhere_t *nowhere);
+	/*
+	 * Grants a balancer a place for an opening that waits there, or returns
+	 * its reservations.
+	 */
+	void (*grant)(void *context, const dy_address_t *balancer,
+		      dy_flow_grant_t *grant);
 	/* Sends a load report to a balancer. */
 	void (*report)(void *context, const dy_address_t *balancer,
 		       dy_flow_report_t *report);
@@ -206,6 +233,18 @@
 void dy_flow_holder_subscribe(dy_flow_holder_t *holder,
 			      const dy_address_t *address, uint64_t now_ms);
 
+/*
+ * Records that an opening waits at a balancer. The reservation is returned at
+ * once while openings are not admitted.
+ */
+void dy_flow_holder_reserve(dy_flow_holder_t *holder,
+			    const dy_flow_reserve_t *reserve, uint64_t now_ms);
+
+/* Records that a balancer has no opening for the places it was granted. */
+void dy_flow_holder_receive_decline(dy_flow_holder_t *holder,
+				    const dy_address_t *balancer,
+				    uint64_t now_ms);
+
 /*
  * Processes a packet that the target sent or bounced. bytes is the encoded
  * packet; it need not outlive the call.
--- a/include/damaskyard/flow_router.h
+++ b/include/damaskyard/flow_router.h
@@ -12,6 +12,9 @@
  * packet spraying, along the agents that may hold the flow; the agent that does
  * reports back. Balancers share no state.
  *
+ * Where the settings ask for it, openings for which no target has a place wait
+ * here until an agent grants one (waiting_openings.h).
+ *
  * If the holder is lost, the router resets the flow at its next packet, so that
  * the caller does not wait for a timeout and can open a new flow. If the flow's
  * requests may be repeated, an unresponsive holder is enough for the reset.
@@ -58,6 +61,13 @@
 	void (*confirm_members)(void *context);
 	/* Requests a load report from the agent. */
 	void (*request_report)(void *context, const dy_address_t *agent);
+	/* Reserves a place at the agent; see slot_grants.h. */
+	void (*reserve)(void *context, const dy_address_t *agent,
+			uint32_t standing);
+	/* Tells the agent that no opening waits for the place it granted. */
+	void (*decline)(void *context, const dy_address_t *agent);
+	/* Returns the time of day in ms since 1970. */
+	uint64_t (*wall_ms)(void *context);
 	/* Requests a witness to probe the agent; see flow_silence.h. */
 	void (*inquire)(void *context, const dy_address_t *witness,
 			const dy_address_t *agent);
@@ -67,6 +77,7 @@
 	dy_address_t self; /* this balancer, where agents reply to */
 	const char *domain;
 	uint64_t link_bytes_per_s; /* see bulk_limit.h; 0: unlimited */
+	int wait_at_balancer;	   /* see waiting_openings.h */
 	dy_metrics_t *metrics;
 	const dy_flow_router_callbacks_t *callbacks;
 	void *context;
@@ -122,11 +133,14 @@
 				   const dy_flow_report_t *report,
 				   uint64_t now_ms);
 
+void dy_flow_router_receive_grant(dy_flow_router_t *router,
+				  const dy_flow_grant_t *grant,
+				  uint64_t now_ms);
 void dy_flow_router_receive_finding(dy_flow_router_t *router,
 				    const dy_flow_finding_t *finding,
 				    uint64_t now_ms);
 
-/* Expires idle flows. Call it several times per second. */
+/* Expires idle flows and openings. Call it several times per second. */
 void dy_flow_router_expire(dy_flow_router_t *router, uint64_t now_ms);
 
 /* Record that a forward left; its agent owes a report from then on. */
@@ -141,6 +155,9 @@
 int dy_flow_router_is_delivery(const dy_flow_router_t *router,
 			       const dy_flow_forward_t *forward);
 
+/* Returns the number of openings that wait here. */
+unsigned dy_flow_router_waiting(const dy_flow_router_t *router);
+
 /* Returns the number of cached flows. */
 unsigned dy_flow_router_count(const dy_flow_router_t *router);
 
--- a/include/damaskyard/flow_rules.h
+++ b/include/damaskyard/flow_rules.h
@@ -23,10 +23,12 @@
 typedef struct dy_flow_entry {
 	uint32_t ip; /* IPv4, host byte order */
 	uint16_t port;
-	uint8_t repeatable; /* its requests may run more than once */
-	uint8_t upload;	    /* its requests have large bodies */
-	uint8_t bulk;	    /* its requests or answers have */
-	uint32_t aim_ms;    /* in which requests are to be answered; 0: none */
+	uint8_t repeatable;  /* its requests may run more than once */
+	uint8_t upload;	     /* its requests have large bodies */
+	uint8_t bulk;	     /* its requests or answers have */
+	uint8_t priority;    /* of its requests; 0 is the highest */
+	uint32_t aim_ms;     /* in which requests are to be answered; 0: none */
+	uint32_t timeout_ms; /* after which their callers give up; 0: unknown */
 	uint8_t share_count;
 	dy_flow_share_t shares[DY_FLOW_SHARES_MAX];
 } dy_flow_entry_t;
--- a/include/damaskyard/flow_settings.h
+++ b/include/damaskyard/flow_settings.h
@@ -10,6 +10,8 @@
  *		   link-mbps
  *	[listen]   packets, ready, control, outbound, inner-port, metrics-port
  *	[target]   address, service, cold-overshoot, cold-slack
+ *	[openings] wait-at: agent or balancer
+ *	[platform] contracts
  *	[group]    seeds, key-file, losses, failure-domains
  *
  * An unknown key is logged and ignored, because a platform may write more keys
@@ -36,6 +38,7 @@
 	char *log_level;
 	uint64_t stop_ms;	   /* time limit of a planned stop */
 	uint64_t link_bytes_per_s; /* rate of the VM's link; 0: unlimited */
+	gboolean wait_at_balancer; /* openings; see waiting_openings.h */
 	dy_address_t packets;  /* packets: from callers, or answers to them */
 	dy_address_t ready;    /* HTTP: the readiness call */
 	dy_address_t control;  /* HTTP: operators, or heartbeats of targets */
--- a/include/damaskyard/flow_targets.h
+++ b/include/damaskyard/flow_targets.h
@@ -59,6 +59,12 @@
  */
 #define DY_FLOW_REMOTE_BULK_FACTOR 1.5
 
+/*
+ * Maximum age of a report by which an agent admits no openings, so that it is
+ * ranked last.
+ */
+#define DY_FLOW_REFUSAL_AGE_MAX_MS 1000
+
 /* Penalty of a target that started recently, in flows per slot. */
 #define DY_FLOW_COLD_PENALTY 1.0
 
@@ -113,6 +119,14 @@
 void dy_flow_targets_set_domain(dy_flow_targets_t *targets, const char *domain,
 				int evacuated);
 
+/* Returns whether the agent admits openings, as far as its reports say. */
+int dy_flow_targets_admits(const dy_flow_targets_t *targets,
+			   const dy_address_t *agent, uint64_t now_ms);
+
+/* Returns the service of the agent at an address, or NULL if unknown. */
+const char *dy_flow_targets_service(const dy_flow_targets_t *targets,
+				    const dy_address_t *agent);
+
 /* Set the load that the agent at an address reported at now_ms. */
 void dy_flow_targets_set_load(dy_flow_targets_t *targets,
 			      const dy_address_t *agent,
--- a/include/damaskyard/opening_queue.h
+++ b/include/damaskyard/opening_queue.h
@@ -43,6 +43,10 @@
 	dy_packet_t packet;
 } dy_opening_t;
 
+/* Copies a SYN's forward and packet, and what they point to, into opening. */
+void dy_opening_set(dy_opening_t *opening, const dy_flow_forward_t *forward,
+		    const dy_packet_t *packet);
+
 /* Creates an empty queue. */
 dy_opening_queue_t *dy_opening_queue_create(void);
 /* Frees queue; NULL is allowed. */
--- a/include/damaskyard/slot_grants.h
+++ b/include/damaskyard/slot_grants.h
@@ -13,9 +13,9 @@
  * When the target has a place, the agent grants it to the balancer whose
  * reservation has the lowest standing, and counts it as taken until the opening
  * arrives or DY_GRANT_TTL_MS is over. A balancer may use a grant for any of its
- * openings. A balancer that is gone thus costs the target one place for
- * DY_GRANT_TTL_MS; its other reservations are dropped then. A lost reservation
- * or grant costs no more: balancers renew reservations.
+ * openings of the service, and declines it if it has none. A balancer that is
+ * gone costs the target a place for DY_GRANT_TTL_MS per reservation, and a lost
+ * message no more: balancers renew reservations.
  */
 
 #include <stdint.h>
@@ -54,11 +54,25 @@
 /* Record that an opening arrived for a place that balancer was granted. */
 void dy_slot_grants_use(dy_slot_grants_t *grants, const dy_address_t *balancer);
 
-/* Drop old reservations, and grants whose opening did not arrive. */
-void dy_slot_grants_expire(dy_slot_grants_t *grants, uint64_t now_ms);
+/*
+ * Record that no opening waits at the balancer: its grants and reservations are
+ * dropped.
+ */
+void dy_slot_grants_decline(dy_slot_grants_t *grants,
+			    const dy_address_t *balancer);
 
-/* Drop all reservations, as when the target admits no openings. */
-void dy_slot_grants_clear(dy_slot_grants_t *grants);
+/*
+ * Drop old reservations, and grants whose opening did not arrive. Returns the
+ * number of these grants.
+ */
+unsigned dy_slot_grants_expire(dy_slot_grants_t *grants, uint64_t now_ms);
+
+/*
+ * Drop all reservations of one balancer, as when the target admits no openings.
+ * Returns their number with balancer set, or 0 if there are none.
+ */
+unsigned dy_slot_grants_return(dy_slot_grants_t *grants,
+			       dy_address_t *balancer);
 
 /* Returns the number of granted places whose opening has not arrived. */
 unsigned dy_slot_grants_pending(const dy_slot_grants_t *grants);
--- a/proto/dy_flow.x
+++ b/proto/dy_flow.x
@@ -128,11 +128,13 @@
 
 /*
  * The agent's target has a place for one opening that waits at the balancer,
- * if the opening arrives soon.
+ * if the opening arrives soon; or it has none for now, and returns
+ * reservations.
  */
 struct dy_flow_grant_t {
 	dy_address_t agent;
 	dy_flow_load_t load;
+	unsigned int returned;	/* reservations; 0: a place is granted */
 };
 
 /* What a balancer's link has left for uploads; to balancers of its domain. */
@@ -181,6 +183,8 @@
 		void DY_FLOW_ECHO(dy_flow_echo_t) = 5;
 		void DY_FLOW_DELIVERY(dy_flow_delivery_t) = 6;
 		void DY_FLOW_RESERVE(dy_flow_reserve_t) = 7;
+		/* Answer to a grant: no opening waits at the balancer. */
+		void DY_FLOW_DECLINE(dy_flow_ask_t) = 8;
 	} = 1;
 } = 0x2A00D009;
 
--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -11,6 +11,9 @@
 		{ "packets_passed_on", &holder->passed_on },
 		{ "openings_refused", &holder->refused },
 		{ "openings_deferred", &holder->deferred },
+		{ "places_reserved", &holder->reserved },
+		{ "places_granted", &holder->granted },
+		{ "grants_lapsed", &holder->grants_lapsed },
 		{ "packets_not_held", &holder->not_held },
 		{ "packets_bounced", &holder->bounced },
 		{ "bounces_unknown", &holder->unknown_bounces },
@@ -39,6 +42,7 @@
 	holder->pending_forwards =
 		g_new0(pending_forward_t, DY_PENDING_FORWARDS_MAX);
 	holder->queued_openings = dy_opening_queue_create();
+	holder->grants = dy_slot_grants_create();
 	dy_cold_limit_init(&holder->cold);
 	dy_request_load_init(&holder->load);
 	holder->flow_limit = limit;
@@ -56,19 +60,21 @@
 		return;
 	g_hash_table_destroy(holder->flows);
 	dy_opening_queue_destroy(holder->queued_openings);
+	dy_slot_grants_destroy(holder->grants);
 	dy_cold_limit_clear(&holder->cold);
 	g_free(holder->pending_forwards);
 	g_free(holder);
 }
 
-static void fill_load(const dy_flow_holder_t *holder, dy_flow_load_t *load,
+void holder_fill_load(const dy_flow_holder_t *holder, dy_flow_load_t *load,
 		      uint64_t now_ms)
 {
 	load->slots = holder->notice.slots;
 	load->flows = dy_flow_holder_count(holder);
 	load->busy = dy_request_load_slots(&holder->load, 0) +
 		     dy_opening_queue_count(holder->queued_openings);
-	load->accepts = dy_flow_holder_accepts(holder);
+	load->accepts = dy_flow_holder_accepts(holder) &&
+			!holder_is_held_back(holder, now_ms);
 	load->cold = now_ms < holder->cold_until_ms;
 }
 
@@ -124,7 +130,7 @@
 	held.agent = holder->config.self;
 	held.open = open;
 	held.deliveries = 1;
-	fill_load(holder, &held.load, now_ms);
+	holder_fill_load(holder, &held.load, now_ms);
 	holder->config.callbacks->held(holder->config.context, balancer, &held);
 }
 
@@ -143,34 +149,42 @@
 			     dy_request_load_slots(&holder->load, 0));
 }
 
-void holder_pass_on(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
-		    const dy_packet_t *packet, int certain)
+void holder_send_nowhere(dy_flow_holder_t *holder,
+			 const dy_flow_forward_t *forward,
+			 const dy_packet_t *packet, dy_flow_reason_t reason)
 {
 	dy_flow_nowhere_t nowhere = { 0 };
 
-	forward->certain = forward->certain && certain;
-	forward->step++;
-	if (forward->step < forward->tries.tries_len) {
-		++*holder->passed_on;
-		holder->config.callbacks->pass_on(holder->config.context,
-						  forward);
-		return;
-	}
 	nowhere.flow = packet->flow;
 	nowhere.agent = holder->config.self;
-	nowhere.reason = packet->flags & DY_PACKET_SYN ? DY_FLOW_REFUSED
-						       : DY_FLOW_NOT_HELD;
+	nowhere.reason = reason;
 	nowhere.complete = forward->complete;
 	nowhere.certain = forward->certain;
 	nowhere.window = forward->window;
 	nowhere.order = forward->order;
 	nowhere.packet.packet_val = forward->packet.packet_val;
 	nowhere.packet.packet_len = forward->packet.packet_len;
-	++*holder->not_held;
 	holder->config.callbacks->nowhere(holder->config.context,
 					  &forward->balancer, &nowhere);
 }
 
+void holder_pass_on(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
+		    const dy_packet_t *packet, int certain)
+{
+	forward->certain = forward->certain && certain;
+	forward->step++;
+	if (forward->step < forward->tries.tries_len) {
+		++*holder->passed_on;
+		holder->config.callbacks->pass_on(holder->config.context,
+						  forward);
+		return;
+	}
+	++*holder->not_held;
+	holder_send_nowhere(holder, forward, packet,
+			    packet->flags & DY_PACKET_SYN ? DY_FLOW_REFUSED
+							  : DY_FLOW_NOT_HELD);
+}
+
 void holder_send_to_target(dy_flow_holder_t *holder,
 			   const dy_flow_forward_t *forward,
 			   const dy_packet_t *packet, uint64_t now_ms)
@@ -180,6 +194,8 @@
 	/* The target does not respond to a bare acknowledgement. */
 	if (packet->data_bytes || packet->flags & DY_PACKET_SYN)
 		holder_expect_response(holder, now_ms);
+	if (packet->flags & DY_PACKET_SYN && !holder->opening_due_since_ms)
+		holder->opening_due_since_ms = now_ms;
 
 	if (!++holder->last_tag)
 		++holder->last_tag;
@@ -323,6 +339,8 @@
 		return;
 	}
 	pending->tag = 0;
+	if (opening)
+		holder_note_opening_returned(holder, now_ms);
 	forward = pending->forward;
 	forward.packet.packet_val = (char *)bytes;
 	forward.packet.packet_len = (u_int)len;
@@ -330,6 +348,7 @@
 			opening ? "opening_passed_on" : "packet_passed_on",
 			&packet->flow, "target_gave_back", now_ms);
 	holder_pass_on(holder, &forward, packet, 1);
+	holder_serve_queue(holder, now_ms);
 }
 
 /* Handles data of the target, the first of which ends a request. */
@@ -354,6 +373,7 @@
 			dy_histogram_add(&holder->opening_ms,
 					 now_ms - flow->used_ms);
 		flow->syn_answered = 1;
+		holder_note_opening_answered(holder);
 		flow->target_seq = packet->seq;
 	}
 	holder_touch(holder, flow, now_ms);
@@ -402,7 +422,7 @@
 	unsigned i = 0;
 
 	message.agent = holder->config.self;
-	fill_load(holder, &message.load, now_ms);
+	holder_fill_load(holder, &message.load, now_ms);
 	while (i < holder->balancer_count) {
 		if (now_ms - holder->balancers[i].heard_ms > DY_REPORT_TTL_MS) {
 			holder->balancers[i] =
--- a/src/connection/flow_holder_openings.c
+++ b/src/connection/flow_holder_openings.c
@@ -18,20 +18,22 @@
  * another target is idle. The latest openings, the only ones that could still
  * be answered in time, wait behind all those that cannot.
  * Mechanism: the agent counts exactly the requests that run or are expected
- * soon. It admits a new opening while they are below DY_OVERLOAD_PERCENT of the
- * slots. It admits one that has waited, here or at its caller, only for a slot
- * that would be idle soon, so that the next new opening finds capacity.
+ * soon, granted places included. It admits a new opening while they are below
+ * DY_OVERLOAD_PERCENT of the slots. It admits one that has waited, here or at
+ * its caller, only for a slot that would be idle soon, so that the next new
+ * opening finds capacity.
  */
-static int has_capacity(const dy_flow_holder_t *holder, int is_new,
-			uint64_t now_ms)
+static unsigned max_requests(const dy_flow_holder_t *holder)
+{
+	return (DY_OVERLOAD_PERCENT * holder->notice.slots + 99) / 100;
+}
+
+/* Returns the requests that run or are expected soon. */
+static unsigned expected_requests(const dy_flow_holder_t *holder,
+				  uint64_t now_ms)
 {
-	unsigned slots = holder->notice.slots;
-	unsigned max_requests = (DY_OVERLOAD_PERCENT * slots + 99) / 100;
-	unsigned limit =
-		is_new ? max_requests
-		       : MIN(max_requests, slots + DY_QUEUED_EXTRA_REQUESTS);
 	const dy_list_t *half_open = &holder->stages[STAGE_HALF_OPEN];
-	unsigned openings = 0;
+	unsigned openings = dy_slot_grants_pending(holder->grants);
 	const dy_list_t *pos;
 
 	for (pos = half_open->prev; pos != half_open; pos = pos->prev) {
@@ -40,7 +42,61 @@
 			break;
 		openings++;
 	}
-	return dy_request_load_slots(&holder->load, openings) < limit;
+	return dy_request_load_slots(&holder->load, openings);
+}
+
+static int has_capacity(const dy_flow_holder_t *holder, int is_new,
+			uint64_t now_ms)
+{
+	unsigned limit = max_requests(holder);
+
+	if (!is_new)
+		limit = MIN(limit,
+			    holder->notice.slots + DY_QUEUED_EXTRA_REQUESTS);
+	return expected_requests(holder, now_ms) < limit;
+}
+
+static int owes_opening_response(const dy_flow_holder_t *holder,
+				 uint64_t now_ms)
+{
+	return holder->opening_due_since_ms &&
+	       now_ms - holder->opening_due_since_ms >
+		       DY_OPENING_RESPONSE_TIMEOUT_MS;
+}
+
+/*
+ * Guards against a target that is silent or returns all that it is sent: it
+ * would seem to have a place at all times, and draw most openings to it.
+ */
+int holder_is_held_back(const dy_flow_holder_t *holder, uint64_t now_ms)
+{
+	return now_ms < holder->held_back_until_ms ||
+	       owes_opening_response(holder, now_ms);
+}
+
+void holder_note_opening_returned(dy_flow_holder_t *holder, uint64_t now_ms)
+{
+	uint64_t hold_ms;
+
+	if (expected_requests(holder, now_ms) >= max_requests(holder))
+		return;
+	hold_ms = (uint64_t)DY_HELD_BACK_MIN_MS
+		  << MIN(holder->openings_returned, 8u);
+	holder->openings_returned++;
+	holder->held_back_until_ms =
+		now_ms + MIN(hold_ms, (uint64_t)DY_HELD_BACK_MAX_MS);
+}
+
+void holder_note_opening_answered(dy_flow_holder_t *holder)
+{
+	holder->openings_returned = 0;
+	holder->held_back_until_ms = 0;
+}
+
+static int may_grant(const dy_flow_holder_t *holder, uint64_t now_ms)
+{
+	return expected_requests(holder, now_ms) <
+	       holder->notice.slots + DY_GRANTED_EXTRA_REQUESTS;
 }
 
 /*
@@ -115,19 +171,21 @@
 	holder_send_to_target(holder, forward, packet, now_ms);
 }
 
-void holder_serve_queue(dy_flow_holder_t *holder, uint64_t now_ms)
+static int may_admit_waiting(const dy_flow_holder_t *holder, uint64_t now_ms)
+{
+	return has_capacity(holder, 0, now_ms) &&
+	       is_within_cold_limit(holder, now_ms);
+}
+
+static void serve_queued(dy_flow_holder_t *holder, int accepts, uint64_t now_ms)
 {
-	int accepts = dy_flow_holder_accepts(holder);
 	dy_opening_t opening;
 
-	if (!dy_opening_queue_count(holder->queued_openings))
-		return;
 	while (dy_opening_queue_pop_expired(holder->queued_openings, now_ms,
 					    &opening))
 		holder_pass_on(holder, &opening.stored.forward, &opening.packet,
 			       1);
-	while ((!accepts || (has_capacity(holder, 0, now_ms) &&
-			     is_within_cold_limit(holder, now_ms))) &&
+	while ((!accepts || may_admit_waiting(holder, now_ms)) &&
 	       dy_opening_queue_pop(holder->queued_openings, &opening)) {
 		if (accepts)
 			admit(holder, &opening.stored.forward, &opening.packet,
@@ -138,6 +196,84 @@
 	}
 }
 
+/* Grants a balancer a place, or returns reservations to it. */
+static void send_grant(dy_flow_holder_t *holder, const dy_address_t *balancer,
+		       unsigned returned, uint64_t now_ms)
+{
+	dy_flow_grant_t grant = { 0 };
+
+	grant.agent = holder->config.self;
+	grant.returned = returned;
+	holder_fill_load(holder, &grant.load, now_ms);
+	holder->config.callbacks->grant(holder->config.context, balancer,
+					&grant);
+}
+
+static int admits_openings(const dy_flow_holder_t *holder, uint64_t now_ms)
+{
+	return dy_flow_holder_accepts(holder) &&
+	       !holder_is_held_back(holder, now_ms);
+}
+
+static void serve_reservations(dy_flow_holder_t *holder, uint64_t now_ms)
+{
+	dy_address_t balancer;
+	unsigned returned;
+
+	if (!admits_openings(holder, now_ms)) {
+		while ((returned = dy_slot_grants_return(holder->grants,
+							 &balancer)))
+			send_grant(holder, &balancer, returned, now_ms);
+		return;
+	}
+	while (may_grant(holder, now_ms) &&
+	       is_within_cold_limit(holder, now_ms) &&
+	       dy_slot_grants_next(holder->grants, now_ms, &balancer)) {
+		++*holder->granted;
+		send_grant(holder, &balancer, 0, now_ms);
+	}
+}
+
+void holder_serve_queue(dy_flow_holder_t *holder, uint64_t now_ms)
+{
+	if (dy_opening_queue_count(holder->queued_openings))
+		serve_queued(holder, dy_flow_holder_accepts(holder), now_ms);
+	*holder->grants_lapsed += dy_slot_grants_expire(holder->grants, now_ms);
+	if (dy_slot_grants_wanted(holder->grants))
+		serve_reservations(holder, now_ms);
+}
+
+void dy_flow_holder_reserve(dy_flow_holder_t *holder,
+			    const dy_flow_reserve_t *reserve, uint64_t now_ms)
+{
+	dy_flow_holder_subscribe(holder, &reserve->balancer, now_ms);
+	++*holder->reserved;
+	dy_slot_grants_reserve(holder->grants, &reserve->balancer,
+			       reserve->standing, now_ms);
+	holder_serve_queue(holder, now_ms);
+}
+
+void dy_flow_holder_receive_decline(dy_flow_holder_t *holder,
+				    const dy_address_t *balancer,
+				    uint64_t now_ms)
+{
+	dy_flow_holder_subscribe(holder, balancer, now_ms);
+	dy_slot_grants_decline(holder->grants, balancer);
+	holder_serve_queue(holder, now_ms);
+}
+
+/* Returns an opening to its balancer, where it waits for a place. */
+static void return_opening(dy_flow_holder_t *holder,
+			   const dy_flow_forward_t *forward,
+			   const dy_packet_t *packet, uint64_t now_ms)
+{
+	++*holder->reserved;
+	dy_slot_grants_reserve(holder->grants, &forward->balancer,
+			       forward->standing, now_ms);
+	holder_send_nowhere(holder, forward, packet, DY_FLOW_FULL);
+	holder_serve_queue(holder, now_ms);
+}
+
 static void pass_on_opening(dy_flow_holder_t *holder,
 			    dy_flow_forward_t *forward,
 			    const dy_packet_t *packet, const char *reason,
@@ -148,14 +284,31 @@
 	holder_pass_on(holder, forward, packet, 1);
 }
 
-/* Returns why an opening has to be passed on or queued, or NULL. */
+/* Returns whether the opening comes for a place that this agent granted. */
+static int is_granted(const dy_flow_forward_t *forward)
+{
+	return forward->wait == DY_FLOW_GRANTED && !forward->step;
+}
+
+/*
+ * Returns why an opening has to be passed on or queued, or NULL. It must not
+ * overtake those that wait for a place here.
+ */
 static const char *defer_reason(const dy_flow_holder_t *holder,
+				const dy_flow_forward_t *forward,
 				const dy_packet_t *packet, uint64_t now_ms)
 {
 	if (!is_within_cold_limit(holder, now_ms))
 		return "cold";
-	return has_capacity(holder, !packet->retransmits, now_ms) ? NULL
-								  : "overload";
+	if (is_granted(forward))
+		return NULL;
+	if (forward->wait != DY_FLOW_WAIT_AT_AGENT &&
+	    holder_is_held_back(holder, now_ms))
+		return "held_back";
+	return has_capacity(holder, !packet->retransmits, now_ms) &&
+			       !dy_slot_grants_wanted(holder->grants)
+		       ? NULL
+		       : "overload";
 }
 
 static const char *refusal_reason(const dy_flow_holder_t *holder)
@@ -171,6 +324,8 @@
 {
 	const char *reason;
 
+	if (is_granted(forward))
+		dy_slot_grants_use(holder->grants, &forward->balancer);
 	if (flow && flow->stage != STAGE_ENDED) {
 		holder_touch(holder, flow, now_ms);
 		if (flow->stage == STAGE_HALF_OPEN)
@@ -192,11 +347,15 @@
 		return;
 	}
 	set_cold_limit(holder, forward);
-	reason = defer_reason(holder, packet, now_ms);
+	reason = defer_reason(holder, forward, packet, now_ms);
 	if (reason && forward->step + 1 < forward->tries.tries_len) {
 		pass_on_opening(holder, forward, packet, reason, now_ms);
 		return;
 	}
+	if (reason && forward->wait != DY_FLOW_WAIT_AT_AGENT) {
+		return_opening(holder, forward, packet, now_ms);
+		return;
+	}
 	if (reason && enqueue(holder, forward, packet, now_ms))
 		return;
 	if (!is_within_cold_limit(holder, now_ms)) {
--- a/src/connection/flow_holder_presence.c
+++ b/src/connection/flow_holder_presence.c
@@ -19,6 +19,7 @@
 void holder_confirm_alive(dy_flow_holder_t *holder)
 {
 	holder->response_due_since_ms = 0;
+	holder->opening_due_since_ms = 0;
 	holder->refusals = 0;
 	holder->gone = 0;
 }
--- a/src/connection/flow_holder_private.h
+++ b/src/connection/flow_holder_private.h
@@ -17,6 +17,7 @@
 #include "damaskyard/log.h"
 #include "damaskyard/opening_queue.h"
 #include "damaskyard/request_load.h"
+#include "damaskyard/slot_grants.h"
 
 /* Size of a request's id in a log line, with its terminating NUL. */
 #define REQUEST_ID_BYTES 40
@@ -76,6 +77,10 @@
 	int was_listening; /* the instance's port was found open */
 	unsigned refusals; /* consecutive port checks that were refused */
 	uint64_t response_due_since_ms; /* 0: no response is due */
+	uint64_t opening_due_since_ms;	/* the same, to an opening */
+	unsigned openings_returned;  /* consecutive ones that the target bounced
+					while it had capacity */
+	uint64_t held_back_until_ms; /* for that; 0: not held back */
 	dy_target_notice_t notice;
 	uint64_t last_notice_ms;
 	uint64_t cold_until_ms;
@@ -87,6 +92,7 @@
 	dy_list_t requests; /* without an answer, oldest first */
 	dy_request_load_t load;
 	dy_opening_queue_t *queued_openings; /* wait for capacity */
+	dy_slot_grants_t *grants; /* for openings that wait at balancers */
 	pending_forward_t *pending_forwards;
 	uint32_t last_tag;
 	balancer_t balancers[DY_REPORT_BALANCERS_MAX];
@@ -100,6 +106,9 @@
 	uint64_t *passed_on;
 	uint64_t *refused;
 	uint64_t *deferred; /* openings that were queued */
+	uint64_t *reserved; /* that wait at their balancer */
+	uint64_t *granted;
+	uint64_t *grants_lapsed;
 	uint64_t *not_held;
 	uint64_t *bounced;
 	uint64_t *unknown_bounces;
@@ -109,6 +118,8 @@
 };
 
 /* Packet handling; flow_holder.c. */
+void holder_fill_load(const dy_flow_holder_t *holder, dy_flow_load_t *load,
+		      uint64_t now_ms);
 /*
  * Sends a forward's packet to the target, and keeps the forward in case the
  * target bounces the packet.
@@ -122,6 +133,10 @@
  */
 void holder_pass_on(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
 		    const dy_packet_t *packet, int certain);
+/* Tells the forward's balancer what became of its packet, and why. */
+void holder_send_nowhere(dy_flow_holder_t *holder,
+			 const dy_flow_forward_t *forward,
+			 const dy_packet_t *packet, dy_flow_reason_t reason);
 /*
  * Tells a balancer that this agent holds the flow. open: the target has the
  * complete handshake.
@@ -133,13 +148,22 @@
 		     uint64_t now_ms);
 
 /* Openings; flow_holder_openings.c. */
+/*
+ * Returns whether the target is held back from new work because it returns
+ * openings or owes an answer to one.
+ */
+int holder_is_held_back(const dy_flow_holder_t *holder, uint64_t now_ms);
+/* Records that the target returned an opening, or answered one. */
+void holder_note_opening_returned(dy_flow_holder_t *holder, uint64_t now_ms);
+void holder_note_opening_answered(dy_flow_holder_t *holder);
 /* flow is the flow's record, or NULL. */
 void holder_handle_opening(dy_flow_holder_t *holder, dy_flow_forward_t *forward,
 			   const dy_packet_t *packet, held_flow_t *flow,
 			   uint64_t now_ms);
 /*
- * Admits queued openings while there is capacity. Openings that waited too long
- * are passed on, and all of them if the target no longer admits any.
+ * Admits queued openings while there is capacity, and grants places to
+ * balancers. Openings that waited too long are passed on, and all of them if
+ * the target no longer admits any.
  */
 void holder_serve_queue(dy_flow_holder_t *holder, uint64_t now_ms);
 
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "damaskyard/address.h"
+#include "damaskyard/caller_rank.h"
 
 static void register_counters(dy_flow_router_t *router)
 {
@@ -17,6 +18,11 @@
 		{ "packets_unplaced", &router->unplaced },
 		{ "openings_second_chance", &router->second_chances },
 		{ "packets_relayed", &router->relayed },
+		{ "openings_waited", &router->waited },
+		{ "openings_granted", &router->granted },
+		{ "openings_waited_out", &router->waited_out },
+		{ "openings_unservable", &router->unservable },
+		{ "grants_unused", &router->grants_unused },
 	};
 
 	dy_metrics_counters(router->config.metrics, entries,
@@ -39,10 +45,12 @@
 	router->bulk.bytes_per_s = config->link_bytes_per_s;
 	dy_list_init(&router->uploads);
 	router->waiting_uploads = dy_opening_queue_create();
+	router->waiting = dy_waiting_openings_create();
 	router->assigned_limit = limit;
 	router->reset_limit = limit;
 	router->searched_limit = limit;
 	router->path_limit = limit;
+	router->waiting_limit = limit;
 	register_counters(router);
 	return router;
 }
@@ -53,6 +61,7 @@
 		return;
 	g_hash_table_destroy(router->flows);
 	dy_opening_queue_destroy(router->waiting_uploads);
+	dy_waiting_openings_destroy(router->waiting);
 	dy_flow_targets_destroy(router->targets);
 	dy_flow_rules_destroy(router->rules);
 	g_free(router);
@@ -215,31 +224,32 @@
 }
 
 /*
- * Chooses the service of a new flow and lists its agents, best first. The
- * service is the one that the flow's hash selects, or the entry's next one with
- * a target.
+ * The service is the one that the flow's hash selects, or the entry's next one
+ * with a target.
  */
-static unsigned choose_agents(const dy_flow_router_t *router,
-			      const dy_flow_entry_t *entry,
+int flow_router_choose_agents(const dy_flow_router_t *router,
 			      const dy_flow_id_t *flow, uint64_t now_ms,
-			      const char **service,
-			      dy_address_t list[DY_FLOW_TRIES])
+			      assignment_t *assignment)
 {
+	const dy_flow_entry_t *entry = flow_router_find_entry(router, flow);
 	uint8_t order[DY_FLOW_SHARES_MAX];
 	const dy_flow_share_t *share;
-	unsigned count = 0;
 	unsigned i;
 
+	if (!entry)
+		return 0;
+	assignment->entry = entry;
 	dy_flow_entry_order_shares(entry, flow, order);
-	for (i = 0; i < entry->share_count && !count; i++) {
+	for (i = 0; i < entry->share_count && !assignment->count; i++) {
 		share = &entry->shares[order[i]];
 		if (!share->weight)
 			continue;
-		*service = share->service;
-		count = dy_flow_targets_choose(router->targets, share->service,
-					       flow, entry->bulk, now_ms, list);
+		assignment->service = share->service;
+		assignment->count = dy_flow_targets_choose(
+			router->targets, share->service, flow, entry->bulk,
+			now_ms, assignment->agents);
 	}
-	return count;
+	return assignment->count > 0;
 }
 
 static void log_assigned(dy_flow_router_t *router, const flow_t *flow,
@@ -303,44 +313,71 @@
 	return count;
 }
 
-void flow_router_open_flow(dy_flow_router_t *router, const dy_packet_t *packet,
-			   uint8_t *bytes, size_t len, uint64_t now_ms)
+void flow_router_send_opening(dy_flow_router_t *router,
+			      const assignment_t *assignment,
+			      const dy_packet_t *packet, uint8_t *bytes,
+			      size_t len, uint64_t now_ms)
 {
-	const dy_flow_entry_t *entry =
-		flow_router_find_entry(router, &packet->flow);
+	const dy_flow_entry_t *entry = assignment->entry;
 	dy_address_t list[DY_FLOW_TRIES];
 	dy_flow_forward_t forward = { 0 };
-	const char *service = NULL;
-	unsigned count = 0;
 	flow_t *flow;
 
-	if (entry)
-		count = choose_agents(router, entry, &packet->flow, now_ms,
-				      &service, list);
-	if (!count) {
-		++*router->refused;
-		flow_router_reset(router, packet, "no_target", now_ms);
-		return;
-	}
+	memcpy(list, assignment->agents, assignment->count * sizeof(list[0]));
 	++*router->opened;
 	flow = flow_router_get_flow(router, &packet->flow, now_ms);
 	flow->agent = list[0];
 	if (entry->upload)
 		flow_router_begin_upload(router, flow, now_ms);
 	dy_flow_targets_note_opened(router->targets, &list[0]);
-	log_assigned(router, flow, service, count, packet->retransmits, now_ms);
-	forward.service = (char *)service;
+	log_assigned(router, flow, assignment->service, assignment->count,
+		     packet->retransmits, now_ms);
+	forward.service = (char *)assignment->service;
 	forward.cold_openings =
-		dy_flow_rules_cold_openings(router->rules, service);
+		dy_flow_rules_cold_openings(router->rules, assignment->service);
 	forward.tell = 1;
 	forward.certain = 1;
 	forward.complete = 1;
+	forward.wait = assignment->wait;
+	if (forward.wait != DY_FLOW_WAIT_AT_AGENT)
+		forward.standing = dy_opening_standing(
+			entry->priority, 0,
+			flow_router_caller_rank(router, &packet->flow));
 	forward.tries.tries_val = list;
 	forward.tries.tries_len =
-		append_best_candidate(list, MIN(count, OPENING_CANDIDATES_MAX));
+		MIN(assignment->count, OPENING_CANDIDATES_MAX);
+	if (forward.wait != DY_FLOW_GRANTED)
+		forward.tries.tries_len =
+			append_best_candidate(list, forward.tries.tries_len);
 	flow_router_send_forward(router, &forward, packet, bytes, len);
 }
 
+void flow_router_refuse(dy_flow_router_t *router, const dy_packet_t *packet,
+			const char *reason, uint64_t now_ms)
+{
+	++*router->refused;
+	flow_router_reset(router, packet, reason, now_ms);
+}
+
+void flow_router_open_flow(dy_flow_router_t *router, const dy_packet_t *packet,
+			   uint8_t *bytes, size_t len, uint64_t now_ms)
+{
+	assignment_t assignment = { 0 };
+
+	if (router->config.wait_at_balancer)
+		assignment.wait = DY_FLOW_WAIT_AT_BALANCER;
+	if (!flow_router_choose_agents(router, &packet->flow, now_ms,
+				       &assignment))
+		flow_router_refuse(router, packet, "no_target", now_ms);
+	else if (flow_router_has_waiting(router, assignment.service))
+		flow_router_queue_opening(
+			router, assignment.entry, assignment.service,
+			&assignment.agents[0], packet, bytes, len, now_ms);
+	else
+		flow_router_send_opening(router, &assignment, packet, bytes,
+					 len, now_ms);
+}
+
 /*
  * Guards against a healthy agent that is taken for gone because its opening
  * still waits for this balancer's link.
@@ -374,7 +411,8 @@
 	if (!flow && entry->upload &&
 	    flow_router_defer_upload(router, entry, packet, bytes, len, now_ms))
 		return;
-	if (is_first_copy_waiting(router, flow))
+	if (dy_waiting_openings_has(router->waiting, &packet->flow) ||
+	    is_first_copy_waiting(router, flow))
 		return;
 	handle_unanswered_opening(router, flow, now_ms);
 	flow_router_open_flow(router, packet, bytes, len, now_ms);
@@ -537,6 +575,7 @@
 	flow_t *flow;
 
 	flow_router_serve_uploads(router, now_ms);
+	flow_router_serve_waiting(router, now_ms);
 	while (!dy_list_empty(&router->by_use)) {
 		flow = DY_LIST_ITEM(router->by_use.next, flow_t, link);
 		if (now_ms - flow->used_ms < DY_FLOW_IDLE_MS)
--- a/src/connection/flow_router_private.h
+++ b/src/connection/flow_router_private.h
@@ -4,7 +4,8 @@
 /*
  * Shared declarations of the flow router's files. flow_router.c handles packets
  * and openings, flow_router_search.c the search for a flow's holder,
- * flow_router_bulk.c the uploads.
+ * flow_router_waiting.c the openings that wait for a target, flow_router_bulk.c
+ * the uploads.
  */
 
 #include <glib.h>
@@ -15,6 +16,7 @@
 #include "damaskyard/log.h"
 #include "damaskyard/opening_queue.h"
 #include "damaskyard/search_limit.h"
+#include "damaskyard/waiting_openings.h"
 
 /* A cached flow. */
 typedef struct flow {
@@ -46,6 +48,7 @@
 	dy_bulk_limit_t bulk;
 	dy_list_t uploads; /* that arrive, ordered by upload_ms */
 	dy_opening_queue_t *waiting_uploads;
+	dy_waiting_openings_t *waiting; /* for a target of their service */
 	/* Version of the search order (of members and rules); never 0. */
 	uint32_t order;
 	dy_log_limit_t assigned_limit;
@@ -61,7 +64,13 @@
 	uint64_t *unplaced;
 	uint64_t *second_chances;
 	uint64_t *relayed;
+	uint64_t *waited;     /* openings that wait for a target */
+	uint64_t *granted;    /* of these, that were granted a place */
+	uint64_t *waited_out; /* that waited for too long */
+	uint64_t *unservable; /* that would have, so were refused at once */
+	uint64_t *grants_unused;
 	dy_log_limit_t path_limit;
+	dy_log_limit_t waiting_limit;
 };
 
 /* Packets and openings; flow_router.c. */
@@ -88,9 +97,56 @@
 				const dy_packet_t *packet, uint8_t *bytes,
 				size_t len, uint64_t now_ms);
 
-/* Chooses an agent for a new flow and sends it the opening. */
+/* What is chosen for a new flow. */
+typedef struct assignment {
+	const dy_flow_entry_t *entry;
+	const char *service;
+	unsigned count;
+	dy_address_t agents[DY_FLOW_TRIES]; /* best first */
+	dy_flow_wait_t wait;
+} assignment_t;
+
+/* Chooses an agent for a new flow and sends it the opening, or queues it. */
 void flow_router_open_flow(dy_flow_router_t *router, const dy_packet_t *packet,
 			   uint8_t *bytes, size_t len, uint64_t now_ms);
+/* Sends an opening to the agents of its assignment. */
+void flow_router_send_opening(dy_flow_router_t *router,
+			      const assignment_t *assignment,
+			      const dy_packet_t *packet, uint8_t *bytes,
+			      size_t len, uint64_t now_ms);
+/* Refuses an opening: resets its caller; reason is logged. */
+void flow_router_refuse(dy_flow_router_t *router, const dy_packet_t *packet,
+			const char *reason, uint64_t now_ms);
+
+/* Openings that wait for a target; flow_router_waiting.c. */
+uint32_t flow_router_caller_rank(const dy_flow_router_t *router,
+				 const dy_flow_id_t *flow);
+/* Returns whether openings of the service wait, so that a new one has to. */
+int flow_router_has_waiting(const dy_flow_router_t *router,
+			    const char *service);
+/*
+ * Queues an opening until it is granted a place, or refuses it. agent: where to
+ * reserve one; NULL: that is done.
+ */
+void flow_router_queue_opening(dy_flow_router_t *router,
+			       const dy_flow_entry_t *entry,
+			       const char *service, const dy_address_t *agent,
+			       const dy_packet_t *packet, uint8_t *bytes,
+			       size_t len, uint64_t now_ms);
+/*
+ * Queues an opening that an agent refused and reserves a place at another one,
+ * or refuses it if no other admits openings.
+ */
+void flow_router_wait_elsewhere(dy_flow_router_t *router,
+				const dy_address_t *agent,
+				const dy_packet_t *packet, uint8_t *bytes,
+				size_t len, uint64_t now_ms);
+/* Chooses service and agents for a new flow. Returns 0 if there is none. */
+int flow_router_choose_agents(const dy_flow_router_t *router,
+			      const dy_flow_id_t *flow, uint64_t now_ms,
+			      assignment_t *assignment);
+/* Refuses openings that waited too long, and renews reservations. */
+void flow_router_serve_waiting(dy_flow_router_t *router, uint64_t now_ms);
 
 /* Uploads; flow_router_bulk.c. */
 /*
--- a/src/connection/flow_router_search.c
+++ b/src/connection/flow_router_search.c
@@ -165,18 +165,55 @@
 	router->config.callbacks->confirm_members(router->config.context);
 }
 
+/* Another transmission of the SYN may have been admitted elsewhere. */
+static int is_held_elsewhere(const flow_t *flow,
+			     const dy_flow_nowhere_t *nowhere)
+{
+	return flow && flow->holder_reported &&
+	       !dy_address_equal(&flow->agent, &nowhere->agent);
+}
+
+/* Lets an opening wait here; the agent has reserved a place for it. */
+static void handle_full(dy_flow_router_t *router, flow_t *flow,
+			const dy_flow_nowhere_t *nowhere,
+			const dy_packet_t *packet, uint64_t now_ms)
+{
+	const dy_flow_entry_t *entry =
+		flow_router_find_entry(router, &packet->flow);
+	const char *service =
+		dy_flow_targets_service(router->targets, &nowhere->agent);
+
+	if (is_held_elsewhere(flow, nowhere))
+		return;
+	if (flow)
+		flow_router_drop_flow(router, flow);
+	if (!entry || !service)
+		flow_router_refuse(router, packet, "refused", now_ms);
+	else
+		flow_router_queue_opening(router, entry, service, NULL, packet,
+					  (uint8_t *)nowhere->packet.packet_val,
+					  nowhere->packet.packet_len, now_ms);
+}
+
+/*
+ * Handles an opening that none of its candidates admits. Where openings may
+ * wait here, it does so for another target.
+ */
 static void handle_refusal(dy_flow_router_t *router, flow_t *flow,
 			   const dy_flow_nowhere_t *nowhere,
 			   const dy_packet_t *packet, uint64_t now_ms)
 {
-	/* Another transmission of the SYN may have been admitted elsewhere. */
-	if (flow && flow->holder_reported &&
-	    !dy_address_equal(&flow->agent, &nowhere->agent))
+	if (is_held_elsewhere(flow, nowhere))
 		return;
-	++*router->refused;
-	flow_router_reset(router, packet, "refused", now_ms);
 	if (flow)
 		flow_router_drop_flow(router, flow);
+	if (router->config.wait_at_balancer)
+		flow_router_wait_elsewhere(
+			router, &nowhere->agent, packet,
+			(uint8_t *)nowhere->packet.packet_val,
+			nowhere->packet.packet_len, now_ms);
+	else
+		flow_router_refuse(router, packet, "refused", now_ms);
 }
 
 void dy_flow_router_receive_nowhere(dy_flow_router_t *router,
@@ -190,6 +227,10 @@
 		handle_refusal(router, flow, nowhere, packet, now_ms);
 		return;
 	}
+	if (nowhere->reason == DY_FLOW_FULL) {
+		handle_full(router, flow, nowhere, packet, now_ms);
+		return;
+	}
 	if (!flow)
 		flow = flow_router_get_flow(router, &nowhere->flow, now_ms);
 	if (is_flow_lost(flow, nowhere)) {
--- /dev/null
+++ b/src/connection/flow_router_waiting.c
@@ -0,0 +1,260 @@
+/* Openings that wait at a balancer until a target has a place for them. */
+
+#include "flow_router_private.h"
+
+#include <string.h>
+
+#include "damaskyard/address.h"
+#include "damaskyard/caller_rank.h"
+
+/*
+ * Part of its caller's time-out that an opening may wait, as a divisor. Callers
+ * use that time for several tries.
+ */
+#define TIMEOUT_DIVISOR 4
+
+uint32_t flow_router_caller_rank(const dy_flow_router_t *router,
+				 const dy_flow_id_t *flow)
+{
+	return dy_caller_rank(
+		flow->caller_ip,
+		router->config.callbacks->wall_ms(router->config.context));
+}
+
+int flow_router_has_waiting(const dy_flow_router_t *router, const char *service)
+{
+	return dy_waiting_openings_count(router->waiting, service) > 0;
+}
+
+static uint64_t find_wait_max_ms(const dy_flow_entry_t *entry)
+{
+	if (!entry->timeout_ms)
+		return DY_OPENING_WAIT_MAX_MS;
+	return MIN(entry->timeout_ms / TIMEOUT_DIVISOR, DY_OPENING_WAIT_MAX_MS);
+}
+
+static void log_waiting(dy_flow_router_t *router, const char *event,
+			const dy_flow_id_t *flow, const char *service,
+			uint32_t standing, uint64_t now_ms)
+{
+	char text[DY_FLOW_TEXT_BYTES];
+
+	if (!dy_log_allow(&router->waiting_limit, event, now_ms))
+		return;
+	dy_log_event(DY_LOG_INFO, event,
+		     "flow=%s service=%s priority=%u standing=%08x waiting=%u",
+		     dy_flow_id_format(flow, text), service,
+		     dy_standing_priority(standing), standing,
+		     dy_waiting_openings_count(router->waiting, service));
+}
+
+static void reserve(dy_flow_router_t *router, const dy_address_t *agent,
+		    uint32_t standing, uint64_t now_ms)
+{
+	dy_flow_targets_note_opened(router->targets, agent);
+	dy_flow_targets_note_sent(router->targets, agent, now_ms);
+	router->config.callbacks->reserve(router->config.context, agent,
+					  standing);
+}
+
+void flow_router_queue_opening(dy_flow_router_t *router,
+			       const dy_flow_entry_t *entry,
+			       const char *service, const dy_address_t *agent,
+			       const dy_packet_t *packet, uint8_t *bytes,
+			       size_t len, uint64_t now_ms)
+{
+	dy_flow_forward_t forward = { 0 };
+	dy_opening_claim_t claim = { 0 };
+	uint32_t standing;
+
+	/* Another transmission of the SYN waits already. */
+	if (dy_waiting_openings_has(router->waiting, &packet->flow))
+		return;
+	claim.service = service;
+	claim.priority = entry->priority;
+	claim.rank = flow_router_caller_rank(router, &packet->flow);
+	claim.wait_max_ms = find_wait_max_ms(entry);
+	forward.service = "";
+	forward.packet.packet_val = (char *)bytes;
+	forward.packet.packet_len = (u_int)len;
+	if (!dy_waiting_openings_add(router->waiting, &claim, &forward, packet,
+				     now_ms, &standing)) {
+		++*router->unservable;
+		flow_router_refuse(router, packet, "unservable", now_ms);
+		return;
+	}
+	++*router->waited;
+	log_waiting(router, "opening_waits", &packet->flow, service, standing,
+		    now_ms);
+	if (agent)
+		reserve(router, agent, standing, now_ms);
+}
+
+void flow_router_wait_elsewhere(dy_flow_router_t *router,
+				const dy_address_t *agent,
+				const dy_packet_t *packet, uint8_t *bytes,
+				size_t len, uint64_t now_ms)
+{
+	assignment_t assignment = { 0 };
+	unsigned i = 0;
+
+	flow_router_choose_agents(router, &packet->flow, now_ms, &assignment);
+	while (i < assignment.count &&
+	       dy_address_equal(&assignment.agents[i], agent))
+		i++;
+	if (i < assignment.count)
+		flow_router_queue_opening(
+			router, assignment.entry, assignment.service,
+			&assignment.agents[i], packet, bytes, len, now_ms);
+	else
+		flow_router_refuse(router, packet, "refused", now_ms);
+}
+
+static void refuse_expired(dy_flow_router_t *router, uint64_t now_ms)
+{
+	dy_opening_t opening;
+
+	while (dy_waiting_openings_pop_expired(router->waiting, now_ms,
+					       &opening)) {
+		++*router->waited_out;
+		flow_router_refuse(router, &opening.packet, "waited_out",
+				   now_ms);
+	}
+}
+
+/* Reserves a place for an opening whose reservation or grant may be lost. */
+static void renew_reservations(dy_flow_router_t *router, uint64_t now_ms)
+{
+	dy_address_t list[DY_FLOW_TRIES];
+	const char *service;
+	dy_flow_id_t flow;
+	uint32_t standing;
+
+	while ((service = dy_waiting_openings_find_overdue(
+			router->waiting, now_ms, &flow, &standing)))
+		if (dy_flow_targets_choose(router->targets, service, &flow, 0,
+					   now_ms, list))
+			reserve(router, &list[0], standing, now_ms);
+}
+
+/*
+ * Reserves places elsewhere in place of those that an agent returned. If no
+ * agent is known to admit openings, it is left to the next renewal, so that
+ * messages do not go to and fro.
+ */
+static void replace_reservations(dy_flow_router_t *router, const char *service,
+				 unsigned returned, uint64_t now_ms)
+{
+	dy_address_t list[DY_FLOW_TRIES];
+	dy_flow_id_t flow;
+	uint32_t standing;
+
+	if (!dy_waiting_openings_next(router->waiting, service, &flow,
+				      &standing))
+		return;
+	returned = MIN(returned,
+		       dy_waiting_openings_count(router->waiting, service));
+	while (returned-- &&
+	       dy_flow_targets_choose(router->targets, service, &flow, 0,
+				      now_ms, list) &&
+	       dy_flow_targets_admits(router->targets, &list[0], now_ms))
+		reserve(router, &list[0], standing, now_ms);
+}
+
+void flow_router_serve_waiting(dy_flow_router_t *router, uint64_t now_ms)
+{
+	refuse_expired(router, now_ms);
+	renew_reservations(router, now_ms);
+}
+
+static int names_service(const dy_flow_entry_t *entry, const char *service)
+{
+	uint8_t i;
+
+	for (i = 0; i < entry->share_count; i++)
+		if (entry->shares[i].weight &&
+		    !strcmp(entry->shares[i].service, service))
+			return 1;
+	return 0;
+}
+
+/*
+ * Sends an opening to the agent that granted a place, and to others if that one
+ * admits none any more.
+ */
+static void send_granted(dy_flow_router_t *router, const dy_address_t *agent,
+			 const char *service, const dy_flow_entry_t *entry,
+			 const dy_opening_t *opening, uint64_t now_ms)
+{
+	const dy_flow_forward_t *forward = &opening->stored.forward;
+	assignment_t assignment = { 0 };
+	dy_address_t others[DY_FLOW_TRIES];
+	unsigned count;
+	unsigned i;
+
+	count = dy_flow_targets_choose(router->targets, service,
+				       &opening->packet.flow, entry->bulk,
+				       now_ms, others);
+	assignment.entry = entry;
+	assignment.service = service;
+	assignment.wait = DY_FLOW_GRANTED;
+	assignment.agents[assignment.count++] = *agent;
+	for (i = 0; i < count && assignment.count < DY_FLOW_TRIES; i++)
+		if (!dy_address_equal(&others[i], agent))
+			assignment.agents[assignment.count++] = others[i];
+	++*router->granted;
+	flow_router_send_opening(router, &assignment, &opening->packet,
+				 (uint8_t *)forward->packet.packet_val,
+				 forward->packet.packet_len, now_ms);
+}
+
+/*
+ * Sends the next opening of a service to an agent. Returns 0 if none waits.
+ * Those whose entry is gone, or names the service no more, are routed anew.
+ */
+static int use_grant(dy_flow_router_t *router, const dy_address_t *agent,
+		     const char *service, uint64_t now_ms)
+{
+	const dy_flow_entry_t *entry;
+	dy_opening_t opening;
+
+	while (dy_waiting_openings_pop(router->waiting, service, now_ms,
+				       &opening)) {
+		entry = flow_router_find_entry(router, &opening.packet.flow);
+		if (entry && names_service(entry, service)) {
+			send_granted(router, agent, service, entry, &opening,
+				     now_ms);
+			return 1;
+		}
+		flow_router_open_flow(
+			router, &opening.packet, opening.stored.bytes,
+			opening.stored.forward.packet.packet_len, now_ms);
+	}
+	return 0;
+}
+
+void dy_flow_router_receive_grant(dy_flow_router_t *router,
+				  const dy_flow_grant_t *grant, uint64_t now_ms)
+{
+	const char *service;
+
+	dy_flow_targets_set_load(router->targets, &grant->agent, &grant->load,
+				 now_ms);
+	refuse_expired(router, now_ms);
+	service = dy_flow_targets_service(router->targets, &grant->agent);
+	if (service && grant->returned) {
+		replace_reservations(router, service, grant->returned, now_ms);
+		return;
+	}
+	if (service && use_grant(router, &grant->agent, service, now_ms))
+		return;
+	++*router->grants_unused;
+	dy_flow_targets_note_sent(router->targets, &grant->agent, now_ms);
+	router->config.callbacks->decline(router->config.context,
+					  &grant->agent);
+}
+
+unsigned dy_flow_router_waiting(const dy_flow_router_t *router)
+{
+	return dy_waiting_openings_count(router->waiting, NULL);
+}
--- a/src/connection/opening_queue.c
+++ b/src/connection/opening_queue.c
@@ -33,9 +33,8 @@
 	g_free(queue);
 }
 
-static void copy_opening(dy_opening_t *opening,
-			 const dy_flow_forward_t *forward,
-			 const dy_packet_t *packet)
+void dy_opening_set(dy_opening_t *opening, const dy_flow_forward_t *forward,
+		    const dy_packet_t *packet)
 {
 	dy_stored_forward_set(&opening->stored, forward);
 	opening->packet = *packet;
@@ -59,7 +58,7 @@
 				    &queued->opening.packet.flow, queued);
 		dy_list_append(&queue->by_age, &queued->link);
 	}
-	copy_opening(&queued->opening, forward, packet);
+	dy_opening_set(&queued->opening, forward, packet);
 	return 1;
 }
 
@@ -80,8 +79,8 @@
 static void dequeue(dy_opening_queue_t *queue, queued_opening_t *queued,
 		    dy_opening_t *opening)
 {
-	copy_opening(opening, &queued->opening.stored.forward,
-		     &queued->opening.packet);
+	dy_opening_set(opening, &queued->opening.stored.forward,
+		       &queued->opening.packet);
 	dy_list_remove(&queued->link);
 	g_hash_table_remove(queue->by_flow, &queued->opening.packet.flow);
 }
--- a/src/gen/dy_flow.h
+++ b/src/gen/dy_flow.h
@@ -128,6 +128,7 @@
 struct dy_flow_grant_t {
 	dy_address_t agent;
 	dy_flow_load_t load;
+	u_int returned;
 };
 typedef struct dy_flow_grant_t dy_flow_grant_t;
 
@@ -195,6 +196,9 @@
 #define DY_FLOW_RESERVE 7
 extern  void * dy_flow_reserve_1(dy_flow_reserve_t *, CLIENT *);
 extern  void * dy_flow_reserve_1_svc(dy_flow_reserve_t *, struct svc_req *);
+#define DY_FLOW_DECLINE 8
+extern  void * dy_flow_decline_1(dy_flow_ask_t *, CLIENT *);
+extern  void * dy_flow_decline_1_svc(dy_flow_ask_t *, struct svc_req *);
 extern int dy_flow_agent_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -222,6 +226,9 @@
 #define DY_FLOW_RESERVE 7
 extern  void * dy_flow_reserve_1();
 extern  void * dy_flow_reserve_1_svc();
+#define DY_FLOW_DECLINE 8
+extern  void * dy_flow_decline_1();
+extern  void * dy_flow_decline_1_svc();
 extern int dy_flow_agent_program_1_freeresult ();
 #endif /* K&R C */
 
--- a/src/gen/dy_flow_xdr.c
+++ b/src/gen/dy_flow_xdr.c
@@ -420,6 +420,8 @@
 		 return FALSE;
 	 if (!xdr_dy_flow_load_t (xdrs, &objp->load))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->returned))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/process/flow/cmd_flow_agent.c
+++ b/src/process/flow/cmd_flow_agent.c
@@ -163,9 +163,25 @@
 	dy_port_check_begin(agent->port_check);
 }
 
+static void send_grant(void *context, const dy_address_t *balancer,
+		       dy_flow_grant_t *grant)
+{
+	flow_agent_t *agent = context;
+
+	flow_member_send(&agent->member, balancer, DY_FLOW_BALANCER_PROGRAM,
+			 DY_FLOW_GRANT, (xdrproc_t)xdr_dy_flow_grant_t, grant);
+}
+
 static const dy_flow_holder_callbacks_t holder_callbacks = {
-	send_to_target, send_to_caller, send_forward, send_held,
-	send_nowhere,	send_report,	on_changed,   check_target_port,
+	.to_target = send_to_target,
+	.to_caller = send_to_caller,
+	.pass_on = send_forward,
+	.held = send_held,
+	.nowhere = send_nowhere,
+	.grant = send_grant,
+	.report = send_report,
+	.changed = on_changed,
+	.check_port = check_target_port,
 };
 
 static void on_outbound(void *context, uint8_t *bytes, size_t len,
@@ -274,6 +290,44 @@
 		++*agent->malformed;
 }
 
+static void receive_reserve(flow_agent_t *agent, const dy_sealed_t *message)
+{
+	dy_flow_reserve_t reserve = { 0 };
+
+	if (dy_sealed_load_in_place(message, (xdrproc_t)xdr_dy_flow_reserve_t,
+				    &reserve))
+		dy_flow_holder_reserve(agent->holder, &reserve, now_ms(agent));
+	else
+		++*agent->malformed;
+}
+
+static void receive_decline(flow_agent_t *agent, const dy_sealed_t *message)
+{
+	dy_flow_ask_t ask = { 0 };
+
+	if (dy_sealed_load_in_place(message, (xdrproc_t)xdr_dy_flow_ask_t,
+				    &ask))
+		dy_flow_holder_receive_decline(agent->holder, &ask.balancer,
+					       now_ms(agent));
+	else
+		++*agent->malformed;
+}
+
+/* Returns whether message was one about openings, and handles it. */
+static int receive_opening_message(flow_agent_t *agent,
+				   const dy_sealed_t *message)
+{
+	if (message->program != DY_FLOW_AGENT_PROGRAM)
+		return 0;
+	if (message->procedure == DY_FLOW_RESERVE)
+		receive_reserve(agent, message);
+	else if (message->procedure == DY_FLOW_DECLINE)
+		receive_decline(agent, message);
+	else
+		return 0;
+	return 1;
+}
+
 static void on_message(void *context, uint8_t *bytes, size_t len,
 		       const struct sockaddr *from, int truncated)
 {
@@ -286,7 +340,8 @@
 	if (agent->member.subscriber &&
 	    dy_subscriber_receive(agent->member.subscriber, &message))
 		return;
-	if (agent_prober_receive(agent->prober, &message))
+	if (agent_prober_receive(agent->prober, &message) ||
+	    receive_opening_message(agent, &message))
 		return;
 	if (message.program == DY_FLOW_AGENT_PROGRAM &&
 	    message.procedure == DY_FLOW_FORWARD)
--- a/src/process/flow/cmd_flow_balancer.c
+++ b/src/process/flow/cmd_flow_balancer.c
@@ -109,6 +109,32 @@
 			 DY_FLOW_ASK, (xdrproc_t)xdr_dy_flow_ask_t, &ask);
 }
 
+static void reserve(void *context, const dy_address_t *agent, uint32_t standing)
+{
+	flow_balancer_t *balancer = context;
+	dy_flow_reserve_t reserve = { balancer->member.settings.inner,
+				      standing };
+
+	flow_member_send(&balancer->member, agent, DY_FLOW_AGENT_PROGRAM,
+			 DY_FLOW_RESERVE, (xdrproc_t)xdr_dy_flow_reserve_t,
+			 &reserve);
+}
+
+static void decline(void *context, const dy_address_t *agent)
+{
+	flow_balancer_t *balancer = context;
+	dy_flow_ask_t ask = { balancer->member.settings.inner };
+
+	flow_member_send(&balancer->member, agent, DY_FLOW_AGENT_PROGRAM,
+			 DY_FLOW_DECLINE, (xdrproc_t)xdr_dy_flow_ask_t, &ask);
+}
+
+static uint64_t wall_ms(void *context)
+{
+	(void)context;
+	return (uint64_t)(g_get_real_time() / 1000);
+}
+
 static void inquire(void *context, const dy_address_t *witness,
 		    const dy_address_t *agent)
 {
@@ -126,6 +152,9 @@
 	.reset = send_reset,
 	.confirm_members = confirm_members,
 	.request_report = request_report,
+	.reserve = reserve,
+	.decline = decline,
+	.wall_ms = wall_ms,
 	.inquire = inquire,
 };
 
@@ -196,6 +225,16 @@
 					      now_ms(balancer));
 }
 
+static void receive_grant(flow_balancer_t *balancer, const dy_sealed_t *message)
+{
+	dy_flow_grant_t grant = { 0 };
+
+	if (dy_sealed_load_in_place(message, (xdrproc_t)xdr_dy_flow_grant_t,
+				    &grant))
+		dy_flow_router_receive_grant(balancer->router, &grant,
+					     now_ms(balancer));
+}
+
 static void receive_finding(flow_balancer_t *balancer,
 			    const dy_sealed_t *message)
 {
@@ -227,6 +266,8 @@
 		receive_nowhere(balancer, &message);
 	else if (message.procedure == DY_FLOW_REPORT)
 		receive_report(balancer, &message);
+	else if (message.procedure == DY_FLOW_GRANT)
+		receive_grant(balancer, &message);
 	else if (message.procedure == DY_FLOW_FINDING)
 		receive_finding(balancer, &message);
 }
@@ -406,6 +447,7 @@
 	config.self = balancer->member.settings.inner;
 	config.domain = balancer->member.settings.domain;
 	config.link_bytes_per_s = balancer->member.settings.link_bytes_per_s;
+	config.wait_at_balancer = balancer->member.settings.wait_at_balancer;
 	config.metrics = metrics;
 	config.callbacks = &router_callbacks;
 	config.context = balancer;
--- a/src/process/flow/flow_settings.c
+++ b/src/process/flow/flow_settings.c
@@ -4,6 +4,7 @@
 
 #include "damaskyard/control.h"
 #include "damaskyard/log.h"
+#include "platform/contracts.h"
 
 /*
  * Offsets from the setting inner-port. They differ so that several roles can
@@ -56,6 +57,8 @@
 	{ "target", "service", AGENT },
 	{ "target", "cold-overshoot", 0 },
 	{ "target", "cold-slack", 0 },
+	{ "openings", "wait-at", 0 },
+	{ "platform", "contracts", 0 },
 	{ "group", "seeds", ALL },
 	{ "group", "key-file", 0 },
 	{ "group", "losses", 0 },
@@ -164,6 +167,27 @@
 	return TRUE;
 }
 
+/*
+ * Load where openings wait while all targets are at capacity. Without the
+ * setting the platform's contracts decide.
+ */
+static gboolean load_wait_at(GKeyFile *file, dy_flow_settings_t *settings,
+			     GError **error)
+{
+	char *contracts = load_text(file, "platform", "contracts");
+	char *text = load_text(file, "openings", "wait-at");
+	gboolean ok = TRUE;
+
+	settings->wait_at_balancer =
+		text ? !strcmp(text, "balancer")
+		     : platform_contracts_name_pressure(contracts);
+	if (text && !settings->wait_at_balancer && strcmp(text, "agent") != 0)
+		ok = refuse(error, "wait-at", text, "agent or balancer");
+	g_free(contracts);
+	g_free(text);
+	return ok;
+}
+
 static gboolean load_seeds(GKeyFile *file, uint16_t port,
 			   dy_address_list_t *seeds, GError **error)
 {
@@ -313,6 +337,7 @@
 	    !load_number(file, "group", "losses", &losses_range, &losses,
 			 error) ||
 	    !load_link(file, settings, error) ||
+	    !load_wait_at(file, settings, error) ||
 	    !load_cold_limit(file, settings, error) ||
 	    !load_seeds(file, settings->control_port, &settings->seeds,
 			error) ||
--- a/src/version/flow_targets.c
+++ b/src/version/flow_targets.c
@@ -177,6 +177,7 @@
 		memset(&target->load, 0, sizeof(target->load));
 		target->opened = 0;
 		target->deliveries = 0;
+		target->refuses = 0;
 		target->avoided_until_ms = 0;
 		memset(&target->silence, 0, sizeof(target->silence));
 		memset(&target->path, 0, sizeof(target->path));
@@ -198,6 +199,14 @@
 		target->load.slots = member->info.slots;
 }
 
+const char *dy_flow_targets_service(const dy_flow_targets_t *targets,
+				    const dy_address_t *agent)
+{
+	const target_t *target = flow_targets_find(targets, agent);
+
+	return target ? target->service : NULL;
+}
+
 void dy_flow_targets_set_load(dy_flow_targets_t *targets,
 			      const dy_address_t *agent,
 			      const dy_flow_load_t *load, uint64_t now_ms)
@@ -207,6 +216,7 @@
 	if (!target)
 		return;
 	target->load = *load;
+	target->refuses = !load->accepts;
 	target->opened = 0;
 	target->avoided_until_ms = 0;
 	target->last_report_ms = now_ms;
--- a/src/version/flow_targets_private.h
+++ b/src/version/flow_targets_private.h
@@ -22,6 +22,7 @@
 	int serving;
 	int suspect;
 	int deliveries; /* the agent accepts DELIVERY */
+	int refuses;	/* by its last report it admits no openings */
 	dy_flow_load_t load;
 	uint32_t opened; /* flows opened since its last report */
 	uint64_t avoided_until_ms;
--- a/src/version/flow_targets_select.c
+++ b/src/version/flow_targets_select.c
@@ -16,6 +16,21 @@
 	const target_t *target;
 } candidate_t;
 
+/* An agent that is sent nothing stops its reports, so an old one is ignored. */
+static int refuses_openings(const target_t *target, uint64_t now_ms)
+{
+	return target->refuses &&
+	       now_ms - target->last_report_ms <= DY_FLOW_REFUSAL_AGE_MAX_MS;
+}
+
+int dy_flow_targets_admits(const dy_flow_targets_t *targets,
+			   const dy_address_t *agent, uint64_t now_ms)
+{
+	const target_t *target = flow_targets_find(targets, agent);
+
+	return target && target->serving && !refuses_openings(target, now_ms);
+}
+
 static double compute_score(const target_t *target, int bulk, uint64_t now_ms)
 {
 	const dy_flow_load_t *load = &target->load;
@@ -31,7 +46,8 @@
 		score *= DY_FLOW_REMOTE_BULK_FACTOR;
 	if (!target->same_domain)
 		score += DY_FLOW_REMOTE_PENALTY;
-	if (target->avoided_until_ms > now_ms || target->path.broken)
+	if (target->avoided_until_ms > now_ms || target->path.broken ||
+	    refuses_openings(target, now_ms))
 		score += 1e6;
 	return score;
 }
--- a/tests/fake_holder.c
+++ b/tests/fake_holder.c
@@ -53,6 +53,15 @@
 	fake_holder.nowhere = *message;
 }
 
+static void grant(void *context, const dy_address_t *balancer,
+		  dy_flow_grant_t *message)
+{
+	(void)context;
+	fake_holder.grant_count++;
+	fake_holder.grant = *message;
+	fake_holder.grant_balancer = *balancer;
+}
+
 static void report(void *context, const dy_address_t *balancer,
 		   dy_flow_report_t *message)
 {
@@ -75,8 +84,15 @@
 }
 
 static const dy_flow_holder_callbacks_t callbacks = {
-	to_target, to_caller, pass_on, held,
-	nowhere,   report,    changed, check_target,
+	.to_target = to_target,
+	.to_caller = to_caller,
+	.pass_on = pass_on,
+	.held = held,
+	.nowhere = nowhere,
+	.grant = grant,
+	.report = report,
+	.changed = changed,
+	.check_port = check_target,
 };
 
 dy_address_t fake_holder_address(unsigned number, uint16_t port)
--- a/tests/fake_holder.h
+++ b/tests/fake_holder.h
@@ -33,12 +33,16 @@
 	dy_flow_held_t held;
 	unsigned nowhere_count;
 	dy_flow_nowhere_t nowhere;
+	unsigned grant_count;
+	dy_flow_grant_t grant;
+	dy_address_t grant_balancer;
 	unsigned report_count;
 	dy_flow_report_t report;
 	unsigned change_count;
 	unsigned port_checks; /* checks of the target's port */
 	uint64_t now_ms;
 	uint32_t cold_openings; /* in forwards from now on */
+	dy_flow_wait_t wait;	/* likewise */
 	uint32_t cold_ms;	/* in notices from now on */
 	uint8_t bytes[34];
 } fake_holder_t;
--- a/tests/test_flow_burst.c
+++ b/tests/test_flow_burst.c
@@ -189,9 +189,24 @@
 	(void)context;
 }
 
+static void on_grant(void *context, const dy_address_t *balancer,
+		     dy_flow_grant_t *grant)
+{
+	(void)context;
+	(void)balancer;
+	(void)grant;
+}
+
 static const dy_flow_holder_callbacks_t callbacks = {
-	to_target,  to_caller, on_forward, on_held,
-	on_nowhere, on_report, on_event,   on_event,
+	.to_target = to_target,
+	.to_caller = to_caller,
+	.pass_on = on_forward,
+	.held = on_held,
+	.nowhere = on_nowhere,
+	.grant = on_grant,
+	.report = on_report,
+	.changed = on_event,
+	.check_port = on_event,
 };
 
 /* The target refuses a request as not run, within its flow. */
