--- a/src/connection/slot_grants.c
+++ b/src/connection/slot_grants.c
@@ -42,8 +42,11 @@
 
 static void drop_all(dy_list_t *list, unsigned *count)
 {
-	while (!dy_list_empty(list))
-		drop(item(list->next), count);
+	dy_list_t *pos;
+	dy_list_t *tmp;
+
+	DY_LIST_EACH_SAFE(pos, tmp, list)
+	drop(item(pos), count);
 }
 
 void dy_slot_grants_destroy(dy_slot_grants_t *grants)
@@ -122,10 +125,12 @@
 			    const dy_address_t *balancer)
 {
 	unsigned before = *count;
-	place_t *place;
+	dy_list_t *pos;
+	dy_list_t *tmp;
 
-	while ((place = find_place(list, balancer)))
-		drop(place, count);
+	DY_LIST_EACH_SAFE(pos, tmp, list)
+	if (dy_address_equal(&item(pos)->balancer, balancer))
+		drop(item(pos), count);
 	return before - *count;
 }
 
--- a/tests/fake_holder.c
+++ b/tests/fake_holder.c
@@ -183,6 +183,8 @@
 	list[1] = fake_holder_address(2, 7002);
 	forward.service = (char *)service;
 	forward.cold_openings = fake_holder.cold_openings;
+	forward.wait = fake_holder.wait;
+	forward.standing = fake_holder.standing;
 	forward.balancer = fake_holder_address(100, 7001);
 	forward.tell = 1;
 	forward.certain = 1;
--- a/tests/fake_holder.h
+++ b/tests/fake_holder.h
@@ -43,6 +43,7 @@
 	uint64_t now_ms;
 	uint32_t cold_openings; /* in forwards from now on */
 	dy_flow_wait_t wait;	/* likewise */
+	uint32_t standing;	/* likewise */
 	uint32_t cold_ms;	/* in notices from now on */
 	uint8_t bytes[34];
 } fake_holder_t;
--- a/tests/fake_router.c
+++ b/tests/fake_router.c
@@ -49,6 +49,28 @@
 	fake_router.report_requests++;
 }
 
+static void on_reserve(void *context, const dy_address_t *agent,
+		       uint32_t standing)
+{
+	(void)context;
+	fake_router.reservations++;
+	fake_router.reserved_at = *agent;
+	fake_router.standing = standing;
+}
+
+static void on_decline(void *context, const dy_address_t *agent)
+{
+	(void)context;
+	(void)agent;
+	fake_router.declines++;
+}
+
+static uint64_t on_wall_ms(void *context)
+{
+	(void)context;
+	return fake_router.now_ms;
+}
+
 /* The witness reports at once. */
 static void on_inquire(void *context, const dy_address_t *witness,
 		       const dy_address_t *agent)
@@ -69,6 +91,9 @@
 	.reset = on_reset,
 	.confirm_members = on_confirm_members,
 	.request_report = on_request_report,
+	.reserve = on_reserve,
+	.decline = on_decline,
+	.wall_ms = on_wall_ms,
 	.inquire = on_inquire,
 };
 
@@ -129,12 +154,7 @@
 	fake_router_set_rules_with(version, first, second, 0);
 }
 
-void fake_router_begin(unsigned agents)
-{
-	fake_router_begin_on_link(agents, 0);
-}
-
-void fake_router_begin_on_link(unsigned agents, uint64_t bytes_per_s)
+static void begin(unsigned agents, uint64_t bytes_per_s, int wait_at_balancer)
 {
 	dy_flow_router_config_t config = { 0 };
 	unsigned i;
@@ -145,6 +165,7 @@
 	config.self = fake_router_agent(200);
 	config.domain = "d1";
 	config.link_bytes_per_s = bytes_per_s;
+	config.wait_at_balancer = wait_at_balancer;
 	config.metrics = fake_router.metrics;
 	config.callbacks = &callbacks;
 	fake_router.router = dy_flow_router_create(&config);
@@ -153,6 +174,21 @@
 		fake_router_set_member(i, DY_MEMBER_SERVING, "readings");
 }
 
+void fake_router_begin(unsigned agents)
+{
+	begin(agents, 0, 0);
+}
+
+void fake_router_begin_on_link(unsigned agents, uint64_t bytes_per_s)
+{
+	begin(agents, bytes_per_s, 0);
+}
+
+void fake_router_begin_waiting(unsigned agents)
+{
+	begin(agents, 0, 1);
+}
+
 void fake_router_end(void)
 {
 	dy_flow_router_destroy(fake_router.router);
@@ -214,6 +250,33 @@
 				       fake_router.now_ms);
 }
 
+void fake_router_receive_nowhere_from(unsigned number, unsigned flow,
+				      dy_flow_reason_t reason)
+{
+	dy_packet_t packet = fake_router_packet(flow, DY_PACKET_SYN, 0);
+	dy_flow_nowhere_t nowhere = { 0 };
+
+	nowhere.flow = packet.flow;
+	nowhere.agent = fake_router_agent(number);
+	nowhere.reason = reason;
+	nowhere.packet.packet_val = (char *)fake_router.bytes;
+	nowhere.packet.packet_len = sizeof(fake_router.bytes);
+	dy_flow_router_receive_nowhere(fake_router.router, &nowhere, &packet,
+				       fake_router.now_ms);
+}
+
+void fake_router_receive_grant(unsigned number, unsigned returned)
+{
+	dy_flow_grant_t grant = { 0 };
+
+	grant.agent = fake_router_agent(number);
+	grant.load.slots = 4;
+	grant.load.accepts = !returned;
+	grant.returned = returned;
+	dy_flow_router_receive_grant(fake_router.router, &grant,
+				     fake_router.now_ms);
+}
+
 void fake_router_receive_report(unsigned number)
 {
 	fake_router_receive_report_with(number, 0);
--- a/tests/fake_router.h
+++ b/tests/fake_router.h
@@ -28,7 +28,11 @@
 	unsigned confirm_requests;
 	unsigned report_requests;
 	unsigned inquiries;
-	dy_address_t witness;	 /* of the last inquiry */
+	dy_address_t witness; /* of the last inquiry */
+	unsigned reservations;
+	dy_address_t reserved_at; /* the last one */
+	uint32_t standing;
+	unsigned declines;
 	int silent_to_witnesses; /* what findings report about a holder */
 	uint64_t now_ms;
 	uint8_t bytes[34];
@@ -43,6 +47,8 @@
 void fake_router_begin(unsigned agents);
 /* The same, on a link of this rate. */
 void fake_router_begin_on_link(unsigned agents, uint64_t bytes_per_s);
+/* The same as fake_router_begin(), with openings that wait here. */
+void fake_router_begin_waiting(unsigned agents);
 void fake_router_end(void);
 
 /* Returns the address of the agent with this number. */
@@ -73,6 +79,13 @@
  */
 void fake_router_receive_nowhere(unsigned flow, unsigned marks, int certain);
 
+/* The same for an opening, with another reason and from this agent. */
+void fake_router_receive_nowhere_from(unsigned number, unsigned flow,
+				      dy_flow_reason_t reason);
+
+/* The agent grants a place, or returns reservations. */
+void fake_router_receive_grant(unsigned number, unsigned returned);
+
 /* The agent with this number sends a load report. */
 void fake_router_receive_report(unsigned number);
 /* As above, with the number of messages that it received directly. */
