--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -246,7 +246,9 @@
 			continue;
 		assignment->service = share->service;
 		assignment->count = dy_flow_targets_choose(
-			router->targets, share->service, flow, entry->bulk,
+			router->targets, share->service, flow,
+			entry->bulk ||
+				flow_router_has_waiting(router, share->service),
 			now_ms, assignment->agents);
 	}
 	return assignment->count > 0;
--- a/src/connection/flow_router_waiting.c
+++ b/src/connection/flow_router_waiting.c
@@ -122,19 +122,36 @@
 	}
 }
 
+/*
+ * Chooses an agent to reserve a place at, of this domain if it is not much
+ * fuller than others: which target serves an opening that waits matters little,
+ * and bytes between domains cost money.
+ */
+static int choose_reservation(const dy_flow_router_t *router,
+			      const char *service, const dy_flow_id_t *flow,
+			      uint64_t now_ms, dy_address_t *agent)
+{
+	dy_address_t list[DY_FLOW_TRIES];
+
+	if (!dy_flow_targets_choose(router->targets, service, flow, 1, now_ms,
+				    list))
+		return 0;
+	*agent = list[0];
+	return 1;
+}
+
 /* Reserves a place for an opening whose reservation or grant may be lost. */
 static void renew_reservations(dy_flow_router_t *router, uint64_t now_ms)
 {
-	dy_address_t list[DY_FLOW_TRIES];
+	dy_address_t agent;
 	const char *service;
 	dy_flow_id_t flow;
 	uint32_t standing;
 
 	while ((service = dy_waiting_openings_find_overdue(
 			router->waiting, now_ms, &flow, &standing)))
-		if (dy_flow_targets_choose(router->targets, service, &flow, 0,
-					   now_ms, list))
-			reserve(router, &list[0], standing, now_ms);
+		if (choose_reservation(router, service, &flow, now_ms, &agent))
+			reserve(router, &agent, standing, now_ms);
 }
 
 /*
@@ -145,7 +162,7 @@
 static void replace_reservations(dy_flow_router_t *router, const char *service,
 				 unsigned returned, uint64_t now_ms)
 {
-	dy_address_t list[DY_FLOW_TRIES];
+	dy_address_t agent;
 	dy_flow_id_t flow;
 	uint32_t standing;
 
@@ -155,10 +172,9 @@
 	returned = MIN(returned,
 		       dy_waiting_openings_count(router->waiting, service));
 	while (returned-- &&
-	       dy_flow_targets_choose(router->targets, service, &flow, 0,
-				      now_ms, list) &&
-	       dy_flow_targets_admits(router->targets, &list[0], now_ms))
-		reserve(router, &list[0], standing, now_ms);
+	       choose_reservation(router, service, &flow, now_ms, &agent) &&
+	       dy_flow_targets_admits(router->targets, &agent, now_ms))
+		reserve(router, &agent, standing, now_ms);
 }
 
 void flow_router_serve_waiting(dy_flow_router_t *router, uint64_t now_ms)
