--- a/include/damaskyard/waiting_openings.h
+++ b/include/damaskyard/waiting_openings.h
@@ -65,12 +65,20 @@
 int dy_waiting_openings_has(const dy_waiting_openings_t *waiting,
 			    const dy_flow_id_t *flow);
 
+/* An opening that waits no longer. */
+typedef struct dy_waited_opening {
+	dy_opening_t opening;
+	char service[DY_NAME_BYTES + 1];
+	unsigned priority;
+	uint64_t waited_ms;
+} dy_waited_opening_t;
+
 /*
  * Remove the opening of a service that is next for a granted place. Returns 0
  * if none waits.
  */
 int dy_waiting_openings_pop(dy_waiting_openings_t *waiting, const char *service,
-			    uint64_t now_ms, dy_opening_t *opening);
+			    uint64_t now_ms, dy_waited_opening_t *waited);
 
 /*
  * Find the opening of a service that is next for a granted place. Returns 0 if
@@ -82,7 +90,8 @@
 
 /* Remove an opening that has waited for its maximum. Returns 0 if none has. */
 int dy_waiting_openings_pop_expired(dy_waiting_openings_t *waiting,
-				    uint64_t now_ms, dy_opening_t *opening);
+				    uint64_t now_ms,
+				    dy_waited_opening_t *waited);
 
 /*
  * Find an opening that was neither granted nor reserved a place for
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -46,6 +46,8 @@
 	dy_list_init(&router->uploads);
 	router->waiting_uploads = dy_opening_queue_create();
 	router->waiting = dy_waiting_openings_create();
+	router->shortage = dy_service_shortage_create();
+	dy_histogram_init(&router->wait_ms, config->metrics, "opening_wait_ms");
 	router->assigned_limit = limit;
 	router->reset_limit = limit;
 	router->searched_limit = limit;
@@ -62,6 +64,7 @@
 	g_hash_table_destroy(router->flows);
 	dy_opening_queue_destroy(router->waiting_uploads);
 	dy_waiting_openings_destroy(router->waiting);
+	dy_service_shortage_destroy(router->shortage);
 	dy_flow_targets_destroy(router->targets);
 	dy_flow_rules_destroy(router->rules);
 	g_free(router);
--- a/src/connection/flow_router_private.h
+++ b/src/connection/flow_router_private.h
@@ -15,7 +15,9 @@
 #include "damaskyard/list.h"
 #include "damaskyard/log.h"
 #include "damaskyard/opening_queue.h"
+#include "damaskyard/histogram.h"
 #include "damaskyard/search_limit.h"
+#include "damaskyard/service_shortage.h"
 #include "damaskyard/waiting_openings.h"
 
 /* A cached flow. */
@@ -49,6 +51,8 @@
 	dy_list_t uploads; /* that arrive, ordered by upload_ms */
 	dy_opening_queue_t *waiting_uploads;
 	dy_waiting_openings_t *waiting; /* for a target of their service */
+	dy_service_shortage_t *shortage;
+	dy_histogram_t wait_ms; /* of openings that were granted a place */
 	/* Version of the search order (of members and rules); never 0. */
 	uint32_t order;
 	dy_log_limit_t assigned_limit;
--- a/src/connection/flow_router_waiting.c
+++ b/src/connection/flow_router_waiting.c
@@ -80,10 +80,15 @@
 	if (!dy_waiting_openings_add(router->waiting, &claim, &forward, packet,
 				     now_ms, &standing)) {
 		++*router->unservable;
+		dy_service_shortage_note(router->shortage, service,
+					 entry->priority, DY_OPENING_UNSERVABLE,
+					 now_ms);
 		flow_router_refuse(router, packet, "unservable", now_ms);
 		return;
 	}
 	++*router->waited;
+	dy_service_shortage_note(router->shortage, service, entry->priority,
+				 DY_OPENING_WAITED, now_ms);
 	log_waiting(router, "opening_waits", &packet->flow, service, standing,
 		    now_ms);
 	if (agent)
@@ -112,12 +117,15 @@
 
 static void refuse_expired(dy_flow_router_t *router, uint64_t now_ms)
 {
-	dy_opening_t opening;
+	dy_waited_opening_t waited;
 
 	while (dy_waiting_openings_pop_expired(router->waiting, now_ms,
-					       &opening)) {
+					       &waited)) {
 		++*router->waited_out;
-		flow_router_refuse(router, &opening.packet, "waited_out",
+		dy_service_shortage_note(router->shortage, waited.service,
+					 waited.priority, DY_OPENING_WAITED_OUT,
+					 now_ms);
+		flow_router_refuse(router, &waited.opening.packet, "waited_out",
 				   now_ms);
 	}
 }
@@ -177,8 +185,50 @@
 		reserve(router, &agent, standing, now_ms);
 }
 
+/* Writes what became of a service's openings, for each priority with any. */
+static void log_shortage(dy_flow_router_t *router,
+			 const dy_shortage_report_t *report)
+{
+	GString *priorities = g_string_new(NULL);
+	const unsigned *counts;
+	unsigned i;
+
+	for (i = 0; i <= DY_PRIORITY_LOWEST; i++) {
+		counts = report->counts[i];
+		if (counts[DY_OPENING_WAITED] || counts[DY_OPENING_UNSERVABLE])
+			g_string_append_printf(priorities, "%s%u:%u/%u/%u/%u",
+					       priorities->len ? "," : "", i,
+					       counts[DY_OPENING_WAITED],
+					       counts[DY_OPENING_GRANTED],
+					       counts[DY_OPENING_WAITED_OUT],
+					       counts[DY_OPENING_UNSERVABLE]);
+	}
+	dy_log_event(
+		DY_LOG_INFO, "service_short",
+		"service=%s short_ms=%lu waiting=%u waited=%u granted=%u "
+		"waited_out=%u unservable=%u targets=%u priorities=%s",
+		report->service, (unsigned long)report->short_ms,
+		dy_waiting_openings_count(router->waiting, report->service),
+		dy_shortage_report_sum(report, DY_OPENING_WAITED),
+		dy_shortage_report_sum(report, DY_OPENING_GRANTED),
+		dy_shortage_report_sum(report, DY_OPENING_WAITED_OUT),
+		dy_shortage_report_sum(report, DY_OPENING_UNSERVABLE),
+		dy_flow_targets_count(router->targets, report->service),
+		priorities->str);
+	g_string_free(priorities, TRUE);
+}
+
+static void report_shortages(dy_flow_router_t *router, uint64_t now_ms)
+{
+	dy_shortage_report_t report;
+
+	while (dy_service_shortage_next(router->shortage, now_ms, &report))
+		log_shortage(router, &report);
+}
+
 void flow_router_serve_waiting(dy_flow_router_t *router, uint64_t now_ms)
 {
+	report_shortages(router, now_ms);
 	refuse_expired(router, now_ms);
 	renew_reservations(router, now_ms);
 }
@@ -218,12 +268,20 @@
 	for (i = 0; i < count && assignment.count < DY_FLOW_TRIES; i++)
 		if (!dy_address_equal(&others[i], agent))
 			assignment.agents[assignment.count++] = others[i];
-	++*router->granted;
 	flow_router_send_opening(router, &assignment, &opening->packet,
 				 (uint8_t *)forward->packet.packet_val,
 				 forward->packet.packet_len, now_ms);
 }
 
+static void record_granted(dy_flow_router_t *router,
+			   const dy_waited_opening_t *waited, uint64_t now_ms)
+{
+	++*router->granted;
+	dy_histogram_add(&router->wait_ms, waited->waited_ms);
+	dy_service_shortage_note(router->shortage, waited->service,
+				 waited->priority, DY_OPENING_GRANTED, now_ms);
+}
+
 /*
  * Sends the next opening of a service to an agent. Returns 0 if none waits.
  * Those whose entry is gone, or names the service no more, are routed anew.
@@ -232,19 +290,21 @@
 		     const char *service, uint64_t now_ms)
 {
 	const dy_flow_entry_t *entry;
-	dy_opening_t opening;
+	dy_waited_opening_t waited;
+	const dy_opening_t *opening = &waited.opening;
 
 	while (dy_waiting_openings_pop(router->waiting, service, now_ms,
-				       &opening)) {
-		entry = flow_router_find_entry(router, &opening.packet.flow);
+				       &waited)) {
+		entry = flow_router_find_entry(router, &opening->packet.flow);
 		if (entry && names_service(entry, service)) {
-			send_granted(router, agent, service, entry, &opening,
+			record_granted(router, &waited, now_ms);
+			send_granted(router, agent, service, entry, opening,
 				     now_ms);
 			return 1;
 		}
 		flow_router_open_flow(
-			router, &opening.packet, opening.stored.bytes,
-			opening.stored.forward.packet.packet_len, now_ms);
+			router, &opening->packet, waited.opening.stored.bytes,
+			opening->stored.forward.packet.packet_len, now_ms);
 	}
 	return 0;
 }
--- a/src/connection/waiting_openings.c
+++ b/src/connection/waiting_openings.c
@@ -23,6 +23,7 @@
 	dy_list_t age_link; /* in by_expiry */
 	service_queue_t *queue;
 	uint32_t standing;
+	uint64_t added_ms;
 	uint64_t reserved_ms; /* last reservation of a place for it */
 	uint64_t expires_ms;
 	dy_opening_t opening;
@@ -160,6 +161,7 @@
 	opening = g_new0(waiting_opening_t, 1);
 	opening->queue = queue;
 	opening->standing = *standing;
+	opening->added_ms = now_ms;
 	opening->reserved_ms = now_ms;
 	opening->expires_ms = now_ms + claim->wait_max_ms;
 	dy_opening_set(&opening->opening, forward, packet);
@@ -177,10 +179,13 @@
 }
 
 static void take(dy_waiting_openings_t *waiting, waiting_opening_t *from,
-		 dy_opening_t *opening)
+		 uint64_t now_ms, dy_waited_opening_t *waited)
 {
-	dy_opening_set(opening, &from->opening.stored.forward,
+	dy_opening_set(&waited->opening, &from->opening.stored.forward,
 		       &from->opening.packet);
+	g_strlcpy(waited->service, from->queue->name, sizeof(waited->service));
+	waited->priority = dy_standing_priority(from->standing);
+	waited->waited_ms = now_ms - from->added_ms;
 	dy_list_remove(&from->link);
 	dy_list_remove(&from->age_link);
 	if (!--from->queue->count)
@@ -213,7 +218,7 @@
 }
 
 int dy_waiting_openings_pop(dy_waiting_openings_t *waiting, const char *service,
-			    uint64_t now_ms, dy_opening_t *opening)
+			    uint64_t now_ms, dy_waited_opening_t *waited)
 {
 	service_queue_t *queue =
 		g_hash_table_lookup(waiting->services, service);
@@ -224,12 +229,13 @@
 	take(waiting,
 	     queue->grants % DY_PRIORITY_FLOOR ? item(queue->openings.next)
 					       : first_of_lowest(queue),
-	     opening);
+	     now_ms, waited);
 	return 1;
 }
 
 int dy_waiting_openings_pop_expired(dy_waiting_openings_t *waiting,
-				    uint64_t now_ms, dy_opening_t *opening)
+				    uint64_t now_ms,
+				    dy_waited_opening_t *waited)
 {
 	waiting_opening_t *first;
 
@@ -239,7 +245,7 @@
 			     age_link);
 	if (first->expires_ms > now_ms)
 		return 0;
-	take(waiting, first, opening);
+	take(waiting, first, now_ms, waited);
 	return 1;
 }
 
--- a/tests/test_waiting_openings.c
+++ b/tests/test_waiting_openings.c
@@ -44,11 +44,11 @@
 /* Returns the caller of the opening that takes a granted place, or 0. */
 static unsigned grant(uint64_t now_ms)
 {
-	dy_opening_t opening;
+	dy_waited_opening_t waited;
 
-	if (!dy_waiting_openings_pop(waiting, SERVICE, now_ms, &opening))
+	if (!dy_waiting_openings_pop(waiting, SERVICE, now_ms, &waited))
 		return 0;
-	return opening.packet.flow.caller_ip;
+	return waited.opening.packet.flow.caller_ip;
 }
 
 /* Guards against an urgent request that waits behind a crowd of others. */
@@ -126,18 +126,20 @@
 /* Guards against a caller who is left without an answer. */
 START_TEST(returns_what_waited_for_its_maximum)
 {
-	dy_opening_t opening;
+	dy_waited_opening_t waited;
 
 	setup();
 	ck_assert(add(1, 1, 2, 5, 100));
 	ck_assert(add(2, 1, 2, 4, 150));
 	ck_assert(!dy_waiting_openings_pop_expired(
-		waiting, 100 + WAIT_MAX_MS - 1, &opening));
+		waiting, 100 + WAIT_MAX_MS - 1, &waited));
 	ck_assert(dy_waiting_openings_pop_expired(waiting, 100 + WAIT_MAX_MS,
-						  &opening));
-	ck_assert_uint_eq(opening.packet.flow.caller_ip, 1);
+						  &waited));
+	ck_assert_uint_eq(waited.opening.packet.flow.caller_ip, 1);
+	ck_assert_uint_eq(waited.waited_ms, WAIT_MAX_MS);
+	ck_assert_str_eq(waited.service, SERVICE);
 	ck_assert(!dy_waiting_openings_pop_expired(waiting, 100 + WAIT_MAX_MS,
-						   &opening));
+						   &waited));
 	ck_assert_uint_eq(dy_waiting_openings_count(waiting, SERVICE), 1);
 	teardown();
 }
@@ -187,11 +189,11 @@
 /* Guards against a grant of one service that is used for another. */
 START_TEST(keeps_services_apart)
 {
-	dy_opening_t opening;
+	dy_waited_opening_t waited;
 
 	setup();
 	ck_assert(add(1, 1, 2, 5, 100));
-	ck_assert(!dy_waiting_openings_pop(waiting, "maps", 101, &opening));
+	ck_assert(!dy_waiting_openings_pop(waiting, "maps", 101, &waited));
 	ck_assert_uint_eq(dy_waiting_openings_count(waiting, "maps"), 0);
 	ck_assert_uint_eq(grant(101), 1);
 	teardown();
