--- a/soak/processes.c
+++ b/soak/processes.c
@@ -27,6 +27,10 @@
  */
 static const char *const balancer_links[BALANCERS] = { "0.1", "0.5", "0" };
 
+/* Where openings wait at each balancer; both ways beside each other. */
+static const char *const balancer_waits[BALANCERS] = { "balancer", "agent",
+						       "balancer" };
+
 static void write_settings(process_t *process, int class, int number,
 			   int first_start)
 {
@@ -41,8 +45,10 @@
 	if (process->data)
 		g_string_append_printf(text, "data=%s\n", process->data);
 	if (class == NET_BALANCER)
-		g_string_append_printf(text, "link-mbps=%s\n",
-				       balancer_links[number - 1]);
+		g_string_append_printf(text,
+				       "link-mbps=%s\n[openings]\nwait-at=%s\n",
+				       balancer_links[number - 1],
+				       balancer_waits[number - 1]);
 	g_string_append_printf(text, "[listen]\ninner-port=%d\n",
 			       base + PORT_INNER);
 	if (class != NET_CONTROL)
--- a/soak/targets.c
+++ b/soak/targets.c
@@ -173,7 +173,7 @@
 		   target->starts);
 	body = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"d\","
-		"\"version\":\"v1\",\"slots\":4,\"state\":\"%s\","
+		"\"version\":\"v1\",\"slots\":1,\"state\":\"%s\","
 		"\"warmupLeftMs\":0,\"seq\":%u,\"born\":%lu}",
 		service_names[target->service],
 		soak_ip(NET_AGENT, target->number), soak.base_port + PORT_APP,
