--- a/soak/processes.c
+++ b/soak/processes.c
@@ -45,10 +45,9 @@
 	if (process->data)
 		g_string_append_printf(text, "data=%s\n", process->data);
 	if (class == NET_BALANCER)
-		g_string_append_printf(text,
-				       "link-mbps=%s\n[openings]\nwait-at=%s\n",
-				       balancer_links[number - 1],
-				       balancer_waits[number - 1]);
+		g_string_append_printf(
+			text, "link-mbps=%s\n[openings]\nwait-at=%s\n",
+			balancer_links[number - 1], balancer_waits[number - 1]);
 	g_string_append_printf(text, "[listen]\ninner-port=%d\n",
 			       base + PORT_INNER);
 	if (class != NET_CONTROL)
