--- a/include/damaskyard/bulk_limit.h
+++ b/include/damaskyard/bulk_limit.h
@@ -10,9 +10,11 @@
  * copies of their packets are sent again, and requests that need little of the
  * link find their targets' answers late.
  * Mechanism: as many uploads run at once as finish within a part of their aim,
- * by the mean size of the latest ones. The openings of others wait for up to
- * half a second, newest first (opening_queue.h), and are then refused, so that
- * their callers try another balancer.
+ * by the mean size of the latest ones. The openings of others wait, newest
+ * first (opening_queue.h), for a small part of their aim, and are then refused.
+ * The fabric hashes a caller's next try anew, so while balancers' links are
+ * unequal all of its tries fit in its aim, and one may find a balancer with
+ * room.
  */
 
 #include <stdint.h>
@@ -24,6 +26,12 @@
  */
 #define DY_BULK_AIM_PERCENT 20
 
+/*
+ * Part of an upload's aim that its opening may wait for the link, in percent.
+ * Three tries that wait in vain leave its caller time for a transfer.
+ */
+#define DY_BULK_WAIT_PERCENT 6
+
 /* Uploads that may always run: one alone leaves the link idle at its end. */
 #define DY_BULK_RUNNING_MIN 2
 
@@ -39,6 +47,9 @@
 /* Returns whether one more upload with this aim may begin. aim_ms 0: always. */
 int dy_bulk_limit_allows(const dy_bulk_limit_t *limit, uint64_t aim_ms);
 
+/* Returns how long an opening with this aim may wait for the link, in ms. */
+uint64_t dy_bulk_limit_wait_ms(uint64_t aim_ms);
+
 /* Record the begin and the end of an upload, and how many bytes it had. */
 void dy_bulk_limit_begin(dy_bulk_limit_t *limit);
 void dy_bulk_limit_end(dy_bulk_limit_t *limit, uint64_t bytes);
--- a/include/damaskyard/opening_queue.h
+++ b/include/damaskyard/opening_queue.h
@@ -61,6 +61,15 @@
 			 const dy_flow_forward_t *forward,
 			 const dy_packet_t *packet, uint64_t now_ms);
 
+/*
+ * The same for an opening that waits for wait_max_ms at most instead of
+ * DY_OPENING_WAIT_MAX_MS.
+ */
+int dy_opening_queue_add_for(dy_opening_queue_t *queue,
+			     const dy_flow_forward_t *forward,
+			     const dy_packet_t *packet, uint64_t wait_max_ms,
+			     uint64_t now_ms);
+
 /* Returns whether an opening of flow is queued. */
 int dy_opening_queue_has(const dy_opening_queue_t *queue,
 			 const dy_flow_id_t *flow);
@@ -72,8 +81,8 @@
 int dy_opening_queue_pop(dy_opening_queue_t *queue, dy_opening_t *opening);
 
 /*
- * Dequeues an opening that has reached DY_OPENING_WAIT_MAX_MS, oldest first.
- * Returns 0 if there is none.
+ * Dequeues an opening that has reached its maximum wait, the one that did so
+ * first. Returns 0 if there is none.
  */
 int dy_opening_queue_pop_expired(dy_opening_queue_t *queue, uint64_t now_ms,
 				 dy_opening_t *opening);
--- a/src/connection/bulk_limit.c
+++ b/src/connection/bulk_limit.c
@@ -15,6 +15,11 @@
 	return (limit->running + 1) * limit->mean_bytes <= bytes;
 }
 
+uint64_t dy_bulk_limit_wait_ms(uint64_t aim_ms)
+{
+	return aim_ms * DY_BULK_WAIT_PERCENT / 100;
+}
+
 void dy_bulk_limit_begin(dy_bulk_limit_t *limit)
 {
 	limit->running++;
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -23,6 +23,8 @@
 		{ "openings_waited_out", &router->waited_out },
 		{ "openings_unservable", &router->unservable },
 		{ "grants_unused", &router->grants_unused },
+		{ "uploads_waited", &router->uploads_waited },
+		{ "uploads_waited_out", &router->uploads_waited_out },
 	};
 
 	dy_metrics_counters(router->config.metrics, entries,
@@ -53,6 +55,7 @@
 	router->searched_limit = limit;
 	router->path_limit = limit;
 	router->waiting_limit = limit;
+	router->upload_limit = limit;
 	register_counters(router);
 	return router;
 }
--- a/src/connection/flow_router_bulk.c
+++ b/src/connection/flow_router_bulk.c
@@ -46,24 +46,41 @@
 	}
 }
 
+static void log_waits(dy_flow_router_t *router, const dy_flow_id_t *flow,
+		      uint64_t now_ms)
+{
+	char text[DY_FLOW_TEXT_BYTES];
+
+	if (!dy_log_allow(&router->upload_limit, "upload_waits", now_ms))
+		return;
+	dy_log_event(DY_LOG_INFO, "upload_waits",
+		     "flow=%s running=%u waiting=%u mean_bytes=%.0f",
+		     dy_flow_id_format(flow, text), router->bulk.running,
+		     dy_opening_queue_count(router->waiting_uploads),
+		     router->bulk.mean_bytes);
+}
+
 int flow_router_defer_upload(dy_flow_router_t *router,
 			     const dy_flow_entry_t *entry,
 			     const dy_packet_t *packet, uint8_t *bytes,
 			     size_t len, uint64_t now_ms)
 {
+	int copy = dy_opening_queue_has(router->waiting_uploads, &packet->flow);
 	dy_flow_forward_t forward = { 0 };
 
-	if (!dy_opening_queue_has(router->waiting_uploads, &packet->flow) &&
-	    dy_bulk_limit_allows(&router->bulk, entry->aim_ms))
+	if (!copy && dy_bulk_limit_allows(&router->bulk, entry->aim_ms))
 		return 0;
 	forward.service = "";
 	forward.packet.packet_val = (char *)bytes;
 	forward.packet.packet_len = (u_int)len;
-	if (dy_opening_queue_add(router->waiting_uploads, &forward, packet,
-				 now_ms))
-		return 1;
-	++*router->refused;
-	flow_router_reset(router, packet, "link_full", now_ms);
+	if (!dy_opening_queue_add_for(router->waiting_uploads, &forward, packet,
+				      dy_bulk_limit_wait_ms(entry->aim_ms),
+				      now_ms)) {
+		flow_router_refuse(router, packet, "link_full", now_ms);
+	} else if (!copy) {
+		++*router->uploads_waited;
+		log_waits(router, &packet->flow, now_ms);
+	}
 	return 1;
 }
 
@@ -108,12 +125,13 @@
 	dy_opening_t opening;
 
 	expire_uploads(router, now_ms);
-	while (dy_opening_queue_pop_expired(router->waiting_uploads, now_ms,
-					    &opening)) {
-		++*router->refused;
-		flow_router_reset(router, &opening.packet, "link_full", now_ms);
-	}
 	while (may_open_next(router) &&
 	       dy_opening_queue_pop(router->waiting_uploads, &opening))
 		open_waiting(router, &opening, now_ms);
+	while (dy_opening_queue_pop_expired(router->waiting_uploads, now_ms,
+					    &opening)) {
+		++*router->uploads_waited_out;
+		flow_router_refuse(router, &opening.packet, "link_full",
+				   now_ms);
+	}
 }
--- a/src/connection/flow_router_private.h
+++ b/src/connection/flow_router_private.h
@@ -73,8 +73,11 @@
 	uint64_t *waited_out; /* that waited for too long */
 	uint64_t *unservable; /* that would have, so were refused at once */
 	uint64_t *grants_unused;
+	uint64_t *uploads_waited;     /* for the link */
+	uint64_t *uploads_waited_out; /* of these, that waited too long */
 	dy_log_limit_t path_limit;
 	dy_log_limit_t waiting_limit;
+	dy_log_limit_t upload_limit;
 };
 
 /* Packets and openings; flow_router.c. */
--- a/tests/test_bulk_limit.c
+++ b/tests/test_bulk_limit.c
@@ -75,6 +75,18 @@
 }
 END_TEST
 
+/*
+ * Guards against tries of a caller that wait for longer than its aim at
+ * balancers without room, as a fixed wait does for a short aim.
+ */
+START_TEST(waits_for_a_part_of_the_aim)
+{
+	ck_assert_uint_le(3 * dy_bulk_limit_wait_ms(AIM_MS), AIM_MS / 4);
+	ck_assert_uint_le(3 * dy_bulk_limit_wait_ms(100), 100 / 4);
+	ck_assert_uint_gt(dy_bulk_limit_wait_ms(AIM_MS), 0);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -82,6 +94,7 @@
 		allows_more_on_a_larger_link,
 		allows_the_minimum_whatever_the_size,
 		follows_the_mean_of_the_latest_uploads,
+		waits_for_a_part_of_the_aim,
 		NULL,
 	};
 
--- a/tests/test_flow_uploads.c
+++ b/tests/test_flow_uploads.c
@@ -7,6 +7,7 @@
 
 #define LINK_BYTES_PER_S 537500
 #define AIM_MS 800
+#define TICK_MS 100
 
 /* Packets of one upload, of which 10 fit the part of the aim at once. */
 #define FULL_BYTES 1200
@@ -47,6 +48,15 @@
 	}
 }
 
+/* The uploads 1 to running go on. */
+static void keep_running(unsigned running)
+{
+	unsigned flow;
+
+	for (flow = 1; flow <= running; flow++)
+		send_data(flow, 1, 0);
+}
+
 /* Opens uploads until one has to wait. Returns how many run. */
 static unsigned fill_link(void)
 {
@@ -62,6 +72,18 @@
 	return flow - 2;
 }
 
+/* Begins with a full link and no opening that waits. Returns how many run. */
+static unsigned begin_full(void)
+{
+	unsigned running;
+
+	begin();
+	running = fill_link();
+	fake_router.now_ms += dy_bulk_limit_wait_ms(AIM_MS);
+	dy_flow_router_expire(fake_router.router, fake_router.now_ms);
+	return running;
+}
+
 /*
  * Power is back, and all callers start uploads. Guards against uploads that all
  * share the link and are all late.
@@ -108,7 +130,7 @@
 {
 	begin();
 	fill_link();
-	fake_router.now_ms += DY_OPENING_WAIT_MAX_MS - 1;
+	fake_router.now_ms += dy_bulk_limit_wait_ms(AIM_MS) - 1;
 	dy_flow_router_expire(fake_router.router, fake_router.now_ms);
 	ck_assert_uint_eq(fake_router.resets, 0);
 	fake_router.now_ms += 1;
@@ -126,13 +148,78 @@
 	begin();
 	waiting = fill_link() + 1;
 	open_flow(waiting);
-	fake_router.now_ms += DY_OPENING_WAIT_MAX_MS;
+	fake_router.now_ms += dy_bulk_limit_wait_ms(AIM_MS);
 	dy_flow_router_expire(fake_router.router, fake_router.now_ms);
 	ck_assert_uint_eq(fake_router.resets, 1);
 	fake_router_end();
 }
 END_TEST
 
+/*
+ * A caller tries three times, each at a balancer whose link stays full. Guards
+ * against tries that use up the aim, so that a balancer with room answers late.
+ */
+START_TEST(three_tries_leave_time_for_a_transfer)
+{
+	uint64_t begun_ms;
+	unsigned running;
+	unsigned try;
+
+	running = begin_full();
+	begun_ms = fake_router.now_ms;
+	for (try = 0; try < 3; try++) {
+		unsigned resets = fake_router.resets;
+
+		open_flow(200 + try);
+		while (fake_router.resets == resets) {
+			fake_router.now_ms += TICK_MS;
+			keep_running(running);
+			dy_flow_router_expire(fake_router.router,
+					      fake_router.now_ms);
+		}
+	}
+	ck_assert_uint_lt(fake_router.now_ms - begun_ms +
+				  2ull * AIM_MS * DY_BULK_AIM_PERCENT / 100,
+			  AIM_MS);
+	fake_router_end();
+}
+END_TEST
+
+/* Offers two openings where one ends. Returns how many callers are refused. */
+static unsigned overload(unsigned running)
+{
+	unsigned resets = fake_router.resets;
+	unsigned i;
+
+	for (i = 0; i < running; i++) {
+		open_flow(300 + 2 * i);
+		open_flow(301 + 2 * i);
+		fake_router.now_ms += TICK_MS;
+		send_data(i + 1, UPLOAD_PACKETS, 1);
+	}
+	fake_router.now_ms += TICK_MS;
+	dy_flow_router_expire(fake_router.router, fake_router.now_ms);
+	return fake_router.resets - resets;
+}
+
+/*
+ * Twice as many uploads as the link carries. Guards against a place that stays
+ * free although an opening waits, and against callers without an answer.
+ */
+START_TEST(serves_half_of_twice_the_load_and_answers_all)
+{
+	unsigned forwards;
+	unsigned running;
+
+	running = begin_full();
+	forwards = fake_router.forwards;
+	ck_assert_uint_eq(overload(running), running);
+	ck_assert_uint_eq(fake_router.forwards - forwards,
+			  running * (UPLOAD_PACKETS + 1));
+	fake_router_end();
+}
+END_TEST
+
 /* Guards against callers that vanish and hold their part of the link. */
 START_TEST(forgets_uploads_without_packets)
 {
@@ -156,6 +243,8 @@
 		opens_waiting_upload_when_another_has_arrived,
 		refuses_upload_that_waited_too_long,
 		counts_copies_of_an_opening_once,
+		three_tries_leave_time_for_a_transfer,
+		serves_half_of_twice_the_load_and_answers_all,
 		forgets_uploads_without_packets,
 		NULL,
 	};
--- a/tests/test_opening_queue.c
+++ b/tests/test_opening_queue.c
@@ -6,7 +6,8 @@
 
 static dy_opening_queue_t *queue;
 
-static int add(unsigned flow, uint32_t copy, uint64_t now_ms)
+static int add_for(unsigned flow, uint32_t copy, uint64_t wait_max_ms,
+		   uint64_t now_ms)
 {
 	dy_packet_t packet = { .flow = { 1, 2, flow, 443 } };
 	dy_address_t tries[1] = { { .port = 7002 } };
@@ -20,7 +21,15 @@
 	forward.tries.tries_len = 1;
 	forward.packet.packet_val = bytes;
 	forward.packet.packet_len = sizeof(bytes);
-	return dy_opening_queue_add(queue, &forward, &packet, now_ms);
+	if (!wait_max_ms)
+		return dy_opening_queue_add(queue, &forward, &packet, now_ms);
+	return dy_opening_queue_add_for(queue, &forward, &packet, wait_max_ms,
+					now_ms);
+}
+
+static int add(unsigned flow, uint32_t copy, uint64_t now_ms)
+{
+	return add_for(flow, copy, 0, now_ms);
 }
 
 /* A dequeued opening owns what it points to. */
@@ -80,6 +89,31 @@
 }
 END_TEST
 
+/*
+ * Guards against an opening of a route with a short aim that is held behind an
+ * older one that may wait for longer.
+ */
+START_TEST(expires_openings_in_the_order_of_their_ends)
+{
+	dy_opening_t opening;
+
+	queue = dy_opening_queue_create();
+	ck_assert(add_for(1, 0, 300, 100));
+	ck_assert(add_for(2, 0, 50, 110));
+	ck_assert(add_for(3, 0, 200, 120));
+	ck_assert(!dy_opening_queue_pop_expired(queue, 159, &opening));
+	ck_assert(dy_opening_queue_pop_expired(queue, 160, &opening));
+	check_opening(&opening, 2, 0);
+	ck_assert(!dy_opening_queue_pop_expired(queue, 319, &opening));
+	ck_assert(dy_opening_queue_pop_expired(queue, 400, &opening));
+	check_opening(&opening, 3, 0);
+	ck_assert(dy_opening_queue_pop(queue, &opening));
+	check_opening(&opening, 1, 0);
+	ck_assert(!dy_opening_queue_pop_expired(queue, 1000, &opening));
+	dy_opening_queue_destroy(queue);
+}
+END_TEST
+
 /* A new opening is refused once the queue is full. */
 START_TEST(refuses_opening_when_full)
 {
@@ -100,6 +134,7 @@
 	const TTest *const tests[] = {
 		dequeues_newest_first,
 		replaces_queued_opening_by_retransmission,
+		expires_openings_in_the_order_of_their_ends,
 		refuses_opening_when_full,
 		NULL,
 	};
