--- a/include/damaskyard/flow_rules.h
+++ b/include/damaskyard/flow_rules.h
@@ -36,9 +36,17 @@
 /* Create an empty rule set of a configuration version. */
 dy_flow_rules_t *dy_flow_rules_create(uint64_t version);
 
-/* Free the rules and their entries. NULL is allowed. */
+/*
+ * Drop a reference to the rules, the one of dy_flow_rules_create() or one of
+ * dy_flow_rules_ref(). With the last one they are freed, and each entry that no
+ * other rules share. NULL is allowed.
+ */
 void dy_flow_rules_destroy(dy_flow_rules_t *rules);
 
+/* Add a reference to the rules, which must not be changed then. Returns them.
+ */
+dy_flow_rules_t *dy_flow_rules_ref(dy_flow_rules_t *rules);
+
 /*
  * Add a copy of entry, service names included. Returns NULL, or a static
  * error message: the address and port are already used, or the entry has no
@@ -47,6 +55,14 @@
 const char *dy_flow_rules_add(dy_flow_rules_t *rules,
 			      const dy_flow_entry_t *entry);
 
+/*
+ * Add an entry that other rules own, without a copy of it: it is freed with the
+ * last rules that have it. Returns NULL, or a static error message: the address
+ * and port are already used.
+ */
+const char *dy_flow_rules_share(dy_flow_rules_t *rules,
+				const dy_flow_entry_t *entry);
+
 /*
  * Find the entry of a destination; ip is in host byte order. Returns an entry
  * that the rules own, or NULL.
--- a/src/process/control/operator_api.c
+++ b/src/process/control/operator_api.c
@@ -19,9 +19,12 @@
 	dy_address_t listen;
 	dy_loop_t *loop;
 	dy_log_limit_t limit;
+	platform_configuration_loader_t *loader;
 	uint64_t *submitted;
 	uint64_t *acknowledged;
 	uint64_t *invalid;
+	uint64_t *entries_parsed;
+	uint64_t *parsed_whole;
 	uint64_t *unavailable;
 	uint64_t *redirected;
 	uint64_t *reads;
@@ -124,6 +127,21 @@
 	destroy_call(call);
 }
 
+/* Returns the rules of a configuration, or NULL with error set. */
+static dy_flow_rules_t *load_rules(operator_api_t *api, const void *bytes,
+				   size_t len, GError **error)
+{
+	platform_load_t load;
+	dy_flow_rules_t *rules = platform_configuration_loader_load(
+		api->loader, bytes, len, &load, error);
+
+	if (!rules)
+		return NULL;
+	*api->entries_parsed += load.parsed;
+	*api->parsed_whole += (uint64_t)load.whole;
+	return rules;
+}
+
 /*
  * The configuration is validated before any version is compared: an invalid one
  * is rejected also where a higher version is in force, and by a control that
@@ -138,8 +156,7 @@
 	api_call_t *call;
 
 	++*api->submitted;
-	rules = platform_configuration_parse(request->body, request->body_len,
-					     &error);
+	rules = load_rules(api, request->body, request->body_len, &error);
 	if (!rules) {
 		answer_invalid(api, exchange, error->message);
 		g_error_free(error);
@@ -281,6 +298,10 @@
 	api->acknowledged =
 		dy_metrics_counter(metrics, "configurations_acknowledged");
 	api->invalid = dy_metrics_counter(metrics, "configurations_invalid");
+	api->entries_parsed =
+		dy_metrics_counter(metrics, "configuration_entries_parsed");
+	api->parsed_whole =
+		dy_metrics_counter(metrics, "configurations_parsed_whole");
 	api->unavailable =
 		dy_metrics_counter(metrics, "configurations_unavailable");
 	api->redirected =
@@ -294,8 +315,10 @@
 	config.handle = on_request;
 	config.context = api;
 	api->http = dy_http_server_create(loop, metrics, &config, error);
-	if (api->http)
+	if (api->http) {
+		api->loader = platform_configuration_loader_create();
 		return api;
+	}
 	g_free(api);
 	return NULL;
 }
@@ -305,6 +328,7 @@
 	if (!api)
 		return;
 	dy_http_server_destroy(api->http);
+	platform_configuration_loader_destroy(api->loader);
 	g_free(api);
 }
 
@@ -317,16 +341,16 @@
 				size_t size, char *message, size_t message_size)
 {
 	GByteArray *plain = dy_document_unpack(bytes, size, BODY_MAX_BYTES);
+	operator_api_t *api = context;
 	GError *error = NULL;
 	dy_flow_rules_t *rules;
 
-	(void)context;
 	if (!plain) {
 		g_strlcpy(message, "the compressed document is damaged",
 			  message_size);
 		return 0;
 	}
-	rules = platform_configuration_parse(plain->data, plain->len, &error);
+	rules = load_rules(api, plain->data, plain->len, &error);
 	g_byte_array_unref(plain);
 	if (rules) {
 		dy_flow_rules_destroy(rules);
--- a/src/process/control/operator_api.h
+++ b/src/process/control/operator_api.h
@@ -27,8 +27,8 @@
 void operator_api_set_control(operator_api_t *api, dy_control_t *control);
 
 /*
- * Validates a platform configuration; a `check` of dy_control_options_t, which
- * describes the arguments and the result.
+ * Validates a platform configuration; a `validate` of dy_control_options_t,
+ * which describes the arguments and the result. context is the operator_api_t.
  */
 int operator_api_check_document(void *context, const uint8_t *bytes,
 				size_t size, char *message,
--- a/src/process/flow/cmd_flow_balancer.c
+++ b/src/process/flow/cmd_flow_balancer.c
@@ -50,6 +50,7 @@
 	link_sender_t *sender;
 	dy_http_server_t *http;
 	dy_isolation_t isolation;
+	platform_configuration_loader_t *loader;
 	int caught_up;
 	int has_document;
 	int ready;
@@ -57,6 +58,9 @@
 	uint64_t last_packet_ms;  /* of a caller */
 	uint64_t *malformed;
 	uint64_t *unready_packets;
+	uint64_t *documents;
+	uint64_t *documents_whole;
+	uint64_t *entries_parsed;
 } flow_balancer_t;
 
 static uint64_t now_ms(const flow_balancer_t *balancer)
@@ -261,17 +265,21 @@
 		     cut_off, !!balancer->stop_started_ms);
 }
 
-static void on_document(void *context, const dy_document_info_t *info,
-			const uint8_t *bytes, size_t len)
+/* Returns the rules of a packed document, or NULL with a log line. */
+static dy_flow_rules_t *load_document(flow_balancer_t *balancer,
+				      const dy_document_info_t *info,
+				      const uint8_t *bytes, size_t len)
 {
-	flow_balancer_t *balancer = context;
+	gint64 start_us = g_get_monotonic_time();
 	GByteArray *plain = dy_document_unpack(bytes, len, DY_DOCUMENT_BYTES);
-	GError *error = NULL;
 	dy_flow_rules_t *rules = NULL;
+	GError *error = NULL;
+	platform_load_t load;
 
 	if (plain) {
-		rules = platform_configuration_parse(plain->data, plain->len,
-						     &error);
+		rules = platform_configuration_loader_load(
+			balancer->loader, plain->data, plain->len, &load,
+			&error);
 		g_byte_array_unref(plain);
 	}
 	if (!rules) {
@@ -279,10 +287,27 @@
 			     "number=%lu error=%s", (unsigned long)info->number,
 			     error ? dy_log_quote(error->message) : "damaged");
 		g_clear_error(&error);
-		return;
+		return NULL;
 	}
-	dy_log_event(DY_LOG_INFO, "document_in_force", "number=%lu entries=%u",
-		     (unsigned long)info->number, dy_flow_rules_count(rules));
+	++*balancer->documents;
+	*balancer->documents_whole += (uint64_t)load.whole;
+	*balancer->entries_parsed += load.parsed;
+	dy_log_event(DY_LOG_INFO, "document_in_force",
+		     "number=%lu entries=%u parsed=%u whole=%d ms=%ld",
+		     (unsigned long)info->number, dy_flow_rules_count(rules),
+		     load.parsed, load.whole,
+		     (long)(g_get_monotonic_time() - start_us) / 1000);
+	return rules;
+}
+
+static void on_document(void *context, const dy_document_info_t *info,
+			const uint8_t *bytes, size_t len)
+{
+	flow_balancer_t *balancer = context;
+	dy_flow_rules_t *rules = load_document(balancer, info, bytes, len);
+
+	if (!rules)
+		return;
 	dy_flow_router_set_rules(balancer->router, rules);
 	balancer->has_document = 1;
 	dy_subscriber_set_document(balancer->member.subscriber, info->number);
@@ -413,6 +438,11 @@
 	balancer->malformed = dy_metrics_counter(metrics, "packets_malformed");
 	balancer->unready_packets =
 		dy_metrics_counter(metrics, "packets_unready");
+	balancer->documents = dy_metrics_counter(metrics, "documents");
+	balancer->documents_whole =
+		dy_metrics_counter(metrics, "documents_parsed_whole");
+	balancer->entries_parsed =
+		dy_metrics_counter(metrics, "document_entries_parsed");
 }
 
 static gboolean run(flow_balancer_t *balancer, GError **error)
@@ -420,6 +450,7 @@
 	gboolean ok;
 
 	dy_isolation_init(&balancer->isolation);
+	balancer->loader = platform_configuration_loader_create();
 	ok = flow_member_open(&balancer->member, on_message, balancer, error);
 	if (ok) {
 		create_router(balancer);
@@ -440,6 +471,7 @@
 	dy_endpoint_destroy(balancer->packets);
 	flow_member_close(&balancer->member);
 	dy_flow_router_destroy(balancer->router);
+	platform_configuration_loader_destroy(balancer->loader);
 	return ok;
 }
 
--- a/src/process/flow/cmd_flow_control.c
+++ b/src/process/flow/cmd_flow_control.c
@@ -47,7 +47,6 @@
 	options->dynamic_membership = 1;
 	options->losses = settings->losses;
 	options->domains = settings->domains;
-	options->validate = operator_api_check_document;
 	options->snapshot_bytes = SNAPSHOT_LOG_BYTES;
 	options->first_election_ms = FIRST_ELECTION_TIMEOUT_MS;
 	options->secrets = settings->secrets;
@@ -77,7 +76,7 @@
  * with error set if it could not start.
  */
 static gboolean run_control(flow_member_t *member,
-			    const dy_control_options_t *options,
+			    dy_control_options_t *options,
 			    dy_control_exit_reason_t *exit_reason,
 			    GError **error)
 {
@@ -90,6 +89,8 @@
 
 	api = operator_api_create(loop, metrics, &member->settings.control,
 				  error);
+	options->validate = operator_api_check_document;
+	options->validate_context = api;
 	if (api && member->settings.metrics.port)
 		page = metrics_page_create(loop, metrics,
 					   &member->settings.metrics, error);
--- a/src/version/flow_rules.c
+++ b/src/version/flow_rules.c
@@ -10,13 +10,15 @@
 #define SHARE_SALT 0x9e3779b97f4a7c15u
 
 struct dy_flow_rules {
+	unsigned refs;
 	uint64_t version;
 	GHashTable *entries; /* by record::key */
 	GHashTable *cold;    /* service name to new flows per 1,000 s */
 };
 
 typedef struct record {
-	gint64 key; /* address and port */
+	unsigned refs; /* rules that have it */
+	gint64 key;    /* address and port */
 	dy_flow_entry_t entry;
 } record_t;
 
@@ -25,11 +27,13 @@
 	return (gint64)((uint64_t)ip << 16 | port);
 }
 
-static void free_record(void *data)
+static void unref_record(void *data)
 {
 	record_t *record = data;
 	int i;
 
+	if (--record->refs)
+		return;
 	for (i = 0; i < record->entry.share_count; i++)
 		g_free(record->entry.shares[i].service);
 	g_free(record);
@@ -39,9 +43,10 @@
 {
 	dy_flow_rules_t *rules = g_new0(dy_flow_rules_t, 1);
 
+	rules->refs = 1;
 	rules->version = version;
 	rules->entries = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-					       NULL, free_record);
+					       NULL, unref_record);
 	rules->cold =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return rules;
@@ -49,13 +54,19 @@
 
 void dy_flow_rules_destroy(dy_flow_rules_t *rules)
 {
-	if (!rules)
+	if (!rules || --rules->refs)
 		return;
 	g_hash_table_destroy(rules->entries);
 	g_hash_table_destroy(rules->cold);
 	g_free(rules);
 }
 
+dy_flow_rules_t *dy_flow_rules_ref(dy_flow_rules_t *rules)
+{
+	rules->refs++;
+	return rules;
+}
+
 static uint64_t sum_weights(const dy_flow_entry_t *entry)
 {
 	uint64_t sum = 0;
@@ -66,27 +77,43 @@
 	return sum;
 }
 
+static const char *insert(dy_flow_rules_t *rules, record_t *record)
+{
+	if (g_hash_table_contains(rules->entries, &record->key))
+		return "another entry has the same address and port";
+	record->refs++;
+	g_hash_table_insert(rules->entries, &record->key, record);
+	return NULL;
+}
+
 const char *dy_flow_rules_add(dy_flow_rules_t *rules,
 			      const dy_flow_entry_t *entry)
 {
 	record_t *record;
-	gint64 key = make_key(entry->ip, entry->port);
+	const char *problem;
 	int i;
 
 	if (!entry->share_count)
 		return "the entry has no service";
 	if (!sum_weights(entry))
 		return "the services of the entry have no weight";
-	if (g_hash_table_contains(rules->entries, &key))
-		return "another entry has the same address and port";
 	record = g_new0(record_t, 1);
-	record->key = key;
+	record->key = make_key(entry->ip, entry->port);
 	record->entry = *entry;
 	for (i = 0; i < entry->share_count; i++)
 		record->entry.shares[i].service =
 			g_strdup(entry->shares[i].service);
-	g_hash_table_insert(rules->entries, &record->key, record);
-	return NULL;
+	record->refs = 1;
+	problem = insert(rules, record);
+	unref_record(record);
+	return problem;
+}
+
+const char *dy_flow_rules_share(dy_flow_rules_t *rules,
+				const dy_flow_entry_t *entry)
+{
+	return insert(rules,
+		      (record_t *)((char *)entry - offsetof(record_t, entry)));
 }
 
 const dy_flow_entry_t *dy_flow_rules_find(const dy_flow_rules_t *rules,
