--- a/bench/bench_document.c
+++ b/bench/bench_document.c
@@ -116,6 +116,7 @@
 
 static void measure_whole(unsigned routes, unsigned services)
 {
+	size_t rules_bytes = 0;
 	size_t text_len = 0;
 	double parse_ms = 0;
 	double drop_ms = 0;
@@ -127,21 +128,23 @@
 	for (i = 0; i < VERSIONS; i++) {
 		text = write_document(routes, services, i);
 		text_len = text->len;
+		rules_bytes = used_bytes();
 		start = now_ms();
 		rules = platform_configuration_parse(text->str, text->len,
 						     NULL);
 		parse_ms += now_ms() - start;
 		if (!rules)
 			die("the document is refused");
+		rules_bytes = used_bytes() - rules_bytes;
 		start = now_ms();
 		dy_flow_rules_destroy(rules);
 		drop_ms += now_ms() - start;
 		g_string_free(text, TRUE);
 	}
 	printf("bench=document_whole routes=%u services=%u bytes=%zu "
-	       "parse_ms=%.2f drop_ms=%.2f\n",
+	       "parse_ms=%.2f drop_ms=%.2f bytes_a_route=%zu\n",
 	       routes, services, text_len, parse_ms / VERSIONS,
-	       drop_ms / VERSIONS);
+	       drop_ms / VERSIONS, rules_bytes / routes);
 }
 
 /* The rules in force are dropped for the next ones, as in a balancer. */
