--- a/Makefile
+++ b/Makefile
@@ -64,8 +64,8 @@
 STANDIN_BIN := $(patsubst standin/%.c,$(BUILD)/standin/%,$(STANDIN_SRC))
 STANDIN_COMMON_OBJ := $(patsubst %.c,$(BUILD)/obj/%.o,$(STANDIN_COMMON))
 TEST_SRC := $(sort $(wildcard tests/test_*.c))
-TEST_COMMON_OBJ := $(patsubst %.c,$(BUILD)/obj/%.o, \
-	$(sort $(wildcard tests/fake_*.c)))
+TEST_COMMON_SRC := $(sort $(wildcard tests/fake_*.c)) bench/common_heap.c
+TEST_COMMON_OBJ := $(patsubst %.c,$(BUILD)/obj/%.o,$(TEST_COMMON_SRC))
 TEST_BIN := $(patsubst tests/%.c,$(BUILD)/tests/%,$(TEST_SRC))
 BENCH_SRC := $(sort $(wildcard bench/bench_*.c bench/measure_*.c))
 BENCH_COMMON_OBJ := $(patsubst %.c,$(BUILD)/obj/%.o, \
@@ -127,7 +127,15 @@
 $(BUILD)/bench/measure_control: ALL_CFLAGS += -Itests
 $(BUILD)/bench/measure_control: $(BUILD)/obj/bench/measure_control.o \
 		$(patsubst %,$(BUILD)/obj/tests/fake_%.o,site group group_operator disk) \
-		$(LIB)
+		$(BUILD)/obj/bench/common_arguments.o $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(SAN) -o $@ $^ $(DEPS_LIBS)
+
+$(BUILD)/bench/measure_flow: ALL_CFLAGS += -Itests
+$(BUILD)/bench/measure_flow: $(BUILD)/obj/bench/measure_flow.o \
+		$(patsubst %,$(BUILD)/obj/tests/fake_%.o,service \
+		service_callers service_members service_target) \
+		$(patsubst %,$(BUILD)/obj/bench/common_%.o,heap arguments) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(SAN) -o $@ $^ $(DEPS_LIBS)
 
@@ -140,7 +148,7 @@
 FUZZ_FLAGS = -std=gnu11 -O1 -g -w -fsanitize=address,undefined
 FUZZ_OBJ := $(patsubst %.c,build/fuzz-obj/%.o, \
 	$(filter-out $(MAIN_SRC),$(LIB_SRC)) $(GEN_SRC) \
-	$(sort $(shell grep -LE 'ck_assert|tcase_' tests/fake_*.c)))
+	$(sort $(shell grep -LE 'ck_assert|tcase_' $(TEST_COMMON_SRC))))
 
 build/fuzz-obj/%.o: %.c
 	@mkdir -p $(@D)
--- a/bench/measure_control.c
+++ b/bench/measure_control.c
@@ -11,6 +11,7 @@
 
 #include <glib.h>
 
+#include "common_arguments.h"
 #include "damaskyard/log.h"
 #include "fake_site.h"
 
@@ -98,24 +99,11 @@
 
 static int parse(int argc, char **argv)
 {
-	GOptionContext *context = g_option_context_new("");
-	GError *error = NULL;
-	int ok;
-
-	g_option_context_add_main_entries(context, entries, NULL);
-	ok = g_option_context_parse(context, &argc, &argv, &error);
-	g_option_context_free(context);
-	if (!ok) {
-		fprintf(stderr, "measure_control: %s\n", error->message);
-		g_error_free(error);
+	if (!arguments_parse("measure_control", entries, argc, argv))
 		return 0;
-	}
-	if (argc > 1 || seconds < 1 || max_members < (int)sizes[0] ||
-	    max_members > (int)sizes[G_N_ELEMENTS(sizes) - 1] || poll_us < 1) {
-		fprintf(stderr, "measure_control: a value is out of range; "
-				"see --help\n");
-		return 0;
-	}
+	if (seconds < 1 || max_members < (int)sizes[0] ||
+	    max_members > (int)sizes[G_N_ELEMENTS(sizes) - 1] || poll_us < 1)
+		return arguments_refuse("measure_control");
 	return 1;
 }
 
