--- a/bench/measure_flow.c
+++ b/bench/measure_flow.c
@@ -2,7 +2,7 @@
  * Measures what callers of packet flows receive under load, in simulated time:
  * the real decisions of balancers and agents, with simulated callers and
  * targets (tests/fake_service.h). Prints a row of key=value or CSV for each
- * pattern and kind of request.
+ * pattern, place where openings wait, and kind of request.
  */
 
 #include <stdio.h>
@@ -35,8 +35,6 @@
 	  "number of balancers", "N" },
 	{ "slots", 0, 0, G_OPTION_ARG_INT, &settings.slots, "slots of a target",
 	  "N" },
-	{ "wait-at-balancer", 0, 0, G_OPTION_ARG_NONE,
-	  &settings.wait_at_balancer, "openings wait at balancers", NULL },
 	{ "csv", 0, 0, G_OPTION_ARG_NONE, &csv, "print CSV", NULL },
 	{ 0 },
 };
@@ -114,6 +112,11 @@
 	return worst;
 }
 
+static const char *wait_name(void)
+{
+	return settings.wait_at_balancer ? "balancer" : "agent";
+}
+
 static void print_row(const char *pattern, const fake_service_t *service,
 		      unsigned kind)
 {
@@ -121,14 +124,14 @@
 		fake_service_result(service, kind, WARM_MS, END_MS);
 	double asked = MAX(result.asked, 1);
 	const char *row =
-		csv ? "%s,%u,%u,%.3f,%.3f,%.3f,%.3f,%.3f,%u,%u,%u\n"
-		    : "pattern=%s kind=%u asked=%u in_aim=%.3f late=%.3f "
+		csv ? "%s,%s,%u,%u,%.3f,%.3f,%.3f,%.3f,%.3f,%u,%u,%u\n"
+		    : "pattern=%s wait_at=%s kind=%u asked=%u in_aim=%.3f late=%.3f "
 		      "failed=%.3f worst=%.3f goodput=%.3f silent_tries=%u "
 		      "unanswered_tries=%u doubled=%u\n";
 
-	printf(row, pattern, kind, result.asked, result.in_aim / asked,
-	       result.late / asked, result.failed / asked,
-	       worst_window(service, kind),
+	printf(row, pattern, wait_name(), kind, result.asked,
+	       result.in_aim / asked, result.late / asked,
+	       result.failed / asked, worst_window(service, kind),
 	       fake_service_goodput(service, WARM_MS, END_MS),
 	       result.silent_tries, result.unanswered_tries, result.doubled);
 	fflush(stdout);
@@ -144,10 +147,18 @@
 	return 1;
 }
 
-int main(int argc, char **argv)
+static void measure(const pattern_t *pattern)
 {
-	fake_service_t *service;
+	fake_service_t *service = simulate(pattern);
 	unsigned kind;
+
+	for (kind = 0; kind < FAKE_SERVICE_KINDS; kind++)
+		print_row(pattern->name, service, kind);
+	fake_service_destroy(service);
+}
+
+int main(int argc, char **argv)
+{
 	size_t i;
 
 	settings = fake_service_defaults();
@@ -155,13 +166,13 @@
 		return 2;
 	dy_log_configure(DY_LOG_ERROR, NULL);
 	if (csv)
-		puts("pattern,kind,asked,in_aim,late,failed,worst,goodput,"
-		     "silent_tries,unanswered_tries,doubled");
+		puts("pattern,wait_at,kind,asked,in_aim,late,failed,worst,"
+		     "goodput,silent_tries,unanswered_tries,doubled");
 	for (i = 0; i < G_N_ELEMENTS(patterns); i++) {
-		service = simulate(&patterns[i]);
-		for (kind = 0; kind < FAKE_SERVICE_KINDS; kind++)
-			print_row(patterns[i].name, service, kind);
-		fake_service_destroy(service);
+		settings.wait_at_balancer = 0;
+		measure(&patterns[i]);
+		settings.wait_at_balancer = 1;
+		measure(&patterns[i]);
 	}
 	return EXIT_SUCCESS;
 }
--- a/tests/fake_service.c
+++ b/tests/fake_service.c
@@ -23,7 +23,6 @@
 	settings.callers = 2000;
 	settings.one_way_us = 700;
 	settings.caller_way_us = 3000;
-	/* settings.wait_at_balancer = 1; */
 	return settings;
 }
 
--- a/tests/fake_service_members.c
+++ b/tests/fake_service_members.c
@@ -145,6 +145,46 @@
 	send_forward(target->service, message);
 }
 
+static void reserve_at_agent(fake_service_t *service, message_t *message)
+{
+	dy_flow_holder_reserve(service->targets[message->to].holder,
+			       &message->reserve, service_now_ms(service));
+}
+
+static void reserve(void *context, const dy_address_t *agent, uint32_t standing)
+{
+	balancer_t *balancer = context;
+	dy_flow_reserve_t *message =
+		&post_between(balancer->service, agent, reserve_at_agent, NULL)
+			 ->reserve;
+
+	message->balancer = member_address(BALANCER_IP, balancer->number);
+	message->standing = standing;
+}
+
+static void decline_at_agent(fake_service_t *service, message_t *message)
+{
+	dy_flow_holder_receive_decline(service->targets[message->to].holder,
+				       &message->reserve.balancer,
+				       service_now_ms(service));
+}
+
+static void decline(void *context, const dy_address_t *agent)
+{
+	balancer_t *balancer = context;
+
+	post_between(balancer->service, agent, decline_at_agent, NULL)
+		->reserve.balancer =
+		member_address(BALANCER_IP, balancer->number);
+}
+
+static uint64_t wall_ms(void *context)
+{
+	const balancer_t *balancer = context;
+
+	return service_now_ms(balancer->service);
+}
+
 /* Messages to balancers. */
 
 static void held_at_balancer(fake_service_t *service, message_t *message)
@@ -180,6 +220,21 @@
 		->nowhere = *nowhere;
 }
 
+static void grant_at_balancer(fake_service_t *service, message_t *message)
+{
+	dy_flow_router_receive_grant(service->balancers[message->to].router,
+				     &message->grant, service_now_ms(service));
+}
+
+static void send_grant(void *context, const dy_address_t *balancer,
+		       dy_flow_grant_t *grant)
+{
+	target_t *target = context;
+
+	post_between(target->service, balancer, grant_at_balancer, NULL)
+		->grant = *grant;
+}
+
 static void report_at_balancer(fake_service_t *service, message_t *message)
 {
 	dy_flow_router_receive_report(service->balancers[message->to].router,
@@ -308,6 +363,9 @@
 	.reset = send_reset,
 	.confirm_members = confirm_members,
 	.request_report = request_report,
+	.reserve = reserve,
+	.decline = decline,
+	.wall_ms = wall_ms,
 	.inquire = inquire,
 };
 
@@ -317,6 +375,7 @@
 	.pass_on = pass_on,
 	.held = send_held,
 	.nowhere = send_nowhere,
+	.grant = send_grant,
 	.report = send_report,
 	.changed = on_changed,
 	.check_port = check_port,
@@ -345,11 +404,12 @@
 	unsigned kind;
 
 	entry.aim_ms = FAKE_SERVICE_AIM_MS;
+	entry.timeout_ms = FAKE_SERVICE_DEADLINE_MS;
 	entry.shares[0].service = SERVICE_NAME;
 	entry.shares[0].weight = 1;
 	for (kind = 0; kind < FAKE_SERVICE_KINDS; kind++) {
 		entry.port = (uint16_t)(ENTRY_PORT + kind);
-		/* entry.priority = kind ? 1 : 2; */
+		entry.priority = kind ? 1 : 2;
 		dy_flow_rules_add(rules, &entry);
 	}
 	return rules;
@@ -364,7 +424,7 @@
 	balancer->number = number;
 	config.self = member_address(BALANCER_IP, number);
 	config.domain = domains[number % DOMAINS];
-	/* config.wait_at_balancer = service->settings.wait_at_balancer; */
+	config.wait_at_balancer = service->settings.wait_at_balancer;
 	config.metrics = service->metrics;
 	config.callbacks = &router_callbacks;
 	config.context = balancer;
--- a/tests/fake_service_private.h
+++ b/tests/fake_service_private.h
@@ -73,6 +73,8 @@
 		dy_flow_held_t held;
 		dy_flow_nowhere_t nowhere;
 		dy_flow_report_t report;
+		dy_flow_reserve_t reserve;
+		dy_flow_grant_t grant;
 		uint64_t polled_ms;
 		unsigned life; /* of the target that sent it */
 	};
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -3,8 +3,6 @@
  * agents in simulated time.
  */
 
-#include <stdlib.h>
-
 #include "damaskyard/log.h"
 #include "fake_service.h"
 #include "fake_suite.h"
@@ -25,11 +23,13 @@
 #define END_MS 8000
 
 static fake_service_t *service;
+static int wait_at_balancer;
 
 static void begin(void)
 {
 	fake_service_settings_t settings = fake_service_defaults();
 
+	settings.wait_at_balancer = wait_at_balancer;
 	dy_log_configure(DY_LOG_ERROR, NULL);
 	service = fake_service_create(&settings);
 }
@@ -217,6 +217,7 @@
 }
 END_TEST
 
+/* Refused callers come back at once, and refusing them takes all the time. */
 START_TEST(keeps_goodput_at_double_load)
 {
 	begin();
@@ -254,8 +255,7 @@
 }
 END_TEST
 
-/* Number of the first tests, which do not need openings to wait at balancers.
- */
+/* Number of the first tests, which hold wherever openings wait. */
 #define ALWAYS 7
 
 int main(void)
@@ -275,8 +275,12 @@
 		serves_higher_priority_first,
 		NULL,
 	};
-
-	if (!fake_service_defaults().wait_at_balancer)
-		tests[ALWAYS] = NULL;
-	return fake_suite_run("overload", tests);
+	const TTest *next = tests[ALWAYS];
+	int code;
+
+	tests[ALWAYS] = NULL;
+	code = fake_suite_run("overload_wait_at_agent", tests);
+	tests[ALWAYS] = next;
+	wait_at_balancer = 1;
+	return code | fake_suite_run("overload_wait_at_balancer", tests);
 }
