--- a/include/damaskyard/waiting_openings.h
+++ b/include/damaskyard/waiting_openings.h
@@ -25,6 +25,13 @@
 /* Capacity in openings. An entry takes 2 KB. */
 #define DY_WAITING_OPENINGS_MAX 512
 
+/*
+ * Openings of a service that may wait before new ones have to. A few wait at
+ * any load, each at a target that was full when it came, while others have
+ * places.
+ */
+#define DY_WAITING_FEW 8
+
 /* Time after which a place for an opening is reserved again, in ms. */
 #define DY_RESERVATION_RENEW_MS 100
 
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -250,8 +250,8 @@
 		assignment->service = share->service;
 		assignment->count = dy_flow_targets_choose(
 			router->targets, share->service, flow,
-			entry->bulk ||
-				flow_router_has_waiting(router, share->service),
+			entry->bulk || flow_router_count_waiting(
+					       router, share->service),
 			now_ms, assignment->agents);
 	}
 	return assignment->count > 0;
@@ -298,6 +298,9 @@
  */
 #define OPENING_CANDIDATES_MAX 4u
 
+/* Time in ms for an agent's answer to an opening: some round trips. */
+#define OPENING_ANSWER_MS 50
+
 /*
  * Appends the best candidate once more at the end of the list, where openings
  * wait.
@@ -332,6 +335,7 @@
 	++*router->opened;
 	flow = flow_router_get_flow(router, &packet->flow, now_ms);
 	flow->agent = list[0];
+	flow->granted_ms = assignment->wait == DY_FLOW_GRANTED ? now_ms : 0;
 	if (entry->upload)
 		flow_router_begin_upload(router, flow, now_ms);
 	dy_flow_targets_note_opened(router->targets, &list[0]);
@@ -374,7 +378,8 @@
 	if (!flow_router_choose_agents(router, &packet->flow, now_ms,
 				       &assignment))
 		flow_router_refuse(router, packet, "no_target", now_ms);
-	else if (flow_router_has_waiting(router, assignment.service))
+	else if (flow_router_count_waiting(router, assignment.service) >=
+		 DY_WAITING_FEW)
 		flow_router_queue_opening(
 			router, assignment.entry, assignment.service,
 			&assignment.agents[0], packet, bytes, len, now_ms);
@@ -385,14 +390,17 @@
 
 /*
  * Guards against a healthy agent that is taken for gone because its opening
- * still waits for this balancer's link.
+ * still waits for this balancer's link, or has left only now, as it waited here
+ * for a place.
  */
-static int is_first_copy_waiting(const dy_flow_router_t *router,
-				 const flow_t *flow)
+static int is_answer_early(const dy_flow_router_t *router, const flow_t *flow,
+			   uint64_t now_ms)
 {
 	return flow && flow->agent.port &&
-	       router->config.callbacks->is_waiting(router->config.context,
-						    &flow->id);
+	       ((flow->granted_ms &&
+		 now_ms - flow->granted_ms < OPENING_ANSWER_MS) ||
+		router->config.callbacks->is_waiting(router->config.context,
+						     &flow->id));
 }
 
 static void route_opening(dy_flow_router_t *router, const dy_packet_t *packet,
@@ -417,7 +425,7 @@
 	    flow_router_defer_upload(router, entry, packet, bytes, len, now_ms))
 		return;
 	if (dy_waiting_openings_has(router->waiting, &packet->flow) ||
-	    is_first_copy_waiting(router, flow))
+	    is_answer_early(router, flow, now_ms))
 		return;
 	handle_unanswered_opening(router, flow, now_ms);
 	flow_router_open_flow(router, packet, bytes, len, now_ms);
--- a/src/connection/flow_router_private.h
+++ b/src/connection/flow_router_private.h
@@ -25,6 +25,7 @@
 	dy_list_t link; /* in by_use, ordered by used_ms */
 	dy_flow_id_t id;
 	dy_address_t agent;  /* port 0: unknown */
+	uint64_t granted_ms; /* its opening was sent then, on a grant; or 0 */
 	int holder_reported; /* the agent reported that it holds the flow */
 	int open;	     /* the agent reported the complete handshake */
 	uint64_t used_ms;
@@ -125,9 +126,9 @@
 /* Openings that wait for a target; flow_router_waiting.c. */
 uint32_t flow_router_caller_rank(const dy_flow_router_t *router,
 				 const dy_flow_id_t *flow);
-/* Returns whether openings of the service wait, so that a new one has to. */
-int flow_router_has_waiting(const dy_flow_router_t *router,
-			    const char *service);
+/* Returns how many openings of the service wait here. */
+unsigned flow_router_count_waiting(const dy_flow_router_t *router,
+				   const char *service);
 /*
  * Queues an opening until it is granted a place, or refuses it. agent: where to
  * reserve one; NULL: that is done.
--- a/src/connection/flow_router_waiting.c
+++ b/src/connection/flow_router_waiting.c
@@ -21,9 +21,10 @@
 		router->config.callbacks->wall_ms(router->config.context));
 }
 
-int flow_router_has_waiting(const dy_flow_router_t *router, const char *service)
+unsigned flow_router_count_waiting(const dy_flow_router_t *router,
+				   const char *service)
 {
-	return dy_waiting_openings_count(router->waiting, service) > 0;
+	return dy_waiting_openings_count(router->waiting, service);
 }
 
 static uint64_t find_wait_max_ms(const dy_flow_entry_t *entry)
@@ -57,6 +58,21 @@
 					  standing);
 }
 
+static void refuse_expired(dy_flow_router_t *router, uint64_t now_ms)
+{
+	dy_waited_opening_t waited;
+
+	while (dy_waiting_openings_pop_expired(router->waiting, now_ms,
+					       &waited)) {
+		++*router->waited_out;
+		dy_service_shortage_note(router->shortage, waited.service,
+					 waited.priority, DY_OPENING_WAITED_OUT,
+					 now_ms);
+		flow_router_refuse(router, &waited.opening.packet, "waited_out",
+				   now_ms);
+	}
+}
+
 void flow_router_queue_opening(dy_flow_router_t *router,
 			       const dy_flow_entry_t *entry,
 			       const char *service, const dy_address_t *agent,
@@ -67,6 +83,7 @@
 	dy_opening_claim_t claim = { 0 };
 	uint32_t standing;
 
+	refuse_expired(router, now_ms);
 	/* Another transmission of the SYN waits already. */
 	if (dy_waiting_openings_has(router->waiting, &packet->flow))
 		return;
@@ -115,21 +132,6 @@
 		flow_router_refuse(router, packet, "refused", now_ms);
 }
 
-static void refuse_expired(dy_flow_router_t *router, uint64_t now_ms)
-{
-	dy_waited_opening_t waited;
-
-	while (dy_waiting_openings_pop_expired(router->waiting, now_ms,
-					       &waited)) {
-		++*router->waited_out;
-		dy_service_shortage_note(router->shortage, waited.service,
-					 waited.priority, DY_OPENING_WAITED_OUT,
-					 now_ms);
-		flow_router_refuse(router, &waited.opening.packet, "waited_out",
-				   now_ms);
-	}
-}
-
 /*
  * Chooses an agent to reserve a place at, of this domain if it is not much
  * fuller than others: which target serves an opening that waits matters little,
--- a/src/connection/stored_forward.c
+++ b/src/connection/stored_forward.c
@@ -9,8 +9,9 @@
 {
 	stored->forward = *forward;
 	g_strlcpy(stored->service, forward->service, sizeof(stored->service));
-	memcpy(stored->tries, forward->tries.tries_val,
-	       forward->tries.tries_len * sizeof(stored->tries[0]));
+	if (forward->tries.tries_len)
+		memcpy(stored->tries, forward->tries.tries_val,
+		       forward->tries.tries_len * sizeof(stored->tries[0]));
 	memcpy(stored->bytes, forward->packet.packet_val,
 	       forward->packet.packet_len);
 	stored->forward.service = stored->service;
