--- a/fuzz/fuzz_configuration.c
+++ b/fuzz/fuzz_configuration.c
@@ -59,9 +59,9 @@
 	g_string_append_printf(text,
 			       "{\"host\":\"10.0.0.%u\",\"pathPrefix\":"
 			       "\"/%u/\",\"routeType\":\"%s\",\"timeoutMs\":%u,"
-			       "\"targetLatencyMs\":%u,",
-			       a % 8, 1 + a / 8 % 4, types[b % 4], b / 4 % 8,
-			       b);
+			       "\"targetLatencyMs\":%u,\"priority\":%u,",
+			       a % 8, 1 + a / 8 % 4, types[b % 4], b / 4 % 8, b,
+			       a / 32);
 	if (b % 3)
 		g_string_append_printf(text, "\"service\":\"%s\"}",
 				       service_names[a % SERVICES]);
--- a/tests/fake_configuration.c
+++ b/tests/fake_configuration.c
@@ -16,6 +16,7 @@
 	if (a->ip != b->ip || a->port != b->port ||
 	    a->repeatable != b->repeatable || a->upload != b->upload ||
 	    a->bulk != b->bulk || a->aim_ms != b->aim_ms ||
+	    a->priority != b->priority || a->timeout_ms != b->timeout_ms ||
 	    a->share_count != b->share_count)
 		return "an entry differs";
 	for (i = 0; i < a->share_count; i++)
