--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -17,6 +17,7 @@
 		{ "packets_to_callers", &holder->to_callers },
 		{ "notices", &holder->notices },
 		{ "notices_refused", &holder->notices_refused },
+		{ "requests_unanswered", &holder->unanswered },
 	};
 
 	dy_metrics_counters(holder->config.metrics, entries,
@@ -41,6 +42,9 @@
 	holder->queued_openings = dy_opening_queue_create();
 	dy_cold_limit_init(&holder->cold);
 	dy_request_load_init(&holder->load);
+	dy_list_init(&holder->slot_waiters);
+	dy_list_init(&holder->in_slots);
+	dy_request_pace_init(&holder->pace);
 	holder->flow_limit = limit;
 	holder->refused_limit = limit;
 	holder->request_limit = limit;
@@ -125,6 +129,7 @@
 	held.open = open;
 	held.deliveries = 1;
 	fill_load(holder, &held.load, now_ms);
+	holder_pace_fill(holder, &held.pace, now_ms);
 	holder->config.callbacks->held(holder->config.context, balancer, &held);
 }
 
@@ -343,6 +348,7 @@
 		dy_request_load_add_times(
 			&holder->load, flow->received_ms - flow->busy_since_ms,
 			now_ms - flow->received_ms);
+	holder_pace_answer(holder, flow, now_ms);
 	holder_end_request(holder, flow, "answered", now_ms);
 }
 
@@ -359,6 +365,8 @@
 	holder_touch(holder, flow, now_ms);
 	if (packet->data_bytes)
 		handle_answer(holder, flow, now_ms);
+	else if (packet->flags & DY_PACKET_RST)
+		holder_pace_unanswered(holder, flow);
 	if (packet->flags & DY_PACKET_FIN)
 		flow->target_finished = 1;
 	if (packet->flags & DY_PACKET_RST ||
@@ -403,6 +411,7 @@
 
 	message.agent = holder->config.self;
 	fill_load(holder, &message.load, now_ms);
+	holder_pace_fill(holder, &message.pace, now_ms);
 	while (i < holder->balancer_count) {
 		if (now_ms - holder->balancers[i].heard_ms > DY_REPORT_TTL_MS) {
 			holder->balancers[i] =
@@ -425,6 +434,7 @@
 	if (holder->ready &&
 	    now_ms - holder->last_notice_ms > DY_NOTICE_TIMEOUT_MS)
 		holder_set_ready(holder, 0, "silent");
+	holder_pace_tick(holder, now_ms);
 	holder_expire_requests(holder, now_ms);
 	holder_check_presence(holder, now_ms);
 	holder_serve_queue(holder, now_ms);
--- a/src/connection/flow_holder_flows.c
+++ b/src/connection/flow_holder_flows.c
@@ -30,6 +30,8 @@
 	flow->busy = 1;
 	flow->receiving = 1;
 	flow->busy_since_ms = now_ms;
+	flow->slot_since_ms = 0;
+	flow->counted_unanswered = 0;
 	dy_request_load_begin(&holder->load);
 	dy_list_append(&holder->requests, &flow->request_link);
 	g_snprintf(flow->request_id, sizeof(flow->request_id), "%.*s",
@@ -48,6 +50,7 @@
 	flow->receiving = 0;
 	flow->received_ms = now_ms;
 	dy_request_load_complete(&holder->load);
+	holder_pace_begin(holder, flow, now_ms);
 }
 
 void holder_end_request(dy_flow_holder_t *holder, held_flow_t *flow,
@@ -56,6 +59,7 @@
 	if (!flow->busy)
 		return;
 	flow->busy = 0;
+	holder_pace_end(holder, flow, now_ms);
 	dy_request_load_end(&holder->load, !flow->receiving);
 	dy_list_remove(&flow->request_link);
 	log_request(holder, "request_ended", flow, outcome, now_ms);
@@ -70,6 +74,7 @@
 				    request_link);
 		if (now_ms - flow->busy_since_ms < DY_REQUEST_TIMEOUT_MS)
 			return;
+		holder_pace_unanswered(holder, flow);
 		holder_end_request(holder, flow, "unanswered", now_ms);
 	}
 }
@@ -103,6 +108,7 @@
 	flow->recorded_ms = now_ms;
 	dy_list_init(&flow->link);
 	dy_list_init(&flow->request_link);
+	dy_list_init(&flow->slot_link);
 	dy_list_append(&holder->stages[stage], &flow->link);
 	holder->counts[stage]++;
 	g_hash_table_insert(holder->flows, &flow->id, flow);
--- a/src/connection/flow_holder_notice.c
+++ b/src/connection/flow_holder_notice.c
@@ -75,6 +75,7 @@
 	holder->left = 0;
 	holder->ready = 0;
 	holder->was_listening = 0;
+	dy_request_pace_init(&holder->pace);
 	holder->config.callbacks->check_port(holder->config.context);
 }
 
--- a/src/connection/flow_holder_private.h
+++ b/src/connection/flow_holder_private.h
@@ -5,7 +5,8 @@
  * Shared declarations of the flow holder's files. flow_holder.c handles
  * packets, flow_holder_openings.c the openings, flow_holder_notice.c the
  * target's notices, flow_holder_presence.c the detection of a target that is
- * gone, and flow_holder_flows.c the flow table.
+ * gone, flow_holder_pace.c the target's speed, and flow_holder_flows.c the flow
+ * table.
  */
 
 #include <glib.h>
@@ -17,6 +18,7 @@
 #include "damaskyard/log.h"
 #include "damaskyard/opening_queue.h"
 #include "damaskyard/request_load.h"
+#include "damaskyard/request_pace.h"
 
 /* Size of a request's id in a log line, with its terminating NUL. */
 #define REQUEST_ID_BYTES 40
@@ -28,6 +30,9 @@
 	STAGE_COUNT
 } held_stage_t;
 
+/* Where a complete request is in the target. */
+typedef enum slot_state { SLOT_NONE, SLOT_AWAITED, SLOT_USED } slot_state_t;
+
 typedef struct held_flow {
 	dy_list_t link; /* in the list of its stage, ordered by used_ms */
 	dy_flow_id_t id;
@@ -44,6 +49,11 @@
 	dy_list_t request_link; /* in the list of requests while busy */
 	uint64_t busy_since_ms; /* start of the request */
 	uint64_t received_ms;	/* its last packet; 0 while receiving */
+	slot_state_t slot;	/* of the request */
+	dy_list_t slot_link;	/* in the list of its state */
+	uint64_t slot_since_ms; /* since it has a slot; 0: it never had one */
+	int slot_certain;	/* that time is known for certain */
+	int counted_unanswered; /* the request has no answer in time */
 	char request_id[REQUEST_ID_BYTES]; /* id of the request, for logs */
 	int caller_finished;
 	int target_finished;
@@ -86,6 +96,11 @@
 	unsigned counts[STAGE_COUNT];
 	dy_list_t requests; /* without an answer, oldest first */
 	dy_request_load_t load;
+	dy_list_t slot_waiters; /* complete requests without a slot */
+	dy_list_t in_slots;	/* requests with a slot, oldest first */
+	unsigned slots_used;
+	dy_request_pace_t pace;
+	uint64_t pace_tick_ms;
 	dy_opening_queue_t *queued_openings; /* wait for capacity */
 	pending_forward_t *pending_forwards;
 	uint32_t last_tag;
@@ -106,6 +121,7 @@
 	uint64_t *to_callers;
 	uint64_t *notices;
 	uint64_t *notices_refused;
+	uint64_t *unanswered; /* requests without an answer in time */
 };
 
 /* Packet handling; flow_holder.c. */
@@ -172,6 +188,23 @@
 /* Ends the requests that have had no answer for DY_REQUEST_TIMEOUT_MS. */
 void holder_expire_requests(dy_flow_holder_t *holder, uint64_t now_ms);
 
+/* The target's speed; flow_holder_pace.c. */
+/* Records that a request is complete. */
+void holder_pace_begin(dy_flow_holder_t *holder, held_flow_t *flow,
+		       uint64_t now_ms);
+/* Records the answer to a request. */
+void holder_pace_answer(dy_flow_holder_t *holder, held_flow_t *flow,
+			uint64_t now_ms);
+/* Records that the target does not answer the flow's request, if it has one. */
+void holder_pace_unanswered(dy_flow_holder_t *holder, held_flow_t *flow);
+/* Records the end of a request, whatever its outcome. */
+void holder_pace_end(dy_flow_holder_t *holder, held_flow_t *flow,
+		     uint64_t now_ms);
+/* Counts the requests that have no answer in time. */
+void holder_pace_tick(dy_flow_holder_t *holder, uint64_t now_ms);
+void holder_pace_fill(const dy_flow_holder_t *holder, dy_flow_pace_t *pace,
+		      uint64_t now_ms);
+
 /* Detection of a target that is gone; flow_holder_presence.c. */
 /* Call this when the target receives a packet that it has to respond to. */
 void holder_expect_response(dy_flow_holder_t *holder, uint64_t now_ms);
