--- a/include/damaskyard/flow_targets.h
+++ b/include/damaskyard/flow_targets.h
@@ -20,7 +20,8 @@
  *	alone, all new flows until the next report go to one target.
  *	Mechanism: among the first DY_FLOW_CANDIDATES of the ranking, choose
  *	the target with the fewest flows per slot. Flows opened since its last
- *	report are included, and queued requests weigh more.
+ *	report are included, and queued requests weigh more. Slots count with
+ *	the weight of their target (target_pace.h).
  */
 
 #include <stdint.h>
@@ -28,6 +29,7 @@
 #include "damaskyard/flow_path.h"
 #include "damaskyard/flow_silence.h"
 #include "damaskyard/packet.h"
+#include "damaskyard/target_pace.h"
 #include "dy_control.h"
 
 /*
@@ -36,7 +38,7 @@
  * and eight leave half of DY_FLOW_TRIES for targets that joined or left since
  * the flow was opened.
  */
-#define DY_FLOW_CANDIDATES 8
+#define DY_FLOW_CANDIDATES DY_TARGET_CANDIDATES
 
 /*
  * Weight of a queued request, in flows per slot. It delays the first request
@@ -44,6 +46,13 @@
  */
 #define DY_FLOW_QUEUED_WEIGHT 4.0
 
+/*
+ * Weight of what a flow's own requests last longer on a slower target than on
+ * the service's median one, in flows per slot and median times. Otherwise an
+ * idle target would be the best one however slow it is.
+ */
+#define DY_FLOW_OWN_WEIGHT 1.0
+
 /*
  * Penalty of a target outside the balancer's own failure domain, in flows per
  * slot: traffic between domains costs money. It is small against the five to
@@ -62,6 +71,12 @@
 /* Penalty of a target that started recently, in flows per slot. */
 #define DY_FLOW_COLD_PENALTY 1.0
 
+/*
+ * Penalty of a target that is held back (target_pace.h), in flows per slot: it
+ * is listed after the others, but before those that do not answer at all.
+ */
+#define DY_FLOW_WITHHELD_PENALTY 1e3
+
 /*
  * Time for which a target that did not answer a new flow is ranked last: the
  * lease time of its agent, which has expired by then if the agent is gone.
@@ -118,6 +133,29 @@
 			      const dy_address_t *agent,
 			      const dy_flow_load_t *load, uint64_t now_ms);
 
+/*
+ * Set the pace that the agent at an address reported at now_ms, and compare
+ * the targets of each service if the last comparison is one report old.
+ */
+void dy_flow_targets_set_pace(dy_flow_targets_t *targets,
+			      const dy_address_t *agent,
+			      const dy_flow_pace_t *pace, uint64_t now_ms);
+
+/*
+ * Called when a comparison changed what share of new flows a target gets.
+ * compared is the number of targets that were compared.
+ */
+typedef void dy_flow_targets_pace_cb_t(void *context, const dy_address_t *agent,
+				       const dy_target_pace_t *pace,
+				       dy_target_pace_change_t change,
+				       uint32_t median_us, unsigned compared,
+				       uint64_t now_ms);
+
+/* Set the function that is told of such changes; NULL: none. */
+void dy_flow_targets_watch_pace(dy_flow_targets_t *targets,
+				dy_flow_targets_pace_cb_t *changed,
+				void *context);
+
 /*
  * Set and get whether the agent accepts the short form of a forward; agents of
  * older builds do not.
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -44,6 +44,7 @@
 	router->searched_limit = limit;
 	router->path_limit = limit;
 	register_counters(router);
+	flow_router_watch_pace(router);
 	return router;
 }
 
@@ -486,6 +487,8 @@
 
 	dy_flow_targets_set_load(router->targets, &held->agent, &held->load,
 				 now_ms);
+	dy_flow_targets_set_pace(router->targets, &held->agent, &held->pace,
+				 now_ms);
 	dy_flow_targets_set_deliveries(router->targets, &held->agent,
 				       held->deliveries);
 	/* A half-open holder does not replace an open one. */
@@ -518,6 +521,8 @@
 {
 	dy_flow_targets_set_load(router->targets, &report->agent, &report->load,
 				 now_ms);
+	dy_flow_targets_set_pace(router->targets, &report->agent, &report->pace,
+				 now_ms);
 	if (dy_flow_targets_set_received(router->targets, &report->agent,
 					 report->heard, now_ms))
 		log_path(router, &report->agent, now_ms);
--- a/src/connection/flow_router_private.h
+++ b/src/connection/flow_router_private.h
@@ -4,7 +4,7 @@
 /*
  * Shared declarations of the flow router's files. flow_router.c handles packets
  * and openings, flow_router_search.c the search for a flow's holder,
- * flow_router_bulk.c the uploads.
+ * flow_router_bulk.c the uploads, flow_router_pace.c the log of uneven targets.
  */
 
 #include <glib.h>
@@ -62,6 +62,10 @@
 	uint64_t *second_chances;
 	uint64_t *relayed;
 	dy_log_limit_t path_limit;
+	dy_log_limit_t pace_limit;
+	uint64_t *uneven;
+	uint64_t *held_back;
+	uint64_t *given_back;
 };
 
 /* Packets and openings; flow_router.c. */
@@ -114,6 +118,9 @@
  */
 void flow_router_serve_uploads(dy_flow_router_t *router, uint64_t now_ms);
 
+/* The log of targets that get another share; flow_router_pace.c. */
+void flow_router_watch_pace(dy_flow_router_t *router);
+
 /* The search for a flow's holder; flow_router_search.c. */
 /* Starts to send a packet along the agents that may hold its flow. */
 void flow_router_search(dy_flow_router_t *router, const dy_packet_t *packet,
--- a/src/version/flow_targets.c
+++ b/src/version/flow_targets.c
@@ -1,5 +1,6 @@
 #include "flow_targets_private.h"
 
+#include <stddef.h>
 #include <string.h>
 
 #define XXH_INLINE_ALL
@@ -180,6 +181,7 @@
 		target->avoided_until_ms = 0;
 		memset(&target->silence, 0, sizeof(target->silence));
 		memset(&target->path, 0, sizeof(target->path));
+		memset(&target->pace, 0, sizeof(target->pace));
 	}
 	remove_from_service(targets, target);
 	add_to_service(targets, target, member->info.service);
@@ -214,6 +216,71 @@
 	targets->last_report_ms = now_ms;
 }
 
+void dy_flow_targets_watch_pace(dy_flow_targets_t *targets,
+				dy_flow_targets_pace_cb_t *changed,
+				void *context)
+{
+	targets->pace_changed = changed;
+	targets->pace_context = context;
+}
+
+typedef struct comparison {
+	const dy_flow_targets_t *targets;
+	unsigned count; /* of targets compared */
+	uint64_t now_ms;
+} comparison_t;
+
+static void tell_pace_changed(void *context, const dy_target_pace_t *pace,
+			      dy_target_pace_change_t change,
+			      uint32_t median_us)
+{
+	const comparison_t *comparison = context;
+	const target_t *target = (const target_t *)((const char *)pace -
+						    offsetof(target_t, pace));
+	const dy_flow_targets_t *targets = comparison->targets;
+
+	if (targets->pace_changed)
+		targets->pace_changed(targets->pace_context, &target->address,
+				      pace, change, median_us,
+				      comparison->count, comparison->now_ms);
+}
+
+static void compare_service(const dy_flow_targets_t *targets,
+			    const GPtrArray *list, uint64_t now_ms)
+{
+	dy_target_pace_t **paces = g_new(dy_target_pace_t *, list->len);
+	comparison_t comparison = { targets, 0, now_ms };
+	target_t *target;
+	guint i;
+
+	for (i = 0; i < list->len; i++) {
+		target = g_ptr_array_index(list, i);
+		if (flow_targets_accepts_new_flows(target))
+			paces[comparison.count++] = &target->pace;
+	}
+	dy_target_pace_compare(paces, comparison.count, now_ms,
+			       tell_pace_changed, &comparison);
+	g_free(paces);
+}
+
+void dy_flow_targets_set_pace(dy_flow_targets_t *targets,
+			      const dy_address_t *agent,
+			      const dy_flow_pace_t *pace, uint64_t now_ms)
+{
+	target_t *target = flow_targets_find(targets, agent);
+	GHashTableIter iter;
+	gpointer list;
+
+	if (target)
+		dy_target_pace_report(&target->pace, pace, now_ms);
+	if (now_ms - targets->compared_ms < DY_FLOW_REPORT_INTERVAL_MS)
+		return;
+	targets->compared_ms = now_ms;
+	g_hash_table_iter_init(&iter, targets->services);
+	while (g_hash_table_iter_next(&iter, NULL, &list))
+		compare_service(targets, list, now_ms);
+}
+
 void dy_flow_targets_set_deliveries(dy_flow_targets_t *targets,
 				    const dy_address_t *agent, int deliveries)
 {
--- a/src/version/flow_targets_private.h
+++ b/src/version/flow_targets_private.h
@@ -9,6 +9,7 @@
 #include <glib.h>
 
 #include "damaskyard/flow_targets.h"
+#include "damaskyard/target_pace.h"
 
 typedef struct target {
 	uint64_t id;
@@ -30,6 +31,7 @@
 	uint64_t lost_check_ms;
 	dy_flow_silence_t silence;
 	dy_flow_path_t path;
+	dy_target_pace_t pace;
 } target_t;
 
 struct dy_flow_targets {
@@ -42,10 +44,15 @@
 	uint64_t last_report_ms; /* of any agent */
 	/* Send time of the newest poll that was answered. */
 	uint64_t confirmed_poll_ms;
+	uint64_t compared_ms; /* when the targets were compared last */
+	dy_flow_targets_pace_cb_t *pace_changed;
+	void *pace_context;
 };
 
 /* Returns the newest target at an address, or NULL. */
 target_t *flow_targets_find(const dy_flow_targets_t *targets,
 			    const dy_address_t *agent);
 
+int flow_targets_accepts_new_flows(const target_t *target);
+
 #endif
--- a/src/version/flow_targets_select.c
+++ b/src/version/flow_targets_select.c
@@ -16,12 +16,18 @@
 	const target_t *target;
 } candidate_t;
 
-static double compute_score(const target_t *target, int bulk, uint64_t now_ms)
+static double compute_score(const candidate_t *candidate, int bulk,
+			    uint64_t now_ms)
 {
+	const target_t *target = candidate->target;
 	const dy_flow_load_t *load = &target->load;
-	double slots = load->slots ? load->slots : 1;
+	double weight =
+		dy_target_pace_weight(&target->pace, candidate->rank, now_ms);
+	double slots = (load->slots ? load->slots : 1) * weight;
 	double score = (load->flows + target->opened) / slots;
 
+	if (weight != 1)
+		score += DY_FLOW_OWN_WEIGHT * (1 / weight - 1);
 	if (load->busy > load->slots)
 		score += DY_FLOW_QUEUED_WEIGHT * (load->busy - load->slots) /
 			 slots;
@@ -31,6 +37,8 @@
 		score *= DY_FLOW_REMOTE_BULK_FACTOR;
 	if (!target->same_domain)
 		score += DY_FLOW_REMOTE_PENALTY;
+	if (dy_target_pace_is_withheld(&target->pace, candidate->rank))
+		score += DY_FLOW_WITHHELD_PENALTY;
 	if (target->avoided_until_ms > now_ms || target->path.broken)
 		score += 1e6;
 	return score;
@@ -61,7 +69,7 @@
 	return XXH3_64bits(pair, sizeof(pair));
 }
 
-static int accepts_new_flows(const target_t *target)
+int flow_targets_accepts_new_flows(const target_t *target)
 {
 	return target->serving && !target->evacuated;
 }
@@ -81,7 +89,8 @@
 
 	for (i = 0; i < list->len; i++) {
 		candidate.target = g_ptr_array_index(list, i);
-		if (new_flow && !accepts_new_flows(candidate.target))
+		if (new_flow &&
+		    !flow_targets_accepts_new_flows(candidate.target))
 			continue;
 		candidate.rank = compute_rank(candidate.target, hash);
 		count = insert_by_rank(candidates, count, max, &candidate);
@@ -119,7 +128,7 @@
 	count = rank_targets(all, flow, 1, DY_FLOW_CANDIDATES, candidates);
 	for (i = 0; i < count; i++)
 		candidates[i].score =
-			compute_score(candidates[i].target, bulk, now_ms);
+			compute_score(&candidates[i], bulk, now_ms);
 	sort_by_score(candidates, count);
 	for (i = 0; i < count; i++)
 		list[i] = candidates[i].target->address;
@@ -208,7 +217,8 @@
 	guint i;
 
 	for (i = 0; all && i < all->len; i++)
-		count += accepts_new_flows(g_ptr_array_index(all, i));
+		count += flow_targets_accepts_new_flows(
+			g_ptr_array_index(all, i));
 	return count;
 }
 
--- a/tests/test_flow_targets.c
+++ b/tests/test_flow_targets.c
@@ -77,18 +77,24 @@
 }
 
 /* Open a flow as a balancer does. Returns the target's number, or 0. */
-static unsigned open_flow_of(dy_flow_targets_t *targets, unsigned number,
-			     int bulk)
+static unsigned open_flow_at(dy_flow_targets_t *targets, unsigned number,
+			     int bulk, uint64_t now_ms)
 {
 	dy_address_t list[DY_FLOW_TRIES];
 	dy_flow_id_t id = flow(number);
 
-	if (!dy_flow_targets_choose(targets, SERVICE, &id, bulk, 0, list))
+	if (!dy_flow_targets_choose(targets, SERVICE, &id, bulk, now_ms, list))
 		return 0;
 	dy_flow_targets_note_opened(targets, &list[0]);
 	return number_of(&list[0]);
 }
 
+static unsigned open_flow_of(dy_flow_targets_t *targets, unsigned number,
+			     int bulk)
+{
+	return open_flow_at(targets, number, bulk, 0);
+}
+
 static unsigned open_flow(dy_flow_targets_t *targets, unsigned number)
 {
 	return open_flow_of(targets, number, 0);
@@ -465,6 +471,90 @@
 }
 END_TEST
 
+static void report_pace(dy_flow_targets_t *targets, unsigned number,
+			uint32_t service_us, uint32_t unanswered,
+			uint64_t now_ms)
+{
+	const dy_flow_pace_t pace = { service_us, unanswered };
+	dy_address_t address = agent(number);
+
+	dy_flow_targets_set_pace(targets, &address, &pace, now_ms);
+}
+
+/*
+ * One target in three needs 2.4 times as long. Guards against as many long
+ * flows there as on fast targets.
+ */
+START_TEST(long_flows_follow_the_targets_capacity)
+{
+	dy_flow_targets_t *targets = create(6);
+	unsigned opened[7] = { 0 };
+	unsigned i;
+
+	for (i = 0; i <= 6; i++)
+		report_pace(targets, 1 + i % 6, i % 3 == 2 ? 48000 : 20000, 0,
+			    1000 + i * DY_FLOW_REPORT_INTERVAL_MS);
+	for (i = 0; i < 600; i++)
+		opened[open_flow_at(targets, i, 0, 2300)]++;
+	for (i = 1; i <= 6; i++) {
+		ck_assert_uint_ge(opened[i], i % 3 ? 120 : 20);
+		ck_assert_uint_le(opened[i], i % 3 ? 140 : 50);
+	}
+	dy_flow_targets_destroy(targets);
+}
+END_TEST
+
+static unsigned held_back;
+
+static void count_held_back(void *context, const dy_address_t *address,
+			    const dy_target_pace_t *pace,
+			    dy_target_pace_change_t change, uint32_t median_us,
+			    unsigned compared, uint64_t now_ms)
+{
+	(void)context;
+	(void)pace;
+	(void)median_us;
+	(void)now_ms;
+	if (change != DY_TARGET_HELD_BACK)
+		return;
+	held_back++;
+	ck_assert_uint_eq(number_of(address), 2);
+	ck_assert_uint_eq(compared, 4);
+}
+
+/*
+ * A mute target looks idle. Guards against new flows that go there, and against
+ * a caller that is refused because it is not even listed.
+ */
+START_TEST(mute_target_is_listed_last)
+{
+	dy_flow_targets_t *targets = create(4);
+	dy_address_t list[DY_FLOW_TRIES];
+	dy_flow_id_t id = flow(1);
+	uint64_t now_ms;
+	unsigned i;
+
+	held_back = 0;
+	dy_flow_targets_watch_pace(targets, count_held_back, NULL);
+	for (i = 1; i <= 4; i++)
+		report(targets, i, i == 2 ? 0 : 30, 0, 0);
+	for (now_ms = 1000; now_ms < 3000; now_ms += 200)
+		for (i = 1; i <= 4; i++)
+			report_pace(targets, i, 20000, i == 2 ? 500 : 0,
+				    now_ms + i);
+	ck_assert_uint_eq(held_back, 1);
+	for (i = 0; i < 60; i++)
+		ck_assert_uint_ne(open_flow_at(targets, i, 0, now_ms), 2);
+	ck_assert_uint_eq(
+		dy_flow_targets_choose(targets, SERVICE, &id, 0, now_ms, list),
+		4);
+	ck_assert_uint_eq(number_of(&list[3]), 2);
+	set_member(targets, 2, 20, DY_MEMBER_SERVING, "d1");
+	ck_assert_uint_eq(open_flow_at(targets, 0, 0, now_ms), 2);
+	dy_flow_targets_destroy(targets);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -485,6 +575,8 @@
 		finds_flow_of_changed_entry_among_400_agents,
 		search_above_limit_is_incomplete,
 		evacuated_domain_keeps_flows_but_gets_no_new_ones,
+		long_flows_follow_the_targets_capacity,
+		mute_target_is_listed_last,
 		NULL,
 	};
 
