--- a/src/connection/flow_holder_notice.c
+++ b/src/connection/flow_holder_notice.c
@@ -76,6 +76,7 @@
 	holder->ready = 0;
 	holder->was_listening = 0;
 	holder_note_opening_answered(holder);
+	dy_request_pace_init(&holder->pace);
 	holder->config.callbacks->check_port(holder->config.context);
 }
 
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -54,6 +54,7 @@
 	router->path_limit = limit;
 	router->waiting_limit = limit;
 	register_counters(router);
+	flow_router_watch_pace(router);
 	return router;
 }
 
@@ -537,6 +538,8 @@
 
 	dy_flow_targets_set_load(router->targets, &held->agent, &held->load,
 				 now_ms);
+	dy_flow_targets_set_pace(router->targets, &held->agent, &held->pace,
+				 now_ms);
 	dy_flow_targets_set_deliveries(router->targets, &held->agent,
 				       held->deliveries);
 	/* A half-open holder does not replace an open one. */
@@ -569,6 +572,8 @@
 {
 	dy_flow_targets_set_load(router->targets, &report->agent, &report->load,
 				 now_ms);
+	dy_flow_targets_set_pace(router->targets, &report->agent, &report->pace,
+				 now_ms);
 	if (dy_flow_targets_set_received(router->targets, &report->agent,
 					 report->heard, now_ms))
 		log_path(router, &report->agent, now_ms);
