--- a/src/connection/flow_router_private.h
+++ b/src/connection/flow_router_private.h
@@ -5,7 +5,7 @@
  * Shared declarations of the flow router's files. flow_router.c handles packets
  * and openings, flow_router_search.c the search for a flow's holder,
  * flow_router_waiting.c the openings that wait for a target, flow_router_bulk.c
- * the uploads.
+ * the uploads, flow_router_pace.c the log of uneven targets.
  */
 
 #include <glib.h>
@@ -25,6 +25,7 @@
 	dy_list_t link; /* in by_use, ordered by used_ms */
 	dy_flow_id_t id;
 	dy_address_t agent;  /* port 0: unknown */
+	uint64_t granted_ms; /* its opening was sent then, on a grant; or 0 */
 	int holder_reported; /* the agent reported that it holds the flow */
 	int open;	     /* the agent reported the complete handshake */
 	uint64_t used_ms;
@@ -78,6 +79,10 @@
 	dy_log_limit_t path_limit;
 	dy_log_limit_t waiting_limit;
 	dy_log_limit_t upload_limit;
+	dy_log_limit_t pace_limit;
+	uint64_t *uneven;
+	uint64_t *held_back;
+	uint64_t *given_back;
 };
 
 /* Packets and openings; flow_router.c. */
@@ -128,9 +133,9 @@
 /* Openings that wait for a target; flow_router_waiting.c. */
 uint32_t flow_router_caller_rank(const dy_flow_router_t *router,
 				 const dy_flow_id_t *flow);
-/* Returns whether openings of the service wait, so that a new one has to. */
-int flow_router_has_waiting(const dy_flow_router_t *router,
-			    const char *service);
+/* Returns how many openings of the service wait here. */
+unsigned flow_router_count_waiting(const dy_flow_router_t *router,
+				   const char *service);
 /*
  * Queues an opening until it is granted a place, or refuses it. agent: where to
  * reserve one; NULL: that is done.
@@ -177,6 +182,9 @@
  */
 void flow_router_serve_uploads(dy_flow_router_t *router, uint64_t now_ms);
 
+/* The log of targets that get another share; flow_router_pace.c. */
+void flow_router_watch_pace(dy_flow_router_t *router);
+
 /* The search for a flow's holder; flow_router_search.c. */
 /* Starts to send a packet along the agents that may hold its flow. */
 void flow_router_search(dy_flow_router_t *router, const dy_packet_t *packet,
