--- a/include/damaskyard/bulk_limit.h
+++ b/include/damaskyard/bulk_limit.h
@@ -32,6 +32,14 @@
  */
 #define DY_BULK_WAIT_PERCENT 6
 
+/*
+ * Part of its time-out that the opening of a caller that comes back may wait,
+ * as a divisor, and the longest such wait in ms: a caller abandons an opening
+ * after 1,400 ms.
+ */
+#define DY_BULK_RETURN_WAIT_DIVISOR 4
+#define DY_BULK_RETURN_WAIT_MAX_MS 1000
+
 /* Uploads that may always run: one alone leaves the link idle at its end. */
 #define DY_BULK_RUNNING_MIN 2
 
@@ -50,6 +58,12 @@
 /* Returns how long an opening with this aim may wait for the link, in ms. */
 uint64_t dy_bulk_limit_wait_ms(uint64_t aim_ms);
 
+/*
+ * Returns how long the opening of a caller that was refused here may wait, in
+ * ms; timeout_ms is that of its route, 0 if unknown.
+ */
+uint64_t dy_bulk_limit_return_wait_ms(uint64_t timeout_ms);
+
 /* Record the begin and the end of an upload, and how many bytes it had. */
 void dy_bulk_limit_begin(dy_bulk_limit_t *limit);
 void dy_bulk_limit_end(dy_bulk_limit_t *limit, uint64_t bytes);
--- a/proto/dy_flow.x
+++ b/proto/dy_flow.x
@@ -137,14 +137,6 @@
 	unsigned int returned;	/* reservations; 0: a place is granted */
 };
 
-/* What a balancer's link has left for uploads; to balancers of its domain. */
-struct dy_flow_room_t {
-	dy_address_t balancer;
-	unsigned int uploads;		/* that arrive now */
-	unsigned int uploads_max;	/* that may arrive at once */
-	unsigned int waiting;		/* openings that wait for the link */
-};
-
 /* Requests a report from an agent that is silent. */
 struct dy_flow_ask_t {
 	dy_address_t balancer;
@@ -196,6 +188,5 @@
 		void DY_FLOW_REPORT(dy_flow_report_t) = 3;
 		void DY_FLOW_FINDING(dy_flow_finding_t) = 4;
 		void DY_FLOW_GRANT(dy_flow_grant_t) = 5;
-		void DY_FLOW_ROOM(dy_flow_room_t) = 6;
 	} = 1;
 } = 0x2A00D00A;
--- a/src/connection/bulk_limit.c
+++ b/src/connection/bulk_limit.c
@@ -20,6 +20,15 @@
 	return aim_ms * DY_BULK_WAIT_PERCENT / 100;
 }
 
+uint64_t dy_bulk_limit_return_wait_ms(uint64_t timeout_ms)
+{
+	uint64_t wait_ms = timeout_ms / DY_BULK_RETURN_WAIT_DIVISOR;
+
+	return wait_ms < DY_BULK_RETURN_WAIT_MAX_MS
+		       ? wait_ms
+		       : DY_BULK_RETURN_WAIT_MAX_MS;
+}
+
 void dy_bulk_limit_begin(dy_bulk_limit_t *limit)
 {
 	limit->running++;
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -47,6 +47,7 @@
 	router->bulk.bytes_per_s = config->link_bytes_per_s;
 	dy_list_init(&router->uploads);
 	router->waiting_uploads = dy_opening_queue_create();
+	router->refused_uploads = dy_refused_callers_create();
 	router->waiting = dy_waiting_openings_create();
 	router->shortage = dy_service_shortage_create();
 	dy_histogram_init(&router->wait_ms, config->metrics, "opening_wait_ms");
@@ -67,6 +68,7 @@
 		return;
 	g_hash_table_destroy(router->flows);
 	dy_opening_queue_destroy(router->waiting_uploads);
+	dy_refused_callers_destroy(router->refused_uploads);
 	dy_waiting_openings_destroy(router->waiting);
 	dy_service_shortage_destroy(router->shortage);
 	dy_flow_targets_destroy(router->targets);
--- a/src/connection/flow_router_bulk.c
+++ b/src/connection/flow_router_bulk.c
@@ -60,6 +60,27 @@
 		     router->bulk.mean_bytes);
 }
 
+static void refuse_upload(dy_flow_router_t *router, const dy_packet_t *packet,
+			  uint64_t now_ms)
+{
+	dy_refused_callers_add(router->refused_uploads, packet->flow.caller_ip,
+			       now_ms);
+	flow_router_refuse(router, packet, "link_full", now_ms);
+}
+
+/* A caller that comes back has few tries left, but most of its time-out. */
+static uint64_t find_wait_ms(dy_flow_router_t *router,
+			     const dy_flow_entry_t *entry,
+			     const dy_packet_t *packet, uint64_t now_ms)
+{
+	uint64_t wait_ms = dy_bulk_limit_wait_ms(entry->aim_ms);
+
+	if (!dy_refused_callers_has(router->refused_uploads,
+				    packet->flow.caller_ip, now_ms))
+		return wait_ms;
+	return MAX(wait_ms, dy_bulk_limit_return_wait_ms(entry->timeout_ms));
+}
+
 int flow_router_defer_upload(dy_flow_router_t *router,
 			     const dy_flow_entry_t *entry,
 			     const dy_packet_t *packet, uint8_t *bytes,
@@ -73,10 +94,10 @@
 	forward.service = "";
 	forward.packet.packet_val = (char *)bytes;
 	forward.packet.packet_len = (u_int)len;
-	if (!dy_opening_queue_add_for(router->waiting_uploads, &forward, packet,
-				      dy_bulk_limit_wait_ms(entry->aim_ms),
-				      now_ms)) {
-		flow_router_refuse(router, packet, "link_full", now_ms);
+	if (!dy_opening_queue_add_for(
+		    router->waiting_uploads, &forward, packet,
+		    find_wait_ms(router, entry, packet, now_ms), now_ms)) {
+		refuse_upload(router, packet, now_ms);
 	} else if (!copy) {
 		++*router->uploads_waited;
 		log_waits(router, &packet->flow, now_ms);
@@ -131,7 +152,6 @@
 	while (dy_opening_queue_pop_expired(router->waiting_uploads, now_ms,
 					    &opening)) {
 		++*router->uploads_waited_out;
-		flow_router_refuse(router, &opening.packet, "link_full",
-				   now_ms);
+		refuse_upload(router, &opening.packet, now_ms);
 	}
 }
--- a/src/connection/flow_router_private.h
+++ b/src/connection/flow_router_private.h
@@ -16,6 +16,7 @@
 #include "damaskyard/log.h"
 #include "damaskyard/opening_queue.h"
 #include "damaskyard/histogram.h"
+#include "damaskyard/refused_callers.h"
 #include "damaskyard/search_limit.h"
 #include "damaskyard/service_shortage.h"
 #include "damaskyard/waiting_openings.h"
@@ -51,6 +52,7 @@
 	dy_bulk_limit_t bulk;
 	dy_list_t uploads; /* that arrive, ordered by upload_ms */
 	dy_opening_queue_t *waiting_uploads;
+	dy_refused_callers_t *refused_uploads;
 	dy_waiting_openings_t *waiting; /* for a target of their service */
 	dy_service_shortage_t *shortage;
 	dy_histogram_t wait_ms; /* of openings that were granted a place */
--- a/src/gen/dy_flow.h
+++ b/src/gen/dy_flow.h
@@ -132,14 +132,6 @@
 };
 typedef struct dy_flow_grant_t dy_flow_grant_t;
 
-struct dy_flow_room_t {
-	dy_address_t balancer;
-	u_int uploads;
-	u_int uploads_max;
-	u_int waiting;
-};
-typedef struct dy_flow_room_t dy_flow_room_t;
-
 struct dy_flow_ask_t {
 	dy_address_t balancer;
 };
@@ -254,9 +246,6 @@
 #define DY_FLOW_GRANT 5
 extern  void * dy_flow_grant_1(dy_flow_grant_t *, CLIENT *);
 extern  void * dy_flow_grant_1_svc(dy_flow_grant_t *, struct svc_req *);
-#define DY_FLOW_ROOM 6
-extern  void * dy_flow_room_1(dy_flow_room_t *, CLIENT *);
-extern  void * dy_flow_room_1_svc(dy_flow_room_t *, struct svc_req *);
 extern int dy_flow_balancer_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -278,9 +267,6 @@
 #define DY_FLOW_GRANT 5
 extern  void * dy_flow_grant_1();
 extern  void * dy_flow_grant_1_svc();
-#define DY_FLOW_ROOM 6
-extern  void * dy_flow_room_1();
-extern  void * dy_flow_room_1_svc();
 extern int dy_flow_balancer_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -299,7 +285,6 @@
 extern  bool_t xdr_dy_flow_nowhere_t (XDR *, dy_flow_nowhere_t*);
 extern  bool_t xdr_dy_flow_report_t (XDR *, dy_flow_report_t*);
 extern  bool_t xdr_dy_flow_grant_t (XDR *, dy_flow_grant_t*);
-extern  bool_t xdr_dy_flow_room_t (XDR *, dy_flow_room_t*);
 extern  bool_t xdr_dy_flow_ask_t (XDR *, dy_flow_ask_t*);
 extern  bool_t xdr_dy_flow_inquiry_t (XDR *, dy_flow_inquiry_t*);
 extern  bool_t xdr_dy_flow_probe_t (XDR *, dy_flow_probe_t*);
@@ -319,7 +304,6 @@
 extern bool_t xdr_dy_flow_nowhere_t ();
 extern bool_t xdr_dy_flow_report_t ();
 extern bool_t xdr_dy_flow_grant_t ();
-extern bool_t xdr_dy_flow_room_t ();
 extern bool_t xdr_dy_flow_ask_t ();
 extern bool_t xdr_dy_flow_inquiry_t ();
 extern bool_t xdr_dy_flow_probe_t ();
--- a/src/gen/dy_flow_xdr.c
+++ b/src/gen/dy_flow_xdr.c
@@ -425,22 +425,6 @@
 	return TRUE;
 }
 
-bool_t
-xdr_dy_flow_room_t (XDR *xdrs, dy_flow_room_t *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_dy_address_t (xdrs, &objp->balancer))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->uploads))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->uploads_max))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->waiting))
-		 return FALSE;
-	return TRUE;
-}
-
 bool_t
 xdr_dy_flow_ask_t (XDR *xdrs, dy_flow_ask_t *objp)
 {
--- a/tests/test_flow_uploads.c
+++ b/tests/test_flow_uploads.c
@@ -13,6 +13,9 @@
 #define FULL_BYTES 1200
 #define UPLOAD_PACKETS 17
 
+/* Time-out of the entry; 0: unknown. */
+static uint32_t timeout_ms;
+
 static void begin(void)
 {
 	dy_flow_rules_t *rules = dy_flow_rules_create(6);
@@ -22,6 +25,7 @@
 	fake_router_begin_on_link(2, LINK_BYTES_PER_S);
 	entry.upload = 1;
 	entry.aim_ms = AIM_MS;
+	entry.timeout_ms = timeout_ms;
 	entry.shares[0].service = "readings";
 	entry.shares[0].weight = 1;
 	entry.share_count = 1;
@@ -236,6 +240,29 @@
 }
 END_TEST
 
+/*
+ * A caller is refused and comes back to the same balancer. Guards against an
+ * upload that is given up within a second of a time-out of six.
+ */
+START_TEST(lets_a_caller_that_comes_back_wait)
+{
+	unsigned running;
+
+	timeout_ms = 6000;
+	running = begin_full();
+	ck_assert_uint_eq(fake_router.resets, 1);
+	open_flow(running + 2);
+	fake_router.now_ms += DY_BULK_RETURN_WAIT_MAX_MS - 1;
+	keep_running(running);
+	dy_flow_router_expire(fake_router.router, fake_router.now_ms);
+	ck_assert_uint_eq(fake_router.resets, 1);
+	fake_router.now_ms++;
+	dy_flow_router_expire(fake_router.router, fake_router.now_ms);
+	ck_assert_uint_eq(fake_router.resets, 2);
+	fake_router_end();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -246,6 +273,7 @@
 		three_tries_leave_time_for_a_transfer,
 		serves_half_of_twice_the_load_and_answers_all,
 		forgets_uploads_without_packets,
+		lets_a_caller_that_comes_back_wait,
 		NULL,
 	};
 
