--- a/include/damaskyard/slot_grants.h
+++ b/include/damaskyard/slot_grants.h
@@ -51,8 +51,11 @@
 int dy_slot_grants_next(dy_slot_grants_t *grants, uint64_t now_ms,
 			dy_address_t *balancer);
 
-/* Record that an opening arrived for a place that balancer was granted. */
-void dy_slot_grants_use(dy_slot_grants_t *grants, const dy_address_t *balancer);
+/*
+ * Record that an opening arrived for a place that balancer was granted. Returns
+ * 0 if none is granted any more.
+ */
+int dy_slot_grants_use(dy_slot_grants_t *grants, const dy_address_t *balancer);
 
 /*
  * Record that no opening waits at the balancer: its grants and reservations are
--- a/include/damaskyard/waiting_openings.h
+++ b/include/damaskyard/waiting_openings.h
@@ -49,6 +49,7 @@
 	unsigned priority; /* 0 is the highest */
 	uint32_t rank;	   /* of its caller */
 	uint64_t wait_max_ms;
+	uint64_t since_ms; /* when it began to wait for the first time */
 } dy_opening_claim_t;
 
 /* Create an empty queue. */
@@ -59,8 +60,8 @@
 
 /*
  * Add an opening that does not wait yet; claim, forward and packet are copied.
- * Returns 1 with standing set, or 0 if the queue is full, or the opening would
- * wait for too long: it is then to be refused.
+ * Returns 1 with standing set, or 0 if the queue is full, or the opening has
+ * waited or would wait for too long: it is then to be refused.
  */
 int dy_waiting_openings_add(dy_waiting_openings_t *waiting,
 			    const dy_opening_claim_t *claim,
@@ -72,14 +73,28 @@
 int dy_waiting_openings_has(const dy_waiting_openings_t *waiting,
 			    const dy_flow_id_t *flow);
 
+/* Remove the opening of flow. Returns 0 if it does not wait. */
+int dy_waiting_openings_remove(dy_waiting_openings_t *waiting,
+			       const dy_flow_id_t *flow);
+
+/* Returns whether an opening may still be sent to the service it waits for. */
+typedef int dy_waiting_match_cb_t(void *context, const dy_flow_id_t *flow,
+				  const char *service);
+
 /* An opening that waits no longer. */
 typedef struct dy_waited_opening {
 	dy_opening_t opening;
 	char service[DY_NAME_BYTES + 1];
 	unsigned priority;
-	uint64_t waited_ms;
+	uint64_t since_ms; /* as in its claim */
 } dy_waited_opening_t;
 
+/* Remove an opening that does not match. Returns 0 if all do. */
+int dy_waiting_openings_pop_unmatched(dy_waiting_openings_t *waiting,
+				      dy_waiting_match_cb_t *matches,
+				      void *context,
+				      dy_waited_opening_t *waited);
+
 /*
  * Remove the opening of a service that is next for a granted place. Returns 0
  * if none waits.
--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -199,8 +199,6 @@
 	/* The target does not respond to a bare acknowledgement. */
 	if (packet->data_bytes || packet->flags & DY_PACKET_SYN)
 		holder_expect_response(holder, now_ms);
-	if (packet->flags & DY_PACKET_SYN && !holder->opening_due_since_ms)
-		holder->opening_due_since_ms = now_ms;
 
 	if (!++holder->last_tag)
 		++holder->last_tag;
--- a/src/connection/flow_holder_openings.c
+++ b/src/connection/flow_holder_openings.c
@@ -7,22 +7,6 @@
 
 #include <string.h>
 
-/*
- * Returns whether the target has capacity for one more opening. is_new: the
- * opening is neither a retransmission nor from the queue.
- *
- * Load pattern: many callers open flows at the same time, through several
- * balancers that each see only what they opened themselves. Some openings have
- * waited before, as after a power loss that ended all flows.
- * Without it: the first candidate of several balancers queues requests while
- * another target is idle. The latest openings, the only ones that could still
- * be answered in time, wait behind all those that cannot.
- * Mechanism: the agent counts exactly the requests that run or are expected
- * soon, granted places included. It admits a new opening while they are below
- * DY_OVERLOAD_PERCENT of the slots. It admits one that has waited, here or at
- * its caller, only for a slot that would be idle soon, so that the next new
- * opening finds capacity.
- */
 static unsigned max_requests(const dy_flow_holder_t *holder)
 {
 	return (DY_OVERLOAD_PERCENT * holder->notice.slots + 99) / 100;
@@ -45,6 +29,22 @@
 	return dy_request_load_slots(&holder->load, openings);
 }
 
+/*
+ * Returns whether the target has capacity for one more opening. is_new: the
+ * opening is neither a retransmission nor from the queue.
+ *
+ * Load pattern: many callers open flows at the same time, through several
+ * balancers that each see only what they opened themselves. Some openings have
+ * waited before, as after a power loss that ended all flows.
+ * Without it: the first candidate of several balancers queues requests while
+ * another target is idle. The latest openings, the only ones that could still
+ * be answered in time, wait behind all those that cannot.
+ * Mechanism: the agent counts exactly the requests that run or are expected
+ * soon, granted places included. It admits a new opening while they are below
+ * DY_OVERLOAD_PERCENT of the slots. It admits one that has waited, here or at
+ * its caller, only for a slot that would be idle soon, so that the next new
+ * opening finds capacity.
+ */
 static int has_capacity(const dy_flow_holder_t *holder, int is_new,
 			uint64_t now_ms)
 {
@@ -70,6 +70,9 @@
  */
 int holder_is_held_back(const dy_flow_holder_t *holder, uint64_t now_ms)
 {
+	if (!holder->grants_asked_ms ||
+	    now_ms - holder->grants_asked_ms > DY_REPORT_TTL_MS)
+		return 0;
 	return now_ms < holder->held_back_until_ms ||
 	       owes_opening_response(holder, now_ms);
 }
@@ -167,6 +170,8 @@
 	dy_cold_limit_record(&holder->cold, now_ms);
 	flow = holder_add_flow(holder, &packet->flow, STAGE_HALF_OPEN, now_ms);
 	flow->opener = forward->balancer;
+	if (!holder->opening_due_since_ms)
+		holder->opening_due_since_ms = now_ms;
 	holder_log_flow(holder, "flow_taken", &packet->flow, "opening", now_ms);
 	holder_send_to_target(holder, forward, packet, now_ms);
 }
@@ -248,6 +253,7 @@
 {
 	dy_flow_holder_subscribe(holder, &reserve->balancer, now_ms);
 	++*holder->reserved;
+	holder->grants_asked_ms = now_ms;
 	dy_slot_grants_reserve(holder->grants, &reserve->balancer,
 			       reserve->standing, now_ms);
 	holder_serve_queue(holder, now_ms);
@@ -284,10 +290,14 @@
 	holder_pass_on(holder, forward, packet, 1);
 }
 
-/* Returns whether the opening comes for a place that this agent granted. */
-static int is_granted(const dy_flow_forward_t *forward)
+/*
+ * Returns whether the opening comes for a place that this agent granted, which
+ * is used then. One that comes too late is as good as a new one.
+ */
+static int use_grant(dy_flow_holder_t *holder, const dy_flow_forward_t *forward)
 {
-	return forward->wait == DY_FLOW_GRANTED && !forward->step;
+	return forward->wait == DY_FLOW_GRANTED && !forward->step &&
+	       dy_slot_grants_use(holder->grants, &forward->balancer);
 }
 
 /*
@@ -296,11 +306,12 @@
  */
 static const char *defer_reason(const dy_flow_holder_t *holder,
 				const dy_flow_forward_t *forward,
-				const dy_packet_t *packet, uint64_t now_ms)
+				const dy_packet_t *packet, int granted,
+				uint64_t now_ms)
 {
 	if (!is_within_cold_limit(holder, now_ms))
 		return "cold";
-	if (is_granted(forward))
+	if (granted)
 		return NULL;
 	if (forward->wait != DY_FLOW_WAIT_AT_AGENT &&
 	    holder_is_held_back(holder, now_ms))
@@ -322,10 +333,11 @@
 			   const dy_packet_t *packet, held_flow_t *flow,
 			   uint64_t now_ms)
 {
+	int granted = use_grant(holder, forward);
 	const char *reason;
 
-	if (is_granted(forward))
-		dy_slot_grants_use(holder->grants, &forward->balancer);
+	if (forward->wait != DY_FLOW_WAIT_AT_AGENT)
+		holder->grants_asked_ms = now_ms;
 	if (flow && flow->stage != STAGE_ENDED) {
 		holder_touch(holder, flow, now_ms);
 		if (flow->stage == STAGE_HALF_OPEN)
@@ -347,7 +359,7 @@
 		return;
 	}
 	set_cold_limit(holder, forward);
-	reason = defer_reason(holder, forward, packet, now_ms);
+	reason = defer_reason(holder, forward, packet, granted, now_ms);
 	if (reason && forward->step + 1 < forward->tries.tries_len) {
 		pass_on_opening(holder, forward, packet, reason, now_ms);
 		return;
--- a/src/connection/flow_holder_private.h
+++ b/src/connection/flow_holder_private.h
@@ -91,6 +91,8 @@
 	unsigned openings_returned;  /* consecutive ones that the target bounced
 					while it had capacity */
 	uint64_t held_back_until_ms; /* for that; 0: not held back */
+	uint64_t grants_asked_ms;    /* last message of a balancer where
+					openings wait; 0: none */
 	dy_target_notice_t notice;
 	uint64_t last_notice_ms;
 	uint64_t cold_until_ms;
@@ -166,7 +168,7 @@
 /* Openings; flow_holder_openings.c. */
 /*
  * Returns whether the target is held back from new work because it returns
- * openings or owes an answer to one.
+ * openings or owes an answer to one. It is not while openings wait at agents.
  */
 int holder_is_held_back(const dy_flow_holder_t *holder, uint64_t now_ms);
 /* Records that the target returned an opening, or answered one. */
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -92,6 +92,7 @@
 	dy_flow_rules_destroy(router->rules);
 	router->rules = rules;
 	advance_order(router);
+	flow_router_reroute_waiting(router);
 }
 
 void dy_flow_router_set_member(dy_flow_router_t *router,
@@ -342,6 +343,7 @@
 	flow = flow_router_get_flow(router, &packet->flow, now_ms);
 	flow->agent = list[0];
 	flow->granted_ms = assignment->wait == DY_FLOW_GRANTED ? now_ms : 0;
+	flow->waiting_since_ms = assignment->waiting_since_ms;
 	if (entry->upload)
 		flow_router_begin_upload(router, flow, now_ms);
 	dy_flow_targets_note_opened(router->targets, &list[0]);
@@ -378,20 +380,26 @@
 			   uint8_t *bytes, size_t len, uint64_t now_ms)
 {
 	assignment_t assignment = { 0 };
+	waiting_place_t place = { 0 };
 
 	if (router->config.wait_at_balancer)
 		assignment.wait = DY_FLOW_WAIT_AT_BALANCER;
 	if (!flow_router_choose_agents(router, &packet->flow, now_ms,
-				       &assignment))
+				       &assignment)) {
 		flow_router_refuse(router, packet, "no_target", now_ms);
-	else if (flow_router_count_waiting(router, assignment.service) >=
-		 DY_WAITING_FEW)
-		flow_router_queue_opening(
-			router, assignment.entry, assignment.service,
-			&assignment.agents[0], packet, bytes, len, now_ms);
-	else
+		return;
+	}
+	if (flow_router_count_waiting(router, assignment.service) <
+	    DY_WAITING_FEW) {
 		flow_router_send_opening(router, &assignment, packet, bytes,
 					 len, now_ms);
+		return;
+	}
+	place.entry = assignment.entry;
+	place.service = assignment.service;
+	place.agent = &assignment.agents[0];
+	place.since_ms = now_ms;
+	flow_router_queue_opening(router, &place, packet, bytes, len, now_ms);
 }
 
 /*
@@ -427,12 +435,12 @@
 					   now_ms);
 		return;
 	}
-	if (!flow && entry->upload &&
-	    flow_router_defer_upload(router, entry, packet, bytes, len, now_ms))
-		return;
 	if (dy_waiting_openings_has(router->waiting, &packet->flow) ||
 	    is_answer_early(router, flow, now_ms))
 		return;
+	if (!flow && entry->upload &&
+	    flow_router_defer_upload(router, entry, packet, bytes, len, now_ms))
+		return;
 	handle_unanswered_opening(router, flow, now_ms);
 	flow_router_open_flow(router, packet, bytes, len, now_ms);
 }
@@ -516,6 +524,9 @@
 		route_opening(router, packet, bytes, len, now_ms);
 		return;
 	}
+	if (packet->flags & DY_PACKET_RST &&
+	    dy_waiting_openings_remove(router->waiting, &packet->flow))
+		return;
 	flow = g_hash_table_lookup(router->flows, &packet->flow);
 	if (!flow || !flow->agent.port) {
 		flow_router_search(router, packet, bytes, len, now_ms);
@@ -551,6 +562,8 @@
 	if (flow->open && !held->open &&
 	    !dy_address_equal(&flow->agent, &held->agent))
 		return;
+	/* Another transmission of its SYN may wait here. */
+	dy_waiting_openings_remove(router->waiting, &held->flow);
 	flow->agent = held->agent;
 	flow->holder_reported = 1;
 	flow->open = held->open;
--- a/src/connection/flow_router_private.h
+++ b/src/connection/flow_router_private.h
@@ -27,6 +27,7 @@
 	dy_flow_id_t id;
 	dy_address_t agent;  /* port 0: unknown */
 	uint64_t granted_ms; /* its opening was sent then, on a grant; or 0 */
+	uint64_t waiting_since_ms; /* and waited from then on; or 0 */
 	int holder_reported; /* the agent reported that it holds the flow */
 	int open;	     /* the agent reported the complete handshake */
 	uint64_t used_ms;
@@ -118,6 +119,7 @@
 	unsigned count;
 	dy_address_t agents[DY_FLOW_TRIES]; /* best first */
 	dy_flow_wait_t wait;
+	uint64_t waiting_since_ms; /* of an opening that waited; or 0 */
 } assignment_t;
 
 /* Chooses an agent for a new flow and sends it the opening, or queues it. */
@@ -138,21 +140,35 @@
 /* Returns how many openings of the service wait here. */
 unsigned flow_router_count_waiting(const dy_flow_router_t *router,
 				   const char *service);
-/*
- * Queues an opening until it is granted a place, or refuses it. agent: where to
- * reserve one; NULL: that is done.
- */
+/* What an opening is queued for. */
+typedef struct waiting_place {
+	const dy_flow_entry_t *entry;
+	const char *service;
+	const dy_address_t *agent; /* where to reserve; NULL: that is done */
+	uint64_t since_ms; /* when it began to wait for the first time */
+} waiting_place_t;
+
+/* Queues an opening until it is granted a place, or refuses it. */
 void flow_router_queue_opening(dy_flow_router_t *router,
-			       const dy_flow_entry_t *entry,
-			       const char *service, const dy_address_t *agent,
+			       const waiting_place_t *place,
 			       const dy_packet_t *packet, uint8_t *bytes,
 			       size_t len, uint64_t now_ms);
+/*
+ * Queues an opening that an agent returned and has reserved a place for, or
+ * routes it anew if its entry does not name the agent's service any more.
+ */
+void flow_router_queue_returned(dy_flow_router_t *router,
+				const dy_address_t *agent, uint64_t since_ms,
+				const dy_packet_t *packet, uint8_t *bytes,
+				size_t len, uint64_t now_ms);
+/* Routes the openings anew whose entry does not name their service any more. */
+void flow_router_reroute_waiting(dy_flow_router_t *router);
 /*
  * Queues an opening that an agent refused and reserves a place at another one,
- * or refuses it if no other admits openings.
+ * or refuses it if there is no other.
  */
 void flow_router_wait_elsewhere(dy_flow_router_t *router,
-				const dy_address_t *agent,
+				const dy_address_t *agent, uint64_t since_ms,
 				const dy_packet_t *packet, uint8_t *bytes,
 				size_t len, uint64_t now_ms);
 /* Chooses service and agents for a new flow. Returns 0 if there is none. */
--- a/src/connection/flow_router_search.c
+++ b/src/connection/flow_router_search.c
@@ -173,47 +173,38 @@
 	       !dy_address_equal(&flow->agent, &nowhere->agent);
 }
 
-/* Lets an opening wait here; the agent has reserved a place for it. */
-static void handle_full(dy_flow_router_t *router, flow_t *flow,
-			const dy_flow_nowhere_t *nowhere,
-			const dy_packet_t *packet, uint64_t now_ms)
-{
-	const dy_flow_entry_t *entry =
-		flow_router_find_entry(router, &packet->flow);
-	const char *service =
-		dy_flow_targets_service(router->targets, &nowhere->agent);
-
-	if (is_held_elsewhere(flow, nowhere))
-		return;
-	if (flow)
-		flow_router_drop_flow(router, flow);
-	if (!entry || !service)
-		flow_router_refuse(router, packet, "refused", now_ms);
-	else
-		flow_router_queue_opening(router, entry, service, NULL, packet,
-					  (uint8_t *)nowhere->packet.packet_val,
-					  nowhere->packet.packet_len, now_ms);
-}
-
 /*
  * Handles an opening that none of its candidates admits. Where openings may
- * wait here, it does so for another target.
+ * wait here, it does so: for the place that the agent has reserved, or for
+ * another target if the agent refuses.
  */
 static void handle_refusal(dy_flow_router_t *router, flow_t *flow,
 			   const dy_flow_nowhere_t *nowhere,
 			   const dy_packet_t *packet, uint64_t now_ms)
 {
-	if (is_held_elsewhere(flow, nowhere))
+	uint8_t *bytes = (uint8_t *)nowhere->packet.packet_val;
+	size_t len = nowhere->packet.packet_len;
+	uint64_t since_ms = flow && flow->waiting_since_ms
+				    ? flow->waiting_since_ms
+				    : now_ms;
+
+	if (!(packet->flags & DY_PACKET_SYN) ||
+	    !dy_flow_id_equal(&packet->flow, &nowhere->flow) ||
+	    is_held_elsewhere(flow, nowhere))
+		return;
+	/* A late copy: the flow has been admitted since. */
+	if (nowhere->reason == DY_FLOW_FULL && flow && flow->holder_reported)
 		return;
 	if (flow)
 		flow_router_drop_flow(router, flow);
-	if (router->config.wait_at_balancer)
-		flow_router_wait_elsewhere(
-			router, &nowhere->agent, packet,
-			(uint8_t *)nowhere->packet.packet_val,
-			nowhere->packet.packet_len, now_ms);
-	else
+	if (!router->config.wait_at_balancer)
 		flow_router_refuse(router, packet, "refused", now_ms);
+	else if (nowhere->reason == DY_FLOW_FULL)
+		flow_router_queue_returned(router, &nowhere->agent, since_ms,
+					   packet, bytes, len, now_ms);
+	else
+		flow_router_wait_elsewhere(router, &nowhere->agent, since_ms,
+					   packet, bytes, len, now_ms);
 }
 
 void dy_flow_router_receive_nowhere(dy_flow_router_t *router,
@@ -223,14 +214,10 @@
 	flow_t *flow = g_hash_table_lookup(router->flows, &nowhere->flow);
 	search_progress_t next;
 
-	if (nowhere->reason == DY_FLOW_REFUSED) {
+	if (nowhere->reason != DY_FLOW_NOT_HELD) {
 		handle_refusal(router, flow, nowhere, packet, now_ms);
 		return;
 	}
-	if (nowhere->reason == DY_FLOW_FULL) {
-		handle_full(router, flow, nowhere, packet, now_ms);
-		return;
-	}
 	if (!flow)
 		flow = flow_router_get_flow(router, &nowhere->flow, now_ms);
 	if (is_flow_lost(flow, nowhere)) {
--- a/src/connection/flow_router_waiting.c
+++ b/src/connection/flow_router_waiting.c
@@ -6,6 +6,7 @@
 
 #include "damaskyard/address.h"
 #include "damaskyard/caller_rank.h"
+#include "damaskyard/invariant.h"
 
 /*
  * Part of its caller's time-out that an opening may wait, as a divisor. Callers
@@ -13,6 +14,9 @@
  */
 #define TIMEOUT_DIVISOR 4
 
+/* Reservations replaced at once; the rest is left to their renewal. */
+#define RESERVATIONS_REPLACED_MAX 16u
+
 uint32_t flow_router_caller_rank(const dy_flow_router_t *router,
 				 const dy_flow_id_t *flow)
 {
@@ -74,11 +78,11 @@
 }
 
 void flow_router_queue_opening(dy_flow_router_t *router,
-			       const dy_flow_entry_t *entry,
-			       const char *service, const dy_address_t *agent,
+			       const waiting_place_t *place,
 			       const dy_packet_t *packet, uint8_t *bytes,
 			       size_t len, uint64_t now_ms)
 {
+	const dy_flow_entry_t *entry = place->entry;
 	dy_flow_forward_t forward = { 0 };
 	dy_opening_claim_t claim = { 0 };
 	uint32_t standing;
@@ -87,49 +91,104 @@
 	/* Another transmission of the SYN waits already. */
 	if (dy_waiting_openings_has(router->waiting, &packet->flow))
 		return;
-	claim.service = service;
+	claim.service = place->service;
 	claim.priority = entry->priority;
 	claim.rank = flow_router_caller_rank(router, &packet->flow);
 	claim.wait_max_ms = find_wait_max_ms(entry);
+	claim.since_ms = place->since_ms;
 	forward.service = "";
 	forward.packet.packet_val = (char *)bytes;
 	forward.packet.packet_len = (u_int)len;
 	if (!dy_waiting_openings_add(router->waiting, &claim, &forward, packet,
 				     now_ms, &standing)) {
 		++*router->unservable;
-		dy_service_shortage_note(router->shortage, service,
+		dy_service_shortage_note(router->shortage, place->service,
 					 entry->priority, DY_OPENING_UNSERVABLE,
 					 now_ms);
 		flow_router_refuse(router, packet, "unservable", now_ms);
 		return;
 	}
 	++*router->waited;
-	dy_service_shortage_note(router->shortage, service, entry->priority,
-				 DY_OPENING_WAITED, now_ms);
-	log_waiting(router, "opening_waits", &packet->flow, service, standing,
-		    now_ms);
-	if (agent)
-		reserve(router, agent, standing, now_ms);
+	dy_service_shortage_note(router->shortage, place->service,
+				 entry->priority, DY_OPENING_WAITED, now_ms);
+	log_waiting(router, "opening_waits", &packet->flow, place->service,
+		    standing, now_ms);
+	if (place->agent)
+		reserve(router, place->agent, standing, now_ms);
 }
 
 void flow_router_wait_elsewhere(dy_flow_router_t *router,
-				const dy_address_t *agent,
+				const dy_address_t *agent, uint64_t since_ms,
 				const dy_packet_t *packet, uint8_t *bytes,
 				size_t len, uint64_t now_ms)
 {
 	assignment_t assignment = { 0 };
+	waiting_place_t place;
 	unsigned i = 0;
 
 	flow_router_choose_agents(router, &packet->flow, now_ms, &assignment);
 	while (i < assignment.count &&
 	       dy_address_equal(&assignment.agents[i], agent))
 		i++;
-	if (i < assignment.count)
-		flow_router_queue_opening(
-			router, assignment.entry, assignment.service,
-			&assignment.agents[i], packet, bytes, len, now_ms);
-	else
+	if (i == assignment.count) {
 		flow_router_refuse(router, packet, "refused", now_ms);
+		return;
+	}
+	place.entry = assignment.entry;
+	place.service = assignment.service;
+	place.agent = &assignment.agents[i];
+	place.since_ms = since_ms;
+	flow_router_queue_opening(router, &place, packet, bytes, len, now_ms);
+}
+
+static int names_service(const dy_flow_entry_t *entry, const char *service)
+{
+	uint8_t i;
+
+	for (i = 0; i < entry->share_count; i++)
+		if (entry->shares[i].weight &&
+		    !strcmp(entry->shares[i].service, service))
+			return 1;
+	return 0;
+}
+
+void flow_router_queue_returned(dy_flow_router_t *router,
+				const dy_address_t *agent, uint64_t since_ms,
+				const dy_packet_t *packet, uint8_t *bytes,
+				size_t len, uint64_t now_ms)
+{
+	waiting_place_t place = { 0 };
+
+	place.entry = flow_router_find_entry(router, &packet->flow);
+	place.service = dy_flow_targets_service(router->targets, agent);
+	place.since_ms = since_ms;
+	if (place.entry && place.service &&
+	    names_service(place.entry, place.service))
+		flow_router_queue_opening(router, &place, packet, bytes, len,
+					  now_ms);
+	else
+		flow_router_open_flow(router, packet, bytes, len, now_ms);
+}
+
+static int is_allowed(void *context, const dy_flow_id_t *flow,
+		      const char *service)
+{
+	const dy_flow_entry_t *entry = flow_router_find_entry(context, flow);
+
+	return entry && names_service(entry, service);
+}
+
+void flow_router_reroute_waiting(dy_flow_router_t *router)
+{
+	dy_waited_opening_t waited;
+	dy_opening_t *opening = &waited.opening;
+
+	while (dy_waiting_openings_pop_unmatched(router->waiting, is_allowed,
+						 router, &waited))
+		flow_router_open_flow(router, &opening->packet,
+				      opening->stored.bytes,
+				      opening->stored.forward.packet.packet_len,
+				      waited.since_ms);
 }
 
 /*
@@ -179,7 +238,7 @@
 	if (!dy_waiting_openings_next(router->waiting, service, &flow,
 				      &standing))
 		return;
-	returned = MIN(returned,
+	returned = MIN(MIN(returned, RESERVATIONS_REPLACED_MAX),
 		       dy_waiting_openings_count(router->waiting, service));
 	while (returned-- &&
 	       choose_reservation(router, service, &flow, now_ms, &agent) &&
@@ -235,37 +294,28 @@
 	renew_reservations(router, now_ms);
 }
 
-static int names_service(const dy_flow_entry_t *entry, const char *service)
-{
-	uint8_t i;
-
-	for (i = 0; i < entry->share_count; i++)
-		if (entry->shares[i].weight &&
-		    !strcmp(entry->shares[i].service, service))
-			return 1;
-	return 0;
-}
-
 /*
  * Sends an opening to the agent that granted a place, and to others if that one
  * admits none any more.
  */
 static void send_granted(dy_flow_router_t *router, const dy_address_t *agent,
-			 const char *service, const dy_flow_entry_t *entry,
-			 const dy_opening_t *opening, uint64_t now_ms)
+			 const dy_flow_entry_t *entry,
+			 const dy_waited_opening_t *waited, uint64_t now_ms)
 {
+	const dy_opening_t *opening = &waited->opening;
 	const dy_flow_forward_t *forward = &opening->stored.forward;
 	assignment_t assignment = { 0 };
 	dy_address_t others[DY_FLOW_TRIES];
 	unsigned count;
 	unsigned i;
 
-	count = dy_flow_targets_choose(router->targets, service,
+	count = dy_flow_targets_choose(router->targets, waited->service,
 				       &opening->packet.flow, entry->bulk,
 				       now_ms, others);
 	assignment.entry = entry;
-	assignment.service = service;
+	assignment.service = waited->service;
 	assignment.wait = DY_FLOW_GRANTED;
+	assignment.waiting_since_ms = waited->since_ms;
 	assignment.agents[assignment.count++] = *agent;
 	for (i = 0; i < count && assignment.count < DY_FLOW_TRIES; i++)
 		if (!dy_address_equal(&others[i], agent))
@@ -279,36 +329,26 @@
 			   const dy_waited_opening_t *waited, uint64_t now_ms)
 {
 	++*router->granted;
-	dy_histogram_add(&router->wait_ms, waited->waited_ms);
+	dy_histogram_add(&router->wait_ms, now_ms - waited->since_ms);
 	dy_service_shortage_note(router->shortage, waited->service,
 				 waited->priority, DY_OPENING_GRANTED, now_ms);
 }
 
-/*
- * Sends the next opening of a service to an agent. Returns 0 if none waits.
- * Those whose entry is gone, or names the service no more, are routed anew.
- */
+/* Sends the next opening of a service to an agent. Returns 0 if none waits. */
 static int use_grant(dy_flow_router_t *router, const dy_address_t *agent,
 		     const char *service, uint64_t now_ms)
 {
 	const dy_flow_entry_t *entry;
 	dy_waited_opening_t waited;
-	const dy_opening_t *opening = &waited.opening;
-
-	while (dy_waiting_openings_pop(router->waiting, service, now_ms,
-				       &waited)) {
-		entry = flow_router_find_entry(router, &opening->packet.flow);
-		if (entry && names_service(entry, service)) {
-			record_granted(router, &waited, now_ms);
-			send_granted(router, agent, service, entry, opening,
-				     now_ms);
-			return 1;
-		}
-		flow_router_open_flow(
-			router, &opening->packet, waited.opening.stored.bytes,
-			opening->stored.forward.packet.packet_len, now_ms);
-	}
-	return 0;
+
+	if (!dy_waiting_openings_pop(router->waiting, service, now_ms, &waited))
+		return 0;
+	entry = flow_router_find_entry(router, &waited.opening.packet.flow);
+	/* Rules that changed have routed all others anew. */
+	dy_assert(entry);
+	record_granted(router, &waited, now_ms);
+	send_granted(router, agent, entry, &waited, now_ms);
+	return 1;
 }
 
 void dy_flow_router_receive_grant(dy_flow_router_t *router,
--- a/src/connection/service_shortage.c
+++ b/src/connection/service_shortage.c
@@ -14,7 +14,7 @@
 
 struct dy_service_shortage {
 	GHashTable *records;
-	char *ended; /* name of the service that was reported last */
+	char *ended; /* name of the service that was short until lately */
 };
 
 static void free_record(void *data)
--- a/src/connection/slot_grants.c
+++ b/src/connection/slot_grants.c
@@ -134,12 +134,14 @@
 	return before - *count;
 }
 
-void dy_slot_grants_use(dy_slot_grants_t *grants, const dy_address_t *balancer)
+int dy_slot_grants_use(dy_slot_grants_t *grants, const dy_address_t *balancer)
 {
 	place_t *place = find_place(&grants->granted, balancer);
 
-	if (place)
-		drop(place, &grants->granted_count);
+	if (!place)
+		return 0;
+	drop(place, &grants->granted_count);
+	return 1;
 }
 
 void dy_slot_grants_decline(dy_slot_grants_t *grants,
--- a/src/connection/waiting_openings.c
+++ b/src/connection/waiting_openings.c
@@ -23,7 +23,7 @@
 	dy_list_t age_link; /* in by_expiry */
 	service_queue_t *queue;
 	uint32_t standing;
-	uint64_t added_ms;
+	uint64_t since_ms;
 	uint64_t reserved_ms; /* last reservation of a place for it */
 	uint64_t expires_ms;
 	dy_opening_t opening;
@@ -149,7 +149,8 @@
 	waiting_opening_t *opening;
 	service_queue_t *queue;
 
-	if (g_hash_table_size(waiting->by_flow) >= DY_WAITING_OPENINGS_MAX)
+	if (g_hash_table_size(waiting->by_flow) >= DY_WAITING_OPENINGS_MAX ||
+	    now_ms - claim->since_ms >= claim->wait_max_ms)
 		return 0;
 	queue = get_queue(waiting, claim->service, now_ms);
 	*standing = dy_opening_standing(
@@ -161,9 +162,9 @@
 	opening = g_new0(waiting_opening_t, 1);
 	opening->queue = queue;
 	opening->standing = *standing;
-	opening->added_ms = now_ms;
+	opening->since_ms = claim->since_ms;
 	opening->reserved_ms = now_ms;
-	opening->expires_ms = now_ms + claim->wait_max_ms;
+	opening->expires_ms = claim->since_ms + claim->wait_max_ms;
 	dy_opening_set(&opening->opening, forward, packet);
 	insert_by_standing(queue, opening);
 	insert_by_expiry(waiting, opening);
@@ -178,19 +179,37 @@
 	return g_hash_table_contains(waiting->by_flow, flow);
 }
 
+/* Removes an opening, and its queue if that is empty then. */
+static void drop(dy_waiting_openings_t *waiting, waiting_opening_t *opening)
+{
+	dy_list_remove(&opening->link);
+	dy_list_remove(&opening->age_link);
+	if (!--opening->queue->count)
+		g_hash_table_remove(waiting->services, opening->queue->name);
+	g_hash_table_remove(waiting->by_flow, &opening->opening.packet.flow);
+}
+
+int dy_waiting_openings_remove(dy_waiting_openings_t *waiting,
+			       const dy_flow_id_t *flow)
+{
+	waiting_opening_t *opening =
+		g_hash_table_lookup(waiting->by_flow, flow);
+
+	if (!opening)
+		return 0;
+	drop(waiting, opening);
+	return 1;
+}
+
 static void take(dy_waiting_openings_t *waiting, waiting_opening_t *from,
-		 uint64_t now_ms, dy_waited_opening_t *waited)
+		 dy_waited_opening_t *waited)
 {
 	dy_opening_set(&waited->opening, &from->opening.stored.forward,
 		       &from->opening.packet);
 	g_strlcpy(waited->service, from->queue->name, sizeof(waited->service));
 	waited->priority = dy_standing_priority(from->standing);
-	waited->waited_ms = now_ms - from->added_ms;
-	dy_list_remove(&from->link);
-	dy_list_remove(&from->age_link);
-	if (!--from->queue->count)
-		g_hash_table_remove(waiting->services, from->queue->name);
-	g_hash_table_remove(waiting->by_flow, &from->opening.packet.flow);
+	waited->since_ms = from->since_ms;
+	drop(waiting, from);
 }
 
 /* Returns the first opening of the lowest priority that waits. */
@@ -229,7 +248,7 @@
 	take(waiting,
 	     queue->grants % DY_PRIORITY_FLOOR ? item(queue->openings.next)
 					       : first_of_lowest(queue),
-	     now_ms, waited);
+	     waited);
 	return 1;
 }
 
@@ -245,10 +264,30 @@
 			     age_link);
 	if (first->expires_ms > now_ms)
 		return 0;
-	take(waiting, first, now_ms, waited);
+	take(waiting, first, waited);
 	return 1;
 }
 
+int dy_waiting_openings_pop_unmatched(dy_waiting_openings_t *waiting,
+				      dy_waiting_match_cb_t *matches,
+				      void *context,
+				      dy_waited_opening_t *waited)
+{
+	waiting_opening_t *opening;
+	dy_list_t *pos;
+
+	DY_LIST_EACH(pos, &waiting->by_expiry)
+	{
+		opening = DY_LIST_ITEM(pos, waiting_opening_t, age_link);
+		if (matches(context, &opening->opening.packet.flow,
+			    opening->queue->name))
+			continue;
+		take(waiting, opening, waited);
+		return 1;
+	}
+	return 0;
+}
+
 int dy_waiting_openings_next(const dy_waiting_openings_t *waiting,
 			     const char *service, dy_flow_id_t *flow,
 			     uint32_t *standing)
--- a/src/process/flow/cmd_flow_balancer.c
+++ b/src/process/flow/cmd_flow_balancer.c
@@ -426,6 +426,7 @@
 	if (elapsed_ms < limit_ms &&
 	    (elapsed_ms < STOP_MIN_MS ||
 	     now - balancer->last_packet_ms < STOP_IDLE_MS ||
+	     dy_flow_router_waiting(balancer->router) ||
 	     !link_sender_is_idle(balancer->sender)))
 		return;
 	dy_log_event(DY_LOG_INFO, "stop_ended", "ms=%lu",
--- a/tests/test_flow_waiting.c
+++ b/tests/test_flow_waiting.c
@@ -255,6 +255,107 @@
 }
 END_TEST
 
+/*
+ * A copy of a SYN waits while the target answers the first one. Guards against
+ * a reset of the flow that is open meanwhile, and against a second target.
+ */
+START_TEST(opening_of_a_held_flow_waits_no_longer)
+{
+	dy_address_t holder = fake_router_agent(3);
+
+	fake_router_begin_waiting(3);
+	open_to_full_service(1);
+	fake_router_receive_held(1, &holder, 1);
+	ck_assert_uint_eq(dy_flow_router_waiting(fake_router.router), 0);
+	fake_router.now_ms += WAIT_MAX_MS;
+	dy_flow_router_expire(fake_router.router, fake_router.now_ms);
+	ck_assert_uint_eq(fake_router.resets, 0);
+	fake_router_end();
+}
+END_TEST
+
+/*
+ * The agent's first answer arrives twice, after it has admitted the opening.
+ * Guards against an opening that is sent once more.
+ */
+START_TEST(ignores_late_copy_of_a_return)
+{
+	dy_address_t holder = fake_router_agent(1);
+
+	fake_router_begin_waiting(3);
+	open_to_full_service(1);
+	fake_router_receive_grant(1, 0);
+	fake_router_receive_held(1, &holder, 0);
+	fake_router_receive_nowhere_from(1, 1, DY_FLOW_FULL);
+	ck_assert_uint_eq(dy_flow_router_waiting(fake_router.router), 0);
+	fake_router_end();
+}
+END_TEST
+
+/* Guards against a packet in mid-flow that is taken for an opening. */
+START_TEST(only_openings_wait)
+{
+	dy_packet_t packet = fake_router_packet(1, DY_PACKET_ACK, 5);
+	dy_flow_nowhere_t nowhere = { 0 };
+
+	fake_router_begin_waiting(3);
+	nowhere.flow = packet.flow;
+	nowhere.agent = fake_router_agent(1);
+	nowhere.reason = DY_FLOW_FULL;
+	nowhere.packet.packet_val = (char *)fake_router.bytes;
+	nowhere.packet.packet_len = sizeof(fake_router.bytes);
+	dy_flow_router_receive_nowhere(fake_router.router, &nowhere, &packet,
+				       fake_router.now_ms);
+	ck_assert_uint_eq(dy_flow_router_waiting(fake_router.router), 0);
+	ck_assert_uint_eq(fake_router.resets, 0);
+	fake_router_end();
+}
+END_TEST
+
+/* Guards against an opening that is returned again and again. */
+START_TEST(wait_is_limited_in_all)
+{
+	fake_router_begin_waiting(3);
+	open_to_full_service(1);
+	fake_router.now_ms += WAIT_MAX_MS - 1;
+	fake_router_receive_grant(2, 0);
+	fake_router_receive_nowhere_from(2, 1, DY_FLOW_FULL);
+	ck_assert_uint_eq(dy_flow_router_waiting(fake_router.router), 1);
+	fake_router.now_ms++;
+	dy_flow_router_expire(fake_router.router, fake_router.now_ms);
+	ck_assert_uint_eq(fake_router.resets, 1);
+	fake_router_end();
+}
+END_TEST
+
+/* Its caller is gone: guards against a place that is used for nobody. */
+START_TEST(forgets_what_its_caller_reset)
+{
+	fake_router_begin_waiting(3);
+	open_to_full_service(1);
+	fake_router_receive_packet(1, DY_PACKET_RST, 0);
+	ck_assert_uint_eq(dy_flow_router_waiting(fake_router.router), 0);
+	ck_assert_uint_eq(fake_router.forwards, 1);
+	fake_router_end();
+}
+END_TEST
+
+/*
+ * The entry moves and the old service grants nothing any more. Guards against
+ * openings that wait in vain while the new service has places.
+ */
+START_TEST(routes_anew_without_a_grant)
+{
+	fake_router_begin_waiting(2);
+	fake_router_set_member(7, DY_MEMBER_SERVING, "maps");
+	open_to_full_service(1);
+	fake_router_set_rules(6, "maps", NULL);
+	ck_assert_uint_eq(fake_router.forwards, 2);
+	ck_assert(went_to(7));
+	fake_router_end();
+}
+END_TEST
+
 /* Openings wait at agents where the settings do not ask for anything else. */
 START_TEST(openings_wait_at_agents_by_default)
 {
@@ -284,6 +385,12 @@
 		renews_reservations,
 		routes_anew_when_the_entry_moves,
 		refuses_when_the_entry_is_gone,
+		opening_of_a_held_flow_waits_no_longer,
+		ignores_late_copy_of_a_return,
+		only_openings_wait,
+		wait_is_limited_in_all,
+		forgets_what_its_caller_reset,
+		routes_anew_without_a_grant,
 		openings_wait_at_agents_by_default,
 		NULL,
 	};
--- a/tests/test_opening_grants.c
+++ b/tests/test_opening_grants.c
@@ -207,6 +207,45 @@
 }
 END_TEST
 
+/*
+ * A balancer stalls with a grant, and its opening comes when the place is gone.
+ * Guards against a target with more requests than it can answer in time.
+ */
+START_TEST(late_opening_has_no_place)
+{
+	begin();
+	fill_target(GRANTED_MAX);
+	reserve(100, 1);
+	reserve(102, 2);
+	answer(0);
+	ck_assert(is_granted_to(100));
+	fake_holder.now_ms += DY_GRANT_TTL_MS;
+	dy_flow_holder_tick(fake_holder.holder, fake_holder.now_ms);
+	ck_assert(is_granted_to(102));
+	fake_holder.wait = DY_FLOW_GRANTED;
+	send_opening(50, 1);
+	ck_assert_uint_eq(fake_holder.sent_to_target, 0);
+	ck_assert_uint_eq(fake_holder.nowhere.reason, DY_FLOW_FULL);
+	fake_holder_end();
+}
+END_TEST
+
+/* Guards against targets held back where openings wait at agents. */
+START_TEST(holds_nothing_back_unless_asked_for_grants)
+{
+	fake_holder_begin();
+	send_opening(1, 1);
+	fake_holder_bounce(1, DY_PACKET_SYN, fake_holder.last_tag);
+	dy_flow_holder_tick(fake_holder.holder, fake_holder.now_ms);
+	ck_assert(fake_holder.report.load.accepts);
+	fake_holder.wait = DY_FLOW_WAIT_AT_BALANCER;
+	send_opening(2, 1);
+	dy_flow_holder_tick(fake_holder.holder, fake_holder.now_ms);
+	ck_assert(!fake_holder.report.load.accepts);
+	fake_holder_end();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -218,6 +257,8 @@
 		holds_back_a_target_that_returns_openings,
 		granted_opening_does_not_reach_a_draining_target,
 		decline_frees_the_place,
+		late_opening_has_no_place,
+		holds_nothing_back_unless_asked_for_grants,
 		NULL,
 	};
 
--- a/tests/test_waiting_openings.c
+++ b/tests/test_waiting_openings.c
@@ -32,7 +32,8 @@
 static int add(unsigned caller, unsigned port, unsigned priority, uint32_t rank,
 	       uint64_t now_ms)
 {
-	dy_opening_claim_t claim = { SERVICE, priority, rank, WAIT_MAX_MS };
+	dy_opening_claim_t claim = { SERVICE, priority, rank, WAIT_MAX_MS,
+				     now_ms };
 	dy_packet_t packet = make_packet(caller, port);
 	dy_flow_forward_t forward = { 0 };
 
@@ -136,7 +137,7 @@
 	ck_assert(dy_waiting_openings_pop_expired(waiting, 100 + WAIT_MAX_MS,
 						  &waited));
 	ck_assert_uint_eq(waited.opening.packet.flow.caller_ip, 1);
-	ck_assert_uint_eq(waited.waited_ms, WAIT_MAX_MS);
+	ck_assert_uint_eq(waited.since_ms, 100);
 	ck_assert_str_eq(waited.service, SERVICE);
 	ck_assert(!dy_waiting_openings_pop_expired(waiting, 100 + WAIT_MAX_MS,
 						   &waited));
