--- a/include/damaskyard/flow_targets.h
+++ b/include/damaskyard/flow_targets.h
@@ -270,13 +270,14 @@
 				     uint64_t now_ms);
 
 /*
- * List the agents to try for a new flow of a service, best first; bulk: prefer
- * the domain by DY_FLOW_REMOTE_BULK_FACTOR, as for a flow that carries one
- * large body. Returns their number; 0 if none accepts new flows.
+ * List the agents to try for a new flow of a service, best first;
+ * prefer_domain: weigh targets outside the domain by
+ * DY_FLOW_REMOTE_BULK_FACTOR. Returns their number; 0 if none accepts new
+ * flows.
  */
 unsigned dy_flow_targets_choose(const dy_flow_targets_t *targets,
 				const char *service, const dy_flow_id_t *flow,
-				int bulk, uint64_t now_ms,
+				int prefer_domain, uint64_t now_ms,
 				dy_address_t list[DY_FLOW_TRIES]);
 
 /*
--- a/src/connection/flow_router_private.h
+++ b/src/connection/flow_router_private.h
@@ -3,9 +3,10 @@
 
 /*
  * Shared declarations of the flow router's files. flow_router.c handles packets
- * and openings, flow_router_search.c the search for a flow's holder,
- * flow_router_waiting.c the openings that wait for a target, flow_router_bulk.c
- * the uploads, flow_router_pace.c the log of uneven targets.
+ * of known flows, flow_router_openings.c new flows, flow_router_search.c the
+ * search for a flow's holder, flow_router_waiting.c the openings that wait for
+ * a target, flow_router_bulk.c the uploads, flow_router_pace.c the log of
+ * uneven targets.
  */
 
 #include <glib.h>
@@ -88,7 +89,7 @@
 	uint64_t *given_back;
 };
 
-/* Packets and openings; flow_router.c. */
+/* Packets; flow_router.c. */
 void flow_router_touch(dy_flow_router_t *router, flow_t *flow, uint64_t now_ms);
 void flow_router_drop_flow(dy_flow_router_t *router, flow_t *flow);
 /* Returns the flow's record, added if needed. */
@@ -100,6 +101,9 @@
 /* Sends a reset to the caller of packet; reason is logged. */
 void flow_router_reset(dy_flow_router_t *router, const dy_packet_t *packet,
 		       const char *reason, uint64_t now_ms);
+/* Refuses an opening: resets its caller; reason is logged. */
+void flow_router_refuse(dy_flow_router_t *router, const dy_packet_t *packet,
+			const char *reason, uint64_t now_ms);
 /* Resets the caller and drops the flow's record. */
 void flow_router_end_flow(dy_flow_router_t *router, flow_t *flow,
 			  const dy_packet_t *packet, const char *reason,
@@ -112,6 +116,12 @@
 				const dy_packet_t *packet, uint8_t *bytes,
 				size_t len, uint64_t now_ms);
 
+/* Openings; flow_router_openings.c. */
+/* Handles a caller's SYN. */
+void flow_router_route_opening(dy_flow_router_t *router,
+			       const dy_packet_t *packet, uint8_t *bytes,
+			       size_t len, uint64_t now_ms);
+
 /* What is chosen for a new flow. */
 typedef struct assignment {
 	const dy_flow_entry_t *entry;
@@ -122,6 +132,10 @@
 	uint64_t waiting_since_ms; /* of an opening that waited; or 0 */
 } assignment_t;
 
+/* Chooses service and agents for a new flow. Returns 0 if there is none. */
+int flow_router_choose_agents(const dy_flow_router_t *router,
+			      const dy_flow_id_t *flow, uint64_t now_ms,
+			      assignment_t *assignment);
 /* Chooses an agent for a new flow and sends it the opening, or queues it. */
 void flow_router_open_flow(dy_flow_router_t *router, const dy_packet_t *packet,
 			   uint8_t *bytes, size_t len, uint64_t now_ms);
@@ -130,9 +144,6 @@
 			      const assignment_t *assignment,
 			      const dy_packet_t *packet, uint8_t *bytes,
 			      size_t len, uint64_t now_ms);
-/* Refuses an opening: resets its caller; reason is logged. */
-void flow_router_refuse(dy_flow_router_t *router, const dy_packet_t *packet,
-			const char *reason, uint64_t now_ms);
 
 /* Openings that wait for a target; flow_router_waiting.c. */
 uint32_t flow_router_caller_rank(const dy_flow_router_t *router,
@@ -171,10 +182,6 @@
 				const dy_address_t *agent, uint64_t since_ms,
 				const dy_packet_t *packet, uint8_t *bytes,
 				size_t len, uint64_t now_ms);
-/* Chooses service and agents for a new flow. Returns 0 if there is none. */
-int flow_router_choose_agents(const dy_flow_router_t *router,
-			      const dy_flow_id_t *flow, uint64_t now_ms,
-			      assignment_t *assignment);
 /* Refuses openings that waited too long, and renews reservations. */
 void flow_router_serve_waiting(dy_flow_router_t *router, uint64_t now_ms);
 
--- a/src/version/flow_targets_select.c
+++ b/src/version/flow_targets_select.c
@@ -31,7 +31,7 @@
 	return target && target->serving && !refuses_openings(target, now_ms);
 }
 
-static double compute_score(const candidate_t *candidate, int bulk,
+static double compute_score(const candidate_t *candidate, int prefer_domain,
 			    uint64_t now_ms)
 {
 	const target_t *target = candidate->target;
@@ -48,7 +48,7 @@
 			 slots;
 	if (load->cold)
 		score += DY_FLOW_COLD_PENALTY;
-	if (!target->same_domain && bulk)
+	if (!target->same_domain && prefer_domain)
 		score *= DY_FLOW_REMOTE_BULK_FACTOR;
 	if (!target->same_domain)
 		score += DY_FLOW_REMOTE_PENALTY;
@@ -131,7 +131,7 @@
 
 unsigned dy_flow_targets_choose(const dy_flow_targets_t *targets,
 				const char *service, const dy_flow_id_t *flow,
-				int bulk, uint64_t now_ms,
+				int prefer_domain, uint64_t now_ms,
 				dy_address_t list[DY_FLOW_TRIES])
 {
 	GPtrArray *all = g_hash_table_lookup(targets->services, service);
@@ -144,7 +144,7 @@
 	count = rank_targets(all, flow, 1, DY_FLOW_CANDIDATES, candidates);
 	for (i = 0; i < count; i++)
 		candidates[i].score =
-			compute_score(&candidates[i], bulk, now_ms);
+			compute_score(&candidates[i], prefer_domain, now_ms);
 	sort_by_score(candidates, count);
 	for (i = 0; i < count; i++)
 		list[i] = candidates[i].target->address;
