--- a/include/damaskyard/loop.h
+++ b/include/damaskyard/loop.h
@@ -28,6 +28,13 @@
  */
 #define DY_STALL_THRESHOLD_MS 2000
 
+/*
+ * Delay of the loop's tick in ms from which it is logged (loop_late) and
+ * counted (late_ticks). Peers count a process as unresponsive after
+ * DY_FLOW_UNRESPONSIVE_TIMEOUT_MS, of which this is a fifth.
+ */
+#define DY_LATE_THRESHOLD_MS 200
+
 /*
  * Time in ms after which no retransmission or duplicate of a datagram arrives
  * any more: the default total timeout of an ONC RPC caller (25 s) plus the
@@ -39,7 +46,8 @@
 
 /*
  * Create the loop, to free with dy_loop_destroy(). Registers the counters
- * stalls and stalled_datagrams in metrics, which must outlive the loop.
+ * late_ticks, stalls and stalled_datagrams in metrics, which must outlive the
+ * loop.
  * Ignores SIGPIPE, so that a write to a closed connection fails only for that
  * connection.
  */
--- a/src/process/loop.c
+++ b/src/process/loop.c
@@ -16,10 +16,25 @@
 		uv_close(handle, NULL);
 }
 
+/* A process that runs late looks to its peers as if its VM were paused. */
+static void check_lateness(dy_loop_t *loop)
+{
+	uint64_t now_ms = uv_now(&loop->uv);
+	uint64_t gap_ms = now_ms - loop->last_tick_ms;
+
+	if (gap_ms < TICK_MS + DY_LATE_THRESHOLD_MS)
+		return;
+	++*loop->late_ticks;
+	if (dy_log_allow(&loop->late_limit, "loop_late", now_ms))
+		dy_log_event(DY_LOG_WARN, "loop_late", "ms=%lu",
+			     (unsigned long)(gap_ms - TICK_MS));
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	dy_loop_t *loop = timer->data;
 
+	check_lateness(loop);
 	if (dy_loop_stalled(loop)) {
 		loop->stall_generation++;
 		++*loop->stalls;
@@ -37,12 +52,15 @@
 
 dy_loop_t *dy_loop_create(dy_metrics_t *metrics)
 {
+	static const dy_log_limit_t limit = DY_LOG_LIMIT_INIT(5, 1000);
 	dy_loop_t *loop = g_new0(dy_loop_t, 1);
 
 	signal(SIGPIPE, SIG_IGN);
 	uv_loop_init(&loop->uv);
 	dy_list_init(&loop->timers);
 	loop->buffer = g_malloc(DY_LOOP_BUFFER_BYTES);
+	loop->late_limit = limit;
+	loop->late_ticks = dy_metrics_counter(metrics, "late_ticks");
 	loop->stalls = dy_metrics_counter(metrics, "stalls");
 	loop->stalled_datagrams =
 		dy_metrics_counter(metrics, "stalled_datagrams");
--- a/src/process/loop_private.h
+++ b/src/process/loop_private.h
@@ -4,6 +4,7 @@
 /* Internals that loop.c and endpoint.c share. */
 
 #include "damaskyard/list.h"
+#include "damaskyard/log.h"
 #include "damaskyard/loop.h"
 
 /*
@@ -30,6 +31,8 @@
 	dy_list_t timers;
 	uint64_t last_tick_ms;
 	uint64_t stall_generation; /* number of stalls seen by the tick */
+	uint64_t *late_ticks;
+	dy_log_limit_t late_limit;
 	uint64_t *stalls;
 	uint64_t *stalled_datagrams;
 	char *buffer;
--- a/tests/test_loop.c
+++ b/tests/test_loop.c
@@ -113,6 +113,20 @@
 }
 END_TEST
 
+/* Guards against an agent that was late and left no trace of it. */
+START_TEST(counts_late_tick)
+{
+	fake_t fake;
+
+	setup(&fake);
+	fake.stall_ms = 2 * DY_LATE_THRESHOLD_MS + 250;
+	dy_loop_every(fake.loop, 20, on_tick, &fake);
+	dy_loop_run(fake.loop);
+	ck_assert_uint_ge(dy_metrics_value(fake.metrics, "late_ticks"), 1);
+	teardown(&fake);
+}
+END_TEST
+
 START_TEST(reports_port_in_use)
 {
 	GError *error = NULL;
@@ -133,6 +147,7 @@
 	const TTest *const tests[] = {
 		drops_datagrams_that_waited_during_stall,
 		keeps_datagrams_after_short_pause,
+		counts_late_tick,
 		reports_port_in_use,
 		NULL,
 	};
