--- a/include/damaskyard/flow_silence.h
+++ b/include/damaskyard/flow_silence.h
@@ -61,6 +61,11 @@
 void dy_flow_silence_confirm(dy_flow_silence_t *silence,
 			     const dy_address_t *witness, uint64_t now_ms);
 
+/* List the witnesses that confirm the silence now; port 0: none. */
+void dy_flow_silence_witnesses(const dy_flow_silence_t *silence,
+			       uint64_t now_ms,
+			       dy_address_t witnesses[DY_FLOW_WITNESSES]);
+
 /*
  * Returns whether all witnesses confirmed the present silence, within
  * DY_FLOW_UNRESPONSIVE_TIMEOUT_MS, and the agent was sent messages for that
--- a/include/damaskyard/flow_targets.h
+++ b/include/damaskyard/flow_targets.h
@@ -244,6 +244,22 @@
 				 const dy_address_t *witness, int answered,
 				 uint64_t now_ms);
 
+/* What a balancer knows of an agent, for logs. */
+typedef struct dy_flow_agent_facts {
+	const char *state; /* "serving", "suspect", "other", "unknown" */
+	/* Age in ms, or -1 if there was none. */
+	int64_t report_age_ms;	   /* of the agent's last report */
+	int64_t unanswered_age_ms; /* of the first message sent since then */
+	int64_t confirmed_age_ms;  /* of the poll that confirmed the members */
+	/* Witnesses that confirm its silence now; port 0: none. */
+	dy_address_t witnesses[DY_FLOW_WITNESSES];
+} dy_flow_agent_facts_t;
+
+/* Fill facts with what is known at now_ms of the agent at an address. */
+void dy_flow_targets_load_facts(const dy_flow_targets_t *targets,
+				const dy_address_t *agent, uint64_t now_ms,
+				dy_flow_agent_facts_t *facts);
+
 /* Record that a poll sent at polled_ms was answered: members are current. */
 void dy_flow_targets_set_members_confirmed(dy_flow_targets_t *targets,
 					   uint64_t polled_ms);
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -52,6 +52,7 @@
 	dy_histogram_init(&router->wait_ms, config->metrics, "opening_wait_ms");
 	router->assigned_limit = limit;
 	router->reset_limit = limit;
+	router->refusal_limit = limit;
 	router->searched_limit = limit;
 	router->path_limit = limit;
 	router->waiting_limit = limit;
@@ -147,24 +148,6 @@
 	return flow;
 }
 
-void flow_router_reset(dy_flow_router_t *router, const dy_packet_t *packet,
-		       const char *reason, uint64_t now_ms)
-{
-	char text[DY_FLOW_TEXT_BYTES];
-
-	/* The caller has reset the flow itself. */
-	if (packet->flags & DY_PACKET_RST)
-		return;
-	++*router->resets;
-	if (dy_log_allow(&router->reset_limit, "flow_reset", now_ms))
-		dy_log_event(DY_LOG_INFO, "flow_reset",
-			     "flow=%s opening=%d reason=%s",
-			     dy_flow_id_format(&packet->flow, text),
-			     !!(packet->flags & DY_PACKET_SYN), reason);
-	router->config.callbacks->reset(router->config.context, &packet->flow,
-					packet->ack);
-}
-
 void flow_router_send_forward(dy_flow_router_t *router,
 			      dy_flow_forward_t *forward,
 			      const dy_packet_t *packet, uint8_t *bytes,
@@ -232,13 +215,6 @@
 				  (uint16_t)flow->entry_port);
 }
 
-void flow_router_refuse(dy_flow_router_t *router, const dy_packet_t *packet,
-			const char *reason, uint64_t now_ms)
-{
-	++*router->refused;
-	flow_router_reset(router, packet, reason, now_ms);
-}
-
 /*
  * Returns whether a flow's holder is unresponsive and its caller should go
  * elsewhere.
@@ -281,14 +257,6 @@
 						  &witnesses[i], &flow->agent);
 }
 
-void flow_router_end_flow(dy_flow_router_t *router, flow_t *flow,
-			  const dy_packet_t *packet, const char *reason,
-			  uint64_t now_ms)
-{
-	flow_router_reset(router, packet, reason, now_ms);
-	flow_router_drop_flow(router, flow);
-}
-
 /*
  * Handles a packet whose cached agent is lost. Guards against a flow that
  * another balancer opened elsewhere with a retransmitted SYN: only a flow that
@@ -299,8 +267,8 @@
 			      size_t len, uint64_t now_ms)
 {
 	if (flow->open) {
-		flow_router_end_flow(router, flow, packet, "agent_lost",
-				     now_ms);
+		flow_router_end_flow(router, flow, packet, &flow->agent,
+				     "agent_lost", now_ms);
 		return;
 	}
 	flow_router_drop_flow(router, flow);
@@ -334,8 +302,8 @@
 	}
 	inquire_about_holder(router, flow, now_ms);
 	if (flow->open && holder_is_unresponsive(router, flow, now_ms))
-		flow_router_end_flow(router, flow, packet, "agent_unresponsive",
-				     now_ms);
+		flow_router_end_flow(router, flow, packet, &flow->agent,
+				     "agent_unresponsive", now_ms);
 	else
 		flow_router_send_to_holder(router, flow, packet, bytes, len,
 					   now_ms);
--- a/src/connection/flow_router_openings.c
+++ b/src/connection/flow_router_openings.c
@@ -194,7 +194,7 @@
 
 	if (!entry) {
 		++*router->no_entry;
-		flow_router_reset(router, packet, "no_entry", now_ms);
+		flow_router_reset_opening(router, packet, "no_entry", now_ms);
 		return;
 	}
 	if (flow && flow->holder_reported) {
--- a/src/connection/flow_router_private.h
+++ b/src/connection/flow_router_private.h
@@ -5,8 +5,8 @@
  * Shared declarations of the flow router's files. flow_router.c handles packets
  * of known flows, flow_router_openings.c new flows, flow_router_search.c the
  * search for a flow's holder, flow_router_waiting.c the openings that wait for
- * a target, flow_router_bulk.c the uploads, flow_router_pace.c the log of
- * uneven targets.
+ * a target, flow_router_reset.c resets, flow_router_bulk.c the uploads,
+ * flow_router_pace.c the log of uneven targets.
  */
 
 #include <glib.h>
@@ -36,6 +36,8 @@
 	dy_list_t not_found_link;     /* in the router's list of such flows */
 	uint64_t not_found_ms;	      /* when a search found no holder */
 	uint32_t not_found_order;     /* order of that search */
+	dy_address_t not_found_agent; /* the last one asked by that search */
+	unsigned agents_asked;	      /* by the latest search */
 	unsigned searches;	      /* since the holder was last found */
 	dy_packet_t not_found_packet; /* the packet of that search */
 	dy_list_t upload_link;	      /* in the router's list of uploads */
@@ -61,7 +63,8 @@
 	/* Version of the search order (of members and rules); never 0. */
 	uint32_t order;
 	dy_log_limit_t assigned_limit;
-	dy_log_limit_t reset_limit;
+	dy_log_limit_t reset_limit;   /* of open flows */
+	dy_log_limit_t refusal_limit; /* of openings */
 	dy_log_limit_t searched_limit;
 	uint64_t *packets;
 	uint64_t *opened;
@@ -98,16 +101,6 @@
 /* Returns the entry that the flow was opened to, or NULL. */
 const dy_flow_entry_t *flow_router_find_entry(const dy_flow_router_t *router,
 					      const dy_flow_id_t *flow);
-/* Sends a reset to the caller of packet; reason is logged. */
-void flow_router_reset(dy_flow_router_t *router, const dy_packet_t *packet,
-		       const char *reason, uint64_t now_ms);
-/* Refuses an opening: resets its caller; reason is logged. */
-void flow_router_refuse(dy_flow_router_t *router, const dy_packet_t *packet,
-			const char *reason, uint64_t now_ms);
-/* Resets the caller and drops the flow's record. */
-void flow_router_end_flow(dy_flow_router_t *router, flow_t *flow,
-			  const dy_packet_t *packet, const char *reason,
-			  uint64_t now_ms);
 void flow_router_send_forward(dy_flow_router_t *router,
 			      dy_flow_forward_t *forward,
 			      const dy_packet_t *packet, uint8_t *bytes,
@@ -116,6 +109,22 @@
 				const dy_packet_t *packet, uint8_t *bytes,
 				size_t len, uint64_t now_ms);
 
+/* Resets; flow_router_reset.c. */
+/* Resets the caller of an opening; reason is logged. */
+void flow_router_reset_opening(dy_flow_router_t *router,
+			       const dy_packet_t *packet, const char *reason,
+			       uint64_t now_ms);
+/* Refuses an opening: the same, and counts it as refused. */
+void flow_router_refuse(dy_flow_router_t *router, const dy_packet_t *packet,
+			const char *reason, uint64_t now_ms);
+/*
+ * Resets the caller of an open flow and drops the flow's record. reason and
+ * what is known of agent, which was asked last, are logged.
+ */
+void flow_router_end_flow(dy_flow_router_t *router, flow_t *flow,
+			  const dy_packet_t *packet, const dy_address_t *agent,
+			  const char *reason, uint64_t now_ms);
+
 /* Openings; flow_router_openings.c. */
 /* Handles a caller's SYN. */
 void flow_router_route_opening(dy_flow_router_t *router,
--- a/src/connection/flow_router_search.c
+++ b/src/connection/flow_router_search.c
@@ -120,6 +120,7 @@
 		return;
 	}
 	++*router->searched;
+	flow->agents_asked = total;
 	if (progress->window == 1) {
 		log_searched(router, packet, total, flow->searches, now_ms);
 		permute_list(list, count, flow->searches++);
@@ -157,6 +158,7 @@
 {
 	flow->not_found_ms = now_ms;
 	flow->not_found_order = nowhere->order;
+	flow->not_found_agent = nowhere->agent;
 	flow->not_found_packet = *packet;
 	/* The id points into a packet that is not kept. */
 	flow->not_found_packet.request_id = NULL;
@@ -221,8 +223,8 @@
 	if (!flow)
 		flow = flow_router_get_flow(router, &nowhere->flow, now_ms);
 	if (is_flow_lost(flow, nowhere)) {
-		flow_router_end_flow(router, flow, packet, "lost_by_holder",
-				     now_ms);
+		flow_router_end_flow(router, flow, packet, &nowhere->agent,
+				     "lost_by_holder", now_ms);
 		return;
 	}
 	/* The cached holder does not hold the flow: search among the others. */
@@ -273,8 +275,8 @@
 		dy_list_remove(&flow->not_found_link);
 		if (flow->not_found_order != router->order)
 			continue;
-		flow_router_reset(router, &flow->not_found_packet, "nowhere",
-				  polled_ms);
-		flow_router_drop_flow(router, flow);
+		flow_router_end_flow(router, flow, &flow->not_found_packet,
+				     &flow->not_found_agent, "nowhere",
+				     polled_ms);
 	}
 }
--- a/src/version/flow_silence.c
+++ b/src/version/flow_silence.c
@@ -49,6 +49,27 @@
 	silence->next = (silence->next + 1) % DY_FLOW_WITNESSES;
 }
 
+static int is_confirmed(const dy_flow_silence_t *silence, unsigned i,
+			uint64_t now_ms)
+{
+	return silence->confirmed_ms[i] >= silence->unanswered_since_ms &&
+	       now_ms - silence->confirmed_ms[i] <=
+		       DY_FLOW_UNRESPONSIVE_TIMEOUT_MS;
+}
+
+void dy_flow_silence_witnesses(const dy_flow_silence_t *silence,
+			       uint64_t now_ms,
+			       dy_address_t witnesses[DY_FLOW_WITNESSES])
+{
+	unsigned i;
+
+	memset(witnesses, 0, DY_FLOW_WITNESSES * sizeof(*witnesses));
+	for (i = 0; i < DY_FLOW_WITNESSES; i++)
+		if (silence->unanswered_since_ms &&
+		    is_confirmed(silence, i, now_ms))
+			witnesses[i] = silence->witnesses[i];
+}
+
 int dy_flow_silence_is_certain(const dy_flow_silence_t *silence,
 			       uint64_t now_ms)
 {
@@ -59,9 +80,7 @@
 	    now_ms - silence->last_sent_ms > DY_FLOW_UNRESPONSIVE_TIMEOUT_MS)
 		return 0;
 	for (i = 0; i < DY_FLOW_WITNESSES; i++)
-		if (silence->confirmed_ms[i] < since_ms ||
-		    now_ms - silence->confirmed_ms[i] >
-			    DY_FLOW_UNRESPONSIVE_TIMEOUT_MS)
+		if (!is_confirmed(silence, i, now_ms))
 			return 0;
 	return 1;
 }
--- a/src/version/flow_targets.c
+++ b/src/version/flow_targets.c
@@ -431,3 +431,35 @@
 	if (target)
 		target->avoided_until_ms = now_ms + DY_FLOW_UNANSWERED_AVOID_MS;
 }
+
+static int64_t age_ms(uint64_t since_ms, uint64_t now_ms)
+{
+	return since_ms ? (int64_t)(now_ms - since_ms) : -1;
+}
+
+static const char *state_name(const target_t *target)
+{
+	if (target->serving)
+		return "serving";
+	return target->suspect ? "suspect" : "other";
+}
+
+void dy_flow_targets_load_facts(const dy_flow_targets_t *targets,
+				const dy_address_t *agent, uint64_t now_ms,
+				dy_flow_agent_facts_t *facts)
+{
+	const target_t *target = flow_targets_find(targets, agent);
+
+	memset(facts, 0, sizeof(*facts));
+	facts->confirmed_age_ms = age_ms(targets->confirmed_poll_ms, now_ms);
+	facts->report_age_ms = -1;
+	facts->unanswered_age_ms = -1;
+	facts->state = "unknown";
+	if (!target)
+		return;
+	facts->state = state_name(target);
+	facts->report_age_ms = age_ms(target->last_report_ms, now_ms);
+	facts->unanswered_age_ms =
+		age_ms(target->silence.unanswered_since_ms, now_ms);
+	dy_flow_silence_witnesses(&target->silence, now_ms, facts->witnesses);
+}
--- a/tests/test_flow_targets.c
+++ b/tests/test_flow_targets.c
@@ -348,6 +348,36 @@
 }
 END_TEST
 
+/*
+ * Guards against a reset of an open flow whose log line does not tell a late
+ * agent from lost messages.
+ */
+START_TEST(facts_of_silent_agent_have_their_ages)
+{
+	dy_flow_targets_t *targets = create(3);
+	dy_address_t first = agent(1);
+	dy_address_t second = agent(2);
+	dy_flow_load_t load = { 7, 0, 0, 1, 0 };
+	dy_flow_agent_facts_t facts;
+
+	dy_flow_targets_load_facts(targets, &second, 1000, &facts);
+	ck_assert_int_eq(facts.report_age_ms, -1);
+	ck_assert_int_eq(facts.confirmed_age_ms, -1);
+	dy_flow_targets_set_load(targets, &second, &load, 1000);
+	dy_flow_targets_note_sent(targets, &second, 1100);
+	dy_flow_targets_set_finding(targets, &second, &first, 0, 2000);
+	dy_flow_targets_set_members_confirmed(targets, 2100);
+	dy_flow_targets_load_facts(targets, &second, 2300, &facts);
+	ck_assert_str_eq(facts.state, "serving");
+	ck_assert_int_eq(facts.report_age_ms, 1300);
+	ck_assert_int_eq(facts.unanswered_age_ms, 1200);
+	ck_assert_int_eq(facts.confirmed_age_ms, 200);
+	ck_assert(dy_address_equal(&facts.witnesses[0], &first));
+	ck_assert_uint_eq(facts.witnesses[1].port, 0);
+	dy_flow_targets_destroy(targets);
+}
+END_TEST
+
 /*
  * The entry named another service when the flow was opened, and the searching
  * balancer has only the newest version of the entry.
@@ -570,6 +600,7 @@
 		ignores_late_end_of_older_incarnation,
 		holder_is_among_first_after_member_changes,
 		suspect_agent_without_reports_is_lost,
+		facts_of_silent_agent_have_their_ages,
 		searches_agents_of_other_services,
 		searches_other_services_among_100_agents,
 		finds_flow_of_changed_entry_among_400_agents,
