--- a/include/damaskyard/flow_prober.h
+++ b/include/damaskyard/flow_prober.h
@@ -4,6 +4,11 @@
 /*
  * An agent's probes of other agents on behalf of balancers; flow_silence.h
  * says what for. No I/O.
+ *
+ * An agent whose core is busy for a second answers no probe in time, and its
+ * target serves on. Beside each probe its liveness port is therefore checked
+ * (liveness_port.h). An agent whose port accepts a connection is late, not
+ * gone, and is reported as one that answered: no flow may be reset for it.
  */
 
 #include <stdint.h>
@@ -25,6 +30,8 @@
 typedef struct dy_flow_prober_callbacks {
 	/* Sends a probe to the agent. */
 	void (*probe)(void *context, const dy_address_t *agent);
+	/* Begins to check the agent's liveness port, unless a check runs. */
+	void (*check_port)(void *context, const dy_address_t *agent);
 	/* Sends the result of an inquiry to the balancer. */
 	void (*finding)(void *context, const dy_address_t *balancer,
 			const dy_address_t *agent, int answered);
@@ -47,6 +54,13 @@
 void dy_flow_prober_receive_echo(dy_flow_prober_t *prober,
 				 const dy_address_t *agent);
 
+/*
+ * Handle a connection that a probed agent's liveness port accepted: all who
+ * asked are told. Returns their number; 0 if the agent had answered before.
+ */
+unsigned dy_flow_prober_receive_accept(dy_flow_prober_t *prober,
+				       const dy_address_t *agent);
+
 /*
  * Send the probes that are due, and report the agents that answered none of
  * theirs. Call it every 50 ms. An agent whose own process stood still probes
--- a/include/damaskyard/flow_silence.h
+++ b/include/damaskyard/flow_silence.h
@@ -13,7 +13,7 @@
  * an agent has not answered for a while, two other agents are asked to probe
  * it. Only if both report that it did not answer them either is it certain that
  * the agent is silent: lost messages of this balancer cannot produce such a
- * report.
+ * report, nor can an agent whose core is busy (flow_prober.h).
  */
 
 #include <stdint.h>
--- a/src/process/flow/agent_prober.c
+++ b/src/process/flow/agent_prober.c
@@ -1,13 +1,31 @@
 #include "agent_prober.h"
 
+#include "damaskyard/address.h"
 #include "damaskyard/flow_prober.h"
+#include "damaskyard/list.h"
+#include "damaskyard/log.h"
+#include "damaskyard/port_check.h"
 #include "dy_flow.h"
 
 struct agent_prober {
 	flow_member_t *member;
 	dy_flow_prober_t *prober;
+	dy_list_t checks; /* of liveness ports, in progress */
+	dy_log_limit_t late_limit;
 };
 
+typedef struct liveness_check {
+	dy_list_t link;
+	agent_prober_t *prober;
+	dy_address_t agent;
+	dy_port_check_t *check;
+} liveness_check_t;
+
+static uint64_t now_ms(const agent_prober_t *prober)
+{
+	return dy_loop_now_ms(prober->member->loop);
+}
+
 static void send_probe(void *context, const dy_address_t *agent)
 {
 	agent_prober_t *prober = context;
@@ -29,13 +47,81 @@
 			 &finding);
 }
 
-static const dy_flow_prober_callbacks_t callbacks = { send_probe,
-						      send_finding };
+static void end_check(liveness_check_t *check)
+{
+	dy_list_remove(&check->link);
+	dy_port_check_destroy(check->check);
+	g_free(check);
+}
+
+static void log_late(agent_prober_t *prober, const dy_address_t *agent,
+		     unsigned told)
+{
+	char text[DY_ADDRESS_TEXT_BYTES];
+
+	if (dy_log_allow(&prober->late_limit, "agent_late", now_ms(prober)))
+		dy_log_event(DY_LOG_INFO, "agent_late", "agent=%s told=%u",
+			     dy_address_format(agent, text), told);
+}
+
+static void on_port_checked(void *context, dy_port_state_t state)
+{
+	liveness_check_t *check = context;
+	agent_prober_t *prober = check->prober;
+	dy_address_t agent = check->agent;
+	unsigned told;
+
+	end_check(check);
+	if (state != DY_PORT_LISTENING)
+		return;
+	told = dy_flow_prober_receive_accept(prober->prober, &agent);
+	if (told)
+		log_late(prober, &agent, told);
+}
+
+static int is_checked(const agent_prober_t *prober, const dy_address_t *agent)
+{
+	const dy_list_t *pos;
+
+	DY_LIST_EACH(pos, &prober->checks)
+	{
+		if (dy_address_equal(
+			    &DY_LIST_ITEM(pos, liveness_check_t, link)->agent,
+			    agent))
+			return 1;
+	}
+	return 0;
+}
+
+static void check_port(void *context, const dy_address_t *agent)
+{
+	agent_prober_t *prober = context;
+	liveness_check_t *check;
+
+	if (is_checked(prober, agent))
+		return;
+	check = g_new0(liveness_check_t, 1);
+	check->prober = prober;
+	check->agent = *agent;
+	check->check = dy_port_check_create(prober->member->loop, agent,
+					    on_port_checked, check);
+	dy_list_append(&prober->checks, &check->link);
+	dy_port_check_begin(check->check);
+}
+
+static const dy_flow_prober_callbacks_t callbacks = {
+	.probe = send_probe,
+	.check_port = check_port,
+	.finding = send_finding,
+};
 
 agent_prober_t *agent_prober_create(flow_member_t *member)
 {
+	static const dy_log_limit_t limit = DY_LOG_LIMIT_INIT(20, 1000);
 	agent_prober_t *prober = g_new0(agent_prober_t, 1);
 
+	dy_list_init(&prober->checks);
+	prober->late_limit = limit;
 	prober->member = member;
 	prober->prober = dy_flow_prober_create(&callbacks, prober);
 	return prober;
@@ -45,15 +131,13 @@
 {
 	if (!prober)
 		return;
+	while (!dy_list_empty(&prober->checks))
+		end_check(DY_LIST_ITEM(prober->checks.next, liveness_check_t,
+				       link));
 	dy_flow_prober_destroy(prober->prober);
 	g_free(prober);
 }
 
-static uint64_t now_ms(const agent_prober_t *prober)
-{
-	return dy_loop_now_ms(prober->member->loop);
-}
-
 static void receive_inquiry(agent_prober_t *prober, const dy_sealed_t *message)
 {
 	dy_flow_inquiry_t inquiry = { 0 };
--- a/src/process/flow/cmd_flow_agent.c
+++ b/src/process/flow/cmd_flow_agent.c
@@ -11,6 +11,7 @@
 #include "damaskyard/flow_holder.h"
 #include "damaskyard/flow_targets.h"
 #include "damaskyard/http.h"
+#include "damaskyard/liveness_port.h"
 #include "damaskyard/log.h"
 #include "damaskyard/port_check.h"
 #include "dy_ledger.h"
@@ -42,6 +43,7 @@
 	dy_port_check_t *port_check;
 	agent_ledger_t *ledger;
 	agent_prober_t *prober;
+	dy_liveness_port_t *liveness;
 	uint64_t stop_started_ms;
 	dy_log_limit_t refused_limit;
 	uint64_t *malformed;
@@ -517,6 +519,10 @@
 					     on_outbound, agent, error);
 	if (!agent->outbound)
 		return FALSE;
+	agent->liveness =
+		dy_liveness_port_create(loop, &settings->inner, error);
+	if (!agent->liveness)
+		return FALSE;
 	agent->http = open_http(agent, &settings->control, error);
 	if (agent->http && settings->ready.port)
 		agent->ready_http = open_http(agent, &settings->ready, error);
@@ -572,6 +578,7 @@
 	dy_http_server_destroy(agent->ready_http);
 	dy_endpoint_destroy(agent->packets);
 	dy_endpoint_destroy(agent->outbound);
+	dy_liveness_port_destroy(agent->liveness);
 	dy_port_check_destroy(agent->port_check);
 	agent_ledger_destroy(agent->ledger);
 	agent_prober_destroy(agent->prober);
--- a/src/version/flow_prober.c
+++ b/src/version/flow_prober.c
@@ -54,6 +54,7 @@
 	inquiry->probes++;
 	inquiry->last_probe_ms = now_ms;
 	prober->callbacks->probe(prober->context, &inquiry->agent);
+	prober->callbacks->check_port(prober->context, &inquiry->agent);
 }
 
 static int is_in_progress(const dy_flow_prober_t *prober,
@@ -97,19 +98,36 @@
 	end_inquiry(prober, inquiry);
 }
 
-void dy_flow_prober_receive_echo(dy_flow_prober_t *prober,
-				 const dy_address_t *agent)
+/* Tells all who asked about an agent that it runs. Returns their number. */
+static unsigned report_running(dy_flow_prober_t *prober,
+			       const dy_address_t *agent)
 {
 	inquiry_t *inquiry;
 	dy_list_t *pos;
 	dy_list_t *tmp;
+	unsigned count = 0;
 
 	DY_LIST_EACH_SAFE(pos, tmp, &prober->inquiries)
 	{
 		inquiry = DY_LIST_ITEM(pos, inquiry_t, link);
-		if (dy_address_equal(&inquiry->agent, agent))
-			report(prober, inquiry, 1);
+		if (!dy_address_equal(&inquiry->agent, agent))
+			continue;
+		report(prober, inquiry, 1);
+		count++;
 	}
+	return count;
+}
+
+void dy_flow_prober_receive_echo(dy_flow_prober_t *prober,
+				 const dy_address_t *agent)
+{
+	report_running(prober, agent);
+}
+
+unsigned dy_flow_prober_receive_accept(dy_flow_prober_t *prober,
+				       const dy_address_t *agent)
+{
+	return report_running(prober, agent);
 }
 
 /*
--- a/tests/test_flow_prober.c
+++ b/tests/test_flow_prober.c
@@ -8,6 +8,7 @@
 static struct {
 	dy_flow_prober_t *prober;
 	unsigned probes;
+	unsigned checks;
 	unsigned findings;
 	int answered; /* the last finding */
 	unsigned balancer;
@@ -28,6 +29,13 @@
 	fake.probes++;
 }
 
+static void on_check_port(void *context, const dy_address_t *agent)
+{
+	(void)context;
+	(void)agent;
+	fake.checks++;
+}
+
 static void on_finding(void *context, const dy_address_t *balancer,
 		       const dy_address_t *agent, int answered)
 {
@@ -38,7 +46,11 @@
 	fake.balancer = (uint8_t)balancer->ip[15];
 }
 
-static const dy_flow_prober_callbacks_t callbacks = { on_probe, on_finding };
+static const dy_flow_prober_callbacks_t callbacks = {
+	.probe = on_probe,
+	.check_port = on_check_port,
+	.finding = on_finding,
+};
 
 static void create(void)
 {
@@ -96,6 +108,41 @@
 }
 END_TEST
 
+/* Guards against an open flow reset because its agent's core was busy. */
+START_TEST(reports_late_agent_as_one_that_answers)
+{
+	dy_address_t agent = address(9);
+
+	create();
+	begin(1, 9, 1000);
+	begin(2, 9, 1000);
+	begin(1, 8, 1000);
+	advance(1000, 100);
+	ck_assert_uint_eq(fake.findings, 0);
+	ck_assert_uint_eq(dy_flow_prober_receive_accept(fake.prober, &agent),
+			  2);
+	ck_assert_uint_eq(fake.findings, 2);
+	ck_assert(fake.answered);
+	advance(1150, 500);
+	ck_assert_uint_eq(fake.findings, 3);
+	ck_assert(!fake.answered);
+	ck_assert_uint_eq(dy_flow_prober_receive_accept(fake.prober, &agent),
+			  0);
+	dy_flow_prober_destroy(fake.prober);
+}
+END_TEST
+
+/* Guards against a late agent whose first connection was lost on its way. */
+START_TEST(checks_port_with_each_probe)
+{
+	create();
+	begin(1, 9, 1000);
+	advance(1000, 500);
+	ck_assert_uint_eq(fake.checks, DY_FLOW_PROBES);
+	dy_flow_prober_destroy(fake.prober);
+}
+END_TEST
+
 /* A balancer that asks again meanwhile starts no second inquiry. */
 START_TEST(ignores_repeated_inquiry)
 {
@@ -146,6 +193,8 @@
 	const TTest *const tests[] = {
 		reports_agent_that_answers_no_probe,
 		reports_agent_that_answers,
+		reports_late_agent_as_one_that_answers,
+		checks_port_with_each_probe,
 		ignores_repeated_inquiry,
 		probes_again_after_it_stood_still,
 		ignores_inquiries_beyond_its_limit,
