--- a/src/process/flow/agent_prober.c
+++ b/src/process/flow/agent_prober.c
@@ -51,7 +51,7 @@
 {
 	dy_list_remove(&check->link);
 	dy_port_check_destroy(check->check);
-	g_free(check);
+	g_slice_free(liveness_check_t, check);
 }
 
 static void log_late(agent_prober_t *prober, const dy_address_t *agent,
@@ -100,7 +100,7 @@
 
 	if (is_checked(prober, agent))
 		return;
-	check = g_new0(liveness_check_t, 1);
+	check = g_slice_new0(liveness_check_t);
 	check->prober = prober;
 	check->agent = *agent;
 	check->check = dy_port_check_create(prober->member->loop, agent,
