--- a/src/connection/flow_holder_notice.c
+++ b/src/connection/flow_holder_notice.c
@@ -6,9 +6,6 @@
 
 #include "damaskyard/address.h"
 
-/* The first notice of an instance has this sequence number or a lower one. */
-#define FIRST_SEQUENCE 1
-
 /*
  * Timeout in ms after which an instance without notices yields to one with an
  * earlier start time; the clock may have been set back between the two. It is
@@ -67,7 +64,13 @@
 		     dy_log_quote(notice->id),
 		     (unsigned long)notice->started_ms, notice->slots, dropped,
 		     dy_flow_holder_count(holder));
-	if (holder->has_target || notice->sequence <= FIRST_SEQUENCE)
+	/*
+	 * Guards against a target that starts while its agent is replaced: the
+	 * first notice that this agent receives may be the target's first, and
+	 * yet an earlier agent may have opened flows at it before. Otherwise
+	 * only a refused port shows that it started later.
+	 */
+	if (holder->has_target)
 		holder->saw_start = 1;
 	if (!holder->saw_start)
 		holder->cold_unknown_until_ms = now_ms + DY_COLD_WINDOW_MS;
--- a/tests/fake_holder.c
+++ b/tests/fake_holder.c
@@ -144,9 +144,16 @@
 	fake_holder.holder = dy_flow_holder_create(&config);
 }
 
+void fake_holder_refuse_port(void)
+{
+	dy_flow_holder_port_checked(fake_holder.holder, DY_PORT_REFUSED,
+				    fake_holder.now_ms);
+}
+
 void fake_holder_begin(void)
 {
 	fake_holder_create();
+	fake_holder_refuse_port();
 	ck_assert(fake_holder_announce(1, DY_TARGET_READY));
 }
 
--- a/tests/fake_holder.h
+++ b/tests/fake_holder.h
@@ -52,6 +52,8 @@
 
 /* Creates a holder without any notice from its target. */
 void fake_holder_create(void);
+/* The target's port is refused: a target that appears now starts later. */
+void fake_holder_refuse_port(void);
 /* Creates a holder that saw its target start, which is ready. */
 void fake_holder_begin(void);
 void fake_holder_end(void);
--- a/tests/test_flow_holder.c
+++ b/tests/test_flow_holder.c
@@ -65,6 +65,37 @@
 }
 END_TEST
 
+/*
+ * Guards against an agent that reports the flows of its predecessor as not
+ * held: the predecessor gave them to a target that had not yet sent a notice.
+ */
+START_TEST(sends_unknown_flow_to_target_that_started_before_agent)
+{
+	fake_holder_create();
+	dy_flow_holder_port_checked(fake_holder.holder, DY_PORT_LISTENING,
+				    fake_holder.now_ms);
+	fake_holder_announce(1, DY_TARGET_READY);
+	fake_holder_from_caller(1, DY_PACKET_ACK, 501, 90);
+	ck_assert_uint_eq(fake_holder.sent_to_target, 1);
+	ck_assert_uint_eq(fake_holder.nowhere_count + fake_holder.passed_on, 0);
+	fake_holder_end();
+}
+END_TEST
+
+/* The port was refused, so the target started after the agent. */
+START_TEST(passes_on_unknown_flow_of_target_that_started_after_agent)
+{
+	fake_holder_create();
+	fake_holder_refuse_port();
+	fake_holder_announce(2, DY_TARGET_READY);
+	fake_holder_from_caller(1, DY_PACKET_ACK, 501, 90);
+	ck_assert_uint_eq(fake_holder.sent_to_target, 0);
+	ck_assert_uint_eq(fake_holder.passed_on, 1);
+	ck_assert(fake_holder.forward.certain);
+	fake_holder_end();
+}
+END_TEST
+
 /*
  * The target crashed and restarted without its flows. Packets of the old flows
  * must not be sent to it just to learn that.
@@ -363,6 +394,8 @@
 		opens_flow_and_informs_balancer,
 		passes_on_ack_of_other_targets_syn,
 		sends_unknown_flow_to_target_after_agent_restart,
+		sends_unknown_flow_to_target_that_started_before_agent,
+		passes_on_unknown_flow_of_target_that_started_after_agent,
 		drops_flows_when_target_restarts,
 		passes_on_search_when_target_is_silent,
 		excludes_downloads_from_low_rate_flows,
--- a/tests/test_flow_openings.c
+++ b/tests/test_flow_openings.c
@@ -226,6 +226,7 @@
 static void create_cold(void)
 {
 	fake_holder_create();
+	fake_holder_refuse_port();
 	fake_holder.cold_openings = 10000;
 	fake_holder.cold_ms = 2000;
 	ck_assert(fake_holder_announce(1, DY_TARGET_READY));
