--- a/include/damaskyard/flow_targets.h
+++ b/include/damaskyard/flow_targets.h
@@ -96,6 +96,12 @@
  */
 #define DY_FLOW_LOST_TIMEOUT_MS 2000
 
+/*
+ * Interval of the requests for a report to a suspect agent that owes one, in
+ * ms. Five are sent before it is lost.
+ */
+#define DY_FLOW_LOST_ASK_INTERVAL_MS 400
+
 /*
  * Interval of an agent's load reports to a balancer that sends it packets.
  * Until the next report the balancer adds the flows that it opened itself.
@@ -212,13 +218,26 @@
 /*
  * Returns whether the agent is lost: its lease has expired, and this balancer
  * has received no report for DY_FLOW_LOST_TIMEOUT_MS, counted from the first
- * call for this suspect agent if that is later. An agent that only lost its
- * connection to control is not lost: messages sent to it in this time make it
- * report.
+ * call for this suspect agent if that is later. From that call on the agent is
+ * asked for reports. An agent that only lost its connection to control is not
+ * lost: it answers.
  */
 int dy_flow_targets_is_lost(dy_flow_targets_t *targets,
 			    const dy_address_t *agent, uint64_t now_ms);
 
+/* Requests a report from the agent. */
+typedef void dy_flow_targets_ask_cb_t(void *context, const dy_address_t *agent);
+
+/*
+ * Call ask for each suspect agent that is checked and owes a report. Call it
+ * every 100 ms: agents report only to balancers that send them something, and
+ * without it a live agent would count as lost after a pause of its callers. A
+ * call that is late by more than DY_FLOW_LOST_ASK_INTERVAL_MS restarts all
+ * checks.
+ */
+void dy_flow_targets_ask_suspects(dy_flow_targets_t *targets, uint64_t now_ms,
+				  dy_flow_targets_ask_cb_t *ask, void *context);
+
 /*
  * Returns whether the agent is unresponsive: its VM is stalled, without power
  * or unreachable from here, while control still lists it as serving. Packets
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -372,6 +372,9 @@
 {
 	flow_t *flow;
 
+	dy_flow_targets_ask_suspects(router->targets, now_ms,
+				     router->config.callbacks->request_report,
+				     router->config.context);
 	flow_router_serve_uploads(router, now_ms);
 	flow_router_serve_waiting(router, now_ms);
 	while (!dy_list_empty(&router->by_use)) {
--- a/src/version/flow_targets.c
+++ b/src/version/flow_targets.c
@@ -12,6 +12,7 @@
 {
 	target_t *target = data;
 
+	dy_list_remove(&target->suspect_link);
 	g_free(target->service);
 	if (target->domain)
 		g_ref_string_release(target->domain);
@@ -40,6 +41,7 @@
 	dy_flow_targets_t *targets = g_new0(dy_flow_targets_t, 1);
 
 	targets->domain = domain;
+	dy_list_init(&targets->suspects);
 	targets->by_id = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       NULL, free_target);
 	targets->by_address = g_hash_table_new(hash_address, same_address);
@@ -115,6 +117,7 @@
 		return target;
 	target = g_new0(target_t, 1);
 	target->id = member->id;
+	dy_list_init(&target->suspect_link);
 	g_hash_table_insert(targets->by_id, &target->id, target);
 	return target;
 }
@@ -196,7 +199,7 @@
 	target->serving = member->state == DY_MEMBER_SERVING;
 	target->suspect = member->state == DY_MEMBER_SUSPECT;
 	if (!target->suspect)
-		target->lost_check_ms = 0;
+		flow_targets_end_lost_check(target);
 	if (!target->load.slots)
 		target->load.slots = member->info.slots;
 }
@@ -396,24 +399,6 @@
 		dy_flow_silence_confirm(&target->silence, witness, now_ms);
 }
 
-int dy_flow_targets_is_lost(dy_flow_targets_t *targets,
-			    const dy_address_t *agent, uint64_t now_ms)
-{
-	target_t *target = flow_targets_find(targets, agent);
-
-	if (!target || !target->suspect)
-		return 0;
-	/*
-	 * A balancer that has sent nothing to a live agent, as after its own
-	 * start, gets no reports. Its first search must not skip the agent, or
-	 * it would not find the agent's flows.
-	 */
-	if (!target->lost_check_ms)
-		target->lost_check_ms = now_ms;
-	return now_ms - MAX(target->last_report_ms, target->lost_check_ms) >
-	       DY_FLOW_LOST_TIMEOUT_MS;
-}
-
 void dy_flow_targets_note_opened(dy_flow_targets_t *targets,
 				 const dy_address_t *agent)
 {
--- /dev/null
+++ b/src/version/flow_targets_lost.c
@@ -0,0 +1,83 @@
+/* Which agents are lost: suspect to control, and silent to this balancer. */
+
+#include "flow_targets_private.h"
+
+void flow_targets_end_lost_check(target_t *target)
+{
+	target->lost_check_ms = 0;
+	dy_list_remove(&target->suspect_link);
+}
+
+static void begin_lost_check(dy_flow_targets_t *targets, target_t *target,
+			     uint64_t now_ms)
+{
+	target->lost_check_ms = now_ms;
+	dy_list_append(&targets->suspects, &target->suspect_link);
+}
+
+static int is_silent(const target_t *target, uint64_t now_ms)
+{
+	return now_ms - MAX(target->last_report_ms, target->lost_check_ms) >
+	       DY_FLOW_LOST_TIMEOUT_MS;
+}
+
+int dy_flow_targets_is_lost(dy_flow_targets_t *targets,
+			    const dy_address_t *agent, uint64_t now_ms)
+{
+	target_t *target = flow_targets_find(targets, agent);
+
+	if (!target || !target->suspect)
+		return 0;
+	/*
+	 * A balancer that has sent nothing to a live agent, as after its own
+	 * start, gets no reports. Its first search must not skip the agent, or
+	 * it would not find the agent's flows.
+	 */
+	if (!target->lost_check_ms)
+		begin_lost_check(targets, target, now_ms);
+	return is_silent(target, now_ms);
+}
+
+/*
+ * Guards against a balancer that stood still itself: the reports of that time
+ * wait in its socket, or were never requested.
+ */
+static void restart_checks_after_stall(dy_flow_targets_t *targets,
+				       uint64_t now_ms)
+{
+	dy_list_t *pos;
+
+	if (now_ms - targets->suspects_asked_ms <= DY_FLOW_LOST_ASK_INTERVAL_MS)
+		return;
+	DY_LIST_EACH(pos, &targets->suspects)
+	{
+		DY_LIST_ITEM(pos, target_t, suspect_link)->lost_check_ms =
+			now_ms;
+	}
+}
+
+static int owes_report(const target_t *target, uint64_t now_ms)
+{
+	return now_ms - target->last_report_ms >=
+		       DY_FLOW_LOST_ASK_INTERVAL_MS &&
+	       now_ms - target->silence.last_sent_ms >=
+		       DY_FLOW_LOST_ASK_INTERVAL_MS;
+}
+
+void dy_flow_targets_ask_suspects(dy_flow_targets_t *targets, uint64_t now_ms,
+				  dy_flow_targets_ask_cb_t *ask, void *context)
+{
+	dy_list_t *pos;
+	target_t *target;
+
+	restart_checks_after_stall(targets, now_ms);
+	targets->suspects_asked_ms = now_ms;
+	DY_LIST_EACH(pos, &targets->suspects)
+	{
+		target = DY_LIST_ITEM(pos, target_t, suspect_link);
+		if (is_silent(target, now_ms) || !owes_report(target, now_ms))
+			continue;
+		dy_flow_targets_note_sent(targets, &target->address, now_ms);
+		ask(context, &target->address);
+	}
+}
--- a/src/version/flow_targets_private.h
+++ b/src/version/flow_targets_private.h
@@ -3,12 +3,14 @@
 
 /*
  * Shared declarations of the files of flow targets. flow_targets.c keeps the
- * targets and what is known of each, flow_targets_select.c selects among them.
+ * targets and what is known of each, flow_targets_lost.c finds out which suspect
+ * ones are lost, flow_targets_select.c selects among them.
  */
 
 #include <glib.h>
 
 #include "damaskyard/flow_targets.h"
+#include "damaskyard/list.h"
 #include "damaskyard/target_pace.h"
 
 typedef struct target {
@@ -30,6 +32,7 @@
 	uint64_t last_report_ms;
 	/* First call of dy_flow_targets_is_lost() since it is suspect, or 0. */
 	uint64_t lost_check_ms;
+	dy_list_t suspect_link; /* in the list of suspects, while checked */
 	dy_flow_silence_t silence;
 	dy_flow_path_t path;
 	dy_target_pace_t pace;
@@ -41,6 +44,8 @@
 	GHashTable *by_address;	 /* the newest member at each address */
 	GHashTable *services;	 /* name to GPtrArray of targets */
 	GHashTable *evacuated;	 /* names of domains, a set */
+	dy_list_t suspects;	 /* agents that may be lost, checked */
+	uint64_t suspects_asked_ms;
 	unsigned agent_count;	 /* agents that have a service */
 	uint64_t last_report_ms; /* of any agent */
 	/* Send time of the newest poll that was answered. */
@@ -54,6 +59,9 @@
 target_t *flow_targets_find(const dy_flow_targets_t *targets,
 			    const dy_address_t *agent);
 
+/* Ends the check whether a suspect agent is lost; flow_targets_lost.c. */
+void flow_targets_end_lost_check(target_t *target);
+
 int flow_targets_accepts_new_flows(const target_t *target);
 
 #endif
