--- a/src/version/flow_targets_private.h
+++ b/src/version/flow_targets_private.h
@@ -3,8 +3,8 @@
 
 /*
  * Shared declarations of the files of flow targets. flow_targets.c keeps the
- * targets and what is known of each, flow_targets_lost.c finds out which suspect
- * ones are lost, flow_targets_select.c selects among them.
+ * targets and what is known of each, flow_targets_lost.c finds out which
+ * suspect ones are lost, flow_targets_select.c selects among them.
  */
 
 #include <glib.h>
@@ -41,10 +41,10 @@
 struct dy_flow_targets {
 	const char *domain;
 	GHashTable *by_id;
-	GHashTable *by_address;	 /* the newest member at each address */
-	GHashTable *services;	 /* name to GPtrArray of targets */
-	GHashTable *evacuated;	 /* names of domains, a set */
-	dy_list_t suspects;	 /* agents that may be lost, checked */
+	GHashTable *by_address; /* the newest member at each address */
+	GHashTable *services;	/* name to GPtrArray of targets */
+	GHashTable *evacuated;	/* names of domains, a set */
+	dy_list_t suspects;	/* agents that may be lost, checked */
 	uint64_t suspects_asked_ms;
 	unsigned agent_count;	 /* agents that have a service */
 	uint64_t last_report_ms; /* of any agent */
