--- a/include/damaskyard/registry.h
+++ b/include/damaskyard/registry.h
@@ -192,6 +192,7 @@
 	uint8_t drain;
 	uint8_t current;       /* newest record of its name */
 	uint8_t mark_proposed; /* a mark is being committed */
+	uint8_t polled;	       /* polled this leader since its election */
 	char name[];
 } dy_registry_member_t;
 
--- a/src/process/control/control_counters.c
+++ b/src/process/control/control_counters.c
@@ -47,6 +47,7 @@
 			control->metrics, dy_registry_event_name(i));
 		control->event_limits[i] = limit;
 	}
+	control->lease_limit = limit;
 	control->join_limit = rare;
 	control->waiting_limit = one;
 	control->malformed_limit = rare;
--- a/src/process/control/control_private.h
+++ b/src/process/control/control_private.h
@@ -125,6 +125,7 @@
 	dy_key_times_t keys;
 	uint64_t reviewed_document_numbers;
 	dy_log_limit_t event_limits[DY_EVENTS];
+	dy_log_limit_t lease_limit;
 	dy_log_limit_t join_limit;
 	dy_log_limit_t waiting_limit;
 	dy_log_limit_t malformed_limit;
--- a/src/process/control/control_review.c
+++ b/src/process/control/control_review.c
@@ -65,6 +65,27 @@
 	control->keys.renew_ms = MAX(control->keys.renew_ms, longest_ms);
 }
 
+/*
+ * A member that never polled this leader may be gone, or has not found it; one
+ * that did has been silent since.
+ */
+static void log_expired(dy_control_t *control, const dy_member_mark_t *mark)
+{
+	const dy_registry_member_t *member =
+		dy_registry_find_member(control->registry, mark->id);
+	uint64_t now_ms = control_now_ms(control);
+
+	if (mark->mark != DY_MARK_SUSPECT || !member ||
+	    !dy_log_allow(&control->lease_limit, "lease_expired", now_ms))
+		return;
+	dy_log_event(DY_LOG_INFO, "lease_expired",
+		     "name=%s number=%lu state=%s polled=%d unheard_ms=%lu",
+		     dy_log_quote(member->name),
+		     (unsigned long)member->incarnation,
+		     dy_member_state_name(member->state), member->polled,
+		     (unsigned long)(now_ms - member->heard_ms));
+}
+
 static void review_leases(dy_control_t *control)
 {
 	dy_command_t command = { .kind = DY_COMMAND_MARK };
@@ -76,6 +97,7 @@
 		if (!dy_registry_next_mark(control->registry, &control->leases,
 					   mark))
 			return;
+		log_expired(control, mark);
 		if (control_propose(control, &command, ignore_result, NULL) ==
 		    DY_RAFT_DONE)
 			continue;
--- a/src/process/flow/agent_prober.c
+++ b/src/process/flow/agent_prober.c
@@ -12,6 +12,7 @@
 	dy_flow_prober_t *prober;
 	dy_list_t checks; /* of liveness ports, in progress */
 	dy_log_limit_t late_limit;
+	dy_log_limit_t refused_limit;
 };
 
 typedef struct liveness_check {
@@ -64,6 +65,17 @@
 			     dy_address_format(agent, text), told);
 }
 
+/* The agent's process does not run, but its VM does. */
+static void log_refused(agent_prober_t *prober, const dy_address_t *agent)
+{
+	char text[DY_ADDRESS_TEXT_BYTES];
+
+	if (dy_log_allow(&prober->refused_limit, "agent_port_refused",
+			 now_ms(prober)))
+		dy_log_event(DY_LOG_INFO, "agent_port_refused", "agent=%s",
+			     dy_address_format(agent, text));
+}
+
 static void on_port_checked(void *context, dy_port_state_t state)
 {
 	liveness_check_t *check = context;
@@ -72,6 +84,8 @@
 	unsigned told;
 
 	end_check(check);
+	if (state == DY_PORT_REFUSED)
+		log_refused(prober, &agent);
 	if (state != DY_PORT_LISTENING)
 		return;
 	told = dy_flow_prober_receive_accept(prober->prober, &agent);
@@ -122,6 +136,7 @@
 
 	dy_list_init(&prober->checks);
 	prober->late_limit = limit;
+	prober->refused_limit = limit;
 	prober->member = member;
 	prober->prober = dy_flow_prober_create(&callbacks, prober);
 	return prober;
--- a/src/process/flow/cmd_flow_agent.c
+++ b/src/process/flow/cmd_flow_agent.c
@@ -409,8 +409,12 @@
 	if (agent->stop_started_ms)
 		return;
 	agent->stop_started_ms = now_ms(agent);
-	dy_log_event(DY_LOG_INFO, "stop_begun", "flows=%u",
-		     dy_flow_holder_count(agent->holder));
+	dy_log_event(DY_LOG_INFO, "stop_begun",
+		     "flows=%u joined=%d target_inactive=%d",
+		     dy_flow_holder_count(agent->holder),
+		     !!agent->member.subscriber,
+		     dy_flow_holder_is_target_inactive(agent->holder,
+						       now_ms(agent)));
 	dy_flow_holder_stop(agent->holder);
 	if (!agent->member.subscriber)
 		return;
@@ -489,7 +493,10 @@
 	if (!agent->stop_started_ms ||
 	    now_ms(agent) - agent->stop_started_ms < STOP_DELAY_MS)
 		return;
-	dy_log_event(DY_LOG_INFO, "stop_ended", "");
+	dy_log_event(DY_LOG_INFO, "stop_ended", "told=%d",
+		     agent->member.subscriber &&
+			     dy_subscriber_is_state_confirmed(
+				     agent->member.subscriber));
 	dy_loop_end(agent->member.loop);
 }
 
--- a/src/version/registry_leases.c
+++ b/src/version/registry_leases.c
@@ -19,6 +19,7 @@
 		lease_member(pos)->heard_ms = registry->now_ms;
 		lease_member(pos)->document = 0;
 		lease_member(pos)->mark_proposed = 0;
+		lease_member(pos)->polled = 0;
 	}
 }
 
@@ -44,6 +45,7 @@
 	if (!member || !dy_member_is_live(member))
 		return;
 	member->document = document;
+	member->polled = 1;
 	if (member->state != DY_MEMBER_SUSPECT)
 		registry_refresh_lease(registry, member);
 }
--- a/tests/test_registry_members.c
+++ b/tests/test_registry_members.c
@@ -153,6 +153,30 @@
 }
 END_TEST
 
+static int has_polled(const dy_poll_t *poll)
+{
+	uint64_t id = dy_member_id(poll->info.environment, poll->info.kind,
+				   poll->info.name);
+
+	return dy_registry_find_member(user.registry, id)->polled;
+}
+
+/* Guards against a log that cannot tell lost members from unheard ones. */
+START_TEST(election_forgets_which_members_polled)
+{
+	dy_poll_t a = fake_user_member(DY_MEMBER_AGENT, "a", "readings", 1);
+	dy_poll_t b = fake_user_member(DY_MEMBER_AGENT, "b", "readings", 2);
+
+	fake_user_poll(&user, &a);
+	fake_user_poll(&user, &b);
+	ck_assert(has_polled(&a) && has_polled(&b));
+	dy_registry_restart_leases(user.registry);
+	ck_assert(!has_polled(&a) && !has_polled(&b));
+	fake_user_poll(&user, &b);
+	ck_assert(!has_polled(&a) && has_polled(&b));
+}
+END_TEST
+
 /*
  * An agent hands over its sessions, leaves, and is restarted under its name. A
  * caller that was idle then sends the old token: a balancer that has only the
@@ -548,6 +572,7 @@
 	tcase_add_test(tcase, retransmitted_join_gets_same_incarnation);
 	tcase_add_test(tcase, suspect_member_recovers_by_polling);
 	tcase_add_test(tcase, new_leader_grants_full_leases);
+	tcase_add_test(tcase, election_forgets_which_members_polled);
 	tcase_add_test(tcase, successors_are_kept_after_name_is_reused);
 	tcase_add_test(tcase, agent_gets_agents_of_its_service_once_set);
 	tcase_add_test(tcase, unchanged_poll_proposes_nothing);
