--- a/soak/callers.c
+++ b/soak/callers.c
@@ -9,9 +9,16 @@
 #define RETRANSMIT_INITIAL_MS 200
 #define REQUEST_TIMEOUT_MS 2500
 
-/* A reset of an open flow counts as wrong only after this fault-free time. */
+/* Time for which a fault of a target or its agent excuses a reset. */
 #define UNDISTURBED_MS 6000
 
+/*
+ * Pause of a caller within a flow: its balancer sends the agent nothing for
+ * longer than an agent's reports last.
+ */
+#define PAUSE_MIN_MS 3000
+#define PAUSE_MAX_MS 7000
+
 /* Capacity for the requests of a run, a few hundred per second at most. */
 #define REQUESTS_MAX 200000
 
@@ -36,7 +43,7 @@
 	uint64_t next_action_ms;
 } caller_t;
 
-static caller_t callers[CALLERS + 1];
+static caller_t callers[CALLERS_MAX + 1];
 
 /* Requests by id. */
 static struct {
@@ -100,6 +107,10 @@
 				      id);
 }
 
+/*
+ * A reset is excused by what happened to the flow's own target or to the agent
+ * beside it. Stops as planned excuse none, nor does anything elsewhere.
+ */
 static void check_reset(const caller_t *caller)
 {
 	int number = target_of_flow(&caller->flow);
@@ -107,13 +118,22 @@
 
 	if (number < 0 ||
 	    now - target_last_disruption_ms(number) < UNDISTURBED_MS ||
-	    now - faults_unplanned_until_ms() < UNDISTURBED_MS)
+	    now - process_of_agent(number)->last_fault_ms < UNDISTURBED_MS)
 		return;
 	soak_report_violation("an open flow was reset while its target serves",
 			      "caller=%d port=%u target=%d", caller->number,
 			      caller->flow.caller_port, number);
 }
 
+/* In the shape "outage" every second caller is silent for seconds at a time. */
+static uint64_t draw_pause_ms(const caller_t *caller)
+{
+	if (soak.shape == SHAPE_OUTAGE && caller->number / DOMAINS % 2)
+		return (uint64_t)g_rand_int_range(soak.rand, PAUSE_MIN_MS,
+						  PAUSE_MAX_MS);
+	return (uint64_t)g_rand_int_range(soak.rand, 20, 200);
+}
+
 static void receive_answer(caller_t *caller, const dy_packet_t *packet,
 			   const char *data)
 {
@@ -135,8 +155,7 @@
 	soak.answered++;
 	if (soak.recovering)
 		soak.answered_in_recovery[service]++;
-	caller->next_action_ms =
-		soak_now_ms() + (uint64_t)g_rand_int_range(soak.rand, 20, 200);
+	caller->next_action_ms = soak_now_ms() + draw_pause_ms(caller);
 	if (g_rand_int_range(soak.rand, 0, 30) == 0) {
 		send_packet(caller, DY_PACKET_ACK | DY_PACKET_FIN, caller->ack,
 			    "");
@@ -234,7 +253,7 @@
 	caller_t *caller;
 	int i;
 
-	for (i = 1; i <= CALLERS; i++) {
+	for (i = 1; i <= soak.callers; i++) {
 		caller = &callers[i];
 		if (caller->state == FLOW_OPENING)
 			tick_opening(caller, now);
@@ -250,16 +269,17 @@
 	caller_t *caller;
 	int i;
 
-	for (i = 1; i <= CALLERS; i++) {
+	for (i = 1; i <= soak.callers; i++) {
 		caller = &callers[i];
 		caller->number = i;
-		caller->service = i % 4 == 0;
+		caller->service = service_of(i);
 		caller->unsafe = i % 2;
 		caller->flow.caller_ip = 127u << 24 | soak.net_octet << 16 |
 					 (unsigned)NET_CALLER << 8 |
 					 (unsigned)i;
 		caller->flow.entry_ip = ENTRY_IP + (unsigned)caller->service;
-		caller->flow.entry_port = ENTRY_PORT;
+		caller->flow.entry_port =
+			caller->unsafe ? ENTRY_PORT_UNSAFE : ENTRY_PORT;
 		udp_open(&caller->udp, NET_CALLER, i, PORT_PACKETS, on_packet,
 			 caller);
 	}
--- a/soak/evacuations.c
+++ b/soak/evacuations.c
@@ -76,7 +76,7 @@
 	order.acknowledged = 0;
 	order.evacuation_acked_ms = 0;
 	if (order.evacuate)
-		order.domain = g_rand_int_range(soak.rand, 1, TARGETS);
+		order.domain = g_rand_int_range(soak.rand, 1, DOMAINS);
 	send_order();
 }
 
--- a/soak/operator.c
+++ b/soak/operator.c
@@ -22,19 +22,28 @@
 	int read_in_flight;
 } operator_state;
 
+/* What callers call; see callers_create(). */
+static const struct {
+	int service;
+	int unsafe;
+} entries[] = { { 0, 0 }, { 0, 1 }, { 1, 0 } };
+
 static char *make_body(unsigned version)
 {
 	GString *text = g_string_new(NULL);
 	unsigned i;
 
 	g_string_printf(text, "{\"version\":%u,\"routes\":[", version);
-	for (i = 0; i < 2; i++)
+	for (i = 0; i < G_N_ELEMENTS(entries); i++)
 		g_string_append_printf(
 			text,
-			"{\"name\":\"r%u\",\"host\":\"198.18.0.%u\","
-			"\"pathPrefix\":\"/%d/\",\"timeoutMs\":%u,"
-			"\"service\":\"%s\"},",
-			i, i + 1, ENTRY_PORT, 1000 + version, service_names[i]);
+			"{\"name\":\"r%u\",\"host\":\"198.18.0.%d\","
+			"\"pathPrefix\":\"/%d/\",\"routeType\":\"%s\","
+			"\"timeoutMs\":%u,\"service\":\"%s\"},",
+			i, entries[i].service + 1,
+			entries[i].unsafe ? ENTRY_PORT_UNSAFE : ENTRY_PORT,
+			entries[i].unsafe ? "unsafe" : "safe", 1000 + version,
+			service_names[entries[i].service]);
 	for (i = 0; i < 20 + version % 30; i++)
 		g_string_append_printf(
 			text,
--- a/soak/packets.c
+++ b/soak/packets.c
@@ -16,7 +16,7 @@
 	int failed_probes;
 	int probe_pending;
 	uint64_t last_probe_ms;
-} balancer_health[BALANCERS + 1];
+} balancer_health[BALANCERS_MAX + 1];
 
 static void write_u32_le(uint8_t *at, uint32_t value)
 {
@@ -107,7 +107,7 @@
 	struct sockaddr_in to;
 	int i;
 
-	for (i = 1; i <= BALANCERS; i++) {
+	for (i = 1; i <= soak.balancers; i++) {
 		if (balancer_health[i].probe_pending ||
 		    now - balancer_health[i].last_probe_ms < 500)
 			continue;
@@ -123,7 +123,7 @@
 {
 	int i;
 
-	for (i = 1; i <= BALANCERS; i++)
+	for (i = 1; i <= soak.balancers; i++)
 		balancer_health[i].failed_probes = 2;
 }
 
@@ -137,7 +137,7 @@
 
 	for (include_unready = 0; include_unready < 2 && !best_rank;
 	     include_unready++)
-		for (i = 1; i <= BALANCERS; i++) {
+		for (i = 1; i <= soak.balancers; i++) {
 			if (!include_unready &&
 			    balancer_health[i].failed_probes >= 2)
 				continue;
--- a/soak/processes.c
+++ b/soak/processes.c
@@ -11,6 +11,11 @@
 
 #include <glib/gstdio.h>
 
+int service_of(int number)
+{
+	return number % DOMAINS == 0;
+}
+
 process_t *process_of_balancer(int number)
 {
 	return &soak.processes[CONTROLS + number - 1];
@@ -18,18 +23,25 @@
 
 process_t *process_of_agent(int number)
 {
-	return &soak.processes[CONTROLS + BALANCERS + number - 1];
+	return &soak.processes[CONTROLS + soak.balancers + number - 1];
 }
 
 /*
  * Links of the balancers, in Mbit/s: one that is often full, one that is so at
- * times, one without a limit (0).
+ * times, one without a limit (0). Repeated if there are more balancers.
  */
-static const char *const balancer_links[BALANCERS] = { "0.1", "0.5", "0" };
+static const char *const balancer_links[] = { "0.1", "0.5", "0" };
 
 /* Where openings wait at each balancer; both ways beside each other. */
-static const char *const balancer_waits[BALANCERS] = { "balancer", "agent",
-						       "balancer" };
+static const char *const balancer_waits[] = { "balancer", "agent", "balancer" };
+
+static void write_balancer_settings(GString *text, int number)
+{
+	size_t i = (size_t)(number - 1) % G_N_ELEMENTS(balancer_links);
+
+	g_string_append_printf(text, "link-mbps=%s\n[openings]\nwait-at=%s\n",
+			       balancer_links[i], balancer_waits[i]);
+}
 
 static void write_settings(process_t *process, int class, int number,
 			   int first_start)
@@ -41,13 +53,12 @@
 	g_string_printf(text,
 			"[process]\nname=%s\nfailure-domain=d%d\n"
 			"first-start=%s\nstop-s=4\n",
-			process->name, number, first_start ? "true" : "false");
+			process->name, (number - 1) % DOMAINS + 1,
+			first_start ? "true" : "false");
 	if (process->data)
 		g_string_append_printf(text, "data=%s\n", process->data);
 	if (class == NET_BALANCER)
-		g_string_append_printf(
-			text, "link-mbps=%s\n[openings]\nwait-at=%s\n",
-			balancer_links[number - 1], balancer_waits[number - 1]);
+		write_balancer_settings(text, number);
 	g_string_append_printf(text, "[listen]\ninner-port=%d\n",
 			       base + PORT_INNER);
 	if (class != NET_CONTROL)
@@ -66,7 +77,7 @@
 			"service=%s\n",
 			soak_ip(class, number), base + PORT_OUTBOUND,
 			soak_ip(class, number), base + PORT_APP,
-			service_names[number == TARGETS]);
+			service_names[service_of(number)]);
 	g_string_append(text, "[group]\nfailure-domains=d1,d2,d3,d4\nseeds=");
 	for (i = 1; i <= CONTROLS; i++)
 		g_string_append_printf(text, "%s%s:%d", i > 1 ? "," : "",
@@ -128,10 +139,11 @@
 	for (i = 1; i <= CONTROLS; i++)
 		create_process(&soak.processes[i - 1], "flow-control",
 			       NET_CONTROL, i);
-	for (i = 1; i <= BALANCERS; i++)
+	soak.process_count = CONTROLS + soak.balancers + soak.targets;
+	for (i = 1; i <= soak.balancers; i++)
 		create_process(process_of_balancer(i), "flow-balancer",
 			       NET_BALANCER, i);
-	for (i = 1; i <= TARGETS; i++)
+	for (i = 1; i <= soak.targets; i++)
 		create_process(process_of_agent(i), "flow-agent", NET_AGENT, i);
 }
 
@@ -155,13 +167,14 @@
 	process_t *process;
 	int i;
 
-	for (i = 0; i < PROCESSES; i++) {
+	for (i = 0; i < soak.process_count; i++) {
 		process = &soak.processes[i];
 		reap(process);
 		if (process->resume_at_ms && now >= process->resume_at_ms) {
 			process->resume_at_ms = 0;
 			process->paused = 0;
 			process->last_disruption_ms = now;
+			process->last_fault_ms = now;
 			kill(process->pid, SIGCONT);
 		}
 		if (!process->pid && process->restart && process->start_at_ms &&
@@ -225,6 +238,7 @@
 	process->paused = 0;
 	process->resume_at_ms = 0;
 	process->last_disruption_ms = soak_now_ms();
+	process->last_fault_ms = soak_now_ms();
 	process->start_at_ms = soak_now_ms() + restart_delay_ms;
 	if (process->data)
 		write_settings(process, NET_CONTROL,
@@ -242,6 +256,7 @@
 	kill(process->pid, SIGSTOP);
 	process->paused = 1;
 	process->last_disruption_ms = soak_now_ms();
+	process->last_fault_ms = soak_now_ms();
 	process->resume_at_ms = soak_now_ms() + duration_ms;
 }
 
@@ -262,7 +277,7 @@
 	process_t *process;
 	int i;
 
-	for (i = 0; i < PROCESSES; i++) {
+	for (i = 0; i < soak.process_count; i++) {
 		process = &soak.processes[i];
 		process_kill(process, 0, 0);
 		close(process->log);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -22,6 +22,15 @@
 
 const char *const service_names[2] = { "readings", "maps" };
 
+static const char *const shape_names[] = { "mixed", "herd", "outage" };
+
+/* Processes and callers without numbers on the command line. */
+static const struct {
+	int balancers;
+	int targets;
+	int callers;
+} sizes[] = { { 3, 4, 8 }, { 3, 4, 8 }, { 3, 12, 48 } };
+
 soak_t soak;
 
 static uint64_t clock_origin_ms;
@@ -111,7 +120,7 @@
 	targets_tick();
 	operator_tick();
 	callers_tick();
-	if (phase_started_ms)
+	if (phase_started_ms && soak.shape != SHAPE_OUTAGE)
 		evacuations_tick();
 	if (phase_started_ms)
 		faults_tick();
@@ -126,13 +135,17 @@
 		     NULL, NULL, NULL);
 }
 
-static int run_soak(uint32_t seed, int kill_all)
+/* scale multiplies the numbers of balancers, targets and callers. */
+static int run_soak(uint32_t seed, soak_shape_t shape, int scale)
 {
 	uv_timer_t tick;
 
 	memset(&soak, 0, sizeof(soak));
 	soak.seed = seed;
-	soak.kill_all = kill_all;
+	soak.shape = shape;
+	soak.balancers = MIN(sizes[shape].balancers * scale, BALANCERS_MAX);
+	soak.targets = MIN(sizes[shape].targets * scale, TARGETS_MAX);
+	soak.callers = MIN(sizes[shape].callers * scale, CALLERS_MAX);
 	soak.rand = g_rand_new_with_seed(seed);
 	soak.loop = uv_default_loop();
 	/* Starts at 10 s, as many variables use time 0 for "never". */
@@ -152,9 +165,9 @@
 	printf("soak seed=%u shape=%s seconds=%u faults=%u requests=%u answered=%u "
 	       "openings=%u resets=%u configurations=%u evacuations=%u "
 	       "broken=%u result=%s\n",
-	       seed, kill_all ? "herd" : "mixed", seconds, soak.faults,
-	       soak.requests, soak.answered, soak.openings, soak.resets,
-	       soak.configurations, soak.evacuations, soak.violations,
+	       seed, shape_names[shape], seconds, soak.faults, soak.requests,
+	       soak.answered, soak.openings, soak.resets, soak.configurations,
+	       soak.evacuations, soak.violations,
 	       soak.violations ? "failed" : "passed");
 	if (soak.violations)
 		printf("soak seed=%u logs=%s\n", seed, soak.directory);
@@ -163,17 +176,29 @@
 	return soak.violations ? EXIT_FAILURE : EXIT_SUCCESS;
 }
 
+static int find_shape(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(shape_names); i++)
+		if (!strcmp(name, shape_names[i]))
+			return (int)i;
+	return -1;
+}
+
 int main(int argc, char **argv)
 {
-	int kill_all = argc == 4 && !strcmp(argv[3], "herd");
+	int shape = argc > 3 ? find_shape(argv[3]) : SHAPE_MIXED;
+	int scale = argc > 4 ? (int)strtol(argv[4], NULL, 10) : 1;
 
-	if (argc != 3 && !kill_all) {
-		fputs("usage: soak SEED SECONDS [herd]\n"
+	if (argc < 3 || argc > 5 || shape < 0 || scale < 1) {
+		fputs("usage: soak SEED SECONDS [mixed|herd|outage [SCALE]]\n"
 		      "One run of the packet path under faults; see docs/SOAK.md\n",
 		      stderr);
 		return 2;
 	}
 	signal(SIGPIPE, SIG_IGN);
 	seconds = (unsigned)strtoul(argv[2], NULL, 10);
-	return run_soak((uint32_t)strtoul(argv[1], NULL, 10), kill_all);
+	return run_soak((uint32_t)strtoul(argv[1], NULL, 10),
+			(soak_shape_t)shape, scale);
 }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -18,10 +18,19 @@
 #include "platform/packet.h"
 
 #define CONTROLS 3
-#define BALANCERS 3
-#define TARGETS 4 /* the last one serves the second service */
-#define CALLERS 8
-#define PROCESSES (CONTROLS + BALANCERS + TARGETS)
+#define DOMAINS 4 /* failure domains of agents and balancers */
+/* Maximum numbers; soak_t has those of the run. */
+#define BALANCERS_MAX 24
+#define TARGETS_MAX 120 /* each fourth one serves the second service */
+#define CALLERS_MAX 240
+#define PROCESSES_MAX (CONTROLS + BALANCERS_MAX + TARGETS_MAX)
+
+/* Which faults a run injects; see faults.c. */
+typedef enum soak_shape {
+	SHAPE_MIXED,
+	SHAPE_HERD,  /* all processes are killed at once */
+	SHAPE_OUTAGE /* no control runs while agents are stopped as planned */
+} soak_shape_t;
 
 /* Ports, as offsets from soak_t.base_port. */
 enum {
@@ -39,6 +48,7 @@
 /* Destinations of callers: two platform addresses, ENTRY_IP + 0 and + 1. */
 #define ENTRY_IP 0xc6120001u
 #define ENTRY_PORT 443
+#define ENTRY_PORT_UNSAFE 444 /* requests there may run only once */
 
 /* Names of the services, by the index of the service. */
 extern const char *const service_names[2];
@@ -55,6 +65,7 @@
 	uint64_t start_at_ms;	     /* when to start it; 0: not scheduled */
 	uint64_t resume_at_ms;	     /* when to resume it; 0: not paused */
 	uint64_t last_disruption_ms; /* last kill, pause, resume or start */
+	uint64_t last_fault_ms;	     /* last kill, pause or resume */
 	int exit_expected;	     /* the soak ended it */
 } process_t;
 
@@ -63,12 +74,16 @@
 	GRand *rand;
 	uint32_t seed;
 	uint64_t end_ms; /* end of the faults */
-	int kill_all;	/* shape "herd" instead of mixed faults; see faults.c */
-	int recovering; /* faults have ended; recovery is checked */
+	soak_shape_t shape;
+	int balancers;
+	int targets;
+	int callers;
+	int recovering;	    /* faults have ended; recovery is checked */
 	unsigned net_octet; /* NET of 127.NET.CLASS.NUMBER */
 	unsigned base_port;
 	char *directory; /* settings, data and logs of the processes */
-	process_t processes[PROCESSES];
+	process_t processes[PROCESSES_MAX];
+	int process_count;
 	/* Faults of the fabric; rates are per 1000 packets. */
 	unsigned loss_per_mille;
 	unsigned duplicate_per_mille;
@@ -130,6 +145,9 @@
 void process_stop(process_t *process, uint64_t restart_delay_ms);
 /* Start and resume the processes that are due, and reap those that ended. */
 void processes_tick(void);
+/* Return the index of the service of a target or caller, from 1 on. */
+int service_of(int number);
+
 /* Process of a balancer or agent; number starts at 1. */
 process_t *process_of_balancer(int number);
 process_t *process_of_agent(int number);
@@ -237,10 +255,5 @@
 void faults_tick(void);
 /* Return the time until which faults affect a control. */
 uint64_t faults_control_until_ms(void);
-/*
- * Return the time until which unplanned faults of processes and targets last.
- * Stops of balancers, drains of targets and faults of the fabric do not count.
- */
-uint64_t faults_unplanned_until_ms(void);
 
 #endif
--- a/soak/targets.c
+++ b/soak/targets.c
@@ -46,7 +46,7 @@
 	GHashTable *flows;
 } target_t;
 
-static target_t targets[TARGETS + 1];
+static target_t targets[TARGETS_MAX + 1];
 
 static void send_packet(target_t *target, const uint8_t *bytes, size_t len)
 {
@@ -285,7 +285,7 @@
 	target_t *target;
 	int i;
 
-	for (i = 1; i <= TARGETS; i++) {
+	for (i = 1; i <= soak.targets; i++) {
 		target = &targets[i];
 		if (!target->alive) {
 			if (target->restart_at_ms &&
@@ -308,7 +308,7 @@
 	const flow_t *candidate;
 	int i;
 
-	for (i = 1; i <= TARGETS; i++) {
+	for (i = 1; i <= soak.targets; i++) {
 		candidate = g_hash_table_lookup(targets[i].flows, flow);
 		if (targets[i].alive && candidate && candidate->established)
 			return i;
@@ -326,10 +326,10 @@
 	target_t *target;
 	int i;
 
-	for (i = 1; i <= TARGETS; i++) {
+	for (i = 1; i <= soak.targets; i++) {
 		target = &targets[i];
 		target->number = i;
-		target->service = i == TARGETS;
+		target->service = service_of(i);
 		target->flows = g_hash_table_new_full(dy_flow_id_table_hash,
 						      dy_flow_id_table_equal,
 						      NULL, g_free);
