--- a/include/damaskyard/flow_prober.h
+++ b/include/damaskyard/flow_prober.h
@@ -5,14 +5,17 @@
  * An agent's probes of other agents on behalf of balancers; flow_silence.h
  * says what for. No I/O.
  *
- * An agent whose core is busy for a second answers no probe in time, and its
- * target serves on. Beside each probe its liveness port is therefore checked
- * (liveness_port.h). An agent whose port accepts a connection is late, not
- * gone, and is reported as one that answered: no flow may be reset for it.
+ * An agent whose core is busy for a second answers no probe in time, nor does
+ * one that is being restarted, and its target serves on. Beside each probe its
+ * liveness port is therefore checked (liveness_port.h). If the port accepts a
+ * connection the agent is late; if it refuses one, the process has ended. In
+ * both cases the VM runs, and the agent is reported as one that answered: no
+ * flow may be reset for it. Control need not know that it stops.
  */
 
 #include <stdint.h>
 
+#include "damaskyard/port_check.h"
 #include "dy_flow.h"
 
 /* Probes sent to an agent, and the interval between them in ms. */
@@ -55,11 +58,13 @@
 				 const dy_address_t *agent);
 
 /*
- * Handle a connection that a probed agent's liveness port accepted: all who
- * asked are told. Returns their number; 0 if the agent had answered before.
+ * Handle the result of a check of a probed agent's liveness port: all who asked
+ * are told if the VM runs. Returns their number; 0 if the state is unknown, or
+ * if the agent had answered before.
  */
-unsigned dy_flow_prober_receive_accept(dy_flow_prober_t *prober,
-				       const dy_address_t *agent);
+unsigned dy_flow_prober_receive_port_state(dy_flow_prober_t *prober,
+					   const dy_address_t *agent,
+					   dy_port_state_t state);
 
 /*
  * Send the probes that are due, and report the agents that answered none of
--- a/src/process/flow/agent_prober.c
+++ b/src/process/flow/agent_prober.c
@@ -11,8 +11,7 @@
 	flow_member_t *member;
 	dy_flow_prober_t *prober;
 	dy_list_t checks; /* of liveness ports, in progress */
-	dy_log_limit_t late_limit;
-	dy_log_limit_t refused_limit;
+	dy_log_limit_t running_limit;
 };
 
 typedef struct liveness_check {
@@ -55,27 +54,19 @@
 	g_slice_free(liveness_check_t, check);
 }
 
-static void log_late(agent_prober_t *prober, const dy_address_t *agent,
-		     unsigned told)
+/* Logs that an agent which answers no probe is late, or that it has ended. */
+static void log_running(agent_prober_t *prober, const dy_address_t *agent,
+			dy_port_state_t state, unsigned told)
 {
+	const char *event =
+		state == DY_PORT_REFUSED ? "agent_port_refused" : "agent_late";
 	char text[DY_ADDRESS_TEXT_BYTES];
 
-	if (dy_log_allow(&prober->late_limit, "agent_late", now_ms(prober)))
-		dy_log_event(DY_LOG_INFO, "agent_late", "agent=%s told=%u",
+	if (dy_log_allow(&prober->running_limit, event, now_ms(prober)))
+		dy_log_event(DY_LOG_INFO, event, "agent=%s told=%u",
 			     dy_address_format(agent, text), told);
 }
 
-/* The agent's process does not run, but its VM does. */
-static void log_refused(agent_prober_t *prober, const dy_address_t *agent)
-{
-	char text[DY_ADDRESS_TEXT_BYTES];
-
-	if (dy_log_allow(&prober->refused_limit, "agent_port_refused",
-			 now_ms(prober)))
-		dy_log_event(DY_LOG_INFO, "agent_port_refused", "agent=%s",
-			     dy_address_format(agent, text));
-}
-
 static void on_port_checked(void *context, dy_port_state_t state)
 {
 	liveness_check_t *check = context;
@@ -84,13 +75,9 @@
 	unsigned told;
 
 	end_check(check);
-	if (state == DY_PORT_REFUSED)
-		log_refused(prober, &agent);
-	if (state != DY_PORT_LISTENING)
-		return;
-	told = dy_flow_prober_receive_accept(prober->prober, &agent);
+	told = dy_flow_prober_receive_port_state(prober->prober, &agent, state);
 	if (told)
-		log_late(prober, &agent, told);
+		log_running(prober, &agent, state, told);
 }
 
 static int is_checked(const agent_prober_t *prober, const dy_address_t *agent)
@@ -135,8 +122,7 @@
 	agent_prober_t *prober = g_new0(agent_prober_t, 1);
 
 	dy_list_init(&prober->checks);
-	prober->late_limit = limit;
-	prober->refused_limit = limit;
+	prober->running_limit = limit;
 	prober->member = member;
 	prober->prober = dy_flow_prober_create(&callbacks, prober);
 	return prober;
--- a/src/version/flow_prober.c
+++ b/src/version/flow_prober.c
@@ -98,7 +98,7 @@
 	end_inquiry(prober, inquiry);
 }
 
-/* Tells all who asked about an agent that it runs. Returns their number. */
+/* Tells all who asked about an agent that its VM runs. Returns their number. */
 static unsigned report_running(dy_flow_prober_t *prober,
 			       const dy_address_t *agent)
 {
@@ -124,10 +124,11 @@
 	report_running(prober, agent);
 }
 
-unsigned dy_flow_prober_receive_accept(dy_flow_prober_t *prober,
-				       const dy_address_t *agent)
+unsigned dy_flow_prober_receive_port_state(dy_flow_prober_t *prober,
+					   const dy_address_t *agent,
+					   dy_port_state_t state)
 {
-	return report_running(prober, agent);
+	return state == DY_PORT_UNKNOWN ? 0 : report_running(prober, agent);
 }
 
 /*
--- a/tests/test_flow_prober.c
+++ b/tests/test_flow_prober.c
@@ -74,6 +74,13 @@
 		dy_flow_prober_tick(fake.prober, now_ms);
 }
 
+static unsigned receive_port_state(unsigned agent, dy_port_state_t state)
+{
+	dy_address_t subject = address(agent);
+
+	return dy_flow_prober_receive_port_state(fake.prober, &subject, state);
+}
+
 /* A silent agent is probed several times, and reported once. */
 START_TEST(reports_agent_that_answers_no_probe)
 {
@@ -111,23 +118,36 @@
 /* Guards against an open flow reset because its agent's core was busy. */
 START_TEST(reports_late_agent_as_one_that_answers)
 {
-	dy_address_t agent = address(9);
-
 	create();
 	begin(1, 9, 1000);
 	begin(2, 9, 1000);
 	begin(1, 8, 1000);
 	advance(1000, 100);
 	ck_assert_uint_eq(fake.findings, 0);
-	ck_assert_uint_eq(dy_flow_prober_receive_accept(fake.prober, &agent),
-			  2);
+	ck_assert_uint_eq(receive_port_state(9, DY_PORT_LISTENING), 2);
 	ck_assert_uint_eq(fake.findings, 2);
 	ck_assert(fake.answered);
 	advance(1150, 500);
 	ck_assert_uint_eq(fake.findings, 3);
 	ck_assert(!fake.answered);
-	ck_assert_uint_eq(dy_flow_prober_receive_accept(fake.prober, &agent),
-			  0);
+	ck_assert_uint_eq(receive_port_state(9, DY_PORT_LISTENING), 0);
+	dy_flow_prober_destroy(fake.prober);
+}
+END_TEST
+
+/* Guards against an open flow reset because its agent is being restarted. */
+START_TEST(reports_restarting_agent_as_one_that_answers)
+{
+	create();
+	begin(1, 9, 1000);
+	begin(1, 8, 1000);
+	ck_assert_uint_eq(receive_port_state(9, DY_PORT_REFUSED), 1);
+	ck_assert_uint_eq(fake.findings, 1);
+	ck_assert(fake.answered);
+	ck_assert_uint_eq(receive_port_state(8, DY_PORT_UNKNOWN), 0);
+	advance(1000, 500);
+	ck_assert_uint_eq(fake.findings, 2);
+	ck_assert(!fake.answered);
 	dy_flow_prober_destroy(fake.prober);
 }
 END_TEST
@@ -194,6 +214,7 @@
 		reports_agent_that_answers_no_probe,
 		reports_agent_that_answers,
 		reports_late_agent_as_one_that_answers,
+		reports_restarting_agent_as_one_that_answers,
 		checks_port_with_each_probe,
 		ignores_repeated_inquiry,
 		probes_again_after_it_stood_still,
