--- a/include/damaskyard/flow_holder.h
+++ b/include/damaskyard/flow_holder.h
@@ -271,9 +271,12 @@
  * notice.
  */
 uint32_t dy_flow_holder_slots(const dy_flow_holder_t *holder);
-/* Returns whether the target left, its notices timed out, or none ever came. */
-int dy_flow_holder_is_target_inactive(const dy_flow_holder_t *holder,
-				      uint64_t now_ms);
+/*
+ * Returns whether the target has certainly ended: it said that it leaves, or is
+ * gone. A target that is silent, or that this agent has not heard yet, may hold
+ * flows that a predecessor of this agent opened.
+ */
+int dy_flow_holder_has_target_ended(const dy_flow_holder_t *holder);
 /*
  * Returns whether the target is certainly gone, so that it holds no flow
  * either.
--- a/src/connection/flow_holder_notice.c
+++ b/src/connection/flow_holder_notice.c
@@ -181,11 +181,9 @@
 	return holder->notice.slots;
 }
 
-int dy_flow_holder_is_target_inactive(const dy_flow_holder_t *holder,
-				      uint64_t now_ms)
+int dy_flow_holder_has_target_ended(const dy_flow_holder_t *holder)
 {
-	return !holder->has_target || holder->left ||
-	       now_ms - holder->last_notice_ms > DY_NOTICE_TIMEOUT_MS;
+	return holder->left || holder->gone;
 }
 
 unsigned dy_flow_holder_count(const dy_flow_holder_t *holder)
--- a/src/process/flow/cmd_flow_agent.c
+++ b/src/process/flow/cmd_flow_agent.c
@@ -124,10 +124,18 @@
 			 report);
 }
 
+/*
+ * While this agent stops, searches for flows of a target that lives must not
+ * leave it out: they would find the flows nowhere.
+ */
 static dy_member_state_t member_state(const flow_agent_t *agent)
 {
-	return dy_flow_holder_is_serving(agent->holder) ? DY_MEMBER_SERVING
-							: DY_MEMBER_DRAINING;
+	if (dy_flow_holder_is_serving(agent->holder))
+		return DY_MEMBER_SERVING;
+	return agent->stop_started_ms &&
+			       dy_flow_holder_has_target_ended(agent->holder)
+		       ? DY_MEMBER_LEFT
+		       : DY_MEMBER_DRAINING;
 }
 
 /*
@@ -143,6 +151,15 @@
 		agent->member.info.service = agent->member.settings.service;
 }
 
+static void report_state(flow_agent_t *agent)
+{
+	dy_subscriber_t *subscriber = agent->member.subscriber;
+
+	if (subscriber)
+		dy_subscriber_set_state(subscriber, member_state(agent), NULL,
+					0);
+}
+
 /* Report the target's slots and whether it accepts flows to the controls. */
 static void on_changed(void *context)
 {
@@ -154,8 +171,7 @@
 	set_announced_service(agent);
 	member->info.slots = dy_flow_holder_slots(agent->holder);
 	dy_subscriber_set_info(member->subscriber, &member->info);
-	dy_subscriber_set_state(member->subscriber, member_state(agent), NULL,
-				0);
+	report_state(agent);
 }
 
 static void check_target_port(void *context)
@@ -409,22 +425,14 @@
 	if (agent->stop_started_ms)
 		return;
 	agent->stop_started_ms = now_ms(agent);
-	dy_log_event(DY_LOG_INFO, "stop_begun",
-		     "flows=%u joined=%d target_inactive=%d",
-		     dy_flow_holder_count(agent->holder),
-		     !!agent->member.subscriber,
-		     dy_flow_holder_is_target_inactive(agent->holder,
-						       now_ms(agent)));
+	dy_log_event(
+		DY_LOG_INFO, "stop_begun", "flows=%u joined=%d target_ended=%d",
+		dy_flow_holder_count(agent->holder), !!agent->member.subscriber,
+		dy_flow_holder_has_target_ended(agent->holder));
 	dy_flow_holder_stop(agent->holder);
-	if (!agent->member.subscriber)
-		return;
-	/* An inactive target holds no flows, so no search needs this agent. */
-	dy_subscriber_set_state(agent->member.subscriber,
-				dy_flow_holder_is_target_inactive(
-					agent->holder, agent->stop_started_ms)
-					? DY_MEMBER_LEFT
-					: DY_MEMBER_DRAINING,
-				NULL, 0);
+	report_state(agent);
+	/* A target that ended without a word is found out by its port. */
+	dy_port_check_begin(agent->port_check);
 }
 
 static void on_refused(void *context, dy_status_t status)
@@ -464,17 +472,20 @@
 	dy_log_event(DY_LOG_INFO, "joining", "target_there=%d",
 		     !dy_flow_holder_is_target_gone(agent->holder));
 	flow_member_subscribe(member, DY_MEMBER_AGENT, &subscriber_callbacks);
-	dy_subscriber_set_state(member->subscriber, member_state(agent), NULL,
-				0);
+	report_state(agent);
 }
 
 static void on_port_checked(void *context, dy_port_state_t state)
 {
 	flow_agent_t *agent = context;
+	int ended = dy_flow_holder_has_target_ended(agent->holder);
 
 	dy_flow_holder_port_checked(agent->holder, state, now_ms(agent));
 	if (!agent->member.subscriber && !agent->stop_started_ms)
 		subscribe(agent);
+	else if (agent->stop_started_ms &&
+		 ended != dy_flow_holder_has_target_ended(agent->holder))
+		report_state(agent);
 }
 
 static void on_report_timer(void *context)
--- a/tests/test_flow_holder.c
+++ b/tests/test_flow_holder.c
@@ -278,17 +278,14 @@
 START_TEST(passes_on_opening_while_stopping)
 {
 	fake_holder_begin();
-	ck_assert(!dy_flow_holder_is_target_inactive(fake_holder.holder,
-						     fake_holder.now_ms));
+	ck_assert(!dy_flow_holder_has_target_ended(fake_holder.holder));
 	dy_flow_holder_stop(fake_holder.holder);
 	fake_holder_from_caller(1, DY_PACKET_SYN, 0, 0);
 	ck_assert_uint_eq(fake_holder.passed_on, 1);
 	dy_flow_holder_target_left(fake_holder.holder, "another");
-	ck_assert(!dy_flow_holder_is_target_inactive(fake_holder.holder,
-						     fake_holder.now_ms));
+	ck_assert(!dy_flow_holder_has_target_ended(fake_holder.holder));
 	dy_flow_holder_target_left(fake_holder.holder, "t1");
-	ck_assert(dy_flow_holder_is_target_inactive(fake_holder.holder,
-						    fake_holder.now_ms));
+	ck_assert(dy_flow_holder_has_target_ended(fake_holder.holder));
 	fake_holder_end();
 }
 END_TEST
--- a/tests/test_flow_presence.c
+++ b/tests/test_flow_presence.c
@@ -117,6 +117,35 @@
 				    fake_holder.now_ms);
 }
 
+/* Guards against a stopping agent that says its target holds no flows. */
+START_TEST(target_that_was_not_heard_has_not_ended)
+{
+	fake_holder_create();
+	ck_assert(!dy_flow_holder_has_target_ended(fake_holder.holder));
+	finish_port_check(DY_PORT_LISTENING);
+	ck_assert(!dy_flow_holder_has_target_ended(fake_holder.holder));
+	finish_port_check(DY_PORT_REFUSED);
+	ck_assert(dy_flow_holder_has_target_ended(fake_holder.holder));
+	fake_holder_end();
+}
+END_TEST
+
+/* Guards against the same with a target whose notices are held up. */
+START_TEST(target_that_is_silent_has_not_ended)
+{
+	fake_holder_begin();
+	fake_holder.now_ms += DY_NOTICE_TIMEOUT_MS + 1;
+	dy_flow_holder_tick(fake_holder.holder, fake_holder.now_ms);
+	ck_assert(!dy_flow_holder_is_serving(fake_holder.holder));
+	ck_assert(!dy_flow_holder_has_target_ended(fake_holder.holder));
+	finish_port_check(DY_PORT_LISTENING);
+	finish_port_check(DY_PORT_REFUSED);
+	finish_port_check(DY_PORT_REFUSED);
+	ck_assert(dy_flow_holder_has_target_ended(fake_holder.holder));
+	fake_holder_end();
+}
+END_TEST
+
 /*
  * A target crashes with open flows. Without the port checks, callers of
  * idempotent requests wait for their deadlines, and new flows go to the dead
@@ -241,6 +270,8 @@
 int main(void)
 {
 	const TTest *const tests[] = {
+		target_that_was_not_heard_has_not_ended,
+		target_that_is_silent_has_not_ended,
 		refuses_openings_once_drain_is_acknowledged,
 		ignores_late_notice,
 		ignores_notice_of_earlier_instance,
