--- a/src/process/flow/cmd_flow_agent.c
+++ b/src/process/flow/cmd_flow_agent.c
@@ -24,9 +24,9 @@
 #define TICK_INTERVAL_MS 50
 
 /*
- * Delay of a planned stop, in ms: one and a half poll intervals, in which
- * balancers learn to choose other agents. It is short because nothing reaches
- * the target while this agent is away.
+ * Delay of a planned stop since control learned of it, in ms: one and a half
+ * poll intervals, in which balancers learn to choose other agents. It is short
+ * because no new flow reaches the target meanwhile.
  */
 #define STOP_DELAY_MS 800
 
@@ -45,6 +45,7 @@
 	agent_prober_t *prober;
 	dy_liveness_port_t *liveness;
 	uint64_t stop_started_ms;
+	uint64_t stop_told_ms; /* control confirmed that it stops; 0: not yet */
 	dy_log_limit_t refused_limit;
 	uint64_t *malformed;
 } flow_agent_t;
@@ -418,6 +419,8 @@
 	}
 }
 
+static void subscribe(flow_agent_t *agent);
+
 static void begin_stop(void *context)
 {
 	flow_agent_t *agent = context;
@@ -430,7 +433,10 @@
 		dy_flow_holder_count(agent->holder), !!agent->member.subscriber,
 		dy_flow_holder_has_target_ended(agent->holder));
 	dy_flow_holder_stop(agent->holder);
-	report_state(agent);
+	if (agent->member.subscriber)
+		report_state(agent);
+	else
+		subscribe(agent);
 	/* A target that ended without a word is found out by its port. */
 	dy_port_check_begin(agent->port_check);
 }
@@ -439,8 +445,14 @@
 {
 	flow_agent_t *agent = context;
 
-	if (agent->stop_started_ms ||
-	    !flow_member_rejoin(&agent->member, status))
+	if (agent->stop_started_ms) {
+		/* Another incarnation has this one's name, or this one ended.
+		 */
+		if (status == DY_STATUS_SUPERSEDED)
+			agent->stop_told_ms = now_ms(agent);
+		return;
+	}
+	if (!flow_member_rejoin(&agent->member, status))
 		return;
 	agent->member.info.service = "";
 	on_changed(agent);
@@ -495,20 +507,36 @@
 	dy_flow_holder_tick(agent->holder, now_ms(agent));
 }
 
+/*
+ * Guards against a stop while no control can be reached. Balancers would take
+ * this agent for serving and choose it for new flows after it has ended. Until
+ * control has learned of the stop, the packets of open flows still pass.
+ */
+static void end_stop_if_due(flow_agent_t *agent)
+{
+	uint64_t now = now_ms(agent);
+	uint64_t elapsed_ms = now - agent->stop_started_ms;
+
+	if (!agent->stop_started_ms)
+		return;
+	if (!agent->stop_told_ms &&
+	    dy_subscriber_is_state_confirmed(agent->member.subscriber))
+		agent->stop_told_ms = now;
+	if (elapsed_ms < flow_member_stop_limit_ms(&agent->member) &&
+	    (!agent->stop_told_ms || now - agent->stop_told_ms < STOP_DELAY_MS))
+		return;
+	dy_log_event(DY_LOG_INFO, "stop_ended", "told=%d ms=%lu",
+		     !!agent->stop_told_ms, (unsigned long)elapsed_ms);
+	dy_loop_end(agent->member.loop);
+}
+
 static void on_tick(void *context)
 {
 	flow_agent_t *agent = context;
 
 	agent_ledger_tick(agent->ledger);
 	agent_prober_tick(agent->prober);
-	if (!agent->stop_started_ms ||
-	    now_ms(agent) - agent->stop_started_ms < STOP_DELAY_MS)
-		return;
-	dy_log_event(DY_LOG_INFO, "stop_ended", "told=%d",
-		     agent->member.subscriber &&
-			     dy_subscriber_is_state_confirmed(
-				     agent->member.subscriber));
-	dy_loop_end(agent->member.loop);
+	end_stop_if_due(agent);
 }
 
 static dy_http_server_t *open_http(flow_agent_t *agent,
--- a/src/process/flow/cmd_flow_balancer.c
+++ b/src/process/flow/cmd_flow_balancer.c
@@ -37,9 +37,6 @@
 #define STOP_MIN_MS 1500
 #define STOP_IDLE_MS 400
 
-/* A stop ends this long before the limit of the settings, in ms. */
-#define STOP_MARGIN_MS 700
-
 /* Limit of HTTP bodies; the readiness call has none. */
 #define BODY_MAX_BYTES 1024
 
@@ -418,11 +415,10 @@
 {
 	uint64_t now = now_ms(balancer);
 	uint64_t elapsed_ms = now - balancer->stop_started_ms;
-	uint64_t limit_ms = balancer->member.settings.stop_ms;
+	uint64_t limit_ms = flow_member_stop_limit_ms(&balancer->member);
 
 	if (!balancer->stop_started_ms)
 		return;
-	limit_ms -= MIN(limit_ms, (uint64_t)STOP_MARGIN_MS);
 	if (elapsed_ms < limit_ms &&
 	    (elapsed_ms < STOP_MIN_MS ||
 	     now - balancer->last_packet_ms < STOP_IDLE_MS ||
--- a/src/process/flow/flow_member.c
+++ b/src/process/flow/flow_member.c
@@ -5,6 +5,9 @@
 #include "command.h"
 #include "damaskyard/log.h"
 
+/* A stop ends this long before the limit of the settings, in ms. */
+#define STOP_MARGIN_MS 700
+
 int flow_member_load(flow_member_t *member, int argc, char **argv,
 		     const char *command, const char *summary,
 		     dy_flow_role_t role)
@@ -144,6 +147,13 @@
 		dy_endpoint_send_to(member->inner, member->send_buf, len, to);
 }
 
+uint64_t flow_member_stop_limit_ms(const flow_member_t *member)
+{
+	uint64_t limit_ms = member->settings.stop_ms;
+
+	return limit_ms - MIN(limit_ms, (uint64_t)STOP_MARGIN_MS);
+}
+
 void flow_member_close(flow_member_t *member)
 {
 	metrics_page_destroy(member->page);
--- a/src/process/flow/flow_member.h
+++ b/src/process/flow/flow_member.h
@@ -83,6 +83,9 @@
 		      uint32_t program, uint32_t procedure, xdrproc_t proc,
 		      void *args);
 
+/* Return how long a planned stop may take, in ms, by the settings. */
+uint64_t flow_member_stop_limit_ms(const flow_member_t *member);
+
 /* Free everything that was created since flow_member_load(). */
 void flow_member_close(flow_member_t *member);
 
