--- a/src/process/flow/cmd_flow_agent.c
+++ b/src/process/flow/cmd_flow_agent.c
@@ -13,6 +13,7 @@
 #include "damaskyard/http.h"
 #include "damaskyard/liveness_port.h"
 #include "damaskyard/log.h"
+#include "damaskyard/planned_stop.h"
 #include "damaskyard/port_check.h"
 #include "dy_ledger.h"
 #include "flow_member.h"
@@ -44,8 +45,7 @@
 	agent_ledger_t *ledger;
 	agent_prober_t *prober;
 	dy_liveness_port_t *liveness;
-	uint64_t stop_started_ms;
-	uint64_t stop_told_ms; /* control confirmed that it stops; 0: not yet */
+	dy_planned_stop_t stop;
 	dy_log_limit_t refused_limit;
 	uint64_t *malformed;
 } flow_agent_t;
@@ -133,7 +133,7 @@
 {
 	if (dy_flow_holder_is_serving(agent->holder))
 		return DY_MEMBER_SERVING;
-	return agent->stop_started_ms &&
+	return agent->stop.begun_ms &&
 			       dy_flow_holder_has_target_ended(agent->holder)
 		       ? DY_MEMBER_LEFT
 		       : DY_MEMBER_DRAINING;
@@ -415,7 +415,7 @@
 		dy_http_answer_status(exchange, 200);
 		return;
 	default:
-		flow_member_answer(exchange, call, !agent->stop_started_ms);
+		flow_member_answer(exchange, call, !agent->stop.begun_ms);
 	}
 }
 
@@ -425,9 +425,8 @@
 {
 	flow_agent_t *agent = context;
 
-	if (agent->stop_started_ms)
+	if (!dy_planned_stop_begin(&agent->stop, now_ms(agent)))
 		return;
-	agent->stop_started_ms = now_ms(agent);
 	dy_log_event(
 		DY_LOG_INFO, "stop_begun", "flows=%u joined=%d target_ended=%d",
 		dy_flow_holder_count(agent->holder), !!agent->member.subscriber,
@@ -445,11 +444,11 @@
 {
 	flow_agent_t *agent = context;
 
-	if (agent->stop_started_ms) {
+	if (agent->stop.begun_ms) {
 		/* Another incarnation has this one's name, or this one ended.
 		 */
 		if (status == DY_STATUS_SUPERSEDED)
-			agent->stop_told_ms = now_ms(agent);
+			dy_planned_stop_note_told(&agent->stop, now_ms(agent));
 		return;
 	}
 	if (!flow_member_rejoin(&agent->member, status))
@@ -493,9 +492,9 @@
 	int ended = dy_flow_holder_has_target_ended(agent->holder);
 
 	dy_flow_holder_port_checked(agent->holder, state, now_ms(agent));
-	if (!agent->member.subscriber && !agent->stop_started_ms)
+	if (!agent->member.subscriber && !agent->stop.begun_ms)
 		subscribe(agent);
-	else if (agent->stop_started_ms &&
+	else if (agent->stop.begun_ms &&
 		 ended != dy_flow_holder_has_target_ended(agent->holder))
 		report_state(agent);
 }
@@ -507,26 +506,21 @@
 	dy_flow_holder_tick(agent->holder, now_ms(agent));
 }
 
-/*
- * Guards against a stop while no control can be reached. Balancers would take
- * this agent for serving and choose it for new flows after it has ended. Until
- * control has learned of the stop, the packets of open flows still pass.
- */
 static void end_stop_if_due(flow_agent_t *agent)
 {
 	uint64_t now = now_ms(agent);
-	uint64_t elapsed_ms = now - agent->stop_started_ms;
 
-	if (!agent->stop_started_ms)
+	if (!agent->stop.begun_ms)
 		return;
-	if (!agent->stop_told_ms &&
-	    dy_subscriber_is_state_confirmed(agent->member.subscriber))
-		agent->stop_told_ms = now;
-	if (elapsed_ms < flow_member_stop_limit_ms(&agent->member) &&
-	    (!agent->stop_told_ms || now - agent->stop_told_ms < STOP_DELAY_MS))
+	if (dy_subscriber_is_state_confirmed(agent->member.subscriber))
+		dy_planned_stop_note_told(&agent->stop, now);
+	if (!dy_planned_stop_is_due(&agent->stop, STOP_DELAY_MS,
+				    flow_member_stop_limit_ms(&agent->member),
+				    now))
 		return;
 	dy_log_event(DY_LOG_INFO, "stop_ended", "told=%d ms=%lu",
-		     !!agent->stop_told_ms, (unsigned long)elapsed_ms);
+		     !!agent->stop.told_ms,
+		     (unsigned long)(now - agent->stop.begun_ms));
 	dy_loop_end(agent->member.loop);
 }
 
