--- a/soak/faults.c
+++ b/soak/faults.c
@@ -30,9 +30,9 @@
 #define ROLL_DELAY_MAX_MS 2500
 #define ROLL_GAP_MIN_MS 100
 #define ROLL_GAP_MAX_MS 600
-/* From the signal to the next start; a lease and its check last for 5 s. */
+/* From the signal to the next start: also longer than a lease and its check. */
 #define ROLL_RESTART_MIN_MS 900
-#define ROLL_RESTART_MAX_MS 3500
+#define ROLL_RESTART_MAX_MS 9000
 /* Of three agents one is stopped again this soon after its start, at most. */
 #define ROLL_AGAIN_MAX_MS 1500
 
