--- a/include/damaskyard/flow_prober.h
+++ b/include/damaskyard/flow_prober.h
@@ -35,9 +35,12 @@
 	void (*probe)(void *context, const dy_address_t *agent);
 	/* Begins to check the agent's liveness port, unless a check runs. */
 	void (*check_port)(void *context, const dy_address_t *agent);
-	/* Sends the result of an inquiry to the balancer. */
+	/*
+	 * Sends a result of an inquiry to the balancer. DY_FLOW_ACCEPTED may be
+	 * followed by DY_FLOW_ECHOED.
+	 */
 	void (*finding)(void *context, const dy_address_t *balancer,
-			const dy_address_t *agent, int answered);
+			const dy_address_t *agent, dy_flow_answer_t answer);
 } dy_flow_prober_callbacks_t;
 
 /*
--- a/include/damaskyard/flow_targets.h
+++ b/include/damaskyard/flow_targets.h
@@ -102,6 +102,12 @@
  */
 #define DY_FLOW_LOST_ASK_INTERVAL_MS 400
 
+/*
+ * How long the process of a suspect agent may have ended on a VM that runs, in
+ * ms, before the agent counts as lost: a slow restart takes less.
+ */
+#define DY_FLOW_RESTART_TIMEOUT_MS 60000
+
 /*
  * Interval of an agent's load reports to a balancer that sends it packets.
  * Until the next report the balancer adds the flows that it opened itself.
@@ -219,24 +225,32 @@
  * Returns whether the agent is lost: its lease has expired, and this balancer
  * has received no report for DY_FLOW_LOST_TIMEOUT_MS, counted from the first
  * call for this suspect agent if that is later. From that call on the agent is
- * asked for reports. An agent that only lost its connection to control is not
- * lost: it answers.
+ * asked for reports, and witnesses whether they hear it (flow_silence.h). An
+ * agent that only lost its connection to control is not lost: it answers, or
+ * echoes to a witness. Nor is one whose process has ended on a VM that runs,
+ * for DY_FLOW_RESTART_TIMEOUT_MS: it is being restarted.
  */
 int dy_flow_targets_is_lost(dy_flow_targets_t *targets,
 			    const dy_address_t *agent, uint64_t now_ms);
 
-/* Requests a report from the agent. */
-typedef void dy_flow_targets_ask_cb_t(void *context, const dy_address_t *agent);
+typedef struct dy_flow_targets_ask_callbacks {
+	/* Requests a report from the agent. */
+	void (*request_report)(void *context, const dy_address_t *agent);
+	/* Asks the witness whether it hears the agent. */
+	void (*inquire)(void *context, const dy_address_t *witness,
+			const dy_address_t *agent);
+} dy_flow_targets_ask_callbacks_t;
 
 /*
- * Call ask for each suspect agent that is checked and owes a report. Call it
- * every 100 ms: agents report only to balancers that send them something, and
- * without it a live agent would count as lost after a pause of its callers. A
- * call that is late by more than DY_FLOW_LOST_ASK_INTERVAL_MS restarts all
- * checks.
+ * Ask each suspect agent that is checked and owes a report, and its witnesses.
+ * Call it every 100 ms: agents report only to balancers that send them
+ * something, and without it a live agent would count as lost after a pause of
+ * its callers. A call that is late by more than DY_FLOW_LOST_ASK_INTERVAL_MS
+ * restarts all checks.
  */
-void dy_flow_targets_ask_suspects(dy_flow_targets_t *targets, uint64_t now_ms,
-				  dy_flow_targets_ask_cb_t *ask, void *context);
+void dy_flow_targets_ask_suspects(
+	dy_flow_targets_t *targets, uint64_t now_ms,
+	const dy_flow_targets_ask_callbacks_t *callbacks, void *context);
 
 /*
  * Returns whether the agent is unresponsive: its VM is stalled, without power
@@ -257,11 +271,11 @@
 	const dy_flow_id_t *flow, uint64_t now_ms,
 	dy_address_t witnesses[DY_FLOW_WITNESSES]);
 
-/* Record whether the agent answered a witness. */
+/* Record what a witness got from the agent. */
 void dy_flow_targets_set_finding(dy_flow_targets_t *targets,
 				 const dy_address_t *agent,
-				 const dy_address_t *witness, int answered,
-				 uint64_t now_ms);
+				 const dy_address_t *witness,
+				 dy_flow_answer_t answer, uint64_t now_ms);
 
 /* What a balancer knows of an agent, for logs. */
 typedef struct dy_flow_agent_facts {
--- a/proto/dy_flow.x
+++ b/proto/dy_flow.x
@@ -158,11 +158,24 @@
 	dy_address_t agent;	/* the one that was probed */
 };
 
+/*
+ * What a witness got from an agent: nothing; a connection at its liveness port,
+ * which the kernel accepts for a process that does not run as well; an echo of
+ * its process; a refused connection, from a VM on which its process has ended.
+ * Older builds know the first two only, and take all others for the second.
+ */
+enum dy_flow_answer_t {
+	DY_FLOW_NO_ANSWER = 0,
+	DY_FLOW_ACCEPTED = 1,
+	DY_FLOW_ECHOED = 2,
+	DY_FLOW_REFUSED_PORT = 3
+};
+
 /* The result of an inquiry. */
 struct dy_flow_finding_t {
 	dy_address_t witness;
 	dy_address_t agent;	/* the one that was probed */
-	bool answered;
+	dy_flow_answer_t answer;
 };
 
 program DY_FLOW_AGENT_PROGRAM {
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -364,16 +364,18 @@
 				    uint64_t now_ms)
 {
 	dy_flow_targets_set_finding(router->targets, &finding->agent,
-				    &finding->witness, finding->answered,
-				    now_ms);
+				    &finding->witness, finding->answer, now_ms);
 }
 
 void dy_flow_router_expire(dy_flow_router_t *router, uint64_t now_ms)
 {
+	const dy_flow_targets_ask_callbacks_t ask = {
+		router->config.callbacks->request_report,
+		router->config.callbacks->inquire,
+	};
 	flow_t *flow;
 
-	dy_flow_targets_ask_suspects(router->targets, now_ms,
-				     router->config.callbacks->request_report,
+	dy_flow_targets_ask_suspects(router->targets, now_ms, &ask,
 				     router->config.context);
 	flow_router_serve_uploads(router, now_ms);
 	flow_router_serve_waiting(router, now_ms);
--- a/src/gen/dy_flow.h
+++ b/src/gen/dy_flow.h
@@ -153,10 +153,18 @@
 };
 typedef struct dy_flow_echo_t dy_flow_echo_t;
 
+enum dy_flow_answer_t {
+	DY_FLOW_NO_ANSWER = 0,
+	DY_FLOW_ACCEPTED = 1,
+	DY_FLOW_ECHOED = 2,
+	DY_FLOW_REFUSED_PORT = 3,
+};
+typedef enum dy_flow_answer_t dy_flow_answer_t;
+
 struct dy_flow_finding_t {
 	dy_address_t witness;
 	dy_address_t agent;
-	bool_t answered;
+	dy_flow_answer_t answer;
 };
 typedef struct dy_flow_finding_t dy_flow_finding_t;
 
@@ -289,6 +297,7 @@
 extern  bool_t xdr_dy_flow_inquiry_t (XDR *, dy_flow_inquiry_t*);
 extern  bool_t xdr_dy_flow_probe_t (XDR *, dy_flow_probe_t*);
 extern  bool_t xdr_dy_flow_echo_t (XDR *, dy_flow_echo_t*);
+extern  bool_t xdr_dy_flow_answer_t (XDR *, dy_flow_answer_t*);
 extern  bool_t xdr_dy_flow_finding_t (XDR *, dy_flow_finding_t*);
 
 #else /* K&R C */
@@ -308,6 +317,7 @@
 extern bool_t xdr_dy_flow_inquiry_t ();
 extern bool_t xdr_dy_flow_probe_t ();
 extern bool_t xdr_dy_flow_echo_t ();
+extern bool_t xdr_dy_flow_answer_t ();
 extern bool_t xdr_dy_flow_finding_t ();
 
 #endif /* K&R C */
--- a/src/gen/dy_flow_xdr.c
+++ b/src/gen/dy_flow_xdr.c
@@ -467,6 +467,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dy_flow_answer_t (XDR *xdrs, dy_flow_answer_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dy_flow_finding_t (XDR *xdrs, dy_flow_finding_t *objp)
 {
@@ -476,7 +486,7 @@
 		 return FALSE;
 	 if (!xdr_dy_address_t (xdrs, &objp->agent))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->answered))
+	 if (!xdr_dy_flow_answer_t (xdrs, &objp->answer))
 		 return FALSE;
 	return TRUE;
 }
--- a/src/process/flow/agent_prober.c
+++ b/src/process/flow/agent_prober.c
@@ -36,11 +36,11 @@
 }
 
 static void send_finding(void *context, const dy_address_t *balancer,
-			 const dy_address_t *agent, int answered)
+			 const dy_address_t *agent, dy_flow_answer_t answer)
 {
 	agent_prober_t *prober = context;
 	dy_flow_finding_t finding = { prober->member->settings.inner, *agent,
-				      answered };
+				      answer };
 
 	flow_member_send(prober->member, balancer, DY_FLOW_BALANCER_PROGRAM,
 			 DY_FLOW_FINDING, (xdrproc_t)xdr_dy_flow_finding_t,
--- a/src/version/flow_prober.c
+++ b/src/version/flow_prober.c
@@ -10,6 +10,7 @@
 	dy_address_t balancer;
 	dy_address_t agent;
 	unsigned probes; /* sent so far */
+	int accepted;	 /* reported that the port accepted a connection */
 	uint64_t last_probe_ms;
 } inquiry_t;
 
@@ -91,16 +92,29 @@
 	send_probe(prober, inquiry, now_ms);
 }
 
-static void report(dy_flow_prober_t *prober, inquiry_t *inquiry, int answered)
+static void report(dy_flow_prober_t *prober, const inquiry_t *inquiry,
+		   dy_flow_answer_t answer)
 {
 	prober->callbacks->finding(prober->context, &inquiry->balancer,
-				   &inquiry->agent, answered);
-	end_inquiry(prober, inquiry);
+				   &inquiry->agent, answer);
 }
 
-/* Tells all who asked about an agent that its VM runs. Returns their number. */
-static unsigned report_running(dy_flow_prober_t *prober,
-			       const dy_address_t *agent)
+/* Returns whether the inquiry has to be told of the answer. */
+static int concerns(const inquiry_t *inquiry, const dy_address_t *agent,
+		    dy_flow_answer_t answer)
+{
+	return dy_address_equal(&inquiry->agent, agent) &&
+	       (answer != DY_FLOW_ACCEPTED || !inquiry->accepted);
+}
+
+/*
+ * Tells all who asked about an agent what it answered. Returns their number. A
+ * process that runs echoes soon after its port has accepted a connection, so
+ * that inquiries go on then.
+ */
+static unsigned report_answer(dy_flow_prober_t *prober,
+			      const dy_address_t *agent,
+			      dy_flow_answer_t answer)
 {
 	inquiry_t *inquiry;
 	dy_list_t *pos;
@@ -110,9 +124,12 @@
 	DY_LIST_EACH_SAFE(pos, tmp, &prober->inquiries)
 	{
 		inquiry = DY_LIST_ITEM(pos, inquiry_t, link);
-		if (!dy_address_equal(&inquiry->agent, agent))
+		if (!concerns(inquiry, agent, answer))
 			continue;
-		report(prober, inquiry, 1);
+		report(prober, inquiry, answer);
+		inquiry->accepted = answer == DY_FLOW_ACCEPTED;
+		if (!inquiry->accepted)
+			end_inquiry(prober, inquiry);
 		count++;
 	}
 	return count;
@@ -121,14 +138,21 @@
 void dy_flow_prober_receive_echo(dy_flow_prober_t *prober,
 				 const dy_address_t *agent)
 {
-	report_running(prober, agent);
+	report_answer(prober, agent, DY_FLOW_ECHOED);
 }
 
 unsigned dy_flow_prober_receive_port_state(dy_flow_prober_t *prober,
 					   const dy_address_t *agent,
 					   dy_port_state_t state)
 {
-	return state == DY_PORT_UNKNOWN ? 0 : report_running(prober, agent);
+	switch (state) {
+	case DY_PORT_LISTENING:
+		return report_answer(prober, agent, DY_FLOW_ACCEPTED);
+	case DY_PORT_REFUSED:
+		return report_answer(prober, agent, DY_FLOW_REFUSED_PORT);
+	default:
+		return 0;
+	}
 }
 
 /*
@@ -152,9 +176,12 @@
 		if (now_ms - inquiry->last_probe_ms < DY_FLOW_PROBE_INTERVAL_MS)
 			continue;
 		if (inquiry->probes < DY_FLOW_PROBES ||
-		    stood_still(inquiry, now_ms))
+		    stood_still(inquiry, now_ms)) {
 			send_probe(prober, inquiry, now_ms);
-		else
-			report(prober, inquiry, 0);
+			continue;
+		}
+		if (!inquiry->accepted)
+			report(prober, inquiry, DY_FLOW_NO_ANSWER);
+		end_inquiry(prober, inquiry);
 	}
 }
--- a/src/version/flow_targets.c
+++ b/src/version/flow_targets.c
@@ -386,17 +386,18 @@
 
 void dy_flow_targets_set_finding(dy_flow_targets_t *targets,
 				 const dy_address_t *agent,
-				 const dy_address_t *witness, int answered,
-				 uint64_t now_ms)
+				 const dy_address_t *witness,
+				 dy_flow_answer_t answer, uint64_t now_ms)
 {
 	target_t *target = flow_targets_find(targets, agent);
 
 	if (!target)
 		return;
-	if (answered)
+	if (answer != DY_FLOW_NO_ANSWER)
 		dy_flow_silence_end(&target->silence);
 	else
 		dy_flow_silence_confirm(&target->silence, witness, now_ms);
+	flow_targets_excuse_suspect(target, answer, now_ms);
 }
 
 void dy_flow_targets_note_opened(dy_flow_targets_t *targets,
--- a/src/version/flow_targets_private.h
+++ b/src/version/flow_targets_private.h
@@ -32,6 +32,10 @@
 	uint64_t last_report_ms;
 	/* First call of dy_flow_targets_is_lost() since it is suspect, or 0. */
 	uint64_t lost_check_ms;
+	/* Last finding of a witness by which it is not lost, or 0. */
+	uint64_t excused_ms;
+	/* First finding, while it is suspect, that its process ended; or 0. */
+	uint64_t ended_since_ms;
 	dy_list_t suspect_link; /* in the list of suspects, while checked */
 	dy_flow_silence_t silence;
 	dy_flow_path_t path;
@@ -62,6 +66,19 @@
 /* Ends the check whether a suspect agent is lost; flow_targets_lost.c. */
 void flow_targets_end_lost_check(target_t *target);
 
+/* Takes a witness's finding about a suspect agent; flow_targets_lost.c. */
+void flow_targets_excuse_suspect(target_t *target, dy_flow_answer_t answer,
+				 uint64_t now_ms);
+
+/*
+ * As dy_flow_targets_begin_inquiry() for a known agent. hash names the place at
+ * which to begin, so that witnesses differ.
+ */
+unsigned flow_targets_begin_inquiry(const dy_flow_targets_t *targets,
+				    target_t *subject, uint64_t hash,
+				    uint64_t now_ms,
+				    dy_address_t witnesses[DY_FLOW_WITNESSES]);
+
 int flow_targets_accepts_new_flows(const target_t *target);
 
 #endif
--- a/src/version/flow_targets_select.c
+++ b/src/version/flow_targets_select.c
@@ -276,16 +276,15 @@
 
 /*
  * Finds an agent of list that can probe subject, other than exclude: one of
- * subject's domain or, with other_domain, of another one, if there is any. The
- * flow's hash names the place to begin, so that witnesses differ between flows.
+ * subject's domain or, with other_domain, of another one, if there is any. hash
+ * names the place to begin.
  */
 static const target_t *find_witness(const GPtrArray *list,
 				    const target_t *subject,
-				    const target_t *exclude,
-				    const dy_flow_id_t *flow, int other_domain,
-				    uint64_t now_ms)
+				    const target_t *exclude, uint64_t hash,
+				    int other_domain, uint64_t now_ms)
 {
-	guint start = (guint)(dy_flow_id_hash(flow) % list->len);
+	guint start = (guint)(hash % list->len);
 	const target_t *found = NULL;
 	const target_t *target;
 	guint i;
@@ -302,22 +301,21 @@
 	return found;
 }
 
-unsigned dy_flow_targets_begin_inquiry(
-	dy_flow_targets_t *targets, const dy_address_t *agent,
-	const dy_flow_id_t *flow, uint64_t now_ms,
-	dy_address_t witnesses[DY_FLOW_WITNESSES])
+unsigned flow_targets_begin_inquiry(const dy_flow_targets_t *targets,
+				    target_t *subject, uint64_t hash,
+				    uint64_t now_ms,
+				    dy_address_t witnesses[DY_FLOW_WITNESSES])
 {
-	target_t *subject = flow_targets_find(targets, agent);
 	const target_t *witness = NULL;
 	const GPtrArray *list;
 	unsigned count = 0;
 
-	if (!subject || !subject->service ||
+	if (!subject->service ||
 	    !dy_flow_silence_begin_inquiry(&subject->silence, now_ms))
 		return 0;
 	list = g_hash_table_lookup(targets->services, subject->service);
 	while (count < DY_FLOW_WITNESSES) {
-		witness = find_witness(list, subject, witness, flow, !count,
+		witness = find_witness(list, subject, witness, hash, !count,
 				       now_ms);
 		if (!witness)
 			break;
@@ -325,3 +323,16 @@
 	}
 	return count;
 }
+
+unsigned dy_flow_targets_begin_inquiry(
+	dy_flow_targets_t *targets, const dy_address_t *agent,
+	const dy_flow_id_t *flow, uint64_t now_ms,
+	dy_address_t witnesses[DY_FLOW_WITNESSES])
+{
+	target_t *subject = flow_targets_find(targets, agent);
+
+	return subject ? flow_targets_begin_inquiry(targets, subject,
+						    dy_flow_id_hash(flow),
+						    now_ms, witnesses)
+		       : 0;
+}
--- a/tests/fake_router.c
+++ b/tests/fake_router.c
@@ -76,7 +76,7 @@
 		       const dy_address_t *agent)
 {
 	dy_flow_finding_t finding = { *witness, *agent,
-				      !fake_router.silent_to_witnesses };
+				      fake_router.answer_to_witnesses };
 
 	(void)context;
 	fake_router.inquiries++;
@@ -161,6 +161,7 @@
 
 	memset(&fake_router, 0, sizeof(fake_router));
 	fake_router.now_ms = 1000;
+	fake_router.answer_to_witnesses = DY_FLOW_ACCEPTED;
 	fake_router.metrics = dy_metrics_create();
 	config.self = fake_router_agent(200);
 	config.domain = "d1";
--- a/tests/fake_router.h
+++ b/tests/fake_router.h
@@ -33,7 +33,8 @@
 	dy_address_t reserved_at; /* the last one */
 	uint32_t standing;
 	unsigned declines;
-	int silent_to_witnesses; /* what findings report about a holder */
+	/* What findings report about an agent: accepted, if not set. */
+	dy_flow_answer_t answer_to_witnesses;
 	uint64_t now_ms;
 	uint8_t bytes[34];
 } fake_router_t;
--- a/tests/test_flow_lost.c
+++ b/tests/test_flow_lost.c
@@ -74,12 +74,100 @@
 }
 END_TEST
 
+/*
+ * Agent 1 holds flow 1 and is suspect; it hears none of this balancer's
+ * requests. Agents 2 and 3, which report, get this answer from it.
+ */
+static void begin_with_witnesses(dy_flow_answer_t answer)
+{
+	dy_address_t holder = fake_router_agent(1);
+
+	fake_router_begin(3);
+	fake_router.answer_to_witnesses = answer;
+	pass_time(100, 0);
+	fake_router_receive_held(1, &holder, 1);
+	fake_router_set_member(1, DY_MEMBER_SUSPECT, "readings");
+	fake_router_receive_packet(1, DY_PACKET_ACK, 5);
+}
+
+/* The flow's caller sends a packet every two seconds. */
+static void pass_time_with_witnesses(uint64_t for_ms)
+{
+	uint64_t end_ms = fake_router.now_ms + for_ms;
+
+	while (fake_router.now_ms < end_ms) {
+		fake_router_receive_report(2);
+		fake_router_receive_report(3);
+		pass_time(100, 0);
+		if (fake_router.now_ms % 2000 < 100)
+			fake_router_receive_packet(1, DY_PACKET_ACK, 5);
+	}
+}
+
+/*
+ * Guards against the reset of a flow whose agent is restarted as planned, and
+ * takes longer for it than its lease.
+ */
+START_TEST(keeps_flow_of_suspect_agent_that_is_being_restarted)
+{
+	begin_with_witnesses(DY_FLOW_REFUSED_PORT);
+	pass_time_with_witnesses(DY_FLOW_RESTART_TIMEOUT_MS / 2);
+	fake_router_receive_packet(1, DY_PACKET_ACK, 5);
+	ck_assert_uint_eq(fake_router.resets, 0);
+	pass_time_with_witnesses(DY_FLOW_RESTART_TIMEOUT_MS / 2 +
+				 2 * DY_FLOW_LOST_TIMEOUT_MS);
+	fake_router_receive_packet(1, DY_PACKET_ACK, 5);
+	ck_assert_uint_eq(fake_router.resets, 1);
+	fake_router_end();
+}
+END_TEST
+
+/*
+ * Guards against the reset of a flow because this balancer's own messages to or
+ * from its agent are lost.
+ */
+START_TEST(keeps_flow_of_suspect_agent_that_witnesses_hear)
+{
+	begin_with_witnesses(DY_FLOW_ECHOED);
+	pass_time_with_witnesses(2 * DY_FLOW_RESTART_TIMEOUT_MS);
+	fake_router_receive_packet(1, DY_PACKET_ACK, 5);
+	ck_assert_uint_eq(fake_router.resets, 0);
+	fake_router_end();
+}
+END_TEST
+
+/* An agent that stands still for longer than its lease counts as failed. */
+START_TEST(resets_flow_of_suspect_agent_that_does_not_run)
+{
+	begin_with_witnesses(DY_FLOW_ACCEPTED);
+	pass_time_with_witnesses(DY_FLOW_LOST_TIMEOUT_MS + 100);
+	fake_router_receive_packet(1, DY_PACKET_ACK, 5);
+	ck_assert_uint_eq(fake_router.resets, 1);
+	fake_router_end();
+}
+END_TEST
+
+/* A VM without power answers no witness. */
+START_TEST(resets_flow_of_suspect_agent_that_nobody_hears)
+{
+	begin_with_witnesses(DY_FLOW_NO_ANSWER);
+	pass_time_with_witnesses(DY_FLOW_LOST_TIMEOUT_MS + 100);
+	fake_router_receive_packet(1, DY_PACKET_ACK, 5);
+	ck_assert_uint_eq(fake_router.resets, 1);
+	fake_router_end();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		keeps_flow_of_suspect_agent_after_pause,
 		resets_flow_of_suspect_agent_that_answers_no_request,
 		keeps_flow_of_suspect_agent_after_own_stall,
+		keeps_flow_of_suspect_agent_that_is_being_restarted,
+		keeps_flow_of_suspect_agent_that_witnesses_hear,
+		resets_flow_of_suspect_agent_that_does_not_run,
+		resets_flow_of_suspect_agent_that_nobody_hears,
 		NULL,
 	};
 
--- a/tests/test_flow_prober.c
+++ b/tests/test_flow_prober.c
@@ -10,7 +10,7 @@
 	unsigned probes;
 	unsigned checks;
 	unsigned findings;
-	int answered; /* the last finding */
+	dy_flow_answer_t answered; /* the last finding */
 	unsigned balancer;
 } fake;
 
@@ -37,7 +37,7 @@
 }
 
 static void on_finding(void *context, const dy_address_t *balancer,
-		       const dy_address_t *agent, int answered)
+		       const dy_address_t *agent, dy_flow_answer_t answered)
 {
 	(void)context;
 	(void)agent;
@@ -107,7 +107,7 @@
 	begin(1, 8, 1000);
 	dy_flow_prober_receive_echo(fake.prober, &agent);
 	ck_assert_uint_eq(fake.findings, 2);
-	ck_assert(fake.answered);
+	ck_assert_int_eq(fake.answered, DY_FLOW_ECHOED);
 	advance(1000, 500);
 	ck_assert_uint_eq(fake.findings, 3);
 	ck_assert(!fake.answered);
@@ -135,6 +135,24 @@
 }
 END_TEST
 
+/* Guards against an agent that runs and is taken for a late one. */
+START_TEST(reports_echo_after_accepted_connection)
+{
+	dy_address_t agent = address(9);
+
+	create();
+	begin(1, 9, 1000);
+	ck_assert_uint_eq(receive_port_state(9, DY_PORT_LISTENING), 1);
+	ck_assert_int_eq(fake.answered, DY_FLOW_ACCEPTED);
+	dy_flow_prober_receive_echo(fake.prober, &agent);
+	ck_assert_uint_eq(fake.findings, 2);
+	ck_assert_int_eq(fake.answered, DY_FLOW_ECHOED);
+	advance(1000, 500);
+	ck_assert_uint_eq(fake.findings, 2);
+	dy_flow_prober_destroy(fake.prober);
+}
+END_TEST
+
 /* Guards against an open flow reset because its agent is being restarted. */
 START_TEST(reports_restarting_agent_as_one_that_answers)
 {
@@ -143,7 +161,7 @@
 	begin(1, 8, 1000);
 	ck_assert_uint_eq(receive_port_state(9, DY_PORT_REFUSED), 1);
 	ck_assert_uint_eq(fake.findings, 1);
-	ck_assert(fake.answered);
+	ck_assert_int_eq(fake.answered, DY_FLOW_REFUSED_PORT);
 	ck_assert_uint_eq(receive_port_state(8, DY_PORT_UNKNOWN), 0);
 	advance(1000, 500);
 	ck_assert_uint_eq(fake.findings, 2);
@@ -214,6 +232,7 @@
 		reports_agent_that_answers_no_probe,
 		reports_agent_that_answers,
 		reports_late_agent_as_one_that_answers,
+		reports_echo_after_accepted_connection,
 		reports_restarting_agent_as_one_that_answers,
 		checks_port_with_each_probe,
 		ignores_repeated_inquiry,
--- a/tests/test_flow_router.c
+++ b/tests/test_flow_router.c
@@ -347,7 +347,7 @@
 	dy_address_t holder = fake_router_agent(1);
 
 	fake_router_begin(3);
-	fake_router.silent_to_witnesses = 1;
+	fake_router.answer_to_witnesses = DY_FLOW_NO_ANSWER;
 	fake_router_set_rules_with(6, "readings", NULL, repeatable);
 	fake_router_receive_held(1, &holder, 1);
 }
@@ -397,7 +397,7 @@
 START_TEST(keeps_flow_of_agent_that_answers_witnesses)
 {
 	begin_with_open_flow(1);
-	fake_router.silent_to_witnesses = 0;
+	fake_router.answer_to_witnesses = DY_FLOW_ACCEPTED;
 	send_requests_beside_silent_agent(5 * DY_FLOW_UNRESPONSIVE_TIMEOUT_MS);
 	ck_assert_uint_eq(fake_router.resets, 0);
 	ck_assert_uint_gt(fake_router.inquiries, 0);
