--- a/include/damaskyard/poll_pace.h
+++ b/include/damaskyard/poll_pace.h
@@ -13,7 +13,8 @@
  * An unanswered poll is retransmitted to another control under the same xid.
  * The answer of any control to any transmission completes the poll, so that a
  * retransmission that was sent too early does not waste the work of a
- * control. The retransmission timeout doubles each time, with random jitter.
+ * control. The retransmission timeout doubles each time, with random jitter, up
+ * to the poll interval for a member that control has answered.
  * A leader that invites this member (invitations.h) is polled at once, so
  * that long timeouts delay nothing while control is up.
  *
@@ -58,7 +59,10 @@
  */
 #define DY_POLL_BACKOFF_MS 50
 
-/* Upper bound in ms of timeout and backoff, without jitter. */
+/*
+ * Upper bound in ms of timeout and backoff, without jitter; the poll interval
+ * if that is shorter and control has answered before.
+ */
 #define DY_POLL_BACKOFF_MAX_MS 1600
 
 /*
--- a/src/process/poll_pace.c
+++ b/src/process/poll_pace.c
@@ -31,9 +31,21 @@
 	       (uint64_t)g_rand_int_range(pace->rand, 0, (gint32)ms / 2 + 1);
 }
 
-static void double_backoff(uint32_t *ms)
+/*
+ * Guards against a lease that expires between two transmissions: a member that
+ * control has answered retries as often as it polls, which control has
+ * capacity for. Others may be many thousands that start together.
+ */
+static uint32_t max_backoff_ms(const dy_poll_pace_t *pace)
 {
-	*ms = MIN(2 * *ms, DY_POLL_BACKOFF_MAX_MS);
+	if (!pace->confirmed)
+		return DY_POLL_BACKOFF_MAX_MS;
+	return (uint32_t)MIN(pace->interval_ms, DY_POLL_BACKOFF_MAX_MS);
+}
+
+static void double_backoff(const dy_poll_pace_t *pace, uint32_t *ms)
+{
+	*ms = MIN(2 * *ms, max_backoff_ms(pace));
 }
 
 static void start_poll(dy_poll_pace_t *pace)
@@ -55,7 +67,7 @@
 	}
 	pace->last_sent_ms = now_ms;
 	pace->due_ms = now_ms + add_jitter(pace, pace->retransmit_ms);
-	double_backoff(&pace->retransmit_ms);
+	double_backoff(pace, &pace->retransmit_ms);
 }
 
 void dy_poll_pace_note_answer(dy_poll_pace_t *pace, uint64_t interval_ms)
@@ -71,7 +83,7 @@
 void dy_poll_pace_back_off(dy_poll_pace_t *pace, uint64_t now_ms)
 {
 	pace->due_ms = now_ms + add_jitter(pace, pace->backoff_ms);
-	double_backoff(&pace->backoff_ms);
+	double_backoff(pace, &pace->backoff_ms);
 }
 
 void dy_poll_pace_poll_now(dy_poll_pace_t *pace, uint64_t now_ms)
--- a/tests/test_poll_pace.c
+++ b/tests/test_poll_pace.c
@@ -39,6 +39,51 @@
 }
 END_TEST
 
+/* Returns how often a member polls in for_ms without an answer. */
+static unsigned count_unanswered_polls(uint32_t seed, uint64_t interval_ms,
+				       uint64_t for_ms)
+{
+	dy_poll_pace_t pace;
+	dy_poll_step_t step;
+	unsigned sent = 0;
+	uint64_t now;
+
+	dy_poll_pace_init(&pace, seed);
+	dy_poll_pace_note_sent(&pace, dy_poll_pace_next(&pace, 0), 0);
+	dy_poll_pace_note_answer(&pace, interval_ms);
+	for (now = interval_ms; now < interval_ms + for_ms; now += 10) {
+		step = dy_poll_pace_next(&pace, now);
+		if (step == DY_POLL_WAIT)
+			continue;
+		dy_poll_pace_note_sent(&pace, step, now);
+		sent++;
+	}
+	dy_poll_pace_clear(&pace);
+	return sent;
+}
+
+/*
+ * Guards against a live member that becomes suspect because the one or two
+ * polls that it sends within a lease are lost.
+ */
+START_TEST(polls_four_times_in_lease_without_answer)
+{
+	uint32_t seed;
+	unsigned sent;
+
+	for (seed = 0; seed < 100; seed++) {
+		sent = count_unanswered_polls(seed, DY_POLL_INTERVAL_MS, 3000);
+		ck_assert_uint_ge(sent, 4);
+		ck_assert_uint_le(sent, 3000 / DY_POLL_INTERVAL_MS + 1);
+		/* With a long interval the bound of the backoff applies. */
+		sent = count_unanswered_polls(seed, DY_POLL_INTERVAL_MAX_MS,
+					      20000);
+		ck_assert_uint_ge(sent, 4);
+		ck_assert_uint_le(sent, 20000 / DY_POLL_BACKOFF_MAX_MS + 3);
+	}
+}
+END_TEST
+
 /* A poll is retransmitted within its time to live, then a new one is sent. */
 START_TEST(sends_new_poll_after_time_to_live)
 {
@@ -169,6 +214,7 @@
 {
 	const TTest *const tests[] = {
 		reduces_poll_rate_without_control,
+		polls_four_times_in_lease_without_answer,
 		sends_new_poll_after_time_to_live,
 		uses_interval_of_control_within_bounds,
 		polls_known_leader_at_once,
