--- a/src/process/flow/cmd_flow_agent.c
+++ b/src/process/flow/cmd_flow_agent.c
@@ -444,14 +444,10 @@
 {
 	flow_agent_t *agent = context;
 
-	if (agent->stop.begun_ms) {
-		/* Another incarnation has this one's name, or this one ended.
-		 */
-		if (status == DY_STATUS_SUPERSEDED)
-			dy_planned_stop_note_told(&agent->stop, now_ms(agent));
-		return;
-	}
-	if (!flow_member_rejoin(&agent->member, status))
+	/* Control has another incarnation, or knows that this one ended. */
+	if (agent->stop.begun_ms && status == DY_STATUS_SUPERSEDED)
+		dy_planned_stop_note_told(&agent->stop, now_ms(agent));
+	if (agent->stop.begun_ms || !flow_member_rejoin(&agent->member, status))
 		return;
 	agent->member.info.service = "";
 	on_changed(agent);
