--- a/src/process/subscriber.c
+++ b/src/process/subscriber.c
@@ -3,14 +3,12 @@
 #include <string.h>
 
 #include "damaskyard/log.h"
+#include "control_silence.h"
 #include "state_source.h"
 
 /* Interval in ms at which due polls and timeouts are checked. */
 #define TICK_INTERVAL_MS 50
 
-/* Time in ms without an answer of the leader after which the log says so. */
-#define SILENCE_LOG_MS 1000
-
 /* Header bytes of IPv4 and UDP, and of these and a sealed reply. */
 #define DATAGRAM_HEADER_BYTES 28
 #define REPLY_HEADER_BYTES (DATAGRAM_HEADER_BYTES + 56)
@@ -44,8 +42,7 @@
 	uint32_t confirmed_generation;
 	uint64_t confirmed_ms;
 	int confirmed;
-	uint64_t unanswered_since_ms; /* of the leader; 0: it answered */
-	int silence_logged;
+	control_silence_t silence;
 	int drain_reported;
 	state_source_t *source;
 	uint64_t *polls;
@@ -170,8 +167,7 @@
 	if (subscriber->pace.in_flight && !subscriber->redirected)
 		choose_next_control(subscriber);
 	subscriber->redirected = 0;
-	if (!subscriber->unanswered_since_ms)
-		subscriber->unanswered_since_ms = now_ms(subscriber);
+	control_silence_note_sent(&subscriber->silence, now_ms(subscriber));
 	dy_poll_pace_note_sent(&subscriber->pace, step, now_ms(subscriber));
 	send_poll(subscriber);
 }
@@ -301,41 +297,11 @@
 	return 1;
 }
 
-static uint64_t unanswered_ms(const dy_subscriber_t *subscriber)
-{
-	return subscriber->unanswered_since_ms
-		       ? now_ms(subscriber) - subscriber->unanswered_since_ms
-		       : 0;
-}
-
-/* The leader's view of this member may be out of date meanwhile. */
-static void log_silence(dy_subscriber_t *subscriber)
-{
-	char text[DY_ADDRESS_TEXT_BYTES];
-
-	if (subscriber->silence_logged ||
-	    unanswered_ms(subscriber) < SILENCE_LOG_MS)
-		return;
-	subscriber->silence_logged = 1;
-	dy_log_event(DY_LOG_WARN, "control_silent", "control=%s ms=%lu",
-		     dy_address_format(&subscriber->control, text),
-		     (unsigned long)unanswered_ms(subscriber));
-}
-
-static void end_silence(dy_subscriber_t *subscriber)
-{
-	if (subscriber->silence_logged)
-		dy_log_event(DY_LOG_INFO, "control_answers", "ms=%lu",
-			     (unsigned long)unanswered_ms(subscriber));
-	subscriber->silence_logged = 0;
-	subscriber->unanswered_since_ms = 0;
-}
-
 /* A majority has confirmed the poll, and with it this member's lease. */
 static void apply_confirmation(dy_subscriber_t *subscriber,
 			       const dy_poll_result_t *result)
 {
-	end_silence(subscriber);
+	control_silence_end(&subscriber->silence, now_ms(subscriber));
 	subscriber->redirect_followed = 0;
 	subscriber->redirected = 0;
 	subscriber->confirmed = 1;
@@ -537,7 +503,8 @@
 	if (state_source_tick(subscriber->source, now_ms(subscriber)))
 		dy_poll_pace_note_change(&subscriber->pace);
 	poll_if_due(subscriber);
-	log_silence(subscriber);
+	control_silence_review(&subscriber->silence, &subscriber->control,
+			       now_ms(subscriber));
 }
 
 /*
