--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -411,7 +411,8 @@
                             % len(body) + body)
             flow["last_at"] = flow["next"]
             flow["next"] += len(flow["last"])
-        answer(ACK, flow["last_at"], flow["last"])
+        if "last" in flow:
+            answer(ACK, flow["last_at"], flow["last"])
 
 
 class Client:
