--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -4,6 +4,7 @@
 of the cases of the second review."""
 
 import atexit
+import ctypes
 import http.client
 import json
 import os
@@ -18,13 +19,14 @@
 import threading
 import time
 import tomllib
+import traceback
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 ROOT = os.path.dirname(HERE)
 PROGRAM = os.path.join(ROOT, "target", "damaskyard")
 SYN, ACK, FIN, RST, BOUNCED = 8, 1, 128, 4, 2
 HEAD = struct.Struct("<IIB3xHHIIHII")  # sum echo flags sport dport dst src len seq ack
-ENTRY_IP, ENTRY_PORT = "198.18.0.1", 443
+ENTRY_IP, ENTRY_PORT = "127.79.0.1", 443
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -32,6 +34,11 @@
     pass
 
 
+def end_with_parent():
+    """So that the programs end also if this process is killed."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+
+
 def ip_number(text):
     return struct.unpack(">I", socket.inet_aton(text))[0]
 
@@ -47,7 +54,7 @@
             for port in range(base, base + 40):
                 for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
                     with socket.socket(socket.AF_INET, kind) as probe:
-                        probe.bind(("0.0.0.0", port))
+                        probe.bind(("127.0.0.1", port))
             return base
         except OSError:
             continue
@@ -143,6 +150,7 @@
             stdout=log,
             stderr=subprocess.STDOUT,
             cwd=ROOT,
+            preexec_fn=end_with_parent,
             env={"PATH": os.environ.get("PATH", ""),
                  "DAMASKYARD_CONFIG": self.path(".ini")},
         )
@@ -268,7 +276,7 @@
         "service": service, "maxAttempts": 2}]
     for i in range(idle_routes):
         routes.append({
-            "name": f"r-idle{i}", "host": "198.18.1.%d" % (i + 1),
+            "name": f"r-idle{i}", "host": "127.79.1.%d" % (i + 1),
             "pathPrefix": "/443/", "routeType": "safe",
             "timeoutMs": 2000 + version, "targetLatencyMs": 200, "priority": 2,
             "service": service, "maxAttempts": 2})
@@ -514,12 +522,26 @@
 
 def run(main, record_path):
     """Runs a case; the exit status is 1 if its rule was broken, 0 if it held, and 2
-    if it couldn't run."""
+    if it couldn't run. An error of the script itself is a case that couldn't run."""
+    status = 2
+    deployment = None
     try:
         deployment = Deployment(record_path)
         broken = main(deployment)
+        ended = [p.name for p in deployment.processes if p.child.poll() is not None]
+        if ended:
+            raise CannotRun("processes ended by themselves: " + ", ".join(ended))
         deployment.note("result: " + ("broken" if broken else "held"))
-        sys.exit(1 if broken else 0)
+        status = 1 if broken else 0
     except CannotRun as reason:
         print("cannot run:", reason, file=sys.stderr)
-        sys.exit(2)
+        if deployment:
+            deployment.note(f"cannot run: {reason}")
+        else:
+            with open(record_path, "w") as record:
+                record.write(f"cannot run: {reason}\n")
+    except Exception:
+        traceback.print_exc()
+        if deployment:
+            deployment.note("cannot run: " + traceback.format_exc())
+    sys.exit(status)
