--- a/src/process/control/control.c
+++ b/src/process/control/control.c
@@ -254,9 +254,14 @@
 	static const char *const names[] = { "follower", "pre_candidate",
 					     "candidate", "leader" };
 	dy_control_t *control = context;
+	char text[DY_ADDRESS_TEXT_BYTES];
+	dy_address_t address;
 
-	dy_log_event(DY_LOG_INFO, "role_changed", "role_now=%s leader=%u",
-		     names[role], leader.slot);
+	control_leader_address(control, &address);
+	dy_log_event(DY_LOG_INFO, "role_changed",
+		     "role_now=%s leader=%u address=%s", names[role],
+		     leader.slot,
+		     address.port ? dy_address_format(&address, text) : "none");
 	control_poll_queue_set_leading(control->poll_queue,
 				       role == DY_RAFT_LEADER);
 	if (role != DY_RAFT_LEADER)
--- a/src/process/control/control_counters.c
+++ b/src/process/control/control_counters.c
@@ -33,10 +33,13 @@
 		{ "disk_failed", &control->counters.disk_failures },
 		{ "snapshots_written", &control->counters.snapshots },
 		{ "ledger_not_written", &control->counters.ledger_failures },
+		{ "control_voters_missing", &control->counters.voters_missing },
 		{ "promoted_untried", &control->counters.promoted_untried },
 	};
 	static const dy_log_limit_t limit = DY_LOG_LIMIT_INIT(100, 1000);
 	static const dy_log_limit_t rare = DY_LOG_LIMIT_INIT(3, 10000);
+	static const dy_log_limit_t some =
+		DY_LOG_LIMIT_INIT(DY_RAFT_MEMBERS_MAX, 5000);
 	static const dy_log_limit_t one =
 		DY_LOG_LIMIT_INIT(1, JOIN_WAIT_LOG_INTERVAL_MS);
 	size_t i;
@@ -49,6 +52,8 @@
 	}
 	control->lease_limit = limit;
 	control->join_limit = rare;
+	control->slot_limit = rare;
+	control->behind_limit = some;
 	control->waiting_limit = one;
 	control->malformed_limit = rare;
 }
--- a/src/process/control/control_group.c
+++ b/src/process/control/control_group.c
@@ -272,6 +272,7 @@
 
 void control_review_group(dy_control_t *control)
 {
+	control_report_voters(control);
 	if (dy_raft_role(control->raft) == DY_RAFT_LEADER) {
 		control->leader_seen_ms = control_now_ms(control);
 		if (dy_raft_has_quorum(control->raft) &&
--- a/src/process/control/control_membership.c
+++ b/src/process/control/control_membership.c
@@ -136,6 +136,18 @@
 		place->status = DY_PLACE_LOST;
 }
 
+static void log_slot_refused(dy_control_t *control, const dy_address_t *from,
+			     const char *reason)
+{
+	char text[DY_ADDRESS_TEXT_BYTES];
+
+	if (dy_log_allow(&control->slot_limit, "slot_refused",
+			 control_now_ms(control)))
+		dy_log_event(DY_LOG_WARN, "slot_refused",
+			     "address=%s reason=%s",
+			     dy_address_format(from, text), reason);
+}
+
 static void fill_place(dy_control_t *control, const dy_find_t *find,
 		       const dy_address_t *from, dy_place_t *place)
 {
@@ -145,15 +157,20 @@
 			place->status = DY_PLACE_ASK;
 		return;
 	}
-	if (!control_serves(control) || !dy_raft_has_quorum(control->raft))
+	if (!control_serves(control) || !dy_raft_has_quorum(control->raft)) {
+		if (!find->id.identity)
+			log_slot_refused(control, from, "not_serving");
 		return;
+	}
 	if (find->id.identity) {
 		check_identity(control, find, place);
 		return;
 	}
 	place->slot = choose_slot(control, from);
-	if (!place->slot)
+	if (!place->slot) {
+		log_slot_refused(control, from, "no_free_slot");
 		return;
+	}
 	place->status = DY_PLACE_GIVEN;
 	control->slot_claims[place->slot].address = *from;
 	control->slot_claims[place->slot].claimed_ms = control_now_ms(control);
@@ -253,69 +270,3 @@
 		     control->options.slot);
 	control_terminate(control, DY_CONTROL_EVICTED);
 }
-
-/* Number of voters, and those of them that do not answer. */
-typedef struct voters {
-	unsigned count;
-	unsigned silent;
-	dy_voter_id_t silent_id;
-} voters_t;
-
-static void count_members(const dy_control_t *control, voters_t *voters)
-{
-	const dy_raft_config_t *config = dy_raft_config(control->raft);
-	const dy_raft_member_t *member;
-	uint64_t silent_ms;
-	unsigned i;
-
-	memset(voters, 0, sizeof(*voters));
-	for (i = 0; i < config->members.members_len; i++) {
-		member = &config->members.members_val[i];
-		silent_ms = 0;
-		if (member->id.slot != control->options.slot)
-			dy_raft_member_lag(control->raft, member->id,
-					   &silent_ms);
-		if (member->role != DY_MEMBER_VOTER)
-			continue;
-		voters->count++;
-		if (silent_ms < MEMBER_TIMEOUT_MS)
-			continue;
-		voters->silent++;
-		voters->silent_id = member->id;
-	}
-}
-
-static unsigned required_voters(const dy_control_t *control)
-{
-	unsigned losses = control->options.losses ? control->options.losses
-						  : DY_LOSSES_DEFAULT;
-
-	return 2 * losses + 1;
-}
-
-int control_needs_voter(dy_control_t *control)
-{
-	voters_t voters;
-
-	if (!control->options.dynamic_membership)
-		return 1;
-	count_members(control, &voters);
-	return voters.count - voters.silent < required_voters(control);
-}
-
-/*
- * Guards against a permanently lost voter that still counts towards the quorum:
- * with four voters, one of them lost, the next loss stops the group. The voter
- * is removed once another has replaced it, and never if fewer voters would
- * remain than options.losses requires.
- */
-int control_find_surplus_voter(dy_control_t *control, dy_voter_id_t *id)
-{
-	voters_t voters;
-
-	if (!control->options.dynamic_membership)
-		return 0;
-	count_members(control, &voters);
-	*id = voters.silent_id;
-	return voters.silent && voters.count > required_voters(control);
-}
--- a/src/process/control/control_private.h
+++ b/src/process/control/control_private.h
@@ -67,6 +67,7 @@
 	uint64_t *snapshots;
 	uint64_t *promoted_untried;
 	uint64_t *ledger_failures;
+	uint64_t *voters_missing; /* a present number, not a count */
 	uint64_t *events[DY_EVENTS];
 } control_counters_t;
 
@@ -127,6 +128,8 @@
 	dy_log_limit_t event_limits[DY_EVENTS];
 	dy_log_limit_t lease_limit;
 	dy_log_limit_t join_limit;
+	dy_log_limit_t slot_limit;
+	dy_log_limit_t behind_limit;
 	dy_log_limit_t waiting_limit;
 	dy_log_limit_t malformed_limit;
 	uint8_t out[DATAGRAM_MAX_BYTES];
@@ -305,12 +308,19 @@
 void control_query_membership(dy_control_t *control);
 /* Ends a control with an empty store that has not been added in time. */
 void control_check_join_timeout(dy_control_t *control);
+
+/* control_voters.c */
 /* Returns whether the group needs one more voter. */
 int control_needs_voter(dy_control_t *control);
 /*
  * Returns 1 with id set to an unresponsive voter that can be removed, else 0.
  */
 int control_find_surplus_voter(dy_control_t *control, dy_voter_id_t *id);
+/*
+ * Sets the metric of missing voters and logs the members that are behind; call
+ * it at each review.
+ */
+void control_report_voters(dy_control_t *control);
 
 /* control_group.c */
 void control_send_raft(void *control, const dy_raft_message_t *message);
--- /dev/null
+++ b/src/process/control/control_voters.c
@@ -0,0 +1,131 @@
+/* The voters of the group as its leader sees them: which of them answer. */
+
+#include <string.h>
+
+#include "control_private.h"
+
+/*
+ * A member without an answer for this time is logged as behind: three election
+ * timeouts.
+ */
+#define BEHIND_SILENT_MS 1000
+
+/* Number of voters, and those of them that do not answer. */
+typedef struct voters {
+	unsigned count;
+	unsigned silent;
+	dy_voter_id_t silent_id;
+} voters_t;
+
+/* Returns the entries that a member lacks; sets silent_ms, 0 for this one. */
+static uint64_t measure_lag(const dy_control_t *control, dy_voter_id_t id,
+			    uint64_t *silent_ms)
+{
+	*silent_ms = 0;
+	if (id.slot == control->options.slot)
+		return 0;
+	return dy_raft_member_lag(control->raft, id, silent_ms);
+}
+
+static void count_members(const dy_control_t *control, voters_t *voters)
+{
+	const dy_raft_config_t *config = dy_raft_config(control->raft);
+	const dy_raft_member_t *member;
+	uint64_t silent_ms;
+	unsigned i;
+
+	memset(voters, 0, sizeof(*voters));
+	for (i = 0; i < config->members.members_len; i++) {
+		member = &config->members.members_val[i];
+		if (member->role != DY_MEMBER_VOTER)
+			continue;
+		measure_lag(control, member->id, &silent_ms);
+		voters->count++;
+		if (silent_ms < MEMBER_TIMEOUT_MS)
+			continue;
+		voters->silent++;
+		voters->silent_id = member->id;
+	}
+}
+
+static unsigned required_voters(const dy_control_t *control)
+{
+	unsigned losses = control->options.losses ? control->options.losses
+						  : DY_LOSSES_DEFAULT;
+
+	if (!control->options.dynamic_membership)
+		return control->options.peers.count;
+	return 2 * losses + 1;
+}
+
+int control_needs_voter(dy_control_t *control)
+{
+	voters_t voters;
+
+	if (!control->options.dynamic_membership)
+		return 1;
+	count_members(control, &voters);
+	return voters.count - voters.silent < required_voters(control);
+}
+
+/*
+ * Guards against a permanently lost voter that still counts towards the quorum:
+ * with four voters, one of them lost, the next loss stops the group. The voter
+ * is removed once another has replaced it, and never if fewer voters would
+ * remain than options.losses requires.
+ */
+int control_find_surplus_voter(dy_control_t *control, dy_voter_id_t *id)
+{
+	voters_t voters;
+
+	if (!control->options.dynamic_membership)
+		return 0;
+	count_members(control, &voters);
+	*id = voters.silent_id;
+	return voters.silent && voters.count > required_voters(control);
+}
+
+static void log_member_behind(dy_control_t *control,
+			      const dy_raft_member_t *member)
+{
+	uint64_t silent_ms;
+	uint64_t lag = measure_lag(control, member->id, &silent_ms);
+
+	if (silent_ms < BEHIND_SILENT_MS && lag <= LEARNER_MAX_LAG_ENTRIES)
+		return;
+	if (!dy_log_allow(&control->behind_limit, "member_behind",
+			  control_now_ms(control)))
+		return;
+	dy_log_event(DY_LOG_WARN, "member_behind",
+		     "slot=%u identity=%lx voter=%d address=%s lag=%lu "
+		     "silent_ms=%lu",
+		     member->id.slot, (unsigned long)member->id.identity,
+		     member->role == DY_MEMBER_VOTER,
+		     dy_log_quote(member->address), (unsigned long)lag,
+		     (unsigned long)silent_ms);
+}
+
+static unsigned count_missing(const dy_control_t *control)
+{
+	unsigned required = required_voters(control);
+	unsigned answering;
+	voters_t voters;
+
+	if (dy_raft_role(control->raft) != DY_RAFT_LEADER)
+		return dy_raft_leader(control->raft).identity ? 0 : required;
+	count_members(control, &voters);
+	answering = voters.count - voters.silent;
+	return required - MIN(required, answering);
+}
+
+void control_report_voters(dy_control_t *control)
+{
+	const dy_raft_config_t *config = dy_raft_config(control->raft);
+	unsigned i;
+
+	*control->counters.voters_missing = count_missing(control);
+	if (dy_raft_role(control->raft) != DY_RAFT_LEADER)
+		return;
+	for (i = 0; i < config->members.members_len; i++)
+		log_member_behind(control, &config->members.members_val[i]);
+}
--- a/src/process/control/operator_api.c
+++ b/src/process/control/operator_api.c
@@ -105,17 +105,31 @@
 	return 1;
 }
 
+/* version: of a change; 0 for a read. */
+static void log_decision(const api_call_t *call, const char *event,
+			 uint64_t version, dy_status_t status)
+{
+	operator_api_t *api = call->api;
+	uint64_t now = dy_loop_now_ms(api->loop);
+	char text[DY_ADDRESS_TEXT_BYTES];
+	dy_address_t leader;
+
+	if (!dy_log_allow(&api->limit, event, now))
+		return;
+	dy_control_leader(api->control, &leader);
+	dy_log_event(DY_LOG_INFO, event,
+		     "version=%lu status=%d ms=%lu leader=%s",
+		     (unsigned long)version, status,
+		     (unsigned long)(now - call->started_ms),
+		     leader.port ? dy_address_format(&leader, text) : "none");
+}
+
 static void on_published(void *context, dy_status_t status, const char *message)
 {
 	api_call_t *call = context;
 	operator_api_t *api = call->api;
-	uint64_t now = dy_loop_now_ms(api->loop);
 
-	if (dy_log_allow(&api->limit, "configuration_decided", now))
-		dy_log_event(DY_LOG_INFO, "configuration_decided",
-			     "version=%lu status=%d ms=%lu",
-			     (unsigned long)call->version, status,
-			     (unsigned long)(now - call->started_ms));
+	log_decision(call, "configuration_decided", call->version, status);
 	if (status == DY_STATUS_OK) {
 		++*api->acknowledged;
 		dy_http_answer_status(call->exchange, 200);
@@ -178,6 +192,7 @@
 	dy_http_answer_t answer = { .status = 200 };
 	GByteArray *plain = NULL;
 
+	log_decision(call, "configuration_read", 0, status);
 	if (status == DY_STATUS_OK)
 		plain = dy_document_unpack(bytes, size, BODY_MAX_BYTES);
 	if (plain) {
--- a/src/process/group/slot_claim.c
+++ b/src/process/group/slot_claim.c
@@ -15,6 +15,9 @@
  */
 #define REQUEST_INTERVAL_MS 200
 
+/* A claim that still waits is logged after each so many requests. */
+#define WAIT_LOG_REQUESTS 10
+
 /* Size of a request with its seal. */
 #define MESSAGE_BYTES 1024
 
@@ -26,6 +29,10 @@
 	dy_seal_t *seal;
 	uint64_t echo;
 	int granted;
+	unsigned requests;
+	unsigned answers;
+	dy_place_status_t status; /* of the last answer, as is leader */
+	dy_address_t leader;
 } slot_claim_t;
 
 static int compare_addresses(const void *a, const void *b)
@@ -66,12 +73,29 @@
 		dy_endpoint_send_to(claim->endpoint, out, len, to);
 }
 
+/* Tells why a control has no slot: nobody answers, or nobody decides. */
+static void log_wait(const slot_claim_t *claim)
+{
+	char text[DY_ADDRESS_TEXT_BYTES];
+
+	dy_log_event(
+		DY_LOG_WARN, "slot_awaited",
+		"ms=%u seeds=%d answers=%u status=%d leader=%s",
+		claim->requests * REQUEST_INTERVAL_MS,
+		claim->settings->seeds.count, claim->answers, claim->status,
+		claim->leader.port ? dy_address_format(&claim->leader, text)
+				   : "none");
+}
+
 static void on_request_timer(void *context)
 {
 	slot_claim_t *claim = context;
 	const dy_address_list_t *seeds = &claim->settings->seeds;
 	int i;
 
+	if (claim->requests && claim->requests % WAIT_LOG_REQUESTS == 0)
+		log_wait(claim);
+	claim->requests++;
 	for (i = 0; i < seeds->count; i++)
 		if (!dy_address_equal(&seeds->items[i],
 				      &claim->options->listen))
@@ -83,6 +107,9 @@
 	dy_peers_t *peers = &claim->options->peers;
 	u_int i;
 
+	claim->answers++;
+	claim->status = place->status;
+	claim->leader = place->leader;
 	if (place->status == DY_PLACE_ASK && place->leader.port)
 		send_find(claim, &place->leader);
 	if (place->status != DY_PLACE_GIVEN || !place->slot ||
