--- a/src/process/control/control.c
+++ b/src/process/control/control.c
@@ -34,11 +34,8 @@
 
 void control_leader_address(const dy_control_t *control, dy_address_t *leader)
 {
-	dy_voter_id_t id = dy_raft_leader(control->raft);
-
-	memset(leader, 0, sizeof(*leader));
-	if (id.identity && id.slot <= DY_RAFT_MEMBERS_MAX)
-		*leader = control->options.peers.slots[id.slot];
+	(void)control_find_address(control, dy_raft_leader(control->raft),
+				   leader);
 }
 
 dy_status_t control_status_from_result(dy_control_t *control,
--- a/src/process/control/control_group.c
+++ b/src/process/control/control_group.c
@@ -8,19 +8,18 @@
 {
 	dy_control_t *control = context;
 	dy_seal_header_t head = { 0, DY_GROUP_PROGRAM, DY_GROUP_RAFT };
-	const dy_address_t *to;
+	dy_address_t to;
 	size_t len;
 
-	if (message->to.slot > DY_RAFT_MEMBERS_MAX)
-		return;
-	to = &control->options.peers.slots[message->to.slot];
-	if (!to->port)
+	if (control_find_address(control, message->to, &to)) {
+		++*control->counters.unsent;
 		return;
+	}
 	len = dy_seal_write_call(
 		control->seal, &head, (xdrproc_t)xdr_dy_raft_message_t,
 		(void *)message, control->out, sizeof(control->out));
 	if (!len ||
-	    dy_endpoint_send_to(control->endpoint, control->out, len, to))
+	    dy_endpoint_send_to(control->endpoint, control->out, len, &to))
 		++*control->counters.unsent;
 }
 
@@ -73,8 +72,10 @@
 	send_hello(control, &address, 0, message->sender);
 }
 
-static void receive_raft(dy_control_t *control, const dy_sealed_t *message)
+static void receive_raft(dy_control_t *control, const dy_sealed_t *message,
+			 const struct sockaddr *from)
 {
+	dy_address_t address;
 	dy_raft_message_t raft;
 
 	if (!dy_sealed_load(message, (xdrproc_t)xdr_dy_raft_message_t, &raft,
@@ -82,6 +83,10 @@
 		control_count_malformed(control, message->procedure);
 		return;
 	}
+	dy_address_load(&address, from);
+	if (raft.group == control->options.group)
+		peer_addresses_hear(&control->peer_addresses, raft.from,
+				    &address, control_now_ms(control));
 	dy_raft_receive(control->raft, &raft, control_now_ms(control));
 	xdr_free((xdrproc_t)xdr_dy_raft_message_t, (char *)&raft);
 }
@@ -90,7 +95,7 @@
 			   const struct sockaddr *from)
 {
 	if (message->procedure == DY_GROUP_RAFT)
-		receive_raft(control, message);
+		receive_raft(control, message, from);
 	else if (message->procedure == DY_GROUP_HELLO)
 		receive_hello(control, message, from);
 	else if (message->procedure == DY_GROUP_FIND)
--- a/src/process/control/control_membership.c
+++ b/src/process/control/control_membership.c
@@ -28,6 +28,10 @@
 /* Interval of these queries. */
 #define MEMBERSHIP_QUERY_INTERVAL_MS 500
 
+/*
+ * A configuration without this control dates from before it joined: the slots
+ * that it was told when it joined are newer.
+ */
 void control_refresh_peers(dy_control_t *control)
 {
 	const dy_raft_config_t *config = dy_raft_config(control->raft);
@@ -35,7 +39,8 @@
 	dy_address_t address;
 	unsigned i;
 
-	if (!control->options.dynamic_membership)
+	if (!control->options.dynamic_membership ||
+	    !dy_raft_config_has(config, dy_raft_id(control->raft)))
 		return;
 	for (i = 0; i < config->members.members_len; i++) {
 		member = &config->members.members_val[i];
@@ -45,6 +50,23 @@
 	}
 }
 
+int control_find_address(const dy_control_t *control, dy_voter_id_t id,
+			 dy_address_t *address)
+{
+	memset(address, 0, sizeof(*address));
+	if (!id.identity || id.slot > DY_RAFT_MEMBERS_MAX)
+		return -1;
+	if (!control->options.dynamic_membership)
+		*address = control->options.peers.slots[id.slot];
+	else if (dy_voter_id_equal(id, dy_raft_id(control->raft)))
+		*address = control->options.listen;
+	else
+		(void)peer_addresses_find(&control->peer_addresses,
+					  dy_raft_config(control->raft), id,
+					  address);
+	return address->port ? 0 : -1;
+}
+
 static int slot_is_member(const dy_control_t *control, uint32_t slot)
 {
 	const dy_raft_config_t *config = dy_raft_config(control->raft);
--- a/src/process/control/control_private.h
+++ b/src/process/control/control_private.h
@@ -8,6 +8,7 @@
 #include "damaskyard/seal.h"
 #include "damaskyard/store.h"
 #include "bootstrap.h"
+#include "peer_addresses.h"
 #include "damaskyard/document.h"
 #include "damaskyard/status_service.h"
 #include "recent_documents.h"
@@ -98,6 +99,7 @@
 	recent_documents_t *recent_documents;
 	control_services_t *services;
 	bootstrap_t bootstrap;
+	peer_addresses_t peer_addresses;
 	uv_prepare_t *prepare;
 	uv_check_t *check;
 	dy_list_t requests;
@@ -294,8 +296,14 @@
 void control_terminate(dy_control_t *control, dy_control_exit_reason_t reason);
 
 /* control_membership.c: groups with dynamic membership. */
-/* Sets the peer addresses from the log's configuration. */
+/* Sets the slots' addresses from the log's configuration. */
 void control_refresh_peers(dy_control_t *control);
+/*
+ * Sets address to where a control of the group is reached. Returns 0, or -1 if
+ * that is not known; address then has port 0.
+ */
+int control_find_address(const dy_control_t *control, dy_voter_id_t id,
+			 dy_address_t *address);
 /*
  * Records the address of a control with an empty store whose slot no member
  * holds.
