--- a/src/process/group/raft.c
+++ b/src/process/group/raft.c
@@ -409,7 +409,7 @@
 		if (raft_is_voter(raft))
 			raft_start_election(raft, 1, 0);
 		else
-			raft_reset_election_timer(raft);
+			raft_forget_leader(raft);
 	}
 }
 
--- a/src/process/group/raft_election.c
+++ b/src/process/group/raft_election.c
@@ -43,6 +43,12 @@
 	raft->leader_heard_ms = raft->now_ms;
 }
 
+void raft_forget_leader(dy_raft_t *raft)
+{
+	raft->leader = no_member;
+	raft_reset_election_timer(raft);
+}
+
 /*
  * This member cannot complete its pending proposals and reads any more. They
  * fail at once, so that no caller waits until its deadline.
--- a/src/process/group/raft_private.h
+++ b/src/process/group/raft_private.h
@@ -153,6 +153,11 @@
 /* raft_election.c */
 /* Draw a new election timeout. */
 void raft_reset_election_timer(dy_raft_t *raft);
+/*
+ * A member that cannot elect, a learner or one that was removed, has heard no
+ * leader for an election timeout.
+ */
+void raft_forget_leader(dy_raft_t *raft);
 /* Draw an election timeout of a member that has heard no leader yet. */
 void raft_reset_first_election_timer(dy_raft_t *raft);
 /*
--- a/tests/test_raft_member.c
+++ b/tests/test_raft_member.c
@@ -117,6 +117,33 @@
 }
 END_TEST
 
+/* A learner names a leader that is gone, and never asks for another one. */
+START_TEST(learner_forgets_leader_that_is_gone)
+{
+	fake_group_t *group = fake_group_create_formed(5, 3);
+	fake_member_t *leader = fake_group_leader(group);
+	fake_member_t *learner = fake_group_other_member(group, leader);
+	dy_voter_id_t id = { learner->slot, 0 };
+
+	fake_group_wipe(learner);
+	fake_group_start(learner);
+	id.identity = learner->identity;
+	ck_assert_int_eq(dy_raft_add_learner(leader->raft, id, "x", NULL, NULL),
+			 DY_RAFT_DONE);
+	fake_group_run(group, 1000);
+	ck_assert_uint_ne(dy_raft_leader(learner->raft).identity, 0);
+	learner->partition = 1;
+	fake_group_run(group, 2000);
+	ck_assert_uint_eq(dy_raft_leader(learner->raft).identity, 0);
+	learner->partition = 0;
+	fake_group_run(group, 500);
+	ck_assert(dy_voter_id_equal(dy_raft_leader(learner->raft),
+				    dy_raft_id(leader->raft)));
+	fake_group_converge(group);
+	fake_group_destroy(group);
+}
+END_TEST
+
 /*
  * An operator promotes a control that is not reachable yet. It would count for
  * the majority at once, and the next loss would stop the group until it had the
@@ -165,6 +192,7 @@
 		0, 6);
 	tcase_add_test(tcase, removed_member_is_refused_and_counted);
 	tcase_add_test(tcase, refuses_second_voter_in_slot);
+	tcase_add_test(tcase, learner_forgets_leader_that_is_gone);
 	tcase_add_test(tcase, refuses_to_promote_lagging_learner);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
