--- a/include/damaskyard/control.h
+++ b/include/damaskyard/control.h
@@ -28,6 +28,7 @@
 #include "damaskyard/metrics.h"
 #include "damaskyard/registry.h"
 #include "damaskyard/secret.h"
+#include "damaskyard/settings.h"
 #include "dy_control.h"
 #include "dy_raft.h"
 
@@ -106,6 +107,17 @@
 	 * return is removed once there are more voters than needed.
 	 */
 	int dynamic_membership;
+	/*
+	 * Dynamic membership: the platform's present list of controls, kept by
+	 * reference; NULL: none. It is asked while no control that this one
+	 * knows answers, and may change while the control runs.
+	 */
+	const dy_address_list_t *seeds;
+	/*
+	 * Dynamic membership: slot was given by the leader of a running group,
+	 * so that this control never bootstraps one.
+	 */
+	int joins_running_group;
 	/*
 	 * Dynamic membership: number of controls that may fail at the same
 	 * time; 0: DY_LOSSES_DEFAULT.
--- a/src/process/control/control_group.c
+++ b/src/process/control/control_group.c
@@ -132,15 +132,9 @@
 		     control->options.slot, control->options.peers.count);
 }
 
-static void send_hello_to_peers(dy_control_t *control)
+static void ask_to_join(dy_control_t *control, const dy_address_t *to)
 {
-	uint32_t slot;
-
-	for (slot = 1; slot <= DY_RAFT_MEMBERS_MAX; slot++)
-		if (control->options.peers.slots[slot].port &&
-		    slot != control->options.slot)
-			send_hello(control, &control->options.peers.slots[slot],
-				   1, 0);
+	send_hello(control, to, 1, 0);
 }
 
 static void find_slot_members(const dy_control_t *control, uint32_t slot,
@@ -290,10 +284,11 @@
 			control_query_membership(control);
 		return;
 	}
-	if (bootstrap_is_due(&control->bootstrap))
+	if (!control->options.joins_running_group &&
+	    bootstrap_is_due(&control->bootstrap))
 		bootstrap_group(control);
 	else
-		send_hello_to_peers(control);
+		control_each_address(control, ask_to_join);
 	control_check_join_timeout(control);
 	log_join_wait(control);
 }
--- a/src/process/control/control_membership.c
+++ b/src/process/control/control_membership.c
@@ -28,6 +28,8 @@
 /* Interval of these queries. */
 #define MEMBERSHIP_QUERY_INTERVAL_MS 500
 
+#define ADDRESSES_MAX (DY_RAFT_MEMBERS_MAX + DY_SETTING_ADDRESSES_MAX)
+
 /*
  * A configuration without this control dates from before it joined: the slots
  * that it was told when it joined are newer.
@@ -246,17 +248,74 @@
 	xdr_free((xdrproc_t)xdr_dy_place_t, (char *)&place);
 }
 
+/* Appends an address that is set, not listed and another's. Returns count. */
+static unsigned add_address(const dy_control_t *control, dy_address_t *list,
+			    unsigned count, const dy_address_t *address)
+{
+	unsigned i;
+
+	if (!address->port ||
+	    dy_address_equal(address, &control->options.listen))
+		return count;
+	for (i = 0; i < count; i++)
+		if (dy_address_equal(&list[i], address))
+			return count;
+	list[count] = *address;
+	return count + 1;
+}
+
+/* Lists each slot's address and each seed once, but not this control's own. */
+static unsigned list_addresses(const dy_control_t *control,
+			       dy_address_t list[ADDRESSES_MAX])
+{
+	const dy_address_list_t *seeds = control->options.seeds;
+	unsigned count = 0;
+	uint32_t slot;
+	int i;
+
+	for (slot = 1; slot <= DY_RAFT_MEMBERS_MAX; slot++)
+		if (slot != control->options.slot)
+			count = add_address(
+				control, list, count,
+				&control->options.peers.slots[slot]);
+	for (i = 0; seeds && i < seeds->count; i++)
+		count = add_address(control, list, count, &seeds->items[i]);
+	return count;
+}
+
+void control_each_address(dy_control_t *control, control_address_cb_t *each)
+{
+	dy_address_t list[ADDRESSES_MAX];
+	unsigned count = list_addresses(control, list);
+	unsigned i;
+
+	for (i = 0; i < count; i++)
+		each(control, &list[i]);
+}
+
+static void send_membership_query(dy_control_t *control, const dy_address_t *to)
+{
+	dy_seal_header_t head = { 0, DY_GROUP_PROGRAM, DY_GROUP_FIND };
+	dy_find_t find = { 0 };
+	size_t len;
+
+	find.group = control->options.group;
+	find.id = dy_store_id(control->store);
+	find.echo = find.id.identity;
+	len = dy_seal_write_call(control->seal, &head, (xdrproc_t)xdr_dy_find_t,
+				 &find, control->out, sizeof(control->out));
+	if (len)
+		dy_endpoint_send_to(control->endpoint, control->out, len, to);
+}
+
 /*
  * Guards against a member that was removed while it was partitioned: no control
- * sends to it any more, so it would wait for a leader indefinitely.
+ * sends to it any more, so it would wait for a leader indefinitely. The seeds
+ * are asked too: all controls that it knows may have been replaced.
  */
 void control_query_membership(dy_control_t *control)
 {
-	dy_seal_header_t head = { 0, DY_GROUP_PROGRAM, DY_GROUP_FIND };
 	uint64_t now = control_now_ms(control);
-	dy_find_t find = { 0 };
-	uint32_t slot;
-	size_t len;
 
 	if (dy_raft_leader(control->raft).identity) {
 		control->leader_seen_ms = now;
@@ -266,21 +325,7 @@
 	    now - control->membership_query_ms < MEMBERSHIP_QUERY_INTERVAL_MS)
 		return;
 	control->membership_query_ms = now;
-	find.group = control->options.group;
-	find.id = dy_store_id(control->store);
-	find.echo = find.id.identity;
-	for (slot = 1; slot <= DY_RAFT_MEMBERS_MAX; slot++) {
-		if (!control->options.peers.slots[slot].port ||
-		    slot == control->options.slot)
-			continue;
-		len = dy_seal_write_call(control->seal, &head,
-					 (xdrproc_t)xdr_dy_find_t, &find,
-					 control->out, sizeof(control->out));
-		if (len)
-			dy_endpoint_send_to(
-				control->endpoint, control->out, len,
-				&control->options.peers.slots[slot]);
-	}
+	control_each_address(control, send_membership_query);
 }
 
 void control_check_join_timeout(dy_control_t *control)
--- a/src/process/control/control_private.h
+++ b/src/process/control/control_private.h
@@ -314,6 +314,10 @@
 			  const struct sockaddr *from);
 void control_receive_place(dy_control_t *control, const dy_sealed_t *message);
 void control_query_membership(dy_control_t *control);
+/* Calls each for each address of another control that this one knows. */
+typedef void control_address_cb_t(dy_control_t *control,
+				  const dy_address_t *address);
+void control_each_address(dy_control_t *control, control_address_cb_t *each);
 /* Ends a control with an empty store that has not been added in time. */
 void control_check_join_timeout(dy_control_t *control);
 
--- a/src/process/control/control_voters.c
+++ b/src/process/control/control_voters.c
@@ -91,7 +91,7 @@
 	uint64_t silent_ms;
 	uint64_t lag = measure_lag(control, member->id, &silent_ms);
 
-	if (silent_ms < BEHIND_SILENT_MS && lag <= LEARNER_MAX_LAG_ENTRIES)
+	if (silent_ms < BEHIND_SILENT_MS)
 		return;
 	if (!dy_log_allow(&control->behind_limit, "member_behind",
 			  control_now_ms(control)))
--- a/tests/fake_suite.h
+++ b/tests/fake_suite.h
@@ -11,4 +11,8 @@
  */
 int fake_suite_run(const char *name, const TTest *const *tests);
 
+/* The same with a limit in seconds for each test; 0: that of the library. */
+int fake_suite_run_for(const char *name, const TTest *const *tests,
+		       unsigned timeout_s);
+
 #endif
