--- a/src/process/control/control_membership.c
+++ b/src/process/control/control_membership.c
@@ -108,9 +108,9 @@
 }
 
 /*
- * Returns the slot for a control at that address: the one it held before its
- * disk was lost, or the lowest one that no member holds and no other control
- * claims. Returns 0 if there is none.
+ * Returns the slot for a control at that address: the one it held, or was
+ * listed with, before its disk was lost, or the lowest one that no member holds
+ * and no other control claims. Returns 0 if there is none.
  */
 static uint32_t choose_slot(const dy_control_t *control,
 			    const dy_address_t *address)
@@ -120,8 +120,9 @@
 	uint32_t slot;
 
 	for (slot = 1; slot <= DY_RAFT_MEMBERS_MAX; slot++)
-		if (slot_is_member(control, slot) &&
-		    dy_address_equal(&peers->slots[slot], address))
+		if (dy_address_equal(&peers->slots[slot], address) &&
+		    (slot_is_member(control, slot) ||
+		     !is_claimed(control, slot, address, now)))
 			return slot;
 	for (slot = 1; slot <= DY_RAFT_MEMBERS_MAX; slot++)
 		if (!slot_is_member(control, slot) &&
@@ -181,9 +182,13 @@
 			place->status = DY_PLACE_ASK;
 		return;
 	}
-	if (!control_serves(control) || !dy_raft_has_quorum(control->raft)) {
+	/*
+	 * Also before the group serves: until it does, it needs the very
+	 * control that asks.
+	 */
+	if (!dy_raft_has_quorum(control->raft)) {
 		if (!find->id.identity)
-			log_slot_refused(control, from, "not_serving");
+			log_slot_refused(control, from, "no_quorum");
 		return;
 	}
 	if (find->id.identity) {
--- a/tests/test_slot_claim.c
+++ b/tests/test_slot_claim.c
@@ -21,6 +21,13 @@
 static fake_control_t world;
 static claimant_t claimants[CLAIMANTS];
 
+static void receive_place(claimant_t *claimant, const dy_sealed_t *message)
+{
+	ck_assert(dy_sealed_load(message, (xdrproc_t)xdr_dy_place_t,
+				 &claimant->place, sizeof(claimant->place)));
+	claimant->answered = 1;
+}
+
 static void on_datagram(void *context, uint8_t *bytes, size_t len,
 			const struct sockaddr *from, int truncated)
 {
@@ -29,12 +36,9 @@
 
 	(void)from;
 	(void)truncated;
-	if (dy_seal_open(claimant->seal, bytes, len, &message) != DY_SEAL_OK ||
-	    message.procedure != DY_GROUP_PLACE)
-		return;
-	ck_assert(dy_sealed_load(&message, (xdrproc_t)xdr_dy_place_t,
-				 &claimant->place, sizeof(claimant->place)));
-	claimant->answered = 1;
+	if (dy_seal_open(claimant->seal, bytes, len, &message) == DY_SEAL_OK &&
+	    message.procedure == DY_GROUP_PLACE)
+		receive_place(claimant, &message);
 }
 
 static void begin(void)
@@ -165,9 +169,11 @@
 	dy_sealed_t message;
 	uint8_t out[1024];
 
-	(void)truncated;
-	if (dy_seal_open(third->seal, bytes, len, &message) != DY_SEAL_OK ||
-	    message.procedure != DY_GROUP_HELLO)
+	if (dy_seal_open(third->seal, bytes, len, &message) != DY_SEAL_OK)
+		return;
+	if (message.procedure == DY_GROUP_PLACE)
+		receive_place(third, &message);
+	if (message.procedure != DY_GROUP_HELLO)
 		return;
 	hello.group = GROUP;
 	hello.id.slot = 3;
@@ -196,36 +202,63 @@
 	*(int *)context = (int)status;
 }
 
-/*
- * A group was just bootstrapped, two of its three controls are voters, and a
- * document is acknowledged. If one of the two then loses its disk, no leader
- * can be elected and no control can join, though the group should tolerate one
- * loss.
- */
-START_TEST(refuses_publish_until_one_loss_is_tolerated)
+/* Two controls of a group of three, and a third that only says it is empty. */
+typedef struct half_group {
+	dy_control_t *second;
+	claimant_t third;
+	char *folder;
+} half_group_t;
+
+static void begin_half_group(half_group_t *half)
 {
 	dy_control_options_t options;
-	dy_control_t *second;
-	claimant_t third = { 0 };
-	int status = -1;
-	int i;
 
+	memset(half, 0, sizeof(*half));
 	fake_control_init(&world);
 	world.options.validate = accept_any_document;
 	world.options.peers.count = 3;
 	world.options.peers.slots[2] = fake_control_unused_address(&world);
-	third.seal = dy_seal_create(&world.options.secrets, world.metrics);
+	half->third.seal =
+		dy_seal_create(&world.options.secrets, world.metrics);
 	dy_address_parse("127.0.0.1:0", &world.options.peers.slots[3]);
-	third.endpoint =
+	half->third.endpoint =
 		dy_endpoint_create(world.loop, &world.options.peers.slots[3],
-				   answer_as_empty_control, &third, NULL);
-	world.options.peers.slots[3] = *dy_endpoint_address(third.endpoint);
+				   answer_as_empty_control, &half->third, NULL);
+	world.options.peers.slots[3] =
+		*dy_endpoint_address(half->third.endpoint);
 	options = world.options;
 	options.slot = 2;
 	options.listen = options.peers.slots[2];
-	options.folder = g_dir_make_tmp("dy-slots-XXXXXX", NULL);
+	half->folder = g_dir_make_tmp("dy-slots-XXXXXX", NULL);
+	options.folder = half->folder;
 	fake_control_start(&world);
-	second = dy_control_create(world.loop, world.metrics, &options, NULL);
+	half->second =
+		dy_control_create(world.loop, world.metrics, &options, NULL);
+}
+
+static void end_half_group(half_group_t *half)
+{
+	dy_control_destroy(half->second);
+	dy_endpoint_destroy(half->third.endpoint);
+	fake_control_stop(&world);
+	dy_seal_destroy(half->third.seal);
+	fake_control_remove_folder(half->folder);
+	fake_control_clear(&world);
+}
+
+/*
+ * A group was just bootstrapped, two of its three controls are voters, and a
+ * document is acknowledged. If one of the two then loses its disk, no leader
+ * can be elected and no control can join, though the group should tolerate one
+ * loss.
+ */
+START_TEST(refuses_publish_until_one_loss_is_tolerated)
+{
+	half_group_t half;
+	int status = -1;
+	int i;
+
+	begin_half_group(&half);
 	for (i = 0; i < 15; i++) {
 		fake_control_run(&world, 20, NULL);
 		dy_control_publish(world.control, (const uint8_t *)"x", 1, 1,
@@ -235,12 +268,24 @@
 	/* Both controls are members by now. */
 	ck_assert_uint_ge(dy_metrics_value(world.metrics, "control_promoted"),
 			  1);
-	dy_control_destroy(second);
-	dy_endpoint_destroy(third.endpoint);
-	fake_control_stop(&world);
-	dy_seal_destroy(third.seal);
-	fake_control_remove_folder((char *)options.folder);
-	fake_control_clear(&world);
+	end_half_group(&half);
+}
+END_TEST
+
+/* A control loses its disk before the group first serves, and gets no slot. */
+START_TEST(gives_slot_before_group_first_serves)
+{
+	half_group_t half;
+	unsigned i;
+
+	begin_half_group(&half);
+	for (i = 0; i < 20 && half.third.place.status != DY_PLACE_GIVEN; i++) {
+		send_find(&half.third, GROUP, 0);
+		fake_control_run(&world, 20, NULL);
+	}
+	ck_assert_int_eq(half.third.place.status, DY_PLACE_GIVEN);
+	ck_assert_uint_eq(half.third.place.slot, 3);
+	end_half_group(&half);
 }
 END_TEST
 
@@ -251,6 +296,7 @@
 		reports_lost_membership,
 		ignores_claim_for_other_group,
 		refuses_publish_until_one_loss_is_tolerated,
+		gives_slot_before_group_first_serves,
 		NULL,
 	};
 
