--- a/include/damaskyard/raft.h
+++ b/include/damaskyard/raft.h
@@ -316,6 +316,12 @@
  */
 uint64_t dy_raft_member_lag(const dy_raft_t *raft, dy_voter_id_t id,
 			    uint64_t *heard_ms_ago);
+/*
+ * Milliseconds since a member's last reply, or since it was added if it has
+ * not replied yet. Returns 0 if the member is unknown or this member does not
+ * lead.
+ */
+uint64_t dy_raft_member_silent_ms(const dy_raft_t *raft, dy_voter_id_t id);
 
 /* Whether two ids are the same member. */
 int dy_voter_id_equal(dy_voter_id_t a, dy_voter_id_t b);
--- a/src/process/control/control_voters.c
+++ b/src/process/control/control_voters.c
@@ -17,16 +17,6 @@
 	dy_voter_id_t silent_id;
 } voters_t;
 
-/* Returns the entries that a member lacks; sets silent_ms, 0 for this one. */
-static uint64_t measure_lag(const dy_control_t *control, dy_voter_id_t id,
-			    uint64_t *silent_ms)
-{
-	*silent_ms = 0;
-	if (id.slot == control->options.slot)
-		return 0;
-	return dy_raft_member_lag(control->raft, id, silent_ms);
-}
-
 static void count_members(const dy_control_t *control, voters_t *voters)
 {
 	const dy_raft_config_t *config = dy_raft_config(control->raft);
@@ -39,7 +29,10 @@
 		member = &config->members.members_val[i];
 		if (member->role != DY_MEMBER_VOTER)
 			continue;
-		measure_lag(control, member->id, &silent_ms);
+		silent_ms = 0;
+		if (member->id.slot != control->options.slot)
+			dy_raft_member_lag(control->raft, member->id,
+					   &silent_ms);
 		voters->count++;
 		if (silent_ms < MEMBER_TIMEOUT_MS)
 			continue;
@@ -88,14 +81,17 @@
 static void log_member_behind(dy_control_t *control,
 			      const dy_raft_member_t *member)
 {
-	uint64_t silent_ms;
-	uint64_t lag = measure_lag(control, member->id, &silent_ms);
+	uint64_t silent_ms =
+		dy_raft_member_silent_ms(control->raft, member->id);
+	uint64_t age_ms = 0;
+	uint64_t lag;
 
 	if (silent_ms < BEHIND_SILENT_MS)
 		return;
 	if (!dy_log_allow(&control->behind_limit, "member_behind",
 			  control_now_ms(control)))
 		return;
+	lag = dy_raft_member_lag(control->raft, member->id, &age_ms);
 	dy_log_event(DY_LOG_WARN, "member_behind",
 		     "slot=%u identity=%lx voter=%d address=%s lag=%lu "
 		     "silent_ms=%lu",
--- a/src/process/group/bootstrap.c
+++ b/src/process/group/bootstrap.c
@@ -93,6 +93,8 @@
 				     uint64_t requested, uint64_t *identity)
 {
 	*identity = learner->identity;
+	if (learner->silent_ms >= LEARNER_TIMEOUT_MS)
+		return JOIN_REMOVE;
 	if (requested && requested != learner->identity &&
 	    is_replaceable(learner, peer, requested))
 		return JOIN_REMOVE;
--- a/src/process/group/bootstrap.h
+++ b/src/process/group/bootstrap.h
@@ -22,6 +22,12 @@
  */
 #define MEMBER_TIMEOUT_MS 3000
 
+/*
+ * A learner without a reply for this time, in ms, is removed: it holds a slot
+ * and does not vote. If it returns, it learns that and joins anew.
+ */
+#define LEARNER_TIMEOUT_MS 8000
+
 /* Entries that a learner may lack and still count as caught up. */
 #define LEARNER_MAX_LAG_ENTRIES 256
 
@@ -83,6 +89,7 @@
 	uint64_t identity; /* 0: there is none */
 	uint64_t lag;	   /* entries that it lacks */
 	uint64_t last_answer_age_ms;
+	uint64_t silent_ms; /* the same, but counted from when it was added */
 } join_member_t;
 
 /*
--- a/src/process/group/raft_member.c
+++ b/src/process/group/raft_member.c
@@ -111,6 +111,7 @@
 		memset(&peer, 0, sizeof(peer));
 		peer.id = member->id;
 		peer.next_index = dy_store_last_index(raft->store) + 1;
+		peer.added_ms = raft->now_ms;
 		known = raft_find_peer(raft, member->id);
 		if (known)
 			peer = *known;
--- a/src/process/group/raft_status.c
+++ b/src/process/group/raft_status.c
@@ -93,3 +93,12 @@
 	*heard_ms_ago = raft->now_ms - peer->last_reply_ms;
 	return dy_store_last_index(raft->store) - peer->match_index;
 }
+
+uint64_t dy_raft_member_silent_ms(const dy_raft_t *raft, dy_voter_id_t id)
+{
+	const peer_t *peer = raft_find_peer(raft, id);
+
+	if (raft->role != DY_RAFT_LEADER || !peer)
+		return 0;
+	return raft->now_ms - MAX(peer->last_reply_ms, peer->added_ms);
+}
--- a/tests/test_bootstrap.c
+++ b/tests/test_bootstrap.c
@@ -81,8 +81,8 @@
 START_TEST(replacement_catches_up_before_promotion)
 {
 	join_member_t none = { 0 };
-	join_member_t lost = { 50, 900, MEMBER_TIMEOUT_MS };
-	join_member_t learner = { 51, LEARNER_MAX_LAG_ENTRIES + 1, 0 };
+	join_member_t lost = { 50, 900, MEMBER_TIMEOUT_MS, 0 };
+	join_member_t learner = { 51, LEARNER_MAX_LAG_ENTRIES + 1, 0, 0 };
 	uint64_t identity = 0;
 
 	begin(2);
@@ -104,6 +104,27 @@
 }
 END_TEST
 
+/* Learners that were lost keep their slots until no control gets one. */
+START_TEST(removes_learner_that_stays_silent)
+{
+	join_member_t none = { 0 };
+	join_member_t voter = { .identity = 50 };
+	join_member_t learner = { 51, 10, UINT64_MAX, LEARNER_TIMEOUT_MS - 1 };
+	uint64_t identity = 0;
+
+	begin(2);
+	ck_assert_int_eq(next_step(&none, &learner, 1000, &identity),
+			 JOIN_NONE);
+	learner.silent_ms++;
+	ck_assert_int_eq(next_step(&none, &learner, 1000, &identity),
+			 JOIN_REMOVE);
+	ck_assert_uint_eq(identity, 51);
+	ck_assert_int_eq(next_step(&voter, &learner, 1000, &identity),
+			 JOIN_REMOVE);
+	ck_assert_uint_eq(identity, 51);
+}
+END_TEST
+
 /*
  * A second process is started with a slot that is in use. If it replaced the
  * working member, the two would replace each other for ever.
@@ -111,8 +132,8 @@
 START_TEST(refuses_to_replace_responsive_member)
 {
 	join_member_t none = { 0 };
-	join_member_t voter = { 50, 0, MEMBER_TIMEOUT_MS - 1 };
-	join_member_t learner = { 51, 0, 0 };
+	join_member_t voter = { 50, 0, MEMBER_TIMEOUT_MS - 1, 0 };
+	join_member_t learner = { 51, 0, 0, 0 };
 	uint64_t identity = 0;
 
 	begin(2);
@@ -146,8 +167,8 @@
 START_TEST(replaces_at_once_if_request_is_from_slot_address)
 {
 	join_member_t none = { 0 };
-	join_member_t lost = { 50, 900, 0 };
-	join_member_t learner = { 51, 0, 0 };
+	join_member_t lost = { 50, 900, 0, 0 };
+	join_member_t learner = { 51, 0, 0, 0 };
 	uint64_t identity = 0;
 
 	begin(2);
@@ -198,6 +219,7 @@
 		lost_disk_does_not_bootstrap_second_group,
 		only_lowest_slot_bootstraps,
 		replacement_catches_up_before_promotion,
+		removes_learner_that_stays_silent,
 		refuses_to_replace_responsive_member,
 		replaces_at_once_if_request_is_from_slot_address,
 		refuses_invalid_peers,
