--- a/tests/test_control_membership.c
+++ b/tests/test_control_membership.c
@@ -13,6 +13,7 @@
 #define LEADER_IDENTITY 22
 #define FORMER_IDENTITY 21
 #define TERM 5
+#define WAIT_TICKS 3000
 
 /* The leader, or a VM that is gone: it only receives. */
 typedef struct fake_peer {
@@ -21,9 +22,9 @@
 	char text[DY_ADDRESS_TEXT_BYTES];
 	dy_seal_t *seal;
 	dy_voter_id_t learner; /* as the last HELLO said */
-	unsigned hellos;
-	unsigned finds;
-	unsigned replies;
+	int hellos;
+	int finds;
+	int replies;
 	uint64_t match_index; /* of the last reply */
 } fake_peer_t;
 
@@ -79,30 +80,33 @@
 	dy_address_format(&peer->address, peer->text);
 }
 
-/* Starts the control again on its folder, with the present options. */
-static void restart_control(void)
-{
-	dy_control_destroy(world.control);
-	fake_control_start(&world);
-}
-
 static void close_peer(fake_peer_t *peer)
 {
 	dy_endpoint_destroy(peer->endpoint);
 	dy_seal_destroy(peer->seal);
 }
 
-/* Starts a control with an empty disk that was given slot 1. */
-static void begin(void)
+/* Prepares a control with an empty disk that was given slot 1. */
+static void prepare(void)
 {
 	fake_control_init(&world);
 	open_peer(&leader);
 	open_peer(&former);
 	world.options.peers.count = 3;
 	world.options.peers.slots[LEADER_SLOT] = leader.address;
+}
+
+static void run_until(const int *count)
+{
+	fake_control_run(&world, WAIT_TICKS, count);
+	ck_assert_int_gt(*count, 0);
+}
+
+static void begin(void)
+{
+	prepare();
 	fake_control_start(&world);
-	fake_control_run(&world, 60, NULL);
-	ck_assert_uint_gt(leader.hellos, 0);
+	run_until(&leader.hellos);
 }
 
 static void end(void)
@@ -166,11 +170,14 @@
 
 	begin();
 	send_former_membership();
+	run_until(&leader.replies);
+	/* The slots' table is that of the log from the next tick on. */
 	fake_control_run(&world, 20, NULL);
+	leader.replies = 0;
 	entry.type = DY_ENTRY_NOOP;
 	send_append(&entry, 1);
-	fake_control_run(&world, 20, NULL);
-	ck_assert_uint_eq(former.replies, 0);
+	run_until(&leader.replies);
+	ck_assert_int_eq(former.replies, 0);
 	ck_assert_uint_eq(leader.match_index, 2);
 	end();
 }
@@ -183,9 +190,11 @@
 
 	begin();
 	send_former_membership();
+	run_until(&leader.replies);
 	fake_control_run(&world, 20, NULL);
+	leader.replies = 0;
 	send_append(NULL, 1);
-	fake_control_run(&world, 4, NULL);
+	run_until(&leader.replies);
 	dy_control_leader(world.control, &named);
 	ck_assert(dy_address_equal(&named, &leader.address));
 	end();
@@ -197,15 +206,15 @@
 {
 	dy_address_list_t seeds = { .count = 0 };
 
-	begin();
+	prepare();
 	world.options.seeds = &seeds;
-	restart_control();
+	fake_control_start(&world);
+	run_until(&leader.hellos);
 	send_append(NULL, 0);
-	fake_control_run(&world, 20, NULL);
-	ck_assert_uint_eq(former.finds, 0);
+	run_until(&leader.replies);
+	ck_assert_int_eq(former.finds, 0);
 	seeds.items[seeds.count++] = former.address;
-	fake_control_run(&world, 900, NULL);
-	ck_assert_uint_gt(former.finds, 0);
+	run_until(&former.finds);
 	end();
 }
 END_TEST
@@ -215,13 +224,12 @@
 {
 	dy_address_list_t seeds = { .count = 0 };
 
-	begin();
+	prepare();
 	memset(&world.options.peers, 0, sizeof(world.options.peers));
 	world.options.seeds = &seeds;
 	seeds.items[seeds.count++] = former.address;
-	restart_control();
-	fake_control_run(&world, 60, NULL);
-	ck_assert_uint_gt(former.hellos, 0);
+	fake_control_start(&world);
+	run_until(&former.hellos);
 	end();
 }
 END_TEST
