--- a/src/process/control/control_membership.c
+++ b/src/process/control/control_membership.c
@@ -333,10 +333,18 @@
 	control_each_address(control, send_membership_query);
 }
 
+/*
+ * The time runs from the first request: opening the store may take seconds on a
+ * busy disk.
+ */
 void control_check_join_timeout(dy_control_t *control)
 {
+	uint64_t now = control_now_ms(control);
+
+	if (!control->join_requested_ms)
+		control->join_requested_ms = now;
 	if (!control->options.dynamic_membership ||
-	    control_now_ms(control) - control->started_ms < JOIN_TIMEOUT_MS)
+	    now - control->join_requested_ms < JOIN_TIMEOUT_MS)
 		return;
 	dy_log_event(DY_LOG_WARN, "control_join_timeout", "slot=%u",
 		     control->options.slot);
--- a/src/process/control/control_private.h
+++ b/src/process/control/control_private.h
@@ -110,6 +110,7 @@
 	int transferring;
 	int failed;
 	dy_control_exit_reason_t exit_reason;
+	uint64_t join_requested_ms;   /* first request to join; 0: none */
 	uint64_t leader_seen_ms;      /* last time with a known leader */
 	uint64_t membership_query_ms; /* last membership query sent */
 	slot_claim_t slot_claims[DY_RAFT_MEMBERS_MAX + 1]; /* by slot */
--- a/tests/test_control_membership.c
+++ b/tests/test_control_membership.c
@@ -14,6 +14,7 @@
 #define FORMER_IDENTITY 21
 #define TERM 5
 #define WAIT_TICKS 3000
+#define SLOW_DISK_MS 8500
 
 /* The leader, or a VM that is gone: it only receives. */
 typedef struct fake_peer {
@@ -234,6 +235,17 @@
 }
 END_TEST
 
+/* A disk is busy for longer than a join may take: the control gives up. */
+START_TEST(slow_disk_does_not_use_up_the_time_to_join)
+{
+	prepare();
+	fake_control_start(&world);
+	g_usleep(SLOW_DISK_MS * 1000);
+	run_until(&leader.hellos);
+	end();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -241,6 +253,7 @@
 		names_leader_in_slot_that_another_held,
 		asks_seeds_when_no_known_control_answers,
 		asks_seeds_to_join_when_it_knows_no_control,
+		slow_disk_does_not_use_up_the_time_to_join,
 		NULL,
 	};
 
