--- a/src/process/control/control_group.c
+++ b/src/process/control/control_group.c
@@ -155,8 +155,9 @@
 		found->identity = member->id.identity;
 		found->lag = dy_raft_member_lag(control->raft, member->id,
 						&found->last_answer_age_ms);
-		found->silent_ms =
-			dy_raft_member_silent_ms(control->raft, member->id);
+		if (control->options.dynamic_membership)
+			found->silent_ms = dy_raft_member_silent_ms(
+				control->raft, member->id);
 	}
 }
 
--- a/src/process/group/bootstrap.h
+++ b/src/process/group/bootstrap.h
@@ -89,7 +89,11 @@
 	uint64_t identity; /* 0: there is none */
 	uint64_t lag;	   /* entries that it lacks */
 	uint64_t last_answer_age_ms;
-	uint64_t silent_ms; /* the same, but counted from when it was added */
+	/*
+	 * Time since its last answer, or since it was added. 0 in a group of
+	 * static membership: a control that was removed is not told so there.
+	 */
+	uint64_t silent_ms;
 } join_member_t;
 
 /*
--- a/src/process/group/raft.c
+++ b/src/process/group/raft.c
@@ -385,6 +385,7 @@
 		    raft->now_ms + 2 * raft->options.election_ms);
 	for (i = 0; i < raft->peers->len; i++) {
 		peer = raft_peer_at(raft, i);
+		peer->added_ms = MIN(peer->added_ms + missed_ms, raft->now_ms);
 		if (peer->last_reply_ms)
 			peer->last_reply_ms = MIN(
 				peer->last_reply_ms + missed_ms, raft->now_ms);
--- a/src/process/group/raft_private.h
+++ b/src/process/group/raft_private.h
@@ -13,8 +13,9 @@
 	/* Next entry to send; last entry known to be durable there. */
 	uint64_t next_index;
 	uint64_t match_index;
-	/* Time of its last reply; 0: none yet. When it became a member. */
+	/* Time of its last reply; 0: none yet. */
 	uint64_t last_reply_ms;
+	/* When it became a member. */
 	uint64_t added_ms;
 	/* Newest read round that it replied to, and that it was sent. */
 	uint64_t acked_round;
