--- a/src/process/control/control_membership.c
+++ b/src/process/control/control_membership.c
@@ -28,7 +28,7 @@
 /* Interval of these queries. */
 #define MEMBERSHIP_QUERY_INTERVAL_MS 500
 
-#define ADDRESSES_MAX (DY_RAFT_MEMBERS_MAX + DY_SETTING_ADDRESSES_MAX)
+#define ADDRESSES_MAX (2 * DY_RAFT_MEMBERS_MAX + DY_SETTING_ADDRESSES_MAX)
 
 /*
  * A configuration without this control dates from before it joined: the slots
@@ -149,15 +149,17 @@
 
 /*
  * Guards against a member that is told it was removed by a configuration that
- * is later rolled back, and then gives up its disk: only a committed
- * configuration counts.
+ * is later rolled back, or by a leader that lacks the newest one, and then
+ * gives up its disk: only a committed configuration counts, of a leader that
+ * has committed an entry of its term.
  */
 static void check_identity(const dy_control_t *control, const dy_find_t *find,
 			   dy_place_t *place)
 {
 	if (dy_raft_config_has(dy_raft_config(control->raft), find->id))
 		place->status = DY_PLACE_HELD;
-	else if (dy_raft_config_is_committed(control->raft))
+	else if (dy_raft_config_is_committed(control->raft) &&
+		 dy_raft_is_current(control->raft))
 		place->status = DY_PLACE_LOST;
 }
 
@@ -234,25 +236,6 @@
 		dy_endpoint_send(control->endpoint, control->out, len, from);
 }
 
-void control_receive_place(dy_control_t *control, const dy_sealed_t *message)
-{
-	dy_place_t place;
-
-	if (!dy_sealed_load(message, (xdrproc_t)xdr_dy_place_t, &place,
-			    sizeof(place))) {
-		control_count_malformed(control, message->procedure);
-		return;
-	}
-	if (place.group == control->options.group &&
-	    place.echo == dy_store_id(control->store).identity &&
-	    place.status == DY_PLACE_LOST) {
-		dy_log_event(DY_LOG_WARN, "control_evicted", "slot=%u",
-			     dy_store_id(control->store).slot);
-		control_terminate(control, DY_CONTROL_EVICTED);
-	}
-	xdr_free((xdrproc_t)xdr_dy_place_t, (char *)&place);
-}
-
 /* Appends an address that is set, not listed and another's. Returns count. */
 static unsigned add_address(const dy_control_t *control, dy_address_t *list,
 			    unsigned count, const dy_address_t *address)
@@ -269,7 +252,24 @@
 	return count + 1;
 }
 
-/* Lists each slot's address and each seed once, but not this control's own. */
+static unsigned add_members(const dy_control_t *control, dy_address_t *list,
+			    unsigned count)
+{
+	const dy_raft_config_t *config = dy_raft_config(control->raft);
+	dy_address_t address;
+	unsigned i;
+
+	for (i = 0; i < config->members.members_len; i++)
+		if (!dy_address_parse(config->members.members_val[i].address,
+				      &address))
+			count = add_address(control, list, count, &address);
+	return count;
+}
+
+/*
+ * Lists the address of each slot, of each member and each seed once, but not
+ * this control's own. An old address does no harm to a question.
+ */
 static unsigned list_addresses(const dy_control_t *control,
 			       dy_address_t list[ADDRESSES_MAX])
 {
@@ -283,6 +283,8 @@
 			count = add_address(
 				control, list, count,
 				&control->options.peers.slots[slot]);
+	if (control->options.dynamic_membership)
+		count = add_members(control, list, count);
 	for (i = 0; seeds && i < seeds->count; i++)
 		count = add_address(control, list, count, &seeds->items[i]);
 	return count;
@@ -313,6 +315,50 @@
 		dy_endpoint_send_to(control->endpoint, control->out, len, to);
 }
 
+/* Two followers that name each other must not keep this control asking. */
+static void ask_named_leader(dy_control_t *control, const dy_address_t *leader)
+{
+	uint64_t now = control_now_ms(control);
+
+	if (!leader->port ||
+	    now - control->leader_query_ms < MEMBERSHIP_QUERY_INTERVAL_MS)
+		return;
+	control->leader_query_ms = now;
+	send_membership_query(control, leader);
+}
+
+/*
+ * Guards against an answer that a leader of before gave, or that was late: it
+ * counts only while this control knows no leader.
+ */
+static void use_place(dy_control_t *control, const dy_place_t *place)
+{
+	if (dy_raft_leader(control->raft).identity)
+		return;
+	if (place->status == DY_PLACE_ASK)
+		ask_named_leader(control, &place->leader);
+	if (place->status != DY_PLACE_LOST)
+		return;
+	dy_log_event(DY_LOG_WARN, "control_evicted", "slot=%u",
+		     dy_store_id(control->store).slot);
+	control_terminate(control, DY_CONTROL_EVICTED);
+}
+
+void control_receive_place(dy_control_t *control, const dy_sealed_t *message)
+{
+	dy_place_t place;
+
+	if (!dy_sealed_load(message, (xdrproc_t)xdr_dy_place_t, &place,
+			    sizeof(place))) {
+		control_count_malformed(control, message->procedure);
+		return;
+	}
+	if (place.group == control->options.group &&
+	    place.echo == dy_store_id(control->store).identity)
+		use_place(control, &place);
+	xdr_free((xdrproc_t)xdr_dy_place_t, (char *)&place);
+}
+
 /*
  * Guards against a member that was removed while it was partitioned: no control
  * sends to it any more, so it would wait for a leader indefinitely. The seeds
--- a/src/process/control/control_private.h
+++ b/src/process/control/control_private.h
@@ -113,6 +113,7 @@
 	uint64_t join_requested_ms;   /* first request to join; 0: none */
 	uint64_t leader_seen_ms;      /* last time with a known leader */
 	uint64_t membership_query_ms; /* last membership query sent */
+	uint64_t leader_query_ms;     /* last one to a leader that was named */
 	slot_claim_t slot_claims[DY_RAFT_MEMBERS_MAX + 1]; /* by slot */
 	control_publisher_t *publisher;
 	control_ledger_t *ledger;
--- a/tests/test_control_learner.c
+++ b/tests/test_control_learner.c
@@ -148,10 +148,34 @@
 }
 END_TEST
 
+/* Only a follower can be asked, and it names the leader that would tell. */
+START_TEST(removed_learner_asks_the_leader_that_a_follower_names)
+{
+	dy_address_list_t seeds = { .count = 1 };
+	unsigned ticks = RETURN_TICKS;
+
+	begin(1);
+	lose_third_while_it_learns();
+	ck_assert_uint_ge(count("control_removed"), 1);
+	memset(group.third.options.peers.slots, 0,
+	       sizeof(group.third.options.peers.slots));
+	seeds.items[0] = group.first.options.peers.slots[2];
+	group.third.options.seeds = &seeds;
+	fake_control_start(&group.third);
+	while (ticks-- && dy_control_exit_reason(group.third.control) !=
+				  DY_CONTROL_EVICTED)
+		run(1);
+	ck_assert_int_eq(dy_control_exit_reason(group.third.control),
+			 DY_CONTROL_EVICTED);
+	end();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		learner_of_static_group_returns_after_a_long_time,
+		removed_learner_asks_the_leader_that_a_follower_names,
 		NULL,
 	};
 
