--- a/src/process/control/control_group.c
+++ b/src/process/control/control_group.c
@@ -72,6 +72,19 @@
 	send_hello(control, &address, 0, message->sender);
 }
 
+/* Whether the source of a message may replace an address known before. */
+static int is_current(const dy_control_t *control,
+		      const dy_raft_message_t *message)
+{
+	dy_address_t known;
+
+	if (message->group != control->options.group ||
+	    !dy_voter_id_equal(message->to, dy_raft_id(control->raft)))
+		return 0;
+	return message->term >= dy_raft_term(control->raft) ||
+	       control_find_address(control, message->from, &known);
+}
+
 static void receive_raft(dy_control_t *control, const dy_sealed_t *message,
 			 const struct sockaddr *from)
 {
@@ -83,10 +96,11 @@
 		control_count_malformed(control, message->procedure);
 		return;
 	}
-	dy_address_load(&address, from);
-	if (raft.group == control->options.group)
+	if (is_current(control, &raft)) {
+		dy_address_load(&address, from);
 		peer_addresses_hear(&control->peer_addresses, raft.from,
 				    &address, control_now_ms(control));
+	}
 	dy_raft_receive(control->raft, &raft, control_now_ms(control));
 	xdr_free((xdrproc_t)xdr_dy_raft_message_t, (char *)&raft);
 }
--- a/src/process/control/control_membership.c
+++ b/src/process/control/control_membership.c
@@ -108,9 +108,9 @@
 }
 
 /*
- * Returns the slot for a control at that address: the one it held, or was
- * listed with, before its disk was lost, or the lowest one that no member holds
- * and no other control claims. Returns 0 if there is none.
+ * Returns the slot for a control at that address: the one it held before its
+ * disk was lost, or the lowest one that no member holds and no other control
+ * claims. Returns 0 if there is none.
  */
 static uint32_t choose_slot(const dy_control_t *control,
 			    const dy_address_t *address)
@@ -120,9 +120,8 @@
 	uint32_t slot;
 
 	for (slot = 1; slot <= DY_RAFT_MEMBERS_MAX; slot++)
-		if (dy_address_equal(&peers->slots[slot], address) &&
-		    (slot_is_member(control, slot) ||
-		     !is_claimed(control, slot, address, now)))
+		if (slot_is_member(control, slot) &&
+		    dy_address_equal(&peers->slots[slot], address))
 			return slot;
 	for (slot = 1; slot <= DY_RAFT_MEMBERS_MAX; slot++)
 		if (!slot_is_member(control, slot) &&
