--- a/include/damaskyard/control.h
+++ b/include/damaskyard/control.h
@@ -71,7 +71,7 @@
  */
 gboolean dy_peers_parse(dy_peers_t *peers, const char *text, GError **error);
 
-/* Returns the lowest used slot of peers. */
+/* Returns the lowest used slot of peers, or 0 if none is used. */
 uint32_t dy_peers_lowest_slot(const dy_peers_t *peers);
 
 /*
--- a/src/process/control/control_group.c
+++ b/src/process/control/control_group.c
@@ -207,7 +207,8 @@
 static void run_join_step(dy_control_t *control, join_step_t step,
 			  dy_voter_id_t id)
 {
-	const dy_address_t *address = &control->options.peers.slots[id.slot];
+	const dy_address_t *address =
+		&control->bootstrap.peer_states[id.slot].join_address;
 	char text[DY_ADDRESS_TEXT_BYTES];
 
 	switch (step) {
--- a/src/process/group/bootstrap.c
+++ b/src/process/group/bootstrap.c
@@ -17,8 +17,10 @@
 	bootstrap_peer_t *peer;
 
 	if (hello->id.slot > DY_RAFT_MEMBERS_MAX ||
-	    !bootstrap->peers->slots[hello->id.slot].port)
+	    !bootstrap->peers->slots[hello->id.slot].port) {
+		bootstrap->group_exists |= !hello->empty;
 		return;
+	}
 	peer = &bootstrap->peer_states[hello->id.slot];
 	if (answers_us) {
 		peer->answered = 1;
@@ -28,6 +30,7 @@
 		return;
 	peer->join_identity = hello->id.identity;
 	peer->join_requested_ms = now_ms;
+	peer->join_address = *from;
 	peer->from_slot_address = dy_address_equal(
 		from, &bootstrap->peers->slots[hello->id.slot]);
 }
@@ -36,7 +39,8 @@
 {
 	uint32_t slot;
 
-	if (dy_peers_lowest_slot(bootstrap->peers) != bootstrap->slot)
+	if (bootstrap->group_exists ||
+	    dy_peers_lowest_slot(bootstrap->peers) != bootstrap->slot)
 		return 0;
 	for (slot = 1; slot <= DY_RAFT_MEMBERS_MAX; slot++) {
 		if (!bootstrap->peers->slots[slot].port ||
--- a/src/process/group/bootstrap.h
+++ b/src/process/group/bootstrap.h
@@ -37,12 +37,14 @@
 	int empty;		    /* its store, at its last answer */
 	uint64_t join_identity;	    /* identity that asked to join, or 0 */
 	uint64_t join_requested_ms; /* when it last asked */
+	dy_address_t join_address;  /* where it asked from */
 	int from_slot_address;	    /* it asked from the slot's own address */
 } bootstrap_peer_t;
 
 typedef struct bootstrap {
 	const dy_peers_t *peers;
 	uint32_t slot;
+	int group_exists; /* a control that is not listed is not empty */
 	bootstrap_peer_t peer_states[DY_RAFT_MEMBERS_MAX + 1]; /* by slot */
 } bootstrap_t;
 
@@ -56,7 +58,8 @@
 /*
  * Record a HELLO message that came from address from. answers_us: it answers
  * a HELLO of this process. A HELLO with an empty store is a join request.
- * Messages from unknown slots are ignored.
+ * A message from an unknown slot is no request; if its store is not empty,
+ * there is a group already.
  */
 void bootstrap_receive_hello(bootstrap_t *bootstrap, const dy_hello_t *hello,
 			     const dy_address_t *from, int answers_us,
--- a/src/process/group/peers.c
+++ b/src/process/group/peers.c
@@ -52,9 +52,10 @@
 
 uint32_t dy_peers_lowest_slot(const dy_peers_t *peers)
 {
-	uint32_t slot = 1;
+	uint32_t slot;
 
-	while (slot < DY_RAFT_MEMBERS_MAX && !peers->slots[slot].port)
-		slot++;
-	return slot;
+	for (slot = 1; slot <= DY_RAFT_MEMBERS_MAX; slot++)
+		if (peers->slots[slot].port)
+			return slot;
+	return 0;
 }
--- a/tests/test_bootstrap.c
+++ b/tests/test_bootstrap.c
@@ -47,6 +47,27 @@
 }
 END_TEST
 
+/* A control that knows no other one forms a second group by itself. */
+START_TEST(control_without_peers_bootstraps_nothing)
+{
+	begin(2);
+	memset(&peers, 0, sizeof(peers));
+	bootstrap_init(&bootstrap, &peers, DY_RAFT_MEMBERS_MAX);
+	ck_assert(!bootstrap_is_due(&bootstrap));
+}
+END_TEST
+
+/* All listed controls are new while others, not listed, have the state. */
+START_TEST(member_that_is_not_listed_prevents_second_group)
+{
+	begin(2);
+	receive_hello(3, 30, 1, 1, 0);
+	receive_hello(9, 90, 0, 1, 0);
+	receive_hello(5, 50, 1, 1, 0);
+	ck_assert(!bootstrap_is_due(&bootstrap));
+}
+END_TEST
+
 /* Controls that bootstrap at once would form two groups, so one slot may. */
 START_TEST(only_lowest_slot_bootstraps)
 {
@@ -217,6 +238,8 @@
 {
 	const TTest *const tests[] = {
 		lost_disk_does_not_bootstrap_second_group,
+		control_without_peers_bootstraps_nothing,
+		member_that_is_not_listed_prevents_second_group,
 		only_lowest_slot_bootstraps,
 		replacement_catches_up_before_promotion,
 		removes_learner_that_stays_silent,
