--- a/include/damaskyard/store.h
+++ b/include/damaskyard/store.h
@@ -8,6 +8,7 @@
  *	identity		group, slot and random identity of this member
  *	vote			term and the candidate voted for in it
  *	synced			lower bound of the last synced index, a hint
+ *	slot			what was told with the slot; see slot_record.h
  *	snapshot		state machine up to an index
  *	log-NNNNNNNNNNNNNNNNNNNN	log segment, named by its first index
  *	NAME.tmp		a file being written; removed on open
--- a/proto/dy_raft.x
+++ b/proto/dy_raft.x
@@ -148,7 +148,8 @@
 	DY_RECORD_VOTE = 4,
 	DY_RECORD_SYNCED = 5,
 	DY_RECORD_SNAPSHOT = 6,
-	DY_RECORD_CHUNK = 7
+	DY_RECORD_CHUNK = 7,
+	DY_RECORD_SLOT = 8
 };
 
 struct dy_record_identity_t {
@@ -185,6 +186,24 @@
 	opaque data<DY_RAFT_CHUNK_BYTES>;
 };
 
+/* Address of a slot's control. */
+struct dy_slot_address_t {
+	unsigned int slot;
+	string address<DY_RAFT_ADDRESS_MAX>;
+};
+
+/*
+ * What a control was told when it claimed its slot. first_start: the group was
+ * being founded, by this number of controls; else a leader gave the slot.
+ */
+struct dy_record_slot_t {
+	unsigned hyper group;
+	unsigned int slot;
+	bool first_start;
+	unsigned int count;
+	dy_slot_address_t peers<DY_RAFT_MEMBERS_MAX>;
+};
+
 union dy_record_t switch (dy_record_kind_t kind) {
 case DY_RECORD_SEGMENT:
 	dy_record_segment_t segment;
@@ -200,4 +219,6 @@
 	dy_record_snapshot_t snapshot;
 case DY_RECORD_CHUNK:
 	dy_record_chunk_t chunk;
+case DY_RECORD_SLOT:
+	dy_record_slot_t slot;
 };
--- a/src/gen/dy_raft.h
+++ b/src/gen/dy_raft.h
@@ -168,6 +168,7 @@
 	DY_RECORD_SYNCED = 5,
 	DY_RECORD_SNAPSHOT = 6,
 	DY_RECORD_CHUNK = 7,
+	DY_RECORD_SLOT = 8,
 };
 typedef enum dy_record_kind_t dy_record_kind_t;
 
@@ -214,6 +215,24 @@
 };
 typedef struct dy_record_chunk_t dy_record_chunk_t;
 
+struct dy_slot_address_t {
+	u_int slot;
+	char *address;
+};
+typedef struct dy_slot_address_t dy_slot_address_t;
+
+struct dy_record_slot_t {
+	u_quad_t group;
+	u_int slot;
+	bool_t first_start;
+	u_int count;
+	struct {
+		u_int peers_len;
+		dy_slot_address_t *peers_val;
+	} peers;
+};
+typedef struct dy_record_slot_t dy_record_slot_t;
+
 struct dy_record_t {
 	dy_record_kind_t kind;
 	union {
@@ -224,6 +243,7 @@
 		u_quad_t synced_index;
 		dy_record_snapshot_t snapshot;
 		dy_record_chunk_t chunk;
+		dy_record_slot_t slot;
 	} dy_record_t_u;
 };
 typedef struct dy_record_t dy_record_t;
@@ -253,6 +273,8 @@
 extern  bool_t xdr_dy_record_segment_t (XDR *, dy_record_segment_t*);
 extern  bool_t xdr_dy_record_snapshot_t (XDR *, dy_record_snapshot_t*);
 extern  bool_t xdr_dy_record_chunk_t (XDR *, dy_record_chunk_t*);
+extern  bool_t xdr_dy_slot_address_t (XDR *, dy_slot_address_t*);
+extern  bool_t xdr_dy_record_slot_t (XDR *, dy_record_slot_t*);
 extern  bool_t xdr_dy_record_t (XDR *, dy_record_t*);
 
 #else /* K&R C */
@@ -278,6 +300,8 @@
 extern bool_t xdr_dy_record_segment_t ();
 extern bool_t xdr_dy_record_snapshot_t ();
 extern bool_t xdr_dy_record_chunk_t ();
+extern bool_t xdr_dy_slot_address_t ();
+extern bool_t xdr_dy_record_slot_t ();
 extern bool_t xdr_dy_record_t ();
 
 #endif /* K&R C */
--- a/src/gen/dy_raft_xdr.c
+++ b/src/gen/dy_raft_xdr.c
@@ -347,6 +347,82 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dy_slot_address_t (XDR *xdrs, dy_slot_address_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->slot))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->address, DY_RAFT_ADDRESS_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dy_record_slot_t (XDR *xdrs, dy_record_slot_t *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->group))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->slot))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->first_start))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->count))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->slot);
+		IXDR_PUT_BOOL(buf, objp->first_start);
+		IXDR_PUT_U_LONG(buf, objp->count);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->peers.peers_val, (u_int *) &objp->peers.peers_len, DY_RAFT_MEMBERS_MAX,
+			sizeof (dy_slot_address_t), (xdrproc_t) xdr_dy_slot_address_t))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->group))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->slot))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->first_start))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->count))
+				 return FALSE;
+
+		} else {
+		objp->slot = IXDR_GET_U_LONG(buf);
+		objp->first_start = IXDR_GET_BOOL(buf);
+		objp->count = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->peers.peers_val, (u_int *) &objp->peers.peers_len, DY_RAFT_MEMBERS_MAX,
+			sizeof (dy_slot_address_t), (xdrproc_t) xdr_dy_slot_address_t))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->group))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slot))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->first_start))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->count))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->peers.peers_val, (u_int *) &objp->peers.peers_len, DY_RAFT_MEMBERS_MAX,
+		sizeof (dy_slot_address_t), (xdrproc_t) xdr_dy_slot_address_t))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dy_record_t (XDR *xdrs, dy_record_t *objp)
 {
@@ -383,6 +459,10 @@
 		 if (!xdr_dy_record_chunk_t (xdrs, &objp->dy_record_t_u.chunk))
 			 return FALSE;
 		break;
+	case DY_RECORD_SLOT:
+		 if (!xdr_dy_record_slot_t (xdrs, &objp->dy_record_t_u.slot))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/process/flow/cmd_flow_control.c
+++ b/src/process/flow/cmd_flow_control.c
@@ -45,6 +45,7 @@
 	options->folder = settings->data;
 	options->listen = settings->inner;
 	options->dynamic_membership = 1;
+	options->seeds = &settings->seeds;
 	options->losses = settings->losses;
 	options->domains = settings->domains;
 	options->snapshot_bytes = SNAPSHOT_LOG_BYTES;
--- a/src/process/group/slot_claim.c
+++ b/src/process/group/slot_claim.c
@@ -8,6 +8,7 @@
 #include "damaskyard/seal.h"
 #include "damaskyard/store.h"
 #include "dy_group.h"
+#include "slot_record.h"
 
 /*
  * Interval between requests to the seeds, in ms: a few round trips between
@@ -122,6 +123,7 @@
 				place->seats.seats_val[i].address;
 	peers->slots[place->slot] = claim->options->listen;
 	claim->options->slot = place->slot;
+	claim->options->joins_running_group = 1;
 	claim->granted = 1;
 	dy_log_event(DY_LOG_INFO, "slot_assigned", "slot=%u members=%u",
 		     place->slot, place->seats.seats_len);
@@ -185,17 +187,92 @@
 	return claim.endpoint ? 0 : -1;
 }
 
+/* What was told to this member of the group, or a damaged record: 0. */
+static int load_record(const dy_control_options_t *options,
+		       slot_record_t *record)
+{
+	GError *error = NULL;
+	int found = slot_record_load(options->folder, record, &error);
+
+	if (error) {
+		dy_log_event(DY_LOG_WARN, "slot_record_damaged", "error=%s",
+			     dy_log_quote(error->message));
+		g_error_free(error);
+	}
+	return found > 0 && record->group == options->group;
+}
+
+/* Make what was told durable, so that a restart goes on with it. */
+static int save_record(const dy_control_options_t *options, GError **error)
+{
+	slot_record_t record = { 0 };
+
+	record.group = options->group;
+	record.slot = options->slot;
+	record.first_start = !options->joins_running_group;
+	record.peers = options->peers;
+	return slot_record_save(options->folder, &record, error) ? -1 : 1;
+}
+
+static void use_record(dy_control_options_t *options,
+		       const slot_record_t *record)
+{
+	unsigned count = options->peers.count;
+
+	options->slot = record->slot;
+	options->joins_running_group = !record->first_start;
+	options->peers = record->peers;
+	if (!record->first_start)
+		options->peers.count = count;
+	options->peers.slots[record->slot] = options->listen;
+	dy_log_event(DY_LOG_INFO, "slot_restored", "slot=%u first_start=%d",
+		     record->slot, record->first_start);
+}
+
+/*
+ * The data folder has a member. If nothing tells its peers, they are those of
+ * its log, and until it has any, the seeds are asked.
+ */
+static void restore_member(dy_control_options_t *options,
+			   const dy_flow_settings_t *settings,
+			   const slot_record_t *record)
+{
+	dy_control_options_t seed = *options;
+
+	if (record->slot == options->slot) {
+		use_record(options, record);
+		return;
+	}
+	dy_log_event(DY_LOG_INFO, "slot_record_missing", "slot=%u",
+		     options->slot);
+	if (settings->first_start && claim_seed_slot(&seed, settings) &&
+	    seed.slot == options->slot)
+		options->peers = seed.peers;
+}
+
 int slot_claim_run(dy_control_options_t *options,
 		   const dy_flow_settings_t *settings, GError **error)
 {
 	int found = dy_store_find_slot(options->folder, &options->slot, error);
+	slot_record_t record;
+	int claimed;
 
 	options->peers.count = (unsigned)settings->seeds.count;
 	if (found < 0)
 		return -1;
-	if (found)
+	if (!load_record(options, &record))
+		memset(&record, 0, sizeof(record));
+	if (found) {
+		restore_member(options, settings, &record);
 		return 1;
-	if (settings->first_start && claim_seed_slot(options, settings))
+	}
+	if (record.first_start) {
+		use_record(options, &record);
 		return 1;
-	return request_slot(options, settings, error);
+	}
+	if (!record.slot && settings->first_start &&
+	    claim_seed_slot(options, settings))
+		return save_record(options, error);
+	claimed = request_slot(options, settings, error);
+	return claimed > 0 ? save_record(options, error) : claimed;
 }
--- a/src/process/group/store.c
+++ b/src/process/group/store.c
@@ -105,20 +105,14 @@
 	return 0;
 }
 
-/* Replace a file by one record atomically. */
-static int write_file(dy_store_t *store, const char *name,
-		      const dy_record_t *record, GError **error)
+static int write_record_file(const dy_disk_t *disk, const char *name,
+			     const dy_record_t *record)
 {
-	const dy_disk_t *disk = store->disk;
 	GByteArray *out = g_byte_array_new();
-	char temporary[SEGMENT_NAME_BYTES];
-	int handle;
-	int code;
+	int handle = disk->open(disk->context, name, 1);
+	int code = handle;
 
-	snprintf(temporary, sizeof(temporary), "%s" TEMPORARY_SUFFIX, name);
 	record_encode(out, record, 0);
-	handle = disk->open(disk->context, temporary, 1);
-	code = handle;
 	if (handle >= 0) {
 		code = store_write_all(disk, handle, 0, out->data, out->len);
 		if (code >= 0)
@@ -126,9 +120,30 @@
 		disk->close(disk->context, handle);
 	}
 	g_byte_array_free(out, TRUE);
-	if (code < 0)
-		return store_fail(store, "write", temporary, code, error);
-	return store_rename(store, temporary, name, error);
+	return code;
+}
+
+int store_replace_file(const dy_disk_t *disk, const char *name,
+		       const dy_record_t *record)
+{
+	char temporary[SEGMENT_NAME_BYTES];
+	int code;
+
+	snprintf(temporary, sizeof(temporary), "%s" TEMPORARY_SUFFIX, name);
+	code = write_record_file(disk, temporary, record);
+	if (code >= 0)
+		code = disk->rename(disk->context, temporary, name);
+	if (code >= 0)
+		code = disk->sync_folder(disk->context);
+	return code;
+}
+
+static int write_file(dy_store_t *store, const char *name,
+		      const dy_record_t *record, GError **error)
+{
+	int code = store_replace_file(store->disk, name, record);
+
+	return code < 0 ? store_fail(store, "write", name, code, error) : 0;
 }
 
 /* Returns 1 and the record, 0 if there is no such file, -1 with error set. */
--- a/src/process/group/store_private.h
+++ b/src/process/group/store_private.h
@@ -72,6 +72,9 @@
 /* Write all of data, with several writes if needed. Returns 0 or -errno. */
 int store_write_all(const dy_disk_t *disk, int handle, uint64_t offset,
 		    const void *data, size_t size);
+/* Replace a file by one record, atomically and durably. Returns 0 or -errno. */
+int store_replace_file(const dy_disk_t *disk, const char *name,
+		       const dy_record_t *record);
 /*
  * Read a whole file. Returns NULL with error set, or without error if the
  * file is missing.
