--- a/proto/dy_group.x
+++ b/proto/dy_group.x
@@ -40,7 +40,8 @@
 	DY_PLACE_ASK = 1,	/* retry at the leader */
 	DY_PLACE_GIVEN = 2,	/* the slot is assigned */
 	DY_PLACE_HELD = 3,	/* the identity is a member */
-	DY_PLACE_LOST = 4	/* the identity is no longer a member */
+	DY_PLACE_LOST = 4,	/* the identity is no longer a member */
+	DY_PLACE_LISTED = 5	/* the slot in a group that is being founded */
 };
 
 /* Slot and address of one control of the group. */
@@ -51,7 +52,7 @@
 
 const DY_SEATS_MAX = 16;
 
-/* Answer to a slot claim. */
+/* Answer to a slot claim. seats: the members, or with LISTED the founders. */
 struct dy_place_t {
 	unsigned hyper group;
 	unsigned hyper echo;
--- a/src/gen/dy_group.h
+++ b/src/gen/dy_group.h
@@ -38,6 +38,7 @@
 	DY_PLACE_GIVEN = 2,
 	DY_PLACE_HELD = 3,
 	DY_PLACE_LOST = 4,
+	DY_PLACE_LISTED = 5,
 };
 typedef enum dy_place_status_t dy_place_status_t;
 
--- a/src/process/control/control_group.c
+++ b/src/process/control/control_group.c
@@ -23,7 +23,7 @@
 		++*control->counters.unsent;
 }
 
-static int store_is_empty(const dy_control_t *control)
+int control_store_is_empty(const dy_control_t *control)
 {
 	return !dy_store_last_index(control->store) &&
 	       !dy_store_term(control->store) &&
@@ -39,7 +39,7 @@
 
 	hello.group = control->options.group;
 	hello.id = dy_store_id(control->store);
-	hello.empty = store_is_empty(control);
+	hello.empty = control_store_is_empty(control);
 	hello.answer = answer;
 	hello.echo = echo;
 	len = dy_seal_write_call(control->seal, &head,
@@ -281,7 +281,7 @@
 			review_joins(control);
 		return;
 	}
-	if (!store_is_empty(control)) {
+	if (!control_store_is_empty(control)) {
 		if (control->options.dynamic_membership)
 			control_query_membership(control);
 		return;
--- a/src/process/control/control_membership.c
+++ b/src/process/control/control_membership.c
@@ -173,6 +173,34 @@
 			     dy_address_format(from, text), reason);
 }
 
+/*
+ * A control of a group that is being founded died before it wrote down its
+ * slot, and a restart is no first start: only the other founders know. It still
+ * founds nothing unless all of them answer that they are empty.
+ */
+static void offer_listed_slot(const dy_control_t *control,
+			      const dy_address_t *address, dy_place_t *place)
+{
+	const dy_peers_t *peers = &control->options.peers;
+	uint32_t slot;
+
+	if (!control->options.dynamic_membership ||
+	    control->options.joins_running_group ||
+	    !control_store_is_empty(control))
+		return;
+	for (slot = 1; slot <= MIN(peers->count, DY_SEATS_MAX); slot++) {
+		place->seats.seats_val[slot - 1].slot = slot;
+		place->seats.seats_val[slot - 1].address = peers->slots[slot];
+		if (slot != control->options.slot &&
+		    dy_address_equal(&peers->slots[slot], address))
+			place->slot = slot;
+	}
+	if (!place->slot)
+		return;
+	place->status = DY_PLACE_LISTED;
+	place->seats.seats_len = slot - 1;
+}
+
 static void fill_place(dy_control_t *control, const dy_find_t *find,
 		       const dy_address_t *from, dy_place_t *place)
 {
@@ -180,6 +208,8 @@
 	if (dy_raft_role(control->raft) != DY_RAFT_LEADER) {
 		if (place->leader.port)
 			place->status = DY_PLACE_ASK;
+		else if (!find->id.identity)
+			offer_listed_slot(control, from, place);
 		return;
 	}
 	/*
--- a/src/process/control/control_private.h
+++ b/src/process/control/control_private.h
@@ -337,6 +337,7 @@
 /* control_group.c */
 void control_send_raft(void *control, const dy_raft_message_t *message);
 void control_review_group(dy_control_t *control);
+int control_store_is_empty(const dy_control_t *control);
 unsigned control_count_voters(const dy_control_t *control);
 
 /* control_review.c: the leader's periodic tasks. */
--- a/src/process/group/slot_claim.c
+++ b/src/process/group/slot_claim.c
@@ -103,30 +103,43 @@
 			send_find(claim, &seeds->items[i]);
 }
 
-static void receive_place(slot_claim_t *claim, const dy_place_t *place)
+static void take_slot(slot_claim_t *claim, const dy_place_t *place)
 {
-	dy_peers_t *peers = &claim->options->peers;
+	dy_control_options_t *options = claim->options;
+	dy_peers_t *peers = &options->peers;
+	const dy_seat_t *seat;
 	u_int i;
 
+	memset(peers->slots, 0, sizeof(peers->slots));
+	for (i = 0; i < place->seats.seats_len; i++) {
+		seat = &place->seats.seats_val[i];
+		if (seat->slot <= DY_RAFT_MEMBERS_MAX)
+			peers->slots[seat->slot] = seat->address;
+	}
+	peers->slots[place->slot] = options->listen;
+	options->slot = place->slot;
+	options->joins_running_group = place->status == DY_PLACE_GIVEN;
+	peers->count = options->joins_running_group
+			       ? (unsigned)claim->settings->seeds.count
+			       : place->seats.seats_len;
+	claim->granted = 1;
+	dy_log_event(DY_LOG_INFO, "slot_assigned",
+		     "slot=%u members=%u first_start=%d", place->slot,
+		     place->seats.seats_len, !options->joins_running_group);
+}
+
+static void receive_place(slot_claim_t *claim, const dy_place_t *place)
+{
 	claim->answers++;
 	claim->status = place->status;
 	claim->leader = place->leader;
 	if (place->status == DY_PLACE_ASK && place->leader.port)
 		send_find(claim, &place->leader);
-	if (place->status != DY_PLACE_GIVEN || !place->slot ||
-	    place->slot > DY_RAFT_MEMBERS_MAX)
+	if ((place->status != DY_PLACE_GIVEN &&
+	     place->status != DY_PLACE_LISTED) ||
+	    !place->slot || place->slot > DY_RAFT_MEMBERS_MAX)
 		return;
-	memset(peers->slots, 0, sizeof(peers->slots));
-	for (i = 0; i < place->seats.seats_len; i++)
-		if (place->seats.seats_val[i].slot <= DY_RAFT_MEMBERS_MAX)
-			peers->slots[place->seats.seats_val[i].slot] =
-				place->seats.seats_val[i].address;
-	peers->slots[place->slot] = claim->options->listen;
-	claim->options->slot = place->slot;
-	claim->options->joins_running_group = 1;
-	claim->granted = 1;
-	dy_log_event(DY_LOG_INFO, "slot_assigned", "slot=%u members=%u",
-		     place->slot, place->seats.seats_len);
+	take_slot(claim, place);
 	dy_loop_end(claim->loop);
 }
 
@@ -187,7 +200,7 @@
 	return claim.endpoint ? 0 : -1;
 }
 
-/* What was told to this member of the group, or a damaged record: 0. */
+/* Returns whether there is a valid record of this group. */
 static int load_record(const dy_control_options_t *options,
 		       slot_record_t *record)
 {
--- a/tests/test_control_start.c
+++ b/tests/test_control_start.c
@@ -6,6 +6,7 @@
 /* Far below the time after which a join is given up and claimed anew. */
 #define ACKNOWLEDGE_MS 6000
 #define START_MS 10000
+#define RESTART_MS 300
 
 #define TEST_TIMEOUT_S 40
 
@@ -61,11 +62,60 @@
 }
 END_TEST
 
+/* A control dies before it has written down that the group is founded. */
+START_TEST(control_with_empty_disk_takes_part_in_first_start)
+{
+	fake_controls_t *controls;
+	int number;
+
+	for (number = 1; number <= 3; number += 2) {
+		controls = fake_controls_create();
+		start(controls, 2, TRUE);
+		start(controls, 4 - number, TRUE);
+		start(controls, number, FALSE);
+		await_acknowledgement(controls);
+		fake_controls_destroy(controls);
+	}
+}
+END_TEST
+
+static void kill_at(int number, unsigned ms, gboolean wipe)
+{
+	fake_controls_t *controls = begin_three();
+
+	g_usleep(ms * 1000);
+	fake_controls_kill(controls, number);
+	if (wipe)
+		fake_controls_wipe(controls, number);
+	g_usleep(RESTART_MS * 1000);
+	start(controls, number, FALSE);
+	ck_assert_msg(fake_controls_put(controls, 1, ACKNOWLEDGE_MS),
+		      "c%d killed after %u ms", number, ms);
+	fake_controls_destroy(controls);
+}
+
+/* One control is killed in the first half second of the first start. */
+START_TEST(any_control_may_be_killed_in_first_start)
+{
+	static const unsigned moments_ms[] = { 100, 200, 300, 400 };
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(moments_ms); i++) {
+		kill_at(1, moments_ms[i], FALSE);
+		kill_at(2, moments_ms[i], FALSE);
+		kill_at(3, moments_ms[i], FALSE);
+	}
+	kill_at(3, 300, TRUE);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		founder_killed_before_it_founds_still_founds,
 		control_killed_before_it_joins_is_not_lost,
+		control_with_empty_disk_takes_part_in_first_start,
+		any_control_may_be_killed_in_first_start,
 		NULL,
 	};
 
--- a/tests/test_slot_claim.c
+++ b/tests/test_slot_claim.c
@@ -41,13 +41,12 @@
 		receive_place(claimant, &message);
 }
 
-static void begin(void)
+static void open_claimants(void)
 {
 	dy_address_t any;
 	int i;
 
 	fake_control_init(&world);
-	fake_control_start(&world);
 	dy_address_parse("127.0.0.1:0", &any);
 	for (i = 0; i < CLAIMANTS; i++) {
 		claimants[i].seal =
@@ -57,6 +56,12 @@
 	}
 }
 
+static void begin(void)
+{
+	open_claimants();
+	fake_control_start(&world);
+}
+
 static void end(void)
 {
 	int i;
@@ -289,6 +294,42 @@
 }
 END_TEST
 
+static const dy_place_t *ask_once(claimant_t *claimant)
+{
+	unsigned tries = 0;
+
+	do {
+		send_find(claimant, GROUP, 0);
+		fake_control_run(&world, 2, &claimant->answered);
+	} while (!claimant->answered && ++tries < WAIT_TICKS);
+	ck_assert(claimant->answered);
+	return &claimant->place;
+}
+
+/* A control of a first start gives a listed slot to another, or again later. */
+START_TEST(offers_listed_slot_only_while_group_is_founded)
+{
+	const dy_place_t *place;
+
+	open_claimants();
+	world.options.peers.count = 3;
+	world.options.peers.slots[2] =
+		*dy_endpoint_address(claimants[0].endpoint);
+	world.options.peers.slots[3] = fake_control_unused_address(&world);
+	fake_control_start(&world);
+	place = ask_once(&claimants[0]);
+	ck_assert_int_eq(place->status, DY_PLACE_LISTED);
+	ck_assert_uint_eq(place->slot, 2);
+	ck_assert_uint_eq(place->seats.seats_len, 3);
+	ck_assert_int_eq(ask_once(&claimants[1])->status, DY_PLACE_UNKNOWN);
+	dy_control_destroy(world.control);
+	world.options.joins_running_group = 1;
+	fake_control_start(&world);
+	ck_assert_int_eq(ask_once(&claimants[0])->status, DY_PLACE_UNKNOWN);
+	end();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -297,6 +338,7 @@
 		ignores_claim_for_other_group,
 		refuses_publish_until_one_loss_is_tolerated,
 		gives_slot_before_group_first_serves,
+		offers_listed_slot_only_while_group_is_founded,
 		NULL,
 	};
 
