--- a/src/process/flow/cmd_flow_control.c
+++ b/src/process/flow/cmd_flow_control.c
@@ -158,7 +158,8 @@
 	for (;;) {
 		fill_options(&options, &member->settings);
 		exit_reason = DY_CONTROL_DISK_FAILED;
-		claimed = slot_claim_run(&options, &member->settings, &error);
+		claimed = slot_claim_run(&options, &member->settings,
+					 member->path, &error);
 		if (!claimed)
 			return DY_EXIT_OK;
 		if (claimed > 0)
--- a/src/process/group/slot_claim.c
+++ b/src/process/group/slot_claim.c
@@ -8,6 +8,7 @@
 #include "damaskyard/seal.h"
 #include "damaskyard/store.h"
 #include "dy_group.h"
+#include "flow_member.h"
 #include "slot_record.h"
 
 /*
@@ -24,12 +25,14 @@
 
 typedef struct slot_claim {
 	dy_control_options_t *options;
-	const dy_flow_settings_t *settings;
+	dy_flow_settings_t *settings;
+	const char *path; /* of the settings file */
 	dy_loop_t *loop;
 	dy_endpoint_t *endpoint;
 	dy_seal_t *seal;
 	uint64_t echo;
 	int granted;
+	int stopped;
 	unsigned requests;
 	unsigned answers;
 	dy_place_status_t status; /* of the last answer, as is leader */
@@ -168,14 +171,28 @@
 {
 	slot_claim_t *claim = context;
 
+	claim->stopped = 1;
 	dy_loop_end(claim->loop);
 }
 
+/* Changed seeds are asked at once: those of before may all be gone. */
+static void on_settings(void *context)
+{
+	slot_claim_t *claim = context;
+
+	if (dy_flow_settings_reload_seeds(claim->settings, claim->path) &&
+	    !claim->granted)
+		on_request_timer(claim);
+}
+
 static int request_slot(dy_control_options_t *options,
-			const dy_flow_settings_t *settings, GError **error)
+			dy_flow_settings_t *settings, const char *path,
+			GError **error)
 {
 	dy_metrics_t *metrics = dy_metrics_create();
-	slot_claim_t claim = { .options = options, .settings = settings };
+	slot_claim_t claim = { .options = options,
+			       .settings = settings,
+			       .path = path };
 
 	dy_random_fill(&claim.echo, sizeof(claim.echo));
 	claim.loop = dy_loop_create(metrics);
@@ -184,6 +201,9 @@
 					    on_datagram, &claim, error);
 	if (claim.endpoint) {
 		dy_loop_on_stop(claim.loop, on_stop, &claim);
+		dy_loop_on_reload(claim.loop, on_settings, &claim);
+		dy_loop_every(claim.loop, FLOW_SETTINGS_RELOAD_INTERVAL_MS,
+			      on_settings, &claim);
 		dy_loop_every(claim.loop, REQUEST_INTERVAL_MS, on_request_timer,
 			      &claim);
 		dy_log_event(DY_LOG_INFO, "slot_requested", "seeds=%d",
@@ -195,9 +215,9 @@
 	dy_loop_destroy(claim.loop);
 	dy_seal_destroy(claim.seal);
 	dy_metrics_destroy(metrics);
-	if (claim.granted)
-		return 1;
-	return claim.endpoint ? 0 : -1;
+	if (!claim.endpoint)
+		return -1;
+	return claim.granted && !claim.stopped;
 }
 
 /* Returns whether there is a valid record of this group. */
@@ -263,8 +283,8 @@
 		options->peers = seed.peers;
 }
 
-int slot_claim_run(dy_control_options_t *options,
-		   const dy_flow_settings_t *settings, GError **error)
+int slot_claim_run(dy_control_options_t *options, dy_flow_settings_t *settings,
+		   const char *path, GError **error)
 {
 	int found = dy_store_find_slot(options->folder, &options->slot, error);
 	slot_record_t record;
@@ -286,6 +306,6 @@
 	if (!record.slot && settings->first_start &&
 	    claim_seed_slot(options, settings))
 		return save_record(options, error);
-	claimed = request_slot(options, settings, error);
+	claimed = request_slot(options, settings, path, error);
 	return claimed > 0 ? save_record(options, error) : claimed;
 }
--- a/tests/test_control_start.c
+++ b/tests/test_control_start.c
@@ -1,12 +1,17 @@
 /* Real controls that are killed or told new settings while they start. */
 
+#include <signal.h>
+
 #include "fake_controls.h"
 #include "fake_suite.h"
+#include "flow_member.h"
 
 /* Far below the time after which a join is given up and claimed anew. */
 #define ACKNOWLEDGE_MS 6000
 #define START_MS 10000
 #define RESTART_MS 300
+/* Below the interval at which the settings are read again. */
+#define RELOAD_MS 3000
 
 #define TEST_TIMEOUT_S 40
 
@@ -109,6 +114,41 @@
 }
 END_TEST
 
+/* The signal for changed settings ends a control that waits for its slot. */
+START_TEST(waiting_control_uses_changed_seeds_at_sighup)
+{
+	fake_controls_t *controls = fake_controls_create();
+
+	fake_controls_configure(controls, 1, "1", TRUE);
+	fake_controls_start(controls, 1);
+	fake_controls_configure(controls, 2, "3", FALSE);
+	fake_controls_start(controls, 2);
+	fake_controls_await(controls, 1, "group_founded", START_MS);
+	fake_controls_await(controls, 2, "slot_requested", START_MS);
+	fake_controls_configure(controls, 2, "1", FALSE);
+	fake_controls_signal(controls, 2, SIGHUP);
+	fake_controls_await(controls, 2, "slot_assigned", RELOAD_MS);
+	fake_controls_destroy(controls);
+}
+END_TEST
+
+/* Nobody signals the change, and the waiting control never reads it. */
+START_TEST(waiting_control_rereads_its_settings)
+{
+	fake_controls_t *controls = fake_controls_create();
+
+	fake_controls_configure(controls, 1, "1", TRUE);
+	fake_controls_start(controls, 1);
+	fake_controls_configure(controls, 2, "3", FALSE);
+	fake_controls_start(controls, 2);
+	fake_controls_await(controls, 2, "slot_requested", START_MS);
+	fake_controls_configure(controls, 2, "1", FALSE);
+	fake_controls_await(controls, 2, "slot_assigned",
+			    FLOW_SETTINGS_RELOAD_INTERVAL_MS + RELOAD_MS);
+	fake_controls_destroy(controls);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -116,6 +156,8 @@
 		control_killed_before_it_joins_is_not_lost,
 		control_with_empty_disk_takes_part_in_first_start,
 		any_control_may_be_killed_in_first_start,
+		waiting_control_uses_changed_seeds_at_sighup,
+		waiting_control_rereads_its_settings,
 		NULL,
 	};
 
