--- a/include/damaskyard/loop.h
+++ b/include/damaskyard/loop.h
@@ -53,9 +53,21 @@
  */
 dy_loop_t *dy_loop_create(dy_metrics_t *metrics);
 
-/* Close all open handles, run their close callbacks and free the loop. */
+/*
+ * Close all open handles, run their close callbacks and free the loop. A
+ * SIGHUP from now on waits for the next loop that handles it, if this one did;
+ * SIGTERM and SIGINT end the process, also one that came while the loop ended.
+ */
 void dy_loop_destroy(dy_loop_t *loop);
 
+/*
+ * Hold SIGHUP back until a loop handles it, so that one that comes while the
+ * process starts is neither lost nor ends it, and let the signals that stop it
+ * through, whatever the process inherited. A process that reloads its settings
+ * calls this before it reads them.
+ */
+void dy_loop_hold_reload(void);
+
 /* Returns the libuv loop, for handles of the caller's own. */
 uv_loop_t *dy_loop_uv(dy_loop_t *loop);
 
@@ -70,7 +82,8 @@
 void dy_loop_on_stop(dy_loop_t *loop, dy_loop_signal_cb_t *stop, void *context);
 
 /*
- * Call reload(context) at each SIGHUP. Without this SIGHUP ends the process.
+ * Call reload(context) at each SIGHUP, and soon if one was held back. Without
+ * this SIGHUP ends the process, unless it is held back.
  */
 void dy_loop_on_reload(dy_loop_t *loop, dy_loop_signal_cb_t *reload,
 		       void *context);
--- a/src/process/flow/cmd_flow_control.c
+++ b/src/process/flow/cmd_flow_control.c
@@ -60,21 +60,30 @@
 	options->keys.renew_ms = (uint64_t)DY_MEMBER_RETENTION_DEFAULT_S * 1000;
 }
 
-typedef struct reload_context {
-	dy_flow_settings_t *settings;
-	const char *path;
-} reload_context_t;
-
 static void on_settings(void *context)
 {
-	reload_context_t *reload = context;
+	flow_member_t *member = context;
+
+	dy_flow_settings_reload_seeds(&member->settings, member->path);
+}
+
+typedef struct stop_context {
+	dy_control_t *control;
+	int stopped;
+} stop_context_t;
+
+static void on_stop(void *context)
+{
+	stop_context_t *stop = context;
 
-	dy_flow_settings_reload_seeds(reload->settings, reload->path);
+	stop->stopped = 1;
+	dy_control_stop(stop->control);
 }
 
 /*
- * Run the control until it exits. Returns TRUE with exit_reason set, or FALSE
- * with error set if it could not start.
+ * Run the control until it exits. Returns TRUE with exit_reason set, STOPPED
+ * also if it failed after it was told to stop, or FALSE with error set if it
+ * could not start.
  */
 static gboolean run_control(flow_member_t *member,
 			    dy_control_options_t *options,
@@ -83,7 +92,7 @@
 {
 	dy_metrics_t *metrics = dy_metrics_create();
 	dy_loop_t *loop = dy_loop_create(metrics);
-	reload_context_t reload = { &member->settings, member->path };
+	stop_context_t stop = { 0 };
 	dy_control_t *control = NULL;
 	metrics_page_t *page = NULL;
 	operator_api_t *api;
@@ -99,12 +108,14 @@
 		control = dy_control_create(loop, metrics, options, error);
 	if (control) {
 		operator_api_set_control(api, control);
-		dy_loop_on_stop(loop, dy_control_stop, control);
-		dy_loop_on_reload(loop, on_settings, &reload);
+		stop.control = control;
+		dy_loop_on_stop(loop, on_stop, &stop);
+		dy_loop_on_reload(loop, on_settings, member);
 		dy_loop_every(loop, FLOW_SETTINGS_RELOAD_INTERVAL_MS,
-			      on_settings, &reload);
+			      on_settings, member);
 		dy_loop_run(loop);
-		*exit_reason = dy_control_exit_reason(control);
+		*exit_reason = stop.stopped ? DY_CONTROL_STOPPED
+					    : dy_control_exit_reason(control);
 	}
 	dy_control_destroy(control);
 	operator_api_destroy(api);
--- a/src/process/flow/flow_member.c
+++ b/src/process/flow/flow_member.c
@@ -24,6 +24,7 @@
 	};
 	GError *error = NULL;
 
+	dy_loop_hold_reload();
 	if (!dy_settings_load(argc, argv, summary, flags, NULL, &error))
 		return dy_command_fail_usage(command, error);
 	if (!path)
--- a/src/process/loop.c
+++ b/src/process/loop.c
@@ -1,5 +1,6 @@
 #include "damaskyard/loop.h"
 
+#include <pthread.h>
 #include <signal.h>
 #include <string.h>
 
@@ -50,6 +51,24 @@
 	return uv_now(&loop->uv) - loop->last_tick_ms > DY_STALL_THRESHOLD_MS;
 }
 
+static void change_mask(int how, int number)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, number);
+	pthread_sigmask(how, &set, NULL);
+}
+
+void dy_loop_hold_reload(void)
+{
+	change_mask(SIG_BLOCK, SIGHUP);
+	signal(SIGHUP, SIG_DFL);
+	signal(SIGTERM, SIG_DFL);
+	change_mask(SIG_UNBLOCK, SIGTERM);
+	change_mask(SIG_UNBLOCK, SIGINT);
+}
+
 dy_loop_t *dy_loop_create(dy_metrics_t *metrics)
 {
 	static const dy_log_limit_t limit = DY_LOG_LIMIT_INIT(5, 1000);
@@ -71,6 +90,46 @@
 	return loop;
 }
 
+static void close_unless_signal(uv_handle_t *handle, void *context)
+{
+	if (handle->type != UV_SIGNAL)
+		close_handle(handle, context);
+}
+
+/*
+ * Hold signals back and collect those that arrived after the last iteration:
+ * their handlers are about to be removed, and the default action ends the
+ * process.
+ */
+static void hold_signals(dy_loop_t *loop)
+{
+	if (loop->reload)
+		change_mask(SIG_BLOCK, SIGHUP);
+	if (loop->stop) {
+		change_mask(SIG_BLOCK, SIGTERM);
+		change_mask(SIG_BLOCK, SIGINT);
+	}
+	loop->closing = 1;
+	uv_walk(&loop->uv, close_unless_signal, NULL);
+	uv_run(&loop->uv, UV_RUN_NOWAIT);
+}
+
+/*
+ * SIGHUP stays held back until the next loop takes it. A stop that no loop has
+ * handled ends the process now.
+ */
+static void release_signals(const dy_loop_t *loop)
+{
+	if (loop->missed_reload)
+		raise(SIGHUP);
+	if (!loop->stop)
+		return;
+	if (loop->missed_stop)
+		raise(loop->missed_stop);
+	change_mask(SIG_UNBLOCK, SIGTERM);
+	change_mask(SIG_UNBLOCK, SIGINT);
+}
+
 void dy_loop_destroy(dy_loop_t *loop)
 {
 	dy_list_t *pos;
@@ -78,9 +137,11 @@
 
 	if (!loop)
 		return;
+	hold_signals(loop);
 	uv_walk(&loop->uv, close_handle, NULL);
 	uv_run(&loop->uv, UV_RUN_DEFAULT);
 	uv_loop_close(&loop->uv);
+	release_signals(loop);
 	DY_LIST_EACH_SAFE(pos, tmp, &loop->timers)
 	g_free(DY_LIST_ITEM(pos, loop_timer_t, link));
 	g_free(loop->buffer);
@@ -102,6 +163,11 @@
 	dy_loop_t *loop = handle->data;
 
 	dy_log_event(DY_LOG_INFO, "signal_received", "number=%d", number);
+	if (loop->closing) {
+		if (!loop->stopping)
+			loop->missed_stop = number;
+		return;
+	}
 	if (loop->stopping) {
 		uv_stop(&loop->uv);
 		return;
@@ -110,19 +176,22 @@
 	loop->stop(loop->stop_context);
 }
 
-static void start_signal(dy_loop_t *loop, uv_signal_t *handle, int number)
+/* The signal may be held back, by this process or by the one before exec. */
+static void start_signal(dy_loop_t *loop, uv_signal_t *handle,
+			 uv_signal_cb callback, int number)
 {
 	uv_signal_init(&loop->uv, handle);
 	handle->data = loop;
-	uv_signal_start(handle, on_signal, number);
+	uv_signal_start(handle, callback, number);
+	change_mask(SIG_UNBLOCK, number);
 }
 
 void dy_loop_on_stop(dy_loop_t *loop, dy_loop_signal_cb_t *stop, void *context)
 {
 	loop->stop = stop;
 	loop->stop_context = context;
-	start_signal(loop, &loop->sigterm, SIGTERM);
-	start_signal(loop, &loop->sigint, SIGINT);
+	start_signal(loop, &loop->sigterm, on_signal, SIGTERM);
+	start_signal(loop, &loop->sigint, on_signal, SIGINT);
 }
 
 static void on_reload(uv_signal_t *handle, int number)
@@ -130,7 +199,10 @@
 	dy_loop_t *loop = handle->data;
 
 	dy_log_event(DY_LOG_INFO, "signal_received", "number=%d", number);
-	loop->reload(loop->reload_context);
+	if (loop->closing)
+		loop->missed_reload = 1;
+	else
+		loop->reload(loop->reload_context);
 }
 
 void dy_loop_on_reload(dy_loop_t *loop, dy_loop_signal_cb_t *reload,
@@ -138,9 +210,7 @@
 {
 	loop->reload = reload;
 	loop->reload_context = context;
-	uv_signal_init(&loop->uv, &loop->sighup);
-	loop->sighup.data = loop;
-	uv_signal_start(&loop->sighup, on_reload, SIGHUP);
+	start_signal(loop, &loop->sighup, on_reload, SIGHUP);
 }
 
 void dy_loop_run(dy_loop_t *loop)
--- a/src/process/loop_private.h
+++ b/src/process/loop_private.h
@@ -39,6 +39,9 @@
 	int stopping; /* a stop signal was received */
 	dy_loop_signal_cb_t *stop;
 	void *stop_context;
+	int closing;	   /* signals are collected, not handled */
+	int missed_stop;   /* the one that was collected, or 0 */
+	int missed_reload; /* SIGHUP was collected */
 };
 
 /* Returns whether the last tick was more than DY_STALL_THRESHOLD_MS ago. */
--- a/tests/test_control_start.c
+++ b/tests/test_control_start.c
@@ -1,7 +1,9 @@
 /* Real controls that are killed or told new settings while they start. */
 
 #include <signal.h>
+#include <sys/wait.h>
 
+#include "damaskyard/store.h"
 #include "fake_controls.h"
 #include "fake_suite.h"
 #include "flow_member.h"
@@ -12,6 +14,7 @@
 #define RESTART_MS 300
 /* Below the interval at which the settings are read again. */
 #define RELOAD_MS 3000
+#define STOP_MS 1500
 
 #define TEST_TIMEOUT_S 40
 
@@ -149,6 +152,57 @@
 }
 END_TEST
 
+/* SIGHUP ends a control that waits before it tries its disk again. */
+START_TEST(sighup_does_not_end_restarting_control)
+{
+	fake_controls_t *controls = fake_controls_create();
+	char *data = fake_controls_data(controls, 1);
+	dy_disk_t *disk = dy_disk_create(data, NULL);
+	int status;
+	int i;
+
+	ck_assert_ptr_nonnull(disk);
+	fake_controls_configure(controls, 1, "1", TRUE);
+	fake_controls_start(controls, 1);
+	fake_controls_await(controls, 1, "control_restarting", START_MS);
+	for (i = 0; i < 100; i++) {
+		fake_controls_signal(controls, 1, SIGHUP);
+		g_usleep(5000);
+	}
+	fake_controls_configure(controls, 1, "1,2", TRUE);
+	dy_disk_destroy(disk);
+	fake_controls_await(controls, 1, "seeds_changed", RELOAD_MS);
+	fake_controls_signal(controls, 1, SIGTERM);
+	status = fake_controls_join(controls, 1, STOP_MS);
+	ck_assert(WIFEXITED(status) && !WEXITSTATUS(status));
+	g_free(data);
+	fake_controls_destroy(controls);
+}
+END_TEST
+
+/* SIGTERM is missed by a control that waits before it tries its disk again. */
+START_TEST(sigterm_ends_restarting_control)
+{
+	fake_controls_t *controls = fake_controls_create();
+	char *data = fake_controls_data(controls, 1);
+	dy_disk_t *disk = dy_disk_create(data, NULL);
+	int i;
+
+	fake_controls_configure(controls, 1, "1", TRUE);
+	for (i = 0; i < 10; i++) {
+		fake_controls_start(controls, 1);
+		fake_controls_await(controls, 1, "control_restarting",
+				    START_MS);
+		g_usleep(i * 40000);
+		fake_controls_signal(controls, 1, SIGTERM);
+		fake_controls_join(controls, 1, STOP_MS);
+	}
+	dy_disk_destroy(disk);
+	g_free(data);
+	fake_controls_destroy(controls);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -158,6 +212,8 @@
 		any_control_may_be_killed_in_first_start,
 		waiting_control_uses_changed_seeds_at_sighup,
 		waiting_control_rereads_its_settings,
+		sighup_does_not_end_restarting_control,
+		sigterm_ends_restarting_control,
 		NULL,
 	};
 
--- a/tests/test_loop.c
+++ b/tests/test_loop.c
@@ -1,5 +1,9 @@
 #include "damaskyard/loop.h"
 
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
 #include <string.h>
 
 #include "fake_suite.h"
@@ -142,6 +146,112 @@
 }
 END_TEST
 
+static void count_signal(void *context)
+{
+	++*(int *)context;
+}
+
+static void end_loop(void *context)
+{
+	dy_loop_end(context);
+}
+
+/* Runs a loop that handles SIGHUP for a while; returns how often it came. */
+static int run_reloading_loop(int raise_at_end)
+{
+	dy_metrics_t *metrics = dy_metrics_create();
+	dy_loop_t *loop = dy_loop_create(metrics);
+	int reloads = 0;
+
+	dy_loop_on_reload(loop, count_signal, &reloads);
+	dy_loop_every(loop, 30, end_loop, loop);
+	dy_loop_run(loop);
+	if (raise_at_end)
+		raise(SIGHUP);
+	dy_loop_destroy(loop);
+	dy_metrics_destroy(metrics);
+	return reloads;
+}
+
+/* SIGHUP ends a process that starts, or is between two loops, or is lost. */
+START_TEST(reload_outside_loops_waits_for_next_loop)
+{
+	dy_loop_hold_reload();
+	raise(SIGHUP);
+	ck_assert_int_eq(run_reloading_loop(0), 1);
+	raise(SIGHUP);
+	ck_assert_int_eq(run_reloading_loop(1), 1);
+	ck_assert_int_eq(run_reloading_loop(0), 1);
+	ck_assert_int_eq(run_reloading_loop(0), 0);
+}
+END_TEST
+
+/* Returns whether the loop was stopped within its time. */
+static int run_stopping_loop(int raise_before, int raise_at_end)
+{
+	dy_metrics_t *metrics = dy_metrics_create();
+	dy_loop_t *loop = dy_loop_create(metrics);
+	int stops = 0;
+
+	if (raise_before)
+		raise(SIGTERM);
+	dy_loop_on_stop(loop, count_signal, &stops);
+	dy_loop_every(loop, 30, end_loop, loop);
+	dy_loop_run(loop);
+	if (raise_at_end)
+		raise(SIGTERM);
+	dy_loop_destroy(loop);
+	dy_metrics_destroy(metrics);
+	return stops;
+}
+
+/* A process that was started with its signals blocked can't be stopped. */
+START_TEST(stops_although_signal_was_inherited_blocked)
+{
+	sigset_t all;
+
+	sigfillset(&all);
+	sigprocmask(SIG_BLOCK, &all, NULL);
+	ck_assert_int_eq(run_stopping_loop(1, 0), 1);
+	raise(SIGHUP);
+	ck_assert_int_eq(run_reloading_loop(0), 1);
+}
+END_TEST
+
+/* SIGTERM comes as a loop ends, and the process starts another and stays. */
+START_TEST(stop_between_loops_ends_process)
+{
+	int status = 0;
+	pid_t child = fork();
+
+	if (!child) {
+		dy_loop_hold_reload();
+		run_stopping_loop(0, 1);
+		_exit(0);
+	}
+	ck_assert_int_eq(waitpid(child, &status, 0), child);
+	ck_assert(WIFSIGNALED(status));
+	ck_assert_int_eq(WTERMSIG(status), SIGTERM);
+}
+END_TEST
+
+/* The same with SIGTERM ignored, as a shell may leave it. */
+START_TEST(stop_before_first_loop_ends_process)
+{
+	int status = 0;
+	pid_t child = fork();
+
+	if (!child) {
+		signal(SIGTERM, SIG_IGN);
+		dy_loop_hold_reload();
+		raise(SIGTERM);
+		_exit(0);
+	}
+	ck_assert_int_eq(waitpid(child, &status, 0), child);
+	ck_assert(WIFSIGNALED(status));
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -149,6 +259,10 @@
 		keeps_datagrams_after_short_pause,
 		counts_late_tick,
 		reports_port_in_use,
+		reload_outside_loops_waits_for_next_loop,
+		stops_although_signal_was_inherited_blocked,
+		stop_between_loops_ends_process,
+		stop_before_first_loop_ends_process,
 		NULL,
 	};
 
