--- a/include/damaskyard/control.h
+++ b/include/damaskyard/control.h
@@ -84,8 +84,9 @@
 /* Why a control ended. */
 typedef enum dy_control_exit_reason {
 	DY_CONTROL_STOPPED,
-	DY_CONTROL_DISK_FAILED, /* can restart on the same folder */
-	DY_CONTROL_EVICTED	/* not a member; needs an empty folder */
+	DY_CONTROL_DISK_FAILED,	  /* can restart on the same folder */
+	DY_CONTROL_EVICTED,	  /* not a member; needs an empty folder */
+	DY_CONTROL_JOIN_TIMED_OUT /* its store is empty still */
 } dy_control_exit_reason_t;
 
 /* Options of dy_control_create(). */
--- a/src/process/control/control_membership.c
+++ b/src/process/control/control_membership.c
@@ -173,6 +173,20 @@
 			     dy_address_format(from, text), reason);
 }
 
+/* Whether a listed control has answered that it has the group's state. */
+static int is_founded(const dy_control_t *control)
+{
+	const bootstrap_peer_t *peer;
+	uint32_t slot;
+
+	for (slot = 1; slot <= DY_RAFT_MEMBERS_MAX; slot++) {
+		peer = &control->bootstrap.peer_states[slot];
+		if (peer->answered && !peer->empty)
+			return 1;
+	}
+	return 0;
+}
+
 /*
  * A control of a group that is being founded died before it wrote down its
  * slot, and a restart is no first start: only the other founders know. It still
@@ -186,7 +200,7 @@
 
 	if (!control->options.dynamic_membership ||
 	    control->options.joins_running_group ||
-	    !control_store_is_empty(control))
+	    !control_store_is_empty(control) || is_founded(control))
 		return;
 	for (slot = 1; slot <= MIN(peers->count, DY_SEATS_MAX); slot++) {
 		place->seats.seats_val[slot - 1].slot = slot;
@@ -370,5 +384,5 @@
 		return;
 	dy_log_event(DY_LOG_WARN, "control_join_timeout", "slot=%u",
 		     control->options.slot);
-	control_terminate(control, DY_CONTROL_EVICTED);
+	control_terminate(control, DY_CONTROL_JOIN_TIMED_OUT);
 }
--- a/src/process/flow/cmd_flow_control.c
+++ b/src/process/flow/cmd_flow_control.c
@@ -164,13 +164,14 @@
 	dy_control_options_t options;
 	dy_control_exit_reason_t exit_reason;
 	GError *error = NULL;
+	int retry = 0;
 	int claimed;
 
 	for (;;) {
 		fill_options(&options, &member->settings);
 		exit_reason = DY_CONTROL_DISK_FAILED;
 		claimed = slot_claim_run(&options, &member->settings,
-					 member->path, &error);
+					 member->path, retry, &error);
 		if (!claimed)
 			return DY_EXIT_OK;
 		if (claimed > 0)
@@ -178,6 +179,7 @@
 		if (!error && exit_reason == DY_CONTROL_STOPPED)
 			return DY_EXIT_OK;
 		log_restart(error);
+		retry = exit_reason == DY_CONTROL_JOIN_TIMED_OUT;
 		if (exit_reason == DY_CONTROL_EVICTED || is_damaged(error))
 			clear_store(member->settings.data);
 		g_clear_error(&error);
--- a/src/process/group/slot_claim.c
+++ b/src/process/group/slot_claim.c
@@ -20,6 +20,12 @@
 /* A claim that still waits is logged after each so many requests. */
 #define WAIT_LOG_REQUESTS 10
 
+/*
+ * Requests of a control of the first start that has not joined in time, before
+ * it takes its listed slot again: a leader is found within a second.
+ */
+#define RETRY_REQUESTS 10
+
 /* Size of a request with its seal. */
 #define MESSAGE_BYTES 1024
 
@@ -34,6 +40,7 @@
 	int granted;
 	int stopped;
 	unsigned requests;
+	unsigned max_requests; /* 0: as many as it takes */
 	unsigned answers;
 	dy_place_status_t status; /* of the last answer, as is leader */
 	dy_address_t leader;
@@ -99,6 +106,8 @@
 
 	if (claim->requests && claim->requests % WAIT_LOG_REQUESTS == 0)
 		log_wait(claim);
+	if (claim->max_requests && claim->requests >= claim->max_requests)
+		dy_loop_end(claim->loop);
 	claim->requests++;
 	for (i = 0; i < seeds->count; i++)
 		if (!dy_address_equal(&seeds->items[i],
@@ -131,6 +140,14 @@
 		     place->seats.seats_len, !options->joins_running_group);
 }
 
+/* A control that has a listed slot already needs one from a leader. */
+static int is_offer(const slot_claim_t *claim, const dy_place_t *place)
+{
+	return place->slot && place->slot <= DY_RAFT_MEMBERS_MAX &&
+	       (place->status == DY_PLACE_GIVEN ||
+		(place->status == DY_PLACE_LISTED && !claim->max_requests));
+}
+
 static void receive_place(slot_claim_t *claim, const dy_place_t *place)
 {
 	claim->answers++;
@@ -138,9 +155,7 @@
 	claim->leader = place->leader;
 	if (place->status == DY_PLACE_ASK && place->leader.port)
 		send_find(claim, &place->leader);
-	if ((place->status != DY_PLACE_GIVEN &&
-	     place->status != DY_PLACE_LISTED) ||
-	    !place->slot || place->slot > DY_RAFT_MEMBERS_MAX)
+	if (!is_offer(claim, place))
 		return;
 	take_slot(claim, place);
 	dy_loop_end(claim->loop);
@@ -185,14 +200,33 @@
 		on_request_timer(claim);
 }
 
-static int request_slot(dy_control_options_t *options,
-			dy_flow_settings_t *settings, const char *path,
-			GError **error)
+typedef enum claim_result {
+	CLAIM_FAILED = -1,
+	CLAIM_STOPPED = 0,
+	CLAIM_GRANTED = 1,
+	CLAIM_UNANSWERED = 2 /* after max_requests */
+} claim_result_t;
+
+static claim_result_t claim_result(const slot_claim_t *claim)
+{
+	if (!claim->endpoint)
+		return CLAIM_FAILED;
+	if (claim->stopped)
+		return CLAIM_STOPPED;
+	return claim->granted ? CLAIM_GRANTED : CLAIM_UNANSWERED;
+}
+
+static claim_result_t request_slot(dy_control_options_t *options,
+				   dy_flow_settings_t *settings,
+				   const char *path, unsigned max_requests,
+				   GError **error)
 {
 	dy_metrics_t *metrics = dy_metrics_create();
+	claim_result_t result;
 	slot_claim_t claim = { .options = options,
 			       .settings = settings,
-			       .path = path };
+			       .path = path,
+			       .max_requests = max_requests };
 
 	dy_random_fill(&claim.echo, sizeof(claim.echo));
 	claim.loop = dy_loop_create(metrics);
@@ -211,13 +245,12 @@
 		on_request_timer(&claim);
 		dy_loop_run(claim.loop);
 	}
+	result = claim_result(&claim);
 	dy_endpoint_destroy(claim.endpoint);
 	dy_loop_destroy(claim.loop);
 	dy_seal_destroy(claim.seal);
 	dy_metrics_destroy(metrics);
-	if (!claim.endpoint)
-		return -1;
-	return claim.granted && !claim.stopped;
+	return result;
 }
 
 /* Returns whether there is a valid record of this group. */
@@ -283,8 +316,43 @@
 		options->peers = seed.peers;
 }
 
+/* Claim a slot from a leader, and give up the member of the folder for it. */
+static int replace_member(dy_control_options_t *options,
+			  dy_flow_settings_t *settings, const char *path,
+			  unsigned max_requests, GError **error)
+{
+	claim_result_t result =
+		request_slot(options, settings, path, max_requests, error);
+
+	if (result != CLAIM_GRANTED)
+		return result;
+	return dy_store_clear(options->folder, error)
+		       ? -1
+		       : save_record(options, error);
+}
+
+/*
+ * The member of the folder has not joined in time. A control of the first start
+ * asks first: the group may have been founded, and its slot be another's by
+ * now. If nobody gives one, the first start goes on, with the list that it
+ * began with: founded from another list, the group could be a second one.
+ */
+static int retry_claim(dy_control_options_t *options,
+		       dy_flow_settings_t *settings, const char *path,
+		       const slot_record_t *record, GError **error)
+{
+	unsigned max_requests = record->first_start ? RETRY_REQUESTS : 0;
+	int result =
+		replace_member(options, settings, path, max_requests, error);
+
+	if (result != CLAIM_UNANSWERED)
+		return result;
+	use_record(options, record);
+	return 1;
+}
+
 int slot_claim_run(dy_control_options_t *options, dy_flow_settings_t *settings,
-		   const char *path, GError **error)
+		   const char *path, int retry, GError **error)
 {
 	int found = dy_store_find_slot(options->folder, &options->slot, error);
 	slot_record_t record;
@@ -295,6 +363,8 @@
 		return -1;
 	if (!load_record(options, &record))
 		memset(&record, 0, sizeof(record));
+	if (found && retry)
+		return retry_claim(options, settings, path, &record, error);
 	if (found) {
 		restore_member(options, settings, &record);
 		return 1;
@@ -306,6 +376,6 @@
 	if (!record.slot && settings->first_start &&
 	    claim_seed_slot(options, settings))
 		return save_record(options, error);
-	claimed = request_slot(options, settings, path, error);
+	claimed = request_slot(options, settings, path, 0, error);
 	return claimed > 0 ? save_record(options, error) : claimed;
 }
--- a/src/process/group/slot_claim.h
+++ b/src/process/group/slot_claim.h
@@ -22,10 +22,12 @@
  * Set slot, peers and joins_running_group of options, whose folder, group,
  * listen and secrets must be set. Runs an event loop of its own while it waits
  * for a slot, and reads the seeds in path again at SIGHUP and each
- * FLOW_SETTINGS_RELOAD_INTERVAL_MS. Returns 1, 0 if it was told to stop while
+ * FLOW_SETTINGS_RELOAD_INTERVAL_MS. retry: the control of this folder has not
+ * joined in time; unless the group is still being founded, it gets another slot
+ * and an empty folder. Returns 1, 0 if it was told to stop while
  * it waited, or -1 with error set.
  */
 int slot_claim_run(dy_control_options_t *options, dy_flow_settings_t *settings,
-		   const char *path, GError **error);
+		   const char *path, int retry, GError **error);
 
 #endif
--- a/tests/fake_controls.c
+++ b/tests/fake_controls.c
@@ -179,25 +179,43 @@
 	return fake_process_output(controls->processes[number]);
 }
 
-void fake_controls_await(const fake_controls_t *controls, int number,
-			 const char *text, unsigned timeout_ms)
+static int has_logged(const fake_controls_t *controls, int number,
+		      const char *text)
+{
+	char *log = fake_controls_log(controls, number);
+	int found = strstr(log, text) != NULL;
+
+	g_free(log);
+	return found;
+}
+
+static void await_from_to(const fake_controls_t *controls, int first, int last,
+			  const char *text, unsigned timeout_ms)
 {
 	gint64 end_us = g_get_monotonic_time() + timeout_ms * 1000LL;
-	int found = 0;
-	char *log;
-
-	while (!found) {
-		log = fake_controls_log(controls, number);
-		found = strstr(log, text) != NULL;
-		ck_assert_msg(found || g_get_monotonic_time() < end_us,
-			      "c%d has not logged \"%s\" within %u ms: %s",
-			      number, text, timeout_ms, log);
-		g_free(log);
-		if (!found)
-			g_usleep(POLL_US);
+	int i = first;
+
+	while (!has_logged(controls, i, text)) {
+		ck_assert_msg(g_get_monotonic_time() < end_us,
+			      "c%d has not logged \"%s\" within %u ms; see %s",
+			      i, text, timeout_ms, controls->folder);
+		i = i < last ? i + 1 : first;
+		g_usleep(POLL_US);
 	}
 }
 
+void fake_controls_await(const fake_controls_t *controls, int number,
+			 const char *text, unsigned timeout_ms)
+{
+	await_from_to(controls, number, number, text, timeout_ms);
+}
+
+void fake_controls_await_any(const fake_controls_t *controls, const char *text,
+			     unsigned timeout_ms)
+{
+	await_from_to(controls, 1, FAKE_CONTROLS_MAX, text, timeout_ms);
+}
+
 static int connect_to(const char *ip, int port)
 {
 	struct sockaddr_in to = { .sin_family = AF_INET };
--- a/tests/fake_controls.h
+++ b/tests/fake_controls.h
@@ -37,6 +37,9 @@
 /* Waits until a control has logged text in its present run. */
 void fake_controls_await(const fake_controls_t *controls, int number,
 			 const char *text, unsigned timeout_ms);
+/* The same, at any control. */
+void fake_controls_await_any(const fake_controls_t *controls, const char *text,
+			     unsigned timeout_ms);
 /* Returns what a control has logged in its present run; to be freed. */
 char *fake_controls_log(const fake_controls_t *controls, int number);
 
--- a/tests/test_control_start.c
+++ b/tests/test_control_start.c
@@ -203,6 +203,27 @@
 }
 END_TEST
 
+/* The first start outlasts a join, and nobody remembers that it was one. */
+START_TEST(late_control_completes_first_start)
+{
+	fake_controls_t *controls = fake_controls_create();
+	int i;
+
+	for (i = 1; i <= 2; i++) {
+		start(controls, i, TRUE);
+		fake_controls_await(controls, i, "control_started", START_MS);
+		fake_controls_kill(controls, i);
+		start(controls, i, FALSE);
+	}
+	for (i = 1; i <= 2; i++)
+		fake_controls_await(controls, i, "control_join_timeout",
+				    START_MS);
+	start(controls, 3, FALSE);
+	ck_assert(fake_controls_put(controls, 1, 2 * ACKNOWLEDGE_MS));
+	fake_controls_destroy(controls);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -214,6 +235,7 @@
 		waiting_control_rereads_its_settings,
 		sighup_does_not_end_restarting_control,
 		sigterm_ends_restarting_control,
+		late_control_completes_first_start,
 		NULL,
 	};
 
--- a/tests/test_slot_claim.c
+++ b/tests/test_slot_claim.c
@@ -16,6 +16,7 @@
 	dy_seal_t *seal;
 	dy_place_t place;
 	int answered;
+	int has_state; /* answers each HELLO so */
 } claimant_t;
 
 static fake_control_t world;
@@ -28,17 +29,39 @@
 	claimant->answered = 1;
 }
 
+/* Answers a HELLO as the control of slot 3. */
+static void answer_hello(claimant_t *claimant, const dy_sealed_t *message,
+			 const struct sockaddr *to, int empty)
+{
+	dy_seal_header_t head = { 0, DY_GROUP_PROGRAM, DY_GROUP_HELLO };
+	dy_hello_t hello = { 0 };
+	uint8_t out[1024];
+	size_t len;
+
+	hello.group = GROUP;
+	hello.id.slot = 3;
+	hello.id.identity = 33;
+	hello.empty = empty;
+	hello.echo = message->sender;
+	len = dy_seal_write_call(claimant->seal, &head,
+				 (xdrproc_t)xdr_dy_hello_t, &hello, out,
+				 sizeof(out));
+	dy_endpoint_send(claimant->endpoint, out, len, to);
+}
+
 static void on_datagram(void *context, uint8_t *bytes, size_t len,
 			const struct sockaddr *from, int truncated)
 {
 	claimant_t *claimant = context;
 	dy_sealed_t message;
 
-	(void)from;
 	(void)truncated;
-	if (dy_seal_open(claimant->seal, bytes, len, &message) == DY_SEAL_OK &&
-	    message.procedure == DY_GROUP_PLACE)
+	if (dy_seal_open(claimant->seal, bytes, len, &message) != DY_SEAL_OK)
+		return;
+	if (message.procedure == DY_GROUP_PLACE)
 		receive_place(claimant, &message);
+	if (message.procedure == DY_GROUP_HELLO && claimant->has_state)
+		answer_hello(claimant, &message, from, 0);
 }
 
 static void open_claimants(void)
@@ -168,26 +191,15 @@
 static void answer_as_empty_control(void *context, uint8_t *bytes, size_t len,
 				    const struct sockaddr *from, int truncated)
 {
-	dy_seal_header_t head = { 0, DY_GROUP_PROGRAM, DY_GROUP_HELLO };
 	claimant_t *third = context;
-	dy_hello_t hello = { 0 };
 	dy_sealed_t message;
-	uint8_t out[1024];
 
 	if (dy_seal_open(third->seal, bytes, len, &message) != DY_SEAL_OK)
 		return;
 	if (message.procedure == DY_GROUP_PLACE)
 		receive_place(third, &message);
-	if (message.procedure != DY_GROUP_HELLO)
-		return;
-	hello.group = GROUP;
-	hello.id.slot = 3;
-	hello.id.identity = 33;
-	hello.empty = 1;
-	hello.echo = message.sender;
-	len = dy_seal_write_call(third->seal, &head, (xdrproc_t)xdr_dy_hello_t,
-				 &hello, out, sizeof(out));
-	dy_endpoint_send(third->endpoint, out, len, from);
+	if (message.procedure == DY_GROUP_HELLO)
+		answer_hello(third, &message, from, 1);
 }
 
 static int accept_any_document(void *context, const uint8_t *bytes, size_t size,
@@ -315,13 +327,18 @@
 	world.options.peers.count = 3;
 	world.options.peers.slots[2] =
 		*dy_endpoint_address(claimants[0].endpoint);
-	world.options.peers.slots[3] = fake_control_unused_address(&world);
+	world.options.peers.slots[3] =
+		*dy_endpoint_address(claimants[2].endpoint);
 	fake_control_start(&world);
 	place = ask_once(&claimants[0]);
 	ck_assert_int_eq(place->status, DY_PLACE_LISTED);
 	ck_assert_uint_eq(place->slot, 2);
 	ck_assert_uint_eq(place->seats.seats_len, 3);
 	ck_assert_int_eq(ask_once(&claimants[1])->status, DY_PLACE_UNKNOWN);
+	claimants[2].has_state = 1;
+	fake_control_run(&world, 60, NULL);
+	ck_assert_int_eq(ask_once(&claimants[0])->status, DY_PLACE_UNKNOWN);
+	claimants[2].has_state = 0;
 	dy_control_destroy(world.control);
 	world.options.joins_running_group = 1;
 	fake_control_start(&world);
--- a/tests/test_slot_record.c
+++ b/tests/test_slot_record.c
@@ -131,15 +131,15 @@
 	dy_peers_t peers;
 
 	begin(&settings, TRUE);
-	ck_assert_int_eq(slot_claim_run(&world.options, &settings, NULL, NULL),
-			 1);
+	ck_assert_int_eq(
+		slot_claim_run(&world.options, &settings, NULL, 0, NULL), 1);
 	peers = world.options.peers;
 	ck_assert_uint_eq(world.options.slot, 1);
 	run_control_once();
 	settings.first_start = FALSE;
 	settings.seeds.count = 1;
-	ck_assert_int_eq(slot_claim_run(&world.options, &settings, NULL, NULL),
-			 1);
+	ck_assert_int_eq(
+		slot_claim_run(&world.options, &settings, NULL, 0, NULL), 1);
 	ck_assert_uint_eq(world.options.slot, 1);
 	ck_assert(!world.options.joins_running_group);
 	ck_assert_mem_eq(&world.options.peers, &peers, sizeof(peers));
@@ -158,8 +158,8 @@
 	run_control_once();
 	record.first_start = 0;
 	ck_assert_int_eq(slot_record_save(world.folder, &record, NULL), 0);
-	ck_assert_int_eq(slot_claim_run(&world.options, &settings, NULL, NULL),
-			 1);
+	ck_assert_int_eq(
+		slot_claim_run(&world.options, &settings, NULL, 0, NULL), 1);
 	ck_assert(world.options.joins_running_group);
 	ck_assert_uint_eq(world.options.peers.count, 2);
 	ck_assert_uint_eq(world.options.peers.slots[16].port, 7016);
@@ -179,8 +179,8 @@
 	path = g_build_filename(world.folder, "slot", NULL);
 	ck_assert(g_file_set_contents(path, "damaged", -1, NULL));
 	g_free(path);
-	ck_assert_int_eq(slot_claim_run(&world.options, &settings, NULL, NULL),
-			 1);
+	ck_assert_int_eq(
+		slot_claim_run(&world.options, &settings, NULL, 0, NULL), 1);
 	ck_assert_uint_eq(world.options.slot, 2);
 	ck_assert_uint_eq(world.options.peers.count, 2);
 	end();
