--- a/src/process/flow/cmd_flow_control.c
+++ b/src/process/flow/cmd_flow_control.c
@@ -180,8 +180,10 @@
 			return DY_EXIT_OK;
 		log_restart(error);
 		retry = exit_reason == DY_CONTROL_JOIN_TIMED_OUT;
-		if (exit_reason == DY_CONTROL_EVICTED || is_damaged(error))
+		if (exit_reason == DY_CONTROL_EVICTED || is_damaged(error)) {
 			clear_store(member->settings.data);
+			member->settings.first_start = FALSE;
+		}
 		g_clear_error(&error);
 		g_usleep((gulong)RESTART_DELAY_MS * 1000);
 	}
--- a/tests/test_control_start.c
+++ b/tests/test_control_start.c
@@ -224,6 +224,24 @@
 }
 END_TEST
 
+/* A removed control takes a slot by the list, as at its start: another's. */
+START_TEST(removed_control_asks_for_its_next_slot)
+{
+	fake_controls_t *controls = begin_three();
+
+	await_acknowledgement(controls);
+	fake_controls_signal(controls, 3, SIGSTOP);
+	start(controls, 4, FALSE);
+	fake_controls_await_any(controls, "control_removed slot=3",
+				2 * START_MS);
+	fake_controls_configure(controls, 3, "2,3,4", TRUE);
+	fake_controls_signal(controls, 3, SIGHUP);
+	fake_controls_signal(controls, 3, SIGCONT);
+	fake_controls_await(controls, 3, "slot_assigned", START_MS);
+	fake_controls_destroy(controls);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -236,6 +254,7 @@
 		sighup_does_not_end_restarting_control,
 		sigterm_ends_restarting_control,
 		late_control_completes_first_start,
+		removed_control_asks_for_its_next_slot,
 		NULL,
 	};
 
