--- a/src/process/group/store_folder.c
+++ b/src/process/group/store_folder.c
@@ -43,29 +43,50 @@
 	g_ptr_array_add(context, g_strdup(name));
 }
 
-int dy_store_clear(const char *folder, GError **error)
+/* Returns 0 or -errno. */
+static int remove_files(const dy_disk_t *disk, const GPtrArray *names)
 {
-	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
-	dy_disk_t *disk = dy_disk_create(folder, error);
-	int code;
+	int code = 0;
 	guint i;
 
-	if (!disk) {
-		g_ptr_array_free(names, TRUE);
-		return -1;
-	}
-	code = disk->list(disk->context, collect_name, names);
 	for (i = 0; code >= 0 && i < names->len; i++)
 		code = disk->remove(disk->context, g_ptr_array_index(names, i));
+	return code;
+}
+
+int store_clear_disk(const dy_disk_t *disk)
+{
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+	int code = disk->remove(disk->context, STORE_IDENTITY_NAME);
+
+	if (code == -ENOENT)
+		code = 0;
+	if (code >= 0)
+		code = disk->sync_folder(disk->context);
+	if (code >= 0)
+		code = disk->list(disk->context, collect_name, names);
+	if (code >= 0)
+		code = remove_files(disk, names);
 	if (code >= 0)
 		code = disk->sync_folder(disk->context);
 	dy_log_event(DY_LOG_WARN, "store_cleared", "files=%u code=%d",
 		     names->len, code);
+	g_ptr_array_free(names, TRUE);
+	return code;
+}
+
+int dy_store_clear(const char *folder, GError **error)
+{
+	dy_disk_t *disk = dy_disk_create(folder, error);
+	int code;
+
+	if (!disk)
+		return -1;
+	code = store_clear_disk(disk);
 	if (code < 0)
 		g_set_error(error, DY_STORE_ERROR, DY_STORE_ERROR_IO,
 			    "cannot clear the data folder: %s",
 			    g_strerror(-code));
-	g_ptr_array_free(names, TRUE);
 	dy_disk_destroy(disk);
 	return code < 0 ? -1 : 0;
 }
--- a/src/process/group/store_private.h
+++ b/src/process/group/store_private.h
@@ -75,6 +75,11 @@
 /* Replace a file by one record, atomically and durably. Returns 0 or -errno. */
 int store_replace_file(const dy_disk_t *disk, const char *name,
 		       const dy_record_t *record);
+/*
+ * Remove all files durably, the identity first: a member with its identity and
+ * without its log could vote twice. Returns 0 or -errno.
+ */
+int store_clear_disk(const dy_disk_t *disk);
 /*
  * Read a whole file. Returns NULL with error set, or without error if the
  * file is missing.
--- a/tests/test_store_recover.c
+++ b/tests/test_store_recover.c
@@ -7,6 +7,7 @@
 
 #include "damaskyard/log.h"
 #include "fake_store.h"
+#include "store_private.h"
 
 /* Check that the open fails with a message that names file and reason. */
 static void expect_refusal(fake_disk_t *disk, const char *file,
@@ -261,6 +262,33 @@
 }
 END_TEST
 
+/* The power fails while a folder is cleared, and an identity loses its log. */
+START_TEST(power_loss_while_clearing_keeps_log_with_identity)
+{
+	fake_disk_t *disk = fake_disk_create((uint32_t)_i);
+	dy_store_t *store = fake_store_open(disk);
+	GError *error = NULL;
+
+	fake_store_append(store, 1, 30);
+	fake_store_sync(store);
+	dy_store_destroy(store);
+	disk->operations_left = (uint32_t)_i % 7;
+	(void)store_clear_disk(&disk->table);
+	fake_disk_crash(disk);
+	store = fake_store_open_as(disk, 77, &error);
+	if (store && dy_store_id(store).identity == 99)
+		ck_assert_uint_eq(dy_store_last_index(store), 30);
+	else if (store)
+		ck_assert_uint_eq(dy_store_last_index(store), 0);
+	else
+		ck_assert(g_error_matches(error, DY_STORE_ERROR,
+					  DY_STORE_ERROR_CORRUPT));
+	g_clear_error(&error);
+	dy_store_destroy(store);
+	fake_disk_destroy(disk);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("store_recover");
@@ -280,6 +308,9 @@
 			    20);
 	tcase_add_loop_test(tcase, recovers_from_crash_during_snapshot_install,
 			    0, 40);
+	tcase_add_loop_test(tcase,
+			    power_loss_while_clearing_keeps_log_with_identity,
+			    0, 70);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
