--- a/src/connection/flow_holder_notice.c
+++ b/src/connection/flow_holder_notice.c
@@ -65,13 +65,11 @@
 		     (unsigned long)notice->started_ms, notice->slots, dropped,
 		     dy_flow_holder_count(holder));
 	/*
-	 * Guards against a target that starts while its agent is replaced: the
-	 * first notice that this agent receives may be the target's first, and
-	 * yet an earlier agent may have opened flows at it before. Otherwise
-	 * only a refused port shows that it started later.
+	 * Guards against a late notice of an earlier instance, after which this
+	 * one's looks as if it started before the agent's eyes: an earlier
+	 * agent may have opened flows at it. Only a refused port shows that it
+	 * started later.
 	 */
-	if (holder->has_target)
-		holder->saw_start = 1;
 	if (!holder->saw_start)
 		holder->cold_unknown_until_ms = now_ms + DY_COLD_WINDOW_MS;
 	holder->has_target = 1;
--- a/tests/test_flow_holder.c
+++ b/tests/test_flow_holder.c
@@ -82,6 +82,29 @@
 }
 END_TEST
 
+/* Guards against a denial after a late notice that came before the live one. */
+START_TEST(sends_unknown_flow_to_target_after_late_notice_of_earlier_one)
+{
+	dy_target_notice_t late = fake_holder_notice(9, DY_TARGET_READY);
+
+	fake_holder_create();
+	dy_flow_holder_port_checked(fake_holder.holder, DY_PORT_LISTENING,
+				    fake_holder.now_ms);
+	g_strlcpy(late.id, "t0", sizeof(late.id));
+	late.started_ms -= 1000;
+	dy_flow_holder_receive_notice(fake_holder.holder, &late,
+				      fake_holder.now_ms);
+	fake_holder.now_ms += 400;
+	fake_holder_announce(1, DY_TARGET_READY);
+	fake_holder_from_caller(1, DY_PACKET_ACK, 501, 90);
+	ck_assert_uint_eq(fake_holder.sent_to_target, 1);
+	ck_assert_uint_eq(fake_holder.nowhere_count + fake_holder.passed_on, 0);
+	fake_holder_bounce(1, DY_PACKET_ACK, fake_holder.last_tag);
+	ck_assert(fake_holder.forward.certain);
+	fake_holder_end();
+}
+END_TEST
+
 /* The port was refused, so the target started after the agent. */
 START_TEST(passes_on_unknown_flow_of_target_that_started_after_agent)
 {
@@ -392,6 +415,7 @@
 		passes_on_ack_of_other_targets_syn,
 		sends_unknown_flow_to_target_after_agent_restart,
 		sends_unknown_flow_to_target_that_started_before_agent,
+		sends_unknown_flow_to_target_after_late_notice_of_earlier_one,
 		passes_on_unknown_flow_of_target_that_started_after_agent,
 		drops_flows_when_target_restarts,
 		passes_on_search_when_target_is_silent,
