--- a/include/damaskyard/flow_holder.h
+++ b/include/damaskyard/flow_holder.h
@@ -48,6 +48,19 @@
  */
 #define DY_NOTICE_TIMEOUT_MS 4000
 
+/*
+ * Time between two notices of an instance, in ms, after which a single late one
+ * is ruled out: half of the interval, since the interval varies.
+ */
+#define DY_INSTANCE_CONFIRM_MS 600
+
+/*
+ * Timeout in ms after which an instance without notices yields to one with an
+ * earlier start time; the clock may have been set back between the two. It is
+ * 2.5 notice intervals.
+ */
+#define DY_INSTANCE_TIMEOUT_MS 3000
+
 /*
  * Timeout for the target's response to a packet; the agent checks the target's
  * port after it. A target responds to openings within 1 ms and to half of the
@@ -289,11 +302,20 @@
 typedef enum dy_target_instance_state {
 	DY_TARGET_INSTANCE_UNKNOWN, /* no notice has come yet */
 	DY_TARGET_INSTANCE_CURRENT,
-	/* another instance replaced it, or the target is gone */
+	/* the last notice is another instance's, but may be a late one */
+	DY_TARGET_INSTANCE_DOUBTED,
 	DY_TARGET_INSTANCE_ENDED
 } dy_target_instance_state_t;
 
-/* Returns the state of the instance with this id and start time. */
+/*
+ * Returns the state of the instance with this id and start time, which an
+ * earlier agent knew. It has ended if the target's port was refused since this
+ * agent started. Otherwise another instance must have sent two notices, at
+ * least DY_INSTANCE_CONFIRM_MS apart and with no other instance's notice in
+ * between: a single one may be late. If that instance started earlier by its
+ * own account, as after a step of the clock, they must be
+ * DY_INSTANCE_TIMEOUT_MS apart.
+ */
 dy_target_instance_state_t dy_flow_holder_instance_state(
 	const dy_flow_holder_t *holder, const char *id, uint64_t started_ms);
 
--- a/include/damaskyard/stale_flows.h
+++ b/include/damaskyard/stale_flows.h
@@ -9,7 +9,9 @@
  * Each flow is reset once. A list is used only if its instance of the target
  * has certainly ended, and only within the list's time to live: later, the
  * caller's last acknowledgement may be too far from the listed one for a valid
- * reset.
+ * reset. Until the end is certain the list waits, and the holder is asked again
+ * before each reset: a list whose instance proves to be the live one is
+ * dropped.
  */
 
 #include "damaskyard/flow_holder.h"
@@ -23,21 +25,26 @@
 void dy_stale_flows_destroy(dy_stale_flows_t *stale);
 
 /*
- * Adds the flows of a part of a list, unless the list is expired or its
- * instance may still run; part is copied. time_ms is the agent's time of day.
+ * Adds the flows of a part of a list, unless the list is expired, its instance
+ * runs or no target is known; part is copied. time_ms is the agent's time of
+ * day.
  */
 void dy_stale_flows_add_part(dy_stale_flows_t *stale,
 			     const dy_ledger_part_t *part, uint64_t time_ms);
 
+/* Drops the flows of lists that are expired. time_ms is the time of day. */
+void dy_stale_flows_expire(dy_stale_flows_t *stale, uint64_t time_ms);
+
 /*
  * Removes the next flow to reset and stores it in flow. Flows that are open
- * again at the holder are skipped. Returns 0 if there is none.
+ * again at the holder are skipped. Returns 0 if there is none whose instance
+ * has certainly ended.
  */
 int dy_stale_flows_pop(dy_stale_flows_t *stale, dy_ledger_flow_t *flow);
 
 /*
  * Returns the number of flows in the set, including those that
- * dy_stale_flows_pop() will skip.
+ * dy_stale_flows_pop() will skip, or whose instance may still run.
  */
 unsigned dy_stale_flows_count(const dy_stale_flows_t *stale);
 
--- a/src/connection/flow_holder_notice.c
+++ b/src/connection/flow_holder_notice.c
@@ -6,13 +6,6 @@
 
 #include "damaskyard/address.h"
 
-/*
- * Timeout in ms after which an instance without notices yields to one with an
- * earlier start time; the clock may have been set back between the two. It is
- * 2.5 notice intervals.
- */
-#define INSTANCE_TIMEOUT_MS 3000
-
 /*
  * Maximum delay in ms between sending and reading a notice, as when the agent's
  * VM was paused. It also covers a SYN that is retransmitted 600 ms after the
@@ -53,6 +46,13 @@
 				 now_ms);
 }
 
+static int is_current(const dy_flow_holder_t *holder,
+		      const dy_target_notice_t *notice)
+{
+	return notice->started_ms == holder->notice.started_ms &&
+	       !strcmp(notice->id, holder->notice.id);
+}
+
 /* Starts tracking a new instance of the target. */
 static void begin_instance(dy_flow_holder_t *holder,
 			   const dy_target_notice_t *notice, uint64_t now_ms)
@@ -73,6 +73,7 @@
 	if (!holder->saw_start)
 		holder->cold_unknown_until_ms = now_ms + DY_COLD_WINDOW_MS;
 	holder->has_target = 1;
+	holder->heard_since_ms = now_ms;
 	holder->left = 0;
 	holder->ready = 0;
 	holder->was_listening = 0;
@@ -102,9 +103,8 @@
 		return NOTICE_NEW_INSTANCE;
 	if (notice->started_ms > current->started_ms)
 		return NOTICE_NEW_INSTANCE;
-	if (notice->started_ms < current->started_ms ||
-	    strcmp(notice->id, current->id) != 0)
-		return now_ms - holder->last_notice_ms > INSTANCE_TIMEOUT_MS
+	if (!is_current(holder, notice))
+		return now_ms - holder->last_notice_ms > DY_INSTANCE_TIMEOUT_MS
 			       ? NOTICE_NEW_INSTANCE
 			       : NOTICE_STALE;
 	return notice->sequence > current->sequence ? NOTICE_NEWER
@@ -130,8 +130,12 @@
 		return 0;
 	}
 	order = order_notice(holder, notice, now_ms);
-	if (order == NOTICE_STALE)
+	if (order == NOTICE_STALE) {
+		/* One of the two notices was late; the next ones will tell. */
+		if (!is_current(holder, notice))
+			holder->heard_since_ms = now_ms;
 		return 1;
+	}
 	holder_confirm_alive(holder);
 	if (order == NOTICE_NEW_INSTANCE)
 		begin_instance(holder, notice, now_ms);
--- a/src/connection/flow_holder_presence.c
+++ b/src/connection/flow_holder_presence.c
@@ -72,6 +72,17 @@
 		mark_target_gone(holder, now_ms);
 }
 
+/* Returns whether notices rule out that the other instance is the live one. */
+static int is_confirmed(const dy_flow_holder_t *holder,
+			uint64_t other_started_ms)
+{
+	uint64_t need_ms = holder->notice.started_ms > other_started_ms
+				   ? DY_INSTANCE_CONFIRM_MS
+				   : DY_INSTANCE_TIMEOUT_MS;
+
+	return holder->last_notice_ms >= holder->heard_since_ms + need_ms;
+}
+
 dy_target_instance_state_t dy_flow_holder_instance_state(
 	const dy_flow_holder_t *holder, const char *id, uint64_t started_ms)
 {
@@ -81,9 +92,11 @@
 		return DY_TARGET_INSTANCE_ENDED;
 	if (!holder->has_target)
 		return DY_TARGET_INSTANCE_UNKNOWN;
-	return started_ms == notice->started_ms && !strcmp(id, notice->id)
-		       ? DY_TARGET_INSTANCE_CURRENT
-		       : DY_TARGET_INSTANCE_ENDED;
+	if (started_ms == notice->started_ms && !strcmp(id, notice->id))
+		return DY_TARGET_INSTANCE_CURRENT;
+	return holder->saw_start || is_confirmed(holder, started_ms)
+		       ? DY_TARGET_INSTANCE_ENDED
+		       : DY_TARGET_INSTANCE_DOUBTED;
 }
 
 const dy_target_notice_t *dy_flow_holder_target(const dy_flow_holder_t *holder)
--- a/src/connection/flow_holder_private.h
+++ b/src/connection/flow_holder_private.h
@@ -95,6 +95,7 @@
 					openings wait; 0: none */
 	dy_target_notice_t notice;
 	uint64_t last_notice_ms;
+	uint64_t heard_since_ms; /* only this instance's notices since then */
 	uint64_t cold_until_ms;
 	dy_cold_limit_t cold;
 	uint64_t cold_unknown_until_ms; /* window incomplete until then */
--- a/src/process/flow/agent_ledger.c
+++ b/src/process/flow/agent_ledger.c
@@ -35,6 +35,7 @@
 	const dy_flow_holder_t *holder;
 	agent_ledger_reset_cb_t *reset;
 	void *context;
+	uint32_t first_list;  /* number before the first list sent */
 	uint32_t list_number; /* of the last list sent */
 	uint64_t next_list_ms;
 	unsigned listed_flows;	   /* flows in the last list sent */
@@ -67,7 +68,8 @@
 	ledger->holder = holder;
 	ledger->reset = reset;
 	ledger->context = context;
-	ledger->list_number = (uint32_t)g_get_real_time();
+	ledger->first_list = (uint32_t)g_get_real_time();
+	ledger->list_number = ledger->first_list;
 	ledger->next_list_ms = now_ms(ledger) + LIST_INTERVAL_MS;
 	ledger->stale = dy_stale_flows_create(holder);
 	ledger->reset_counter =
@@ -203,6 +205,16 @@
 			ledger->answered_controls |= 1u << i;
 }
 
+/*
+ * What this agent listed itself is in its table, or has ended before its eyes.
+ */
+static int is_own_list(const agent_ledger_t *ledger, uint32_t list)
+{
+	uint32_t sent = ledger->list_number - ledger->first_list;
+
+	return list - ledger->first_list - 1 < sent;
+}
+
 void agent_ledger_receive(agent_ledger_t *ledger, const dy_sealed_t *message,
 			  const struct sockaddr *from)
 {
@@ -213,7 +225,8 @@
 			    sizeof(part)))
 		return;
 	mark_answered(ledger, from);
-	dy_stale_flows_add_part(ledger->stale, &part, wall_clock_ms());
+	if (!is_own_list(ledger, part.list))
+		dy_stale_flows_add_part(ledger->stale, &part, wall_clock_ms());
 	xdr_free((xdrproc_t)xdr_dy_ledger_part_t, (char *)&part);
 }
 
@@ -222,6 +235,7 @@
 	dy_ledger_flow_t flow;
 	unsigned count = 0;
 
+	dy_stale_flows_expire(ledger->stale, wall_clock_ms());
 	while (count < RESETS_PER_TICK &&
 	       dy_stale_flows_pop(ledger->stale, &flow)) {
 		ledger->reset(ledger->context, &flow.flow, flow.ack);
--- a/tests/test_stale_flows.c
+++ b/tests/test_stale_flows.c
@@ -22,14 +22,27 @@
 	fake_holder_end();
 }
 
-static void announce(const char *id, uint64_t started_ms)
+/* A notice at now_ms, which is its number too. */
+static void announce_at(const char *id, uint64_t started_ms, uint64_t now_ms)
 {
-	dy_target_notice_t notice = fake_holder_notice(1, DY_TARGET_READY);
+	dy_target_notice_t notice = fake_holder_notice(now_ms, DY_TARGET_READY);
 
 	g_strlcpy(notice.id, id, sizeof(notice.id));
 	notice.started_ms = started_ms;
-	ck_assert(
-		dy_flow_holder_receive_notice(fake_holder.holder, &notice, 1));
+	ck_assert(dy_flow_holder_receive_notice(fake_holder.holder, &notice,
+						now_ms));
+}
+
+static void announce(const char *id, uint64_t started_ms)
+{
+	announce_at(id, started_ms, 1);
+}
+
+/* A notice could be late, the second one after it can't. */
+static void announce_twice(const char *id, uint64_t started_ms)
+{
+	announce_at(id, started_ms, 1);
+	announce_at(id, started_ms, 1 + DY_INSTANCE_CONFIRM_MS);
 }
 
 static dy_ledger_flow_t flow_of(unsigned port)
@@ -63,7 +76,7 @@
 	dy_ledger_flow_t flow;
 
 	begin();
-	announce("t2", 90);
+	announce_twice("t2", 90);
 	add_list(TIME_MS + 3000);
 	add_list(TIME_MS + 3000);
 	ck_assert_uint_eq(dy_stale_flows_count(stale), 2);
@@ -143,7 +156,7 @@
 	dy_ledger_flow_t flow;
 
 	begin();
-	announce("t2", 90);
+	announce_twice("t2", 90);
 	add_list(TIME_MS);
 	open_flow(1);
 	ck_assert(dy_stale_flows_pop(stale, &flow));
@@ -153,6 +166,104 @@
 }
 END_TEST
 
+/* Guards against the reset of a live target's flows after a late notice. */
+START_TEST(keeps_flows_of_live_instance_after_late_notice)
+{
+	dy_ledger_flow_t flow;
+
+	begin();
+	announce("t0", 50);
+	add_list(TIME_MS);
+	ck_assert(!dy_stale_flows_pop(stale, &flow));
+	announce_at("t1", 70, 200);
+	ck_assert(!dy_stale_flows_pop(stale, &flow));
+	ck_assert_uint_eq(dy_stale_flows_count(stale), 0);
+	announce_at("t1", 70, 2000);
+	ck_assert(!dy_stale_flows_pop(stale, &flow));
+	end();
+}
+END_TEST
+
+/* Guards against the same with a late one that was born by a faster clock. */
+START_TEST(keeps_flows_of_live_instance_that_speaks_after_late_notice)
+{
+	dy_ledger_flow_t flow;
+
+	begin();
+	announce("t0", 90);
+	add_list(TIME_MS);
+	ck_assert(!dy_stale_flows_pop(stale, &flow));
+	announce_at("t1", 70, 1000);
+	announce_at("t0", 90, 1001);
+	ck_assert(!dy_stale_flows_pop(stale, &flow));
+	announce_at("t1", 70, 2200);
+	announce_at("t1", 70, 3400);
+	ck_assert(!dy_stale_flows_pop(stale, &flow));
+	announce_at("t1", 70, 4600);
+	ck_assert(!dy_stale_flows_pop(stale, &flow));
+	ck_assert_uint_eq(dy_stale_flows_count(stale), 0);
+	end();
+}
+END_TEST
+
+/* Guards against callers that wait for their time-outs after a power loss. */
+START_TEST(resets_waiting_flows_at_second_notice_or_refused_port)
+{
+	dy_ledger_flow_t flow;
+
+	begin();
+	announce("t2", 90);
+	add_list(TIME_MS);
+	ck_assert(!dy_stale_flows_pop(stale, &flow));
+	announce_at("t2", 90, 1201);
+	ck_assert(dy_stale_flows_pop(stale, &flow));
+	ck_assert(dy_stale_flows_pop(stale, &flow));
+	ck_assert(!dy_stale_flows_pop(stale, &flow));
+	end();
+	begin();
+	dy_flow_holder_port_checked(fake_holder.holder, DY_PORT_REFUSED, 1);
+	announce("t2", 90);
+	add_list(TIME_MS);
+	ck_assert(dy_stale_flows_pop(stale, &flow));
+	end();
+}
+END_TEST
+
+/* Guards against no resets at all after a clock was set back. */
+START_TEST(resets_flows_of_instance_with_later_start_time_after_timeout)
+{
+	dy_ledger_flow_t flow;
+
+	begin();
+	announce("t2", 50);
+	add_list(TIME_MS);
+	announce_at("t2", 50, 1201);
+	announce_at("t2", 50, 2401);
+	ck_assert(!dy_stale_flows_pop(stale, &flow));
+	announce_at("t2", 50, 1 + DY_INSTANCE_TIMEOUT_MS);
+	ck_assert(dy_stale_flows_pop(stale, &flow));
+	end();
+}
+END_TEST
+
+/* Guards against resets from a list that expired while it waited. */
+START_TEST(drops_list_that_expires_while_it_waits)
+{
+	dy_ledger_flow_t flow;
+
+	begin();
+	announce("t2", 90);
+	add_list(TIME_MS);
+	dy_stale_flows_expire(stale, TIME_MS + 12000);
+	ck_assert_uint_eq(dy_stale_flows_count(stale), 2);
+	dy_stale_flows_expire(stale, TIME_MS + 12001);
+	announce_at("t2", 90, 12001);
+	ck_assert(!dy_stale_flows_pop(stale, &flow));
+	ck_assert_uint_eq(dy_stale_flows_count(stale), 0);
+	end();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -161,6 +272,11 @@
 		resets_nothing_before_target_is_known,
 		ignores_expired_list,
 		keeps_flow_that_is_open_again,
+		keeps_flows_of_live_instance_after_late_notice,
+		keeps_flows_of_live_instance_that_speaks_after_late_notice,
+		resets_waiting_flows_at_second_notice_or_refused_port,
+		resets_flows_of_instance_with_later_start_time_after_timeout,
+		drops_list_that_expires_while_it_waits,
 		NULL,
 	};
 
