--- a/include/damaskyard/flow_holder.h
+++ b/include/damaskyard/flow_holder.h
@@ -321,6 +321,8 @@
 
 /*
  * Returns the target's last notice, or NULL if no target is known to be there.
+ * A single notice of an instance is not enough: it may be a late one, and what
+ * is written down under its name would be taken for flows that have ended.
  * The notice belongs to holder and is valid until the next call that changes
  * it.
  */
--- a/src/connection/flow_holder_presence.c
+++ b/src/connection/flow_holder_presence.c
@@ -72,15 +72,19 @@
 		mark_target_gone(holder, now_ms);
 }
 
+/* Returns whether the instance's notices span this time, in ms, alone. */
+static int is_heard_for(const dy_flow_holder_t *holder, uint64_t span_ms)
+{
+	return holder->last_notice_ms >= holder->heard_since_ms + span_ms;
+}
+
 /* Returns whether notices rule out that the other instance is the live one. */
 static int is_confirmed(const dy_flow_holder_t *holder,
 			uint64_t other_started_ms)
 {
-	uint64_t need_ms = holder->notice.started_ms > other_started_ms
-				   ? DY_INSTANCE_CONFIRM_MS
-				   : DY_INSTANCE_TIMEOUT_MS;
-
-	return holder->last_notice_ms >= holder->heard_since_ms + need_ms;
+	return is_heard_for(holder, holder->notice.started_ms > other_started_ms
+					    ? DY_INSTANCE_CONFIRM_MS
+					    : DY_INSTANCE_TIMEOUT_MS);
 }
 
 dy_target_instance_state_t dy_flow_holder_instance_state(
@@ -101,7 +105,10 @@
 
 const dy_target_notice_t *dy_flow_holder_target(const dy_flow_holder_t *holder)
 {
-	return holder->has_target && !holder->gone ? &holder->notice : NULL;
+	return holder->has_target && !holder->gone &&
+			       is_heard_for(holder, DY_INSTANCE_CONFIRM_MS)
+		       ? &holder->notice
+		       : NULL;
 }
 
 int dy_flow_holder_is_target_gone(const dy_flow_holder_t *holder)
--- a/tests/test_flow_presence.c
+++ b/tests/test_flow_presence.c
@@ -61,6 +61,23 @@
 }
 END_TEST
 
+/* Guards against a list of the live target's flows under a dead one's name. */
+START_TEST(names_target_only_after_its_second_notice)
+{
+	const dy_target_notice_t *target;
+
+	fake_holder_create();
+	ck_assert(fake_holder_announce(1, DY_TARGET_READY));
+	ck_assert_ptr_null(dy_flow_holder_target(fake_holder.holder));
+	fake_holder.now_ms += DY_INSTANCE_CONFIRM_MS;
+	ck_assert(fake_holder_announce(2, DY_TARGET_READY));
+	target = dy_flow_holder_target(fake_holder.holder);
+	ck_assert_ptr_nonnull(target);
+	ck_assert_str_eq(target->id, "t1");
+	fake_holder_end();
+}
+END_TEST
+
 /*
  * The clock was set back between two instances. Guards against ignoring the
  * second one forever, because its start time is earlier.
@@ -275,6 +292,7 @@
 		refuses_openings_once_drain_is_acknowledged,
 		ignores_late_notice,
 		ignores_notice_of_earlier_instance,
+		names_target_only_after_its_second_notice,
 		accepts_instance_with_earlier_start_time_after_timeout,
 		refuses_notice_of_other_service_or_address,
 		drops_flows_after_two_refused_checks,
