--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -312,9 +312,9 @@
 	record_balancer(holder, &forward->balancer, !forward->step, now_ms);
 	if (packet->flags & DY_PACKET_SYN)
 		holder_handle_opening(holder, forward, packet, flow, now_ms);
-	else if (flow)
+	else if (flow && flow->stage != STAGE_DOUBTED)
 		handle_known_flow(holder, forward, packet, flow, now_ms);
-	else if (has_all_flows(holder))
+	else if (!flow && has_all_flows(holder))
 		log_and_pass_on(holder, forward, packet, "not_held", now_ms);
 	else if (is_notice_overdue(holder, now_ms))
 		holder_pass_on(holder, forward, packet, 0);
@@ -372,6 +372,13 @@
 static void update_from_target(dy_flow_holder_t *holder, held_flow_t *flow,
 			       const dy_packet_t *packet, uint64_t now_ms)
 {
+	/* The target holds it after all. */
+	if (flow->stage == STAGE_DOUBTED)
+		holder_enter_stage(holder, flow,
+				   packet->flags & DY_PACKET_SYN
+					   ? STAGE_HALF_OPEN
+					   : STAGE_OPEN,
+				   now_ms);
 	if (packet->flags & DY_PACKET_SYN) {
 		if (!flow->syn_answered)
 			dy_histogram_add(&holder->opening_ms,
@@ -449,6 +456,8 @@
 	holder_expire_stage(holder, STAGE_HALF_OPEN, DY_HALF_OPEN_MS, now_ms);
 	holder_expire_stage(holder, STAGE_OPEN, DY_HELD_FLOW_IDLE_MS, now_ms);
 	holder_expire_stage(holder, STAGE_ENDED, DY_TIME_WAIT_MS, now_ms);
+	holder_expire_stage(holder, STAGE_DOUBTED, DY_HELD_FLOW_IDLE_MS,
+			    now_ms);
 	if (holder->ready &&
 	    now_ms - holder->last_notice_ms > DY_NOTICE_TIMEOUT_MS)
 		holder_set_ready(holder, 0, "silent");
--- a/src/connection/flow_holder_flows.c
+++ b/src/connection/flow_holder_flows.c
@@ -140,25 +140,33 @@
 	}
 }
 
-unsigned holder_drop_older(dy_flow_holder_t *holder, uint64_t since_ms,
-			   const char *reason, uint64_t now_ms)
+static void doubt(dy_flow_holder_t *holder, held_flow_t *flow,
+		  const char *reason, uint64_t now_ms)
 {
-	unsigned dropped = 0;
+	holder_end_request(holder, flow, reason, now_ms);
+	holder_enter_stage(holder, flow, STAGE_DOUBTED, now_ms);
+}
+
+unsigned holder_doubt_older(dy_flow_holder_t *holder, uint64_t since_ms,
+			    const char *reason, uint64_t now_ms)
+{
+	const held_stage_t stages[] = { STAGE_HALF_OPEN, STAGE_OPEN };
+	unsigned doubted = 0;
 	held_flow_t *flow;
 	dy_list_t *pos;
 	dy_list_t *tmp;
-	int i;
+	unsigned i;
 
-	for (i = 0; i < STAGE_COUNT; i++)
-		DY_LIST_EACH_SAFE(pos, tmp, &holder->stages[i])
+	for (i = 0; i < G_N_ELEMENTS(stages); i++)
+		DY_LIST_EACH_SAFE(pos, tmp, &holder->stages[stages[i]])
 		{
 			flow = DY_LIST_ITEM(pos, held_flow_t, link);
 			if (flow->recorded_ms >= since_ms)
 				continue;
-			holder_drop_flow(holder, flow, reason, now_ms);
-			dropped++;
+			doubt(holder, flow, reason, now_ms);
+			doubted++;
 		}
-	return dropped;
+	return doubted;
 }
 
 void holder_expire_stage(dy_flow_holder_t *holder, held_stage_t stage,
@@ -203,5 +211,7 @@
 int dy_flow_holder_has_flow(const dy_flow_holder_t *holder,
 			    const dy_flow_id_t *flow)
 {
-	return g_hash_table_contains(holder->flows, flow);
+	const held_flow_t *held = g_hash_table_lookup(holder->flows, flow);
+
+	return held && held->stage != STAGE_DOUBTED;
 }
--- a/src/connection/flow_holder_notice.c
+++ b/src/connection/flow_holder_notice.c
@@ -26,24 +26,23 @@
 }
 
 /*
- * Drops the flows of earlier instances. Returns their number.
+ * Doubts the flows of earlier instances. Returns their number.
  *
  * Guards against a target that is replaced at its address within moments. Flows
- * that open before the new instance's first notice already belong to it;
- * without their records this agent would report them as certainly not held. The
+ * that open before the new instance's first notice already belong to it. The
  * earlier instance still ran when it sent its last notice, so flows from before
- * that are over. Later ones stay in the table, and the target bounces packets
- * of those that it does not hold.
+ * that are over, unless this notice is a late one: then they are the live
+ * target's. The target itself gives back what it does not hold.
  */
-static unsigned drop_old_flows(dy_flow_holder_t *holder, uint64_t now_ms)
+static unsigned doubt_old_flows(dy_flow_holder_t *holder, uint64_t now_ms)
 {
 	uint64_t sent_ms = holder->last_notice_ms;
 
 	if (!holder->has_target)
 		return 0;
 	sent_ms -= MIN(sent_ms, (uint64_t)NOTICE_DELAY_MAX_MS);
-	return holder_drop_older(holder, sent_ms, "target_started_anew",
-				 now_ms);
+	return holder_doubt_older(holder, sent_ms, "target_started_anew",
+				  now_ms);
 }
 
 static int is_current(const dy_flow_holder_t *holder,
@@ -57,12 +56,12 @@
 static void begin_instance(dy_flow_holder_t *holder,
 			   const dy_target_notice_t *notice, uint64_t now_ms)
 {
-	unsigned dropped = drop_old_flows(holder, now_ms);
+	unsigned doubted = doubt_old_flows(holder, now_ms);
 
 	dy_log_event(DY_LOG_INFO, "target_started",
-		     "id=%s born_ms=%lu slots=%u flows_dropped=%u flows=%u",
+		     "id=%s born_ms=%lu slots=%u flows_doubted=%u flows=%u",
 		     dy_log_quote(notice->id),
-		     (unsigned long)notice->started_ms, notice->slots, dropped,
+		     (unsigned long)notice->started_ms, notice->slots, doubted,
 		     dy_flow_holder_count(holder));
 	/*
 	 * Guards against a late notice of an earlier instance, after which this
--- a/src/connection/flow_holder_openings.c
+++ b/src/connection/flow_holder_openings.c
@@ -338,7 +338,8 @@
 
 	if (forward->wait != DY_FLOW_WAIT_AT_AGENT)
 		holder->grants_asked_ms = now_ms;
-	if (flow && flow->stage != STAGE_ENDED) {
+	if (flow && flow->stage != STAGE_ENDED &&
+	    flow->stage != STAGE_DOUBTED) {
 		holder_touch(holder, flow, now_ms);
 		if (flow->stage == STAGE_HALF_OPEN)
 			flow->recorded_ms = now_ms;
--- a/src/connection/flow_holder_private.h
+++ b/src/connection/flow_holder_private.h
@@ -28,6 +28,7 @@
 	STAGE_HALF_OPEN, /* until the caller acknowledges the target's SYN */
 	STAGE_OPEN,
 	STAGE_ENDED,
+	STAGE_DOUBTED, /* opened before a notice of another instance came */
 	STAGE_COUNT
 } held_stage_t;
 
@@ -198,9 +199,13 @@
 		      const char *reason, uint64_t now_ms);
 void holder_drop_all(dy_flow_holder_t *holder, const char *reason,
 		     uint64_t now_ms);
-/* Drops the flows that were recorded before since_ms. Returns their number. */
-unsigned holder_drop_older(dy_flow_holder_t *holder, uint64_t since_ms,
-			   const char *reason, uint64_t now_ms);
+/*
+ * Doubts the flows that were recorded before since_ms: they don't count, and
+ * the target is asked for each of them by its next packet. Returns their
+ * number.
+ */
+unsigned holder_doubt_older(dy_flow_holder_t *holder, uint64_t since_ms,
+			    const char *reason, uint64_t now_ms);
 /* Drops the flows of a stage that were idle for timeout_ms. */
 void holder_expire_stage(dy_flow_holder_t *holder, held_stage_t stage,
 			 uint64_t timeout_ms, uint64_t now_ms);
