--- a/src/connection/flow_holder_notice.c
+++ b/src/connection/flow_holder_notice.c
@@ -45,11 +45,41 @@
 				  now_ms);
 }
 
+static int is_same_instance(const dy_target_notice_t *a,
+			    const dy_target_notice_t *b)
+{
+	return a->started_ms == b->started_ms && !strcmp(a->id, b->id);
+}
+
 static int is_current(const dy_flow_holder_t *holder,
 		      const dy_target_notice_t *notice)
 {
-	return notice->started_ms == holder->notice.started_ms &&
-	       !strcmp(notice->id, holder->notice.id);
+	return is_same_instance(notice, &holder->notice);
+}
+
+/* Returns whether notice is from the instance that this one replaced. */
+static int is_former(const dy_flow_holder_t *holder,
+		     const dy_target_notice_t *notice)
+{
+	return notice->started_ms == holder->former_started_ms &&
+	       !strcmp(notice->id, holder->former_id);
+}
+
+/*
+ * Returns whether an instance that is not the later one by its own account has
+ * to be believed: it speaks a second time, and the current one is silent.
+ *
+ * Guards against a late notice beside a target whose notices are held up, as
+ * that of a frozen VM: a single one would replace the live target.
+ */
+static int is_rival_confirmed(const dy_flow_holder_t *holder,
+			      const dy_target_notice_t *notice, uint64_t now_ms)
+{
+	return now_ms - holder->last_notice_ms > DY_INSTANCE_TIMEOUT_MS &&
+	       holder->rival_ms >= holder->last_notice_ms &&
+	       now_ms - holder->rival_ms >= DY_INSTANCE_CONFIRM_MS &&
+	       is_same_instance(notice, &holder->rival) &&
+	       notice->sequence > holder->rival.sequence;
 }
 
 /* Starts tracking a new instance of the target. */
@@ -71,6 +101,11 @@
 	 */
 	if (!holder->saw_start)
 		holder->cold_unknown_until_ms = now_ms + DY_COLD_WINDOW_MS;
+	if (holder->has_target) {
+		g_strlcpy(holder->former_id, holder->notice.id,
+			  sizeof(holder->former_id));
+		holder->former_started_ms = holder->notice.started_ms;
+	}
 	holder->has_target = 1;
 	holder->heard_since_ms = now_ms;
 	holder->left = 0;
@@ -90,7 +125,8 @@
 /*
  * Guards against a notice that was delayed and arrives after a later one, or
  * after its sender ended and another instance replaced it: it would make a
- * draining target ready again. Instances are ordered by their start times.
+ * draining target ready again. Instances are ordered by their start times. A
+ * refused port ends an instance, so that any other one may follow.
  */
 static notice_order_t order_notice(const dy_flow_holder_t *holder,
 				   const dy_target_notice_t *notice,
@@ -100,16 +136,30 @@
 
 	if (!holder->has_target)
 		return NOTICE_NEW_INSTANCE;
-	if (notice->started_ms > current->started_ms)
+	if (!is_current(holder, notice) &&
+	    (holder->gone ||
+	     (notice->started_ms > current->started_ms &&
+	      !is_former(holder, notice)) ||
+	     is_rival_confirmed(holder, notice, now_ms)))
 		return NOTICE_NEW_INSTANCE;
 	if (!is_current(holder, notice))
-		return now_ms - holder->last_notice_ms > DY_INSTANCE_TIMEOUT_MS
-			       ? NOTICE_NEW_INSTANCE
-			       : NOTICE_STALE;
+		return NOTICE_STALE;
 	return notice->sequence > current->sequence ? NOTICE_NEWER
 						    : NOTICE_STALE;
 }
 
+/* One of two instances' notices was late; the next ones tell which. */
+static void note_rival(dy_flow_holder_t *holder,
+		       const dy_target_notice_t *notice, uint64_t now_ms)
+{
+	holder->heard_since_ms = now_ms;
+	if (holder->rival_ms >= holder->last_notice_ms &&
+	    is_same_instance(notice, &holder->rival))
+		return;
+	holder->rival = *notice;
+	holder->rival_ms = now_ms;
+}
+
 int dy_flow_holder_receive_notice(dy_flow_holder_t *holder,
 				  const dy_target_notice_t *notice,
 				  uint64_t now_ms)
@@ -130,9 +180,8 @@
 	}
 	order = order_notice(holder, notice, now_ms);
 	if (order == NOTICE_STALE) {
-		/* One of the two notices was late; the next ones will tell. */
 		if (!is_current(holder, notice))
-			holder->heard_since_ms = now_ms;
+			note_rival(holder, notice, now_ms);
 		return 1;
 	}
 	holder_confirm_alive(holder);
--- a/tests/test_flow_presence.c
+++ b/tests/test_flow_presence.c
@@ -5,6 +5,12 @@
 #include "fake_holder.h"
 #include "fake_suite.h"
 
+static void finish_port_check(dy_port_state_t state)
+{
+	dy_flow_holder_port_checked(fake_holder.holder, state,
+				    fake_holder.now_ms);
+}
+
 /*
  * A target announces that it drains and gets an acknowledgement. Then a
  * balancer that has not learned of it sends one more SYN. The drain must be in
@@ -102,6 +108,78 @@
 }
 END_TEST
 
+/* Guards against a late notice that replaces the target of a frozen VM. */
+START_TEST(ignores_single_notice_of_earlier_instance_after_silence)
+{
+	dy_target_notice_t late = fake_holder_notice(7, DY_TARGET_READY);
+
+	fake_holder_begin();
+	ck_assert(fake_holder_announce(2, DY_TARGET_DRAINING));
+	g_strlcpy(late.id, "t0", sizeof(late.id));
+	late.started_ms = 4000;
+	fake_holder.now_ms += DY_INSTANCE_TIMEOUT_MS + 1;
+	dy_flow_holder_receive_notice(fake_holder.holder, &late,
+				      fake_holder.now_ms);
+	ck_assert(!dy_flow_holder_accepts(fake_holder.holder));
+	late.sequence = 8;
+	dy_flow_holder_receive_notice(fake_holder.holder, &late,
+				      fake_holder.now_ms);
+	ck_assert(!dy_flow_holder_accepts(fake_holder.holder));
+	fake_holder.now_ms += DY_INSTANCE_CONFIRM_MS;
+	ck_assert(fake_holder_announce(3, DY_TARGET_DRAINING));
+	late.sequence = 9;
+	dy_flow_holder_receive_notice(fake_holder.holder, &late,
+				      fake_holder.now_ms);
+	ck_assert(!dy_flow_holder_accepts(fake_holder.holder));
+	fake_holder_end();
+}
+END_TEST
+
+/* Guards against a late notice of the one before, born by a faster clock. */
+START_TEST(ignores_notice_of_former_instance_with_later_start_time)
+{
+	dy_target_notice_t late = fake_holder_notice(7, DY_TARGET_READY);
+	dy_target_notice_t next = fake_holder_notice(1, DY_TARGET_DRAINING);
+
+	fake_holder_begin();
+	g_strlcpy(next.id, "t2", sizeof(next.id));
+	next.started_ms = 4000;
+	fake_holder.now_ms += DY_INSTANCE_TIMEOUT_MS + 1;
+	dy_flow_holder_receive_notice(fake_holder.holder, &next,
+				      fake_holder.now_ms);
+	fake_holder.now_ms += DY_INSTANCE_CONFIRM_MS;
+	next.sequence = 2;
+	dy_flow_holder_receive_notice(fake_holder.holder, &next,
+				      fake_holder.now_ms);
+	ck_assert_int_eq(
+		dy_flow_holder_instance_state(fake_holder.holder, "t2", 4000),
+		DY_TARGET_INSTANCE_CURRENT);
+	dy_flow_holder_receive_notice(fake_holder.holder, &late,
+				      fake_holder.now_ms);
+	ck_assert(!dy_flow_holder_accepts(fake_holder.holder));
+	fake_holder_end();
+}
+END_TEST
+
+/* Guards against 3 s without openings after a crash and a step of the clock. */
+START_TEST(accepts_instance_with_earlier_start_time_after_refused_port)
+{
+	dy_target_notice_t next = fake_holder_notice(1, DY_TARGET_READY);
+
+	fake_holder_begin();
+	finish_port_check(DY_PORT_LISTENING);
+	finish_port_check(DY_PORT_REFUSED);
+	finish_port_check(DY_PORT_REFUSED);
+	ck_assert(dy_flow_holder_is_target_gone(fake_holder.holder));
+	g_strlcpy(next.id, "t2", sizeof(next.id));
+	next.started_ms = 4000;
+	dy_flow_holder_receive_notice(fake_holder.holder, &next,
+				      fake_holder.now_ms);
+	ck_assert(dy_flow_holder_accepts(fake_holder.holder));
+	fake_holder_end();
+}
+END_TEST
+
 /* An address is reused by a server of another service. */
 START_TEST(refuses_notice_of_other_service_or_address)
 {
@@ -128,12 +206,6 @@
 	dy_flow_holder_tick(fake_holder.holder, fake_holder.now_ms);
 }
 
-static void finish_port_check(dy_port_state_t state)
-{
-	dy_flow_holder_port_checked(fake_holder.holder, state,
-				    fake_holder.now_ms);
-}
-
 /* Guards against a stopping agent that says its target holds no flows. */
 START_TEST(target_that_was_not_heard_has_not_ended)
 {
@@ -294,6 +366,9 @@
 		ignores_notice_of_earlier_instance,
 		names_target_only_after_its_second_notice,
 		accepts_instance_with_earlier_start_time_after_timeout,
+		ignores_single_notice_of_earlier_instance_after_silence,
+		ignores_notice_of_former_instance_with_later_start_time,
+		accepts_instance_with_earlier_start_time_after_refused_port,
 		refuses_notice_of_other_service_or_address,
 		drops_flows_after_two_refused_checks,
 		keeps_flows_when_port_was_never_open,
