--- a/include/damaskyard/flow_holder.h
+++ b/include/damaskyard/flow_holder.h
@@ -211,7 +211,12 @@
 				  const dy_target_notice_t *notice,
 				  uint64_t now_ms);
 
-/* Records that the target with this id has ended. Other ids are ignored. */
+/*
+ * Records that the target with this id has ended. Other ids are ignored. The
+ * message may be a late one of an earlier instance, so the target's port is
+ * checked, again at each tick, until it is refused or another notice comes; a
+ * target that still listens has not ended.
+ */
 void dy_flow_holder_target_left(dy_flow_holder_t *holder, const char *id);
 
 /*
@@ -285,9 +290,10 @@
  */
 uint32_t dy_flow_holder_slots(const dy_flow_holder_t *holder);
 /*
- * Returns whether the target has certainly ended: it said that it leaves, or is
- * gone. A target that is silent, or that this agent has not heard yet, may hold
- * flows that a predecessor of this agent opened.
+ * Returns whether the target has certainly ended: it said that it leaves, and
+ * its port has not been found open since, or it is gone. A target that is
+ * silent, or that this agent has not heard yet, may hold flows that a
+ * predecessor of this agent opened.
  */
 int dy_flow_holder_has_target_ended(const dy_flow_holder_t *holder);
 /*
--- a/src/connection/flow_holder_notice.c
+++ b/src/connection/flow_holder_notice.c
@@ -108,7 +108,6 @@
 	}
 	holder->has_target = 1;
 	holder->heard_since_ms = now_ms;
-	holder->left = 0;
 	holder->ready = 0;
 	holder->was_listening = 0;
 	holder_note_opening_answered(holder);
@@ -165,6 +164,7 @@
 				  uint64_t now_ms)
 {
 	notice_order_t order;
+	int ask;
 
 	++*holder->notices;
 	if (strcmp(notice->service, holder->config.service) != 0 ||
@@ -184,9 +184,15 @@
 			note_rival(holder, notice, now_ms);
 		return 1;
 	}
+	/* Either this notice is late, or what said that the target ended. */
+	ask = holder->gone || holder->leaving;
+	holder->left = 0;
+	holder->leaving = 0;
 	holder_confirm_alive(holder);
 	if (order == NOTICE_NEW_INSTANCE)
 		begin_instance(holder, notice, now_ms);
+	else if (ask)
+		holder->config.callbacks->check_port(holder->config.context);
 	holder->notice = *notice;
 	holder->last_notice_ms = now_ms;
 	holder->cold_until_ms = now_ms + notice->cold_ms;
@@ -201,7 +207,10 @@
 	if (!holder->has_target || strcmp(id, holder->notice.id) != 0)
 		return;
 	holder->left = 1;
+	holder->leaving = 1;
 	holder_set_ready(holder, 0, "left");
+	/* The message may be late, of an instance with the same id. */
+	holder->config.callbacks->check_port(holder->config.context);
 }
 
 void dy_flow_holder_stop(dy_flow_holder_t *holder)
--- a/src/connection/flow_holder_presence.c
+++ b/src/connection/flow_holder_presence.c
@@ -28,15 +28,17 @@
 {
 	if (holder->gone || !holder->has_target)
 		return;
-	if (holder->refusals || (holder->response_due_since_ms &&
-				 now_ms - holder->response_due_since_ms >=
-					 DY_TARGET_RESPONSE_TIMEOUT_MS))
+	if (holder->refusals || holder->leaving ||
+	    (holder->response_due_since_ms &&
+	     now_ms - holder->response_due_since_ms >=
+		     DY_TARGET_RESPONSE_TIMEOUT_MS))
 		holder->config.callbacks->check_port(holder->config.context);
 }
 
 static void mark_target_gone(dy_flow_holder_t *holder, uint64_t now_ms)
 {
 	holder->gone = 1;
+	holder->leaving = 0;
 	holder->response_due_since_ms = 0;
 	/* Any target that starts from now on starts after this agent. */
 	holder->saw_start = 1;
@@ -52,8 +54,10 @@
 void dy_flow_holder_port_checked(dy_flow_holder_t *holder,
 				 dy_port_state_t state, uint64_t now_ms)
 {
-	if (state == DY_PORT_LISTENING)
+	if (state == DY_PORT_LISTENING) {
 		holder->was_listening = 1;
+		holder->left = 0;
+	}
 	if (state != DY_PORT_REFUSED) {
 		holder->refusals = 0;
 		/* The target runs: restart the response timeout. */
@@ -63,6 +67,7 @@
 	}
 	/* The port was never seen open, so the target may just be slow. */
 	if (holder->has_target && !holder->was_listening) {
+		holder->leaving = 0;
 		holder->response_due_since_ms =
 			holder->response_due_since_ms ? now_ms : 0;
 		return;
--- a/src/connection/flow_holder_private.h
+++ b/src/connection/flow_holder_private.h
@@ -80,7 +80,10 @@
 	dy_flow_holder_config_t config;
 	int has_target;
 	int ready;
-	int left; /* the target announced its end */
+	int left;    /* the target announced its end, and its port hasn't
+			been found open since */
+	int leaving; /* it announced it, and its port is checked until that is
+			refused */
 	int stopping;
 	int evacuated;	   /* the failure domain admits no new flows */
 	int saw_start;	   /* so the table has all flows of the target */
--- a/tests/test_flow_presence.c
+++ b/tests/test_flow_presence.c
@@ -235,6 +235,61 @@
 }
 END_TEST
 
+/* Guards against a late DELETE of an earlier run that had the same id. */
+START_TEST(target_that_listens_after_leaving_has_not_ended)
+{
+	fake_holder_begin();
+	finish_port_check(DY_PORT_LISTENING);
+	dy_flow_holder_target_left(fake_holder.holder, "t1");
+	ck_assert_uint_eq(fake_holder.port_checks, 2);
+	finish_port_check(DY_PORT_LISTENING);
+	ck_assert(!dy_flow_holder_has_target_ended(fake_holder.holder));
+	dy_flow_holder_tick(fake_holder.holder, fake_holder.now_ms + 1);
+	ck_assert_uint_eq(fake_holder.port_checks, 3);
+	finish_port_check(DY_PORT_LISTENING);
+	ck_assert(fake_holder_announce(2, DY_TARGET_READY));
+	ck_assert(dy_flow_holder_accepts(fake_holder.holder));
+	fake_holder_end();
+}
+END_TEST
+
+/* Guards against a target that leaves for good and is taken for alive. */
+START_TEST(target_that_leaves_is_gone_after_two_refused_checks)
+{
+	fake_holder_begin();
+	finish_port_check(DY_PORT_LISTENING);
+	fake_holder_open_flow(1);
+	dy_flow_holder_target_left(fake_holder.holder, "t1");
+	finish_port_check(DY_PORT_LISTENING);
+	dy_flow_holder_tick(fake_holder.holder, fake_holder.now_ms + 1);
+	finish_port_check(DY_PORT_REFUSED);
+	dy_flow_holder_tick(fake_holder.holder, fake_holder.now_ms + 2);
+	ck_assert_uint_eq(fake_holder.port_checks, 4);
+	finish_port_check(DY_PORT_REFUSED);
+	ck_assert(dy_flow_holder_is_target_gone(fake_holder.holder));
+	ck_assert_uint_eq(dy_flow_holder_count(fake_holder.holder), 0);
+	fake_holder_end();
+}
+END_TEST
+
+/* Guards against openings for a dead target after its last, late notice. */
+START_TEST(checks_port_after_notice_of_target_that_was_gone)
+{
+	fake_holder_begin();
+	finish_port_check(DY_PORT_LISTENING);
+	finish_port_check(DY_PORT_REFUSED);
+	finish_port_check(DY_PORT_REFUSED);
+	ck_assert_uint_eq(fake_holder.port_checks, 1);
+	ck_assert(fake_holder_announce(2, DY_TARGET_READY));
+	ck_assert_uint_eq(fake_holder.port_checks, 2);
+	finish_port_check(DY_PORT_REFUSED);
+	dy_flow_holder_tick(fake_holder.holder, fake_holder.now_ms + 1);
+	finish_port_check(DY_PORT_REFUSED);
+	ck_assert(!dy_flow_holder_accepts(fake_holder.holder));
+	fake_holder_end();
+}
+END_TEST
+
 /*
  * A target crashes with open flows. Without the port checks, callers of
  * idempotent requests wait for their deadlines, and new flows go to the dead
@@ -370,6 +425,9 @@
 		ignores_notice_of_former_instance_with_later_start_time,
 		accepts_instance_with_earlier_start_time_after_refused_port,
 		refuses_notice_of_other_service_or_address,
+		target_that_listens_after_leaving_has_not_ended,
+		target_that_leaves_is_gone_after_two_refused_checks,
+		checks_port_after_notice_of_target_that_was_gone,
 		drops_flows_after_two_refused_checks,
 		keeps_flows_when_port_was_never_open,
 		keeps_flows_of_slow_target,
