--- a/include/damaskyard/flow_ledger.h
+++ b/include/damaskyard/flow_ledger.h
@@ -73,7 +73,7 @@
  * Adds a part of a list; part is copied. Once all parts have arrived, in any
  * order, the list replaces the agent's previous one. Returns 1 if this part
  * completed the list and the list was stored. Returns 0 otherwise, also for an
- * invalid part and for a list beyond the capacity.
+ * invalid part, for one of an earlier list, and for a list beyond the capacity.
  */
 int dy_flow_ledger_add_part(dy_flow_ledger_t *ledger,
 			    const dy_ledger_part_t *part);
--- a/src/connection/flow_ledger.c
+++ b/src/connection/flow_ledger.c
@@ -25,6 +25,9 @@
 	list_t *incoming;
 } agent_lists_t;
 
+/* Lists before the latest one that are known to be older by their numbers. */
+#define LATE_LISTS_MAX 1000u
+
 struct dy_flow_ledger {
 	GHashTable *lists_by_agent; /* of agent_lists_t */
 	unsigned flows;		    /* in complete lists */
@@ -142,6 +145,16 @@
 	return 1;
 }
 
+/*
+ * Guards against a part that was held up and completes a list that the agent
+ * has replaced since. Numbers of one run of the agent follow each other; those
+ * of another run are far from them.
+ */
+static int is_late(const list_t *complete, const dy_ledger_part_t *part)
+{
+	return complete && complete->number - part->list - 1 < LATE_LISTS_MAX;
+}
+
 int dy_flow_ledger_add_part(dy_flow_ledger_t *ledger,
 			    const dy_ledger_part_t *part)
 {
@@ -151,6 +164,8 @@
 	    part->part >= part->parts)
 		return 0;
 	lists = get_agent_lists(ledger, part->agent);
+	if (is_late(lists->complete, part))
+		return 0;
 	if (!is_part_of(lists->incoming, part)) {
 		free_list(lists->incoming);
 		lists->incoming = begin_list(part);
--- a/tests/test_flow_ledger.c
+++ b/tests/test_flow_ledger.c
@@ -87,6 +87,25 @@
 }
 END_TEST
 
+/* Guards against a part that was held up and brings an earlier list back. */
+START_TEST(keeps_list_when_part_of_earlier_one_arrives)
+{
+	dy_flow_ledger_t *ledger = dy_flow_ledger_create();
+
+	ck_assert(!add_part(ledger, "a", 1, 0, 2, DY_LEDGER_FLOWS));
+	ck_assert(add_part(ledger, "a", 2, 0, 1, 3));
+	ck_assert(!add_part(ledger, "a", 1, 0, 2, DY_LEDGER_FLOWS));
+	ck_assert(!add_part(ledger, "a", 1, 1, 2, 5));
+	read_list(ledger, "a");
+	ck_assert_uint_eq(list_read.list, 2);
+	/* Another run of the agent counts from elsewhere. */
+	ck_assert(add_part(ledger, "a", 4000000000u, 0, 1, 3));
+	read_list(ledger, "a");
+	ck_assert_uint_eq(list_read.list, 4000000000u);
+	dy_flow_ledger_destroy(ledger);
+}
+END_TEST
+
 /* Part numbers that no agent sends. */
 START_TEST(refuses_invalid_parts)
 {
@@ -206,6 +225,7 @@
 {
 	const TTest *const tests[] = {
 		replaces_list_only_when_complete,
+		keeps_list_when_part_of_earlier_one_arrives,
 		refuses_invalid_parts,
 		restores_written_lists,
 		loads_truncated_bytes_up_to_last_complete_part,
