--- a/src/connection/flow_holder_notice.c
+++ b/src/connection/flow_holder_notice.c
@@ -152,6 +152,13 @@
 		       const dy_target_notice_t *notice, uint64_t now_ms)
 {
 	holder->heard_since_ms = now_ms;
+	if (dy_log_allow(&holder->refused_limit, "notice_doubted", now_ms))
+		dy_log_event(DY_LOG_INFO, "notice_doubted",
+			     "id=%s born_ms=%lu target=%s target_born_ms=%lu",
+			     dy_log_quote(notice->id),
+			     (unsigned long)notice->started_ms,
+			     dy_log_quote(holder->notice.id),
+			     (unsigned long)holder->notice.started_ms);
 	if (holder->rival_ms >= holder->last_notice_ms &&
 	    is_same_instance(notice, &holder->rival))
 		return;
