--- a/include/damaskyard/flow_holder.h
+++ b/include/damaskyard/flow_holder.h
@@ -310,6 +310,8 @@
 	DY_TARGET_INSTANCE_CURRENT,
 	/* the last notice is another instance's, but may be a late one */
 	DY_TARGET_INSTANCE_DOUBTED,
+	/* the same, and that one started later by its own account */
+	DY_TARGET_INSTANCE_EARLIER,
 	DY_TARGET_INSTANCE_ENDED
 } dy_target_instance_state_t;
 
--- a/include/damaskyard/stale_flows.h
+++ b/include/damaskyard/stale_flows.h
@@ -9,9 +9,12 @@
  * Each flow is reset once. A list is used only if its instance of the target
  * has certainly ended, and only within the list's time to live: later, the
  * caller's last acknowledgement may be too far from the listed one for a valid
- * reset. Until the end is certain the list waits, and the holder is asked again
- * before each reset: a list whose instance proves to be the live one is
- * dropped.
+ * reset. The end is certain by the holder's evidence, or if an instance that
+ * started later by its own account has sent a notice and the target gave back
+ * two of the listed flows and answered on none: one may have ended since the
+ * list was made. Until the end is certain the list waits, and the holder is
+ * asked again before each reset: a list whose instance proves to be the live
+ * one is dropped.
  */
 
 #include "damaskyard/flow_holder.h"
@@ -32,6 +35,13 @@
 void dy_stale_flows_add_part(dy_stale_flows_t *stale,
 			     const dy_ledger_part_t *part, uint64_t time_ms);
 
+/*
+ * Records that the target gave a packet of this flow back, or else sent one.
+ * Call it before the holder handles the packet.
+ */
+void dy_stale_flows_note_packet(dy_stale_flows_t *stale,
+				const dy_flow_id_t *flow, int returned);
+
 /* Drops the flows of lists that are expired. time_ms is the time of day. */
 void dy_stale_flows_expire(dy_stale_flows_t *stale, uint64_t time_ms);
 
--- a/src/connection/flow_holder_presence.c
+++ b/src/connection/flow_holder_presence.c
@@ -103,9 +103,10 @@
 		return DY_TARGET_INSTANCE_UNKNOWN;
 	if (started_ms == notice->started_ms && !strcmp(id, notice->id))
 		return DY_TARGET_INSTANCE_CURRENT;
-	return holder->saw_start || is_confirmed(holder, started_ms)
-		       ? DY_TARGET_INSTANCE_ENDED
-		       : DY_TARGET_INSTANCE_DOUBTED;
+	if (holder->saw_start || is_confirmed(holder, started_ms))
+		return DY_TARGET_INSTANCE_ENDED;
+	return started_ms < notice->started_ms ? DY_TARGET_INSTANCE_EARLIER
+					       : DY_TARGET_INSTANCE_DOUBTED;
 }
 
 const dy_target_notice_t *dy_flow_holder_target(const dy_flow_holder_t *holder)
--- a/src/process/flow/agent_ledger.c
+++ b/src/process/flow/agent_ledger.c
@@ -230,6 +230,12 @@
 	xdr_free((xdrproc_t)xdr_dy_ledger_part_t, (char *)&part);
 }
 
+void agent_ledger_note_packet(agent_ledger_t *ledger, const dy_flow_id_t *flow,
+			      int returned)
+{
+	dy_stale_flows_note_packet(ledger->stale, flow, returned);
+}
+
 static void reset_stale_flows(agent_ledger_t *ledger)
 {
 	dy_ledger_flow_t flow;
--- a/src/process/flow/agent_ledger.h
+++ b/src/process/flow/agent_ledger.h
@@ -29,6 +29,13 @@
 void agent_ledger_receive(agent_ledger_t *ledger, const dy_sealed_t *message,
 			  const struct sockaddr *from);
 
+/*
+ * Note that the target gave a packet of this flow back, or else sent one. Call
+ * it before the holder handles the packet.
+ */
+void agent_ledger_note_packet(agent_ledger_t *ledger, const dy_flow_id_t *flow,
+			      int returned);
+
 /* Send lists, requests and resets that are due. Call it every 50 ms. */
 void agent_ledger_tick(agent_ledger_t *ledger);
 
--- a/src/process/flow/cmd_flow_agent.c
+++ b/src/process/flow/cmd_flow_agent.c
@@ -220,6 +220,7 @@
 	bounced = !!(packet.flags & DY_PACKET_BOUNCED);
 	if (bounced)
 		platform_packet_load(bytes, len, PLATFORM_FROM_CALLER, &packet);
+	agent_ledger_note_packet(agent->ledger, &packet.flow, bounced);
 	dy_flow_holder_receive_packet(agent->holder, &packet, bytes, len,
 				      now_ms(agent));
 }
--- a/tests/test_stale_flows.c
+++ b/tests/test_stale_flows.c
@@ -229,6 +229,56 @@
 }
 END_TEST
 
+static void note_packet(unsigned port, int returned)
+{
+	dy_flow_id_t flow = flow_of(port).flow;
+
+	dy_stale_flows_note_packet(stale, &flow, returned);
+}
+
+/* Guards against callers that wait for the second notice after a power loss. */
+START_TEST(resets_waiting_flows_once_target_gave_two_back)
+{
+	dy_ledger_flow_t flow;
+
+	begin();
+	announce("t2", 90);
+	add_list(TIME_MS);
+	note_packet(1, 1);
+	note_packet(1, 1);
+	note_packet(3, 1);
+	ck_assert(!dy_stale_flows_pop(stale, &flow));
+	note_packet(2, 1);
+	ck_assert(dy_stale_flows_pop(stale, &flow));
+	ck_assert(dy_stale_flows_pop(stale, &flow));
+	ck_assert(!dy_stale_flows_pop(stale, &flow));
+	end();
+}
+END_TEST
+
+/* Guards against the reset of a live target's flows after two others ended. */
+START_TEST(keeps_waiting_flows_when_target_answers_on_one)
+{
+	dy_ledger_flow_t flow;
+
+	begin();
+	announce("t2", 90);
+	add_list(TIME_MS);
+	note_packet(1, 0);
+	note_packet(1, 1);
+	note_packet(2, 1);
+	ck_assert(!dy_stale_flows_pop(stale, &flow));
+	end();
+	begin();
+	announce("t0", 50);
+	add_list(TIME_MS);
+	note_packet(1, 1);
+	note_packet(2, 1);
+	ck_assert(!dy_stale_flows_pop(stale, &flow));
+	end();
+}
+END_TEST
+
 /* Guards against no resets at all after a clock was set back. */
 START_TEST(resets_flows_of_instance_with_later_start_time_after_timeout)
 {
@@ -275,6 +325,8 @@
 		keeps_flows_of_live_instance_after_late_notice,
 		keeps_flows_of_live_instance_that_speaks_after_late_notice,
 		resets_waiting_flows_at_second_notice_or_refused_port,
+		resets_waiting_flows_once_target_gave_two_back,
+		keeps_waiting_flows_when_target_answers_on_one,
 		resets_flows_of_instance_with_later_start_time_after_timeout,
 		drops_list_that_expires_while_it_waits,
 		NULL,
