--- a/include/damaskyard/flow_holder.h
+++ b/include/damaskyard/flow_holder.h
@@ -48,6 +48,19 @@
  */
 #define DY_NOTICE_TIMEOUT_MS 4000
 
+/*
+ * Time between two notices of an instance, in ms, after which a single late one
+ * is ruled out: half of the interval, since the interval varies.
+ */
+#define DY_INSTANCE_CONFIRM_MS 600
+
+/*
+ * Timeout in ms after which an instance without notices yields to one with an
+ * earlier start time; the clock may have been set back between the two. It is
+ * 2.5 notice intervals.
+ */
+#define DY_INSTANCE_TIMEOUT_MS 3000
+
 /*
  * Timeout for the target's response to a packet; the agent checks the target's
  * port after it. A target responds to openings within 1 ms and to half of the
@@ -198,7 +211,12 @@
 				  const dy_target_notice_t *notice,
 				  uint64_t now_ms);
 
-/* Records that the target with this id has ended. Other ids are ignored. */
+/*
+ * Records that the target with this id has ended. Other ids are ignored. The
+ * message may be a late one of an earlier instance, so the target's port is
+ * checked, again at each tick, until it is refused or another notice comes; a
+ * target that still listens has not ended.
+ */
 void dy_flow_holder_target_left(dy_flow_holder_t *holder, const char *id);
 
 /*
@@ -272,9 +290,10 @@
  */
 uint32_t dy_flow_holder_slots(const dy_flow_holder_t *holder);
 /*
- * Returns whether the target has certainly ended: it said that it leaves, or is
- * gone. A target that is silent, or that this agent has not heard yet, may hold
- * flows that a predecessor of this agent opened.
+ * Returns whether the target has certainly ended: it said that it leaves, and
+ * its port has not been found open since, or it is gone. A target that is
+ * silent, or that this agent has not heard yet, may hold flows that a
+ * predecessor of this agent opened.
  */
 int dy_flow_holder_has_target_ended(const dy_flow_holder_t *holder);
 /*
@@ -289,16 +308,29 @@
 typedef enum dy_target_instance_state {
 	DY_TARGET_INSTANCE_UNKNOWN, /* no notice has come yet */
 	DY_TARGET_INSTANCE_CURRENT,
-	/* another instance replaced it, or the target is gone */
+	/* the last notice is another instance's, but may be a late one */
+	DY_TARGET_INSTANCE_DOUBTED,
+	/* the same, and that one started later by its own account */
+	DY_TARGET_INSTANCE_EARLIER,
 	DY_TARGET_INSTANCE_ENDED
 } dy_target_instance_state_t;
 
-/* Returns the state of the instance with this id and start time. */
+/*
+ * Returns the state of the instance with this id and start time, which an
+ * earlier agent knew. It has ended if the target's port was refused since this
+ * agent started. Otherwise another instance must have sent two notices, at
+ * least DY_INSTANCE_CONFIRM_MS apart and with no other instance's notice in
+ * between: a single one may be late. If that instance started earlier by its
+ * own account, as after a step of the clock, they must be
+ * DY_INSTANCE_TIMEOUT_MS apart.
+ */
 dy_target_instance_state_t dy_flow_holder_instance_state(
 	const dy_flow_holder_t *holder, const char *id, uint64_t started_ms);
 
 /*
  * Returns the target's last notice, or NULL if no target is known to be there.
+ * A single notice of an instance is not enough: it may be a late one, and what
+ * is written down under its name would be taken for flows that have ended.
  * The notice belongs to holder and is valid until the next call that changes
  * it.
  */
--- a/src/connection/flow_holder_notice.c
+++ b/src/connection/flow_holder_notice.c
@@ -6,13 +6,6 @@
 
 #include "damaskyard/address.h"
 
-/*
- * Timeout in ms after which an instance without notices yields to one with an
- * earlier start time; the clock may have been set back between the two. It is
- * 2.5 notice intervals.
- */
-#define INSTANCE_TIMEOUT_MS 3000
-
 /*
  * Maximum delay in ms between sending and reading a notice, as when the agent's
  * VM was paused. It also covers a SYN that is retransmitted 600 ms after the
@@ -33,49 +26,88 @@
 }
 
 /*
- * Drops the flows of earlier instances. Returns their number.
+ * Doubts the flows of earlier instances. Returns their number.
  *
  * Guards against a target that is replaced at its address within moments. Flows
- * that open before the new instance's first notice already belong to it;
- * without their records this agent would report them as certainly not held. The
+ * that open before the new instance's first notice already belong to it. The
  * earlier instance still ran when it sent its last notice, so flows from before
- * that are over. Later ones stay in the table, and the target bounces packets
- * of those that it does not hold.
+ * that are over, unless this notice is a late one: then they are the live
+ * target's. The target itself gives back what it does not hold.
  */
-static unsigned drop_old_flows(dy_flow_holder_t *holder, uint64_t now_ms)
+static unsigned doubt_old_flows(dy_flow_holder_t *holder, uint64_t now_ms)
 {
 	uint64_t sent_ms = holder->last_notice_ms;
 
 	if (!holder->has_target)
 		return 0;
 	sent_ms -= MIN(sent_ms, (uint64_t)NOTICE_DELAY_MAX_MS);
-	return holder_drop_older(holder, sent_ms, "target_started_anew",
-				 now_ms);
+	return holder_doubt_older(holder, sent_ms, "target_started_anew",
+				  now_ms);
+}
+
+static int is_same_instance(const dy_target_notice_t *a,
+			    const dy_target_notice_t *b)
+{
+	return a->started_ms == b->started_ms && !strcmp(a->id, b->id);
+}
+
+static int is_current(const dy_flow_holder_t *holder,
+		      const dy_target_notice_t *notice)
+{
+	return is_same_instance(notice, &holder->notice);
+}
+
+/* Returns whether notice is from the instance that this one replaced. */
+static int is_former(const dy_flow_holder_t *holder,
+		     const dy_target_notice_t *notice)
+{
+	return notice->started_ms == holder->former_started_ms &&
+	       !strcmp(notice->id, holder->former_id);
+}
+
+/*
+ * Returns whether an instance that is not the later one by its own account has
+ * to be believed: it speaks a second time, and the current one is silent.
+ *
+ * Guards against a late notice beside a target whose notices are held up, as
+ * that of a frozen VM: a single one would replace the live target.
+ */
+static int is_rival_confirmed(const dy_flow_holder_t *holder,
+			      const dy_target_notice_t *notice, uint64_t now_ms)
+{
+	return now_ms - holder->last_notice_ms > DY_INSTANCE_TIMEOUT_MS &&
+	       holder->rival_ms >= holder->last_notice_ms &&
+	       now_ms - holder->rival_ms >= DY_INSTANCE_CONFIRM_MS &&
+	       is_same_instance(notice, &holder->rival) &&
+	       notice->sequence > holder->rival.sequence;
 }
 
 /* Starts tracking a new instance of the target. */
 static void begin_instance(dy_flow_holder_t *holder,
 			   const dy_target_notice_t *notice, uint64_t now_ms)
 {
-	unsigned dropped = drop_old_flows(holder, now_ms);
+	unsigned doubted = doubt_old_flows(holder, now_ms);
 
 	dy_log_event(DY_LOG_INFO, "target_started",
-		     "id=%s born_ms=%lu slots=%u flows_dropped=%u flows=%u",
+		     "id=%s born_ms=%lu slots=%u flows_doubted=%u flows=%u",
 		     dy_log_quote(notice->id),
-		     (unsigned long)notice->started_ms, notice->slots, dropped,
+		     (unsigned long)notice->started_ms, notice->slots, doubted,
 		     dy_flow_holder_count(holder));
 	/*
-	 * Guards against a target that starts while its agent is replaced: the
-	 * first notice that this agent receives may be the target's first, and
-	 * yet an earlier agent may have opened flows at it before. Otherwise
-	 * only a refused port shows that it started later.
+	 * Guards against a late notice of an earlier instance, after which this
+	 * one's looks as if it started before the agent's eyes: an earlier
+	 * agent may have opened flows at it. Only a refused port shows that it
+	 * started later.
 	 */
-	if (holder->has_target)
-		holder->saw_start = 1;
 	if (!holder->saw_start)
 		holder->cold_unknown_until_ms = now_ms + DY_COLD_WINDOW_MS;
+	if (holder->has_target) {
+		g_strlcpy(holder->former_id, holder->notice.id,
+			  sizeof(holder->former_id));
+		holder->former_started_ms = holder->notice.started_ms;
+	}
 	holder->has_target = 1;
-	holder->left = 0;
+	holder->heard_since_ms = now_ms;
 	holder->ready = 0;
 	holder->was_listening = 0;
 	holder_note_opening_answered(holder);
@@ -92,7 +124,8 @@
 /*
  * Guards against a notice that was delayed and arrives after a later one, or
  * after its sender ended and another instance replaced it: it would make a
- * draining target ready again. Instances are ordered by their start times.
+ * draining target ready again. Instances are ordered by their start times. A
+ * refused port ends an instance, so that any other one may follow.
  */
 static notice_order_t order_notice(const dy_flow_holder_t *holder,
 				   const dy_target_notice_t *notice,
@@ -102,22 +135,43 @@
 
 	if (!holder->has_target)
 		return NOTICE_NEW_INSTANCE;
-	if (notice->started_ms > current->started_ms)
+	if (!is_current(holder, notice) &&
+	    (holder->gone ||
+	     (notice->started_ms > current->started_ms &&
+	      !is_former(holder, notice)) ||
+	     is_rival_confirmed(holder, notice, now_ms)))
 		return NOTICE_NEW_INSTANCE;
-	if (notice->started_ms < current->started_ms ||
-	    strcmp(notice->id, current->id) != 0)
-		return now_ms - holder->last_notice_ms > INSTANCE_TIMEOUT_MS
-			       ? NOTICE_NEW_INSTANCE
-			       : NOTICE_STALE;
+	if (!is_current(holder, notice))
+		return NOTICE_STALE;
 	return notice->sequence > current->sequence ? NOTICE_NEWER
 						    : NOTICE_STALE;
 }
 
+/* One of two instances' notices was late; the next ones tell which. */
+static void note_rival(dy_flow_holder_t *holder,
+		       const dy_target_notice_t *notice, uint64_t now_ms)
+{
+	holder->heard_since_ms = now_ms;
+	if (dy_log_allow(&holder->refused_limit, "notice_doubted", now_ms))
+		dy_log_event(DY_LOG_INFO, "notice_doubted",
+			     "id=%s born_ms=%lu target=%s target_born_ms=%lu",
+			     dy_log_quote(notice->id),
+			     (unsigned long)notice->started_ms,
+			     dy_log_quote(holder->notice.id),
+			     (unsigned long)holder->notice.started_ms);
+	if (holder->rival_ms >= holder->last_notice_ms &&
+	    is_same_instance(notice, &holder->rival))
+		return;
+	holder->rival = *notice;
+	holder->rival_ms = now_ms;
+}
+
 int dy_flow_holder_receive_notice(dy_flow_holder_t *holder,
 				  const dy_target_notice_t *notice,
 				  uint64_t now_ms)
 {
 	notice_order_t order;
+	int ask;
 
 	++*holder->notices;
 	if (strcmp(notice->service, holder->config.service) != 0 ||
@@ -132,11 +186,20 @@
 		return 0;
 	}
 	order = order_notice(holder, notice, now_ms);
-	if (order == NOTICE_STALE)
+	if (order == NOTICE_STALE) {
+		if (!is_current(holder, notice))
+			note_rival(holder, notice, now_ms);
 		return 1;
+	}
+	/* Either this notice is late, or what said that the target ended. */
+	ask = holder->gone || holder->leaving;
+	holder->left = 0;
+	holder->leaving = 0;
 	holder_confirm_alive(holder);
 	if (order == NOTICE_NEW_INSTANCE)
 		begin_instance(holder, notice, now_ms);
+	else if (ask)
+		holder->config.callbacks->check_port(holder->config.context);
 	holder->notice = *notice;
 	holder->last_notice_ms = now_ms;
 	holder->cold_until_ms = now_ms + notice->cold_ms;
@@ -151,7 +214,10 @@
 	if (!holder->has_target || strcmp(id, holder->notice.id) != 0)
 		return;
 	holder->left = 1;
+	holder->leaving = 1;
 	holder_set_ready(holder, 0, "left");
+	/* The message may be late, of an instance with the same id. */
+	holder->config.callbacks->check_port(holder->config.context);
 }
 
 void dy_flow_holder_stop(dy_flow_holder_t *holder)
--- a/src/connection/flow_holder_presence.c
+++ b/src/connection/flow_holder_presence.c
@@ -28,15 +28,17 @@
 {
 	if (holder->gone || !holder->has_target)
 		return;
-	if (holder->refusals || (holder->response_due_since_ms &&
-				 now_ms - holder->response_due_since_ms >=
-					 DY_TARGET_RESPONSE_TIMEOUT_MS))
+	if (holder->refusals || holder->leaving ||
+	    (holder->response_due_since_ms &&
+	     now_ms - holder->response_due_since_ms >=
+		     DY_TARGET_RESPONSE_TIMEOUT_MS))
 		holder->config.callbacks->check_port(holder->config.context);
 }
 
 static void mark_target_gone(dy_flow_holder_t *holder, uint64_t now_ms)
 {
 	holder->gone = 1;
+	holder->leaving = 0;
 	holder->response_due_since_ms = 0;
 	/* Any target that starts from now on starts after this agent. */
 	holder->saw_start = 1;
@@ -52,8 +54,10 @@
 void dy_flow_holder_port_checked(dy_flow_holder_t *holder,
 				 dy_port_state_t state, uint64_t now_ms)
 {
-	if (state == DY_PORT_LISTENING)
+	if (state == DY_PORT_LISTENING) {
 		holder->was_listening = 1;
+		holder->left = 0;
+	}
 	if (state != DY_PORT_REFUSED) {
 		holder->refusals = 0;
 		/* The target runs: restart the response timeout. */
@@ -63,6 +67,7 @@
 	}
 	/* The port was never seen open, so the target may just be slow. */
 	if (holder->has_target && !holder->was_listening) {
+		holder->leaving = 0;
 		holder->response_due_since_ms =
 			holder->response_due_since_ms ? now_ms : 0;
 		return;
@@ -72,6 +77,21 @@
 		mark_target_gone(holder, now_ms);
 }
 
+/* Returns whether the instance's notices span this time, in ms, alone. */
+static int is_heard_for(const dy_flow_holder_t *holder, uint64_t span_ms)
+{
+	return holder->last_notice_ms >= holder->heard_since_ms + span_ms;
+}
+
+/* Returns whether notices rule out that the other instance is the live one. */
+static int is_confirmed(const dy_flow_holder_t *holder,
+			uint64_t other_started_ms)
+{
+	return is_heard_for(holder, holder->notice.started_ms > other_started_ms
+					    ? DY_INSTANCE_CONFIRM_MS
+					    : DY_INSTANCE_TIMEOUT_MS);
+}
+
 dy_target_instance_state_t dy_flow_holder_instance_state(
 	const dy_flow_holder_t *holder, const char *id, uint64_t started_ms)
 {
@@ -81,14 +101,20 @@
 		return DY_TARGET_INSTANCE_ENDED;
 	if (!holder->has_target)
 		return DY_TARGET_INSTANCE_UNKNOWN;
-	return started_ms == notice->started_ms && !strcmp(id, notice->id)
-		       ? DY_TARGET_INSTANCE_CURRENT
-		       : DY_TARGET_INSTANCE_ENDED;
+	if (started_ms == notice->started_ms && !strcmp(id, notice->id))
+		return DY_TARGET_INSTANCE_CURRENT;
+	if (holder->saw_start || is_confirmed(holder, started_ms))
+		return DY_TARGET_INSTANCE_ENDED;
+	return started_ms < notice->started_ms ? DY_TARGET_INSTANCE_EARLIER
+					       : DY_TARGET_INSTANCE_DOUBTED;
 }
 
 const dy_target_notice_t *dy_flow_holder_target(const dy_flow_holder_t *holder)
 {
-	return holder->has_target && !holder->gone ? &holder->notice : NULL;
+	return holder->has_target && !holder->gone &&
+			       is_heard_for(holder, DY_INSTANCE_CONFIRM_MS)
+		       ? &holder->notice
+		       : NULL;
 }
 
 int dy_flow_holder_is_target_gone(const dy_flow_holder_t *holder)
--- a/src/connection/flow_holder_private.h
+++ b/src/connection/flow_holder_private.h
@@ -28,6 +28,7 @@
 	STAGE_HALF_OPEN, /* until the caller acknowledges the target's SYN */
 	STAGE_OPEN,
 	STAGE_ENDED,
+	STAGE_DOUBTED, /* opened before a notice of another instance came */
 	STAGE_COUNT
 } held_stage_t;
 
@@ -79,7 +80,10 @@
 	dy_flow_holder_config_t config;
 	int has_target;
 	int ready;
-	int left; /* the target announced its end */
+	int left;    /* the target announced its end, and its port hasn't
+			been found open since */
+	int leaving; /* it announced it, and its port is checked until that is
+			refused */
 	int stopping;
 	int evacuated;	   /* the failure domain admits no new flows */
 	int saw_start;	   /* so the table has all flows of the target */
@@ -94,7 +98,12 @@
 	uint64_t grants_asked_ms;    /* last message of a balancer where
 					openings wait; 0: none */
 	dy_target_notice_t notice;
+	char former_id[DY_TARGET_ID_BYTES]; /* the instance before this one */
+	uint64_t former_started_ms;
 	uint64_t last_notice_ms;
+	dy_target_notice_t rival; /* last one that was not believed */
+	uint64_t rival_ms;	  /* its time; 0: none */
+	uint64_t heard_since_ms;  /* only this instance's notices since then */
 	uint64_t cold_until_ms;
 	dy_cold_limit_t cold;
 	uint64_t cold_unknown_until_ms; /* window incomplete until then */
@@ -197,9 +206,13 @@
 		      const char *reason, uint64_t now_ms);
 void holder_drop_all(dy_flow_holder_t *holder, const char *reason,
 		     uint64_t now_ms);
-/* Drops the flows that were recorded before since_ms. Returns their number. */
-unsigned holder_drop_older(dy_flow_holder_t *holder, uint64_t since_ms,
-			   const char *reason, uint64_t now_ms);
+/*
+ * Doubts the flows that were recorded before since_ms: they don't count, and
+ * the target is asked for each of them by its next packet. Returns their
+ * number.
+ */
+unsigned holder_doubt_older(dy_flow_holder_t *holder, uint64_t since_ms,
+			    const char *reason, uint64_t now_ms);
 /* Drops the flows of a stage that were idle for timeout_ms. */
 void holder_expire_stage(dy_flow_holder_t *holder, held_stage_t stage,
 			 uint64_t timeout_ms, uint64_t now_ms);
