--- a/src/process/http.c
+++ b/src/process/http.c
@@ -26,8 +26,10 @@
 	GString *path;
 	GByteArray *body;
 	GByteArray *pipelined; /* bytes after the request being handled */
+	guint pipelined_used;  /* of them, parsed since */
 	uint64_t last_active_ms;
 	int complete;
+	int answering; /* an answer has not been written yet */
 	int too_large;
 	int keep_alive;
 	int input_ended; /* the caller closed its side */
@@ -78,6 +80,12 @@
 	uv_close((uv_handle_t *)&connection->tcp, free_connection);
 }
 
+static void resume_reading(connection_t *connection);
+
+/*
+ * The next request is handled only now: a caller that sends many at once, or
+ * reads no answers, must not make answers or stack frames pile up.
+ */
 static void on_written(uv_write_t *write, int status)
 {
 	response_t *response = write->data;
@@ -85,8 +93,11 @@
 
 	g_free(response->bytes);
 	g_free(response);
+	connection->answering = 0;
 	if (status < 0 || !connection->keep_alive)
 		close_connection(connection);
+	else if (!connection->closing)
+		resume_reading(connection);
 }
 
 static const char *reason_phrase(int status)
@@ -136,6 +147,7 @@
 	buf = uv_buf_init(out->str, (unsigned)out->len);
 	response->bytes = g_string_free(out, FALSE);
 	response->write.data = response;
+	connection->answering = 1;
 	if (uv_write(&response->write, (uv_stream_t *)&connection->tcp, &buf, 1,
 		     on_written)) {
 		g_free(response->bytes);
@@ -212,7 +224,11 @@
 			      &request);
 }
 
-static void parse(connection_t *connection, const char *bytes, size_t len)
+/*
+ * Returns the number of bytes up to the end of a request, which is complete
+ * then, or len.
+ */
+static size_t parse(connection_t *connection, const char *bytes, size_t len)
 {
 	size_t parsed = http_parser_execute(&connection->parser,
 					    &parser_settings, bytes, len);
@@ -220,13 +236,11 @@
 
 	if (connection->complete && code == HPE_PAUSED) {
 		http_parser_pause(&connection->parser, 0);
-		g_byte_array_append(connection->pipelined,
-				    (const guint8 *)bytes + parsed,
-				    (guint)(len - parsed));
-		handle_request(connection);
-	} else if (code != HPE_OK || connection->parser.upgrade) {
-		answer_malformed(connection, connection->too_large ? 413 : 400);
+		return parsed;
 	}
+	if (code != HPE_OK || connection->parser.upgrade)
+		answer_malformed(connection, connection->too_large ? 413 : 400);
+	return len;
 }
 
 static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
@@ -239,23 +253,31 @@
 	buf->len = sizeof(read_buf);
 }
 
-/* Read on while a request is handled, to detect that its caller has closed. */
+/*
+ * Read on while a request is handled and answered, to detect that its caller
+ * has closed.
+ */
 static void read_pipelined(connection_t *connection, const char *bytes,
 			   ssize_t len)
 {
+	GByteArray *pipelined = connection->pipelined;
+
+	g_byte_array_remove_range(pipelined, 0, connection->pipelined_used);
+	connection->pipelined_used = 0;
 	if (len > 0)
-		g_byte_array_append(connection->pipelined,
-				    (const guint8 *)bytes, (guint)len);
+		g_byte_array_append(pipelined, (const guint8 *)bytes,
+				    (guint)len);
 	connection->input_ended |= len < 0;
-	if (len < 0 || connection->pipelined->len > PIPELINED_MAX_BYTES)
+	if (len < 0 || pipelined->len > PIPELINED_MAX_BYTES)
 		uv_read_stop((uv_stream_t *)&connection->tcp);
 }
 
 static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
 {
 	connection_t *connection = stream->data;
+	size_t parsed;
 
-	if (connection->exchange) {
+	if (connection->exchange || connection->answering) {
 		read_pipelined(connection, buf->base, len);
 		return;
 	}
@@ -263,23 +285,44 @@
 		close_connection(connection);
 		return;
 	}
+	if (!len)
+		return;
 	connection->last_active_ms = dy_loop_now_ms(connection->server->loop);
-	if (len)
-		parse(connection, buf->base, (size_t)len);
+	parsed = parse(connection, buf->base, (size_t)len);
+	g_byte_array_append(connection->pipelined,
+			    (const guint8 *)buf->base + parsed,
+			    (guint)((size_t)len - parsed));
+	if (connection->complete)
+		handle_request(connection);
 }
 
-static void resume_reading(connection_t *connection)
+static void parse_pipelined(connection_t *connection)
 {
 	GByteArray *pipelined = connection->pipelined;
+	guint *used = &connection->pipelined_used;
+
+	*used += (guint)parse(connection, (const char *)pipelined->data + *used,
+			      pipelined->len - *used);
+	if (*used < pipelined->len)
+		return;
+	g_byte_array_set_size(pipelined, 0);
+	*used = 0;
+}
+
+static void resume_reading(connection_t *connection)
+{
+	const GByteArray *pipelined = connection->pipelined;
 
 	g_string_truncate(connection->path, 0);
 	g_byte_array_set_size(connection->body, 0);
-	uv_read_start((uv_stream_t *)&connection->tcp, on_alloc, on_read);
-	if (!pipelined->len)
-		return;
-	connection->pipelined = g_byte_array_new();
-	parse(connection, (const char *)pipelined->data, pipelined->len);
-	g_byte_array_free(pipelined, TRUE);
+	if (pipelined->len)
+		parse_pipelined(connection);
+	if (!connection->answering &&
+	    pipelined->len - connection->pipelined_used <= PIPELINED_MAX_BYTES)
+		uv_read_start((uv_stream_t *)&connection->tcp, on_alloc,
+			      on_read);
+	if (connection->complete)
+		handle_request(connection);
 }
 
 void dy_http_answer(dy_http_exchange_t *exchange,
@@ -295,8 +338,6 @@
 	if (connection->input_ended && !connection->pipelined->len)
 		connection->keep_alive = 0;
 	send_answer(connection, answer);
-	if (connection->keep_alive && !connection->closing)
-		resume_reading(connection);
 }
 
 int dy_http_is_abandoned(const dy_http_exchange_t *exchange)
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -19,12 +19,21 @@
 	dy_http_exchange_t *pending;
 	int defer_answers; /* keep requests in pending */
 	unsigned ticks;
+	size_t first_frame; /* address in the stack, of the first request */
+	size_t deepest;	    /* bytes of stack below it */
 } fixture;
 
 static void on_request(void *context, dy_http_exchange_t *exchange,
 		       const dy_http_request_t *request)
 {
+	size_t frame = (size_t)__builtin_frame_address(0);
+
 	(void)context;
+	if (!fixture.first_frame)
+		fixture.first_frame = frame;
+	if (frame < fixture.first_frame)
+		fixture.deepest =
+			MAX(fixture.deepest, fixture.first_frame - frame);
 	g_string_append_printf(fixture.requests, "%s %s %.*s;", request->method,
 			       request->path, (int)request->body_len,
 			       request->body_len ? (const char *)request->body
@@ -140,6 +149,104 @@
 }
 END_TEST
 
+#define BURST_REQUESTS 3000
+
+/* Requests whose answers exceed the buffers of a socket. */
+#define UNREAD_REQUESTS 400000
+
+/* Returns the bytes received until the server sends no more. */
+static size_t drain_socket(int fd)
+{
+	char bytes[4096];
+	size_t received = 0;
+	int silent = 0;
+	ssize_t n;
+
+	while (silent < 3) {
+		n = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+		if (n > 0) {
+			received += (size_t)n;
+			silent = 0;
+		} else {
+			run_loop();
+			silent++;
+		}
+	}
+	return received;
+}
+
+/*
+ * Guards against a caller that sends thousands of requests in one write, each
+ * of which took a stack frame and a copy of all that followed it.
+ */
+START_TEST(answers_burst_of_requests_in_bounded_room)
+{
+	static const char request[] = "GET / HTTP/1.1\r\n\r\n";
+	GString *burst = g_string_new(NULL);
+	size_t answers;
+	int fd;
+	int i;
+
+	setup();
+	fd = connect_to_server();
+	send_text(fd, request);
+	answers = drain_socket(fd);
+	for (i = 0; i < BURST_REQUESTS; i++)
+		g_string_append(burst, request);
+	send_text(fd, burst->str);
+	ck_assert_uint_eq(drain_socket(fd), BURST_REQUESTS * answers);
+	ck_assert_uint_eq(count(fixture.requests->str, "GET / ;"),
+			  BURST_REQUESTS + 1);
+	ck_assert_uint_lt(fixture.deepest, 65536);
+	g_string_free(burst, TRUE);
+	close(fd);
+	teardown();
+}
+END_TEST
+
+/* Sends requests until the socket is full. */
+static void fill_socket(int fd, const GString *burst, size_t *offset)
+{
+	ssize_t sent;
+
+	do {
+		sent = send(fd, burst->str + *offset, burst->len - *offset,
+			    MSG_NOSIGNAL | MSG_DONTWAIT);
+		if (sent > 0)
+			*offset = (*offset + (size_t)sent) % burst->len;
+	} while (sent > 0);
+	ck_assert_int_eq(errno, EAGAIN);
+}
+
+/* Guards against answers that pile up for a caller that does not read them. */
+START_TEST(handles_no_request_while_answers_are_not_read)
+{
+	GString *burst = g_string_new(NULL);
+	uint64_t handled = 0;
+	size_t offset = 0;
+	uint64_t before;
+	int fd;
+	int i;
+
+	setup();
+	fd = connect_to_server();
+	for (i = 0; i < BURST_REQUESTS; i++)
+		g_string_append(burst, "GET / HTTP/1.1\r\n\r\n");
+	do {
+		before = handled;
+		fill_socket(fd, burst, &offset);
+		run_loop();
+		handled = dy_metrics_value(fixture.metrics, "http_requests");
+	} while (handled > before && handled < UNREAD_REQUESTS);
+	ck_assert_uint_lt(handled, UNREAD_REQUESTS);
+	ck_assert_uint_eq(dy_metrics_value(fixture.metrics, "http_malformed"),
+			  0);
+	g_string_free(burst, TRUE);
+	close(fd);
+	teardown();
+}
+END_TEST
+
 /* A slow caller sends its request byte by byte. */
 START_TEST(reassembles_request_from_fragments)
 {
@@ -367,6 +474,8 @@
 {
 	const TTest *const tests[] = {
 		answers_pipelined_requests_in_order,
+		answers_burst_of_requests_in_bounded_room,
+		handles_no_request_while_answers_are_not_read,
 		reassembles_request_from_fragments,
 		drops_answer_after_caller_closed,
 		reports_exchange_as_abandoned_after_caller_closed,
