--- a/tests/test_configuration_loader.c
+++ b/tests/test_configuration_loader.c
@@ -1,5 +1,6 @@
 /* The loader of configurations, compared with the parse of the whole text. */
 
+#include <pthread.h>
 #include <string.h>
 
 #include "fake_configuration.h"
@@ -326,6 +327,134 @@
 }
 END_TEST
 
+#define STACK_BYTES (1 << 20)
+#define LARGE_TEXT_BYTES (4 << 20)
+
+/* Returns text with a member that holds part so often that it has size bytes.
+ */
+static char *fill_text(const char *part, size_t size)
+{
+	GString *text = g_string_new("{\"version\":1,\"routes\":[],"
+				     "\"services\":[],\"x\":[");
+
+	while (text->len + strlen(part) + 8 < size)
+		g_string_append(text, part);
+	g_string_append(text, "1]}");
+	return g_string_free(text, FALSE);
+}
+
+/*
+ * Guards against a control that is killed for its memory by one configuration,
+ * which its operator then sends to the next control.
+ */
+START_TEST(refuses_more_values_than_memory_can_hold)
+{
+	static const char *const parts[] = { "{},", "[],", "1,", "{\"a\":1}," };
+	platform_configuration_loader_t *loader =
+		platform_configuration_loader_create();
+	GError *error = NULL;
+	char *text;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(parts); i++) {
+		text = fill_text(parts[i], LARGE_TEXT_BYTES);
+		ck_assert_ptr_null(platform_configuration_loader_load(
+			loader, text, strlen(text), NULL, &error));
+		ck_assert(g_error_matches(error, PLATFORM_ERROR,
+					  PLATFORM_ERROR_UNREADABLE));
+		g_clear_error(&error);
+		ck_assert_ptr_null(
+			platform_configuration_parse(text, strlen(text), NULL));
+		g_free(text);
+	}
+	platform_configuration_loader_destroy(loader);
+}
+END_TEST
+
+/* Guards against a limit that refuses a large configuration of usual routes. */
+START_TEST(accepts_large_configuration_of_usual_routes)
+{
+	platform_configuration_loader_t *loader =
+		platform_configuration_loader_create();
+	platform_load_t load;
+	site_t site;
+	unsigned i;
+
+	init_site(&site);
+	for (i = ROUTES; i < 12000; i++)
+		g_ptr_array_add(
+			site.routes,
+			g_strdup_printf(
+				"{\"name\":\"r-%u\",\"host\":\"10.1.%u.%u\","
+				"\"pathPrefix\":\"/443/\",\"routeType\":"
+				"\"safe\",\"timeoutMs\":2500,"
+				"\"targetLatencyMs\":150,\"priority\":2,"
+				"\"backends\":[{\"service\":\"a\",\"weight\":"
+				"90},{\"service\":\"b\",\"weight\":10}],"
+				"\"maxAttempts\":2}",
+				i, i / 256, i % 256));
+	ck_assert(load_site(loader, &site, &load));
+	ck_assert_uint_eq(load.parsed, 12000);
+	clear_site(&site);
+	platform_configuration_loader_destroy(loader);
+}
+END_TEST
+
+static void *load_deep_text(void *argument)
+{
+	platform_configuration_loader_t *loader =
+		platform_configuration_loader_create();
+	const char *text = argument;
+	dy_flow_rules_t *rules = platform_configuration_loader_load(
+		loader, text, strlen(text), NULL, NULL);
+	void *accepted = rules ? argument : NULL;
+
+	dy_flow_rules_destroy(rules);
+	platform_configuration_loader_destroy(loader);
+	return accepted;
+}
+
+/* Returns a configuration with a value that is nested, closed to full depth. */
+static char *nest_text(const char *open, const char *close, unsigned depth)
+{
+	GString *text = g_string_new("{\"version\":1,\"routes\":[],"
+				     "\"services\":[],\"x\":");
+	unsigned i;
+
+	for (i = 0; i < depth; i++)
+		g_string_append(text, open);
+	g_string_append(text, "1");
+	for (i = 0; i < depth; i++)
+		g_string_append(text, close);
+	g_string_append(text, "}");
+	return g_string_free(text, FALSE);
+}
+
+/* Guards against a stack that nested values use up. */
+START_TEST(deep_nesting_fits_a_small_stack)
+{
+	static const unsigned depths[] = { 10, 1000, 2000, 100000 };
+	pthread_attr_t attributes;
+	pthread_t thread;
+	void *accepted;
+	char *text;
+	size_t i;
+
+	pthread_attr_init(&attributes);
+	ck_assert(!pthread_attr_setstacksize(&attributes, STACK_BYTES));
+	for (i = 0; i < 2 * G_N_ELEMENTS(depths); i++) {
+		text = nest_text(i % 2 ? "{\"a\":" : "[", i % 2 ? "}" : "]",
+				 depths[i / 2]);
+		ck_assert(!pthread_create(&thread, &attributes, load_deep_text,
+					  text));
+		ck_assert(!pthread_join(thread, &accepted));
+		ck_assert_int_eq(!!accepted, depths[i / 2] <= 2000);
+		g_free(text);
+	}
+	pthread_attr_destroy(&attributes);
+}
+END_TEST
+
 /* Any byte that is changed, lost, or the last that came. */
 START_TEST(agrees_with_whole_parse_on_damaged_texts)
 {
@@ -375,6 +504,9 @@
 		agrees_with_whole_parse_on_unusual_texts,
 		agrees_with_whole_parse_on_deep_nesting,
 		agrees_with_whole_parse_on_damaged_texts,
+		refuses_more_values_than_memory_can_hold,
+		accepts_large_configuration_of_usual_routes,
+		deep_nesting_fits_a_small_stack,
 		NULL,
 	};
 
