--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -49,8 +49,8 @@
 	dy_target_notice_t notice;
 	GError *error = NULL;
 
-	if (platform_heartbeat_parse("i-1", data, size, &notice, &error) ==
-	    (error != NULL))
+	if (platform_heartbeat_parse("i-1", data, size, 1000000, &notice,
+				     &error) == (error != NULL))
 		abort();
 	g_clear_error(&error);
 }
--- a/src/connection/flow_holder_notice.c
+++ b/src/connection/flow_holder_notice.c
@@ -117,6 +117,7 @@
 				  const dy_target_notice_t *notice,
 				  uint64_t now_ms)
 {
+	char text[DY_ADDRESS_TEXT_BYTES];
 	notice_order_t order;
 
 	++*holder->notices;
@@ -126,9 +127,10 @@
 		if (dy_log_allow(&holder->refused_limit, "notice_refused",
 				 now_ms))
 			dy_log_event(DY_LOG_WARN, "notice_refused",
-				     "id=%s service=%s",
+				     "id=%s service=%s address=%s",
 				     dy_log_quote(notice->id),
-				     dy_log_quote(notice->service));
+				     dy_log_quote(notice->service),
+				     dy_address_format(&notice->address, text));
 		return 0;
 	}
 	order = order_notice(holder, notice, now_ms);
--- a/src/process/flow/cmd_flow_agent.c
+++ b/src/process/flow/cmd_flow_agent.c
@@ -18,6 +18,7 @@
 #include "dy_ledger.h"
 #include "flow_member.h"
 #include "platform/calls.h"
+#include "platform/configuration.h"
 #include "platform/heartbeat.h"
 #include "platform/packet.h"
 
@@ -48,6 +49,7 @@
 	dy_planned_stop_t stop;
 	dy_log_limit_t refused_limit;
 	uint64_t *malformed;
+	uint64_t *notices_invalid;
 } flow_agent_t;
 
 static uint64_t now_ms(const flow_agent_t *agent)
@@ -375,19 +377,30 @@
 		agent_ledger_receive(agent->ledger, &message, from);
 }
 
+static void log_invalid_notice(flow_agent_t *agent, const char *id,
+			       const GError *error)
+{
+	const char *event = g_error_matches(error, PLATFORM_ERROR,
+					    PLATFORM_ERROR_UNREADABLE)
+				    ? "notice_unreadable"
+				    : "notice_refused";
+
+	if (dy_log_allow(&agent->refused_limit, event, now_ms(agent)))
+		dy_log_event(DY_LOG_WARN, event, "id=%s error=%s",
+			     dy_log_quote(id), dy_log_quote(error->message));
+}
+
 static void handle_notice(flow_agent_t *agent, dy_http_exchange_t *exchange,
 			  const dy_http_request_t *request, const char *id)
 {
+	uint64_t unix_ms = (uint64_t)(g_get_real_time() / 1000);
 	dy_target_notice_t notice;
 	GError *error = NULL;
 
 	if (!platform_heartbeat_parse(id, request->body, request->body_len,
-				      &notice, &error)) {
-		if (dy_log_allow(&agent->refused_limit, "notice_unreadable",
-				 now_ms(agent)))
-			dy_log_event(DY_LOG_WARN, "notice_unreadable",
-				     "id=%s error=%s", dy_log_quote(id),
-				     dy_log_quote(error->message));
+				      unix_ms, &notice, &error)) {
+		++*agent->notices_invalid;
+		log_invalid_notice(agent, id, error);
 		g_error_free(error);
 		dy_http_answer_status(exchange, 400);
 		return;
@@ -587,6 +600,8 @@
 	agent->refused_limit = limit;
 	agent->malformed =
 		dy_metrics_counter(agent->member.metrics, "packets_malformed");
+	agent->notices_invalid =
+		dy_metrics_counter(agent->member.metrics, "notices_invalid");
 }
 
 static gboolean run(flow_agent_t *agent, GError **error)
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -370,7 +370,7 @@
 	GError *error = NULL;
 
 	ck_assert(platform_heartbeat_parse("i-1", HEARTBEAT, strlen(HEARTBEAT),
-					   &notice, &error));
+					   100, &notice, &error));
 	ck_assert_str_eq(notice.id, "i-1");
 	ck_assert_str_eq(notice.service, "a");
 	ck_assert_uint_eq(notice.address.port, 80);
@@ -417,19 +417,19 @@
 		parts = g_strsplit(HEARTBEAT, changes[i].from, 2);
 		text = g_strconcat(parts[0], changes[i].to, parts[1], NULL);
 		ck_assert(!platform_heartbeat_parse("i-1", text, strlen(text),
-						    &notice, &error));
+						    100, &notice, &error));
 		ck_assert_ptr_nonnull(error);
 		g_clear_error(&error);
 		g_free(text);
 		g_strfreev(parts);
 	}
 	for (i = 0; i < strlen(HEARTBEAT); i++) {
-		ck_assert(!platform_heartbeat_parse("i-1", HEARTBEAT, i,
+		ck_assert(!platform_heartbeat_parse("i-1", HEARTBEAT, i, 100,
 						    &notice, &error));
 		g_clear_error(&error);
 	}
 	ck_assert(!platform_heartbeat_parse("", HEARTBEAT, strlen(HEARTBEAT),
-					    &notice, &error));
+					    100, &notice, &error));
 	g_clear_error(&error);
 }
 END_TEST
