--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -30,6 +30,7 @@
 dy_flow_holder_t *dy_flow_holder_create(const dy_flow_holder_config_t *config)
 {
 	static const dy_log_limit_t limit = DY_LOG_LIMIT_INIT(100, 1000);
+	static const dy_log_limit_t refused_limit = DY_LOG_LIMIT_INIT(5, 10000);
 	dy_flow_holder_t *holder = g_new0(dy_flow_holder_t, 1);
 	dy_metrics_t *metrics = config->metrics;
 	int i;
@@ -50,7 +51,7 @@
 	dy_list_init(&holder->in_slots);
 	dy_request_pace_init(&holder->pace);
 	holder->flow_limit = limit;
-	holder->refused_limit = limit;
+	holder->refused_limit = refused_limit;
 	holder->request_limit = limit;
 	dy_histogram_init(&holder->opening_ms, metrics, "opening_ms");
 	dy_histogram_init(&holder->answer_ms, metrics, "answer_ms");
