--- a/include/damaskyard/flow_settings.h
+++ b/include/damaskyard/flow_settings.h
@@ -54,7 +54,8 @@
 	 */
 	double cold_overshoot;
 	double cold_slack;
-	dy_address_list_t seeds; /* inner addresses of controls */
+	/* Inner addresses of controls; damaged entries are left out. */
+	dy_address_list_t seeds;
 	dy_secrets_t secrets;
 	unsigned losses; /* tolerated simultaneous losses of controls */
 	char **domains;	 /* all failure domains, NULL-terminated; or NULL */
--- a/src/process/flow/flow_settings.c
+++ b/src/process/flow/flow_settings.c
@@ -188,24 +188,47 @@
 	return ok;
 }
 
+/*
+ * Add the addresses of a list to seeds, with another port. Returns the number
+ * of entries that were left out, as they are malformed or too many.
+ */
+static unsigned add_seeds(const char *text, uint16_t port,
+			  dy_address_list_t *seeds)
+{
+	char **parts = g_strsplit(text, ",", -1);
+	unsigned skipped = 0;
+	dy_address_t seed;
+	int i;
+
+	for (i = 0; parts[i]; i++) {
+		if (seeds->count == DY_SETTING_ADDRESSES_MAX ||
+		    dy_address_parse(g_strstrip(parts[i]), &seed)) {
+			skipped++;
+			continue;
+		}
+		seed.port = port;
+		seeds->items[seeds->count++] = seed;
+	}
+	g_strfreev(parts);
+	return skipped;
+}
+
+/*
+ * Others keep the list of seeds. One damaged entry must not end every process
+ * that reads it; at least one entry has to be valid.
+ */
 static gboolean load_seeds(GKeyFile *file, uint16_t port,
-			   dy_address_list_t *seeds, GError **error)
+			   dy_address_list_t *seeds, unsigned *skipped,
+			   GError **error)
 {
 	char *text = load_text(file, "group", "seeds");
-	int i;
 
-	seeds->count = text ? dy_address_parse_list(text, seeds->items,
-						    DY_SETTING_ADDRESSES_MAX)
-			    : 0;
-	if (seeds->count < 1) {
+	seeds->count = 0;
+	*skipped = text ? add_seeds(text, port, seeds) : 0;
+	if (!seeds->count)
 		refuse(error, "seeds", text ? text : "", "IP:PORT,...");
-		g_free(text);
-		return FALSE;
-	}
 	g_free(text);
-	for (i = 0; i < seeds->count; i++)
-		seeds->items[i].port = port;
-	return TRUE;
+	return seeds->count > 0;
 }
 
 /*
@@ -325,6 +348,7 @@
 static gboolean load_file(GKeyFile *file, dy_flow_settings_t *settings,
 			  dy_flow_role_t role, GError **error)
 {
+	unsigned skipped;
 	uint64_t losses;
 	uint64_t stop_s;
 
@@ -340,7 +364,7 @@
 	    !load_wait_at(file, settings, error) ||
 	    !load_cold_limit(file, settings, error) ||
 	    !load_seeds(file, settings->control_port, &settings->seeds,
-			error) ||
+			&skipped, error) ||
 	    !load_secrets(file, &settings->secrets, error))
 		return FALSE;
 	settings->losses = (unsigned)losses;
@@ -356,6 +380,10 @@
 	if (!settings->log_level)
 		settings->log_level = g_strdup("info");
 	log_unknown(file);
+	if (skipped)
+		dy_log_event(DY_LOG_WARN, "seeds_skipped",
+			     "count=%d skipped=%u", settings->seeds.count,
+			     skipped);
 	return TRUE;
 }
 
@@ -389,18 +417,20 @@
 	GKeyFile *file = g_key_file_new();
 	dy_address_list_t seeds = { 0 };
 	gboolean changed = FALSE;
+	unsigned skipped = 0;
 	GError *error = NULL;
 
 	if (!g_key_file_load_from_file(file, path, G_KEY_FILE_NONE, &error) ||
-	    !load_seeds(file, settings->control_port, &seeds, &error)) {
+	    !load_seeds(file, settings->control_port, &seeds, &skipped,
+			&error)) {
 		dy_log_event(DY_LOG_WARN, "settings_refused", "error=%s",
 			     dy_log_quote(error->message));
 		g_error_free(error);
 	} else if (memcmp(&seeds, &settings->seeds, sizeof(seeds)) != 0) {
 		settings->seeds = seeds;
 		changed = TRUE;
-		dy_log_event(DY_LOG_INFO, "seeds_changed", "count=%d",
-			     seeds.count);
+		dy_log_event(DY_LOG_INFO, "seeds_changed",
+			     "count=%d skipped=%u", seeds.count, skipped);
 	}
 	g_key_file_free(file);
 	return changed;
