--- a/include/damaskyard/flow_holder.h
+++ b/include/damaskyard/flow_holder.h
@@ -190,9 +190,9 @@
 
 /*
  * Processes a notice of the target. Returns 1 if the caller has to acknowledge
- * it: the notice is from the target beside this agent, even if it is late or a
- * duplicate. Returns 0 if it names another service or address and has to be
- * refused.
+ * it: the notice is in force, or a later one of the same instance is. Returns 0
+ * if it has to be refused: it names another service or address, or is of an
+ * instance that counts as an earlier one, and had no effect.
  */
 int dy_flow_holder_receive_notice(dy_flow_holder_t *holder,
 				  const dy_target_notice_t *notice,
--- a/src/connection/flow_holder_notice.c
+++ b/src/connection/flow_holder_notice.c
@@ -86,6 +86,7 @@
 typedef enum notice_order {
 	NOTICE_NEWER,
 	NOTICE_NEW_INSTANCE,
+	NOTICE_OTHER_INSTANCE, /* an earlier one, or it seems to be */
 	NOTICE_STALE
 } notice_order_t;
 
@@ -108,32 +109,43 @@
 	    strcmp(notice->id, current->id) != 0)
 		return now_ms - holder->last_notice_ms > INSTANCE_TIMEOUT_MS
 			       ? NOTICE_NEW_INSTANCE
-			       : NOTICE_STALE;
+			       : NOTICE_OTHER_INSTANCE;
 	return notice->sequence > current->sequence ? NOTICE_NEWER
 						    : NOTICE_STALE;
 }
 
+static int refuse(dy_flow_holder_t *holder, const dy_target_notice_t *notice,
+		  const char *reason, uint64_t now_ms)
+{
+	char text[DY_ADDRESS_TEXT_BYTES];
+
+	++*holder->notices_refused;
+	if (dy_log_allow(&holder->refused_limit, "notice_refused", now_ms))
+		dy_log_event(
+			DY_LOG_WARN, "notice_refused",
+			"id=%s reason=%s service=%s address=%s born_ms=%lu",
+			dy_log_quote(notice->id), reason,
+			dy_log_quote(notice->service),
+			dy_address_format(&notice->address, text),
+			(unsigned long)notice->started_ms);
+	return 0;
+}
+
 int dy_flow_holder_receive_notice(dy_flow_holder_t *holder,
 				  const dy_target_notice_t *notice,
 				  uint64_t now_ms)
 {
-	char text[DY_ADDRESS_TEXT_BYTES];
 	notice_order_t order;
 
 	++*holder->notices;
-	if (strcmp(notice->service, holder->config.service) != 0 ||
-	    !dy_address_equal(&notice->address, &holder->config.target)) {
-		++*holder->notices_refused;
-		if (dy_log_allow(&holder->refused_limit, "notice_refused",
-				 now_ms))
-			dy_log_event(DY_LOG_WARN, "notice_refused",
-				     "id=%s service=%s address=%s",
-				     dy_log_quote(notice->id),
-				     dy_log_quote(notice->service),
-				     dy_address_format(&notice->address, text));
-		return 0;
-	}
+	if (strcmp(notice->service, holder->config.service) != 0)
+		return refuse(holder, notice, "service", now_ms);
+	if (!dy_address_equal(&notice->address, &holder->config.target))
+		return refuse(holder, notice, "address", now_ms);
 	order = order_notice(holder, notice, now_ms);
+	/* Not acknowledged: a target that drains must not rely on it. */
+	if (order == NOTICE_OTHER_INSTANCE)
+		return refuse(holder, notice, "instance", now_ms);
 	if (order == NOTICE_STALE)
 		return 1;
 	holder_confirm_alive(holder);
--- a/tests/test_flow_presence.c
+++ b/tests/test_flow_presence.c
@@ -54,8 +54,8 @@
 	later.started_ms = 6000;
 	ck_assert(dy_flow_holder_receive_notice(fake_holder.holder, &later,
 						fake_holder.now_ms));
-	ck_assert(dy_flow_holder_receive_notice(fake_holder.holder, &held_up,
-						fake_holder.now_ms));
+	ck_assert(!dy_flow_holder_receive_notice(fake_holder.holder, &held_up,
+						 fake_holder.now_ms));
 	ck_assert(!dy_flow_holder_accepts(fake_holder.holder));
 	fake_holder_end();
 }
@@ -85,6 +85,35 @@
 }
 END_TEST
 
+/*
+ * Guards against a target that is told that its draining is in force, while its
+ * agent follows another instance and admits openings.
+ */
+START_TEST(acknowledges_only_notices_in_force)
+{
+	dy_target_notice_t other = fake_holder_notice(7, DY_TARGET_DRAINING);
+
+	fake_holder_begin();
+	other.started_ms--;
+	ck_assert(!dy_flow_holder_receive_notice(fake_holder.holder, &other,
+						 fake_holder.now_ms));
+	g_strlcpy(other.id, "t0", sizeof(other.id));
+	ck_assert(!dy_flow_holder_receive_notice(fake_holder.holder, &other,
+						 fake_holder.now_ms));
+	ck_assert(dy_flow_holder_accepts(fake_holder.holder));
+	/* A later notice of the same instance stands for an earlier one. */
+	ck_assert(fake_holder_announce(3, DY_TARGET_DRAINING));
+	ck_assert(fake_holder_announce(2, DY_TARGET_READY));
+	ck_assert(!dy_flow_holder_accepts(fake_holder.holder));
+	fake_holder.now_ms += 3001;
+	other.state = DY_TARGET_READY;
+	ck_assert(dy_flow_holder_receive_notice(fake_holder.holder, &other,
+						fake_holder.now_ms));
+	ck_assert(dy_flow_holder_accepts(fake_holder.holder));
+	fake_holder_end();
+}
+END_TEST
+
 /* An address is reused by a server of another service. */
 START_TEST(refuses_notice_of_other_service_or_address)
 {
@@ -275,6 +304,7 @@
 		refuses_openings_once_drain_is_acknowledged,
 		ignores_late_notice,
 		ignores_notice_of_earlier_instance,
+		acknowledges_only_notices_in_force,
 		accepts_instance_with_earlier_start_time_after_timeout,
 		refuses_notice_of_other_service_or_address,
 		drops_flows_after_two_refused_checks,
