--- a/src/connection/flow_holder_notice.c
+++ b/src/connection/flow_holder_notice.c
@@ -94,12 +94,12 @@
 		     (unsigned long)notice->started_ms, notice->slots, doubted,
 		     dy_flow_holder_count(holder));
 	/*
-	 * Guards against a late notice of an earlier instance, after which this
-	 * one's looks as if it started before the agent's eyes: an earlier
-	 * agent may have opened flows at it. Only a refused port shows that it
-	 * started later.
+	 * Guards against a target that started before this agent: an earlier
+	 * agent may have opened flows at it, also if a late notice of another
+	 * instance came first. Only a refused port shows that it started later.
+	 * The openings since its own first notice are this agent's.
 	 */
-	if (!holder->saw_start)
+	if (!holder->saw_start && !holder->has_target)
 		holder->cold_unknown_until_ms = now_ms + DY_COLD_WINDOW_MS;
 	if (holder->has_target) {
 		g_strlcpy(holder->former_id, holder->notice.id,
--- a/tests/test_flow_openings.c
+++ b/tests/test_flow_openings.c
@@ -313,6 +313,27 @@
 }
 END_TEST
 
+/* Guards against the same wait at a target that starts beside a running agent.
+ */
+START_TEST(admits_opening_at_once_when_cold_target_follows_known_one)
+{
+	dy_target_notice_t next = fake_holder_notice(1, DY_TARGET_READY);
+
+	fake_holder_create();
+	fake_holder.cold_openings = 10000;
+	ck_assert(fake_holder_announce(1, DY_TARGET_READY));
+	fake_holder.now_ms += 2000;
+	g_strlcpy(next.id, "t2", sizeof(next.id));
+	next.started_ms = 9000;
+	next.cold_ms = 5000;
+	ck_assert(dy_flow_holder_receive_notice(fake_holder.holder, &next,
+						fake_holder.now_ms));
+	fake_holder_from_caller(1, DY_PACKET_SYN, 0, 0);
+	ck_assert_uint_eq(fake_holder.sent_to_target, 1);
+	fake_holder_end();
+}
+END_TEST
+
 /* A balancer that has not learned of an evacuation opens a flow here. */
 START_TEST(admits_no_opening_but_keeps_flows_while_evacuated)
 {
@@ -435,6 +456,7 @@
 		limits_openings_to_cold_target,
 		queues_openings_at_cold_last_candidate,
 		waits_one_window_after_agent_restart_beside_cold_target,
+		admits_opening_at_once_when_cold_target_follows_known_one,
 		admits_no_opening_but_keeps_flows_while_evacuated,
 		refuses_queued_openings_on_evacuation,
 		frees_capacity_of_abandoned_openings,
