--- a/src/process/control/control_voters.c
+++ b/src/process/control/control_voters.c
@@ -10,6 +10,14 @@
  */
 #define BEHIND_SILENT_MS 1000
 
+/*
+ * A voter without an answer for this time is replaced by a learner that has
+ * caught up, and then removed. Each leader counts from its own election, so
+ * that elections in a row must not add up to the time in which a group repairs
+ * itself.
+ */
+#define VOTER_TIMEOUT_MS BEHIND_SILENT_MS
+
 /* Number of voters, and those of them that do not answer. */
 typedef struct voters {
 	unsigned count;
@@ -34,7 +42,7 @@
 			dy_raft_member_lag(control->raft, member->id,
 					   &silent_ms);
 		voters->count++;
-		if (silent_ms < MEMBER_TIMEOUT_MS)
+		if (silent_ms < VOTER_TIMEOUT_MS)
 			continue;
 		voters->silent++;
 		voters->silent_id = member->id;
@@ -51,6 +59,12 @@
 	return 2 * losses + 1;
 }
 
+/* A leader that hears no quorum was late itself: it judges nobody. */
+static int hears_quorum(const voters_t *voters)
+{
+	return voters->count - voters->silent > voters->count / 2;
+}
+
 int control_needs_voter(dy_control_t *control)
 {
 	voters_t voters;
@@ -58,7 +72,8 @@
 	if (!control->options.dynamic_membership)
 		return 1;
 	count_members(control, &voters);
-	return voters.count - voters.silent < required_voters(control);
+	return hears_quorum(&voters) &&
+	       voters.count - voters.silent < required_voters(control);
 }
 
 /*
@@ -75,7 +90,8 @@
 		return 0;
 	count_members(control, &voters);
 	*id = voters.silent_id;
-	return voters.silent && voters.count > required_voters(control);
+	return voters.silent && hears_quorum(&voters) &&
+	       voters.count > required_voters(control);
 }
 
 static void log_member_behind(dy_control_t *control,
