--- a/soak/evacuations.c
+++ b/soak/evacuations.c
@@ -60,8 +60,8 @@
 	struct sockaddr_in to;
 	char path[64];
 
-	soak_address(NET_CONTROL, g_rand_int_range(soak.rand, 1, CONTROLS + 1),
-		     PORT_CONTROL, &to);
+	soak_address(NET_CONTROL, process_draw_control()->number, PORT_CONTROL,
+		     &to);
 	g_snprintf(path, sizeof(path), "/-/evacuate/d%d", order.domain);
 	order.in_flight = 1;
 	order.sent_ms = soak_now_ms();
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -146,7 +146,8 @@
 	slow_until_ms = now + SLOW_DURATION_MS;
 	control_fault_until_ms = slow_until_ms;
 	for (i = 0; i < soak.process_count; i++)
-		process_kill(&soak.processes[i], 0, draw_ms(50, 700));
+		if (soak.processes[i].restart)
+			process_kill(&soak.processes[i], 0, draw_ms(50, 700));
 }
 
 static void kill_all_tick(uint64_t now)
@@ -236,6 +237,10 @@
 		kill_all_tick(now);
 		return;
 	}
+	if (soak.shape == SHAPE_REPLACED) {
+		replacements_tick();
+		return;
+	}
 	if (soak.shape == SHAPE_OUTAGE) {
 		outage_tick(now);
 		return;
--- a/soak/operator.c
+++ b/soak/operator.c
@@ -5,13 +5,18 @@
 #include <string.h>
 
 /* Interval between two changes, and between two reads. */
-#define CHANGE_INTERVAL_MS 700
+#define CHANGE_INTERVAL_MS 700 /* unless operator_set_interval() is called */
 #define READ_INTERVAL_MS 300
 
 static struct {
 	unsigned version;      /* the last one sent */
 	unsigned acked;	       /* the highest one acknowledged */
 	unsigned read_version; /* version read during recovery */
+	int held;	       /* the first change waits */
+	int one_more;	       /* send one change during recovery */
+	uint64_t interval_ms;  /* between two changes */
+	int asked;	       /* control that the last change went to */
+	int acknowledged_by;
 	int change_in_flight;
 	char *body;
 	int tries;
@@ -20,6 +25,7 @@
 	uint64_t last_read_ms;
 	unsigned acked_at_read; /* acked when the read was sent */
 	int read_in_flight;
+	int read_in_recovery; /* soak.recovering when it was sent */
 } operator_state;
 
 /* What callers call; see callers_create(). */
@@ -44,7 +50,8 @@
 			entries[i].unsafe ? ENTRY_PORT_UNSAFE : ENTRY_PORT,
 			entries[i].unsafe ? "unsafe" : "safe", 1000 + version,
 			service_names[entries[i].service]);
-	for (i = 0; i < 20 + version % 30; i++)
+	for (i = 0; i < (soak.shape == SHAPE_REPLACED ? 0 : 20) + version % 30;
+	     i++)
 		g_string_append_printf(
 			text,
 			"{\"name\":\"x%u\",\"host\":\"198.18.9.%u\","
@@ -61,8 +68,8 @@
 
 static void choose_control(struct sockaddr_in *to)
 {
-	soak_address(NET_CONTROL, g_rand_int_range(soak.rand, 1, CONTROLS + 1),
-		     PORT_CONTROL, to);
+	soak_address(NET_CONTROL, process_draw_control()->number, PORT_CONTROL,
+		     to);
 }
 
 static void send_change(void);
@@ -80,6 +87,9 @@
 			operator_state.acked =
 				MAX(operator_state.acked, version);
 			soak.configurations++;
+			operator_state.acknowledged_by = operator_state.asked;
+			if (soak.shape == SHAPE_REPLACED)
+				replacements_acknowledged();
 		} else {
 			send_change();
 		}
@@ -106,6 +116,7 @@
 		uv_ip4_addr(operator_state.redirect, atoi(colon + 1), &to);
 		operator_state.redirect[0] = '\0';
 	}
+	operator_state.asked = (int)(ntohl(to.sin_addr.s_addr) & 0xff);
 	operator_state.change_in_flight = 1;
 	operator_state.last_change_ms = soak_now_ms();
 	http_call(&to, "PUT", "/-/config", operator_state.body, on_changed,
@@ -131,7 +142,7 @@
 	    strcmp(body, operator_state.body) != 0)
 		soak_report_violation("another content was read", "version=%u",
 				      version);
-	if (soak.recovering && version >= operator_state.acked)
+	if (operator_state.read_in_recovery && version >= operator_state.acked)
 		operator_state.read_version = version;
 }
 
@@ -141,6 +152,7 @@
 
 	choose_control(&to);
 	operator_state.read_in_flight = 1;
+	operator_state.read_in_recovery = soak.recovering;
 	operator_state.last_read_ms = soak_now_ms();
 	operator_state.acked_at_read = operator_state.acked;
 	http_call(&to, "GET", "/-/config", NULL, on_read, NULL);
@@ -154,15 +166,16 @@
 	if (!operator_state.read_in_flight &&
 	    now - operator_state.last_read_ms >= READ_INTERVAL_MS)
 		read_configuration();
-	if (operator_state.change_in_flight)
+	if (operator_state.change_in_flight || operator_state.held)
 		return;
 	if (!acknowledged && now - operator_state.last_change_ms >= 100) {
 		send_change();
 		return;
 	}
-	if (!acknowledged || soak.recovering ||
-	    now - operator_state.last_change_ms < CHANGE_INTERVAL_MS)
+	if (!acknowledged || (soak.recovering && !operator_state.one_more) ||
+	    now - operator_state.last_change_ms < operator_state.interval_ms)
 		return;
+	operator_state.one_more = 0;
 	g_free(operator_state.body);
 	operator_state.version += (unsigned)g_rand_int_range(soak.rand, 1, 5);
 	operator_state.body = make_body(operator_state.version);
@@ -173,8 +186,41 @@
 void operator_create(void)
 {
 	operator_state.version = 1;
+	operator_state.interval_ms = CHANGE_INTERVAL_MS;
 	operator_state.body = make_body(1);
-	send_change();
+	if (!operator_state.held)
+		send_change();
+}
+
+void operator_hold(void)
+{
+	operator_state.held = 1;
+}
+
+void operator_release(void)
+{
+	operator_state.held = 0;
+}
+
+void operator_set_interval(uint64_t interval_ms)
+{
+	operator_state.interval_ms =
+		interval_ms ? interval_ms : CHANGE_INTERVAL_MS;
+}
+
+void operator_send_one_more(void)
+{
+	operator_state.one_more = 1;
+}
+
+int operator_acknowledged_by(void)
+{
+	return operator_state.acknowledged_by;
+}
+
+unsigned operator_acknowledged(void)
+{
+	return operator_state.acked;
 }
 
 int operator_ready(void)
--- a/soak/processes.c
+++ b/soak/processes.c
@@ -18,12 +18,12 @@
 
 process_t *process_of_balancer(int number)
 {
-	return &soak.processes[CONTROLS + number - 1];
+	return &soak.processes[CONTROLS_MAX + number - 1];
 }
 
 process_t *process_of_agent(int number)
 {
-	return &soak.processes[CONTROLS + soak.balancers + number - 1];
+	return &soak.processes[CONTROLS_MAX + soak.balancers + number - 1];
 }
 
 /*
@@ -43,17 +43,43 @@
 			       balancer_links[i], balancer_waits[i]);
 }
 
-static void write_settings(process_t *process, int class, int number,
-			   int first_start)
+/*
+ * Writes up to three addresses of listed controls, drawn at each process in the
+ * shape "replaced"; no platform lists more.
+ */
+static void write_seeds(GString *text)
+{
+	int numbers[CONTROLS_MAX];
+	int count = 0;
+	int i, j, number;
+
+	for (i = 0; i < soak.controls; i++)
+		if (soak.processes[i].listed)
+			numbers[count++] = i + 1;
+	for (i = 0; i < MIN(count, CONTROLS); i++) {
+		j = count > CONTROLS && soak.seeds_vary
+			    ? g_rand_int_range(soak.rand, i, count)
+			    : i;
+		number = numbers[j];
+		numbers[j] = numbers[i];
+		numbers[i] = number;
+		g_string_append_printf(text, "%s%s:%d", i ? "," : "",
+				       soak_ip(NET_CONTROL, number),
+				       (int)soak.base_port + PORT_CONTROL);
+	}
+}
+
+static void write_settings(process_t *process, int first_start)
 {
 	GString *text = g_string_new(NULL);
 	int base = (int)soak.base_port;
-	int i;
+	int class = process->class;
+	int number = process->number;
 
 	g_string_printf(text,
 			"[process]\nname=%s\nfailure-domain=d%d\n"
 			"first-start=%s\nstop-s=4\n",
-			process->name, (number - 1) % DOMAINS + 1,
+			process->name, process->domain,
 			first_start ? "true" : "false");
 	if (process->data)
 		g_string_append_printf(text, "data=%s\n", process->data);
@@ -70,6 +96,9 @@
 		g_string_append_printf(text, "control=%s:%d\n",
 				       soak_ip(class, number),
 				       base + PORT_CONTROL);
+	if (class == NET_CONTROL)
+		g_string_append_printf(text, "metrics-port=%d\n",
+				       base + PORT_METRICS);
 	if (class == NET_AGENT)
 		g_string_append_printf(
 			text,
@@ -79,11 +108,8 @@
 			soak_ip(class, number), base + PORT_APP,
 			service_names[service_of(number)]);
 	g_string_append(text, "[group]\nfailure-domains=d1,d2,d3,d4\nseeds=");
-	for (i = 1; i <= CONTROLS; i++)
-		g_string_append_printf(text, "%s%s:%d", i > 1 ? "," : "",
-				       soak_ip(NET_CONTROL, i),
-				       base + PORT_CONTROL);
-	g_string_append(text, "\n");
+	write_seeds(text);
+	g_string_append_printf(text, "\nlosses=%u\n", soak.losses);
 	g_file_set_contents(process->settings, text->str, -1, NULL);
 	g_string_free(text, TRUE);
 }
@@ -100,6 +126,7 @@
 
 static void start_process(process_t *process)
 {
+	process->log_bytes = lseek(process->log, 0, SEEK_END);
 	process->pid = fork();
 	if (!process->pid)
 		exec_child(process);
@@ -111,40 +138,97 @@
 }
 
 static void create_process(process_t *process, const char *command, int class,
-			   int number)
+			   int number, int first_start)
 {
 	char *path;
 
 	g_snprintf(process->name, sizeof(process->name), "%s%d",
 		   command + strlen("flow-"), number);
 	process->command = command;
+	process->class = class;
+	process->number = number;
+	if (!process->domain)
+		process->domain = (number - 1) % DOMAINS + 1;
 	process->settings =
 		g_strdup_printf("%s/%s.ini", soak.directory, process->name);
 	if (class == NET_CONTROL)
 		process->data = g_strdup_printf("%s/%s.data", soak.directory,
 						process->name);
-	path = g_strdup_printf("%s/%s.log", soak.directory, process->name);
+	path = process_log_path(process);
 	process->log =
-		open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+		open(path, O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
 	g_free(path);
 	process->restart = 1;
-	write_settings(process, class, number, 1);
+	write_settings(process, first_start);
 	start_process(process);
 }
 
+char *process_log_path(const process_t *process)
+{
+	return g_strdup_printf("%s/%s.log", soak.directory, process->name);
+}
+
+process_t *process_add_control(const process_t *predecessor)
+{
+	process_t *process = &soak.processes[soak.controls];
+
+	if (soak.controls == CONTROLS_MAX)
+		return NULL;
+	soak.controls++;
+	process->domain = predecessor->domain;
+	create_process(process, "flow-control", NET_CONTROL, soak.controls, 0);
+	return process;
+}
+
+process_t *process_draw_control(void)
+{
+	int number = 0;
+	int i;
+
+	for (i = 0; i < soak.controls; i++)
+		number += soak.processes[i].restart;
+	number = g_rand_int_range(soak.rand, 0, number);
+	for (i = 0; !soak.processes[i].restart || number--;)
+		i++;
+	return &soak.processes[i];
+}
+
+void processes_turn_seeds_over(void)
+{
+	int i;
+
+	for (i = 0; i < soak.process_count; i++)
+		if (soak.processes[i].restart)
+			write_settings(&soak.processes[i], 0);
+}
+
+/*
+ * Not before the first line of the log: until then a process is being loaded,
+ * and any signal ends it.
+ */
+void process_reload(process_t *process)
+{
+	if (process->pid && !process->exit_expected &&
+	    lseek(process->log, 0, SEEK_END) > process->log_bytes)
+		kill(process->pid, SIGHUP);
+}
+
 void processes_create(void)
 {
 	int i;
 
-	for (i = 1; i <= CONTROLS; i++)
+	for (i = 0; i < soak.controls; i++)
+		soak.processes[i].listed = 1;
+	for (i = 1; i <= soak.controls; i++)
 		create_process(&soak.processes[i - 1], "flow-control",
-			       NET_CONTROL, i);
-	soak.process_count = CONTROLS + soak.balancers + soak.targets;
+			       NET_CONTROL, i, 1);
+	soak.process_count = CONTROLS_MAX + soak.balancers + soak.targets;
 	for (i = 1; i <= soak.balancers; i++)
 		create_process(process_of_balancer(i), "flow-balancer",
-			       NET_BALANCER, i);
+			       NET_BALANCER, i, 1);
 	for (i = 1; i <= soak.targets; i++)
-		create_process(process_of_agent(i), "flow-agent", NET_AGENT, i);
+		create_process(process_of_agent(i), "flow-agent", NET_AGENT, i,
+			       1);
 }
 
 static void reap(process_t *process)
@@ -241,8 +325,7 @@
 	process->last_fault_ms = soak_now_ms();
 	process->start_at_ms = soak_now_ms() + restart_delay_ms;
 	if (process->data)
-		write_settings(process, NET_CONTROL,
-			       (int)(process - soak.processes) + 1, 0);
+		write_settings(process, 0);
 	if (disk_fault == 1)
 		erase_data(process);
 	else if (disk_fault == 2)
@@ -267,8 +350,7 @@
 	process->exit_expected = 1;
 	kill(process->pid, SIGTERM);
 	if (process->data)
-		write_settings(process, NET_CONTROL,
-			       (int)(process - soak.processes) + 1, 0);
+		write_settings(process, 0);
 	process->start_at_ms = soak_now_ms() + restart_delay_ms;
 }
 
@@ -279,6 +361,8 @@
 
 	for (i = 0; i < soak.process_count; i++) {
 		process = &soak.processes[i];
+		if (!process->settings)
+			continue;
 		process_kill(process, 0, 0);
 		close(process->log);
 		g_free(process->settings);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -22,14 +22,15 @@
 
 const char *const service_names[2] = { "readings", "maps" };
 
-static const char *const shape_names[] = { "mixed", "herd", "outage" };
+static const char *const shape_names[] = { "mixed", "herd", "outage",
+					   "replaced" };
 
 /* Processes and callers without numbers on the command line. */
 static const struct {
 	int balancers;
 	int targets;
 	int callers;
-} sizes[] = { { 3, 4, 8 }, { 3, 4, 8 }, { 3, 12, 48 } };
+} sizes[] = { { 3, 4, 8 }, { 3, 4, 8 }, { 3, 12, 48 }, { 3, 4, 8 } };
 
 soak_t soak;
 
@@ -78,6 +79,13 @@
 	uv_stop(soak.loop);
 }
 
+static int has_recovered(void)
+{
+	if (soak.shape == SHAPE_REPLACED)
+		return replacements_finished();
+	return operator_has_read_back();
+}
+
 /* Phases: start of the group, faults, then recovery without faults. */
 static void advance_phase(uint64_t now)
 {
@@ -92,20 +100,22 @@
 		}
 		return;
 	}
-	if (!soak.recovering && now >= soak.end_ms) {
+	/* The final fault of the shape "replaced" begins the recovery. */
+	if (!soak.recovering && now >= soak.end_ms &&
+	    soak.shape != SHAPE_REPLACED) {
 		soak.recovering = 1;
 		phase_started_ms = now;
 	}
 	if (!soak.recovering)
 		return;
 	if (soak.answered_in_recovery[0] > 50 &&
-	    soak.answered_in_recovery[1] > 10 && operator_has_read_back()) {
+	    soak.answered_in_recovery[1] > 10 && has_recovered()) {
 		stop_loop();
 	} else if (now - phase_started_ms > RECOVERY_TIMEOUT_MS) {
 		soak_report_violation(
 			"it did not recover", "served=%u,%u settled=%d",
 			soak.answered_in_recovery[0],
-			soak.answered_in_recovery[1], operator_has_read_back());
+			soak.answered_in_recovery[1], has_recovered());
 		stop_loop();
 	}
 }
@@ -120,10 +130,13 @@
 	targets_tick();
 	operator_tick();
 	callers_tick();
-	if (phase_started_ms && soak.shape != SHAPE_OUTAGE)
+	if (phase_started_ms && soak.shape != SHAPE_OUTAGE &&
+	    soak.shape != SHAPE_REPLACED)
 		evacuations_tick();
 	if (phase_started_ms)
 		faults_tick();
+	else if (soak.shape == SHAPE_REPLACED)
+		replacements_start_tick();
 	advance_phase(now);
 }
 
@@ -147,6 +160,10 @@
 	soak.targets = MIN(sizes[shape].targets * scale, TARGETS_MAX);
 	soak.callers = MIN(sizes[shape].callers * scale, CALLERS_MAX);
 	soak.rand = g_rand_new_with_seed(seed);
+	soak.controls = CONTROLS;
+	soak.losses = 1;
+	if (shape == SHAPE_REPLACED)
+		replacements_create();
 	soak.loop = uv_default_loop();
 	/* Starts at 10 s, as many variables use time 0 for "never". */
 	clock_origin_ms = uv_now(soak.loop) - 10000;
@@ -164,10 +181,10 @@
 	processes_destroy();
 	printf("soak seed=%u shape=%s seconds=%u faults=%u requests=%u answered=%u "
 	       "openings=%u resets=%u configurations=%u evacuations=%u "
-	       "broken=%u result=%s\n",
+	       "replaced=%u wiped=%u broken=%u result=%s\n",
 	       seed, shape_names[shape], seconds, soak.faults, soak.requests,
 	       soak.answered, soak.openings, soak.resets, soak.configurations,
-	       soak.evacuations, soak.violations,
+	       soak.evacuations, soak.replaced, soak.wiped, soak.violations,
 	       soak.violations ? "failed" : "passed");
 	if (soak.violations)
 		printf("soak seed=%u logs=%s\n", seed, soak.directory);
@@ -192,7 +209,7 @@
 	int scale = argc > 4 ? (int)strtol(argv[4], NULL, 10) : 1;
 
 	if (argc < 3 || argc > 5 || shape < 0 || scale < 1) {
-		fputs("usage: soak SEED SECONDS [mixed|herd|outage [SCALE]]\n"
+		fputs("usage: soak SEED SECONDS [mixed|herd|outage|replaced [SCALE]]\n"
 		      "One run of the packet path under faults; see docs/SOAK.md\n",
 		      stderr);
 		return 2;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -17,29 +17,32 @@
 
 #include "platform/packet.h"
 
-#define CONTROLS 3
-#define DOMAINS 4 /* failure domains of agents and balancers */
+#define CONTROLS 3	/* at the start; SHAPE_REPLACED may have 5 */
+#define CONTROLS_MAX 64 /* with those that replace others */
+#define DOMAINS 4	/* failure domains of agents and balancers */
 /* Maximum numbers; soak_t has those of the run. */
 #define BALANCERS_MAX 24
 #define TARGETS_MAX 120 /* each fourth one serves the second service */
 #define CALLERS_MAX 240
-#define PROCESSES_MAX (CONTROLS + BALANCERS_MAX + TARGETS_MAX)
+#define PROCESSES_MAX (CONTROLS_MAX + BALANCERS_MAX + TARGETS_MAX)
 
 /* Which faults a run injects; see faults.c. */
 typedef enum soak_shape {
 	SHAPE_MIXED,
-	SHAPE_HERD,  /* all processes are killed at once */
-	SHAPE_OUTAGE /* no control runs while agents are stopped as planned */
+	SHAPE_HERD,    /* all processes are killed at once */
+	SHAPE_OUTAGE,  /* no control runs while agents are stopped as planned */
+	SHAPE_REPLACED /* controls are replaced for good or lose their disks */
 } soak_shape_t;
 
 /* Ports, as offsets from soak_t.base_port. */
 enum {
-	PORT_PACKETS,  /* packets to callers, balancers and agents */
-	PORT_READY,    /* readiness of balancers and agents */
-	PORT_CONTROL,  /* control API of controls and agents */
-	PORT_OUTBOUND, /* packets from a target to its agent */
-	PORT_APP,      /* packets and health checks to a target */
-	PORT_INNER     /* traffic between the processes */
+	PORT_PACKETS,	 /* packets to callers, balancers and agents */
+	PORT_READY,	 /* readiness of balancers and agents */
+	PORT_CONTROL,	 /* control API of controls and agents */
+	PORT_OUTBOUND,	 /* packets from a target to its agent */
+	PORT_APP,	 /* packets and health checks to a target */
+	PORT_INNER,	 /* traffic between the processes */
+	PORT_METRICS = 9 /* counters of a control; HTTP */
 };
 
 /* Classes of addresses of the form 127.NET.CLASS.NUMBER. */
@@ -58,15 +61,20 @@
 	const char *command;
 	char *settings; /* path of the settings file */
 	char *data;	/* data directory of a control; else NULL */
-	int log;	/* descriptor of the log file */
-	GPid pid;	/* 0: not running */
+	int class;
+	int number; /* in its class */
+	int domain; /* N of dN */
+	int listed; /* a control in the platform's list of controls */
+	int log;    /* descriptor of the log file */
+	GPid pid;   /* 0: not running */
 	int paused;
-	int restart;		     /* start again after an exit */
+	int restart;		     /* start again after an exit; 0: gone */
 	uint64_t start_at_ms;	     /* when to start it; 0: not scheduled */
 	uint64_t resume_at_ms;	     /* when to resume it; 0: not paused */
 	uint64_t last_disruption_ms; /* last kill, pause, resume or start */
 	uint64_t last_fault_ms;	     /* last kill, pause or resume */
 	int exit_expected;	     /* the soak ended it */
+	off_t log_bytes;	     /* size of the log at the last start */
 } process_t;
 
 typedef struct soak {
@@ -75,6 +83,9 @@
 	uint32_t seed;
 	uint64_t end_ms; /* end of the faults */
 	soak_shape_t shape;
+	int controls;	 /* controls so far, with those that are gone */
+	unsigned losses; /* controls that may be lost at the same time */
+	int seeds_vary;	 /* each settings file lists controls of its own */
 	int balancers;
 	int targets;
 	int callers;
@@ -96,6 +107,8 @@
 	unsigned configurations;
 	unsigned evacuations;
 	unsigned faults;
+	unsigned replaced; /* controls replaced for good */
+	unsigned wiped;	   /* controls whose disk was lost */
 	unsigned violations;
 	unsigned answered_in_recovery[2]; /* per service */
 } soak_t;
@@ -148,6 +161,20 @@
 /* Return the index of the service of a target or caller, from 1 on. */
 int service_of(int number);
 
+/*
+ * Start a control at a new address, with an empty disk and in the failure
+ * domain of predecessor. Return it, or NULL if there are too many.
+ */
+process_t *process_add_control(const process_t *predecessor);
+/* Write the settings files anew, each with seeds drawn from those listed. */
+void processes_turn_seeds_over(void);
+/* Return the path of a process's log, to be freed. */
+char *process_log_path(const process_t *process);
+/* Send SIGHUP to a process that runs and has begun to log. */
+void process_reload(process_t *process);
+/* Return a control drawn from those that are not gone. */
+process_t *process_draw_control(void);
+
 /* Process of a balancer or agent; number starts at 1. */
 process_t *process_of_balancer(int number);
 process_t *process_of_agent(int number);
@@ -234,6 +261,17 @@
 void operator_create(void);
 /* Send, retry and read configurations that are due. */
 void operator_tick(void);
+/* Set the interval between two changes; 0: the usual one. */
+void operator_set_interval(uint64_t interval_ms);
+/* Hold back the first configuration until operator_release(). */
+void operator_hold(void);
+void operator_release(void);
+/* Send one more change, although the faults have ended. */
+void operator_send_one_more(void);
+/* Number of the control that acknowledged last, or 0. */
+int operator_acknowledged_by(void);
+/* Return the highest acknowledged version. */
+unsigned operator_acknowledged(void);
 /* Return whether the first configuration was acknowledged. */
 int operator_ready(void);
 /*
@@ -249,6 +287,19 @@
 /* Check that the domain of a target that accepted a flow is not evacuated. */
 void evacuations_check_opening(int target);
 
+/* replacements.c: the faults of SHAPE_REPLACED. */
+
+/* Draw the tolerance and the early kill; before the processes start. */
+void replacements_create(void);
+/* Inject what is due before the first configuration is acknowledged. */
+void replacements_start_tick(void);
+/* Inject the faults that are due, and check that controls vote again. */
+void replacements_tick(void);
+/* A change was acknowledged; the final fault follows at once if it is due. */
+void replacements_acknowledged(void);
+/* Return whether the final fault was survived and all was checked. */
+int replacements_finished(void);
+
 /* faults.c: fault injection. */
 
 /* Inject the faults that are due. */
