--- a/soak/operator.c
+++ b/soak/operator.c
@@ -50,7 +50,8 @@
 			entries[i].unsafe ? ENTRY_PORT_UNSAFE : ENTRY_PORT,
 			entries[i].unsafe ? "unsafe" : "safe", 1000 + version,
 			service_names[entries[i].service]);
-	for (i = 0; i < (soak.shape == SHAPE_REPLACED ? 0 : 20) + version % 30;
+	for (i = 0; i < (soak.shape == SHAPE_REPLACED ? version % 3
+						      : 20 + version % 30);
 	     i++)
 		g_string_append_printf(
 			text,
@@ -72,6 +73,12 @@
 		     to);
 }
 
+/* In a storm the operator goes to the leader, and follows its redirects. */
+static int in_storm(void)
+{
+	return operator_state.interval_ms < CHANGE_INTERVAL_MS;
+}
+
 static void send_change(void);
 
 static void on_changed(void *context, int status, const char *body,
@@ -90,6 +97,7 @@
 			operator_state.acknowledged_by = operator_state.asked;
 			if (soak.shape == SHAPE_REPLACED)
 				replacements_acknowledged();
+			operator_tick();
 		} else {
 			send_change();
 		}
@@ -102,6 +110,8 @@
 		  sizeof(operator_state.redirect));
 	if (++operator_state.tries < 40)
 		operator_state.last_change_ms = soak_now_ms();
+	if (location && in_storm())
+		send_change();
 }
 
 static void send_change(void)
@@ -109,7 +119,12 @@
 	struct sockaddr_in to;
 	char *colon;
 
-	choose_control(&to);
+	if (in_storm() && !operator_state.tries &&
+	    operator_state.acknowledged_by)
+		soak_address(NET_CONTROL, operator_state.acknowledged_by,
+			     PORT_CONTROL, &to);
+	else
+		choose_control(&to);
 	colon = strchr(operator_state.redirect, ':');
 	if (colon) {
 		*colon = '\0';
--- a/soak/processes.c
+++ b/soak/processes.c
@@ -134,6 +134,7 @@
 	process->resume_at_ms = 0;
 	process->paused = 0;
 	process->exit_expected = 0;
+	process->start_ms = soak_now_ms();
 	process->last_disruption_ms = soak_now_ms();
 }
 
--- a/soak/replacements.c
+++ b/soak/replacements.c
@@ -21,19 +21,36 @@
 
 #define LOSSES_MAX 2
 #define CHAIN_MAX 4
-/* Time before the first loss: its storm is longer than one batch of the log. */
-#define FIRST_LOSS_MS 3000
+/*
+ * The first storm makes the log so long that a control which replays it does so
+ * for several periods of its timers.
+ */
+#define FIRST_STORM_CHANGES 700
+#define FIRST_STORM_MAX_MS 9000
 #define GAP_MAX_MS 800
+/* An election may be under way so long after another control was lost. */
+#define ELECTION_MAX_MS 1500
 /* From the end of the losses to the last fault: one loss, and a change. */
 #define FINAL_TIMEOUT_MS 30000
 #define DOWN_MIN_MS 100
 #define DOWN_MAX_MS 2000
 #define EARLY_KILL_MAX_MS 2000
 #define EARLY_DOWN_MS 500
-/* Intervals of changes in a storm and outside, lengths of storms and pauses. */
+/*
+ * Intervals of changes in the first storm and in later ones, and lengths of
+ * storms and pauses. Only where later storms are as fast as the first one is
+ * the log replaced by snapshots, so that a new control replays none of it.
+ */
 #define STORM_INTERVAL_MS 1
+#define STORM_SLOW_INTERVAL_MS 40
 #define STORM_MIN_MS 500
 #define STORM_MAX_MS 2500
+/*
+ * A control that joins has a tenth of a core, as on the platform's machines:
+ * for so long after its start it runs for 1 ms in each tick of 10 ms.
+ */
+#define SLOW_START_MS 1000
+#define SLOW_RUN_US 1000
 #define RELOAD_MIN_MS 50
 #define RELOAD_MAX_MS 1000
 
@@ -45,7 +62,7 @@
 	LOSS_KINDS
 } loss_kind_t;
 
-typedef enum aim { AIM_LEADER, AIM_NEWEST, AIM_LOT, AIMS } aim_t;
+typedef enum aim { AIM_LEADER, AIM_NEWEST, AIM_OLDEST, AIM_LOT, AIMS } aim_t;
 
 /* A control that is lost, until its successor has had CATCH_UP_MS. */
 typedef struct loss {
@@ -57,7 +74,10 @@
 	uint64_t add_at_ms;   /* start of the successor; 0: none is due */
 	uint64_t end_at_ms;   /* end of a victim as planned; 0: none is due */
 	uint64_t list_at_ms; /* change of the platform's list; 0: none is due */
+	int slow;	     /* the successor starts slowly */
+	uint64_t begun_ms;   /* when the victim was lost */
 	uint64_t next_ms;    /* the next loss of the chain */
+	const process_t *unchecked; /* its voters are yet to be counted */
 } loss_t;
 
 /* Answers of the controls that are asked for the voters that lack. */
@@ -89,7 +109,10 @@
 
 static struct {
 	uint64_t until_ms; /* of a storm or pause */
+	uint64_t begun_ms; /* of the first storm; 0: not yet */
+	int first;	   /* the first storm runs; no control is lost */
 	int running;
+	uint64_t interval_ms; /* between two changes of a later storm */
 	uint64_t reload_at_ms;
 } storm;
 
@@ -132,12 +155,21 @@
 
 	for (i = 0; i < soak.controls; i++)
 		if (may_fail(&soak.processes[i]) &&
-		    (!newest || soak.processes[i].last_disruption_ms >=
-					newest->last_disruption_ms))
+		    (!newest || soak.processes[i].start_ms >= newest->start_ms))
 			newest = &soak.processes[i];
 	return newest;
 }
 
+static process_t *find_oldest(void)
+{
+	int i;
+
+	for (i = 0; i < soak.controls; i++)
+		if (may_fail(&soak.processes[i]))
+			return &soak.processes[i];
+	return NULL;
+}
+
 static process_t *choose_victim(aim_t aim)
 {
 	int number = operator_acknowledged_by();
@@ -146,6 +178,8 @@
 
 	if (aim == AIM_NEWEST)
 		return find_newest();
+	if (aim == AIM_OLDEST)
+		return find_oldest();
 	if (aim == AIM_LEADER && number)
 		victim = &soak.processes[number - 1];
 	for (tries = 0; tries < 100 && (!victim || !may_fail(victim)); tries++)
@@ -169,20 +203,39 @@
 	set_successor(loss, successor);
 }
 
+/*
+ * Three chains of four replace the first controls until none is left, so that
+ * slots have had several holders. From then on half of the chains wipe.
+ */
+static void draw_chain(loss_t *loss)
+{
+	const process_t *oldest = find_oldest();
+	int is_first = oldest && oldest->number <= (int)(2 * soak.losses + 1);
+
+	loss->chain_left = (int)draw_ms(1, CHAIN_MAX);
+	loss->aim = (aim_t)draw_ms(0, AIMS - 1);
+	loss->kind = (loss_kind_t)draw_ms(0, LOSS_KINDS - 1);
+	if (is_first && !draw_chance(4)) {
+		loss->aim = AIM_OLDEST;
+		loss->kind = (loss_kind_t)draw_ms(0, LOSS_PLANNED);
+	} else if (!is_first && draw_chance(2)) {
+		loss->kind = LOSS_WIPED;
+	}
+}
+
 static void begin_loss(loss_t *loss, uint64_t now)
 {
 	process_t *victim;
 
-	if (!loss->chain_left) {
-		loss->chain_left = (int)draw_ms(1, CHAIN_MAX);
-		loss->kind = (loss_kind_t)draw_ms(0, LOSS_KINDS - 1);
-		loss->aim = (aim_t)draw_ms(0, AIMS - 1);
-	}
+	if (!loss->chain_left)
+		draw_chain(loss);
 	victim = choose_victim(loss->aim);
 	if (!victim)
 		return;
 	loss->chain_left--;
 	loss->victim = victim;
+	loss->begun_ms = now;
+	loss->slow = draw_chance(2);
 	soak.faults++;
 	if (loss->kind == LOSS_WIPED) {
 		soak.wiped++;
@@ -307,6 +360,19 @@
 	g_free(promotion);
 }
 
+/* Counts the voters, but not while another loss makes the group elect. */
+static void check_when_calm(loss_t *loss, uint64_t now)
+{
+	unsigned i;
+
+	for (i = 0; i < soak.losses; i++)
+		if (losses[i].victim &&
+		    now - losses[i].begun_ms < ELECTION_MAX_MS)
+			return;
+	check_vote(loss->unchecked);
+	loss->unchecked = NULL;
+}
+
 static void end_loss(loss_t *loss, uint64_t now)
 {
 	process_t *successor = loss->successor;
@@ -315,7 +381,8 @@
 	loss->successor = NULL;
 	loss->next_ms = now + draw_ms(0, GAP_MAX_MS);
 	check_promotion(successor);
-	check_vote(successor);
+	loss->unchecked = successor;
+	check_when_calm(loss, now);
 }
 
 static void list_successor(loss_t *loss)
@@ -338,6 +405,21 @@
 			process_reload(losses[i].successor);
 }
 
+static void slow_start(process_t *successor, uint64_t now)
+{
+	uint64_t age_ms = now - successor->start_ms;
+
+	if (!successor->pid || age_ms >= SLOW_START_MS)
+		return;
+	if (!successor->paused) {
+		process_pause(successor, SLOW_START_MS - age_ms);
+		return;
+	}
+	kill(successor->pid, SIGCONT);
+	g_usleep(SLOW_RUN_US);
+	kill(successor->pid, SIGSTOP);
+}
+
 static void tick_loss(loss_t *loss, uint64_t now)
 {
 	process_t *successor = loss->successor;
@@ -346,15 +428,18 @@
 		add_successor(loss);
 	if (loss->end_at_ms && now >= loss->end_at_ms) {
 		loss->end_at_ms = 0;
+		loss->begun_ms = now;
 		loss->victim->restart = 0;
 		process_stop(loss->victim, 0);
 	}
 	if (loss->list_at_ms && now >= loss->list_at_ms &&
 	    !loss->victim->restart)
 		list_successor(loss);
+	if (successor && loss->slow)
+		slow_start(successor, now);
 	if (!successor || !successor->pid || loss->end_at_ms ||
 	    loss->list_at_ms || successor->exit_expected ||
-	    now - successor->last_disruption_ms < CATCH_UP_MS)
+	    now - successor->start_ms < CATCH_UP_MS)
 		return;
 	end_loss(loss, now);
 }
@@ -364,7 +449,7 @@
 	unsigned i;
 
 	for (i = 0; i < soak.losses; i++)
-		if (losses[i].victim)
+		if (losses[i].victim || losses[i].unchecked)
 			return 1;
 	return 0;
 }
@@ -375,10 +460,11 @@
 
 	for (i = 0; i < soak.losses; i++) {
 		if (!losses[i].next_ms)
-			losses[i].next_ms =
-				now + FIRST_LOSS_MS + draw_ms(0, GAP_MAX_MS);
+			losses[i].next_ms = now + draw_ms(1, GAP_MAX_MS);
 		if (losses[i].victim)
 			tick_loss(&losses[i], now);
+		else if (losses[i].unchecked)
+			check_when_calm(&losses[i], now);
 		else if (now < soak.end_ms && now >= losses[i].next_ms)
 			begin_loss(&losses[i], now);
 	}
@@ -400,14 +486,28 @@
 	process_reload(process->settings ? process : process_draw_control());
 }
 
+/* The time of the first storm is not part of that of the faults. */
+static void tick_first_storm(uint64_t now)
+{
+	if (!storm.begun_ms) {
+		storm.begun_ms = now;
+		storm.first = 1;
+		operator_set_interval(STORM_INTERVAL_MS);
+	}
+	if (soak.configurations < FIRST_STORM_CHANGES &&
+	    now < storm.begun_ms + FIRST_STORM_MAX_MS)
+		return;
+	storm.first = 0;
+	storm.running = 1;
+	soak.end_ms += now - storm.begun_ms;
+}
+
 static void tick_storm(uint64_t now)
 {
 	if (now >= storm.until_ms) {
-		storm.until_ms = now + (storm.until_ms ? draw_ms(STORM_MIN_MS,
-								 STORM_MAX_MS)
-						       : FIRST_LOSS_MS);
+		storm.until_ms = now + draw_ms(STORM_MIN_MS, STORM_MAX_MS);
 		storm.running = !storm.running;
-		operator_set_interval(storm.running ? STORM_INTERVAL_MS : 0);
+		operator_set_interval(storm.running ? storm.interval_ms : 0);
 	}
 	if (now >= storm.reload_at_ms) {
 		storm.reload_at_ms =
@@ -502,7 +602,11 @@
 
 	soak.seeds_vary = 1;
 	early.deadline_ms = 0;
-	if (final.step <= FINAL_NONE)
+	if (!storm.begun_ms || storm.first) {
+		tick_first_storm(now);
+		return;
+	}
+	if (final.step == FINAL_NONE)
 		tick_storm(now);
 	tick_losses(now);
 	tick_final(now);
@@ -533,6 +637,8 @@
 
 void replacements_create(void)
 {
+	storm.interval_ms =
+		draw_chance(4) ? STORM_INTERVAL_MS : STORM_SLOW_INTERVAL_MS;
 	if (draw_chance(3)) {
 		soak.losses = LOSSES_MAX;
 		soak.controls = 2 * LOSSES_MAX + 1;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -71,6 +71,7 @@
 	int restart;		     /* start again after an exit; 0: gone */
 	uint64_t start_at_ms;	     /* when to start it; 0: not scheduled */
 	uint64_t resume_at_ms;	     /* when to resume it; 0: not paused */
+	uint64_t start_ms;	     /* last start */
 	uint64_t last_disruption_ms; /* last kill, pause, resume or start */
 	uint64_t last_fault_ms;	     /* last kill, pause or resume */
 	int exit_expected;	     /* the soak ended it */
