--- a/include/damaskyard/flow_router.h
+++ b/include/damaskyard/flow_router.h
@@ -10,7 +10,8 @@
  * caches the holder once the agent has reported it. It sends a packet of an
  * unknown flow, as after a restart of this balancer or a change of the fabric's
  * packet spraying, along the agents that may hold the flow; the agent that does
- * reports back. Balancers share no state.
+ * reports back. Balancers share no state. A search that gets no answer goes on
+ * past the agents that are silent (search_retry.h).
  *
  * Where the settings ask for it, openings for which no target has a place wait
  * here until an agent grants one (waiting_openings.h).
@@ -143,6 +144,20 @@
 /* Expires idle flows and openings. Call it several times per second. */
 void dy_flow_router_expire(dy_flow_router_t *router, uint64_t now_ms);
 
+/* Interval of dy_flow_router_serve_searches() while searches run, in ms. */
+#define DY_FLOW_SEARCH_INTERVAL_MS 5
+
+/*
+ * Continue the searches that got no answer in time; see search_retry.h. Returns
+ * the number of searches that run; call it again after
+ * DY_FLOW_SEARCH_INTERVAL_MS then.
+ */
+unsigned dy_flow_router_serve_searches(dy_flow_router_t *router,
+				       uint64_t now_ms);
+
+/* Returns the number of searches that run. */
+unsigned dy_flow_router_searches(const dy_flow_router_t *router);
+
 /* Record that a forward left; its agent owes a report from then on. */
 void dy_flow_router_note_sent(dy_flow_router_t *router,
 			      const dy_flow_forward_t *forward,
--- a/include/damaskyard/flow_targets.h
+++ b/include/damaskyard/flow_targets.h
@@ -233,6 +233,20 @@
 int dy_flow_targets_is_lost(dy_flow_targets_t *targets,
 			    const dy_address_t *agent, uint64_t now_ms);
 
+/* Time for which an agent that did not answer a search is quiet, in ms. */
+#define DY_FLOW_QUIET_MS 500
+
+/*
+ * Record that an agent did not answer a search, or that it answered; and return
+ * whether it did not, and has sent nothing since.
+ */
+void dy_flow_targets_set_quiet(dy_flow_targets_t *targets,
+			       const dy_address_t *agent, uint64_t now_ms);
+void dy_flow_targets_end_quiet(dy_flow_targets_t *targets,
+			       const dy_address_t *agent);
+int dy_flow_targets_is_quiet(const dy_flow_targets_t *targets,
+			     const dy_address_t *agent, uint64_t now_ms);
+
 typedef struct dy_flow_targets_ask_callbacks {
 	/* Requests a report from the agent. */
 	void (*request_report)(void *context, const dy_address_t *agent);
--- a/src/connection/flow_router.c
+++ b/src/connection/flow_router.c
@@ -11,6 +11,9 @@
 		{ "flows_opened", &router->opened },
 		{ "flows_searched", &router->searched },
 		{ "searches_deferred", &router->deferred },
+		{ "searches_retried", &router->retried },
+		{ "search_parts", &router->parts },
+		{ "search_agents_silent", &router->silent },
 		{ "flows_reset", &router->resets },
 		{ "openings_refused", &router->refused },
 		{ "packets_no_entry", &router->no_entry },
@@ -43,6 +46,7 @@
 	dy_list_init(&router->by_use);
 	dy_list_init(&router->not_found);
 	dy_search_limit_init(&router->searches);
+	dy_list_init(&router->tracks);
 	router->bulk.bytes_per_s = config->link_bytes_per_s;
 	dy_list_init(&router->uploads);
 	router->waiting_uploads = dy_opening_queue_create();
@@ -54,6 +58,8 @@
 	router->reset_limit = limit;
 	router->refusal_limit = limit;
 	router->searched_limit = limit;
+	router->silent_limit = limit;
+	router->retried_limit = limit;
 	router->path_limit = limit;
 	router->waiting_limit = limit;
 	router->upload_limit = limit;
@@ -66,6 +72,9 @@
 {
 	if (!router)
 		return;
+	while (!dy_list_empty(&router->by_use))
+		flow_router_drop_flow(router, DY_LIST_ITEM(router->by_use.next,
+							   flow_t, link));
 	g_hash_table_destroy(router->flows);
 	dy_opening_queue_destroy(router->waiting_uploads);
 	dy_refused_callers_destroy(router->refused_uploads);
@@ -122,6 +131,7 @@
 	dy_list_remove(&flow->link);
 	dy_list_remove(&flow->not_found_link);
 	flow_router_abort_upload(router, flow);
+	flow_router_untrack(router, flow);
 	dy_search_limit_end(&router->searches, &flow->search);
 	g_hash_table_remove(router->flows, &flow->id);
 }
@@ -282,14 +292,17 @@
 	flow_t *flow;
 
 	++*router->packets;
+	flow = g_hash_table_lookup(router->flows, &packet->flow);
 	if (packet->flags & DY_PACKET_SYN) {
+		/* The caller has given up the flow that was searched for. */
+		if (flow)
+			flow_router_untrack(router, flow);
 		flow_router_route_opening(router, packet, bytes, len, now_ms);
 		return;
 	}
 	if (packet->flags & DY_PACKET_RST &&
 	    dy_waiting_openings_remove(router->waiting, &packet->flow))
 		return;
-	flow = g_hash_table_lookup(router->flows, &packet->flow);
 	if (!flow || !flow->agent.port) {
 		flow_router_search(router, packet, bytes, len, now_ms);
 		return;
@@ -330,6 +343,8 @@
 	flow->holder_reported = 1;
 	flow->open = held->open;
 	flow->searches = 0;
+	flow_router_note_held(router, flow, now_ms);
+	flow_router_untrack(router, flow);
 	dy_list_remove(&flow->not_found_link);
 	dy_search_limit_end(&router->searches, &flow->search);
 }
--- a/src/connection/flow_router_private.h
+++ b/src/connection/flow_router_private.h
@@ -6,7 +6,8 @@
  * of known flows, flow_router_openings.c new flows, flow_router_search.c the
  * search for a flow's holder, flow_router_waiting.c the openings that wait for
  * a target, flow_router_reset.c resets, flow_router_bulk.c the uploads,
- * flow_router_pace.c the log of uneven targets.
+ * flow_router_pace.c the log of uneven targets, flow_router_retry.c searches
+ * that go on past silent agents.
  */
 
 #include <glib.h>
@@ -22,6 +23,9 @@
 #include "damaskyard/service_shortage.h"
 #include "damaskyard/waiting_openings.h"
 
+/* A search that is under way; flow_router_retry.c. */
+typedef struct search_track search_track_t;
+
 /* A cached flow. */
 typedef struct flow {
 	dy_list_t link; /* in by_use, ordered by used_ms */
@@ -33,9 +37,11 @@
 	int open;	     /* the agent reported the complete handshake */
 	uint64_t used_ms;
 	dy_search_slot_t search;
-	dy_list_t not_found_link;     /* in the router's list of such flows */
-	uint64_t not_found_ms;	      /* when a search found no holder */
-	uint32_t not_found_order;     /* order of that search */
+	search_track_t *track;	  /* NULL: none */
+	unsigned held_percent;	  /* time of HELD in a retried search, or 0 */
+	dy_list_t not_found_link; /* in the router's list of such flows */
+	uint64_t not_found_ms;	  /* when a search found no holder */
+	uint32_t not_found_order; /* order of that search */
 	dy_address_t not_found_agent; /* the last one asked by that search */
 	unsigned agents_asked;	      /* by the latest search */
 	unsigned searches;	      /* since the holder was last found */
@@ -53,6 +59,11 @@
 	dy_list_t by_use;
 	dy_list_t not_found;
 	dy_search_limit_t searches;
+	dy_list_t tracks; /* of searches, oldest first */
+	unsigned track_count;
+	unsigned parts_asked; /* parts of searches without an answer */
+	uint32_t serial;      /* of the last search in parts */
+	int slowness;	      /* mean time of answers, scaled */
 	dy_bulk_limit_t bulk;
 	dy_list_t uploads; /* that arrive, ordered by upload_ms */
 	dy_opening_queue_t *waiting_uploads;
@@ -66,10 +77,15 @@
 	dy_log_limit_t reset_limit;   /* of open flows */
 	dy_log_limit_t refusal_limit; /* of openings */
 	dy_log_limit_t searched_limit;
+	dy_log_limit_t silent_limit;
+	dy_log_limit_t retried_limit;
 	uint64_t *packets;
 	uint64_t *opened;
 	uint64_t *searched;
 	uint64_t *deferred;
+	uint64_t *retried; /* searches that went on in parts */
+	uint64_t *parts;   /* and their messages */
+	uint64_t *silent;  /* agents that did not answer them */
 	uint64_t *resets;
 	uint64_t *refused;
 	uint64_t *no_entry;
@@ -223,5 +239,54 @@
 /* Starts to send a packet along the agents that may hold its flow. */
 void flow_router_search(dy_flow_router_t *router, const dy_packet_t *packet,
 			uint8_t *bytes, size_t len, uint64_t now_ms);
+/*
+ * Lists the agents that may hold a flow, without those of the first windows
+ * and those that are lost. Sets *complete to whether the search order has all
+ * agents. Returns their number.
+ */
+unsigned flow_router_list_agents(dy_flow_router_t *router,
+				 const dy_flow_id_t *flow, unsigned windows,
+				 int *complete,
+				 dy_address_t list[DY_FLOW_SEARCH_MAX],
+				 uint64_t now_ms);
+/* Ends a search in which no agent turned out to be the holder. */
+void flow_router_end_search(dy_flow_router_t *router, flow_t *flow,
+			    const dy_flow_nowhere_t *nowhere,
+			    const dy_packet_t *packet, uint64_t now_ms);
+
+/* Searches past silent agents; flow_router_retry.c. */
+/* Records a message of a search; it is retried if no answer arrives. */
+void flow_router_track(dy_flow_router_t *router, flow_t *flow,
+		       const dy_flow_forward_t *forward,
+		       const dy_packet_t *packet, uint64_t now_ms);
+/* Records that the flow's search has ended. */
+void flow_router_untrack(dy_flow_router_t *router, flow_t *flow);
+/* Returns whether the flow is searched for in parts. */
+int flow_router_is_retried(const flow_t *flow);
+/* Keeps a packet for the flow's search if it matters more than the last. */
+void flow_router_keep_packet(flow_t *flow, const dy_packet_t *packet,
+			     const uint8_t *bytes, size_t len);
+/*
+ * Searches in parts instead of sending forward, if an agent in it was silent
+ * recently or the search takes long. Returns 0 if not.
+ */
+int flow_router_search_in_parts(dy_flow_router_t *router, flow_t *flow,
+				const dy_flow_forward_t *forward,
+				const dy_packet_t *packet, uint64_t now_ms);
+/* Records how long a search's first message took until an answer. */
+void flow_router_note_answer(dy_flow_router_t *router, const flow_t *flow,
+			     uint64_t now_ms);
+void flow_router_note_held(dy_flow_router_t *router, flow_t *flow,
+			   uint64_t now_ms);
+/* Returns whether the message is about a part of a search. */
+int flow_router_is_part(const dy_flow_nowhere_t *nowhere);
+/* Processes it; flow may be NULL. */
+void flow_router_receive_part(dy_flow_router_t *router, flow_t *flow,
+			      const dy_flow_nowhere_t *nowhere,
+			      uint64_t now_ms);
+/* Processes the late answer to the first message of a search in parts. */
+void flow_router_receive_late(dy_flow_router_t *router, flow_t *flow,
+			      const dy_flow_nowhere_t *nowhere,
+			      uint64_t now_ms);
 
 #endif
--- a/src/connection/flow_router_search.c
+++ b/src/connection/flow_router_search.c
@@ -76,6 +76,42 @@
 	}
 }
 
+/* Lists the agents in the order of a search, lost ones too. */
+static unsigned list_all(const dy_flow_router_t *router,
+			 const dy_flow_entry_t *entry, const dy_flow_id_t *flow,
+			 int *complete, dy_address_t list[DY_FLOW_SEARCH_MAX])
+{
+	const char *services[DY_FLOW_SHARES_MAX];
+	uint8_t order[DY_FLOW_SHARES_MAX];
+	unsigned i;
+
+	dy_flow_entry_order_shares(entry, flow, order);
+	for (i = 0; i < entry->share_count; i++)
+		services[i] = entry->shares[order[i]].service;
+	return dy_flow_targets_search(router->targets, services,
+				      entry->share_count, flow, complete, list);
+}
+
+unsigned flow_router_list_agents(dy_flow_router_t *router,
+				 const dy_flow_id_t *flow, unsigned windows,
+				 int *complete,
+				 dy_address_t list[DY_FLOW_SEARCH_MAX],
+				 uint64_t now_ms)
+{
+	const dy_flow_entry_t *entry = flow_router_find_entry(router, flow);
+	unsigned count = 0;
+	unsigned total;
+	unsigned i;
+
+	if (!entry)
+		return 0;
+	total = list_all(router, entry, flow, complete, list);
+	for (i = windows * DY_FLOW_TRIES; i < total; i++)
+		if (!dy_flow_targets_is_lost(router->targets, &list[i], now_ms))
+			list[count++] = list[i];
+	return count;
+}
+
 /*
  * Sends a packet along the agents that may hold its flow: those of one window,
  * counted from 1, of the search order.
@@ -86,27 +122,19 @@
 {
 	const dy_flow_entry_t *entry =
 		flow_router_find_entry(router, &packet->flow);
-	const char *services[DY_FLOW_SHARES_MAX];
 	dy_address_t list[DY_FLOW_SEARCH_MAX];
-	uint8_t order[DY_FLOW_SHARES_MAX];
 	dy_flow_forward_t forward = { 0 };
 	unsigned window = progress->window;
 	int complete = 0;
 	flow_t *flow;
 	unsigned total;
 	unsigned count;
-	unsigned i;
 
 	if (!entry) {
 		++*router->no_entry;
 		return;
 	}
-	dy_flow_entry_order_shares(entry, &packet->flow, order);
-	for (i = 0; i < entry->share_count; i++)
-		services[i] = entry->shares[order[i]].service;
-	total = dy_flow_targets_search(router->targets, services,
-				       entry->share_count, &packet->flow,
-				       &complete, list);
+	total = list_all(router, entry, &packet->flow, &complete, list);
 	count = select_window(router, list, total, &window, now_ms);
 	if (!count) {
 		++*router->unplaced;
@@ -131,6 +159,11 @@
 	forward.certain = progress->certain;
 	forward.tries.tries_val = list;
 	forward.tries.tries_len = count;
+	forward.packet.packet_val = (char *)bytes;
+	forward.packet.packet_len = (u_int)len;
+	if (flow_router_search_in_parts(router, flow, &forward, packet, now_ms))
+		return;
+	flow_router_track(router, flow, &forward, packet, now_ms);
 	flow_router_send_forward(router, &forward, packet, bytes, len);
 }
 
@@ -139,6 +172,13 @@
 void flow_router_search(dy_flow_router_t *router, const dy_packet_t *packet,
 			uint8_t *bytes, size_t len, uint64_t now_ms)
 {
+	flow_t *flow = g_hash_table_lookup(router->flows, &packet->flow);
+
+	if (flow && flow_router_is_retried(flow)) {
+		flow_router_keep_packet(flow, packet, bytes, len);
+		++*router->deferred;
+		return;
+	}
 	search(router, packet, bytes, len, &search_start, now_ms);
 }
 
@@ -167,6 +207,16 @@
 	router->config.callbacks->confirm_members(router->config.context);
 }
 
+void flow_router_end_search(dy_flow_router_t *router, flow_t *flow,
+			    const dy_flow_nowhere_t *nowhere,
+			    const dy_packet_t *packet, uint64_t now_ms)
+{
+	dy_search_limit_end(&router->searches, &flow->search);
+	++*router->unplaced;
+	if (nowhere->complete && nowhere->certain && nowhere->order)
+		await_confirmation(router, flow, nowhere, packet, now_ms);
+}
+
 /* Another transmission of the SYN may have been admitted elsewhere. */
 static int is_held_elsewhere(const flow_t *flow,
 			     const dy_flow_nowhere_t *nowhere)
@@ -220,6 +270,10 @@
 		handle_refusal(router, flow, nowhere, packet, now_ms);
 		return;
 	}
+	if (flow_router_is_part(nowhere)) {
+		flow_router_receive_part(router, flow, nowhere, now_ms);
+		return;
+	}
 	if (!flow)
 		flow = flow_router_get_flow(router, &nowhere->flow, now_ms);
 	if (is_flow_lost(flow, nowhere)) {
@@ -242,12 +296,14 @@
 			nowhere->packet.packet_len, now_ms);
 		return;
 	}
+	flow_router_note_answer(router, flow, now_ms);
 	if (nowhere->complete) {
-		dy_search_limit_end(&router->searches, &flow->search);
-		++*router->unplaced;
-		if (nowhere->certain && nowhere->order)
-			await_confirmation(router, flow, nowhere, packet,
-					   now_ms);
+		flow_router_untrack(router, flow);
+		flow_router_end_search(router, flow, nowhere, packet, now_ms);
+		return;
+	}
+	if (flow_router_is_retried(flow)) {
+		flow_router_receive_late(router, flow, nowhere, now_ms);
 		return;
 	}
 	next.window = nowhere->window + 1;
--- a/src/process/flow/cmd_flow_balancer.c
+++ b/src/process/flow/cmd_flow_balancer.c
@@ -45,6 +45,7 @@
 	dy_flow_router_t *router;
 	dy_endpoint_t *packets;
 	link_sender_t *sender;
+	uv_timer_t *search_timer; /* runs while searches do */
 	dy_http_server_t *http;
 	dy_isolation_t isolation;
 	platform_configuration_loader_t *loader;
@@ -159,6 +160,45 @@
 	.inquire = inquire,
 };
 
+static void on_search_timer(uv_timer_t *timer)
+{
+	flow_balancer_t *balancer = timer->data;
+
+	if (!dy_flow_router_serve_searches(balancer->router, now_ms(balancer)))
+		uv_timer_stop(timer);
+}
+
+static void update_search_timer(flow_balancer_t *balancer)
+{
+	uv_timer_t *timer = balancer->search_timer;
+
+	if (dy_flow_router_searches(balancer->router) &&
+	    !uv_is_active((uv_handle_t *)timer))
+		uv_timer_start(timer, on_search_timer,
+			       DY_FLOW_SEARCH_INTERVAL_MS,
+			       DY_FLOW_SEARCH_INTERVAL_MS);
+}
+
+static void create_search_timer(flow_balancer_t *balancer)
+{
+	balancer->search_timer = g_new0(uv_timer_t, 1);
+	uv_timer_init(dy_loop_uv(balancer->member.loop),
+		      balancer->search_timer);
+	balancer->search_timer->data = balancer;
+}
+
+static void on_timer_closed(uv_handle_t *timer)
+{
+	g_free(timer);
+}
+
+static void destroy_search_timer(flow_balancer_t *balancer)
+{
+	if (balancer->search_timer)
+		uv_close((uv_handle_t *)balancer->search_timer,
+			 on_timer_closed);
+}
+
 static void on_packet(void *context, uint8_t *bytes, size_t len,
 		      const struct sockaddr *from, int truncated)
 {
@@ -185,6 +225,7 @@
 	}
 	dy_flow_router_receive_packet(balancer->router, &packet, bytes, len,
 				      balancer->last_packet_ms);
+	update_search_timer(balancer);
 }
 
 static void receive_held(flow_balancer_t *balancer, const dy_sealed_t *message)
@@ -213,6 +254,7 @@
 		return;
 	dy_flow_router_receive_nowhere(balancer->router, &nowhere, &packet,
 				       now_ms(balancer));
+	update_search_timer(balancer);
 }
 
 static void receive_report(flow_balancer_t *balancer,
@@ -493,6 +535,7 @@
 	ok = flow_member_open(&balancer->member, on_message, balancer, error);
 	if (ok) {
 		create_router(balancer);
+		create_search_timer(balancer);
 		ok = open_sockets(balancer, error);
 	}
 	if (ok) {
@@ -507,6 +550,7 @@
 	}
 	dy_http_server_destroy(balancer->http);
 	link_sender_destroy(balancer->sender);
+	destroy_search_timer(balancer);
 	dy_endpoint_destroy(balancer->packets);
 	flow_member_close(&balancer->member);
 	dy_flow_router_destroy(balancer->router);
--- a/src/version/flow_targets.c
+++ b/src/version/flow_targets.c
@@ -225,6 +225,7 @@
 	target->opened = 0;
 	target->avoided_until_ms = 0;
 	target->last_report_ms = now_ms;
+	target->quiet_until_ms = 0;
 	dy_flow_silence_end(&target->silence);
 	targets->last_report_ms = now_ms;
 }
--- a/src/version/flow_targets_lost.c
+++ b/src/version/flow_targets_lost.c
@@ -122,3 +122,29 @@
 		ask_witnesses(targets, target, now_ms, callbacks, context);
 	}
 }
+
+void dy_flow_targets_set_quiet(dy_flow_targets_t *targets,
+			       const dy_address_t *agent, uint64_t now_ms)
+{
+	target_t *target = flow_targets_find(targets, agent);
+
+	if (target)
+		target->quiet_until_ms = now_ms + DY_FLOW_QUIET_MS;
+}
+
+void dy_flow_targets_end_quiet(dy_flow_targets_t *targets,
+			       const dy_address_t *agent)
+{
+	target_t *target = flow_targets_find(targets, agent);
+
+	if (target)
+		target->quiet_until_ms = 0;
+}
+
+int dy_flow_targets_is_quiet(const dy_flow_targets_t *targets,
+			     const dy_address_t *agent, uint64_t now_ms)
+{
+	const target_t *target = flow_targets_find(targets, agent);
+
+	return target && now_ms < target->quiet_until_ms;
+}
--- a/src/version/flow_targets_private.h
+++ b/src/version/flow_targets_private.h
@@ -30,6 +30,7 @@
 	uint32_t opened; /* flows opened since its last report */
 	uint64_t avoided_until_ms;
 	uint64_t last_report_ms;
+	uint64_t quiet_until_ms; /* it did not answer a search */
 	/* First call of dy_flow_targets_is_lost() since it is suspect, or 0. */
 	uint64_t lost_check_ms;
 	/* Last finding of a witness by which it is not lost, or 0. */
