--- a/src/connection/flow_holder.c
+++ b/src/connection/flow_holder.c
@@ -237,6 +237,16 @@
 	return holder->saw_start;
 }
 
+/*
+ * Returns whether the target has all data of packet: it is a copy, as of a
+ * search that was repeated, and no request begins with it.
+ */
+static int is_copy(const held_flow_t *flow, const dy_packet_t *packet)
+{
+	return flow->target_acked && (int32_t)(flow->target_ack - packet->seq -
+					       packet->data_bytes) >= 0;
+}
+
 static void update_from_caller(dy_flow_holder_t *holder, held_flow_t *flow,
 			       const dy_packet_t *packet, uint64_t now_ms)
 {
@@ -253,7 +263,7 @@
 		holder_touch(holder, flow, now_ms);
 	if (flow->stage == STAGE_ENDED)
 		return;
-	if (packet->data_bytes)
+	if (packet->data_bytes && !is_copy(flow, packet))
 		holder_receive_data(holder, flow, packet, now_ms);
 	if (packet->flags & DY_PACKET_FIN)
 		flow->caller_finished = 1;
@@ -380,6 +390,10 @@
 		holder_note_opening_answered(holder);
 		flow->target_seq = packet->seq;
 	}
+	if (packet->flags & DY_PACKET_ACK && !(packet->flags & DY_PACKET_RST)) {
+		flow->target_acked = 1;
+		flow->target_ack = packet->ack;
+	}
 	holder_touch(holder, flow, now_ms);
 	if (packet->data_bytes)
 		handle_answer(holder, flow, now_ms);
--- a/src/connection/flow_holder_private.h
+++ b/src/connection/flow_holder_private.h
@@ -43,6 +43,8 @@
 	int syn_answered;     /* the target's SYN was seen */
 	uint32_t target_seq;
 	uint32_t caller_ack;	/* last acknowledgement seen */
+	int target_acked;	/* the target acknowledged something, */
+	uint32_t target_ack;	/* this at last */
 	uint64_t open_since_ms; /* caller's first non-SYN packet; 0: none */
 	uint32_t ack_at_open;	/* caller_ack at that time */
 	int busy;		/* a request has no answer yet */
--- a/tests/test_flow_holder.c
+++ b/tests/test_flow_holder.c
@@ -225,6 +225,31 @@
 }
 END_TEST
 
+/* Guards against a copy of an answered request that keeps a slot for 4 s. */
+START_TEST(does_not_count_copy_of_answered_request)
+{
+	dy_packet_t request =
+		fake_holder_packet(1, DY_PACKET_ACK, 700, 501, 90);
+	dy_packet_t answer =
+		fake_holder_packet(1, DY_PACKET_ACK, 501, 790, 300);
+	dy_packet_t next = fake_holder_packet(1, DY_PACKET_ACK, 790, 801, 90);
+
+	fake_holder_begin();
+	fake_holder_open_flow(1);
+	fake_holder_send_forward(FAKE_HOLDER_SERVICE, &request, 1);
+	dy_flow_holder_receive_packet(
+		fake_holder.holder, &answer, fake_holder.bytes,
+		sizeof(fake_holder.bytes), fake_holder.now_ms);
+	fake_holder_send_forward(FAKE_HOLDER_SERVICE, &request, 1);
+	dy_flow_holder_tick(fake_holder.holder, fake_holder.now_ms);
+	ck_assert_uint_eq(fake_holder.report.load.busy, 0);
+	fake_holder_send_forward(FAKE_HOLDER_SERVICE, &next, 1);
+	dy_flow_holder_tick(fake_holder.holder, fake_holder.now_ms);
+	ck_assert_uint_eq(fake_holder.report.load.busy, 1);
+	fake_holder_end();
+}
+END_TEST
+
 /* A flow counts as open until both of its ends have finished. */
 START_TEST(does_not_count_flow_after_both_ends_finish)
 {
@@ -398,6 +423,7 @@
 		excludes_downloads_from_low_rate_flows,
 		drops_bounce_with_unknown_tag,
 		derives_load_from_packets,
+		does_not_count_copy_of_answered_request,
 		does_not_count_flow_after_both_ends_finish,
 		expires_idle_and_half_open_flows,
 		stops_reports_to_balancer_after_ttl,
