--- a/include/damaskyard/raft.h
+++ b/include/damaskyard/raft.h
@@ -232,6 +232,13 @@
 dy_raft_result_t dy_raft_transfer(dy_raft_t *raft, dy_raft_done_cb_t *done,
 				  void *context);
 
+/*
+ * From now on this member takes no leadership that is transferred to it, as it
+ * stops itself. The leader's transfer ends with DY_RAFT_BUSY, and its next one
+ * goes to another member.
+ */
+void dy_raft_refuse_leadership(dy_raft_t *raft);
+
 /*
  * Membership changes: one member at a time, each by an entry of the log. They
  * return DY_RAFT_BUSY until the previous change and the first entry of this
--- a/src/process/control/control.c
+++ b/src/process/control/control.c
@@ -512,6 +512,7 @@
 	if (control->stop_deadline_ms)
 		return;
 	control->stop_deadline_ms = control_now_ms(control) + STOP_TIMEOUT_MS;
+	dy_raft_refuse_leadership(control->raft);
 	dy_log_event(DY_LOG_INFO, "control_stopping", "requests=%u",
 		     control->request_count);
 }
--- a/src/process/group/raft_election.c
+++ b/src/process/group/raft_election.c
@@ -274,11 +274,17 @@
 void raft_handle_timeout_now(dy_raft_t *raft, const dy_raft_message_t *message)
 {
 	if (raft->role == DY_RAFT_LEADER || !raft_is_voter(raft) ||
+	    raft->refuses_leadership ||
 	    !dy_voter_id_equal(raft->leader, message->from))
 		return;
 	raft_start_election(raft, 0, 1);
 }
 
+void dy_raft_refuse_leadership(dy_raft_t *raft)
+{
+	raft->refuses_leadership = 1;
+}
+
 void raft_end_transfer(dy_raft_t *raft, dy_raft_result_t result)
 {
 	if (!raft->transfer.done)
@@ -295,6 +301,7 @@
 	if (!raft->transfer.done)
 		return;
 	if (raft->now_ms >= raft->transfer_deadline_ms) {
+		raft->transfer_failed = raft->transfer_target;
 		raft_end_transfer(raft, DY_RAFT_BUSY);
 		return;
 	}
@@ -306,6 +313,21 @@
 	raft_enqueue(raft, &message);
 }
 
+/*
+ * Whether a is the better target: not the one that did not take the last
+ * transfer, as one that stops too does not, then the one with the longer log.
+ */
+static int is_better_target(const dy_raft_t *raft, const peer_t *a,
+			    const peer_t *b)
+{
+	int a_failed = dy_voter_id_equal(a->id, raft->transfer_failed);
+	int b_failed = dy_voter_id_equal(b->id, raft->transfer_failed);
+
+	if (a_failed != b_failed)
+		return b_failed;
+	return a->match_index > b->match_index;
+}
+
 dy_raft_result_t dy_raft_transfer(dy_raft_t *raft, dy_raft_done_cb_t *done,
 				  void *context)
 {
@@ -321,7 +343,7 @@
 	for (i = 0; i < raft->peers->len; i++) {
 		peer = raft_peer_at(raft, i);
 		if (peer->voter && raft_peer_is_active(raft, peer) &&
-		    (!best || peer->match_index > best->match_index))
+		    (!best || is_better_target(raft, peer, best)))
 			best = peer;
 	}
 	if (!best)
--- a/src/process/group/raft_private.h
+++ b/src/process/group/raft_private.h
@@ -119,6 +119,8 @@
 	pending_t transfer;
 	uint64_t transfer_deadline_ms;
 	dy_voter_id_t transfer_target;
+	dy_voter_id_t transfer_failed; /* last target that did not take it */
+	int refuses_leadership;
 
 	/*
 	 * Snapshot being received: its last index or 0, the term of the
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -224,6 +224,35 @@
 }
 END_TEST
 
+/* Two leaders that stop at once pass the leadership to each other. */
+START_TEST(transfers_leadership_past_member_that_stops_too)
+{
+	fake_group_t *group = fake_group_create_formed((uint32_t)_i, 3);
+	fake_member_t *leader = fake_group_leader(group);
+	fake_member_t *stops = fake_group_other_member(group, leader);
+	fake_member_t *stays = fake_group_other_member(group, stops);
+	dy_raft_result_t result = DY_RAFT_UNKNOWN;
+	uint64_t end = group->now_ms + 2000;
+
+	dy_raft_refuse_leadership(leader->raft);
+	dy_raft_refuse_leadership(stops->raft);
+	while (result != DY_RAFT_DONE && group->now_ms < end) {
+		dy_raft_transfer(leader->raft, on_transferred, &result);
+		fake_group_run(group, 20);
+		ck_assert_int_ne(dy_raft_role(stops->raft), DY_RAFT_LEADER);
+	}
+	ck_assert_int_eq(result, DY_RAFT_DONE);
+	ck_assert_ptr_eq(fake_group_leader(group), stays);
+	fake_group_stop(leader);
+	fake_group_stop(stops);
+	fake_group_start(leader);
+	fake_group_start(stops);
+	fake_group_commit(group, 3);
+	fake_group_converge(group);
+	fake_group_destroy(group);
+}
+END_TEST
+
 /*
  * An entry of an older term is on a majority, but another member has a later
  * term and may still be elected and replace it. If the entry was committed by
@@ -500,6 +529,8 @@
 	tcase_add_loop_test(tcase, leader_steps_down_on_disk_failure, 0, 4);
 	tcase_add_loop_test(tcase, transfers_leadership_before_planned_stop, 0,
 			    5);
+	tcase_add_loop_test(
+		tcase, transfers_leadership_past_member_that_stops_too, 0, 5);
 	tcase_add_test(tcase, does_not_commit_older_term_by_counting);
 	tcase_add_loop_test(tcase, leader_keeps_leadership_after_own_delay, 0,
 			    5);
