--- a/tests/test_slot_claim.c
+++ b/tests/test_slot_claim.c
@@ -22,8 +22,15 @@
 static fake_control_t world;
 static claimant_t claimants[CLAIMANTS];
 
+static void clear_place(claimant_t *claimant)
+{
+	xdr_free((xdrproc_t)xdr_dy_place_t, (char *)&claimant->place);
+	memset(&claimant->place, 0, sizeof(claimant->place));
+}
+
 static void receive_place(claimant_t *claimant, const dy_sealed_t *message)
 {
+	clear_place(claimant);
 	ck_assert(dy_sealed_load(message, (xdrproc_t)xdr_dy_place_t,
 				 &claimant->place, sizeof(claimant->place)));
 	claimant->answered = 1;
@@ -92,6 +99,7 @@
 	for (i = 0; i < CLAIMANTS; i++) {
 		dy_endpoint_destroy(claimants[i].endpoint);
 		dy_seal_destroy(claimants[i].seal);
+		clear_place(&claimants[i]);
 	}
 	fake_control_stop(&world);
 	fake_control_clear(&world);
@@ -259,6 +267,7 @@
 	dy_endpoint_destroy(half->third.endpoint);
 	fake_control_stop(&world);
 	dy_seal_destroy(half->third.seal);
+	clear_place(&half->third);
 	fake_control_remove_folder(half->folder);
 	fake_control_clear(&world);
 }
@@ -318,18 +327,26 @@
 	return &claimant->place;
 }
 
-/* A control of a first start gives a listed slot to another, or again later. */
-START_TEST(offers_listed_slot_only_while_group_is_founded)
+/* Starts a control of a first start, listed with the first and third claimant.
+ */
+static void begin_first_start(int joins_running_group)
 {
-	const dy_place_t *place;
-
 	open_claimants();
+	world.options.joins_running_group = joins_running_group;
 	world.options.peers.count = 3;
 	world.options.peers.slots[2] =
 		*dy_endpoint_address(claimants[0].endpoint);
 	world.options.peers.slots[3] =
 		*dy_endpoint_address(claimants[2].endpoint);
 	fake_control_start(&world);
+}
+
+/* A control of a first start gives a listed slot to another, or again later. */
+START_TEST(offers_listed_slot_only_while_group_is_founded)
+{
+	const dy_place_t *place;
+
+	begin_first_start(0);
 	place = ask_once(&claimants[0]);
 	ck_assert_int_eq(place->status, DY_PLACE_LISTED);
 	ck_assert_uint_eq(place->slot, 2);
@@ -338,10 +355,14 @@
 	claimants[2].has_state = 1;
 	fake_control_run(&world, 60, NULL);
 	ck_assert_int_eq(ask_once(&claimants[0])->status, DY_PLACE_UNKNOWN);
-	claimants[2].has_state = 0;
-	dy_control_destroy(world.control);
-	world.options.joins_running_group = 1;
-	fake_control_start(&world);
+	end();
+}
+END_TEST
+
+/* A control that joins a running group lets another found a second one. */
+START_TEST(joining_control_offers_no_listed_slot)
+{
+	begin_first_start(1);
 	ck_assert_int_eq(ask_once(&claimants[0])->status, DY_PLACE_UNKNOWN);
 	end();
 }
@@ -356,6 +377,7 @@
 		refuses_publish_until_one_loss_is_tolerated,
 		gives_slot_before_group_first_serves,
 		offers_listed_slot_only_while_group_is_founded,
+		joining_control_offers_no_listed_slot,
 		NULL,
 	};
 
