--- a/src/process/group/slot_claim.c
+++ b/src/process/group/slot_claim.c
@@ -44,6 +44,7 @@
 	unsigned answers;
 	dy_place_status_t status; /* of the last answer, as is leader */
 	dy_address_t leader;
+	dy_address_t sender; /* of the last message of the log; port 0: none */
 } slot_claim_t;
 
 static int compare_addresses(const void *a, const void *b)
@@ -113,6 +114,8 @@
 		if (!dy_address_equal(&seeds->items[i],
 				      &claim->options->listen))
 			send_find(claim, &seeds->items[i]);
+	if (claim->sender.port)
+		send_find(claim, &claim->sender);
 }
 
 static void take_slot(slot_claim_t *claim, const dy_place_t *place)
@@ -168,11 +171,14 @@
 	dy_sealed_t message;
 	dy_place_t place;
 
-	(void)from;
 	if (truncated ||
 	    dy_seal_open(claim->seal, bytes, len, &message) != DY_SEAL_OK ||
-	    message.is_reply || message.program != DY_GROUP_PROGRAM ||
-	    message.procedure != DY_GROUP_PLACE ||
+	    message.is_reply || message.program != DY_GROUP_PROGRAM)
+		return;
+	/* A leader sends to the identity that this address had before. */
+	if (message.procedure == DY_GROUP_RAFT)
+		dy_address_load(&claim->sender, from);
+	if (message.procedure != DY_GROUP_PLACE ||
 	    !dy_sealed_load(&message, (xdrproc_t)xdr_dy_place_t, &place,
 			    sizeof(place)))
 		return;
--- a/tests/test_control_start.c
+++ b/tests/test_control_start.c
@@ -70,6 +70,21 @@
 }
 END_TEST
 
+/* A control lost its disk, and all controls of its list are gone. */
+START_TEST(control_whose_seeds_are_gone_asks_who_sends_to_it)
+{
+	fake_controls_t *controls = begin_three();
+
+	await_acknowledgement(controls);
+	fake_controls_kill(controls, 3);
+	fake_controls_wipe(controls, 3);
+	fake_controls_configure(controls, 3, "4", FALSE);
+	fake_controls_start(controls, 3);
+	fake_controls_await(controls, 3, "slot_assigned", START_MS);
+	fake_controls_destroy(controls);
+}
+END_TEST
+
 /* A control dies before it has written down that the group is founded. */
 START_TEST(control_with_empty_disk_takes_part_in_first_start)
 {
@@ -247,6 +262,7 @@
 	const TTest *const tests[] = {
 		founder_killed_before_it_founds_still_founds,
 		control_killed_before_it_joins_is_not_lost,
+		control_whose_seeds_are_gone_asks_who_sends_to_it,
 		control_with_empty_disk_takes_part_in_first_start,
 		any_control_may_be_killed_in_first_start,
 		waiting_control_uses_changed_seeds_at_sighup,
