--- a/src/process/control/control_group.c
+++ b/src/process/control/control_group.c
@@ -234,10 +234,11 @@
 		return;
 	case JOIN_REMOVE:
 		if (dy_raft_remove(control->raft, id, on_config_committed,
-				   control) == DY_RAFT_DONE)
-			count_and_log_step(control, "control_removed",
-					   control->counters.members_removed,
-					   id);
+				   control) != DY_RAFT_DONE)
+			return;
+		bootstrap_forget_request(&control->bootstrap, id);
+		count_and_log_step(control, "control_removed",
+				   control->counters.members_removed, id);
 		return;
 	}
 }
--- a/src/process/group/bootstrap.c
+++ b/src/process/group/bootstrap.c
@@ -35,6 +35,12 @@
 		from, &bootstrap->peers->slots[hello->id.slot]);
 }
 
+void bootstrap_forget_request(bootstrap_t *bootstrap, dy_voter_id_t id)
+{
+	if (bootstrap->peer_states[id.slot].join_identity == id.identity)
+		bootstrap->peer_states[id.slot].join_identity = 0;
+}
+
 int bootstrap_is_due(const bootstrap_t *bootstrap)
 {
 	uint32_t slot;
--- a/src/process/group/bootstrap.h
+++ b/src/process/group/bootstrap.h
@@ -65,6 +65,12 @@
 			     const dy_address_t *from, int answers_us,
 			     uint64_t now_ms);
 
+/*
+ * Forget a join request of id, which was a member meanwhile and is removed: it
+ * has entries now and asks in another way.
+ */
+void bootstrap_forget_request(bootstrap_t *bootstrap, dy_voter_id_t id);
+
 /* Whether there is an unexpired join request for the slot. */
 int bootstrap_is_slot_requested(const bootstrap_t *bootstrap, uint32_t slot,
 				uint64_t now_ms);
--- a/tests/test_bootstrap.c
+++ b/tests/test_bootstrap.c
@@ -125,6 +125,23 @@
 }
 END_TEST
 
+/* A removed control is added again by a request from before it joined. */
+START_TEST(forgets_request_of_removed_member)
+{
+	join_member_t none = { 0 };
+	dy_voter_id_t other = { 5, 52 };
+	dy_voter_id_t removed = { 5, 51 };
+	uint64_t identity = 0;
+
+	begin(2);
+	receive_hello(5, 51, 1, 0, 1000);
+	bootstrap_forget_request(&bootstrap, other);
+	ck_assert_int_eq(next_step(&none, &none, 1000, &identity), JOIN_ADD);
+	bootstrap_forget_request(&bootstrap, removed);
+	ck_assert_int_eq(next_step(&none, &none, 1000, &identity), JOIN_NONE);
+}
+END_TEST
+
 /* Learners that were lost keep their slots until no control gets one. */
 START_TEST(removes_learner_that_stays_silent)
 {
@@ -242,6 +259,7 @@
 		member_that_is_not_listed_prevents_second_group,
 		only_lowest_slot_bootstraps,
 		replacement_catches_up_before_promotion,
+		forgets_request_of_removed_member,
 		removes_learner_that_stays_silent,
 		refuses_to_replace_responsive_member,
 		replaces_at_once_if_request_is_from_slot_address,
