--- a/src/connection/flow_holder_notice.c
+++ b/src/connection/flow_holder_notice.c
@@ -66,20 +66,20 @@
 }
 
 /*
- * Returns whether an instance that is not the later one by its own account has
- * to be believed: it speaks a second time, and the current one is silent.
+ * Returns whether an instance with an earlier start time replaces the current
+ * one: it has sent two notices, and the current one is silent.
  *
  * Guards against a late notice beside a target whose notices are held up, as
  * that of a frozen VM: a single one would replace the live target.
  */
-static int is_rival_confirmed(const dy_flow_holder_t *holder,
+static int is_other_confirmed(const dy_flow_holder_t *holder,
 			      const dy_target_notice_t *notice, uint64_t now_ms)
 {
 	return now_ms - holder->last_notice_ms > DY_INSTANCE_TIMEOUT_MS &&
-	       holder->rival_ms >= holder->last_notice_ms &&
-	       now_ms - holder->rival_ms >= DY_INSTANCE_CONFIRM_MS &&
-	       is_same_instance(notice, &holder->rival) &&
-	       notice->sequence > holder->rival.sequence;
+	       holder->other_notice_ms >= holder->last_notice_ms &&
+	       now_ms - holder->other_notice_ms >= DY_INSTANCE_CONFIRM_MS &&
+	       is_same_instance(notice, &holder->other_notice) &&
+	       notice->sequence > holder->other_notice.sequence;
 }
 
 /* Starts tracking a new instance of the target. */
@@ -140,7 +140,7 @@
 	    (holder->gone ||
 	     (notice->started_ms > current->started_ms &&
 	      !is_former(holder, notice)) ||
-	     is_rival_confirmed(holder, notice, now_ms)))
+	     is_other_confirmed(holder, notice, now_ms)))
 		return NOTICE_NEW_INSTANCE;
 	if (!is_current(holder, notice))
 		return NOTICE_OTHER_INSTANCE;
@@ -149,8 +149,9 @@
 }
 
 /* One of two instances' notices was late; the next ones tell which. */
-static void note_rival(dy_flow_holder_t *holder,
-		       const dy_target_notice_t *notice, uint64_t now_ms)
+static void note_other_instance(dy_flow_holder_t *holder,
+				const dy_target_notice_t *notice,
+				uint64_t now_ms)
 {
 	holder->heard_since_ms = now_ms;
 	if (dy_log_allow(&holder->refused_limit, "notice_doubted", now_ms))
@@ -160,11 +161,11 @@
 			     (unsigned long)notice->started_ms,
 			     dy_log_quote(holder->notice.id),
 			     (unsigned long)holder->notice.started_ms);
-	if (holder->rival_ms >= holder->last_notice_ms &&
-	    is_same_instance(notice, &holder->rival))
+	if (holder->other_notice_ms >= holder->last_notice_ms &&
+	    is_same_instance(notice, &holder->other_notice))
 		return;
-	holder->rival = *notice;
-	holder->rival_ms = now_ms;
+	holder->other_notice = *notice;
+	holder->other_notice_ms = now_ms;
 }
 
 static int refuse(dy_flow_holder_t *holder, const dy_target_notice_t *notice,
@@ -199,7 +200,7 @@
 	order = order_notice(holder, notice, now_ms);
 	/* Not acknowledged: a target that drains must not rely on it. */
 	if (order == NOTICE_OTHER_INSTANCE) {
-		note_rival(holder, notice, now_ms);
+		note_other_instance(holder, notice, now_ms);
 		return 0;
 	}
 	if (order == NOTICE_STALE)
--- a/src/connection/flow_holder_private.h
+++ b/src/connection/flow_holder_private.h
@@ -103,9 +103,9 @@
 	char former_id[DY_TARGET_ID_BYTES]; /* the instance before this one */
 	uint64_t former_started_ms;
 	uint64_t last_notice_ms;
-	dy_target_notice_t rival; /* last one that was not believed */
-	uint64_t rival_ms;	  /* its time; 0: none */
-	uint64_t heard_since_ms;  /* only this instance's notices since then */
+	dy_target_notice_t other_notice; /* last one that was not believed */
+	uint64_t other_notice_ms;	 /* its time; 0: none */
+	uint64_t heard_since_ms; /* only this instance's notices since then */
 	uint64_t cold_until_ms;
 	dy_cold_limit_t cold;
 	uint64_t cold_unknown_until_ms; /* window incomplete until then */
--- a/src/process/control/control_group.c
+++ b/src/process/control/control_group.c
@@ -98,8 +98,8 @@
 	}
 	if (is_current(control, &raft)) {
 		dy_address_load(&address, from);
-		peer_addresses_hear(&control->peer_addresses, raft.from,
-				    &address, control_now_ms(control));
+		peer_addresses_note_source(&control->peer_addresses, raft.from,
+					   &address, control_now_ms(control));
 	}
 	dy_raft_receive(control->raft, &raft, control_now_ms(control));
 	xdr_free((xdrproc_t)xdr_dy_raft_message_t, (char *)&raft);
--- a/src/process/control/control_membership.c
+++ b/src/process/control/control_membership.c
@@ -8,10 +8,10 @@
 #include "control_private.h"
 
 /*
- * Time to live of a slot claim. A control that still needs the slot requests it
- * again several times within this time.
+ * Time for which a slot is kept for the control that it was given to. A control
+ * that still needs it asks again several times within this time.
  */
-#define SLOT_CLAIM_TTL_MS 3000
+#define SLOT_GRANT_TTL_MS 3000
 
 /*
  * A control with an empty store that has not joined after this time gives up
@@ -98,11 +98,11 @@
 static int is_claimed(const dy_control_t *control, uint32_t slot,
 		      const dy_address_t *address, uint64_t now_ms)
 {
-	const slot_claim_t *claim = &control->slot_claims[slot];
+	const slot_grant_t *grant = &control->slot_grants[slot];
 
-	if (claim->claimed_ms &&
-	    now_ms - claim->claimed_ms <= SLOT_CLAIM_TTL_MS)
-		return !dy_address_equal(&claim->address, address);
+	if (grant->granted_ms &&
+	    now_ms - grant->granted_ms <= SLOT_GRANT_TTL_MS)
+		return !dy_address_equal(&grant->address, address);
 	return bootstrap_is_slot_requested(&control->bootstrap, slot, now_ms) &&
 	       !dy_address_equal(&control->options.peers.slots[slot], address);
 }
@@ -246,8 +246,8 @@
 		return;
 	}
 	place->status = DY_PLACE_GIVEN;
-	control->slot_claims[place->slot].address = *from;
-	control->slot_claims[place->slot].claimed_ms = control_now_ms(control);
+	control->slot_grants[place->slot].address = *from;
+	control->slot_grants[place->slot].granted_ms = control_now_ms(control);
 }
 
 void control_receive_find(dy_control_t *control, const dy_sealed_t *message,
--- a/src/process/control/control_private.h
+++ b/src/process/control/control_private.h
@@ -79,10 +79,10 @@
 typedef struct control_images control_images_t;
 
 /* A slot assigned to a joining control's address. */
-typedef struct slot_claim {
+typedef struct slot_grant {
 	dy_address_t address;
-	uint64_t claimed_ms; /* 0: not claimed */
-} slot_claim_t;
+	uint64_t granted_ms; /* 0: not given */
+} slot_grant_t;
 
 struct dy_control {
 	dy_control_options_t options;
@@ -114,7 +114,7 @@
 	uint64_t leader_seen_ms;      /* last time with a known leader */
 	uint64_t membership_query_ms; /* last membership query sent */
 	uint64_t leader_query_ms;     /* last one to a leader that was named */
-	slot_claim_t slot_claims[DY_RAFT_MEMBERS_MAX + 1]; /* by slot */
+	slot_grant_t slot_grants[DY_RAFT_MEMBERS_MAX + 1]; /* by slot */
 	control_publisher_t *publisher;
 	control_ledger_t *ledger;
 	control_poll_queue_t *poll_queue;
--- a/src/process/group/peer_addresses.c
+++ b/src/process/group/peer_addresses.c
@@ -7,39 +7,39 @@
 static peer_address_t *find_or_replace(peer_addresses_t *addresses,
 				       dy_voter_id_t id)
 {
-	peer_address_t *oldest = &addresses->heard[0];
+	peer_address_t *oldest = &addresses->sources[0];
 	peer_address_t *peer;
 	unsigned i;
 
 	for (i = 0; i < PEER_ADDRESSES_MAX; i++) {
-		peer = &addresses->heard[i];
-		if (peer->heard_ms && dy_voter_id_equal(peer->id, id))
+		peer = &addresses->sources[i];
+		if (peer->noted_ms && dy_voter_id_equal(peer->id, id))
 			return peer;
-		if (peer->heard_ms < oldest->heard_ms)
+		if (peer->noted_ms < oldest->noted_ms)
 			oldest = peer;
 	}
 	return oldest;
 }
 
-void peer_addresses_hear(peer_addresses_t *addresses, dy_voter_id_t id,
-			 const dy_address_t *address, uint64_t now_ms)
+void peer_addresses_note_source(peer_addresses_t *addresses, dy_voter_id_t id,
+				const dy_address_t *address, uint64_t now_ms)
 {
 	peer_address_t *peer = find_or_replace(addresses, id);
 
 	peer->id = id;
 	peer->address = *address;
-	peer->heard_ms = now_ms;
+	peer->noted_ms = now_ms;
 }
 
-static int find_heard(const peer_addresses_t *addresses, dy_voter_id_t id,
-		      dy_address_t *address)
+static int find_source(const peer_addresses_t *addresses, dy_voter_id_t id,
+		       dy_address_t *address)
 {
 	const peer_address_t *peer;
 	unsigned i;
 
 	for (i = 0; i < PEER_ADDRESSES_MAX; i++) {
-		peer = &addresses->heard[i];
-		if (!peer->heard_ms || !dy_voter_id_equal(peer->id, id))
+		peer = &addresses->sources[i];
+		if (!peer->noted_ms || !dy_voter_id_equal(peer->id, id))
 			continue;
 		*address = peer->address;
 		return 0;
@@ -54,7 +54,7 @@
 	const dy_raft_member_t *member;
 	unsigned i;
 
-	if (!find_heard(addresses, id, address))
+	if (!find_source(addresses, id, address))
 		return 0;
 	for (i = 0; i < config->members.members_len; i++) {
 		member = &config->members.members_val[i];
--- a/src/process/group/peer_addresses.h
+++ b/src/process/group/peer_addresses.h
@@ -5,9 +5,9 @@
  * Where the controls of a group are reached, by identity.
  *
  * A slot is held by one control after the other, an identity by one alone. So
- * an address is never taken from a word about another holder of the slot, as
- * an old membership entry is. An address that was heard, the source of the
- * newest message of an identity, precedes what a configuration says.
+ * an address is never taken from an entry about another holder of the slot, as
+ * an old configuration has it. The source of an identity's newest message
+ * precedes the address that a configuration has for it.
  */
 
 #include "damaskyard/address.h"
@@ -19,25 +19,25 @@
 typedef struct peer_address {
 	dy_voter_id_t id;
 	dy_address_t address;
-	uint64_t heard_ms; /* 0: unused */
+	uint64_t noted_ms; /* 0: unused */
 } peer_address_t;
 
 /* Zeroed before its first use; there is nothing to free. */
 typedef struct peer_addresses {
-	peer_address_t heard[PEER_ADDRESSES_MAX];
+	peer_address_t sources[PEER_ADDRESSES_MAX];
 } peer_addresses_t;
 
 /*
  * Records that a message of id came from address at now_ms, monotonic and
  * above 0. The identity that was silent longest makes room.
  */
-void peer_addresses_hear(peer_addresses_t *addresses, dy_voter_id_t id,
-			 const dy_address_t *address, uint64_t now_ms);
+void peer_addresses_note_source(peer_addresses_t *addresses, dy_voter_id_t id,
+				const dy_address_t *address, uint64_t now_ms);
 
 /*
- * Sets address to that of id: the one heard, else the one that config, which
- * may be older, has for this very identity. Returns 0, or -1 if neither knows
- * it; address then has port 0.
+ * Sets address to that of id: the source of its newest message, else the one
+ * that config, which may be older, has for this very identity. Returns 0, or -1
+ * if neither knows it; address then has port 0.
  */
 int peer_addresses_find(const peer_addresses_t *addresses,
 			const dy_raft_config_t *config, dy_voter_id_t id,
--- a/src/process/group/raft_private.h
+++ b/src/process/group/raft_private.h
@@ -158,8 +158,8 @@
 /* Draw a new election timeout. */
 void raft_reset_election_timer(dy_raft_t *raft);
 /*
- * A member that cannot elect, a learner or one that was removed, has heard no
- * leader for an election timeout.
+ * Drop the leader and restart the election timer. For a member that cannot
+ * start an election, a learner or one that was removed.
  */
 void raft_forget_leader(dy_raft_t *raft);
 /* Draw an election timeout of a member that has heard no leader yet. */
--- a/tests/test_peer_addresses.c
+++ b/tests/test_peer_addresses.c
@@ -40,16 +40,16 @@
 END_TEST
 
 /* An old configuration replaces the address that a member answers from. */
-START_TEST(heard_address_precedes_configuration)
+START_TEST(source_address_precedes_configuration)
 {
 	dy_address_t address;
 	dy_voter_id_t id = { 2, 21 };
 
 	begin();
-	peer_addresses_hear(&addresses, id, &first, 1);
+	peer_addresses_note_source(&addresses, id, &first, 1);
 	ck_assert_int_eq(find(21, &address), 0);
 	ck_assert(dy_address_equal(&address, &first));
-	peer_addresses_hear(&addresses, id, &second, 2);
+	peer_addresses_note_source(&addresses, id, &second, 2);
 	ck_assert_int_eq(find(21, &address), 0);
 	ck_assert(dy_address_equal(&address, &second));
 }
@@ -64,10 +64,11 @@
 
 	begin();
 	for (i = 0; i <= PEER_ADDRESSES_MAX; i++) {
-		peer_addresses_hear(&addresses, (dy_voter_id_t){ 3, i + 1 },
-				    &second, now++);
-		peer_addresses_hear(&addresses, (dy_voter_id_t){ 2, 22 },
-				    &first, now++);
+		peer_addresses_note_source(&addresses,
+					   (dy_voter_id_t){ 3, i + 1 }, &second,
+					   now++);
+		peer_addresses_note_source(&addresses, (dy_voter_id_t){ 2, 22 },
+					   &first, now++);
 	}
 	ck_assert_int_eq(find(22, &address), 0);
 	ck_assert(dy_address_equal(&address, &first));
@@ -78,7 +79,7 @@
 {
 	const TTest *const tests[] = {
 		address_of_slot_is_not_that_of_another_holder,
-		heard_address_precedes_configuration,
+		source_address_precedes_configuration,
 		identity_silent_longest_makes_room,
 		NULL,
 	};
